Add the design, the core package, the peer protocol and the shared models

Cause: the components are written side by side, so their values and messages come first. Change: result codes, invariants, hybrid clock, timers, wire codec, metrics, events, settings, peer protocol over grpclib, and the data classes of tables, members, endpoints, schedule, ledger, control. Conclusion: decision classes can be written against these interfaces.

--- /dev/null
+++ b/bin/environment.sh
@@ -0,0 +1,11 @@
+# Sourced by the scripts of this folder: makes the virtual environment once and sets `python`.
+root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
+environment="${MULBERRYGATE_VENV:-$root/.venv}"
+python="$environment/bin/python"
+stamp="$environment/.requirements"
+if ! cmp -s "$root/requirements.lock" "$stamp"; then
+    python3.11 -m venv "$environment" 2>/dev/null || python3 -m venv "$environment"
+    "$python" -m pip install --quiet --disable-pip-version-check -r "$root/requirements.lock"
+    cp "$root/requirements.lock" "$stamp"
+fi
+export PYTHONPATH="$root${PYTHONPATH:+:$PYTHONPATH}"
--- /dev/null
+++ b/mulberrygate/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control: state machine on the replicated log, delivery of configuration, orders and moves."""
--- /dev/null
+++ b/mulberrygate/control/commands.py
@@ -0,0 +1,170 @@
+"""Commands of the replicated control log and their results."""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.core.wire import message
+from mulberrygate.ledger.views import Shard
+
+
+@message("control.apply_table")
+@attrs.frozen
+class ApplyTable:
+    """Put a version of a table in force.
+
+    Parameters
+    ==========
+    table : str
+        ``routes`` or ``pools``.
+    version : int
+        Version that the table names.
+    content : bytes
+        Text of the table file.
+    digest : str
+        SHA-256 of the table's values, so that comments and white space don't count.
+    operator : str
+        Name of the operator, for the time line.
+    at : float
+        Unix time in seconds at which the leader received it.
+    """
+
+    table: str
+    version: int
+    content: bytes
+    digest: str
+    operator: str
+    at: float
+
+
+@message("control.put_shards")
+@attrs.frozen
+class PutShards:
+    """Replace shards; one that changed since ``expected`` (its view numbers) is left alone.
+
+    Parameters
+    ==========
+    shards : tuple[Shard, ...]
+        New states.
+    expected : tuple[tuple[int, int], ...]
+        Numbers of the active and the preparing view that each shard must still have, 0 for none.
+    """
+
+    shards: tuple[Shard, ...]
+    expected: tuple[tuple[int, int], ...]
+
+
+@message("control.advance_move")
+@attrs.frozen
+class AdvanceMove:
+    """Set the stage, share and verdict of a version move.
+
+    Parameters
+    ==========
+    pool : str
+    table_version : int
+        Version of the pools table that declared the move.
+    stage : int
+        Stage of the move; never falls while there is no verdict.
+    share : float
+        Share of the new version's traffic, 0 to 1.
+    verdict : str
+        Empty, ``done``, ``withdrawn`` or ``late``.
+    reason : str
+        One short sentence.
+    """
+
+    pool: str
+    table_version: int
+    stage: int
+    share: float
+    verdict: str = ""
+    reason: str = ""
+
+
+@message("control.take_fence")
+@attrs.frozen
+class TakeFence:
+    """Take the next fencing number for a leader's term.
+
+    Parameters
+    ==========
+    leader : str
+    term : int
+    """
+
+    leader: str
+    term: int
+
+
+@message("control.result")
+@attrs.frozen
+class CommandResult:
+    """Result of a command.
+
+    Parameters
+    ==========
+    code : int
+        0 for success, else a number of the result codes.
+    revision : int
+        Revision at which the accepted state is in force.
+    detail : str
+        One sentence; for a conflict it says what is in force.
+    value : int
+        Fencing number for `TakeFence`.
+    """
+
+    code: int = 0
+    revision: int = 0
+    detail: str = ""
+    value: int = 0
+
+
+@message("control.entry")
+@attrs.frozen
+class ConfigEntry:
+    """Entry of the configuration that is delivered to every instance.
+
+    Parameters
+    ==========
+    section : str
+        ``routes``, ``accounts``, ``pools``, ``tables``, ``shards`` or ``moves``.
+    name : str
+    revision : int
+        Log index of the command that last changed it.
+    body : bytes
+        Encoded value; empty for an entry that was removed.
+    """
+
+    section: str
+    name: str
+    revision: int
+    body: bytes
+
+
+@message("control.move_state")
+@attrs.frozen
+class MoveState:
+    """State of a version move in the configuration (section ``moves``)."""
+
+    pool: str
+    table_version: int
+    previous: str
+    version: str
+    stage: int = 0
+    share: float = 0.0
+    verdict: str = ""
+    reason: str = ""
+    started_at: float = 0.0
+
+
+@message("control.table_state")
+@attrs.frozen
+class TableState:
+    """Version of a table in force (section ``tables``)."""
+
+    table: str
+    version: int
+    digest: str
+    operator: str
+    at: float
--- /dev/null
+++ b/mulberrygate/core/invariant.py
@@ -0,0 +1,54 @@
+"""Invariants that the program asserts while it runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mulberrygate.core.codes import Code
+
+Listener = Callable[[Code, str], None]
+
+_listeners: list[Listener] = []
+
+
+class InvariantError(AssertionError):
+    """An invariant of the program does not hold.
+
+    Parameters
+    ==========
+    code : Code
+        Code of the 9xxx group.
+    detail : str
+        Values that broke the invariant.
+    """
+
+    def __init__(self, code: Code, detail: str):
+        super().__init__(f"{code}: {detail}")
+        self.code = code
+        self.detail = detail
+
+
+def on_violation(listener: Listener) -> Callable[[], None]:
+    """Call a listener at each violation; return a function that removes it."""
+    _listeners.append(listener)
+    return lambda: _listeners.remove(listener)
+
+
+def invariant(condition: object, code: Code, detail: str = "") -> None:
+    """Raise `InvariantError` unless the condition holds.
+
+    Explanation
+    ===========
+    Unlike ``assert`` this is never compiled away. Metrics and the time line listen through
+    `on_violation`.
+
+    Raises
+    ======
+    InvariantError
+        The condition is false.
+    """
+    if condition:
+        return
+    for listener in list(_listeners):
+        listener(code, detail)
+    raise InvariantError(code, detail)
--- /dev/null
+++ b/mulberrygate/core/wire.py
@@ -0,0 +1,94 @@
+"""Registry and codec of the messages between our own processes.
+
+Explanation
+===========
+A message is a frozen ``attrs`` class under the name given to `message`. The codec ignores unknown
+fields, and a field that was added later has a default, so two releases can run side by side.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import attrs
+from cattrs.preconf.msgpack import make_converter
+
+Class = TypeVar("Class", bound=type)
+
+converter = make_converter()
+_classes: dict[str, type] = {}
+_names: dict[type, str] = {}
+
+
+class DecodeError(ValueError):
+    """A frame can't be decoded."""
+
+
+def message(name: str) -> Callable[[Class], Class]:
+    """Register an ``attrs`` class as a message.
+
+    Parameters
+    ==========
+    name : str
+        Name on the wire, ``part.name``.
+
+    Raises
+    ======
+    ValueError
+        Another class has the name.
+
+    Examples
+    ========
+    >>> import attrs
+    >>> from mulberrygate.core.wire import decode, encode, message
+    >>> @message("example.ping")
+    ... @attrs.frozen
+    ... class Ping:
+    ...     number: int = 0
+    >>> decode(*encode(Ping(7)))
+    Ping(number=7)
+    """
+
+    def register(cls: Class) -> Class:
+        known = _classes.get(name)
+        if known is not None and known.__qualname__ != cls.__qualname__:
+            raise ValueError(f"message {name} is already registered as {known.__qualname__}")
+        _classes[name] = cls
+        _names[cls] = name
+        return cls
+
+    return register
+
+
+def name_of(cls: type) -> str:
+    """Return the wire name of a message class."""
+    return _names[cls]
+
+
+def encode(value: Any) -> tuple[str, bytes]:
+    """Return the wire name and the bytes of a message."""
+    return _names[type(value)], converter.dumps(value)
+
+
+def decode(name: str, body: bytes) -> Any:
+    """Return the message of a frame.
+
+    Raises
+    ======
+    DecodeError
+        The name is unknown or the body does not fit its class.
+    """
+    cls = _classes.get(name)
+    if cls is None:
+        raise DecodeError(f"unknown message {name[:80]!r}")
+    try:
+        return converter.loads(body, cls)
+    except Exception as error:
+        raise DecodeError(f"message {name} has a malformed body: {type(error).__name__}") from error
+
+
+@message("core.ack")
+@attrs.frozen
+class Ack:
+    """Answer of a handler that has nothing to say."""
--- /dev/null
+++ b/mulberrygate/members/view.py
@@ -0,0 +1,97 @@
+"""Members of the system and the view that an instance has of them."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from mulberrygate.core.wire import message
+from mulberrygate.members.rendezvous import choose, rank
+
+
+class Status(enum.Enum):
+    """Status of a member as another instance sees it."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@message("members.member")
+@attrs.frozen
+class Member:
+    """An instance as the membership knows it.
+
+    Parameters
+    ==========
+    instance : str
+        Name from its settings.
+    address, http_address : str
+        ``host:port`` of the peer protocol and of HTTP.
+    incarnation : int
+        Rises with each start of the process.
+    heartbeat : int
+        Rises with each heartbeat of one incarnation.
+    roles : tuple[str, ...]
+        Parts that the instance runs: ``entry``, ``control``.
+    revision : int
+        Configuration revision in force on the instance.
+    """
+
+    instance: str
+    address: str
+    http_address: str
+    region: str
+    failure_domain: str
+    incarnation: int
+    heartbeat: int = 0
+    status: Status = Status.ALIVE
+    roles: tuple[str, ...] = ("entry",)
+    revision: int = 0
+
+
+class MembershipView:
+    """Immutable view of the members that one instance knows.
+
+    Parameters
+    ==========
+    members : dict[str, Member]
+        All known members by name, dead ones included.
+    """
+
+    def __init__(self, members: dict[str, Member]):
+        self.members = members
+        self.live = {
+            name: member
+            for name, member in members.items()
+            if member.status in (Status.ALIVE, Status.SUSPECT)
+        }
+        self.domains: dict[str, list[str]] = {}
+        self.regions: dict[str, str] = {}
+        for name, member in sorted(members.items()):
+            self.regions[member.failure_domain] = member.region
+            if name in self.live:
+                self.domains.setdefault(member.failure_domain, []).append(name)
+
+    def is_alive(self, instance: str) -> bool:
+        """Return whether an instance is alive or only suspected."""
+        return instance in self.live
+
+    def address_of(self, instance: str) -> str | None:
+        """Return the peer address of a known instance."""
+        member = self.members.get(instance)
+        return member.address if member is not None else None
+
+    def in_domain(self, failure_domain: str) -> list[str]:
+        """Return the live instances of a failure domain in order of their names."""
+        return self.domains.get(failure_domain, [])
+
+    def owner(self, failure_domain: str, subject: str) -> str:
+        """Return the live instance of a failure domain that owns a subject; empty if none."""
+        return choose(subject, self.in_domain(failure_domain))
+
+    def relays(self, failure_domain: str, count: int = 2) -> list[str]:
+        """Return the relays of a failure domain; the first one is the main relay."""
+        return rank("relay", self.in_domain(failure_domain))[:count]
--- /dev/null
+++ b/mulberrygate/observe/__init__.py
@@ -0,0 +1,7 @@
+"""Logs, metrics and the time line of events."""
+
+from mulberrygate.observe.events import Event, EventRing
+from mulberrygate.observe.logs import logger, start_logging
+from mulberrygate.observe.metrics import Metrics
+
+__all__ = ["Event", "EventRing", "Metrics", "logger", "start_logging"]
--- /dev/null
+++ b/mulberrygate/peers/tests/test_peers.py
@@ -0,0 +1,78 @@
+"""Tests of the peer protocol over loopback."""
+
+import asyncio
+import socket
+import unittest
+
+import attrs
+
+from mulberrygate.core import HybridClock, message
+from mulberrygate.peers import PeerClient, PeerServer, Unreachable
+
+TOKEN = "a-token-for-tests-only"
+
+
+@message("test_peers.question")
+@attrs.frozen
+class Question:
+    """Message with one field."""
+
+    text: str
+
+
+def free_port() -> int:
+    """Return a port that the system gives out."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def make_server(name: str, token: str = TOKEN) -> PeerServer:
+    """Return a server with a clock at a fixed time."""
+    return PeerServer(name, 1, token, HybridClock(lambda: 1000))
+
+
+class PeerTest(unittest.IsolatedAsyncioTestCase):
+    """Calls between two processes' servers in one event loop."""
+
+    async def asyncSetUp(self):
+        self.port = free_port()
+        self.server = make_server("b")
+        self.server.on(Question, lambda m, sender: Question(f"{m.text} from {sender}"))
+        await self.server.start("127.0.0.1", self.port)
+        self.client = PeerClient(make_server("a"), lambda _: f"127.0.0.1:{self.port}")
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.server.close()
+
+    async def test_answer_comes_from_the_handler(self):
+        """Guards against answers that lose the message or the sender's name."""
+        answer = await self.client.call("b", Question("hello"), 5.0)
+        self.assertEqual(answer, Question("hello from a"))
+
+    async def test_wrong_token_is_refused(self):
+        """Guards against a stranger who gets a message handled."""
+        stranger = PeerClient(make_server("c", "another-token-entirely"), self.client.address_of)
+        answer = await stranger.call("b", Question("hello"), 5.0)
+        self.assertIsInstance(answer, Unreachable)
+        self.assertIn("token", answer.reason)
+        await stranger.close()
+
+    async def test_blocked_sender_is_cut_off(self):
+        """Guards against a partition switch that lets messages through."""
+        self.server.blocked.add("a")
+        self.assertIsInstance(await self.client.call("b", Question("x"), 5.0), Unreachable)
+
+    async def test_silent_instance_does_not_hold_the_caller(self):
+        """Guards against a call that waits forever for an instance that stopped answering."""
+
+        async def never(_message, _sender):
+            await asyncio.Event().wait()
+
+        self.server.on(Question, never)
+        self.assertIsInstance(await self.client.call("b", Question("x"), 0.05), Unreachable)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/schedule/messages.py
@@ -0,0 +1,145 @@
+"""Messages between entries and the owner of a pool's scheduler."""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.core.wire import message
+
+
+@attrs.frozen
+class Ticket:
+    """Request that waits for an endpoint.
+
+    Parameters
+    ==========
+    request : str
+        Identifier of the attempt, unique in the system.
+    entry : str
+        Instance that holds the caller.
+    weight : float
+        Weight of the client account in fair sharing.
+    tier : int
+        0 is the most urgent.
+    prompt_tokens, output_tokens : int
+        Estimates in tokens; 1 each for plain services.
+    prefixes : tuple[str, ...]
+        Hashes of the prompt's prefixes, shortest first, one for each `PREFIX_TOKENS` tokens.
+    deadline_s : float
+        Seconds from the moment the message is sent until the answer is of no more use.
+    attempt : int
+        Number of earlier dispatches of the request; over 0 only for idempotent ones.
+    avoid : tuple[str, ...]
+        Endpoints that failed earlier dispatches.
+    """
+
+    request: str
+    entry: str
+    pool: str
+    route: str
+    account: str
+    weight: float
+    tier: int
+    prompt_tokens: int
+    output_tokens: int
+    prefixes: tuple[str, ...]
+    deadline_s: float
+    idempotent: bool = False
+    attempt: int = 0
+    avoid: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Running:
+    """Request that an entry has dispatched, as presented to a new owner."""
+
+    ticket: Ticket
+    endpoint: str
+    version: str
+    emitted_tokens: int
+
+
+@message("schedule.ask")
+@attrs.frozen
+class Ask:
+    """Entry to owner: a request waits for an endpoint. Repeating it changes nothing."""
+
+    ticket: Ticket
+
+
+@message("schedule.withdraw")
+@attrs.frozen
+class Withdraw:
+    """Entry to owner: the request does not wait any more or will not use its grant."""
+
+    pool: str
+    request: str
+
+
+@message("schedule.progress")
+@attrs.frozen
+class Progress:
+    """Entry to owner: tokens received so far of running requests."""
+
+    pool: str
+    emitted: dict[str, int]
+
+
+@message("schedule.done")
+@attrs.frozen
+class Done:
+    """Entry to owner: a granted request has ended.
+
+    Parameters
+    ==========
+    first_token_s, total_s : float
+        Seconds from dispatch to the first token and to the end.
+    fault : str
+        Empty, or the kind of fault of the endpoint: ``refused``, ``error``, ``cut``, ``silent``.
+        A cancellation by the caller is not a fault; see ``cancelled``.
+    """
+
+    pool: str
+    request: str
+    endpoint: str
+    version: str
+    route: str
+    prompt_tokens: int
+    output_tokens: int
+    first_token_s: float
+    total_s: float
+    fault: str = ""
+    cancelled: bool = False
+
+
+@message("schedule.present")
+@attrs.frozen
+class Present:
+    """Entry to a new owner: all its waiting and running requests of the pool."""
+
+    pool: str
+    waiting: tuple[Ticket, ...]
+    running: tuple[Running, ...]
+
+
+@message("schedule.grant")
+@attrs.frozen
+class Grant:
+    """Owner to entry: dispatch the request to this endpoint."""
+
+    pool: str
+    request: str
+    endpoint: str
+    address: str
+    version: str
+
+
+@message("schedule.refuse")
+@attrs.frozen
+class Refuse:
+    """Owner to entry: the request is shed; ``code`` is a number of the result codes."""
+
+    pool: str
+    request: str
+    code: int
+    retry_after_s: float
--- /dev/null
+++ b/mulberrygate/settings/model.py
@@ -0,0 +1,79 @@
+"""Settings of one daemon."""
+
+from __future__ import annotations
+
+import attrs
+
+ENTRY = "entry"
+CONTROL = "control"
+PARTS = (ENTRY, CONTROL)
+
+
+def _is_address(instance, attribute, value: str) -> None:
+    host, separator, port = value.rpartition(":")
+    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{attribute.name} must be host:port, not {value!r}")
+
+
+def _is_name(instance, attribute, value: str) -> None:
+    if not value or len(value) > 64 or not all(c.isalnum() or c in "-_." for c in value):
+        raise ValueError(
+            f"{attribute.name} must be 1 to 64 letters, digits, '-', '_' or '.', not {value!r}"
+        )
+
+
+def _are_parts(instance, attribute, value: tuple[str, ...]) -> None:
+    for part in value:
+        if part not in PARTS:
+            raise ValueError(f"unknown part {part!r}; the parts are {', '.join(PARTS)}")
+
+
+@attrs.frozen
+class Settings:
+    """Settings of a daemon.
+
+    Parameters
+    ==========
+    instance : str
+        Name of the instance, unique in the system.
+    region, failure_domain : str
+        Place of the instance.
+    peer_address, http_address : str
+        ``host:port`` on which the daemon listens for other daemons and for HTTP.
+    seeds : tuple[str, ...]
+        Peer addresses of a few other instances.
+    peer_token_file, operator_token_file, endpoint_token_file : str
+        Files with the secret of other daemons, of operators and of endpoints.
+    parts : tuple[str, ...]
+        Parts to run: ``entry``, and ``control`` on an instance with a data folder.
+    data_folder : str
+        Folder of the control log; needed by ``control`` only.
+    voters : dict[str, str]
+        First voters of the control group, name to peer address, equal on all instances.
+    stop_grace_s : float
+        Seconds that a planned stop waits for running answers before it reports them.
+    partition_switch : bool
+        Whether tests may cut this instance off from others through its HTTP server.
+    """
+
+    instance: str = attrs.field(validator=_is_name)
+    region: str = attrs.field(validator=_is_name)
+    failure_domain: str = attrs.field(validator=_is_name)
+    peer_address: str = attrs.field(validator=_is_address)
+    http_address: str = attrs.field(validator=_is_address)
+    peer_token_file: str
+    operator_token_file: str
+    endpoint_token_file: str
+    seeds: tuple[str, ...] = ()
+    parts: tuple[str, ...] = attrs.field(default=(ENTRY,), validator=_are_parts)
+    data_folder: str = ""
+    voters: dict[str, str] = attrs.field(factory=dict)
+    log_level: str = "INFO"
+    stop_grace_s: float = 3600.0
+    partition_switch: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        if CONTROL in self.parts and not self.data_folder:
+            raise ValueError("the part control needs a data_folder")
+        if CONTROL in self.parts and not self.voters:
+            raise ValueError("the part control needs voters")
--- /dev/null
+++ b/mulberrygate/tables/__init__.py
@@ -0,0 +1,5 @@
+"""Tables of routes and pools."""
+
+from mulberrygate.tables.model import Account, Move, Pool, PoolsTable, Route, RoutesTable
+
+__all__ = ["Account", "Move", "Pool", "PoolsTable", "Route", "RoutesTable"]
--- /dev/null
+++ b/mulberrygate/tables/model.py
@@ -0,0 +1,163 @@
+"""The two tables that operators edit: routes and pools."""
+
+from __future__ import annotations
+
+import attrs
+
+TIERS = 4
+MODEL = "model"
+SERVICE = "service"
+
+
+def _at_least(minimum: float):
+    def check(instance, attribute, value) -> None:
+        if value < minimum:
+            raise ValueError(f"{attribute.name} must be at least {minimum:g}, not {value:g}")
+
+    return check
+
+
+def _between(low: float, high: float):
+    def check(instance, attribute, value) -> None:
+        if not low <= value <= high:
+            raise ValueError(f"{attribute.name} must be from {low:g} to {high:g}, not {value:g}")
+
+    return check
+
+
+def _one_of(*choices: str):
+    def check(instance, attribute, value) -> None:
+        if value not in choices:
+            raise ValueError(f"{attribute.name} must be one of {', '.join(choices)}")
+
+    return check
+
+
+@attrs.frozen
+class Account:
+    """Client account.
+
+    Parameters
+    ==========
+    token_sha256 : tuple[str, ...]
+        SHA-256 of the bearer tokens, in hexadecimal.
+    home : str
+        Failure domain of the account's keys in the ledger.
+    weight : float
+        Weight in fair sharing.
+    best_tier : int
+        Most urgent tier that the account may ask for.
+    max_waiting : int
+        Requests of the account that may wait at one entry.
+    """
+
+    token_sha256: tuple[str, ...]
+    home: str
+    weight: float = attrs.field(default=1.0, validator=_between(0.001, 1000))
+    best_tier: int = attrs.field(default=0, validator=_between(0, TIERS - 1))
+    max_waiting: int = attrs.field(default=1000, validator=_at_least(1))
+
+
+@attrs.frozen
+class Route:
+    """Named route.
+
+    Parameters
+    ==========
+    pool : str
+        Pool that the route sends to.
+    tier : int
+        Tier of its requests, 0 to 3; 0 is the most urgent.
+    deadline_s : float
+        Seconds for an answer if the caller names no deadline.
+    max_body_bytes : int
+        Largest request body.
+    max_output_tokens : int
+        Largest answer of a model route, and the estimate when the caller gives none.
+    idempotent : bool
+        Whether all calls of a service route may be repeated.
+    idempotent_methods : tuple[str, ...]
+        HTTP methods whose calls may be repeated.
+    accounts : tuple[str, ...]
+        Client accounts that may use the route; empty for all.
+    """
+
+    pool: str
+    tier: int = attrs.field(default=2, validator=_between(0, TIERS - 1))
+    deadline_s: float = attrs.field(default=60.0, validator=_between(0.1, 3600))
+    max_body_bytes: int = attrs.field(default=1 << 20, validator=_between(1, 32 << 20))
+    max_output_tokens: int = attrs.field(default=1024, validator=_between(1, 1_000_000))
+    idempotent: bool = False
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD")
+    accounts: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Move:
+    """Move of a pool to a new version.
+
+    Parameters
+    ==========
+    previous : str
+        Version that the move starts from.
+    deadline_s : float
+        Seconds from acceptance of the table to the end of the move.
+    largest_early_share : float
+        Largest share of traffic before the evidence allows more.
+    max_error_excess : float
+        Excess of the error rate over the previous version's that counts as a fault.
+    max_slowdown : float
+        Ratio of normalised time to the previous version's that counts as a fault.
+    watch_s : float
+        Seconds after completion in which late faults are still looked for.
+    """
+
+    previous: str
+    deadline_s: float = attrs.field(default=600.0, validator=_between(10, 7 * 86400))
+    largest_early_share: float = attrs.field(default=0.05, validator=_between(0.001, 0.5))
+    max_error_excess: float = attrs.field(default=0.02, validator=_between(0.001, 0.5))
+    max_slowdown: float = attrs.field(default=1.3, validator=_between(1.05, 10))
+    watch_s: float = attrs.field(default=600.0, validator=_between(0, 7 * 86400))
+
+
+@attrs.frozen
+class Pool:
+    """Named pool of endpoints.
+
+    Parameters
+    ==========
+    kind : str
+        ``model`` or ``service``.
+    version : str
+        Version that is to serve; empty for any.
+    max_waiting : int
+        Requests that may wait in one failure domain.
+    engine_queue : int
+        Requests beyond its slots that an endpoint is given.
+    move : Move or None
+        Move to ``version``, while one is declared.
+    """
+
+    kind: str = attrs.field(default=MODEL, validator=_one_of(MODEL, SERVICE))
+    model: str = ""
+    version: str = ""
+    max_waiting: int = attrs.field(default=2000, validator=_at_least(1))
+    engine_queue: int = attrs.field(default=1, validator=_between(0, 64))
+    move: Move | None = None
+
+
+@attrs.frozen
+class RoutesTable:
+    """Table of routes and client accounts."""
+
+    version: int = attrs.field(validator=_at_least(1))
+    routes: dict[str, Route] = attrs.field(factory=dict)
+    accounts: dict[str, Account] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class PoolsTable:
+    """Table of pools."""
+
+    version: int = attrs.field(validator=_at_least(1))
+    pools: dict[str, Pool] = attrs.field(factory=dict)
