--- /dev/null
+++ b/mulberrygate/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operator command `mulberrygate`."""
--- /dev/null
+++ b/mulberrygate/cli/command.py
@@ -0,0 +1,145 @@
+"""Registry of subcommands and what they share."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import aiohttp
+
+ENTRY_VARIABLE = "MULBERRYGATE_ENTRY"
+TOKEN_VARIABLE = "MULBERRYGATE_OPERATOR_TOKEN_FILE"
+TIMEOUT_S = 30.0
+
+# Exit codes.
+OK = 0
+REFUSED = 1
+USAGE = 2
+UNREACHABLE = 3
+NOT_EVERYWHERE = 4
+
+Run = Callable[[argparse.Namespace], int]
+
+
+@dataclass(frozen=True)
+class Command:
+    """Subcommand of the operator command."""
+
+    name: str
+    summary: str
+    add_arguments: Callable[[argparse.ArgumentParser], None]
+    run: Run
+
+
+commands: dict[str, Command] = {}
+
+
+def command(
+    name: str,
+    summary: str,
+    add_arguments: Callable[[argparse.ArgumentParser], None] = lambda parser: None,
+) -> Callable[[Run], Run]:
+    """Register a function as a subcommand."""
+
+    def register(run: Run) -> Run:
+        commands[name] = Command(name, summary, add_arguments, run)
+        return run
+
+    return register
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Answer of an entry instance."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    def json(self) -> dict:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+class EntryUnreachable(Exception):
+    """No entry instance answered."""
+
+
+def add_entry_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the options of commands that talk to an entry instance."""
+    parser.add_argument(
+        "--entry",
+        default=os.environ.get(ENTRY_VARIABLE),
+        help=f"host:port of an entry instance (default: ${ENTRY_VARIABLE})",
+    )
+    parser.add_argument(
+        "--token-file",
+        default=os.environ.get(TOKEN_VARIABLE),
+        help=f"file with the operator token (default: ${TOKEN_VARIABLE})",
+    )
+
+
+def add_format_argument(parser: argparse.ArgumentParser) -> None:
+    """Add the option that chooses the form of the output."""
+    parser.add_argument("--format", choices=("table", "json"), default="table")
+
+
+def call_entry(
+    options: argparse.Namespace, method: str, path: str, body: bytes | None = None, **query: str
+) -> Reply:
+    """Call an entry instance as an operator.
+
+    Raises
+    ======
+    EntryUnreachable
+        The entry or the token file is not given, can't be read or does not answer.
+    """
+    if not options.entry or not options.token_file:
+        raise EntryUnreachable(
+            f"--entry and --token-file are needed, or {ENTRY_VARIABLE} and {TOKEN_VARIABLE}"
+        )
+    try:
+        with open(options.token_file, encoding="utf-8") as file:
+            token = file.read().strip()
+        return asyncio.run(_call(options.entry, token, method, path, body, query))
+    except (OSError, aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+        raise EntryUnreachable(f"{options.entry}: {error or type(error).__name__}") from error
+
+
+async def _call(
+    entry: str, token: str, method: str, path: str, body: bytes | None, query: dict[str, str]
+) -> Reply:
+    headers = {"Authorization": f"Bearer {token}", "X-Operator": os.environ.get("USER", "operator")}
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        url = f"http://{entry}{path}"
+        async with session.request(method, url, data=body, headers=headers, params=query) as answer:
+            return Reply(answer.status, await answer.read(), dict(answer.headers))
+
+
+def print_problem(reply: Reply) -> int:
+    """Print the problem document of a refusal and return the exit code."""
+    try:
+        problem = reply.json()
+        print(f"{problem['code']} {problem['title']}: {problem['detail']}", file=sys.stderr)
+    except (ValueError, KeyError, TypeError):
+        print(f"the entry instance answered {reply.status}", file=sys.stderr)
+    return REFUSED
+
+
+def print_json(value: object) -> None:
+    """Print a value as JSON."""
+    print(json.dumps(value, indent=2, ensure_ascii=False))
+
+
+def print_rows(header: tuple[str, ...], rows: list[tuple]) -> None:
+    """Print rows in columns."""
+    cells = [header, *[tuple(str(cell) for cell in row) for row in rows]]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(header))]
+    for row in cells:
+        print("  ".join(cell.ljust(w) for cell, w in zip(row, widths, strict=True)).rstrip())
--- /dev/null
+++ b/mulberrygate/control/client.py
@@ -0,0 +1,83 @@
+"""Access to the control leader from any instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from mulberrygate.control.messages import ControlAnswer, FindLeader
+from mulberrygate.core.codes import register_code
+from mulberrygate.members.view import MembershipView
+from mulberrygate.peers.client import PeerClient, Unreachable
+
+NO_LEADER = register_code(
+    5001, "no_leader", "No control leader can be reached; tables can't change now.", 503
+)
+ANSWER_LOST = register_code(
+    5002, "answer_lost", "The leader gave no answer; the change may be in force. Send it again.", 504
+)
+
+CALL_TIMEOUT_S = 8.0
+FIND_TIMEOUT_S = 1.0
+
+
+class ControlClient:
+    """Find the control leader among the voters and send it requests.
+
+    Parameters
+    ==========
+    voters : Callable[[], list[str]]
+        Names of the instances that may lead.
+    """
+
+    def __init__(
+        self,
+        peers: PeerClient,
+        view: Callable[[], MembershipView],
+        voters: Callable[[], list[str]],
+    ):
+        self.peers = peers
+        self.view = view
+        self.voters = voters
+        self.leader = ""
+
+    async def find_leader(self) -> str:
+        """Return the leader's name, or an empty string."""
+        candidates = [self.leader, *self.voters()] if self.leader else self.voters()
+        tried: set[str] = set()
+        while candidates:
+            voter = candidates.pop(0)
+            if voter in tried or not voter:
+                continue
+            tried.add(voter)
+            answer = await self.peers.call(voter, FindLeader(), FIND_TIMEOUT_S)
+            if isinstance(answer, ControlAnswer):
+                if answer.is_leader:
+                    self.leader = voter
+                    return voter
+                if answer.leader:
+                    candidates.insert(0, answer.leader)
+        self.leader = ""
+        return ""
+
+    async def request(self, message: Any) -> Any | Unreachable:
+        """Send a request to the leader.
+
+        Returns
+        =======
+        message or Unreachable
+            ``Unreachable`` with an empty instance: no leader was found and nothing was sent. With
+            the leader's name: its answer was lost.
+        """
+        for _ in range(2):
+            leader = await self.find_leader()
+            if not leader:
+                return Unreachable("", "no voter knows a leader")
+            answer = await self.peers.call(leader, message, CALL_TIMEOUT_S)
+            if isinstance(answer, Unreachable):
+                self.leader = ""
+                return Unreachable(leader, answer.reason)
+            if answer.is_leader:
+                return answer
+            self.leader = answer.leader
+        return Unreachable("", "the leader changed")
--- /dev/null
+++ b/mulberrygate/control/inforce.py
@@ -0,0 +1,59 @@
+"""Tables in force on this instance, decoded from the configuration."""
+
+from __future__ import annotations
+
+from mulberrygate.control.commands import MoveState, TableState
+from mulberrygate.control.configuration import Configuration
+from mulberrygate.ledger.views import Shard
+from mulberrygate.tables.model import Account, Pool, Route
+
+__all__ = ["InForce"]
+
+
+class InForce:
+    """Decoded configuration, rebuilt when its revision rises.
+
+    Explanation
+    ===========
+    Only entries whose revision changed are decoded again, so a change costs what it changes and not
+    the size of the tables.
+    """
+
+    def __init__(self, configuration: Configuration):
+        self.configuration = configuration
+        self.decoded: dict[tuple[str, str], tuple[int, object]] = {}
+        self.revision = -1
+        self.routes: dict[str, Route] = {}
+        self.accounts: dict[str, Account] = {}
+        self.account_by_token: dict[str, str] = {}
+        self.pools: dict[str, Pool] = {}
+        self.tables: dict[str, TableState] = {}
+        self.moves: dict[str, MoveState] = {}
+        self.shards: dict[str, Shard] = {}
+        self.refresh()
+
+    def refresh(self) -> bool:
+        """Take over the configuration; return whether its revision had changed."""
+        if self.configuration.revision == self.revision:
+            return False
+        self.revision = self.configuration.revision
+        decoded: dict[tuple[str, str], tuple[int, object]] = {}
+        for key, entry in self.configuration.entries.items():
+            known = self.decoded.get(key)
+            if known is None or known[0] != entry.revision:
+                known = (entry.revision, decode_entry(entry))
+            decoded[key] = known
+        self.decoded = decoded
+        self.routes = self._section("routes")
+        self.accounts = self._section("accounts")
+        self.pools = self._section("pools")
+        self.tables = self._section("tables")
+        self.moves = self._section("moves")
+        self.shards = self._section("shards")
+        self.account_by_token = {
+            token: name for name, account in self.accounts.items() for token in account.token_sha256
+        }
+        return True
+
+    def _section(self, section: str) -> dict:
+        return {name: value for (kind, name), (_, value) in self.decoded.items() if kind == section}
--- /dev/null
+++ b/mulberrygate/control/messages.py
@@ -0,0 +1,108 @@
+"""Messages of operators' requests and of reports between instances."""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.core.wire import message
+from mulberrygate.observe.events import Entry
+
+
+@message("control.apply_request")
+@attrs.frozen
+class ApplyRequest:
+    """Entry to leader: put a version of a table in force.
+
+    Parameters
+    ==========
+    table : str
+        ``routes`` or ``pools``.
+    content : bytes
+        Text of the table file.
+    operator : str
+        Name of the operator, for the timeline.
+    """
+
+    table: str
+    content: bytes
+    operator: str
+
+
+@message("control.answer")
+@attrs.frozen
+class ControlAnswer:
+    """Leader to entry: result of a request, or who leads.
+
+    Parameters
+    ==========
+    is_leader : bool
+        Whether the answer comes from the leader; if not, ``leader`` names it if it is known.
+    code : int
+        0 for success, else a number of the result codes.
+    revision : int
+        Revision at which an accepted change is in force.
+    """
+
+    is_leader: bool
+    leader: str = ""
+    code: int = 0
+    revision: int = 0
+    detail: str = ""
+
+
+@message("control.find_leader")
+@attrs.frozen
+class FindLeader:
+    """Ask a voter who leads."""
+
+
+@message("control.read_table")
+@attrs.frozen
+class ReadTable:
+    """Entry to leader: current text of a table, confirmed by a majority."""
+
+    table: str
+
+
+@message("control.table_text")
+@attrs.frozen
+class TableText:
+    """Leader to entry: text of a table in force."""
+
+    is_leader: bool
+    leader: str = ""
+    code: int = 0
+    detail: str = ""
+    version: int = 0
+    content: bytes = b""
+
+
+@message("control.events_query")
+@attrs.frozen
+class EventsQuery:
+    """Ask an instance for the newest events of its timeline."""
+
+    subjects: dict[str, str]
+    limit: int
+
+
+@message("control.events_answer")
+@attrs.frozen
+class EventsAnswer:
+    """Newest events of an instance, oldest first."""
+
+    entries: tuple[Entry, ...]
+
+
+@message("control.status_query")
+@attrs.frozen
+class StatusQuery:
+    """Ask an instance for its state."""
+
+
+@message("control.status_answer")
+@attrs.frozen
+class StatusAnswer:
+    """State of an instance, as JSON text."""
+
+    text: str
--- /dev/null
+++ b/mulberrygate/daemon/poolhost.py
@@ -0,0 +1,180 @@
+"""Runs the schedulers of the pools that this instance owns."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from mulberrygate.core.effects import Effect, Record, Send
+from mulberrygate.core.timers import TimerService
+from mulberrygate.endpoints.model import EndpointView
+from mulberrygate.members.view import MembershipView
+from mulberrygate.observe.events import EventRing
+from mulberrygate.observe.logs import logger
+from mulberrygate.observe.metrics import Metrics
+from mulberrygate.peers.client import PeerClient
+from mulberrygate.schedule.messages import Ask, Done, Present, Progress, Withdraw
+from mulberrygate.schedule.scheduler import PoolScheduler
+from mulberrygate.settings.model import Settings
+
+if TYPE_CHECKING:
+    from mulberrygate.control.inforce import InForce
+    from mulberrygate.daemon.movewatch import MoveWatch
+    from mulberrygate.endpoints.directory import Directory
+
+log = logger("schedule")
+
+TICK_S = 0.1
+# A scheduler that nobody asked for this time is dropped; its learned speeds are learned again.
+IDLE_S = 600.0
+
+
+@attrs.define(eq=False)
+class Hosted:
+    """Scheduler of a pool on this instance."""
+
+    scheduler: PoolScheduler
+    used_at: float
+
+
+class PoolHost:
+    """Pass messages of entries to the pools' schedulers and carry out their effects.
+
+    Explanation
+    ===========
+    The owner of a pool sees all slots of the endpoints. Another instance that is asked, because an
+    entry could not reach the owner, schedules with its share of the slots only.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        peers: PeerClient,
+        view: Callable[[], MembershipView],
+        directory: Directory,
+        in_force: InForce,
+        timers: TimerService,
+        metrics: Metrics,
+        events: EventRing,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.peers = peers
+        self.view = view
+        self.directory = directory
+        self.in_force = in_force
+        self.timers = timers
+        self.metrics = metrics
+        self.events = events
+        self.rng = rng
+        self.hosted: dict[str, Hosted] = {}
+        self.move_watch: MoveWatch | None = None
+        self.entries_seen: set[str] = set()
+        peers.on(Ask, self.on_ask)
+        peers.on(Withdraw, self.on_withdraw)
+        peers.on(Progress, self.on_progress)
+        peers.on(Done, self.on_done)
+        peers.on(Present, self.on_present)
+        timers.every(TICK_S, self.tick, "poolhost.tick")
+
+    def is_owner(self, pool: str) -> bool:
+        """Return whether this instance owns a pool's scheduler."""
+        domain = self.settings.failure_domain
+        return self.view().owner(domain, f"pool/{pool}") == self.settings.instance
+
+    def scheduler(self, pool: str) -> PoolScheduler | None:
+        """Return the scheduler of a pool in force, made at the first use."""
+        now = self.timers.now()
+        hosted = self.hosted.get(pool)
+        if hosted is None:
+            settings = self.in_force.pools.get(pool)
+            if settings is None:
+                return None
+            scheduler = PoolScheduler(
+                self.settings.failure_domain, self.settings.region, settings, self.rng
+            )
+            hosted = self.hosted[pool] = Hosted(scheduler, now)
+            self._refresh(pool, scheduler, now)
+        hosted.used_at = now
+        return hosted.scheduler
+
+    def on_ask(self, message: Ask, _sender: str) -> None:
+        """Take a waiting request."""
+        scheduler = self.scheduler(message.ticket.pool)
+        if scheduler is not None:
+            self.run(message.ticket.pool, scheduler.ask(message.ticket, self.timers.now()))
+
+    def on_withdraw(self, message: Withdraw, _sender: str) -> None:
+        """Drop a waiting request or take back a grant."""
+        hosted = self.hosted.get(message.pool)
+        if hosted is not None:
+            effects = hosted.scheduler.withdraw(message.request, self.timers.now())
+            self.run(message.pool, effects)
+
+    def on_progress(self, message: Progress, _sender: str) -> None:
+        """Note the progress of running requests."""
+        hosted = self.hosted.get(message.pool)
+        if hosted is not None:
+            self.run(message.pool, hosted.scheduler.progress(message, self.timers.now()))
+
+    def on_done(self, message: Done, _sender: str) -> None:
+        """Note the end of a granted request."""
+        hosted = self.hosted.get(message.pool)
+        if hosted is not None:
+            self.run(message.pool, hosted.scheduler.done(message, self.timers.now()))
+
+    def on_present(self, message: Present, sender: str) -> None:
+        """Take over the requests of an entry from an earlier owner."""
+        scheduler = self.scheduler(message.pool)
+        if scheduler is not None:
+            self.run(message.pool, scheduler.present(message, sender, self.timers.now()))
+
+    def tick(self) -> None:
+        """Refresh endpoints and shares, and drop what is not used."""
+        now = self.timers.now()
+        self._forget_dead_entries(now)
+        for pool, hosted in list(self.hosted.items()):
+            if pool not in self.in_force.pools or now >= hosted.used_at + IDLE_S:
+                del self.hosted[pool]
+                continue
+            self._refresh(pool, hosted.scheduler, now)
+            self.run(pool, hosted.scheduler.tick(now))
+
+    def _forget_dead_entries(self, now: float) -> None:
+        live = set(self.view().in_domain(self.settings.failure_domain))
+        for entry in self.entries_seen - live:
+            for pool, hosted in self.hosted.items():
+                self.run(pool, hosted.scheduler.forget_entry(entry, now))
+        self.entries_seen = live
+
+    def _refresh(self, pool: str, scheduler: PoolScheduler, now: float) -> None:
+        views = self.directory.views(pool, now)
+        if not self.is_owner(pool):
+            views = [self._own_share(view) for view in views]
+        self.run(pool, scheduler.set_endpoints(views, now))
+        if self.move_watch is not None:
+            self.run(pool, scheduler.set_shares(self.move_watch.shares(pool), now))
+
+    def _own_share(self, view: EndpointView) -> EndpointView:
+        entries = max(1, len(self.view().in_domain(self.settings.failure_domain)))
+        return attrs.evolve(view, slots=max(1, view.slots // entries))
+
+    def run(self, pool: str, effects: list[Effect]) -> None:
+        """Carry out the effects of a scheduler."""
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.peers.send(effect.to, effect.message)
+            elif isinstance(effect, Record):
+                self.events.record(effect.event)
+            elif self.move_watch is not None:
+                self.move_watch.observe(pool, effect)
+
+    def status(self) -> dict[str, dict]:
+        """Return figures of the hosted pools for operators."""
+        return {
+            pool: {"owner": self.is_owner(pool), **hosted.scheduler.status()}
+            for pool, hosted in self.hosted.items()
+        }
--- /dev/null
+++ b/mulberrygate/daemon/report.py
@@ -0,0 +1,108 @@
+"""Reports over all instances: state and merged timeline."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+from mulberrygate.control.messages import EventsAnswer, EventsQuery, StatusAnswer, StatusQuery
+from mulberrygate.members.view import MembershipView, Status
+from mulberrygate.observe.events import Entry, EventRing
+from mulberrygate.peers.client import PeerClient
+
+QUERY_TIMEOUT_S = 2.0
+# Instances asked at a time, so that a report at 360 instances opens few connections at once.
+PARALLEL = 32
+
+
+class Reporter:
+    """Collect the state and the events of all instances.
+
+    Parameters
+    ==========
+    local_status : Callable[[], dict]
+        State of this instance.
+    """
+
+    def __init__(
+        self,
+        peers: PeerClient,
+        view: Callable[[], MembershipView],
+        events: EventRing,
+        local_status: Callable[[], dict],
+    ):
+        self.peers = peers
+        self.view = view
+        self.events = events
+        self.local_status = local_status
+        peers.on(EventsQuery, self.on_events)
+        peers.on(StatusQuery, self.on_status)
+
+    def on_events(self, message: EventsQuery, _sender: str) -> EventsAnswer:
+        """Answer with the newest events of this instance."""
+        return EventsAnswer(tuple(self.events.select(message.subjects, message.limit)))
+
+    def on_status(self, _message: StatusQuery, _sender: str) -> StatusAnswer:
+        """Answer with the state of this instance."""
+        return StatusAnswer(json.dumps(self.local_status()))
+
+    async def _ask_all(self, message: Any, kind: type) -> tuple[dict[str, Any], list[str]]:
+        """Return the answers by instance, and the instances that gave none."""
+        gate = asyncio.Semaphore(PARALLEL)
+
+        async def ask(instance: str) -> Any:
+            async with gate:
+                return await self.peers.call(instance, message, QUERY_TIMEOUT_S)
+
+        members = self.view().members
+        names = sorted(name for name, m in members.items() if m.status is not Status.DEAD)
+        answers = await asyncio.gather(*(ask(name) for name in names))
+        given = {n: a for n, a in zip(names, answers, strict=True) if isinstance(a, kind)}
+        missing = [name for name in members if name not in given]
+        return given, sorted(missing)
+
+    async def timeline(self, subjects: dict[str, str], limit: int) -> dict:
+        """Return the merged events, and the instances that could not be reached."""
+        answers, missing = await self._ask_all(EventsQuery(subjects, limit), EventsAnswer)
+        merged: list[Entry] = [entry for answer in answers.values() for entry in answer.entries]
+        merged.sort(key=lambda entry: (entry.stamp, entry.instance))
+        events = [
+            {
+                "stamp": str(entry.stamp),
+                "wall_ms": entry.stamp.wall_ms,
+                "instance": entry.instance,
+                "kind": entry.event.kind,
+                "subjects": entry.event.subjects,
+                "detail": entry.event.detail,
+            }
+            for entry in merged[-limit:]
+        ]
+        return {"events": events, "unreachable": missing}
+
+    async def status(self) -> dict:
+        """Return the state of all instances, and those that could not be reached."""
+        answers, missing = await self._ask_all(StatusQuery(), StatusAnswer)
+        instances = {name: json.loads(answer.text) for name, answer in answers.items()}
+        return {"instances": instances, "unreachable": missing, "summary": summarise(instances)}
+
+
+def summarise(instances: dict[str, dict]) -> dict:
+    """Return in what revision each instance is, and where the newest is not yet in force."""
+    revisions = {name: state.get("revision", 0) for name, state in instances.items()}
+    newest = max(revisions.values(), default=0)
+    behind = sorted(name for name, revision in revisions.items() if revision < newest)
+    tables: dict = {}
+    moves: dict = {}
+    for state in instances.values():
+        if state.get("revision", 0) == newest:
+            tables, moves = state.get("tables", {}), state.get("moves", {})
+            break
+    return {
+        "revision": newest,
+        "in_force_on": len(revisions) - len(behind),
+        "behind": behind,
+        "tables": tables,
+        "moves": moves,
+    }
--- /dev/null
+++ b/mulberrygate/daemon/web.py
@@ -0,0 +1,262 @@
+"""HTTP server of an instance: callers, endpoints, operators and the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import json
+import uuid
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from mulberrygate.control.client import ANSWER_LOST, NO_LEADER, ControlClient
+from mulberrygate.control.messages import ApplyRequest, ReadTable
+from mulberrygate.core.codes import code_by_number, register_code
+from mulberrygate.core.outcome import Execution, Refusal
+from mulberrygate.daemon.report import Reporter
+from mulberrygate.endpoints.model import Announcement
+from mulberrygate.entry.answers import problem_event, problem_response
+from mulberrygate.entry.chain import Chain
+from mulberrygate.entry.codes import INTERNAL, STOPPING, UNAUTHORIZED
+from mulberrygate.entry.context import EntryParts, RequestContext
+from mulberrygate.observe.logs import logger
+from mulberrygate.peers.client import Unreachable
+from mulberrygate.settings.load import explain, structure
+from mulberrygate.tables.model import MODEL, SERVICE
+from mulberrygate.tables.parse import Faults, parse_table
+
+log = logger("web")
+
+BAD_ANNOUNCEMENT = register_code(
+    6001, "bad_announcement", "The announcement has a wrong field or value.", 400
+)
+TABLE_FAULTS = register_code(
+    4090, "table_faults", "The table has faults; each is named with line and column.", 400
+)
+
+MAX_TABLE_BYTES = 16 << 20
+MAX_ANNOUNCEMENT_BYTES = 256 << 10
+MAX_EVENTS = 5000
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class WebServer:
+    """HTTP server of an instance.
+
+    Parameters
+    ==========
+    is_ready : Callable[[], bool]
+        Whether the platform's balancer may send requests here.
+    announce : Callable[[Announcement], Refusal | None]
+        Takes an endpoint's announcement.
+    """
+
+    def __init__(
+        self,
+        parts: EntryParts,
+        chain: Chain,
+        control: ControlClient,
+        reporter: Reporter,
+        operator_token: str,
+        endpoint_token: str,
+        is_ready: Callable[[], bool],
+        announce: Callable[[Announcement], Refusal | None],
+    ):
+        self.parts = parts
+        self.chain = chain
+        self.control = control
+        self.reporter = reporter
+        self.operator_token = operator_token
+        self.endpoint_token = endpoint_token
+        self.is_ready = is_ready
+        self.announce = announce
+        self.active = 0
+        self.runner: web.AppRunner | None = None
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=MAX_TABLE_BYTES)
+        app.router.add_post("/v1/chat/completions", self.on_model)
+        app.router.add_route("*", "/services/{route}/{path:.*}", self.on_service)
+        app.router.add_post("/endpoints/announce", self.on_announce)
+        app.router.add_get("/health/live", self.on_live)
+        app.router.add_get("/health/ready", self.on_ready)
+        app.router.add_get("/metrics", self.on_metrics)
+        app.router.add_post("/admin/tables/{table}", self.operator(self.on_apply))
+        app.router.add_get("/admin/tables/{table}", self.operator(self.on_get_table))
+        app.router.add_get("/admin/status", self.operator(self.on_status))
+        app.router.add_get("/admin/timeline", self.operator(self.on_timeline))
+        if self.parts.settings.partition_switch:
+            app.router.add_post("/admin/partition", self.operator(self.on_partition))
+        return app
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on an address."""
+        self.runner = web.AppRunner(
+            self.application(), access_log=None, handler_cancellation=True, shutdown_timeout=2.0
+        )
+        await self.runner.setup()
+        await web.TCPSite(self.runner, host, port).start()
+
+    async def close(self) -> None:
+        """Stop listening and close connections."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def on_model(self, request: web.Request) -> web.StreamResponse:
+        """Serve a chat completion."""
+        return await self._serve(request, MODEL)
+
+    async def on_service(self, request: web.Request) -> web.StreamResponse:
+        """Serve a call to a plain service."""
+        return await self._serve(request, SERVICE)
+
+    async def _serve(self, http: web.Request, kind: str) -> web.StreamResponse:
+        parts = self.parts
+        request = RequestContext(http, kind, uuid.uuid4().hex, parts.timers.now())
+        if parts.is_stopping:
+            refusal = Refusal(STOPPING, retry_after_s=1.0)
+            return problem_response(refusal, request.request_id, {"Connection": "close"})
+        self.active += 1
+        try:
+            outcome = await self.chain.run(request)
+        except asyncio.CancelledError:
+            parts.metrics.count("requests_total", outcome="cancelled", tier=str(request.tier))
+            raise
+        except Exception as error:
+            log.error("A request failed.", request=request.request_id, error=repr(error))
+            execution = Execution.UNKNOWN if request.has_begun else Execution.NOT_RUN
+            outcome = Refusal(INTERNAL, execution=execution)
+        finally:
+            self.active -= 1
+        return await self._answer(request, outcome)
+
+    async def _answer(
+        self, request: RequestContext, outcome: web.StreamResponse | Refusal
+    ) -> web.StreamResponse:
+        tier = str(request.tier)
+        if not isinstance(outcome, Refusal):
+            self.parts.metrics.count("requests_total", outcome="answered", tier=tier)
+            return outcome
+        self.parts.metrics.count("requests_total", outcome=outcome.execution.value, tier=tier)
+        self.parts.events.add(
+            "entry.refused",
+            f"{outcome.code}, {outcome.execution.value}",
+            request=request.request_id,
+            account=request.account_name,
+        )
+        if request.response is not None:
+            await request.response.write(problem_event(outcome, request.request_id))
+            await request.response.write_eof()
+            return request.response
+        headers = {"Idempotency-Key": request.key} if request.key else {}
+        return problem_response(outcome, request.request_id, headers)
+
+    async def on_announce(self, request: web.Request) -> web.Response:
+        """Take the announcement of an endpoint."""
+        if not has_token(request, self.endpoint_token):
+            return problem_response(Refusal(UNAUTHORIZED, "the endpoint token is wrong"))
+        body = await request.read()
+        if len(body) > MAX_ANNOUNCEMENT_BYTES:
+            return problem_response(Refusal(BAD_ANNOUNCEMENT, "the announcement is too large"))
+        try:
+            announcement = structure(json.loads(body), Announcement)
+        except Exception as error:
+            detail = "; ".join(explain(error))[:500]
+            return problem_response(Refusal(BAD_ANNOUNCEMENT, detail))
+        refusal = self.announce(announcement)
+        if refusal is not None:
+            return problem_response(refusal)
+        return web.json_response({"accepted": announcement.sequence})
+
+    async def on_live(self, _request: web.Request) -> web.Response:
+        """Say that the process serves its event loop."""
+        return web.json_response({"live": True})
+
+    async def on_ready(self, _request: web.Request) -> web.Response:
+        """Say whether the balancer may send requests here."""
+        ready = self.is_ready()
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def on_metrics(self, _request: web.Request) -> web.Response:
+        """Return the metrics in the text form that collectors read."""
+        return web.Response(text=self.parts.metrics.text(), content_type="text/plain")
+
+    def operator(self, handler: Handler) -> Handler:
+        """Return a handler that serves operators only."""
+
+        async def guarded(request: web.Request) -> web.StreamResponse:
+            if not has_token(request, self.operator_token):
+                return problem_response(Refusal(UNAUTHORIZED, "the operator token is wrong"))
+            return await handler(request)
+
+        return guarded
+
+    async def on_apply(self, request: web.Request) -> web.Response:
+        """Put a table in force through the leader."""
+        table = request.match_info["table"]
+        content = await request.read()
+        parsed = await asyncio.to_thread(parse_table, content, table)
+        if isinstance(parsed, Faults):
+            return self._table_faults(table, parsed)
+        operator = request.headers.get("X-Operator", "")[:64]
+        answer = await self.control.request(ApplyRequest(table, content, operator))
+        if isinstance(answer, Unreachable):
+            return self._no_leader(answer)
+        if answer.code:
+            code = code_by_number(answer.code)
+            return problem_response(Refusal(code, answer.detail))
+        return web.json_response({"revision": answer.revision, "detail": answer.detail})
+
+    @staticmethod
+    def _table_faults(table: str, faults: Faults) -> web.Response:
+        lines = [f"{table}:{f.line}:{f.column}: {f.detail}" for f in faults.faults[:100]]
+        return problem_response(Refusal(TABLE_FAULTS, "\n".join(lines)))
+
+    @staticmethod
+    def _no_leader(unreachable: Unreachable) -> web.Response:
+        if unreachable.instance:
+            return problem_response(
+                Refusal(ANSWER_LOST, unreachable.reason, Execution.UNKNOWN, 1.0)
+            )
+        return problem_response(Refusal(NO_LEADER, unreachable.reason, retry_after_s=1.0))
+
+    async def on_get_table(self, request: web.Request) -> web.Response:
+        """Return the text of a table in force."""
+        answer = await self.control.request(ReadTable(request.match_info["table"]))
+        if isinstance(answer, Unreachable):
+            return self._no_leader(answer)
+        if answer.code:
+            return problem_response(Refusal(code_by_number(answer.code), answer.detail))
+        return web.Response(
+            body=answer.content,
+            content_type="text/plain",
+            headers={"X-Table-Version": str(answer.version)},
+        )
+
+    async def on_status(self, _request: web.Request) -> web.Response:
+        """Return the state of all instances."""
+        return web.json_response(await self.reporter.status())
+
+    async def on_timeline(self, request: web.Request) -> web.Response:
+        """Return the merged timeline of all instances."""
+        subjects = dict(request.query)
+        limit = min(MAX_EVENTS, int(subjects.pop("limit", "500")))
+        return web.json_response(await self.reporter.timeline(subjects, limit))
+
+    async def on_partition(self, request: web.Request) -> web.Response:
+        """Cut this instance off from others; for tests."""
+        blocked = set(await request.json())
+        self.control.peers.blocked = blocked
+        self.control.peers.server.blocked = blocked
+        return web.json_response({"blocked": sorted(blocked)})
+
+
+def has_token(request: web.Request, token: str) -> bool:
+    """Return whether a request carries a bearer token."""
+    given = request.headers.get("Authorization", "").removeprefix("Bearer ").strip()
+    return hmac.compare_digest(given.encode(), token.encode())
+
+
--- /dev/null
+++ b/mulberrygate/entry/context.py
@@ -0,0 +1,178 @@
+"""Request on its way through the filter chain, and the parts that filters use."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from aiohttp import ClientResponse, web
+
+from mulberrygate.core.timers import TimerService
+from mulberrygate.observe.events import EventRing
+from mulberrygate.observe.metrics import Metrics
+from mulberrygate.schedule.messages import Grant
+from mulberrygate.settings.model import Settings
+from mulberrygate.tables.model import MODEL, Account, Pool, Route
+
+if TYPE_CHECKING:
+    from mulberrygate.control.inforce import InForce
+    from mulberrygate.endpoints.directory import Directory
+    from mulberrygate.entry.crashes import CrashTracker
+    from mulberrygate.entry.tickets import TicketDesk
+    from mulberrygate.entry.upstream import Upstream
+    from mulberrygate.ledger.coordinator import Coordinator
+
+
+class Background:
+    """Tasks that outlive the request which started them, such as draining an answer."""
+
+    def __init__(self):
+        self.tasks: set[asyncio.Task] = set()
+
+    def spawn(self, work: Coroutine) -> asyncio.Task:
+        """Start a task and hold it until it ends."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def close(self) -> None:
+        """Cancel all tasks."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+@attrs.define(eq=False)
+class EntryParts:
+    """Parts of the daemon that filters use; wired by the composition root."""
+
+    settings: Settings
+    in_force: InForce
+    directory: Directory
+    coordinator: Coordinator
+    desk: TicketDesk
+    upstream: Upstream
+    crashes: CrashTracker
+    metrics: Metrics
+    events: EventRing
+    timers: TimerService
+    background: Background
+    is_stopping: bool = False
+
+
+@dataclass(frozen=True)
+class TryElsewhere:
+    """Outcome of a try after which another endpoint may be tried.
+
+    Explanation
+    ===========
+    Nothing was sent to the endpoint, or the call may be repeated.
+    """
+
+    reason: str
+
+
+@attrs.define(eq=False)
+class Result:
+    """How a dispatched request ended.
+
+    Parameters
+    ==========
+    fault : str
+        Empty, or the kind of fault of the endpoint.
+    answer : bytes
+        Answer for the ledger; empty if it is larger than the ledger keeps.
+    first_token_s, total_s : float
+        Seconds from dispatch.
+    is_complete : bool
+        Whether the whole answer was received from the endpoint.
+    """
+
+    fault: str = ""
+    answer: bytes = b""
+    output_tokens: int = 0
+    received_bytes: int = 0
+    first_token_s: float = 0.0
+    total_s: float = 0.0
+    is_complete: bool = False
+    is_cancelled: bool = False
+
+
+@attrs.define(eq=False)
+class RequestContext:
+    """Request of a caller on its way through the filter chain.
+
+    Parameters
+    ==========
+    key : str
+        Key in the ledger; empty for idempotent calls.
+    has_caller_key : bool
+        Whether the caller gave the key and so may send the request again.
+    has_begun : bool
+        Whether bytes may have been sent to an endpoint under the claim.
+    deadline_at : float
+        Monotonic time in seconds until which the answer is of use.
+    response : web.StreamResponse or None
+        Answer that was begun; after that a failure ends the stream with an error event.
+    """
+
+    http: web.Request
+    kind: str
+    request_id: str
+    received_at: float
+    account_name: str = ""
+    account: Account | None = None
+    route_name: str = ""
+    route: Route | None = None
+    pool_name: str = ""
+    pool: Pool | None = None
+    tier: int = 3
+    deadline_at: float = 0.0
+    body: bytes = b""
+    payload: dict[str, Any] = attrs.field(factory=dict)
+    prompt_tokens: int = 1
+    output_tokens: int = 1
+    prefixes: tuple[str, ...] = ()
+    fingerprint: str = ""
+    key: str = ""
+    has_caller_key: bool = False
+    has_begun: bool = False
+    is_idempotent: bool = False
+    attempt: Any = None
+    tries: int = 0
+    avoid: tuple[str, ...] = ()
+    grant: Grant | None = None
+    granted_at: float = 0.0
+    dispatched_at: float = 0.0
+    upstream: ClientResponse | None = None
+    response: web.StreamResponse | None = None
+    result: Result = attrs.field(factory=Result)
+
+    @property
+    def is_model(self) -> bool:
+        """Whether the request goes to a model pool."""
+        return self.kind == MODEL
+
+    @property
+    def wants_stream(self) -> bool:
+        """Whether the caller asked for server-sent events."""
+        return self.payload.get("stream") is True
+
+    @property
+    def outlives_caller(self) -> bool:
+        """Whether the request runs on after its caller has gone.
+
+        Explanation
+        ===========
+        A call that may not be repeated is followed to its end, so that its outcome is known; so is
+        a request under the caller's key, since the caller may send it again and attach.
+        """
+        return not self.is_idempotent and (self.has_caller_key or not self.is_model)
+
+    def remaining_s(self, now: float) -> float:
+        """Return the seconds until the deadline."""
+        return self.deadline_at - now
--- /dev/null
+++ b/mulberrygate/entry/crashes.py
@@ -0,0 +1,175 @@
+"""Find request contents that crash endpoints.
+
+Explanation
+===========
+A caller sends a crashing request again under a new key, so contents are told apart by a
+fingerprint. When an endpoint dies, each content that ran on it becomes suspect. Ordinary requests
+on the same endpoint must not be refused for it:
+
+- A content that completes anywhere is cleared.
+- Suspects are kept apart: no two of them run on one endpoint, see `suspect_endpoints`.
+- If exactly one content on board was suspect before, that one alone is charged.
+
+After `LIMIT` charges, one of them as the only suspect on board, the content is refused for
+`QUARANTINE_S`. Reports of all entry instances of
+the failure domain about one death are joined before it is judged, so all come to the same verdict.
+"""
+
+from __future__ import annotations
+
+import collections
+
+import attrs
+
+from mulberrygate.core.wire import message
+
+LIMIT = 3
+QUARANTINE_S = 3600.0
+# A suspect that is not seen again is forgotten after this time.
+SUSPECT_S = 900.0
+# Reports of one death arrive within this time.
+JOIN_S = 0.5
+MAX_CONTENTS = 10_000
+FATAL = frozenset({"cut", "gone", "lost"})
+
+
+@message("entry.on_board")
+@attrs.frozen
+class OnBoard:
+    """Contents that ran on an endpoint when it died, as one entry instance saw it."""
+
+    endpoint: str
+    contents: tuple[str, ...]
+
+
+@message("entry.cleared")
+@attrs.frozen
+class Cleared:
+    """Suspects that completed at one entry instance."""
+
+    contents: tuple[str, ...]
+
+
+@attrs.define
+class Suspect:
+    """Content that ran on an endpoint that died."""
+
+    charges: int
+    seen_at: float
+    was_alone: bool = False
+
+    def is_guilty(self) -> bool:
+        """Return whether the content is refused."""
+        return self.charges >= LIMIT and self.was_alone
+
+
+class CrashTracker:
+    """Count endpoint deaths by content.
+
+    Explanation
+    ===========
+    The class reads no clock and sends nothing: `take_reports` and `take_cleared` return what is to
+    be sent to the other entry instances of the failure domain.
+    """
+
+    def __init__(self):
+        self.running: dict[str, collections.Counter[str]] = {}
+        self.suspects: collections.OrderedDict[str, Suspect] = collections.OrderedDict()
+        self.open_deaths: dict[str, tuple[float, set[str]]] = {}
+        self.judged: dict[str, float] = {}
+        self.reports: list[OnBoard] = []
+        self.cleared: set[str] = set()
+
+    def started(self, content: str, endpoint: str) -> None:
+        """Note that a content runs on an endpoint."""
+        self.running.setdefault(endpoint, collections.Counter())[content] += 1
+
+    def ended(self, content: str, endpoint: str, fault: str, now: float) -> None:
+        """Note that a content does not run any more, and how it ended."""
+        aboard = self.running.get(endpoint)
+        if aboard is None or not aboard[content]:
+            return
+        if fault in FATAL:
+            self.endpoint_died(endpoint, now)
+        aboard[content] -= 1
+        if not aboard[content]:
+            del aboard[content]
+        if not aboard:
+            self.running.pop(endpoint, None)
+        if not fault and content in self.suspects:
+            self.clear(content)
+            self.cleared.add(content)
+
+    def endpoint_died(self, endpoint: str, now: float) -> None:
+        """Note the death of an endpoint and report what runs on it."""
+        contents = tuple(self.running.get(endpoint, ()))
+        if contents and endpoint not in self.open_deaths and endpoint not in self.judged:
+            report = OnBoard(endpoint, contents)
+            self.reports.append(report)
+            self.join(report, now)
+
+    def join(self, report: OnBoard, now: float) -> None:
+        """Take a report, own or of another entry instance."""
+        if self.judged.get(report.endpoint, -JOIN_S) + JOIN_S > now:
+            return
+        _, contents = self.open_deaths.setdefault(report.endpoint, (now, set()))
+        contents.update(report.contents)
+
+    def clear(self, content: str) -> None:
+        """Forget a suspect that completed."""
+        self.suspects.pop(content, None)
+
+    def tick(self, now: float) -> None:
+        """Judge deaths whose reports are in, and forget old suspects."""
+        for endpoint, (since, contents) in list(self.open_deaths.items()):
+            if now >= since + JOIN_S:
+                del self.open_deaths[endpoint]
+                self.judged[endpoint] = now
+                self._judge(contents, now)
+        for endpoint, at in list(self.judged.items()):
+            if now >= at + JOIN_S:
+                del self.judged[endpoint]
+        for content, suspect in list(self.suspects.items()):
+            kept_s = QUARANTINE_S if suspect.is_guilty() else SUSPECT_S
+            if now >= suspect.seen_at + kept_s:
+                del self.suspects[content]
+
+    def _judge(self, contents: set[str], now: float) -> None:
+        known = [content for content in contents if content in self.suspects]
+        charged = known if known else sorted(contents)
+        for content in charged:
+            suspect = self.suspects.setdefault(content, Suspect(0, now))
+            suspect.charges += 1
+            suspect.was_alone |= len(charged) == 1
+            suspect.seen_at = now
+        while len(self.suspects) > MAX_CONTENTS:
+            self.suspects.popitem(last=False)
+
+    def is_quarantined(self, content: str, now: float) -> bool:
+        """Return whether a content is refused."""
+        suspect = self.suspects.get(content)
+        if suspect is None or not suspect.is_guilty():
+            return False
+        return now < suspect.seen_at + QUARANTINE_S
+
+    def suspect_endpoints(self, content: str) -> tuple[str, ...]:
+        """Return the endpoints that a suspect has to avoid: those that run another suspect."""
+        if content not in self.suspects:
+            return ()
+        return tuple(
+            endpoint
+            for endpoint, aboard in self.running.items()
+            if any(other in self.suspects for other in aboard if other != content)
+        )
+
+    def take_reports(self) -> list[OnBoard]:
+        """Return the reports to send."""
+        reports, self.reports = self.reports, []
+        return reports
+
+    def take_cleared(self) -> Cleared | None:
+        """Return the cleared suspects to send, if there are any."""
+        if not self.cleared:
+            return None
+        cleared, self.cleared = Cleared(tuple(sorted(self.cleared))), set()
+        return cleared
--- /dev/null
+++ b/mulberrygate/entry/dispatch.py
@@ -0,0 +1,172 @@
+"""Filter: begin in the ledger, then send the request to its endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from mulberrygate.core.outcome import Execution, Refusal
+from mulberrygate.entry.codes import (
+    ATTEMPT_SUPERSEDED,
+    ENDPOINT_ERROR,
+    LEDGER_UNAVAILABLE,
+    OUTCOME_UNKNOWN,
+)
+from mulberrygate.entry.context import EntryParts, RequestContext, Result, TryElsewhere
+from mulberrygate.entry.record import record_result, report_try
+from mulberrygate.entry.retry import RetryBudget
+from mulberrygate.entry.upstream import Broken, Connected, NotSent
+from mulberrygate.ledger.coordinator import Begun, Superseded, Uncertain
+
+# Time for sending the request and for the head of the answer; an engine may send the head with the
+# first token only.
+HEAD_TIMEOUT_S = 30.0
+# A call that may be repeated is given up earlier, so that another endpoint has time to answer.
+REPEATABLE_HEAD_TIMEOUT_S = 5.0
+# Headers of the caller that are passed on to plain services.
+PASSED_HEADERS = ("Content-Type", "Accept", "Accept-Language", "Content-Encoding", "If-Match")
+
+
+class Dispatch:
+    """Send a granted request.
+
+    Explanation
+    ===========
+    The order is: the endpoint still takes work, a majority of the ledger accepted the begin, then
+    the first byte. Until a byte may have been sent the request may go elsewhere, after that never.
+    """
+
+    def __init__(self, parts: EntryParts):
+        self.parts = parts
+        self.budget = RetryBudget()
+
+    async def __call__(self, request: RequestContext, proceed):
+        if request.outlives_caller:
+            return await asyncio.shield(self.parts.background.spawn(self._run(request, proceed)))
+        return await self._run(request, proceed)
+
+    async def _run(self, request: RequestContext, proceed):
+        grant = request.grant
+        self.budget.earn()
+        if request.attempt is not None:
+            refusal = await self._begin(request)
+            if refusal is not None:
+                self.parts.desk.hand_back(grant.request)
+                return refusal
+        if not self.parts.directory.accepts_work(grant.endpoint, self.parts.timers.now()):
+            self.parts.desk.hand_back(grant.request)
+            return TryElsewhere("the endpoint takes no new work")
+        try:
+            return await self._send(request, proceed)
+        except asyncio.CancelledError:
+            if not request.result.is_cancelled:
+                self._abandon(request)
+            raise
+
+    async def _begin(self, request: RequestContext) -> Refusal | None:
+        grant = request.grant
+        outcome = await self.parts.coordinator.begin(
+            request.attempt, grant.endpoint, grant.address, grant.request
+        )
+        if isinstance(outcome, Begun):
+            return None
+        if isinstance(outcome, Superseded):
+            return Refusal(ATTEMPT_SUPERSEDED, retry_after_s=1.0)
+        if isinstance(outcome, Uncertain):
+            return Refusal(OUTCOME_UNKNOWN, execution=Execution.UNKNOWN)
+        return Refusal(LEDGER_UNAVAILABLE, "the begin was not accepted", retry_after_s=1.0)
+
+    async def _send(self, request: RequestContext, proceed):
+        parts = self.parts
+        request.has_begun = True
+        request.dispatched_at = parts.timers.now()
+        parts.events.add(
+            "entry.dispatched", request=request.request_id, endpoint=request.grant.endpoint
+        )
+        parts.crashes.started(request.fingerprint, request.grant.endpoint)
+        limit = REPEATABLE_HEAD_TIMEOUT_S if request.is_idempotent else HEAD_TIMEOUT_S
+        opened = await parts.upstream.open(
+            self._method(request),
+            self._url(request),
+            self._headers(request),
+            self._body(request),
+            min(limit, max(0.1, request.remaining_s(request.dispatched_at))),
+            is_repeatable=request.is_idempotent,
+        )
+        if isinstance(opened, NotSent):
+            request.has_begun = False
+            return self._end_try(request, "refused", opened.reason)
+        if isinstance(opened, Connected):
+            if request.is_model and opened.response.status != 200:
+                return await self._endpoint_error(request, opened.response)
+            request.upstream = opened.response
+            return await proceed()
+        return await self._broken(request, opened, proceed)
+
+    async def _broken(self, request: RequestContext, broken: Broken, proceed):
+        """Go on after the connection failed with bytes sent."""
+        if request.is_model:
+            # The relay resumes the stream over a new connection.
+            return await proceed()
+        if request.is_idempotent and self.budget.spend():
+            return self._end_try(request, "cut", broken.reason)
+        request.result.fault = "cut"
+        await record_result(self.parts, request)
+        return Refusal(OUTCOME_UNKNOWN, broken.reason, Execution.UNKNOWN)
+
+    async def _endpoint_error(self, request: RequestContext, response) -> Refusal:
+        status = response.status
+        response.close()
+        request.result.fault = "error"
+        await record_result(self.parts, request)
+        return Refusal(ENDPOINT_ERROR, f"the endpoint answered {status}", Execution.UNKNOWN)
+
+    def _end_try(self, request: RequestContext, fault: str, reason: str) -> TryElsewhere:
+        """Report a try that failed and start the next one with a new result."""
+        request.result.fault = fault
+        report_try(self.parts, request)
+        request.result = Result()
+        return TryElsewhere(reason)
+
+    def _abandon(self, request: RequestContext) -> None:
+        """Cancel the stream of a caller that went away before the answer began."""
+        request.result.is_cancelled = True
+        grant = request.grant
+        if request.is_model:
+            self.parts.background.spawn(self.parts.upstream.cancel(grant.address, grant.request))
+        self.parts.background.spawn(record_result(self.parts, request))
+
+    @staticmethod
+    def _method(request: RequestContext) -> str:
+        return "POST" if request.is_model else request.http.method
+
+    @staticmethod
+    def _url(request: RequestContext) -> str:
+        address = request.grant.address
+        if request.is_model:
+            return f"http://{address}/v1/chat/completions"
+        query = request.http.query_string
+        return f"http://{address}/{request.http.match_info['path']}" + (f"?{query}" if query else "")
+
+    @staticmethod
+    def _body(request: RequestContext) -> bytes | None:
+        """Return the body for the endpoint; engines are always asked for a stream."""
+        if not request.is_model:
+            return request.body or None
+        payload = request.payload
+        if payload.get("stream") is True and payload.get("max_tokens") == request.output_tokens:
+            return request.body
+        changed = {**payload, "stream": True, "max_tokens": request.output_tokens}
+        return json.dumps(changed).encode()
+
+    @staticmethod
+    def _headers(request: RequestContext) -> dict[str, str]:
+        headers = {"X-Request-Id": request.grant.request}
+        if request.is_model:
+            headers["Content-Type"] = "application/json"
+            headers["Accept"] = "text/event-stream"
+            return headers
+        for name in PASSED_HEADERS:
+            if name in request.http.headers:
+                headers[name] = request.http.headers[name]
+        return headers
--- /dev/null
+++ b/mulberrygate/entry/follow.py
@@ -0,0 +1,181 @@
+"""Follow the answer of a model engine to its end marker, over new connections if needed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import aiohttp
+
+from mulberrygate.core.codes import Code
+from mulberrygate.entry.codes import ANSWER_CUT, ENDPOINT_SILENT
+from mulberrygate.entry.stream import EventReader, Events, StreamError
+from mulberrygate.entry.upstream import Connected, NotSent, Upstream
+
+# An engine may take this long for a prompt of 100,000 tokens before the first event.
+FIRST_SILENCE_S = 30.0
+# Later events come every 78 ms at the target; seconds of silence mean a lost connection.
+SILENCE_S = 5.0
+MAX_RESUMES = 4
+RESUME_PAUSE_S = 0.25
+RESUME_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True)
+class Failed:
+    """The answer can't be followed to its end.
+
+    Parameters
+    ==========
+    fault : str
+        ``cut``, ``silent``, ``gone`` (no connection) or ``lost`` (the engine doesn't know the
+        stream, so it has been restarted).
+    """
+
+    fault: str
+    code: Code
+    detail: str
+
+
+class Follower:
+    """Read the events of one answer in order.
+
+    Explanation
+    ===========
+    A connection that breaks off or stays silent is replaced by a new one that resumes after the
+    last event. The silence limit is watched by one timer that looks at the time of the last event,
+    which costs less per token than a timeout around each read.
+
+    Parameters
+    ==========
+    upstream : Upstream
+        Client towards endpoints.
+    address : str
+        ``host:port`` of the engine.
+    request : str
+        Identifier of the stream at the engine.
+    offset : int
+        First event that is wanted.
+    on_silence : Callable[[], None]
+        Called for each connection that stayed silent too long.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        address: str,
+        request: str,
+        offset: int = 0,
+        on_silence: Callable[[], None] = lambda: None,
+        first_silence_s: float = FIRST_SILENCE_S,
+        silence_s: float = SILENCE_S,
+    ):
+        self.upstream = upstream
+        self.address = address
+        self.request = request
+        self.reader = EventReader(request, offset)
+        self.on_silence = on_silence
+        self.first_silence_s = first_silence_s
+        self.silence_s = silence_s
+        self.response: aiohttp.ClientResponse | None = None
+        self.resumes = 0
+        self.fault = "cut"
+        self.has_events = False
+        self.last_at = 0.0
+        self.watch: asyncio.TimerHandle | None = None
+
+    def start(self, response: aiohttp.ClientResponse | None) -> None:
+        """Read from a connection; without one the first read resumes the stream."""
+        self.response = response
+        self.reader.restart()
+        if response is not None:
+            self.last_at = asyncio.get_running_loop().time()
+            self._watch()
+
+    async def read(self) -> Events | Failed:
+        """Return the next events, or why there are no more."""
+        while True:
+            if self.response is None:
+                failed = await self._resume()
+                if failed is not None:
+                    return failed
+            try:
+                data = await self.response.content.readany()
+                events = self.reader.feed(data) if data else None
+            except (aiohttp.ClientError, OSError, StreamError):
+                events = None
+            if events is None:
+                self._drop()
+                continue
+            if events.has_gap:
+                self.fault = "cut"
+                self._drop()
+            if events.count:
+                self.last_at = asyncio.get_running_loop().time()
+                self.resumes = 0
+                self.has_events = True
+                return events
+
+    def _limit_s(self) -> float:
+        return self.silence_s if self.has_events else self.first_silence_s
+
+    def _watch(self) -> None:
+        """Look again when the silence limit would be reached."""
+        loop = asyncio.get_running_loop()
+        if self.watch is not None:
+            self.watch.cancel()
+        self.watch = loop.call_at(self.last_at + self._limit_s(), self._check)
+
+    def _check(self) -> None:
+        self.watch = None
+        if self.response is None:
+            return
+        if asyncio.get_running_loop().time() < self.last_at + self._limit_s():
+            self._watch()
+            return
+        self.fault = "silent"
+        self.on_silence()
+        # Closing wakes the read that waits on this connection.
+        self.response.close()
+
+    def _drop(self) -> None:
+        if self.response is not None:
+            self.response.close()
+            self.response = None
+        self.reader.restart()
+
+    async def _resume(self) -> Failed | None:
+        """Open a new connection after the last event."""
+        while self.resumes < MAX_RESUMES:
+            self.resumes += 1
+            if self.resumes > 1:
+                await asyncio.sleep(RESUME_PAUSE_S * self.resumes)
+            headers = {}
+            if self.reader.offset:
+                headers["Last-Event-ID"] = f"{self.request}:{self.reader.offset - 1}"
+            opened = await self.upstream.open(
+                "GET",
+                f"http://{self.address}/v1/streams/{self.request}",
+                headers,
+                None,
+                RESUME_TIMEOUT_S,
+            )
+            if isinstance(opened, Connected):
+                if opened.response.status == 200:
+                    self.start(opened.response)
+                    return None
+                opened.response.close()
+                if opened.response.status == 404:
+                    return Failed("lost", ANSWER_CUT, "the endpoint does not know the stream")
+            elif isinstance(opened, NotSent):
+                self.fault = "gone"
+        code = ENDPOINT_SILENT if self.fault == "silent" else ANSWER_CUT
+        return Failed(self.fault, code, f"{MAX_RESUMES} new connections did not help")
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.watch is not None:
+            self.watch.cancel()
+            self.watch = None
+        self._drop()
--- /dev/null
+++ b/mulberrygate/entry/identify.py
@@ -0,0 +1,49 @@
+"""Filter: find the client account of a request."""
+
+from __future__ import annotations
+
+import hashlib
+
+from mulberrygate.core.outcome import Refusal
+from mulberrygate.entry.codes import BAD_KEY, UNAUTHORIZED
+from mulberrygate.entry.context import EntryParts, RequestContext
+
+SCHEME = "Bearer "
+MAX_KEY_CHARS = 200
+
+
+class Identify:
+    """Find the client account by the bearer token, and read the caller's key."""
+
+    def __init__(self, parts: EntryParts):
+        self.parts = parts
+
+    async def __call__(self, request: RequestContext, proceed):
+        header = request.http.headers.get("Authorization", "")
+        if not header.startswith(SCHEME):
+            return Refusal(UNAUTHORIZED)
+        digest = hashlib.sha256(header[len(SCHEME) :].strip().encode()).hexdigest()
+        name = self.parts.in_force.account_by_token.get(digest)
+        if name is None:
+            return Refusal(UNAUTHORIZED)
+        request.account_name = name
+        request.account = self.parts.in_force.accounts[name]
+        key = request.http.headers.get("Idempotency-Key")
+        if key is not None:
+            if not is_key(key):
+                return Refusal(BAD_KEY)
+            request.key = key
+            request.has_caller_key = True
+        return await proceed()
+
+
+def is_key(key: str) -> bool:
+    """Return whether a text can be a caller's key.
+
+    Examples
+    ========
+    >>> from mulberrygate.entry.identify import is_key
+    >>> is_key("dakar-a/order-17"), is_key(""), is_key("a b")
+    (True, False, False)
+    """
+    return 0 < len(key) <= MAX_KEY_CHARS and all("!" <= char <= "~" for char in key)
--- /dev/null
+++ b/mulberrygate/entry/relay.py
@@ -0,0 +1,236 @@
+"""Filter: bring the whole answer of an endpoint to its caller."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import msgpack
+from aiohttp import web
+
+from mulberrygate.core.outcome import Execution, Refusal
+from mulberrygate.entry.answers import problem_event
+from mulberrygate.entry.codes import ANSWER_TOO_LARGE, OUTCOME_UNKNOWN
+from mulberrygate.entry.context import EntryParts, RequestContext, Result, TryElsewhere
+from mulberrygate.entry.follow import Failed, Follower
+from mulberrygate.entry.record import report_try
+from mulberrygate.entry.stream import AnswerText, Events
+
+# Answers up to this size are kept in the ledger for callers that send the request again.
+KEPT_ANSWER_BYTES = 16 << 10
+MAX_SERVICE_ANSWER_BYTES = 32 << 20
+# A service that sends nothing for this time has lost the connection.
+SERVICE_SILENCE_S = 30.0
+# Events for a caller that doesn't read are held by flow control no longer than this.
+CALLER_STALL_S = 30.0
+SERVICE_HEADERS = ("Content-Type", "Content-Encoding", "Location", "ETag", "Last-Modified")
+
+
+class Relay:
+    """Relay the answer, whole or with an explicit error."""
+
+    def __init__(self, parts: EntryParts):
+        self.parts = parts
+
+    async def __call__(self, request: RequestContext, proceed):
+        if request.is_model:
+            return await self._model(request, proceed)
+        return await self._service(request, proceed)
+
+    async def _model(self, request: RequestContext, proceed):
+        grant = request.grant
+        follower = self.follower(grant.address, grant.request)
+        follower.start(request.upstream)
+        delivery = Delivery(self.parts, request, follower)
+        try:
+            outcome = await delivery.run()
+        except asyncio.CancelledError:
+            request.result.is_cancelled = True
+            self.parts.background.spawn(self.parts.upstream.cancel(grant.address, grant.request))
+            self.parts.background.spawn(proceed())
+            raise
+        finally:
+            follower.close()
+        await proceed()
+        return outcome
+
+    def follower(self, address: str, stream: str, offset: int = 0) -> Follower:
+        """Return a follower of an engine's stream."""
+
+        def on_silence() -> None:
+            self.parts.metrics.count("silent_connections_total")
+            self.parts.events.add("entry.silent", "connection silent", request=stream)
+
+        return Follower(self.parts.upstream, address, stream, offset, on_silence)
+
+    async def _service(self, request: RequestContext, proceed):
+        response = request.upstream
+        try:
+            body = await self._read_service(response)
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            return await self._service_failed(request, type(error).__name__, proceed)
+        finally:
+            response.release()
+        result = request.result
+        result.received_bytes = len(body)
+        if len(body) > MAX_SERVICE_ANSWER_BYTES:
+            result.fault = "error"
+            await proceed()
+            return Refusal(ANSWER_TOO_LARGE, execution=Execution.COMPLETED)
+        headers = {n: response.headers[n] for n in SERVICE_HEADERS if n in response.headers}
+        result.is_complete = True
+        result.fault = "error" if response.status >= 500 else ""
+        result.answer = pack_service_answer(response.status, headers, body)
+        if request.is_idempotent and response.status in (502, 503, 504):
+            report_try(self.parts, request)
+            request.result = Result()
+            return TryElsewhere(f"the endpoint answered {response.status}")
+        await proceed()
+        headers.update(identity_headers(request))
+        return web.Response(status=response.status, body=body, headers=headers)
+
+    @staticmethod
+    async def _read_service(response: aiohttp.ClientResponse) -> bytes:
+        body = bytearray()
+        while len(body) <= MAX_SERVICE_ANSWER_BYTES:
+            async with asyncio.timeout(SERVICE_SILENCE_S):
+                data = await response.content.readany()
+            if not data:
+                break
+            body += data
+        return bytes(body)
+
+    async def _service_failed(self, request: RequestContext, reason: str, proceed):
+        request.result.fault = "cut"
+        if request.is_idempotent:
+            report_try(self.parts, request)
+            request.result = Result()
+            return TryElsewhere(reason)
+        await proceed()
+        return Refusal(OUTCOME_UNKNOWN, reason, Execution.UNKNOWN)
+
+
+class Delivery:
+    """Bring the events of one engine stream to the caller.
+
+    Explanation
+    ===========
+    A caller that wants server-sent events gets them as they come; others get one JSON object at
+    the end. A caller that has gone does not stop a request that may be sent again under its key.
+    """
+
+    def __init__(self, parts: EntryParts, request: RequestContext, follower: Follower):
+        self.parts = parts
+        self.request = request
+        self.follower = follower
+        self.text = None if request.wants_stream else AnswerText()
+        self.kept: list[bytes] = []
+        self.kept_bytes = 0
+        self.has_caller = True
+
+    async def run(self) -> web.StreamResponse | Refusal:
+        """Return the caller's answer after the end marker or a failure."""
+        while True:
+            events = await self.follower.read()
+            if isinstance(events, Failed):
+                return await self._fail(events)
+            self._note(events)
+            if self.text is not None:
+                self.text.add(events.raw)
+            elif self.has_caller:
+                await self._write(events.raw)
+            if events.is_end:
+                return await self._complete()
+
+    def _note(self, events: Events) -> None:
+        result = self.request.result
+        now = self.parts.timers.now()
+        if not result.first_token_s:
+            result.first_token_s = now - self.request.dispatched_at
+        result.output_tokens += events.count - (2 if events.is_end else 0)
+        result.received_bytes += len(events.raw)
+        self.parts.desk.note_emitted(self.follower.request, result.output_tokens)
+        self.kept_bytes += len(events.raw)
+        if self.kept_bytes <= KEPT_ANSWER_BYTES:
+            self.kept.append(events.raw)
+
+    async def _write(self, raw: bytes) -> None:
+        try:
+            if self.request.response is None:
+                self.request.response = await start_stream(self.request)
+            await self.request.response.write(raw)
+        except ConnectionError:
+            self.has_caller = False
+            self.request.result.is_cancelled = True
+            if not self.request.outlives_caller:
+                raise asyncio.CancelledError from None
+
+    async def _complete(self) -> web.StreamResponse:
+        request = self.request
+        result = request.result
+        result.is_complete = True
+        result.output_tokens = max(0, result.output_tokens)
+        result.total_s = self.parts.timers.now() - request.dispatched_at
+        if self.kept_bytes <= KEPT_ANSWER_BYTES:
+            result.answer = b"".join(self.kept)
+        if self.text is not None:
+            return completion_response(request, self.text, result.output_tokens)
+        if self.has_caller:
+            await self._end_stream()
+        return request.response
+
+    async def _end_stream(self) -> None:
+        try:
+            await asyncio.wait_for(self.request.response.write_eof(), CALLER_STALL_S)
+        except (ConnectionError, asyncio.TimeoutError):
+            self.request.result.is_cancelled = True
+
+    async def _fail(self, failed: Failed) -> web.StreamResponse | Refusal:
+        request = self.request
+        request.result.fault = failed.fault
+        refusal = Refusal(failed.code, failed.detail, Execution.UNKNOWN)
+        if request.response is None:
+            return refusal
+        if self.has_caller:
+            await self._write(problem_event(refusal, request.request_id))
+            await self._end_stream()
+        return request.response
+
+
+async def start_stream(request: RequestContext) -> web.StreamResponse:
+    """Begin the answer to a caller that wants server-sent events."""
+    headers = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
+    headers.update(identity_headers(request))
+    response = web.StreamResponse(headers=headers)
+    await response.prepare(request.http)
+    return response
+
+
+def identity_headers(request: RequestContext) -> dict[str, str]:
+    """Return the headers that name a request."""
+    headers = {"X-Request-Id": request.request_id}
+    if request.key:
+        headers["Idempotency-Key"] = request.key
+    return headers
+
+
+def completion_response(request: RequestContext, text: AnswerText, tokens: int) -> web.Response:
+    """Return the answer to a caller that wants one JSON object."""
+    completion = text.completion(
+        request.request_id, request.route_name, request.prompt_tokens, tokens
+    )
+    return web.json_response(completion, headers=identity_headers(request))
+
+
+def pack_service_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    """Return the form of a service's answer for the ledger; empty if it is too large."""
+    packed = msgpack.packb([status, headers, body])
+    return packed if len(packed) <= KEPT_ANSWER_BYTES else b""
+
+
+def unpack_service_answer(packed: bytes, request: RequestContext) -> web.Response:
+    """Return the answer that the ledger kept."""
+    status, headers, body = msgpack.unpackb(packed)
+    return web.Response(
+        status=status, body=body, headers={**headers, **identity_headers(request)}
+    )
--- /dev/null
+++ b/mulberrygate/entry/tickets.py
@@ -0,0 +1,230 @@
+"""Entry side of scheduling: waits for grants and keeps the pool's owner informed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from mulberrygate.core.codes import code_by_number
+from mulberrygate.core.outcome import Refusal
+from mulberrygate.core.timers import TimerService
+from mulberrygate.entry.codes import DEADLINE_PASSED
+from mulberrygate.members.view import MembershipView
+from mulberrygate.observe.logs import logger
+from mulberrygate.peers.client import PeerClient, Unreachable
+from mulberrygate.schedule.messages import (
+    Ask,
+    Done,
+    Grant,
+    Present,
+    Progress,
+    Refuse,
+    Running,
+    Ticket,
+    Withdraw,
+)
+
+log = logger("entry")
+
+# A waiting request is presented again after this time, in case a message was lost.
+REPEAT_S = 1.0
+ASK_TIMEOUT_S = 0.5
+# Tokens received are reported this often, so that the owner sees which requests advance.
+PROGRESS_S = 1.0
+# After an owner did not answer, the entry serves from its own share for this time before it asks
+# again; membership names another owner within a few seconds.
+OWN_SHARE_S = 2.0
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """Ticket that waits for a grant."""
+
+    ticket: Ticket
+    deadline_at: float
+    answer: asyncio.Future
+    owner: str
+
+
+@attrs.define(eq=False)
+class Dispatched:
+    """Granted request, from the grant until it is done."""
+
+    ticket: Ticket
+    grant: Grant
+    owner: str
+    emitted: int = 0
+    reported: int = 0
+
+
+class TicketDesk:
+    """Wait for grants of the pools' owners.
+
+    Explanation
+    ===========
+    The owner of a pool is the live instance of this failure domain with the highest rendezvous
+    weight. When it changes, all waiting and running requests are presented to the new one. An
+    owner that does not answer is passed over for `OWN_SHARE_S`; meanwhile the instance schedules
+    its own requests from a small share.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        failure_domain: str,
+        peers: PeerClient,
+        view: Callable[[], MembershipView],
+        timers: TimerService,
+    ):
+        self.instance = instance
+        self.failure_domain = failure_domain
+        self.peers = peers
+        self.view = view
+        self.timers = timers
+        self.waiting: dict[str, Waiting] = {}
+        self.running: dict[str, Dispatched] = {}
+        self.owners: dict[str, str] = {}
+        self.passed_over: dict[str, float] = {}
+        peers.on(Grant, self.on_grant)
+        peers.on(Refuse, self.on_refuse)
+        timers.every(REPEAT_S, self.repeat, "tickets.repeat")
+        timers.every(PROGRESS_S, self.report_progress, "tickets.progress")
+
+    def owner(self, pool: str) -> str:
+        """Return the instance that schedules a pool for this entry at the moment."""
+        owner = self.view().owner(self.failure_domain, f"pool/{pool}") or self.instance
+        if self.passed_over.get(owner, 0.0) > self.timers.now():
+            return self.instance
+        return owner
+
+    def count_waiting(self, account: str) -> int:
+        """Return how many requests of a client account wait here."""
+        return sum(1 for waiting in self.waiting.values() if waiting.ticket.account == account)
+
+    async def acquire(self, ticket: Ticket, deadline_at: float) -> Grant | Refusal:
+        """Wait for a grant until the deadline."""
+        loop = asyncio.get_running_loop()
+        waiting = Waiting(ticket, deadline_at, loop.create_future(), self.owner(ticket.pool))
+        self.waiting[ticket.request] = waiting
+        answer: Grant | Refuse | None = None
+        try:
+            self._ask(waiting)
+            async with asyncio.timeout_at(deadline_at):
+                answer = await waiting.answer
+        except asyncio.TimeoutError:
+            return Refusal(DEADLINE_PASSED, retry_after_s=1.0)
+        finally:
+            self.waiting.pop(ticket.request, None)
+            if not isinstance(answer, Grant):
+                self._withdraw(waiting)
+        if isinstance(answer, Refuse):
+            code = code_by_number(answer.code)
+            return Refusal(code, retry_after_s=answer.retry_after_s)
+        self.running[ticket.request] = Dispatched(ticket, answer, waiting.owner)
+        return answer
+
+    def _withdraw(self, waiting: Waiting) -> None:
+        if waiting.answer.done() and not waiting.answer.cancelled():
+            if isinstance(waiting.answer.result(), Refuse):
+                return
+        self.peers.send(waiting.owner, Withdraw(waiting.ticket.pool, waiting.ticket.request))
+
+    def _ask(self, waiting: Waiting) -> None:
+        left = max(0.0, waiting.deadline_at - self.timers.now())
+        ticket = attrs.evolve(waiting.ticket, deadline_s=left)
+        task = asyncio.ensure_future(self._ask_owner(waiting, ticket))
+        self.timers.tasks.add(task)
+        task.add_done_callback(self.timers.tasks.discard)
+
+    async def _ask_owner(self, waiting: Waiting, ticket: Ticket) -> None:
+        owner = waiting.owner
+        answer = await self.peers.call(owner, Ask(ticket), ASK_TIMEOUT_S)
+        if not isinstance(answer, Unreachable) or owner == self.instance:
+            return
+        self.passed_over[owner] = self.timers.now() + OWN_SHARE_S
+        log.warning("A pool's owner does not answer.", owner=owner, pool=ticket.pool)
+        if ticket.request in self.waiting:
+            waiting.owner = self.instance
+            self._ask(waiting)
+
+    def on_grant(self, grant: Grant, sender: str) -> None:
+        """Take a grant, or hand back one that nobody waits for."""
+        waiting = self.waiting.get(grant.request)
+        if waiting is not None and not waiting.answer.done():
+            waiting.owner = sender
+            waiting.answer.set_result(grant)
+            return
+        dispatched = self.running.get(grant.request)
+        if dispatched is None or dispatched.grant.endpoint != grant.endpoint:
+            self.peers.send(sender, Withdraw(grant.pool, grant.request))
+
+    def on_refuse(self, refuse: Refuse, sender: str) -> None:
+        """Take a refusal of the current owner."""
+        waiting = self.waiting.get(refuse.request)
+        if waiting is not None and not waiting.answer.done() and waiting.owner == sender:
+            waiting.answer.set_result(refuse)
+
+    def note_emitted(self, request: str, tokens: int) -> None:
+        """Take note of the tokens received so far."""
+        dispatched = self.running.get(request)
+        if dispatched is not None:
+            dispatched.emitted = tokens
+
+    def hand_back(self, request: str) -> None:
+        """Give back a grant that was not used."""
+        dispatched = self.running.pop(request, None)
+        if dispatched is not None:
+            self.peers.send(dispatched.owner, Withdraw(dispatched.ticket.pool, request))
+
+    def done(self, done: Done) -> None:
+        """Report that a granted request has ended."""
+        dispatched = self.running.pop(done.request, None)
+        if dispatched is not None:
+            self.peers.send(dispatched.owner, done)
+
+    def repeat(self) -> None:
+        """Ask again for requests that still wait, and present all to a new owner."""
+        pools = {w.ticket.pool for w in self.waiting.values()}
+        pools |= {d.ticket.pool for d in self.running.values()}
+        for pool in pools:
+            owner = self.owner(pool)
+            if self.owners.get(pool, owner) != owner:
+                self._present(pool, owner)
+            self.owners[pool] = owner
+        for waiting in list(self.waiting.values()):
+            owner = self.owners[waiting.ticket.pool]
+            if waiting.owner != owner:
+                self.peers.send(
+                    waiting.owner, Withdraw(waiting.ticket.pool, waiting.ticket.request)
+                )
+                waiting.owner = owner
+            self._ask(waiting)
+
+    def _present(self, pool: str, owner: str) -> None:
+        running = [d for d in self.running.values() if d.ticket.pool == pool]
+        for dispatched in running:
+            dispatched.owner = owner
+        now = self.timers.now()
+        waiting = tuple(
+            attrs.evolve(w.ticket, deadline_s=max(0.0, w.deadline_at - now))
+            for w in self.waiting.values()
+            if w.ticket.pool == pool
+        )
+        presented = tuple(
+            Running(d.ticket, d.grant.endpoint, d.grant.version, d.emitted) for d in running
+        )
+        log.info("Presents requests to a new owner.", pool=pool, owner=owner, waiting=len(waiting))
+        self.peers.send(owner, Present(pool, waiting, presented))
+
+    def report_progress(self) -> None:
+        """Report the tokens received since the last report, one message for each owner and pool."""
+        reports: dict[tuple[str, str], dict[str, int]] = {}
+        for request, dispatched in self.running.items():
+            if dispatched.emitted != dispatched.reported:
+                dispatched.reported = dispatched.emitted
+                key = (dispatched.owner, dispatched.ticket.pool)
+                reports.setdefault(key, {})[request] = dispatched.emitted
+        for (owner, pool), emitted in reports.items():
+            self.peers.send(owner, Progress(pool, emitted))
--- /dev/null
+++ b/mulberrygate/standin/announcer.py
@@ -0,0 +1,60 @@
+"""Announces a stand-in endpoint to entry instances, as a real endpoint does."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+import aiohttp
+import attrs
+
+from mulberrygate.endpoints.model import Announcement
+
+PERIOD_S = 1.0
+
+
+class Announcer:
+    """Send announcements to the first entry instance that takes them.
+
+    Parameters
+    ==========
+    entries : list[str]
+        ``host:port`` of entry instances.
+    token : str
+        Secret of endpoints.
+    state : Callable[[int], Announcement]
+        Returns the announcement for a sequence number.
+    """
+
+    def __init__(self, entries: list[str], token: str, state: Callable[[int], Announcement]):
+        self.entries = entries
+        self.token = token
+        self.state = state
+        self.sequence = itertools.count(1)
+        self.accepted = 0
+
+    async def announce(self, session: aiohttp.ClientSession) -> bool:
+        """Send one announcement; return whether an entry instance took it."""
+        body = attrs.asdict(self.state(next(self.sequence)))
+        headers = {"Authorization": f"Bearer {self.token}"}
+        for _ in range(len(self.entries)):
+            url = f"http://{self.entries[0]}/endpoints/announce"
+            try:
+                async with session.post(
+                    url, json=body, headers=headers, timeout=aiohttp.ClientTimeout(total=2)
+                ) as answer:
+                    if answer.status == 200:
+                        self.accepted += 1
+                        return True
+            except (TimeoutError, aiohttp.ClientError, OSError):
+                pass
+            self.entries.append(self.entries.pop(0))
+        return False
+
+    async def run(self) -> None:
+        """Announce every second until cancelled."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await self.announce(session)
+                await asyncio.sleep(PERIOD_S)
--- /dev/null
+++ b/mulberrygate/standin/engine.py
@@ -0,0 +1,336 @@
+"""Stand-in for a model engine that batches continuously.
+
+Explanation
+===========
+It speaks the chat-completions form with server-sent events. The id of each event is
+``<request>:<offset>``. ``GET /v1/streams/<request>`` with ``Last-Event-ID`` resumes a stream and
+``DELETE`` cancels it. Requests are admitted in arrival order.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import json
+import os
+import time
+
+import attrs
+from aiohttp import web
+
+from mulberrygate.endpoints.model import Announcement
+from mulberrygate.endpoints.prefix import PREFIX_TOKENS, estimate_tokens, prefix_hashes
+from mulberrygate.standin.announcer import Announcer
+
+CRASH_MARK = "[[crash engine]]"
+WORDS = "check the ballast then the starter and swap both tubes before the next session".split()
+    "check",
+    "the",
+    "ballast",
+    "then",
+    "the",
+    "starter",
+    "and",
+    "swap",
+    "both",
+    "tubes",
+    "before",
+    "the",
+    "next",
+    "session",
+]
+
+
+@attrs.define
+class Stream:
+    """Generated events of one request."""
+
+    request: str
+    body: bytes
+    events: list[bytes] = attrs.field(factory=list)
+    is_complete: bool = False
+    is_cancelled: bool = False
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def add(self, event: bytes) -> None:
+        """Add an event and wake the readers."""
+        self.events.append(event)
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake the readers."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+@attrs.define
+class Options:
+    """Behaviour of the stand-in; each ``fail_every``-th request fails, none if it is 0."""
+
+    name: str
+    listen: str
+    entries: list[str]
+    token: str
+    pool: str
+    failure_domain: str
+    region: str
+    model: str = "care"
+    version: str = "v1"
+    hardware: str = "gen-2"
+    slots: int = 4
+    kv_tokens: int = 200_000
+    prefill_tokens_s: float = 20_000.0
+    decode_tokens_s: float = 100.0
+    checks_fence: bool = True
+    fail_every: int = 0
+
+
+class Engine:
+    """Engine behind an HTTP server."""
+
+    def __init__(self, options: Options):
+        self.options = options
+        self.incarnation = time.time_ns() // 1_000_000
+        self.slots = asyncio.Semaphore(options.slots)
+        self.streams: collections.OrderedDict[str, Stream] = collections.OrderedDict()
+        self.prefixes: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self.new_prefixes: list[str] = []
+        self.lost_prefixes: list[str] = []
+        self.cache_sequence = 0
+        self.load = 0
+        self.runs = collections.Counter()
+        self.prefill_tokens = 0
+        self.fence = 0
+        self.orders: list[dict] = []
+        self.is_leaving = False
+        self.is_silent = False
+        self.tasks: set[asyncio.Task] = set()
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=64 << 20)
+        app.router.add_post("/v1/chat/completions", self.complete)
+        app.router.add_get("/v1/streams/{request}", self.resume)
+        app.router.add_delete("/v1/streams/{request}", self.cancel)
+        app.router.add_post("/orders", self.order)
+        app.router.add_get("/standin", self.report)
+        app.router.add_post("/standin", self.adjust)
+        return app
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Start a request and stream its events."""
+        body = await request.read()
+        name = request.headers["X-Request-Id"]
+        self.runs[name] += 1
+        self.runs["total"] += 1
+        payload = json.loads(body)
+        text = "\n".join(str(m.get("content", "")) for m in payload["messages"])
+        if CRASH_MARK in text:
+            os._exit(70)
+        every = self.options.fail_every
+        if every and self.runs["total"] % every == 0:
+            return web.json_response({"error": "model worker failed"}, status=500)
+        stream = self.streams[name] = Stream(name, body)
+        while len(self.streams) > 1000:
+            self.streams.popitem(last=False)
+        task = asyncio.ensure_future(self.generate(stream, text, payload))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return await self.send(request, stream, 0)
+
+    async def generate(self, stream: Stream, text: str, payload: dict) -> None:
+        """Generate all tokens of a request in a slot."""
+        self.load += 1
+        try:
+            async with self.slots:
+                await asyncio.sleep(self.prefill(text) / self.options.prefill_tokens_s)
+                count = int(payload.get("max_tokens") or 64)
+                for offset in range(count):
+                    if stream.is_cancelled:
+                        return
+                    word = WORDS[offset % len(WORDS)]
+                    stream.add(self.event(stream, offset, f"{word} ", payload, None))
+                    await asyncio.sleep(1 / self.options.decode_tokens_s)
+                stream.add(self.event(stream, count, "", payload, "stop"))
+                stream.add(f"id: {stream.request}:{count + 1}\ndata: [DONE]\n\n".encode())
+                stream.is_complete = True
+        finally:
+            self.load -= 1
+            stream.wake()
+
+    def prefill(self, text: str) -> int:
+        """Return the tokens to prefill and take the prompt's prefixes into the cache."""
+        hashes = prefix_hashes(text)
+        cached = 0
+        for number, prefix in enumerate(hashes, 1):
+            if prefix in self.prefixes:
+                cached = number * PREFIX_TOKENS
+                self.prefixes.move_to_end(prefix)
+            else:
+                self.prefixes[prefix] = None
+                self.new_prefixes.append(prefix)
+        while len(self.prefixes) * PREFIX_TOKENS > self.options.kv_tokens:
+            self.lost_prefixes.append(self.prefixes.popitem(last=False)[0])
+        tokens = max(1, estimate_tokens(text) - cached)
+        self.prefill_tokens += tokens
+        return tokens
+
+    def event(
+        self, stream: Stream, offset: int, word: str, payload: dict, finish: str | None
+    ) -> bytes:
+        """Return one server-sent event."""
+        chunk = {
+            "id": stream.request,
+            "object": "chat.completion.chunk",
+            "model": payload.get("model", ""),
+            "choices": [{"index": 0, "delta": {"content": word}, "finish_reason": finish}],
+        }
+        data = json.dumps(chunk, separators=(",", ":"))
+        return f"id: {stream.request}:{offset}\ndata: {data}\n\n".encode()
+
+    async def send(self, request: web.Request, stream: Stream, position: int) -> web.StreamResponse:
+        """Send the events of a stream from a position on."""
+        answer = web.StreamResponse(
+            headers={"Content-Type": "text/event-stream", "X-Engine-Version": self.options.version}
+        )
+        await answer.prepare(request)
+        while True:
+            changed = stream.changed
+            while position < len(stream.events) and not self.is_silent:
+                await answer.write(stream.events[position])
+                position += 1
+            if stream.is_cancelled or (stream.is_complete and not self.is_silent):
+                return answer
+            await changed.wait()
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Send a stream again, after the offset that the reader has."""
+        stream = self.streams.get(request.match_info["request"])
+        if stream is None:
+            return web.json_response({"error": "unknown stream"}, status=404)
+        last = request.headers.get("Last-Event-ID", "")
+        position = int(last.rpartition(":")[2]) + 1 if last else 0
+        return await self.send(request, stream, position)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Cancel a stream."""
+        stream = self.streams.get(request.match_info["request"])
+        if stream is not None and not stream.is_complete:
+            stream.is_cancelled = True
+            stream.wake()
+        return web.json_response({})
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Take an order; an old fencing token is refused if this engine checks it."""
+        order = await request.json()
+        fence = int(order.get("fence", 0))
+        if self.options.checks_fence and fence < self.fence:
+            return web.json_response({"error": "old fencing token"}, status=409)
+        self.fence = max(self.fence, fence)
+        self.orders.append(order)
+        if order.get("action") == "load_version":
+            self.options.version = order["version"]
+        if order.get("action") == "drain":
+            self.is_leaving = True
+        return web.json_response({"fence": fence})
+
+    async def report(self, _request: web.Request) -> web.Response:
+        """Return counters for tests."""
+        return web.json_response(
+            {
+                "runs": dict(self.runs),
+                "prefill_tokens": self.prefill_tokens,
+                "load": self.load,
+                "orders": self.orders,
+                "streams": {name: stream.is_cancelled for name, stream in self.streams.items()},
+            }
+        )
+
+    async def adjust(self, request: web.Request) -> web.Response:
+        """Change the behaviour for tests."""
+        for name, value in (await request.json()).items():
+            if name in ("is_silent", "is_leaving"):
+                setattr(self, name, value)
+                for stream in self.streams.values():
+                    stream.wake()
+            else:
+                setattr(self.options, name, value)
+        return web.json_response({})
+
+    def announcement(self, sequence: int) -> Announcement:
+        """Return the state to announce."""
+        options = self.options
+        if self.new_prefixes or self.lost_prefixes:
+            self.cache_sequence += 1
+        cached, self.new_prefixes = self.new_prefixes, []
+        evicted, self.lost_prefixes = self.lost_prefixes, []
+        return Announcement(
+            endpoint=options.name,
+            incarnation=self.incarnation,
+            sequence=sequence,
+            address=options.listen,
+            pool=options.pool,
+            failure_domain=options.failure_domain,
+            region=options.region,
+            model=options.model,
+            version=options.version,
+            hardware=options.hardware,
+            slots=options.slots,
+            kv_tokens=options.kv_tokens,
+            checks_fence=options.checks_fence,
+            load=self.load,
+            load_at=time.time(),
+            cached_prefixes=tuple(cached),
+            evicted_prefixes=tuple(evicted),
+            cache_sequence=self.cache_sequence,
+            leaving=self.is_leaving,
+        )
+
+
+async def serve(app: web.Application, listen: str, announcer: Announcer) -> None:
+    """Serve an application and announce it until cancelled."""
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=1)
+    await runner.setup()
+    host, _, port = listen.rpartition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    try:
+        await announcer.run()
+    finally:
+        await runner.cleanup()
+
+
+def parse_options(kind: type) -> Options:
+    """Return the options from the command line, one flag for each field."""
+    parser = argparse.ArgumentParser(description=kind.__doc__)
+    for field in attrs.fields(kind):
+        flag = "--" + field.name.replace("_", "-")
+        required = field.default is attrs.NOTHING
+        if field.name == "entries":
+            parser.add_argument(flag, nargs="+", required=True)
+        elif field.name == "token":
+            parser.add_argument("--token-file", required=True)
+        elif isinstance(field.default, bool):
+            parser.add_argument(flag, type=lambda text: text == "true", default=field.default)
+        else:
+            cast = str if required else type(field.default)
+            parser.add_argument(flag, type=cast, required=required, default=field.default)
+    values = vars(parser.parse_args())
+    with open(values.pop("token_file"), encoding="utf-8") as file:
+        values["token"] = file.read().strip()
+    return kind(**values)
+
+
+def main() -> None:
+    """Run the stand-in engine."""
+    options = parse_options(Options)
+    engine = Engine(options)
+    announcer = Announcer(options.entries, options.token, engine.announcement)
+    try:
+        asyncio.run(serve(engine.application(), options.listen, announcer))
+    except KeyboardInterrupt:
+        pass
+
+
+if __name__ == "__main__":
+    main()
