--- /dev/null
+++ b/mulberrygate/agreement/base.py
@@ -0,0 +1,279 @@
+"""State of a voter, and the steps that all parts of `AgreementNode` share."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from mulberrygate.agreement import codes
+from mulberrygate.agreement.effects import (
+    Apply,
+    EntryRecord,
+    Passed,
+    ReadFailed,
+    ReadReady,
+    Role,
+    RoleChanged,
+    TakeSnapshot,
+    TermRecord,
+)
+from mulberrygate.agreement.log import Log
+from mulberrygate.agreement.messages import Entry, EntryKind, Members
+from mulberrygate.agreement.settings import AgreementSettings
+from mulberrygate.agreement.state import StorageState
+from mulberrygate.core.effects import Effect, Persist
+from mulberrygate.core.invariant import invariant
+from mulberrygate.core.wire import converter
+
+NEVER = float("-inf")
+
+
+@attrs.define
+class Progress:
+    """What the leader knows about a member."""
+
+    match: int = 0
+    next: int = 1
+    heard_at: float = NEVER
+    acked_next: int = 1
+    acked_sent_at: float = NEVER
+    acked_round: int = 0
+    snapshot_offset: int = 0
+
+
+@attrs.define
+class Read:
+    """A read that waits for a majority to confirm the leader, and for entries to be applied."""
+
+    number: int
+    round: int
+    index: int
+
+
+class NodeBase:
+    """State and shared steps; see `mulberrygate.agreement.node.AgreementNode`."""
+
+    def __init__(
+        self,
+        voter: str,
+        peers: dict[str, str],
+        state: StorageState,
+        rng: random.Random,
+        settings: AgreementSettings | None = None,
+        address: str = "",
+    ):
+        self.voter = voter
+        self.first_voters = dict(peers)
+        self.address = address or peers.get(voter, "")
+        self.rng = rng
+        self.settings = settings or AgreementSettings()
+        self.disk = state.identity.disk
+        self.cluster = state.identity.cluster
+        self.term = state.term
+        self.voted_for = state.voted_for
+        self.log = Log(state.base_index, state.base_term, state.entries)
+        self.snapshot = state.snapshot
+        self.commit = self.applied = state.snapshot.index if state.snapshot else 0
+        self.members = Members()
+        self.members_index = 0
+        self.find_members()
+        self.role = Role.FOLLOWER
+        self.leader_disk = ""
+        self.term_leader = ""
+        self.progress: dict[str, Progress] = {}
+        self.reads: list[Read] = []
+        self.read_number = 0
+        self.round = 0
+        self.lease_until = NEVER
+        self.leader_since = NEVER
+        self.first_own_index = 0
+        self.started_at: float | None = None
+        self.heard_at = NEVER
+        self.election_due = NEVER
+        self.heartbeat_due = NEVER
+        self.votes: set[str] = set()
+        self.is_pre = False
+        self.is_transfer = False
+        self.snapshot_pending = False
+        self.out: list[Effect] = []
+        self.set_up()
+
+    def set_up(self) -> None:
+        """Prepare the state of the other parts."""
+
+    @property
+    def leader(self) -> str:
+        """Name of the leader, empty if it is not known."""
+        member = self.members.by_disk(self.leader_disk)
+        return member.name if member else ""
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this disk counts towards a majority, as far as this voter knows."""
+        member = self.members.by_disk(self.disk)
+        return member is not None and member.is_voter
+
+    def begin(self, now: float) -> None:
+        """Start a step: collect its effects, and step down first if the lease has run out."""
+        self.out = []
+        if self.started_at is None:
+            # The former process may have confirmed a leader's lease just before it ended, so a
+            # restarted voter gives no vote for one election timeout.
+            self.started_at = self.heard_at = now
+            self.reset_election(now)
+        if self.role is Role.LEADER and self.is_lease_over(now):
+            self.follow(self.term, "", now)
+
+    def is_lease_over(self, now: float) -> bool:
+        """Return whether a leader has had no majority for too long."""
+        grace = self.leader_since + self.settings.election_timeout_s
+        return now >= max(self.lease_until, grace)
+
+    def require_fresh_leader(self, now: float) -> None:
+        """Check that a leader that acts has heard from a majority lately."""
+        grace = self.leader_since + self.settings.election_timeout_s
+        invariant(now < max(self.lease_until, grace), codes.STALE_LEADER, f"{self.disk} at {now}")
+
+    def reset_election(self, now: float) -> None:
+        """Set the time of the next election at random."""
+        self.election_due = now + self.settings.election_timeout_s * (1 + self.rng.random())
+
+    def set_role(self, role: Role) -> None:
+        """Change the role and report it."""
+        if role is not self.role or role is Role.LEADER:
+            self.role = role
+            self.out.append(RoleChanged(role, self.term))
+
+    def set_term(self, term: int, voted_for: str) -> None:
+        """Change term and vote durably."""
+        if (term, voted_for) == (self.term, self.voted_for):
+            return
+        is_new = term > self.term or (term == self.term and not self.voted_for)
+        invariant(is_new, codes.VOTED_TWICE, f"term {self.term} for {self.voted_for!r}")
+        if term > self.term:
+            self.leader_disk = self.term_leader = ""
+        self.term = term
+        self.voted_for = voted_for
+        self.out.append(Persist((TermRecord(term, voted_for),)))
+
+    def follow(self, term: int, leader_disk: str, now: float) -> None:
+        """Become or stay a follower."""
+        if self.role is Role.LEADER:
+            self.reset_election(now)
+            self.leader_disk = ""
+        if term > self.term:
+            self.set_term(term, "")
+        self.lease_until = NEVER
+        self.votes = set()
+        self.set_role(Role.FOLLOWER)
+        self.out.extend(ReadFailed(read.number) for read in self.reads)
+        self.reads = []
+        if leader_disk:
+            self.note_leader(leader_disk)
+
+    def note_leader(self, disk: str) -> None:
+        """Take note of the only leader of the current term."""
+        known = self.term_leader or disk
+        invariant(known == disk, codes.TWO_LEADERS, f"term {self.term}: {known} and {disk}")
+        self.leader_disk = self.term_leader = disk
+
+    def take_entry(self, kind: EntryKind, body: bytes) -> Entry:
+        """Add an entry of this leader to its log."""
+        entry = Entry(self.log.last_index + 1, self.term, kind, body)
+        self.add_entries((entry,))
+        return entry
+
+    def add_entries(self, entries: tuple[Entry, ...]) -> None:
+        """Add entries durably and note a change of the members."""
+        for entry in entries:
+            self.log.append(entry)
+            if entry.kind is EntryKind.MEMBERS:
+                self.set_members(entry)
+        if entries:
+            self.out.append(Persist(tuple(EntryRecord(entry) for entry in entries)))
+
+    def set_members(self, entry: Entry) -> None:
+        """Put the members of a log entry in force; they count from then on."""
+        members = converter.loads(entry.body, Members)
+        before = {member.disk for member in self.members.voters()}
+        after = {member.disk for member in members.voters()}
+        is_small = not before or len(before ^ after) <= 1
+        invariant(is_small, codes.CHANGE_STEP, f"entry {entry.index}: {before} to {after}")
+        self.members = members
+        self.members_index = entry.index
+        for member in members.members:
+            self.progress.setdefault(member.disk, self.new_progress())
+
+    def new_progress(self) -> Progress:
+        """Return the progress of a member of which nothing is known yet."""
+        next_index = self.log.last_index + 1
+        return Progress(next=next_index, acked_next=next_index)
+
+    def find_members(self) -> None:
+        """Find the newest members in the log, else in the snapshot."""
+        for entry in reversed(self.log.entries):
+            if entry.kind is EntryKind.MEMBERS:
+                self.members = converter.loads(entry.body, Members)
+                self.members_index = entry.index
+                return
+        self.members = self.snapshot.members if self.snapshot else Members()
+        self.members_index = self.snapshot.index if self.snapshot else 0
+
+    def set_commit(self, index: int) -> None:
+        """Raise the commit index and apply what became committed."""
+        in_range = self.commit <= index <= self.log.last_index
+        invariant(in_range, codes.COMMIT_RANGE, f"{self.commit} to {index}")
+        self.commit = index
+        while self.applied < self.commit:
+            self.apply_next(self.log.at(self.applied + 1))
+        self.request_snapshot()
+
+    def apply_next(self, entry: Entry) -> None:
+        """Apply one committed entry."""
+        invariant(entry.index == self.applied + 1, codes.APPLY_ORDER, f"{entry.index}")
+        self.applied = entry.index
+        if entry.kind is EntryKind.COMMAND:
+            self.out.append(Apply(entry.index, entry.term, entry.body))
+        else:
+            self.out.append(Passed(entry.index, entry.term))
+
+    def request_snapshot(self) -> None:
+        """Ask for a snapshot when the log since the last one has grown enough."""
+        last = self.snapshot.index if self.snapshot else 0
+        if self.snapshot_pending or self.applied == last:
+            return
+        size = self.log.bytes_between(last + 1, self.applied)
+        if self.applied - last >= self.settings.snapshot_entries or (
+            size >= self.settings.snapshot_bytes
+        ):
+            self.snapshot_pending = True
+            self.out.append(TakeSnapshot(self.applied))
+
+    def release_reads(self) -> None:
+        """Release the reads that a majority has confirmed and whose entries are applied."""
+        waiting = []
+        for read in self.reads:
+            if self.is_confirmed(read.round) and self.applied >= read.index:
+                self.check_read(read)
+                self.out.append(ReadReady(read.number, read.index))
+            else:
+                waiting.append(read)
+        self.reads = waiting
+
+    def is_confirmed(self, number: int) -> bool:
+        """Return whether a majority has answered this broadcast or a later one."""
+        return self.count_confirmations(number) >= self.members.majority()
+
+    def count_confirmations(self, number: int) -> int:
+        """Return how many voters have answered this broadcast or a later one."""
+        voters = [member.disk for member in self.members.voters()]
+        return sum(
+            disk == self.disk or self.progress[disk].acked_round >= number for disk in voters
+        )
+
+    def check_read(self, read: Read) -> None:
+        """Check a read that is about to be released."""
+        has_majority = self.count_confirmations(read.round) >= self.members.majority()
+        is_current = self.role is Role.LEADER and has_majority and self.applied >= read.index
+        invariant(is_current, codes.READ_UNCONFIRMED, f"read {read.number} in term {self.term}")
--- /dev/null
+++ b/mulberrygate/agreement/changes.py
@@ -0,0 +1,142 @@
+"""Changes of the voters, one at a time, through learners."""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.agreement.base import NodeBase
+from mulberrygate.agreement.effects import Role
+from mulberrygate.agreement.messages import EntryKind, JoinRequest, Member, Members
+from mulberrygate.agreement.outcomes import ChangeRefused, NotProposed, Proposed
+from mulberrygate.core.effects import Send
+from mulberrygate.core.wire import converter
+
+MOST_VOTERS = 7
+# Learners up to this many entries behind count as caught up.
+CAUGHT_UP_ENTRIES = 0
+
+
+class Changes(NodeBase):
+    """Part of `AgreementNode` that changes the members."""
+
+    def set_up(self) -> None:
+        """Prepare the list of instances that ask to join."""
+        super().set_up()
+        self.candidates: dict[str, JoinRequest] = {}
+        self.join_due = float("-inf")
+
+    def can_change(self) -> bool:
+        """Return whether the previous change is committed and this leader's term has begun."""
+        is_settled = self.members_index <= self.commit
+        return is_settled and self.commit >= self.first_own_index
+
+    def put_members(self, members: Members, now: float) -> int:
+        """Take new members into the log."""
+        entry = self.take_entry(EntryKind.MEMBERS, converter.dumps(members))
+        self.advance(now)
+        if self.role is Role.LEADER:
+            self.broadcast(now)
+        return entry.index
+
+    def add_voter(self, name: str, now: float) -> Proposed | NotProposed | ChangeRefused:
+        """Take an instance that has asked to join as a learner; it becomes a voter by itself."""
+        refusal = self.begin_change(now)
+        if refusal is not None:
+            return refusal
+        request = self.candidates.get(name)
+        if request is None:
+            return ChangeRefused(f"instance {name} has not asked to join", self.out)
+        names = {member.name for member in self.members.members}
+        if len(names | {name}) > MOST_VOTERS:
+            return ChangeRefused(f"the group has {MOST_VOTERS} members", self.out)
+        index = self.put_learner(request, now)
+        return Proposed(index, self.term, self.out)
+
+    def remove_voter(self, name: str, now: float) -> Proposed | NotProposed | ChangeRefused:
+        """Remove a voter or learner."""
+        refusal = self.begin_change(now)
+        if refusal is not None:
+            return refusal
+        found = [member for member in self.members.members if member.name == name]
+        if not found:
+            return ChangeRefused(f"instance {name} is no member", self.out)
+        # A learner goes first, so that a change touches at most one voter.
+        target = min(found, key=lambda member: member.is_voter)
+        if target.is_voter and len(self.members.voters()) == 1:
+            return ChangeRefused("the last voter can't be removed", self.out)
+        self.candidates.pop(name, None)
+        index = self.put_members(self.members.without(target.disk), now)
+        return Proposed(index, self.term, self.out)
+
+    def begin_change(self, now: float) -> NotProposed | ChangeRefused | None:
+        """Start a step that changes the members; return why it can't."""
+        self.begin(now)
+        if self.role is not Role.LEADER:
+            return NotProposed(self.leader, self.out)
+        self.require_fresh_leader(now)
+        if not self.can_change():
+            return ChangeRefused("another voter change is not committed yet", self.out)
+        return None
+
+    def put_learner(self, request: JoinRequest, now: float) -> int:
+        """Add a learner in place of earlier learners of the same name."""
+        kept = [m for m in self.members.members if m.is_voter or m.name != request.name]
+        learner = Member(request.name, request.address, request.disk, False)
+        return self.put_members(Members((*kept, learner)), now)
+
+    def on_join(self, request: JoinRequest, sender: str, now: float) -> None:
+        """Take note of an instance that asks to join.
+
+        Explanation
+        ===========
+        A voter that lost its disk is replaced without an operator: its new disk becomes a learner
+        at once. Its former identity is not removed while it still answers.
+        """
+        if self.role is not Role.LEADER or self.members.by_disk(request.disk) is not None:
+            return
+        self.candidates[request.name] = request
+        former = [m for m in self.members.members if m.name == request.name]
+        is_answering = any(
+            m.disk in self.progress and self.is_answering(self.progress[m.disk], now)
+            for m in former
+        )
+        if former and not is_answering and self.can_change():
+            self.put_learner(request, now)
+
+    def advance_members(self, now: float) -> None:
+        """Make the next step for a learner that has caught up.
+
+        Explanation
+        ===========
+        The former identity of the same name is removed first, and then the learner becomes a
+        voter: swapping both in one step would allow two majorities that do not overlap.
+        """
+        if not self.can_change():
+            return
+        for learner in self.members.learners():
+            if not self.is_caught_up(learner, now):
+                continue
+            former = self.members.voter_named(learner.name)
+            if former is not None and len(self.members.voters()) > 1:
+                self.put_members(self.members.without(former.disk), now)
+            else:
+                self.put_members(self.members.plus(attrs.evolve(learner, is_voter=True)), now)
+            return
+
+    def is_caught_up(self, learner: Member, now: float) -> bool:
+        """Return whether a learner answers and holds everything that is committed."""
+        progress = self.progress.get(learner.disk)
+        if progress is None or not self.is_answering(progress, now):
+            return False
+        return progress.match >= self.commit - CAUGHT_UP_ENTRIES
+
+    def ask_to_join(self, now: float) -> None:
+        """Ask the known instances to take this disk, if it is no member and hears no leader."""
+        limit = 2 * self.settings.election_timeout_s
+        is_member = self.members.by_disk(self.disk) is not None
+        if is_member or now < self.join_due or now < self.heard_at + limit:
+            return
+        self.join_due = now + limit
+        names = {**self.first_voters, **{m.name: m.address for m in self.members.members}}
+        request = JoinRequest(self.voter, self.address, self.disk)
+        self.out.extend(Send(name, request) for name in sorted(names) if name != self.voter)
--- /dev/null
+++ b/mulberrygate/agreement/election.py
@@ -0,0 +1,164 @@
+"""Elections: pre-vote, vote, and transfer of leadership."""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.agreement.base import NEVER, NodeBase
+from mulberrygate.agreement.effects import Role
+from mulberrygate.agreement.messages import EntryKind, Found, TimeoutNow, VoteReply, VoteRequest
+from mulberrygate.core.effects import Effect, Reply, Send
+from mulberrygate.core.wire import converter
+
+
+class Election(NodeBase):
+    """Part of `AgreementNode` that elects leaders."""
+
+    def campaign(self, now: float, is_pre: bool, is_transfer: bool = False) -> None:
+        """Ask the other voters for their vote, or first for the promise of one."""
+        self.reset_election(now)
+        if not self.is_voter:
+            return
+        self.is_pre = is_pre
+        self.is_transfer = is_transfer
+        if not is_pre:
+            self.set_term(self.term + 1, self.disk)
+        self.set_role(Role.CANDIDATE)
+        self.votes = {self.disk}
+        self.count_votes(now)
+        if self.role is Role.CANDIDATE:
+            self.request_votes()
+
+    def request_votes(self) -> None:
+        """Send the vote requests of this candidate."""
+        for member in self.members.voters():
+            if member.disk == self.disk:
+                continue
+            request = VoteRequest(
+                self.cluster,
+                self.term + self.is_pre,
+                self.disk,
+                member.disk,
+                self.log.last_index,
+                self.log.last_term,
+                self.is_pre,
+                self.is_transfer,
+            )
+            self.out.append(Send(member.name, request))
+
+    def count_votes(self, now: float) -> None:
+        """Go on to the real election, or lead, once a majority agrees."""
+        voters = {member.disk for member in self.members.voters()}
+        if len(self.votes & voters) < self.members.majority():
+            return
+        if self.is_pre:
+            self.campaign(now, is_pre=False)
+        else:
+            self.lead(now)
+
+    def lead(self, now: float) -> None:
+        """Become the leader of the current term."""
+        self.note_leader(self.disk)
+        self.leader_since = now
+        self.lease_until = NEVER
+        self.progress = {member.disk: self.new_progress() for member in self.members.members}
+        self.set_role(Role.LEADER)
+        # Entries of earlier terms count as committed only through an entry of this term.
+        self.first_own_index = self.take_entry(EntryKind.NOTHING, b"").index
+        self.advance(now)
+        self.broadcast(now)
+
+    def on_vote_request(self, request: VoteRequest, sender: str, now: float) -> None:
+        """Answer a request for a vote."""
+        if not self.is_meant(request):
+            if request.to_disk == self.disk and not self.cluster:
+                self.answer_unformed(request)
+            return
+        # A follower that has heard from a leader within the election timeout refuses, since the
+        # leader's lease rests on that. A leader that hands over has given up its lease.
+        is_fresh = now < self.heard_at + self.settings.election_timeout_s
+        if (is_fresh or self.role is Role.LEADER) and not request.is_transfer:
+            self.reply_vote(request, False)
+            return
+        if request.is_pre:
+            self.reply_vote(request, request.term > self.term and self.is_up_to_date(request))
+            return
+        if request.term > self.term:
+            self.follow(request.term, "", now)
+        is_free = request.term == self.term and self.voted_for in ("", request.disk)
+        is_granted = is_free and self.is_up_to_date(request)
+        if is_granted:
+            self.set_term(self.term, request.disk)
+            self.reset_election(now)
+        self.reply_vote(request, is_granted)
+
+    def is_up_to_date(self, request: VoteRequest) -> bool:
+        """Return whether the candidate's log holds at least what this log holds."""
+        own = (self.log.last_term, self.log.last_index)
+        return (request.last_term, request.last_index) >= own
+
+    def reply_vote(self, request: VoteRequest, is_granted: bool) -> None:
+        """Reply to a vote request; a granted pre-vote names the term that was asked for."""
+        term = request.term if is_granted else self.term
+        reply = VoteReply(self.cluster, term, self.disk, request.is_pre, is_granted)
+        self.out.append(Reply(reply))
+
+    def answer_unformed(self, request: VoteRequest) -> None:
+        """Tell a candidate that this first voter has not got the first entry yet."""
+        reply = VoteReply("", 0, self.disk, request.is_pre, False)
+        self.out.append(Reply(reply))
+
+    def on_vote_reply(self, reply: VoteReply, sender: str, now: float) -> None:
+        """Count a vote."""
+        if not reply.cluster and self.members.by_disk(reply.disk) and self.log.base_index == 0:
+            self.send_found(reply.disk)
+            return
+        if reply.cluster != self.cluster:
+            return
+        if reply.term > self.term and not reply.is_granted:
+            self.follow(reply.term, "", now)
+            return
+        is_current = (
+            self.role is Role.CANDIDATE
+            and reply.is_pre == self.is_pre
+            and reply.term == self.term + self.is_pre
+        )
+        if is_current and reply.is_granted:
+            self.votes.add(reply.disk)
+            self.count_votes(now)
+
+    def send_found(self, disk: str) -> None:
+        """Repeat the first entry for a first voter that missed it."""
+        first = self.log.at(1) if self.log.last_index else None
+        if first is None or first.kind is not EntryKind.MEMBERS:
+            return
+        members = converter.loads(first.body, type(self.members))
+        member = members.by_disk(disk)
+        if member is not None:
+            self.out.append(Send(member.name, Found(self.cluster, disk, members)))
+
+    def transfer(self, now: float) -> list[Effect]:
+        """Hand leadership to the most advanced voter, for a planned stop.
+
+        Explanation
+        ===========
+        The leader steps down before it sends the order, so its lease is over when the other voter
+        starts its election without waiting for the timeout.
+        """
+        self.begin(now)
+        others = [m for m in self.members.voters() if m.disk != self.disk]
+        if self.role is Role.LEADER and others:
+            target = max(others, key=lambda m: (self.progress[m.disk].match, m.name))
+            order = TimeoutNow(self.cluster, self.term, self.disk, target.disk)
+            self.follow(self.term, "", now)
+            self.out.append(Send(target.name, order))
+        return self.out
+
+    def on_timeout_now(self, order: TimeoutNow, sender: str, now: float) -> None:
+        """Start an election at once."""
+        if self.is_meant(order) and order.term == self.term and self.role is not Role.LEADER:
+            self.campaign(now, is_pre=False, is_transfer=True)
+
+    def is_meant(self, message: attrs.AttrsInstance) -> bool:
+        """Return whether a message is for this cluster and for this disk."""
+        return message.cluster == self.cluster and message.to_disk == self.disk
--- /dev/null
+++ b/mulberrygate/agreement/messages.py
@@ -0,0 +1,251 @@
+"""Messages between voters, and the values that they carry.
+
+Explanation
+===========
+Voters are identified by the random identifier of their disk, not by their name. A message to a
+voter names the disk that it is meant for, so a voter that comes back with another disk answers
+nothing that was meant for its former identity.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from mulberrygate.core.wire import message
+
+
+class EntryKind(enum.IntEnum):
+    """What a log entry holds."""
+
+    COMMAND = 0
+    MEMBERS = 1
+    NOTHING = 2
+
+
+@attrs.frozen
+class Entry:
+    """Entry of the replicated log."""
+
+    index: int
+    term: int
+    kind: EntryKind
+    body: bytes = b""
+
+
+@attrs.frozen
+class Member:
+    """Voter or learner of the group.
+
+    Parameters
+    ==========
+    name : str
+        Instance name.
+    address : str
+        Peer address, ``host:port``.
+    disk : str
+        Random identifier of its disk.
+    is_voter : bool
+        Whether it counts towards a majority.
+    """
+
+    name: str
+    address: str
+    disk: str
+    is_voter: bool
+
+
+@attrs.frozen
+class Members:
+    """Members of the group, as stored in a log entry."""
+
+    members: tuple[Member, ...] = ()
+
+    def voters(self) -> tuple[Member, ...]:
+        """Return the members that count towards a majority."""
+        return tuple(member for member in self.members if member.is_voter)
+
+    def learners(self) -> tuple[Member, ...]:
+        """Return the members that are catching up."""
+        return tuple(member for member in self.members if not member.is_voter)
+
+    def majority(self) -> int:
+        """Return the number of voters that make a majority."""
+        return len(self.voters()) // 2 + 1
+
+    def by_disk(self, disk: str) -> Member | None:
+        """Return the member with this disk."""
+        return next((member for member in self.members if member.disk == disk), None)
+
+    def voter_named(self, name: str) -> Member | None:
+        """Return the voter with this name."""
+        return next((member for member in self.voters() if member.name == name), None)
+
+    def without(self, disk: str) -> Members:
+        """Return the members without one disk."""
+        return Members(tuple(member for member in self.members if member.disk != disk))
+
+    def plus(self, member: Member) -> Members:
+        """Return the members with one added or replaced."""
+        return Members((*self.without(member.disk).members, member))
+
+
+@attrs.frozen
+class Snapshot:
+    """State of the machine after the entry at ``index``."""
+
+    index: int
+    term: int
+    members: Members
+    data: bytes
+
+
+@message("agreement.append")
+@attrs.frozen
+class Append:
+    """Entries or a heartbeat of the leader.
+
+    Parameters
+    ==========
+    round : int
+        Number of the leader's broadcast, returned in the reply; it confirms reads.
+    sent_at : float
+        Leader's monotonic clock in seconds, returned in the reply; it extends the lease.
+    """
+
+    cluster: str
+    term: int
+    disk: str
+    to_disk: str
+    prev_index: int
+    prev_term: int
+    commit: int
+    round: int
+    sent_at: float
+    entries: tuple[Entry, ...] = ()
+
+
+@message("agreement.append_reply")
+@attrs.frozen
+class AppendReply:
+    """Reply to `Append`; ``index`` is the last matching index, or a hint where to try next."""
+
+    cluster: str
+    term: int
+    disk: str
+    is_ok: bool
+    index: int
+    round: int
+    sent_at: float
+
+
+@message("agreement.vote")
+@attrs.frozen
+class VoteRequest:
+    """Request for a vote, or for a promise of one (``is_pre``)."""
+
+    cluster: str
+    term: int
+    disk: str
+    to_disk: str
+    last_index: int
+    last_term: int
+    is_pre: bool
+    is_transfer: bool = False
+
+
+@message("agreement.vote_reply")
+@attrs.frozen
+class VoteReply:
+    """Reply to `VoteRequest`."""
+
+    cluster: str
+    term: int
+    disk: str
+    is_pre: bool
+    is_granted: bool
+
+
+@message("agreement.snapshot_part")
+@attrs.frozen
+class SnapshotPart:
+    """Part of a snapshot for a follower whose next entry is no longer in the log."""
+
+    cluster: str
+    term: int
+    disk: str
+    to_disk: str
+    index: int
+    index_term: int
+    members: Members
+    offset: int
+    size: int
+    data: bytes
+    round: int
+    sent_at: float
+
+
+@message("agreement.snapshot_reply")
+@attrs.frozen
+class SnapshotReply:
+    """Reply to `SnapshotPart`; ``offset`` is the next byte wanted."""
+
+    cluster: str
+    term: int
+    disk: str
+    index: int
+    offset: int
+    is_done: bool
+    round: int
+    sent_at: float
+
+
+@message("agreement.timeout_now")
+@attrs.frozen
+class TimeoutNow:
+    """Order of a leader that has stepped down to start an election without delay."""
+
+    cluster: str
+    term: int
+    disk: str
+    to_disk: str
+
+
+@message("agreement.probe")
+@attrs.frozen
+class Probe:
+    """Question of the founder, who has an empty disk, to each first voter."""
+
+    disk: str
+
+
+@message("agreement.probe_reply")
+@attrs.frozen
+class ProbeReply:
+    """Reply to `Probe`; ``cluster`` is empty if the voter never was in a group."""
+
+    for_disk: str
+    name: str
+    disk: str
+    cluster: str
+
+
+@message("agreement.found")
+@attrs.frozen
+class Found:
+    """First entry of the log, for a first voter that is in no group yet."""
+
+    cluster: str
+    to_disk: str
+    members: Members
+
+
+@message("agreement.join")
+@attrs.frozen
+class JoinRequest:
+    """Announcement of an instance whose disk is no member of the group."""
+
+    name: str
+    address: str
+    disk: str
--- /dev/null
+++ b/mulberrygate/agreement/node.py
@@ -0,0 +1,118 @@
+"""A voter of the replicated control log, as a synchronous decision class."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from mulberrygate.agreement.changes import Changes
+from mulberrygate.agreement.effects import Role
+from mulberrygate.agreement.election import Election
+from mulberrygate.agreement.formation import Formation
+from mulberrygate.agreement.messages import (
+    Append,
+    AppendReply,
+    Found,
+    JoinRequest,
+    Probe,
+    ProbeReply,
+    SnapshotPart,
+    SnapshotReply,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from mulberrygate.agreement.replication import Replication
+from mulberrygate.agreement.snapshots import Snapshots
+from mulberrygate.core.effects import Effect
+
+# Messages that arrive by themselves, and messages that answer one of them.
+REQUESTS = (Append, Found, JoinRequest, Probe, SnapshotPart, TimeoutNow, VoteRequest)
+ANSWERS = (AppendReply, ProbeReply, SnapshotReply, VoteReply)
+
+
+class AgreementNode(Election, Replication, Snapshots, Changes, Formation):
+    """Voter of the replicated log.
+
+    Explanation
+    ===========
+    Effects are carried out in order; when a `Persist` or `SaveSnapshot` fails, nothing after it
+    may be carried out, and `stop` ends this voter. ``now`` is the monotonic clock in seconds and
+    may jump ahead when the process was frozen: every entry point first steps down from a
+    leadership whose lease ran out.
+
+    Parameters
+    ==========
+    voter : str
+        Name of this instance.
+    peers : dict[str, str]
+        First voters of the settings, name to peer address.
+    state : StorageState
+        What the disk holds.
+    rng : random.Random
+        Source of election times and of the identifier of a new group.
+    settings : AgreementSettings
+        Times and sizes.
+    address : str
+        Peer address of this instance, needed if it is no first voter.
+
+    See Also
+    ========
+    mulberrygate.agreement.service.AgreementService
+    """
+
+    def tick(self, now: float) -> list[Effect]:
+        """Do what is due at a time."""
+        self.begin(now)
+        if self.role is Role.STOPPED:
+            return self.out
+        if self.role is Role.LEADER:
+            self.advance(now)
+            self.advance_members(now)
+            if self.role is Role.LEADER and now >= self.heartbeat_due:
+                self.broadcast(now)
+        else:
+            self.try_to_form(now)
+            self.ask_to_join(now)
+            if now >= self.election_due:
+                self.leader_disk = ""
+                self.campaign(now, is_pre=True)
+        return self.out
+
+    def handle(self, message: Any, sender: str, now: float) -> list[Effect]:
+        """Handle a message of another instance."""
+        self.begin(now)
+        if self.role is not Role.STOPPED:
+            handler = self.handlers().get(type(message))
+            if handler is not None:
+                handler(message, sender, now)
+        return self.out
+
+    def handlers(self) -> dict[type, Callable[[Any, str, float], None]]:
+        """Return the handler of each message class."""
+        return {
+            Append: self.on_append,
+            AppendReply: self.on_append_reply,
+            Found: self.on_found,
+            JoinRequest: self.on_join,
+            Probe: self.on_probe,
+            ProbeReply: self.on_probe_reply,
+            SnapshotPart: self.on_snapshot_part,
+            SnapshotReply: self.on_snapshot_reply,
+            TimeoutNow: self.on_timeout_now,
+            VoteReply: self.on_vote_reply,
+            VoteRequest: self.on_vote_request,
+        }
+
+    def stop(self, now: float) -> list[Effect]:
+        """End this voter, because its disk is not usable; it never answers again."""
+        self.begin(now)
+        self.follow(self.term, "", now)
+        self.set_role(Role.STOPPED)
+        return self.out
+
+    def addresses(self) -> dict[str, str]:
+        """Return the peer addresses of the first voters and of the members."""
+        known = dict(self.first_voters)
+        known.update({m.name: m.address for m in self.members.members if m.address})
+        return known
--- /dev/null
+++ b/mulberrygate/agreement/replication.py
@@ -0,0 +1,253 @@
+"""Replication of the log, commitment, lease and reads."""
+
+from __future__ import annotations
+
+from mulberrygate.agreement import codes
+from mulberrygate.agreement.base import NodeBase, Progress, Read
+from mulberrygate.agreement.effects import JoinRecord, Role
+from mulberrygate.agreement.messages import Append, AppendReply, Entry, EntryKind, Member
+from mulberrygate.agreement.outcomes import NotProposed, Proposed, ReadStarted
+from mulberrygate.core.effects import Persist, Reply, Send
+from mulberrygate.core.invariant import invariant
+
+
+class Replication(NodeBase):
+    """Part of `AgreementNode` that replicates the log."""
+
+    def propose(self, command: bytes, now: float) -> Proposed | NotProposed:
+        """Take a command into the log, if this voter leads."""
+        self.begin(now)
+        if self.role is not Role.LEADER:
+            return NotProposed(self.leader, self.out)
+        self.require_fresh_leader(now)
+        entry = self.take_entry(EntryKind.COMMAND, command)
+        self.advance(now)
+        self.replicate(now)
+        return Proposed(entry.index, entry.term, self.out)
+
+    def read_index(self, now: float) -> ReadStarted | NotProposed:
+        """Start a read that will see every entry committed before this call.
+
+        Explanation
+        ===========
+        A read is confirmed by a broadcast that starts after it, not by the lease, so its answer
+        does not depend on any clock.
+        """
+        self.begin(now)
+        if self.role is not Role.LEADER:
+            return NotProposed(self.leader, self.out)
+        self.require_fresh_leader(now)
+        self.read_number += 1
+        index = max(self.commit, self.first_own_index)
+        self.reads.append(Read(self.read_number, self.round + 1, index))
+        self.broadcast(now)
+        self.release_reads()
+        return ReadStarted(self.read_number, self.out)
+
+    def broadcast(self, now: float) -> None:
+        """Send a heartbeat, with entries where they are missing, to all other members."""
+        self.round += 1
+        self.heartbeat_due = now + self.settings.heartbeat_s
+        for member in self.members.members:
+            if member.disk != self.disk:
+                # What was sent and not acknowledged since the last heartbeat is sent again.
+                progress = self.progress[member.disk]
+                progress.next = progress.acked_next
+                self.send_append(member, progress, now)
+
+    def replicate(self, now: float) -> None:
+        """Send new entries to the members that answer."""
+        for member in self.members.members:
+            progress = self.progress[member.disk]
+            if member.disk != self.disk and self.is_answering(progress, now):
+                self.send_append(member, progress, now)
+
+    def is_answering(self, progress: Progress, now: float) -> bool:
+        """Return whether a member has answered lately."""
+        return now - progress.heard_at < self.settings.election_timeout_s
+
+    def send_append(self, member: Member, progress: Progress, now: float) -> None:
+        """Send entries, or only a heartbeat to a member that does not answer."""
+        if progress.next <= self.log.base_index:
+            self.send_snapshot(member, progress, now)
+            return
+        entries: tuple[Entry, ...] = ()
+        if self.is_answering(progress, now):
+            entries = self.log.batch(progress.next, self.settings.batch_bytes)
+        prev = progress.next - 1
+        message = Append(
+            self.cluster,
+            self.term,
+            self.disk,
+            member.disk,
+            prev,
+            self.log.term_at(prev),
+            self.commit,
+            self.round,
+            now,
+            entries,
+        )
+        progress.next += len(entries)
+        self.out.append(Send(member.name, message))
+
+    def on_append(self, message: Append, sender: str, now: float) -> None:
+        """Take entries or a heartbeat of the leader."""
+        if not self.accept_leader(message, now):
+            return
+        # Everything up to the base index is committed and needs no comparison.
+        is_held = message.prev_index >= self.log.base_index
+        if is_held and self.log.term_at(message.prev_index) != message.prev_term:
+            self.reply_append(message, False, self.find_hint(message.prev_index))
+            return
+        new = self.select_new(message.entries)
+        if new:
+            self.cut(new[0].index)
+            self.add_entries(new)
+        match = message.prev_index + len(message.entries)
+        self.reply_append(message, True, match)
+        self.set_commit(max(self.commit, self.known_commit(message, match)))
+
+    def known_commit(self, message: Append, match: int) -> int:
+        """Return the last entry that is committed and known to equal the leader's."""
+        return min(message.commit, match)
+
+    def accept_leader(self, message, now: float) -> bool:
+        """Take note of a leader's message; return whether it is of the current leader."""
+        if message.to_disk != self.disk:
+            return False
+        if not self.cluster:
+            self.join(message.cluster)
+        if message.cluster != self.cluster:
+            return False
+        if message.term < self.term:
+            self.reply_append(message, False, self.log.last_index)
+            return False
+        is_leading = self.role is Role.LEADER and message.term == self.term
+        invariant(not is_leading, codes.TWO_LEADERS, f"term {self.term}: {message.disk}")
+        self.follow(message.term, message.disk, now)
+        self.heard_at = now
+        self.reset_election(now)
+        return True
+
+    def join(self, cluster: str) -> None:
+        """Bind this disk to a cluster for good."""
+        invariant(not self.cluster, codes.FORMED_TWICE, f"{self.cluster} and {cluster}")
+        self.cluster = cluster
+        self.out.append(Persist((JoinRecord(cluster),)))
+
+    def select_new(self, entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
+        """Return the entries from the first one that this log does not hold."""
+        for position, entry in enumerate(entries):
+            if entry.index <= self.log.base_index:
+                continue
+            if self.log.term_at(entry.index) != entry.term:
+                return entries[position:]
+        return ()
+
+    def cut(self, first: int) -> None:
+        """Drop entries that the leader does not have."""
+        if first > self.log.last_index:
+            return
+        invariant(first > self.commit, codes.COMMITTED_CUT, f"{first}, commit {self.commit}")
+        self.log.truncate(first)
+        if self.members_index >= first:
+            self.find_members()
+
+    def find_hint(self, prev_index: int) -> int:
+        """Return an index at which the leader should try next, for a mismatch at ``prev_index``."""
+        if prev_index > self.log.last_index:
+            return self.log.last_index
+        term = self.log.term_at(prev_index)
+        hint = prev_index - 1
+        while hint > self.log.base_index and self.log.term_at(hint) == term:
+            hint -= 1
+        return max(hint, self.commit)
+
+    def reply_append(self, message, is_ok: bool, index: int) -> None:
+        """Reply to the leader."""
+        reply = AppendReply(
+            self.cluster, self.term, self.disk, is_ok, index, message.round, message.sent_at
+        )
+        self.out.append(Reply(reply))
+
+    def on_append_reply(self, reply: AppendReply, sender: str, now: float) -> None:
+        """Take note of what a member holds."""
+        progress = self.take_reply(reply, now)
+        if progress is None:
+            return
+        if reply.is_ok:
+            progress.match = max(progress.match, reply.index)
+            progress.acked_next = progress.match + 1
+            progress.next = max(progress.next, progress.acked_next)
+        else:
+            progress.next = max(progress.match, min(progress.next - 1, reply.index)) + 1
+            progress.acked_next = progress.next
+        self.advance(now)
+        member = self.members.by_disk(reply.disk)
+        if self.role is Role.LEADER and member and progress.next <= self.log.last_index:
+            self.send_append(member, progress, now)
+
+    def take_reply(self, reply, now: float) -> Progress | None:
+        """Note that a member answers; return its progress if the reply is for this leadership."""
+        if reply.cluster != self.cluster:
+            return None
+        if reply.term > self.term:
+            self.follow(reply.term, "", now)
+        progress = self.progress.get(reply.disk)
+        if self.role is not Role.LEADER or reply.term != self.term or progress is None:
+            return None
+        progress.heard_at = now
+        progress.acked_round = max(progress.acked_round, reply.round)
+        progress.acked_sent_at = max(progress.acked_sent_at, reply.sent_at)
+        return progress
+
+    def advance(self, now: float) -> None:
+        """Extend the lease and commit what a majority holds."""
+        self.extend_lease(now)
+        index = self.majority_index()
+        if index > self.commit and self.is_committable(index):
+            self.commit_as_leader(index)
+        self.release_reads()
+        self.leave_if_removed(now)
+
+    def is_committable(self, index: int) -> bool:
+        """Return whether replicas of this entry may be counted: only if it is of this term."""
+        return self.log.term_at(index) == self.term
+
+    def majority_index(self) -> int:
+        """Return the highest index that a majority of voters holds."""
+        matches = sorted(
+            self.log.last_index if m.disk == self.disk else self.progress[m.disk].match
+            for m in self.members.voters()
+        )
+        return matches[-self.members.majority()]
+
+    def commit_as_leader(self, index: int) -> None:
+        """Commit entries that a majority holds."""
+        is_own = self.log.term_at(index) == self.term
+        invariant(is_own, codes.COMMIT_TERM, f"{index} in term {self.term}")
+        self.set_commit(index)
+
+    def extend_lease(self, now: float) -> None:
+        """Extend the lease from the time at which a majority's answered messages were sent."""
+        start = self.majority_sent_at(now)
+        confirmed = sum(
+            m.disk == self.disk or self.progress[m.disk].acked_sent_at >= start
+            for m in self.members.voters()
+        )
+        has_majority = confirmed >= self.members.majority() and start <= now
+        invariant(has_majority, codes.LEASE_RANGE, f"{start} at {now}")
+        self.lease_until = max(self.lease_until, start + self.settings.lease_s)
+
+    def majority_sent_at(self, now: float) -> float:
+        """Return the latest time at which a majority had not left this leader."""
+        times = sorted(
+            now if m.disk == self.disk else self.progress[m.disk].acked_sent_at
+            for m in self.members.voters()
+        )
+        return times[-self.members.majority()]
+
+    def leave_if_removed(self, now: float) -> None:
+        """Step down once the entry that removes this leader is committed."""
+        if self.role is Role.LEADER and not self.is_voter and self.members_index <= self.commit:
+            self.follow(self.term, "", now)
--- /dev/null
+++ b/mulberrygate/agreement/service.py
@@ -0,0 +1,447 @@
+"""Asyncio service that carries out the effects of an `AgreementNode`."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+
+from mulberrygate.agreement.effects import (
+    Apply,
+    InstallSnapshot,
+    Passed,
+    ReadFailed,
+    ReadReady,
+    Role,
+    RoleChanged,
+    SaveSnapshot,
+    TakeSnapshot,
+)
+from mulberrygate.agreement.messages import Found, JoinRequest, Member
+from mulberrygate.agreement.node import ANSWERS, REQUESTS, AgreementNode
+from mulberrygate.agreement.outcomes import (
+    ChangeRefused,
+    Committed,
+    NotLeader,
+    NotProposed,
+    Proposed,
+    ReadOk,
+    Undetermined,
+)
+from mulberrygate.agreement.storage import Storage, StorageError
+from mulberrygate.core.effects import Effect, Persist, Reply, Send
+from mulberrygate.core.invariant import InvariantError
+from mulberrygate.observe.logs import logger
+
+log = logger("agreement")
+
+# A call waits for the other voter's sync; a longer wait is repeated by the next heartbeat.
+CALL_TIMEOUT_S = 2.0
+# More calls in flight to one voter than this are dropped; heartbeats repeat what they carried.
+CALL_LIMIT = 16
+# A planned stop waits this long for its last messages.
+CLOSE_WAIT_S = 1.0
+
+
+class Machine(Protocol):
+    """State machine on the replicated log."""
+
+    def apply(self, index: int, command: bytes) -> object:
+        """Apply a committed command and return its result."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+
+
+@attrs.frozen
+class AgreementStatus:
+    """What a voter reports about itself."""
+
+    voter: str
+    disk: str
+    cluster: str
+    role: str
+    term: int
+    leader: str
+    commit: int
+    applied: int
+    last_index: int
+    snapshot_index: int
+    lease_left_s: float
+    members: tuple[Member, ...]
+    failure: str
+
+
+@attrs.frozen
+class Waiter:
+    """A proposal that waits for its entry to be applied."""
+
+    term: int
+    future: asyncio.Future
+
+
+def merge_persists(effects: list[Effect]) -> list[Effect]:
+    """Join neighbouring `Persist` effects, so that they share one sync."""
+    merged: list[Effect] = []
+    for effect in effects:
+        if isinstance(effect, Persist) and merged and isinstance(merged[-1], Persist):
+            merged[-1] = Persist((*merged[-1].records, *effect.records))
+        else:
+            merged.append(effect)
+    return merged
+
+
+class AgreementService:
+    """Voter of the replicated log in a daemon.
+
+    Explanation
+    ===========
+    All effects pass through one queue and are carried out strictly in order; files are written in
+    a thread. When the disk fails, this voter stops and everything that waits gets `Undetermined`;
+    the process goes on.
+
+    Parameters
+    ==========
+    node : AgreementNode
+        Decision class, made from what ``storage.load`` returned.
+    storage : Storage
+        Loaded storage of the voter.
+    peers : PeerClient
+        Messages to other instances; must find the addresses that `addresses` returns.
+    timers : TimerService
+        Source of ticks and of the monotonic clock.
+    machine : Machine
+        State machine; restored from the snapshot here.
+    rng : random.Random
+        Unused by the service itself; replaces the node's source if given.
+
+    Attributes
+    ==========
+    on_role : list[Callable[[Role, int], None]]
+        Called with role and term after each change.
+    """
+
+    def __init__(
+        self,
+        node: AgreementNode,
+        storage: Storage,
+        peers: Any,
+        timers: Any,
+        machine: Machine,
+        rng: random.Random | None = None,
+    ):
+        self.node = node
+        self.storage = storage
+        self.peers = peers
+        self.timers = timers
+        self.machine = machine
+        if rng is not None:
+            node.rng = rng
+        self.on_role: list[Callable[[Role, int], None]] = []
+        self.failure = ""
+        self.is_closed = False
+        self.queue: deque[tuple[list[Effect], asyncio.Future | None]] = deque()
+        self.has_work = asyncio.Event()
+        self.waiters: dict[int, Waiter] = {}
+        self.reads: dict[int, asyncio.Future] = {}
+        self.calls: set[asyncio.Task] = set()
+        self.in_flight: dict[str, int] = {}
+        if node.snapshot is not None:
+            machine.restore(node.snapshot.data)
+        for cls in REQUESTS:
+            peers.on(cls, self.on_message)
+        self.subscription = timers.every(node.settings.tick_s, self.tick, "agreement")
+        self.worker = asyncio.ensure_future(self.work())
+
+    @property
+    def role(self) -> Role:
+        """Role at this moment; a leader past its lease is a follower."""
+        if self.node.role is Role.LEADER and self.node.is_lease_over(self.timers.now()):
+            return Role.FOLLOWER
+        return self.node.role
+
+    @property
+    def leader(self) -> str:
+        """Name of the leader, empty if it is not known."""
+        if self.node.role is Role.LEADER and self.role is not Role.LEADER:
+            return ""
+        return self.node.leader
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self.node.term
+
+    @property
+    def lease_until(self) -> float:
+        """End of the leader's lease on the monotonic clock, minus infinity without a lease."""
+        return self.node.lease_until if self.node.role is Role.LEADER else float("-inf")
+
+    def addresses(self) -> dict[str, str]:
+        """Return the peer addresses of the voters that are known."""
+        return self.node.addresses()
+
+    def status(self) -> AgreementStatus:
+        """Return what this voter knows about itself and the group."""
+        node = self.node
+        left = max(0.0, self.lease_until - self.timers.now())
+        return AgreementStatus(
+            node.voter,
+            node.disk,
+            node.cluster,
+            self.role.value,
+            node.term,
+            self.leader,
+            node.commit,
+            node.applied,
+            node.log.last_index,
+            node.snapshot.index if node.snapshot else 0,
+            left,
+            node.members.members,
+            self.failure,
+        )
+
+    async def propose(
+        self, command: bytes, timeout_s: float
+    ) -> Committed | NotLeader | Undetermined:
+        """Propose a command and wait until it is durable on a majority and applied here."""
+        outcome = self.step(lambda now: self.node.propose(command, now))
+        return await self.wait_committed(outcome, timeout_s)
+
+    async def add_voter(
+        self, name: str, timeout_s: float
+    ) -> Committed | ChangeRefused | NotLeader | Undetermined:
+        """Take an instance that asked to join as a learner; it becomes a voter by itself."""
+        outcome = self.step(lambda now: self.node.add_voter(name, now))
+        return await self.wait_committed(outcome, timeout_s)
+
+    async def remove_voter(
+        self, name: str, timeout_s: float
+    ) -> Committed | ChangeRefused | NotLeader | Undetermined:
+        """Remove a voter or learner."""
+        outcome = self.step(lambda now: self.node.remove_voter(name, now))
+        return await self.wait_committed(outcome, timeout_s)
+
+    async def wait_committed(self, outcome: Any, timeout_s: float) -> Any:
+        """Wait for the entry of a proposal."""
+        if not isinstance(outcome, Proposed):
+            return outcome
+        future = asyncio.get_running_loop().create_future()
+        self.waiters[outcome.index] = Waiter(outcome.term, future)
+        try:
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError:
+            return Undetermined(f"not committed within {timeout_s:g} s")
+        finally:
+            if self.waiters.get(outcome.index, None) == Waiter(outcome.term, future):
+                del self.waiters[outcome.index]
+
+    async def read_barrier(self, timeout_s: float) -> ReadOk | NotLeader | Undetermined:
+        """Wait until this voter has applied everything committed before the call."""
+        outcome = self.step(lambda now: self.node.read_index(now))
+        if isinstance(outcome, NotLeader | Undetermined):
+            return outcome
+        future = asyncio.get_running_loop().create_future()
+        self.reads[outcome.number] = future
+        try:
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError:
+            return Undetermined(f"no majority confirmed this leader within {timeout_s:g} s")
+        finally:
+            self.reads.pop(outcome.number, None)
+
+    def step(self, action: Callable[[float], Any]) -> Any:
+        """Run a step of the node that returns an outcome, and queue its effects."""
+        if self.is_closed or self.failure:
+            return NotLeader("")
+        try:
+            outcome = action(self.timers.now())
+        except InvariantError as error:
+            self.fail(str(error))
+            return Undetermined(str(error))
+        self.submit(outcome.effects)
+        if isinstance(outcome, NotProposed):
+            return NotLeader(outcome.leader)
+        return outcome
+
+    def tick(self) -> None:
+        """Let the node do what is due."""
+        self.run_node(lambda now: self.node.tick(now), None)
+
+    async def on_message(self, message: Any, sender: str) -> Any:
+        """Handle a message of another voter; the answer waits for the effects before it."""
+        if self.is_closed or self.failure:
+            return None
+        reply = asyncio.get_running_loop().create_future()
+        self.run_node(lambda now: self.node.handle(message, sender, now), reply)
+        return await reply
+
+    def run_node(
+        self, action: Callable[[float], list[Effect]], reply: asyncio.Future | None
+    ) -> None:
+        """Run a step of the node and queue its effects."""
+        if self.is_closed or self.failure:
+            return
+        try:
+            effects = action(self.timers.now())
+        except InvariantError as error:
+            effects = []
+            self.fail(str(error))
+        self.submit(effects, reply)
+
+    def submit(self, effects: list[Effect], reply: asyncio.Future | None = None) -> None:
+        """Queue effects."""
+        if self.failure:
+            finish(reply, None)
+        elif effects or reply is not None:
+            self.queue.append((merge_persists(effects), reply))
+            self.has_work.set()
+
+    async def work(self) -> None:
+        """Carry out queued effects in order."""
+        while True:
+            while self.queue:
+                effects, reply = self.queue.popleft()
+                try:
+                    for effect in effects:
+                        await self.carry_out(effect, reply)
+                except StorageError as error:
+                    self.fail(str(error))
+                except Exception as error:
+                    self.fail(f"{type(error).__name__}: {error}")
+                finish(reply, None)
+            self.has_work.clear()
+            await self.has_work.wait()
+
+    async def carry_out(self, effect: Effect, reply: asyncio.Future | None) -> None:
+        """Carry out one effect."""
+        if self.failure:
+            return
+        if isinstance(effect, Persist):
+            await asyncio.to_thread(self.storage.persist, effect.records)
+        elif isinstance(effect, SaveSnapshot):
+            await asyncio.to_thread(self.storage.save_snapshot, effect)
+        elif isinstance(effect, Send):
+            self.send(effect.to, effect.message)
+        elif isinstance(effect, Reply):
+            finish(reply, effect.message)
+        elif isinstance(effect, RoleChanged):
+            self.report_role(effect)
+        else:
+            self.carry_out_on_machine(effect)
+
+    def carry_out_on_machine(self, effect: Effect) -> None:
+        """Carry out an effect that concerns the state machine or its callers."""
+        if isinstance(effect, Apply):
+            result = self.machine.apply(effect.index, effect.command)
+            self.resolve(effect.index, effect.term, result)
+        elif isinstance(effect, Passed):
+            self.resolve(effect.index, effect.term, None)
+        elif isinstance(effect, TakeSnapshot):
+            data = self.machine.snapshot()
+            self.submit(self.node.snapshot_taken(effect.index, data))
+        elif isinstance(effect, InstallSnapshot):
+            self.machine.restore(effect.snapshot.data)
+            self.give_up(effect.snapshot.index)
+        elif isinstance(effect, ReadReady):
+            finish(self.reads.get(effect.number), ReadOk(effect.index))
+        elif isinstance(effect, ReadFailed):
+            finish(self.reads.get(effect.number), NotLeader(self.node.leader))
+
+    def resolve(self, index: int, term: int, result: object) -> None:
+        """Answer the proposal at an index that is now committed."""
+        waiter = self.waiters.pop(index, None)
+        if waiter is None:
+            return
+        if waiter.term == term:
+            finish(waiter.future, Committed(index, result))
+        else:
+            # Another entry is committed at this index, so the proposal never will be.
+            finish(waiter.future, NotLeader(self.node.leader))
+
+    def give_up(self, index: int) -> None:
+        """Answer proposals whose entries a snapshot has covered."""
+        for known in [known for known in self.waiters if known <= index]:
+            reason = "the entry's place is covered by a snapshot"
+            finish(self.waiters.pop(known).future, Undetermined(reason))
+
+    def report_role(self, effect: RoleChanged) -> None:
+        """Tell the listeners about a new role."""
+        log.info("Role changed.", voter=self.node.voter, role=effect.role.value, term=effect.term)
+        for listener in list(self.on_role):
+            listener(effect.role, effect.term)
+
+    def send(self, to: str, message: Any) -> None:
+        """Send a message; its answer goes back to the node."""
+        if isinstance(message, Found | JoinRequest):
+            self.peers.send(to, message)
+            return
+        if self.in_flight.get(to, 0) >= CALL_LIMIT:
+            return
+        self.in_flight[to] = self.in_flight.get(to, 0) + 1
+        task = asyncio.ensure_future(self.call(to, message))
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
+
+    async def call(self, to: str, message: Any) -> None:
+        """Send a message and hand its answer to the node."""
+        try:
+            answer = await self.peers.call(to, message, CALL_TIMEOUT_S)
+        finally:
+            self.in_flight[to] -= 1
+        if isinstance(answer, ANSWERS):
+            self.run_node(lambda now: self.node.handle(answer, to, now), None)
+
+    def fail(self, reason: str) -> None:
+        """Stop this voter, and only this voter."""
+        if self.failure:
+            return
+        self.failure = reason
+        log.error("The voter has stopped.", voter=self.node.voter, reason=reason)
+        self.node.stop(self.timers.now())
+        self.subscription.cancel()
+        self.release_all(reason)
+        for listener in list(self.on_role):
+            listener(Role.STOPPED, self.node.term)
+
+    def release_all(self, reason: str) -> None:
+        """Answer everything that waits."""
+        for _, reply in self.queue:
+            finish(reply, None)
+        self.queue.clear()
+        for waiter in self.waiters.values():
+            finish(waiter.future, Undetermined(reason))
+        for future in self.reads.values():
+            finish(future, Undetermined(reason))
+
+    async def close(self) -> None:
+        """Hand over leadership, finish what is queued, and close the files."""
+        if self.is_closed:
+            return
+        if not self.failure:
+            self.run_node(lambda now: self.node.transfer(now), None)
+        self.is_closed = True
+        self.subscription.cancel()
+        drained = asyncio.get_running_loop().create_future()
+        self.submit([], drained)
+        await asyncio.wait([drained], timeout=CLOSE_WAIT_S)
+        if self.calls:
+            await asyncio.wait(set(self.calls), timeout=CLOSE_WAIT_S)
+        for task in [self.worker, *self.calls]:
+            task.cancel()
+        await asyncio.gather(self.worker, *self.calls, return_exceptions=True)
+        self.release_all("the voter was closed")
+        await asyncio.to_thread(self.storage.close)
+
+
+def finish(future: asyncio.Future | None, result: object) -> None:
+    """Set the result of a future that still waits."""
+    if future is not None and not future.done():
+        future.set_result(result)
--- /dev/null
+++ b/mulberrygate/agreement/settings.py
@@ -0,0 +1,45 @@
+"""Timing and size settings of the agreement group."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class AgreementSettings:
+    """Settings that all voters of a group share.
+
+    Parameters
+    ==========
+    election_timeout_s : float
+        Shortest time in seconds without a leader before an election; the longest is twice this.
+    heartbeat_s : float
+        Seconds between heartbeats of the leader.
+    tick_s : float
+        Seconds between ticks of the service.
+    lease_share : float
+        Lease as a share of the election timeout. The rest is the margin for the difference in rate
+        between the monotonic clocks of two instances.
+    snapshot_entries : int
+        Entries after which a snapshot is taken; this bounds a restart.
+    snapshot_bytes : int
+        Bytes of commands after which a snapshot is taken.
+    keep_entries : int
+        Entries kept before a snapshot for followers that are slightly behind.
+    batch_bytes : int
+        Bytes of commands, or of a snapshot, in one message.
+    """
+
+    election_timeout_s: float = 1.0
+    heartbeat_s: float = 0.15
+    tick_s: float = 0.05
+    lease_share: float = 0.9
+    snapshot_entries: int = 256
+    snapshot_bytes: int = 8 << 20
+    keep_entries: int = 64
+    batch_bytes: int = 256 << 10
+
+    @property
+    def lease_s(self) -> float:
+        """Length of the leader's lease in seconds."""
+        return self.election_timeout_s * self.lease_share
--- /dev/null
+++ b/mulberrygate/agreement/snapshots.py
@@ -0,0 +1,143 @@
+"""Taking snapshots, and their transfer to members that are far behind."""
+
+from __future__ import annotations
+
+from mulberrygate.agreement import codes
+from mulberrygate.agreement.base import NodeBase, Progress
+from mulberrygate.agreement.effects import InstallSnapshot, Role, SaveSnapshot
+from mulberrygate.agreement.log import Log
+from mulberrygate.agreement.messages import (
+    EntryKind,
+    Member,
+    Members,
+    Snapshot,
+    SnapshotPart,
+    SnapshotReply,
+)
+from mulberrygate.core.effects import Effect, Reply, Send
+from mulberrygate.core.invariant import invariant
+from mulberrygate.core.wire import converter
+
+
+class Snapshots(NodeBase):
+    """Part of `AgreementNode` that handles snapshots."""
+
+    def set_up(self) -> None:
+        """Prepare the state of a transfer."""
+        super().set_up()
+        self.incoming_key: tuple[str, int, int] = ("", 0, 0)
+        self.incoming = b""
+
+    def snapshot_taken(self, index: int, data: bytes) -> list[Effect]:
+        """Take the machine's state after the entry at ``index``; drop the log before it."""
+        self.out = []
+        self.snapshot_pending = False
+        term = self.log.term_at(index)
+        if term is None or (self.snapshot and index <= self.snapshot.index):
+            return self.out
+        self.snapshot = Snapshot(index, term, self.members_at(index), data)
+        base = max(self.log.base_index, index - self.settings.keep_entries)
+        self.log.compact(base)
+        self.out.append(SaveSnapshot(self.snapshot, base, self.log.base_term))
+        return self.out
+
+    def members_at(self, index: int) -> Members:
+        """Return the members in force after the entry at an index."""
+        for position in range(index, self.log.base_index, -1):
+            entry = self.log.at(position)
+            if entry.kind is EntryKind.MEMBERS:
+                return converter.loads(entry.body, Members)
+        return self.snapshot.members if self.snapshot else Members()
+
+    def send_snapshot(self, member: Member, progress: Progress, now: float) -> None:
+        """Send the next part of the snapshot."""
+        snapshot = self.snapshot
+        start = progress.snapshot_offset
+        if start > len(snapshot.data):
+            start = 0
+        # A member that does not answer gets an empty part, which is as small as a heartbeat.
+        size = self.settings.batch_bytes if self.is_answering(progress, now) else 0
+        part = SnapshotPart(
+            self.cluster,
+            self.term,
+            self.disk,
+            member.disk,
+            snapshot.index,
+            snapshot.term,
+            snapshot.members,
+            start,
+            len(snapshot.data),
+            snapshot.data[start : start + size],
+            self.round,
+            now,
+        )
+        self.out.append(Send(member.name, part))
+
+    def on_snapshot_part(self, part: SnapshotPart, sender: str, now: float) -> None:
+        """Collect a snapshot, and install it when it is complete."""
+        if not self.accept_leader(part, now):
+            return
+        if self.has_reached(part.index):
+            self.reply_snapshot(part, part.size, True)
+            return
+        key = (part.disk, part.index, part.size)
+        if key != self.incoming_key:
+            self.incoming_key, self.incoming = key, b""
+        if part.offset == len(self.incoming):
+            self.incoming += part.data
+        is_done = len(self.incoming) == part.size
+        if is_done:
+            self.install(Snapshot(part.index, part.index_term, part.members, self.incoming))
+            self.incoming_key, self.incoming = ("", 0, 0), b""
+        self.reply_snapshot(part, part.size if is_done else len(self.incoming), is_done)
+
+    def has_reached(self, index: int) -> bool:
+        """Return whether this voter knows that the entry at an index is committed."""
+        return index <= self.commit
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replace the state before the snapshot's index."""
+        is_newer = snapshot.index > self.commit
+        invariant(is_newer, codes.SNAPSHOT_STALE, f"{snapshot.index}, commit {self.commit}")
+        if self.log.term_at(snapshot.index) == snapshot.term:
+            self.log.compact(snapshot.index)
+        else:
+            self.log = Log(snapshot.index, snapshot.term, ())
+        self.snapshot = snapshot
+        self.commit = self.applied = snapshot.index
+        self.find_members()
+        self.out.append(SaveSnapshot(snapshot, snapshot.index, snapshot.term))
+        self.out.append(InstallSnapshot(snapshot))
+
+    def reply_snapshot(self, part: SnapshotPart, offset: int, is_done: bool) -> None:
+        """Tell the leader which byte comes next."""
+        reply = SnapshotReply(
+            self.cluster,
+            self.term,
+            self.disk,
+            part.index,
+            offset,
+            is_done,
+            part.round,
+            part.sent_at,
+        )
+        self.out.append(Reply(reply))
+
+    def on_snapshot_reply(self, reply: SnapshotReply, sender: str, now: float) -> None:
+        """Go on with the transfer."""
+        progress = self.take_reply(reply, now)
+        if progress is None:
+            return
+        if reply.is_done:
+            progress.match = max(progress.match, reply.index)
+            progress.acked_next = progress.match + 1
+            progress.next = max(progress.next, progress.acked_next)
+            progress.snapshot_offset = 0
+        elif self.snapshot and reply.index == self.snapshot.index:
+            progress.snapshot_offset = reply.offset
+        else:
+            progress.snapshot_offset = 0
+        self.advance(now)
+        member = self.members.by_disk(reply.disk)
+        if self.role is Role.LEADER and member and progress.next <= self.log.last_index:
+            self.send_append(member, progress, now)
--- /dev/null
+++ b/mulberrygate/agreement/storage.py
@@ -0,0 +1,393 @@
+"""Files of a voter: identity, log segment and snapshot.
+
+Explanation
+===========
+Three files are kept in the voter's folder: ``identity``, one log segment ``log-<generation>`` and
+``snapshot``. The identity and the snapshot are replaced atomically. A new segment with the entries
+that are still needed replaces the old one after each snapshot, so a restart reads at most one
+snapshot and a bounded number of entries.
+
+A record at the end of the segment that is shorter than its header says was being written when the
+process or machine ended: it was never acknowledged and is cut off. Everything else that does not
+match its checksum is damage, also in the last record, because it may have been acknowledged. A
+damaged, emptied or foreign folder stops the voter; an emptied one gets a new disk identifier,
+under which the group takes it only as a learner.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import secrets
+import struct
+import zlib
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+import msgpack
+
+from mulberrygate.agreement.effects import EntryRecord, JoinRecord, SaveSnapshot, TermRecord
+from mulberrygate.agreement.messages import Entry, EntryKind, Snapshot
+from mulberrygate.agreement.state import Identity, StorageState
+from mulberrygate.core.wire import converter
+
+# Length of the body, checksum of the length, checksum of the body. The length has a checksum of
+# its own, so that a flipped bit in it is not taken for a record that was cut short.
+HEADER = struct.Struct(">III")
+BASE, TERM, ENTRY = 0, 1, 2
+IDENTITY_FILE = "identity"
+SNAPSHOT_FILE = "snapshot"
+LOCK_FILE = "lock"
+SEGMENT_PREFIX = "log-"
+NEW_SUFFIX = ".new"
+
+
+class StorageError(Exception):
+    """The folder can't be used, or a write to it failed."""
+
+
+def frame(body: bytes) -> bytes:
+    """Return a record with its header."""
+    length = len(body)
+    return HEADER.pack(length, zlib.crc32(struct.pack(">I", length)), zlib.crc32(body)) + body
+
+
+def split(data: bytes, path: str) -> tuple[list[bytes], int]:
+    """Return the records of a file and the length of its sound part.
+
+    Raises
+    ======
+    StorageError
+        A record that was complete does not match its checksum.
+    """
+    bodies: list[bytes] = []
+    position = 0
+    while position < len(data):
+        if not any(data[position : position + HEADER.size]) and not any(data[position:]):
+            break
+        if position + HEADER.size > len(data):
+            break
+        length, length_sum, body_sum = HEADER.unpack_from(data, position)
+        if zlib.crc32(struct.pack(">I", length)) != length_sum:
+            raise StorageError(f"{path}: damaged record header at byte {position}")
+        start = position + HEADER.size
+        if start + length > len(data):
+            break
+        body = data[start : start + length]
+        if zlib.crc32(body) != body_sum:
+            raise StorageError(f"{path}: damaged record at byte {position}")
+        bodies.append(body)
+        position = start + length
+    return bodies, position
+
+
+@attrs.define
+class Segment:
+    """Contents of the log segment."""
+
+    base_index: int = 0
+    base_term: int = 0
+    term: int = 0
+    voted_for: str = ""
+    entries: list[Entry] = attrs.field(factory=list)
+
+    def add(self, body: bytes) -> None:
+        """Take one record."""
+        kind, *values = msgpack.unpackb(body)
+        if kind == BASE:
+            self.base_index, self.base_term = values
+        elif kind == TERM:
+            self.term, self.voted_for = values
+        else:
+            entry = Entry(values[0], values[1], EntryKind(values[2]), values[3])
+            position = entry.index - self.base_index - 1
+            if not 0 <= position <= len(self.entries):
+                raise ValueError(f"entry {entry.index} does not follow the log")
+            del self.entries[position:]
+            self.entries.append(entry)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, ``None`` where there is none."""
+        position = index - self.base_index - 1
+        if position == -1:
+            return self.base_term
+        return self.entries[position].term if 0 <= position < len(self.entries) else None
+
+
+def pack_entry(entry: Entry) -> bytes:
+    """Return the body of an entry's record."""
+    return msgpack.packb([ENTRY, entry.index, entry.term, int(entry.kind), entry.body])
+
+
+class Storage:
+    """Files of one voter.
+
+    Explanation
+    ===========
+    After a failed write or sync every further call fails: what a failed sync left behind on the
+    disk is not known before the folder is read again.
+
+    Parameters
+    ==========
+    folder : str
+        Folder of this voter, on a local disk.
+    new_disk_id : Callable[[], str]
+        Makes the identifier of a new disk.
+    """
+
+    def __init__(self, folder: str, new_disk_id: Callable[[], str] | None = None):
+        self.folder = folder
+        self.new_disk_id = new_disk_id or (lambda: secrets.token_hex(8))
+        self.identity: Identity | None = None
+        self.generation = 0
+        self.segment_file = -1
+        self.lock_file = -1
+        self.failure = ""
+        self.synced_bytes = 0
+
+    def load(self, voter: str) -> StorageState:
+        """Open the folder, or make it, and return what it holds.
+
+        Raises
+        ======
+        StorageError
+            The folder is in use, damaged, of another voter, or can't be read or written.
+        """
+        return self.guard(lambda: self.load_files(voter))
+
+    def persist(self, records: Iterable[Any]) -> None:
+        """Write and sync records.
+
+        Raises
+        ======
+        StorageError
+            Writing failed; the voter must stop.
+        """
+        self.guard(lambda: self.write_records(records))
+
+    def save_snapshot(self, effect: SaveSnapshot) -> None:
+        """Save a snapshot and drop the log before it.
+
+        Raises
+        ======
+        StorageError
+            Writing failed; the voter must stop.
+        """
+        self.guard(lambda: self.write_snapshot(effect))
+
+    def close(self) -> None:
+        """Close the files and give up the lock."""
+        for number in (self.segment_file, self.lock_file):
+            if number >= 0:
+                os.close(number)
+        self.segment_file = self.lock_file = -1
+        self.failure = self.failure or "the storage is closed"
+
+    def guard(self, action: Callable[[], Any]) -> Any:
+        """Run an action; turn what goes wrong into `StorageError`, also for later calls."""
+        if self.failure:
+            raise StorageError(self.failure)
+        try:
+            return action()
+        except StorageError as error:
+            self.failure = str(error)
+            raise
+        except (OSError, ValueError, TypeError, KeyError) as error:
+            self.failure = f"{self.folder}: {error}"
+            raise StorageError(self.failure) from error
+
+    def path(self, name: str) -> str:
+        """Return the path of a file of the folder."""
+        return os.path.join(self.folder, name)
+
+    def load_files(self, voter: str) -> StorageState:
+        """Read all files."""
+        os.makedirs(self.folder, exist_ok=True)
+        self.lock()
+        self.remove_unfinished()
+        self.identity = self.read_identity(voter)
+        segment = self.read_segment()
+        snapshot = self.read_snapshot()
+        return self.combine(segment, snapshot)
+
+    def lock(self) -> None:
+        """Make sure that no other process uses the folder."""
+        self.lock_file = os.open(self.path(LOCK_FILE), os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(self.lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            raise StorageError(f"{self.folder}: in use by another process") from error
+
+    def remove_unfinished(self) -> None:
+        """Remove files that were being written when the process ended."""
+        for name in os.listdir(self.folder):
+            if name.endswith(NEW_SUFFIX):
+                os.unlink(self.path(name))
+
+    def segments(self) -> list[int]:
+        """Return the generations of the log segments."""
+        names = os.listdir(self.folder)
+        return sorted(
+            int(name[len(SEGMENT_PREFIX) :]) for name in names if name.startswith(SEGMENT_PREFIX)
+        )
+
+    def read_identity(self, voter: str) -> Identity:
+        """Read the identity, or make one for an empty folder."""
+        if not os.path.exists(self.path(IDENTITY_FILE)):
+            if os.path.exists(self.path(SNAPSHOT_FILE)) or self.segments() not in ([], [1]):
+                raise StorageError(f"{self.folder}: the identity file is missing")
+            return self.make_folder(voter)
+        identity = converter.loads(self.read_one(IDENTITY_FILE), Identity)
+        if identity.voter != voter:
+            raise StorageError(f"{self.folder}: belongs to voter {identity.voter}, not {voter}")
+        return identity
+
+    def make_folder(self, voter: str) -> Identity:
+        """Write the files of an empty folder; the identity comes last."""
+        if self.segments() and self.has_entries():
+            raise StorageError(f"{self.folder}: the identity file is missing")
+        identity = Identity(voter, self.new_disk_id())
+        self.write_segment(1, Segment())
+        self.replace(IDENTITY_FILE, frame(converter.dumps(identity)))
+        return identity
+
+    def has_entries(self) -> bool:
+        """Return whether the first segment holds more than an empty log."""
+        with open(self.path(f"{SEGMENT_PREFIX}{1:08d}"), "rb") as file:
+            bodies, _ = split(file.read(), self.folder)
+        return len(bodies) > 2
+
+    def read_one(self, name: str) -> bytes:
+        """Return the only record of a file that is replaced atomically."""
+        with open(self.path(name), "rb") as file:
+            data = file.read()
+        bodies, length = split(data, self.path(name))
+        if len(bodies) != 1 or length != len(data):
+            raise StorageError(f"{self.path(name)}: damaged")
+        return bodies[0]
+
+    def read_segment(self) -> Segment:
+        """Read the newest log segment and cut off a torn tail."""
+        generations = self.segments()
+        if not generations:
+            raise StorageError(f"{self.folder}: the log is missing")
+        self.generation = generations[-1]
+        path = self.path(f"{SEGMENT_PREFIX}{self.generation:08d}")
+        self.segment_file = os.open(path, os.O_RDWR)
+        with open(path, "rb") as file:
+            data = file.read()
+        bodies, length = split(data, path)
+        if len(bodies) < 2:
+            raise StorageError(f"{path}: the start of the log is missing")
+        segment = Segment()
+        for body in bodies:
+            segment.add(body)
+        if length < len(data):
+            os.ftruncate(self.segment_file, length)
+            os.fsync(self.segment_file)
+        os.lseek(self.segment_file, 0, os.SEEK_END)
+        for generation in generations[:-1]:
+            os.unlink(self.path(f"{SEGMENT_PREFIX}{generation:08d}"))
+        return segment
+
+    def read_snapshot(self) -> Snapshot | None:
+        """Read the snapshot, if there is one."""
+        if not os.path.exists(self.path(SNAPSHOT_FILE)):
+            return None
+        return converter.loads(self.read_one(SNAPSHOT_FILE), Snapshot)
+
+    def combine(self, segment: Segment, snapshot: Snapshot | None) -> StorageState:
+        """Return the state of log and snapshot together."""
+        if segment.base_index > (snapshot.index if snapshot else 0):
+            raise StorageError(f"{self.folder}: the snapshot is missing or too old for the log")
+        if snapshot and segment.term_at(snapshot.index) != snapshot.term:
+            # The process ended after an installed snapshot was saved and before its log was.
+            segment.base_index, segment.base_term = snapshot.index, snapshot.term
+            segment.entries = []
+        return StorageState(
+            self.identity,
+            segment.term,
+            segment.voted_for,
+            snapshot,
+            segment.base_index,
+            segment.base_term,
+            tuple(segment.entries),
+        )
+
+    def write_records(self, records: Iterable[Any]) -> None:
+        """Write records with one sync."""
+        parts: list[bytes] = []
+        for record in records:
+            if isinstance(record, JoinRecord):
+                self.identity = attrs.evolve(self.identity, cluster=record.cluster)
+                self.replace(IDENTITY_FILE, frame(converter.dumps(self.identity)))
+            elif isinstance(record, TermRecord):
+                parts.append(frame(msgpack.packb([TERM, record.term, record.voted_for])))
+            elif isinstance(record, EntryRecord):
+                parts.append(frame(pack_entry(record.entry)))
+            else:
+                raise TypeError(f"unknown record {type(record).__name__}")
+        if parts:
+            self.write_all(self.segment_file, b"".join(parts))
+            os.fsync(self.segment_file)
+
+    def write_all(self, number: int, data: bytes) -> None:
+        """Write all bytes to an open file."""
+        self.synced_bytes += len(data)
+        view = memoryview(data)
+        while view:
+            view = view[os.write(number, view) :]
+
+    def write_snapshot(self, effect: SaveSnapshot) -> None:
+        """Replace the snapshot, then the log segment."""
+        snapshot = effect.snapshot
+        self.replace(SNAPSHOT_FILE, frame(converter.dumps(snapshot)))
+        segment = self.reread_segment()
+        keeps = segment.term_at(snapshot.index) == snapshot.term
+        first = max(0, effect.base_index - segment.base_index)
+        segment.entries = segment.entries[first:] if keeps else []
+        segment.base_index, segment.base_term = effect.base_index, effect.base_term
+        old = self.generation
+        os.close(self.segment_file)
+        self.segment_file = -1
+        self.write_segment(old + 1, segment)
+        self.generation = old + 1
+        path = self.path(f"{SEGMENT_PREFIX}{self.generation:08d}")
+        self.segment_file = os.open(path, os.O_RDWR | os.O_APPEND)
+        os.unlink(self.path(f"{SEGMENT_PREFIX}{old:08d}"))
+
+    def reread_segment(self) -> Segment:
+        """Return what the current segment holds."""
+        path = self.path(f"{SEGMENT_PREFIX}{self.generation:08d}")
+        with open(path, "rb") as file:
+            bodies, _ = split(file.read(), path)
+        segment = Segment()
+        for body in bodies:
+            segment.add(body)
+        return segment
+
+    def write_segment(self, generation: int, segment: Segment) -> None:
+        """Write a new segment; its first two records are always there."""
+        parts = [
+            frame(msgpack.packb([BASE, segment.base_index, segment.base_term])),
+            frame(msgpack.packb([TERM, segment.term, segment.voted_for])),
+            *(frame(pack_entry(entry)) for entry in segment.entries),
+        ]
+        self.replace(f"{SEGMENT_PREFIX}{generation:08d}", b"".join(parts))
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replace a file atomically and sync the folder."""
+        path = self.path(name)
+        number = os.open(path + NEW_SUFFIX, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            self.write_all(number, data)
+            os.fsync(number)
+        finally:
+            os.close(number)
+        os.rename(path + NEW_SUFFIX, path)
+        folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
