--- /dev/null
+++ b/mulberrygate/ledger/coordinator.py
@@ -0,0 +1,395 @@
+"""Coordinator of claims on an entry instance."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Collection
+from typing import Any
+
+from mulberrygate.core.invariant import invariant
+from mulberrygate.core.outcome import Execution
+from mulberrygate.ledger import codes, keys
+from mulberrygate.ledger.messages import (
+    COMPLETED,
+    MAX_ANSWER_BYTES,
+    NO_ATTEMPT,
+    Attempt,
+    Begin,
+    Claim,
+    Finish,
+    Lookup,
+    NotServing,
+    Phase,
+    Release,
+)
+from mulberrygate.ledger.outcomes import (
+    Answered,
+    Attached,
+    Begun,
+    Claimed,
+    Conflicting,
+    Missing,
+    OpenAttempt,
+    Pending,
+    Recorded,
+    Superseded,
+    Unavailable,
+    Uncertain,
+)
+from mulberrygate.ledger.tally import (
+    IsAlive,
+    Tally,
+    decide_begin,
+    decide_claim,
+    decide_lookup,
+    decide_stored,
+    may_keep_claim,
+)
+from mulberrygate.ledger.views import ReplicaId, Shard, View, shard_number
+from mulberrygate.peers.client import Unreachable
+
+# A majority is asked first, the others after this time or after a failure. This saves a third of
+# the calls, which are most of the ledger's cost.
+HEDGE_S = 0.1
+# Limit of one call; a step as a whole has the caller's limit.
+CALL_TIMEOUT_S = 1.0
+# A replica that did not answer is asked last for this long.
+AVOID_S = 5.0
+# Pauses between rounds double from the first to the second value, with random spread.
+FIRST_PAUSE_S = 0.02
+LONGEST_PAUSE_S = 0.4
+# A begin may be dispatched for this long. It must be far below the retention of records, so that
+# an entry that was paused can't dispatch after its records have expired.
+BEGIN_VALID_S = 60.0
+# Minted keys are drawn until one falls into a shard with a replica on this instance, at most this
+# often: one of two calls of each step then stays within the process.
+MINT_TRIES = 128
+
+
+class Coordinator:
+    """Claim keys, begin and finish attempts at the replicas of a shard.
+
+    Parameters
+    ==========
+    peers : PeerClient
+        Only ``call(instance, message, timeout_s)`` and ``send(instance, message)`` are used.
+    shards : Callable[[], dict[str, Shard]]
+        Shards of the configuration in force, by name.
+    instance, incarnation : str, int
+        This entry.
+    wall_clock : Callable[[], float]
+        Unix time in seconds.
+    rng : random.Random
+    is_alive : Callable[[str, int], bool]
+        Whether an incarnation of an entry is in the membership. A wrong answer costs an attempt
+        its turn; it can't lead to a second run.
+
+    See Also
+    ========
+    mulberrygate.ledger.replica
+        The rules that the guarantee depends on.
+    """
+
+    def __init__(
+        self,
+        peers: Any,
+        shards: Callable[[], dict[str, Shard]],
+        instance: str,
+        incarnation: int,
+        wall_clock: Callable[[], float],
+        rng: random.Random,
+        is_alive: IsAlive,
+    ):
+        self.peers = peers
+        self.shards = shards
+        self.instance = instance
+        self.incarnation = incarnation
+        self.wall_clock = wall_clock
+        self.rng = rng
+        self.is_alive = is_alive
+        self.last_number = 0
+        self.avoided: dict[str, float] = {}
+        self.own_shards: tuple[Any, set[int]] = (None, set())
+        self.tasks: set[asyncio.Task] = set()
+
+    def home_of(
+        self, key: str, account_home: str, own_domain: str, known_domains: Collection[str]
+    ) -> str:
+        """Return the home failure domain of a key, see `keys.home_of`."""
+        return keys.home_of(key, account_home, own_domain, known_domains)
+
+    def mint_key(self, own_domain: str) -> str:
+        """Return a fresh key, if possible in a shard with a replica on this instance."""
+        wall = self.wall_clock()
+        key = keys.mint(own_domain, wall, self.rng)
+        own = self._own_shards(own_domain)
+        for _ in range(MINT_TRIES if own else 0):
+            if shard_number(key) in own:
+                break
+            key = keys.mint(own_domain, wall, self.rng)
+        return key
+
+    def _own_shards(self, domain: str) -> set[int]:
+        shards = self.shards()
+        if self.own_shards[0] is not shards:
+            me = ReplicaId(self.instance, self.incarnation)
+            active = [shard for shard in shards.values() if shard.active]
+            own = [shard for shard in active if me in shard.active.replicas]
+            self.own_shards = (shards, {s.number for s in own if s.failure_domain == domain})
+        return self.own_shards[1]
+
+    def _open(self, key: str, fingerprint: bytes, home: str) -> OpenAttempt:
+        self.last_number += 1
+        attempt = Attempt(self.instance, self.incarnation, self.last_number)
+        return OpenAttempt(key, fingerprint, _shard_of(key, home), attempt)
+
+    def claim_minted(self, key: str, fingerprint: bytes) -> Claimed:
+        """Open an attempt for a key that this instance has just minted.
+
+        Explanation
+        ===========
+        Nobody else can know the key yet, so no message is needed; ``begin`` alone protects it.
+        """
+        return Claimed(self._open(key, fingerprint, ""))
+
+    async def claim(
+        self, key: str, fingerprint: bytes, timeout_s: float, home: str = ""
+    ) -> Claimed | Attached | Answered | Conflicting | Uncertain | Unavailable:
+        """Claim a key.
+
+        Explanation
+        ===========
+        While an attempt of a living entry waits, or its begin is under way, the claim is repeated
+        until the time is up. A waiting attempt of an entry that is gone is taken over.
+
+        Parameters
+        ==========
+        home : str
+            Home failure domain of the key; its prefix if empty.
+        """
+        deadline = _now() + timeout_s
+        own = self._open(key, fingerprint, home)
+        replaces, pause = NO_ATTEMPT, FIRST_PAUSE_S
+        while True:
+            tally, decision = await self._claim_once(own, replaces, deadline)
+            if isinstance(decision, Uncertain) and self._may_still_decide(tally):
+                decision = Pending((NO_ATTEMPT,))
+            if isinstance(decision, Claimed):
+                return decision
+            if not isinstance(decision, Pending) or _now() >= deadline:
+                self._release_later(own)
+                return self._last_answer(decision, tally)
+            if decision.replaceable:
+                replaces = decision.replaceable[0]
+                if not decision.waiting_for:
+                    continue
+            if decision.waiting_for and not may_keep_claim(tally, own.attempt):
+                await self.release(own)
+                own = self._open(key, fingerprint, home)
+            pause = await self._pause(pause, deadline)
+
+    async def _claim_once(
+        self, own: OpenAttempt, replaces: Attempt, deadline: float
+    ) -> tuple[Tally, Any]:
+        def make(view: int) -> Claim:
+            return Claim(own.shard, view, own.key, own.fingerprint, own.attempt, replaces)
+
+        def decide(tally: Tally) -> Any:
+            return decide_claim(tally, own, self.is_alive)
+
+        tally = await self._ask(own, make, decide, deadline)
+        return tally, decide(tally)
+
+    def _may_still_decide(self, tally: Tally) -> bool:
+        """Return whether a minority of begins belongs to an entry that may go on with it."""
+        running = [r.attempt for r in tally.records() if r.phase is Phase.RUNNING]
+        return any(self.is_alive(a.instance, a.incarnation) for a in running)
+
+    def _last_answer(self, decision: Any, tally: Tally) -> Any:
+        if not isinstance(decision, Pending):
+            return decision
+        records = tally.records()
+        for record in records:
+            if record.phase in (Phase.RUNNING, Phase.UNCERTAIN):
+                return Uncertain("only a minority knows the begin of an earlier attempt")
+        waiting = [record for record in records if record.phase is Phase.WAITING]
+        if waiting:
+            return Attached(waiting[0])
+        return Unavailable(f"{len(tally.answers)} of {len(tally.members)} replicas answered")
+
+    async def begin(
+        self, attempt: OpenAttempt, endpoint: str, address: str, timeout_s: float = 3.0
+    ) -> Begun | Uncertain | Unavailable | Superseded:
+        """Begin an attempt; only `Begun` permits a dispatch, once and before its time limit."""
+        invariant(not attempt.has_begun, codes.ATTEMPT_REUSED, f"{attempt.attempt}")
+        attempt.has_begun = True
+        started, wall = _now(), self.wall_clock()
+        deadline = started + min(timeout_s, BEGIN_VALID_S / 2)
+        step = (attempt.key, attempt.fingerprint, attempt.attempt, endpoint, address)
+        pause, decision = FIRST_PAUSE_S, Pending()
+        may_be_accepted = False
+        while isinstance(decision, Pending):
+            tally = await self._ask(
+                attempt,
+                lambda view: Begin(attempt.shard, view, *step),
+                decide_begin,
+                deadline,
+            )
+            decision = decide_begin(tally)
+            may_be_accepted |= tally.may_be_accepted()
+            if isinstance(decision, Pending):
+                if _now() >= deadline:
+                    break
+                pause = await self._pause(pause, deadline)
+        age = max(_now() - started, self.wall_clock() - wall)
+        if isinstance(decision, Recorded) and age < BEGIN_VALID_S:
+            return Begun(attempt.attempt, started + BEGIN_VALID_S)
+        self._release_later(attempt)
+        if isinstance(decision, Superseded):
+            return decision
+        if may_be_accepted:
+            detail = "no majority accepted the begin in time"
+            return Uncertain(detail, codes.BEGIN_FAILED, Execution.NOT_RUN)
+        return Unavailable("no replica accepted the begin")
+
+    async def finish(
+        self,
+        attempt: OpenAttempt,
+        outcome: str = COMPLETED,
+        answer: bytes = b"",
+        timeout_s: float = 10.0,
+    ) -> Recorded | Unavailable:
+        """Record the outcome of an attempt that was dispatched; larger answers are not kept."""
+        kept = answer if len(answer) <= MAX_ANSWER_BYTES else b""
+        step = (attempt.key, attempt.fingerprint, attempt.attempt, outcome, kept)
+        return await self._store(
+            attempt, lambda view: Finish(attempt.shard, view, *step), timeout_s
+        )
+
+    async def release(self, attempt: OpenAttempt, timeout_s: float = 2.0) -> Recorded | Unavailable:
+        """Give up an attempt that was not dispatched; the entry must not dispatch it any more."""
+        attempt.has_begun = True
+        if not attempt.asked:
+            return Recorded()
+
+        def make(view: int) -> Release:
+            return Release(attempt.shard, view, attempt.key, attempt.attempt)
+
+        asked = set(attempt.asked)
+        result = await self._store(attempt, make, timeout_s)
+        shard = self.shards().get(attempt.shard)
+        if shard is not None and shard.active is not None:
+            for name in asked - attempt.stored_by:
+                self.peers.send(name, make(shard.active.number))
+        return result
+
+    async def _store(
+        self, attempt: OpenAttempt, make: Callable[[int], Any], timeout_s: float
+    ) -> Recorded | Unavailable:
+        deadline, pause = _now() + timeout_s, FIRST_PAUSE_S
+        while True:
+            tally = await self._ask(attempt, make, decide_stored, deadline)
+            attempt.stored_by = set(tally.answers)
+            if isinstance(decide_stored(tally), Recorded):
+                return Recorded()
+            if _now() >= deadline:
+                return Unavailable(f"{len(tally.answers)} replicas stored the step")
+            pause = await self._pause(pause, deadline)
+
+    async def lookup(
+        self, key: str, home: str = "", timeout_s: float = 2.0
+    ) -> Attached | Answered | Uncertain | Missing | Unavailable:
+        """Return what a majority knows about a key, without a claim."""
+        deadline, pause = _now() + timeout_s, FIRST_PAUSE_S
+        reader = OpenAttempt(key, b"", _shard_of(key, home), NO_ATTEMPT)
+        while True:
+            tally = await self._ask(
+                reader, lambda view: Lookup(reader.shard, view, key), decide_lookup, deadline
+            )
+            decision = decide_lookup(tally)
+            if not isinstance(decision, Pending):
+                return decision
+            if _now() >= deadline:
+                return self._last_answer(decision, tally)
+            pause = await self._pause(pause, deadline)
+
+    async def _ask(
+        self,
+        attempt: OpenAttempt,
+        make: Callable[[int], Any],
+        decide: Callable[[Tally], Any],
+        deadline: float,
+    ) -> Tally:
+        """Ask the replicas of the active view until the step is decided or all have answered."""
+        shard = self.shards().get(attempt.shard)
+        if shard is None or shard.active is None:
+            return Tally(View(0, ()))
+        tally = Tally(shard.active)
+        message = make(shard.active.number)
+        names = self._in_order(tally.members, attempt.asked)
+        tasks: dict[asyncio.Task, str] = {}
+        wanted = shard.active.majority()
+        while isinstance(decide(tally), Pending) and not tally.is_complete():
+            left = deadline - _now()
+            if left <= 0:
+                break
+            while names and len(tasks) + len(tally.answers) < wanted:
+                name = names.pop(0)
+                attempt.asked.add(name)
+                tally.asked.add(name)
+                call = self._call(name, message, min(CALL_TIMEOUT_S, left))
+                tasks[asyncio.ensure_future(call)] = name
+            done, _ = await asyncio.wait(
+                tasks,
+                timeout=min(left, HEDGE_S) if names else left,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                tally.add(tasks.pop(task), task.result())
+            if not done or not tasks:
+                wanted = len(tally.members)
+        for task in tasks:
+            task.cancel()
+        return tally
+
+    def _in_order(self, members: list[str], asked: set[str]) -> list[str]:
+        """Return replicas in the order to ask: this instance, those that know the attempt."""
+        now = _now()
+
+        def rank(name: str) -> tuple[bool, bool, bool]:
+            is_avoided = self.avoided.get(name, 0.0) > now
+            return is_avoided, name != self.instance, name not in asked
+
+        return sorted(members, key=rank)
+
+    async def _call(self, name: str, message: Any, timeout_s: float) -> Any:
+        answer = await self.peers.call(name, message, timeout_s)
+        if isinstance(answer, (Unreachable, NotServing)):
+            self.avoided[name] = _now() + AVOID_S
+        else:
+            self.avoided.pop(name, None)
+        return answer
+
+    async def _pause(self, pause: float, deadline: float) -> float:
+        """Sleep for about a pause and return the next one."""
+        wanted = pause * self.rng.uniform(0.5, 1.5)
+        await asyncio.sleep(max(0.0, min(wanted, deadline - _now())))
+        return min(pause * 2, LONGEST_PAUSE_S)
+
+    def _release_later(self, attempt: OpenAttempt) -> None:
+        task = asyncio.ensure_future(self.release(attempt))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def close(self) -> None:
+        """Wait for releases that are under way."""
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _shard_of(key: str, home: str) -> str:
+    return f"{home or key.partition('/')[0]}/{shard_number(key)}"
--- /dev/null
+++ b/mulberrygate/ledger/replica.py
@@ -0,0 +1,226 @@
+"""Replica of ledger shards: claims of requests, so that each key runs at most once.
+
+Explanation
+===========
+Rules that the guarantee depends on, with the place that enforces each:
+
+1. *One begin.* A replica accepts ``Begin`` from one attempt of a key ever (`Table.begin`,
+   invariant 9301). A record that has begun leaves this state only towards ``finished`` or
+   ``uncertain``, and neither lets another attempt begin.
+2. *One view.* Bytes go out only after a majority of the replicas of one active view has accepted
+   ``Begin`` under this view. Acceptances under different views are never added up (`Tally`).
+   Two majorities of one view share a replica, so with rule 1 one attempt wins within a view.
+3. *Seal, then copy.* A replica refuses every later step under a view from the moment at which it
+   serves the first part of a copy from it. Whatever it accepted before is in the copy; whatever
+   comes later is refused. A seal is never lifted.
+4. *Sealed majority.* A copy is complete when it covers a sealed majority of the last *active* view,
+   and the new view becomes active when all its replicas have reported complete copies. Each begin
+   that a majority of the old view accepted is therefore known to every replica of the new one. A
+   begin that only a minority accepted may or may not be in a copy; it can't reach a majority of the
+   sealed view any more, and in the new view rule 1 applies again.
+5. *Serve only complete copies.* A replica answers steps of the view whose copy it has completed.
+   It need not have heard that the view is active, since coordinators use active views only: a step
+   under the view shows that it is active. A replica that knows a newer active view has dropped the
+   old table and refuses; a coordinator that has an old view waits for its configuration.
+6. *Incarnations.* A view names replicas with their incarnations. A restarted instance is empty, is
+   in no view of its former incarnation and answers no step and no copy under it.
+7. *Next number, same base.* When a replica of a view in preparation is lost, the next number is
+   prepared from the same active view. Sealed tables are kept until a newer view is active, and a
+   copy for a number that is no longer in preparation is dropped.
+8. *Conflicts.* Two begins of one key in a merge make the key ``uncertain``: nobody may begin, and
+   the answer is ``unknown``. The outcome of an attempt that ran outweighs begins of others.
+9. *Lost majority.* A view that follows the loss of a majority has ``lost_at``. Unknown keys that
+   may be older answer ``uncertain`` until retention has ended; minted keys carry their time.
+   Records that survived at a minority become ``uncertain`` unless they have finished.
+10. *Age.* Records expire `RETENTION_S` (3,600 s) after their last change, answers after 600 s. A
+    re-send of a key after its record has expired runs again. A begin is therefore valid for only
+    60 s at its entry (`Begun.dispatch_before`), so that an entry that was paused does not
+    dispatch on the strength of records that have expired.
+
+A claim is advice: it shows re-sends that an attempt waits and where. Losing or taking over a claim
+costs the old attempt its turn and nothing else.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from mulberrygate.core.effects import Effect, Reply, Send
+from mulberrygate.ledger.copying import CopyJob, Source
+from mulberrygate.ledger.messages import (
+    Begin,
+    Claim,
+    CopyPart,
+    CopyReport,
+    CopyShard,
+    Finish,
+    Lookup,
+    NotServing,
+    Release,
+)
+from mulberrygate.ledger.table import Table
+from mulberrygate.ledger.views import ReplicaId, Shard, View
+
+# A completed copy is reported again until the view is active, since a report may be lost.
+REPORT_S = 2.0
+
+STEPS: dict[type, Callable] = {
+    Claim: Table.claim,
+    Begin: Table.begin,
+    Finish: Table.finish,
+    Release: Table.release,
+    Lookup: Table.lookup,
+}
+
+
+@attrs.frozen
+class ReportCopy(Effect):
+    """Send the report to the leader of the control group; it may be lost."""
+
+    report: CopyReport
+
+
+@attrs.define
+class HeldShard:
+    """Tables and copies of one shard.
+
+    Parameters
+    ==========
+    active, preparing : int
+        Newest view numbers known, 0 for none.
+    tables : dict[int, Table]
+        Complete tables by view number.
+    """
+
+    active: int = 0
+    preparing: int = 0
+    tables: dict[int, Table] = attrs.Factory(dict)
+    job: CopyJob | None = None
+    reported_at: float = 0.0
+
+
+class Replica:
+    """All shards of which this instance is a replica.
+
+    Parameters
+    ==========
+    instance : str
+    incarnation : int
+    wall_at_zero : float
+        Unix time in seconds at which the monotonic clock was 0; the daemon may correct it.
+
+    See Also
+    ========
+    mulberrygate.ledger.coordinator.Coordinator
+    """
+
+    def __init__(self, instance: str, incarnation: int, wall_at_zero: float = 0.0):
+        self.id = ReplicaId(instance, incarnation)
+        self.wall_at_zero = wall_at_zero
+        self.shards: dict[str, HeldShard] = {}
+
+    def handle(self, message: Any, sender: str, now: float) -> list[Effect]:
+        """Handle a step of a claim, or a message of a copy."""
+        if isinstance(message, CopyShard):
+            return self._serve_copy(message, sender, now)
+        if isinstance(message, CopyPart):
+            return self._take_part(message, sender, now)
+        held = self.shards.get(message.shard)
+        table = held.tables.get(message.view) if held is not None else None
+        if table is None or table.is_sealed:
+            return [Reply(NotServing(_newest_served(held)))]
+        return [Reply(STEPS[type(message)](table, message, now, self.wall_at_zero + now))]
+
+    def install(self, shards: dict[str, Shard], now: float) -> list[Effect]:
+        """Take over the shards of a configuration: start copies and drop old tables."""
+        effects: list[Effect] = []
+        for name, shard in shards.items():
+            is_member = self._is_in(shard.active) or self._is_in(shard.preparing)
+            if is_member or name in self.shards:
+                effects += self._install(name, shard, now)
+        return effects
+
+    def _install(self, name: str, shard: Shard, now: float) -> list[Effect]:
+        held = self.shards.setdefault(name, HeldShard())
+        active = shard.active.number if shard.active else 0
+        preparing = shard.preparing.number if shard.preparing else 0
+        known = (max(held.active, held.preparing), held.active)
+        if (max(active, preparing), active) < known:
+            return []
+        held.active, held.preparing = active, preparing
+        for number in [n for n in held.tables if n < active or n not in (active, preparing)]:
+            del held.tables[number]
+        if held.job is not None and held.job.view.number != preparing:
+            held.job = None
+        if self._is_in(shard.preparing) and held.job is None and preparing not in held.tables:
+            return self._start_copy(name, held, shard, now)
+        if not held.tables and not self._is_in(shard.active) and not self._is_in(shard.preparing):
+            del self.shards[name]
+        return []
+
+    def _is_in(self, view: View | None) -> bool:
+        return view is not None and self.id in view.replicas
+
+    def _start_copy(self, name: str, held: HeldShard, shard: Shard, now: float) -> list[Effect]:
+        if shard.active is None:
+            held.tables[shard.preparing.number] = Table(shard.preparing, (), now)
+            return self._report(name, held, now)
+        held.job = CopyJob(name, shard.active, shard.preparing, now)
+        own = held.tables.get(shard.active.number)
+        source = None
+        if own is not None:
+            own.seal()
+            request = CopyShard(name, shard.active.number, shard.preparing.number)
+            source = Source(is_complete=True)
+            while request.position >= 0:
+                part = own.part(request, now)
+                source.records.update((record.key, record) for record in part.records)
+                request = attrs.evolve(request, position=part.next)
+        effects = held.job.start(source, self.id.instance)
+        return effects + self._complete(name, held, now)
+
+    def _serve_copy(self, request: CopyShard, sender: str, now: float) -> list[Effect]:
+        held = self.shards.get(request.shard)
+        table = held.tables.get(request.base) if held is not None else None
+        if table is None or request.view <= request.base:
+            return []
+        table.seal()
+        return [Send(sender, table.part(request, now))]
+
+    def _take_part(self, part: CopyPart, sender: str, now: float) -> list[Effect]:
+        held = self.shards.get(part.shard)
+        if held is None or held.job is None:
+            return []
+        return held.job.take(part, sender, now) + self._complete(part.shard, held, now)
+
+    def _complete(self, name: str, held: HeldShard, now: float) -> list[Effect]:
+        if held.job is None or not held.job.is_complete(now):
+            return []
+        held.tables[held.preparing] = Table(held.job.view, held.job.result(), now)
+        held.job = None
+        return self._report(name, held, now)
+
+    def _report(self, name: str, held: HeldShard, now: float) -> list[Effect]:
+        held.reported_at = now
+        return [ReportCopy(CopyReport(name, held.preparing, self.id))]
+
+    def tick(self, now: float) -> list[Effect]:
+        """Ask again for parts that did not arrive, repeat reports and expire records."""
+        effects: list[Effect] = []
+        for name, held in self.shards.items():
+            for table in held.tables.values():
+                table.expire(now)
+            if held.job is not None:
+                effects += held.job.retry(now) + self._complete(name, held, now)
+            elif held.preparing in held.tables and now >= held.reported_at + REPORT_S:
+                effects += self._report(name, held, now)
+        return effects
+
+
+def _newest_served(held: HeldShard | None) -> int:
+    if held is None:
+        return 0
+    return max((n for n, table in held.tables.items() if not table.is_sealed), default=0)
--- /dev/null
+++ b/mulberrygate/ledger/table.py
@@ -0,0 +1,245 @@
+"""Records of one shard at one replica under one view."""
+
+from __future__ import annotations
+
+import sys
+
+import attrs
+
+from mulberrygate.core.invariant import invariant
+from mulberrygate.ledger.codes import SEALED_CHANGED, SECOND_BEGIN, TWO_RUNS
+from mulberrygate.ledger.keys import CLOCK_MARGIN_S, minted_at
+from mulberrygate.ledger.messages import (
+    ANSWER_RETENTION_S,
+    MAX_ANSWER_BYTES,
+    NO_ATTEMPT,
+    NOT_RUN,
+    RETENTION_S,
+    Absent,
+    Accepted,
+    Attempt,
+    Begin,
+    Claim,
+    Conflict,
+    CopyPart,
+    CopyShard,
+    Existing,
+    Finish,
+    Lookup,
+    Phase,
+    Record,
+    Release,
+    Withdrawn,
+)
+from mulberrygate.ledger.views import View
+
+# Messages of a released attempt that are still under way are refused for this long. They carry
+# their view, so the memory need not be copied to the next one.
+RELEASE_MEMORY_S = 120.0
+# Answers of one table beyond this are dropped, oldest first; at 1.6 shards an instance this stays
+# below a tenth of the memory that control may use.
+MAX_TABLE_ANSWER_BYTES = 12 * 1024 * 1024
+# Parts of a copy stay well below the size limit of a gRPC message.
+PART_BYTES = 128 * 1024
+RECORD_BYTES = 200
+
+
+class Table:
+    """Records of a shard under one view.
+
+    Explanation
+    ===========
+    Both dictionaries are ordered by expiry, because every change moves a record to the end and
+    all records live equally long.
+
+    Parameters
+    ==========
+    view : View
+    records : tuple[Record, ...]
+        Complete copy that the table starts from, with seconds left as ``expires``.
+    now : float
+    """
+
+    def __init__(self, view: View, records: tuple[Record, ...], now: float):
+        self.view = view
+        self.is_sealed = False
+        self.snapshot: list[Record] = []
+        self.records: dict[str, Record] = {}
+        self.answers: dict[str, tuple[bytes, float]] = {}
+        self.answer_bytes = 0
+        self.released: dict[Attempt, float] = {}
+        for record in sorted(records, key=lambda record: record.expires):
+            self._load(record, now)
+
+    def _load(self, record: Record, now: float) -> None:
+        held = attrs.evolve(record, answer=b"", expires=now + record.expires)
+        self.records[record.key] = held
+        age = RETENTION_S - record.expires
+        if record.answer and age < ANSWER_RETENTION_S:
+            self._keep_answer(record.key, record.answer, now + ANSWER_RETENTION_S - age)
+
+    def claim(self, step: Claim, now: float, wall_s: float):
+        """Accept a claim if the key is free or may be taken over."""
+        if step.attempt in self.released:
+            return Withdrawn()
+        record = self.records.get(step.key)
+        if record is None:
+            if self.may_be_lost(step.key, wall_s):
+                return Existing(self._unknown(step.key))
+            self._put(_waiting(step), now)
+            return Accepted()
+        if record.fingerprint != step.fingerprint:
+            return Conflict(self._outgoing(record, now))
+        if record.attempt == step.attempt and record.phase in (Phase.WAITING, Phase.RUNNING):
+            return Accepted()
+        if record.phase is Phase.WAITING and record.attempt == step.replaces:
+            self.released[record.attempt] = now + RELEASE_MEMORY_S
+            self._put(_waiting(step), now)
+            return Accepted()
+        return Existing(self._outgoing(record, now))
+
+    def begin(self, step: Begin, now: float, wall_s: float):
+        """Accept the begin of an attempt unless another one owns the key."""
+        if step.attempt in self.released:
+            return Withdrawn()
+        record = self.records.get(step.key)
+        if record is None and self.may_be_lost(step.key, wall_s):
+            return Existing(self._unknown(step.key))
+        if record is not None and record.attempt != step.attempt:
+            return Existing(self._outgoing(record, now))
+        if record is None or record.phase is Phase.WAITING:
+            self._put(
+                Record(
+                    step.key,
+                    step.fingerprint,
+                    step.attempt,
+                    Phase.RUNNING,
+                    sys.intern(step.endpoint),
+                    sys.intern(step.address),
+                ),
+                now,
+            )
+            return Accepted()
+        return Accepted() if record.phase is Phase.RUNNING else Existing(record)
+
+    def finish(self, step: Finish, now: float, wall_s: float):
+        """Record an outcome. The attempt was dispatched, so no other one can have been."""
+        record = self.records.get(step.key)
+        if record is not None and record.has_run():
+            invariant(record.attempt == step.attempt, TWO_RUNS, f"{record.attempt}, {step.attempt}")
+            return Accepted()
+        is_same = record is not None and record.attempt == step.attempt
+        self._put(
+            Record(
+                step.key,
+                step.fingerprint,
+                step.attempt,
+                Phase.FINISHED,
+                record.endpoint if is_same else "",
+                record.address if is_same else "",
+                sys.intern(step.outcome),
+            ),
+            now,
+        )
+        if step.answer and len(step.answer) <= MAX_ANSWER_BYTES:
+            self._keep_answer(step.key, step.answer, now + ANSWER_RETENTION_S)
+        return Accepted()
+
+    def release(self, step: Release, now: float, wall_s: float):
+        """Remove a waiting record; one that began here stays and is marked ``not_run``."""
+        invariant(not self.is_sealed, SEALED_CHANGED, step.key)
+        self.released[step.attempt] = now + RELEASE_MEMORY_S
+        record = self.records.get(step.key)
+        if record is not None and record.attempt == step.attempt:
+            if record.phase is Phase.WAITING:
+                del self.records[step.key]
+            elif record.phase is Phase.RUNNING:
+                self._put(attrs.evolve(record, phase=Phase.FINISHED, outcome=NOT_RUN), now)
+        return Accepted()
+
+    def lookup(self, step: Lookup, now: float, wall_s: float):
+        """Return the record of a key."""
+        record = self.records.get(step.key)
+        if record is not None:
+            return Existing(self._outgoing(record, now))
+        if self.may_be_lost(step.key, wall_s):
+            return Existing(self._unknown(step.key))
+        return Absent()
+
+    def may_be_lost(self, key: str, wall_s: float) -> bool:
+        """Return whether an unknown key may have had a record that was lost with a majority."""
+        lost_at = self.view.lost_at
+        if not lost_at or wall_s >= lost_at + RETENTION_S + CLOCK_MARGIN_S:
+            return False
+        return minted_at(key, wall_s) <= lost_at + CLOCK_MARGIN_S
+
+    def _unknown(self, key: str) -> Record:
+        return Record(key, b"", NO_ATTEMPT, Phase.UNCERTAIN)
+
+    def _outgoing(self, record: Record, now: float) -> Record:
+        answer = self.answers.get(record.key, (b"", 0.0))[0]
+        return attrs.evolve(record, answer=answer, expires=max(0.0, record.expires - now))
+
+    def _put(self, record: Record, now: float) -> None:
+        invariant(not self.is_sealed, SEALED_CHANGED, record.key)
+        old = self.records.pop(record.key, None)
+        if old is not None and record.phase is Phase.RUNNING:
+            may_begin = old.phase is Phase.WAITING and old.attempt == record.attempt
+            invariant(may_begin, SECOND_BEGIN, f"{old.attempt}, {record.attempt}")
+        self.records[record.key] = attrs.evolve(record, expires=now + RETENTION_S)
+
+    def _keep_answer(self, key: str, answer: bytes, expires: float) -> None:
+        self._drop_answer(key)
+        self.answers[key] = (answer, expires)
+        self.answer_bytes += len(answer)
+        while self.answer_bytes > MAX_TABLE_ANSWER_BYTES:
+            self._drop_answer(next(iter(self.answers)))
+
+    def _drop_answer(self, key: str) -> None:
+        answer, _ = self.answers.pop(key, (b"", 0.0))
+        self.answer_bytes -= len(answer)
+
+    def seal(self) -> None:
+        """Refuse every later step and keep the records for copies."""
+        if not self.is_sealed:
+            self.is_sealed = True
+            self.snapshot = list(self.records.values())
+
+    def part(self, request: CopyShard, now: float) -> CopyPart:
+        """Return the part of the sealed table that starts at a position."""
+        records: list[Record] = []
+        size, position = 0, request.position
+        while position < len(self.snapshot) and size < PART_BYTES:
+            record = self._outgoing(self.snapshot[position], now)
+            records.append(record)
+            size += RECORD_BYTES + len(record.answer)
+            position += 1
+        following = position if position < len(self.snapshot) else -1
+        return CopyPart(
+            request.shard, request.base, request.view, request.position, following, tuple(records)
+        )
+
+    def expire(self, now: float) -> None:
+        """Drop what is older than its retention. A sealed table stays as it is."""
+        if self.is_sealed:
+            return
+        for key in _due(self.records, now, lambda record: record.expires):
+            del self.records[key]
+            self._drop_answer(key)
+        for key in _due(self.answers, now, lambda answer: answer[1]):
+            self._drop_answer(key)
+        for attempt in _due(self.released, now, lambda expires: expires):
+            del self.released[attempt]
+
+
+def _waiting(step: Claim) -> Record:
+    return Record(step.key, step.fingerprint, step.attempt, Phase.WAITING)
+
+
+def _due(entries: dict, now: float, expires_of) -> list:
+    due = []
+    for key, entry in entries.items():
+        if expires_of(entry) > now:
+            break
+        due.append(key)
+    return due
--- /dev/null
+++ b/mulberrygate/ledger/tally.py
@@ -0,0 +1,181 @@
+"""Quorum decisions of a coordinator, from the answers of one view's replicas.
+
+Explanation
+===========
+A tally belongs to one step under one view; answers under another view start a new one. An answer
+that says that the replica does not serve the view counts as no answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from mulberrygate.ledger.messages import (
+    Absent,
+    Accepted,
+    Attempt,
+    Conflict,
+    Existing,
+    NotServing,
+    Phase,
+    Record,
+    Withdrawn,
+)
+from mulberrygate.ledger.outcomes import (
+    Answered,
+    Attached,
+    Claimed,
+    Conflicting,
+    Missing,
+    OpenAttempt,
+    Pending,
+    Recorded,
+    Superseded,
+    Uncertain,
+)
+from mulberrygate.ledger.views import View
+
+IsAlive = Callable[[str, int], bool]
+
+
+class Tally:
+    """Answers of the replicas of one view to one step.
+
+    Parameters
+    ==========
+    view : View
+    """
+
+    def __init__(self, view: View):
+        self.view = view
+        self.members = [replica.instance for replica in view.replicas]
+        self.answers: dict[str, Any] = {}
+        self.silent: set[str] = set()
+        self.asked: set[str] = set()
+        self.refusing: set[str] = set()
+
+    def add(self, instance: str, answer: Any) -> None:
+        """Take an answer over; anything but an answer of the ledger counts as silence."""
+        if isinstance(answer, NotServing):
+            self.refusing.add(instance)
+        if isinstance(answer, (Accepted, Existing, Absent, Conflict, Withdrawn)):
+            self.answers[instance] = answer
+            self.silent.discard(instance)
+        else:
+            self.silent.add(instance)
+
+    def may_be_accepted(self) -> bool:
+        """Return whether a replica may have accepted the step."""
+        refused = {name for name, a in self.answers.items() if not isinstance(a, Accepted)}
+        return bool(self.asked - refused - self.refusing)
+
+    def count(self, kind: type) -> int:
+        """Return the number of answers of a kind."""
+        return sum(isinstance(answer, kind) for answer in self.answers.values())
+
+    def is_majority(self, count: int) -> bool:
+        """Return whether a number of replicas is a majority of the view."""
+        return count >= self.view.majority()
+
+    def is_complete(self) -> bool:
+        """Return whether every replica has answered or failed to."""
+        return len(self.answers) + len(self.silent) == len(self.members)
+
+    def records(self) -> list[Record]:
+        """Return the records of all answers that carry one."""
+        return [a.record for a in self.answers.values() if isinstance(a, (Existing, Conflict))]
+
+
+def decide_known(tally: Tally) -> Answered | Attached | Uncertain | Pending:
+    """Decide from the records that replicas returned.
+
+    Explanation
+    ===========
+    One record of an attempt that ran is enough, since only its own entry writes it after a
+    dispatch. A begin needs a majority; a minority of begins is `Uncertain` once all replicas have
+    answered or failed to. ``not_run`` needs a majority too, because another attempt may have begun
+    at the other replicas.
+    """
+    records = tally.records()
+    for record in records:
+        if record.has_run():
+            return Answered(record)
+    running = [record for record in records if record.phase is Phase.RUNNING]
+    for record in running:
+        if tally.is_majority(sum(record.attempt == other.attempt for other in running)):
+            return Attached(record)
+    unknown = [record for record in records if record.phase is Phase.UNCERTAIN]
+    if tally.is_majority(len(unknown)):
+        return Uncertain("a replica does not know whether an earlier attempt ran")
+    if (running or unknown) and tally.is_complete():
+        return Uncertain("only a minority knows the begin of an earlier attempt")
+    given_up = [record for record in records if record.phase is Phase.FINISHED]
+    if tally.is_majority(len(given_up)):
+        return Answered(given_up[0])
+    return Pending(tuple({record.attempt for record in running + unknown}))
+
+
+def decide_claim(
+    tally: Tally, attempt: OpenAttempt, is_alive: IsAlive
+) -> Claimed | Answered | Attached | Conflicting | Uncertain | Pending:
+    """Decide a claim.
+
+    Explanation
+    ===========
+    A waiting attempt of an entry whose incarnation is gone may be replaced. Taking over a claim
+    from an entry that still lives is safe and costs that entry its turn, since its begin is
+    refused by every replica that accepted the takeover.
+    """
+    if tally.count(Conflict):
+        return Conflicting()
+    known = decide_known(tally)
+    if not isinstance(known, Pending):
+        return known
+    accepted = tally.count(Accepted)
+    if tally.is_majority(accepted) and not known.waiting_for:
+        return Claimed(attempt)
+    waiting = {r.attempt for r in tally.records() if r.phase is Phase.WAITING}
+    gone = {a for a in waiting if not is_alive(a.instance, a.incarnation)}
+    return Pending(known.waiting_for + tuple(sorted(waiting - gone)), tuple(sorted(gone)))
+
+
+def decide_begin(tally: Tally) -> Recorded | Superseded | Pending:
+    """Decide a begin: a majority of acceptances, or so many refusals that none is possible."""
+    if tally.is_majority(tally.count(Accepted)):
+        return Recorded()
+    refused = len(tally.answers) - tally.count(Accepted)
+    if refused > len(tally.members) - tally.view.majority():
+        return Superseded()
+    return Pending()
+
+
+def decide_stored(tally: Tally) -> Recorded | Pending:
+    """Decide a finish or a release."""
+    return Recorded() if tally.is_majority(len(tally.answers)) else Pending()
+
+
+def decide_lookup(tally: Tally) -> Answered | Attached | Uncertain | Missing | Pending:
+    """Decide a lookup; a waiting attempt counts as attached."""
+    known = decide_known(tally)
+    if not isinstance(known, Pending) or known.waiting_for:
+        return known
+    waiting = [record for record in tally.records() if record.phase is Phase.WAITING]
+    if tally.is_majority(len(tally.answers)):
+        return Attached(waiting[0]) if waiting else Missing()
+    return Pending()
+
+
+def may_keep_claim(tally: Tally, own: Attempt) -> bool:
+    """Return whether an attempt keeps a partial claim while several ones compete.
+
+    Explanation
+    ===========
+    Re-sends that arrive everywhere at once can hold one replica each. The one that holds the first
+    replica that answered keeps its claim; the others release theirs.
+    """
+    for name in tally.members:
+        answer = tally.answers.get(name)
+        if answer is not None:
+            return isinstance(answer, Accepted)
+    return False
