Add the pool scheduler

Cause: entries need an owner that orders, grants and sheds the requests of a pool. Change: PoolScheduler with strict tiers, fair sharing by tokens, learned speeds, version shares, prefix affinity, slots reserved for upper tiers, load shedding and its invariants.

--- a/mulberrygate/schedule/__init__.py
+++ b/mulberrygate/schedule/__init__.py
@@ -1,6 +1,8 @@
 """Scheduling of a pool: order, fairness, choice of endpoint and load shedding."""
 
+from mulberrygate.schedule.effects import Observed
 from mulberrygate.schedule.messages import (
+    PREFIX_TOKENS,
     Ask,
     Done,
     Grant,
@@ -11,11 +13,15 @@
     Ticket,
     Withdraw,
 )
+from mulberrygate.schedule.scheduler import PoolScheduler
 
 __all__ = [
+    "PREFIX_TOKENS",
     "Ask",
     "Done",
     "Grant",
+    "Observed",
+    "PoolScheduler",
     "Present",
     "Progress",
     "Refuse",
--- /dev/null
+++ b/mulberrygate/schedule/demand.py
@@ -0,0 +1,94 @@
+"""Recent demand by tier, from which slots are reserved and other domains are reached."""
+
+from __future__ import annotations
+
+import math
+
+from mulberrygate.schedule.endpoint import LOCAL, OTHER_DOMAIN, OTHER_REGION
+from mulberrygate.tables.model import TIERS
+
+# A tier that sent nothing for this long holds no reservation.
+RECENT_S = 60.0
+# Time constant of the rates.
+MEMORY_S = 10.0
+# At most this share of the local slots is reserved; a pool of fewer slots reserves none.
+LARGEST_RESERVED_SHARE = 1 / 6
+# Expected wait, in seconds, from which a request may go further: the traffic to other domains is
+# paid for by volume, and the gain has to be worth it.
+DOMAIN_WAIT_S = 0.25
+REGION_WAIT_S = 2.0
+
+
+class Demand:
+    """Rates of asks by tier and of grants.
+
+    Examples
+    ========
+    >>> from mulberrygate.schedule.demand import Demand
+    >>> demand = Demand()
+    >>> demand.ask(0, now=5.0)
+    >>> demand.top_tier(now=6.0)
+    0
+    >>> demand.reserved(slots=24, now=6.0)
+    [0, 1, 1, 1]
+    """
+
+    def __init__(self):
+        self.last_ask = [-math.inf] * TIERS
+        self.asks = [0.0] * TIERS
+        self.grants = 0.0
+        self.updated_at = -math.inf
+
+    def ask(self, tier: int, now: float) -> None:
+        """Count an ask."""
+        self._decay(now)
+        self.last_ask[tier] = now
+        self.asks[tier] += 1.0
+
+    def grant(self, now: float) -> None:
+        """Count a grant."""
+        self._decay(now)
+        self.grants += 1.0
+
+    def _decay(self, now: float) -> None:
+        if now - self.updated_at < 0.1:
+            return
+        keep = math.exp(-(now - self.updated_at) / MEMORY_S)
+        self.asks = [count * keep for count in self.asks]
+        self.grants *= keep
+        self.updated_at = now
+
+    def top_tier(self, now: float) -> int:
+        """Return the most urgent tier that sent a request lately."""
+        for tier in range(TIERS):
+            if now - self.last_ask[tier] <= RECENT_S:
+                return tier
+        return TIERS - 1
+
+    def reserved(self, slots: int, now: float) -> list[int]:
+        """Return by tier how many free local slots it has to leave to the tiers above it.
+
+        Explanation
+        ===========
+        While the next slot becomes free, as many requests of upper tiers arrive as their rate over
+        the rate of grants; twice that many slots are kept, and at least one.
+        """
+        most = int(slots * LARGEST_RESERVED_SHARE)
+        reserved, upper, is_recent = [], 0.0, False
+        for tier in range(TIERS):
+            wanted = max(1, math.ceil(2 * upper / max(self.grants, 1.0))) if is_recent else 0
+            reserved.append(min(most, wanted))
+            upper += self.asks[tier]
+            is_recent = is_recent or now - self.last_ask[tier] <= RECENT_S
+        return reserved
+
+    def expected_wait_s(self, waiting: int) -> float:
+        """Return the seconds until that many requests have been granted."""
+        return waiting * MEMORY_S / self.grants if self.grants > 0.5 else math.inf
+
+    def reach(self, waiting: int) -> int:
+        """Return the largest distance that the backlog justifies."""
+        wait_s = self.expected_wait_s(waiting) if waiting else 0.0
+        if wait_s > REGION_WAIT_S:
+            return OTHER_REGION
+        return OTHER_DOMAIN if wait_s > DOMAIN_WAIT_S else LOCAL
--- /dev/null
+++ b/mulberrygate/schedule/ended.py
@@ -0,0 +1,38 @@
+"""Requests that ended lately, so that late and repeated messages change nothing."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from mulberrygate.schedule.messages import Refuse
+
+KEPT_S = 120.0
+MOST_KEPT = 8192
+
+
+class Ended:
+    """Recently ended requests with the refusal that ended them, if it was one."""
+
+    def __init__(self):
+        self.items: OrderedDict[str, tuple[float, Refuse | None]] = OrderedDict()
+
+    def __contains__(self, request: str) -> bool:
+        return request in self.items
+
+    def add(self, request: str, refusal: Refuse | None, now: float) -> None:
+        """Take note of the end of a request."""
+        self.items[request] = (now, refusal)
+        if len(self.items) > MOST_KEPT:
+            self.items.popitem(last=False)
+
+    def refusal(self, request: str) -> Refuse | None:
+        """Return the refusal of a request, or None when it ended otherwise."""
+        return self.items[request][1]
+
+    def forget_old(self, now: float) -> None:
+        """Forget requests that ended long ago."""
+        while self.items:
+            request, (at, _) = next(iter(self.items.items()))
+            if now - at <= KEPT_S:
+                return
+            del self.items[request]
--- /dev/null
+++ b/mulberrygate/schedule/endpoint.py
@@ -0,0 +1,210 @@
+"""State that the scheduler keeps of one endpoint."""
+
+from __future__ import annotations
+
+from mulberrygate.endpoints.model import EndpointView
+from mulberrygate.schedule.detect import SlownessDetector
+from mulberrygate.schedule.messages import Ticket
+from mulberrygate.schedule.speed import EndpointSpeed, GenerationSpeed
+
+LOCAL, OTHER_DOMAIN, OTHER_REGION = range(3)
+# Round trips in seconds between entry and endpoint, by distance; the larger of the two users'.
+HOP_S = (0.001, 0.002, 0.02)
+# Share of its slots that an endpoint that is judged slow still gets, so that it is probed.
+SLOW_SHARE = 0.25
+# An endpoint that fails this many requests in a row gets single probes at growing intervals,
+# since one that fails fast would otherwise look idle and attract all requests.
+FAULTS_TO_BLOCK = 2
+FIRST_BLOCK_S = 0.5
+LONGEST_BLOCK_S = 8.0
+# A load report older than this says nothing about what others send.
+LOAD_REPORT_LIMIT_S = 5.0
+
+
+class Granted:
+    """Request that was granted and has not ended.
+
+    Parameters
+    ==========
+    uncached : float
+        Prompt tokens that were probably not cached.
+    output : float
+        Expected output tokens.
+    wait_s : float
+        Predicted wait in the endpoint's queue.
+    area : float
+        The endpoint's load integral at the grant.
+    is_presented : bool
+        Learned from an entry after a change of owner, so its start was not seen.
+    """
+
+    __slots__ = (
+        "ticket",
+        "state",
+        "version",
+        "granted_at",
+        "cost",
+        "uncached",
+        "cached",
+        "output",
+        "emitted",
+        "wait_s",
+        "was_queued",
+        "area",
+        "expected_end",
+        "expires",
+        "is_presented",
+    )
+
+    def __init__(self, ticket: Ticket, state: EndpointState, version: str, now: float):
+        self.ticket = ticket
+        self.state = state
+        self.version = version
+        self.granted_at = now
+        self.cost = float(ticket.prompt_tokens + ticket.output_tokens)
+        self.uncached = float(ticket.prompt_tokens)
+        self.cached = 0.0
+        self.output = float(ticket.output_tokens)
+        self.emitted = 0
+        self.wait_s = 0.0
+        self.was_queued = False
+        self.area = 0.0
+        self.expected_end = now
+        self.expires = now
+        self.is_presented = False
+
+
+class EndpointState:
+    """Outstanding grants, learned speed and limits of one endpoint."""
+
+    def __init__(self, view: EndpointView, distance: int, generation: GenerationSpeed):
+        self.view = view
+        self.name = view.endpoint
+        self.distance = distance
+        self.hop_s = HOP_S[distance]
+        self.generation = generation
+        self.speed = EndpointSpeed()
+        self.detector = SlownessDetector()
+        self.running: dict[str, Granted] = {}
+        self.others = 0
+        self.used = 0
+        self.peak = self.previous_peak = 0
+        self.pending_prefill = 0.0
+        self.pending_output = 0.0
+        self.area = 0.0
+        self.changed_at = 0.0
+        self.faults = 0
+        self.blocked_until = 0.0
+        self.slots = 0
+        self.queue = 0
+        # Position in the lists of endpoints with room; -1 when it is in neither.
+        self.position = -1
+        self.open_list = None
+        self.free_counted = (0, 0)
+        self.refresh_speed()
+
+    def refresh_speed(self) -> None:
+        """Recompute the seconds per token used for predictions."""
+        generation, speed = self.generation, self.speed
+        self.prefill_s = generation.prefill_s * speed.prefill_factor
+        self.decode_s = generation.decode_s * speed.decode_factor
+        self.slope_s = generation.slope_s * speed.decode_factor
+
+    def set_limits(self, engine_queue: int, now: float) -> None:
+        """Recompute how many requests the endpoint may have."""
+        view = self.view
+        self.slots = self.queue = 0
+        if not view.accepts_work or now < self.blocked_until:
+            return
+        if self.faults >= FAULTS_TO_BLOCK:
+            self.slots = 1
+        elif self.detector.is_slow:
+            self.slots = max(1, int(view.slots * SLOW_SHARE))
+        else:
+            self.slots = view.slots
+            self.queue = engine_queue if self.distance == LOCAL else 0
+
+    def correct_others(self) -> None:
+        """Estimate what others have at the endpoint from its last load report.
+
+        Explanation
+        ===========
+        The report is older than the own grants, so only what exceeds the most own requests since
+        the report before can come from others.
+        """
+        most = max(self.peak, self.previous_peak)
+        self.previous_peak, self.peak = self.peak, len(self.running)
+        is_usable = self.view.load_age_s <= LOAD_REPORT_LIMIT_S
+        self.others = max(0, self.view.load - most) if is_usable else 0
+        self.used = len(self.running) + self.others
+
+    def add_area(self, now: float) -> None:
+        """Extend the load integral to now."""
+        if now > self.changed_at:
+            self.area += self.used * (now - self.changed_at)
+            self.changed_at = now
+
+    def add(self, granted: Granted, now: float) -> None:
+        """Count a grant."""
+        self.add_area(now)
+        granted.area = self.area
+        self.running[granted.ticket.request] = granted
+        self.used = len(self.running) + self.others
+        self.peak = max(self.peak, len(self.running))
+        self.pending_prefill += granted.uncached
+        self.pending_output += granted.output
+
+    def remove(self, granted: Granted, now: float) -> None:
+        """Count the end of a grant."""
+        self.add_area(now)
+        del self.running[granted.ticket.request]
+        self.used = len(self.running) + self.others
+        if not self.running:
+            self.pending_prefill = self.pending_output = 0.0
+            return
+        if not granted.emitted:
+            self.pending_prefill -= granted.uncached
+        self.pending_output -= max(0.0, granted.output - granted.emitted)
+
+    def progress(self, granted: Granted, emitted: int) -> None:
+        """Take note of tokens received."""
+        if emitted <= granted.emitted:
+            return
+        if not granted.emitted:
+            self.pending_prefill -= granted.uncached
+        left = max(0.0, granted.output - granted.emitted)
+        granted.emitted = emitted
+        self.pending_output -= left - max(0.0, granted.output - emitted)
+
+    def mean_load(self, granted: Granted, now: float) -> float:
+        """Return the mean load since a grant."""
+        self.add_area(now)
+        seconds = now - granted.granted_at
+        return (self.area - granted.area) / seconds if seconds > 1e-9 else float(self.used)
+
+    def queue_wait_s(self) -> float:
+        """Return the predicted wait until the next request gets a slot."""
+        ahead = self.used - self.view.slots + 1
+        if ahead <= 0:
+            return 0.0
+        slots = max(self.view.slots, 1)
+        per_token = self.decode_s + self.slope_s * (slots - 1)
+        mean_left = self.pending_output / max(len(self.running), 1) * per_token
+        return ahead * mean_left / slots
+
+    def run_s(self, uncached: float, output: float) -> float:
+        """Return the predicted seconds until the end of a request granted now."""
+        beside = min(self.used, self.view.slots - 1)
+        return (
+            self.hop_s
+            + self.generation.overhead_s
+            + (self.pending_prefill + uncached) * self.prefill_s
+            + output * (self.decode_s + self.slope_s * beside)
+        )
+
+    def count_fault(self, now: float) -> None:
+        """Take note of a failed request."""
+        self.faults += 1
+        if self.faults >= FAULTS_TO_BLOCK:
+            power = min(self.faults - FAULTS_TO_BLOCK, 10)
+            self.blocked_until = now + min(LONGEST_BLOCK_S, FIRST_BLOCK_S * 2**power)
--- /dev/null
+++ b/mulberrygate/schedule/fair.py
@@ -0,0 +1,207 @@
+"""Waiting requests of a pool: strict tiers, weighted fair sharing among client accounts."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+
+from mulberrygate.schedule.messages import Ticket
+from mulberrygate.tables.model import TIERS
+
+
+class Waiting:
+    """Request that waits for a grant.
+
+    Parameters
+    ==========
+    cost : float
+        Estimated tokens, the unit of fair sharing.
+    deadline : float
+        Monotonic seconds after which the answer is of no use.
+    order : int
+        Position in the scheduler's sequence of asks and grants.
+    """
+
+    __slots__ = ("ticket", "cost", "deadline", "order", "asked_at", "output", "excused", "is_gone")
+
+    def __init__(
+        self, ticket: Ticket, cost: float, deadline: float, order: int, now: float, output: float
+    ):
+        self.ticket = ticket
+        self.cost = cost
+        self.deadline = deadline
+        self.order = order
+        self.asked_at = now
+        self.output = output
+        # Order of the last grant to a lower tier, by endpoint on which this request couldn't run.
+        self.excused: dict[str, int] | None = None
+        self.is_gone = False
+
+    def __lt__(self, other: Waiting) -> bool:
+        return self.order < other.order
+
+
+class AccountQueue:
+    """Requests of one client account in one tier, earliest deadline first.
+
+    Parameters
+    ==========
+    served : float
+        Virtual time: tokens served so far, divided by the account's weight.
+    """
+
+    __slots__ = ("name", "weight", "served", "heap", "count")
+
+    def __init__(self, name: str):
+        self.name = name
+        self.weight = 1.0
+        self.served = 0.0
+        self.heap: list[tuple[float, int, Waiting]] = []
+        self.count = 0
+
+    def first(self) -> Waiting | None:
+        """Return the next request, or None when none waits."""
+        while self.heap and self.heap[0][2].is_gone:
+            heapq.heappop(self.heap)
+        return self.heap[0][2] if self.heap else None
+
+    def in_order(self, limit: int) -> list[Waiting]:
+        """Return up to ``limit`` requests in the order in which they are due."""
+        first = self.first()
+        if limit == 1 or first is None:
+            return [first] if first else []
+        live = (entry for entry in self.heap if not entry[2].is_gone)
+        return [entry[2] for entry in heapq.nsmallest(limit, live)]
+
+
+class TierQueue:
+    """Requests of one tier, shared fairly by tokens among client accounts.
+
+    Explanation
+    ===========
+    Start-time fair queueing. The account with the least virtual time is next. An account that
+    becomes active starts at the tier's virtual time, so idle time earns no credit.
+    """
+
+    # Idle accounts are forgotten beyond this number; their virtual time is then the tier's.
+    MAX_IDLE_ACCOUNTS = 4096
+
+    def __init__(self):
+        self.accounts: dict[str, AccountQueue] = {}
+        self.active: dict[str, AccountQueue] = {}
+        self.virtual_time = 0.0
+        self.count = 0
+
+    def add(self, waiting: Waiting) -> None:
+        """Add a request."""
+        ticket = waiting.ticket
+        account = self.accounts.get(ticket.account)
+        if account is None:
+            account = self.accounts[ticket.account] = AccountQueue(ticket.account)
+        account.weight = max(ticket.weight, 1e-3)
+        if not account.count:
+            account.served = max(account.served, self.virtual_time)
+            self.active[account.name] = account
+        heapq.heappush(account.heap, (waiting.deadline, waiting.order, waiting))
+        account.count += 1
+        self.count += 1
+
+    def remove(self, waiting: Waiting) -> None:
+        """Remove a request that was granted, shed or withdrawn."""
+        waiting.is_gone = True
+        account = self.accounts[waiting.ticket.account]
+        account.count -= 1
+        self.count -= 1
+        if not account.count:
+            account.heap.clear()
+            del self.active[account.name]
+            self._forget_idle()
+        elif len(account.heap) > 2 * account.count + 16:
+            account.heap = [entry for entry in account.heap if not entry[2].is_gone]
+            heapq.heapify(account.heap)
+
+    def _forget_idle(self) -> None:
+        if len(self.accounts) - len(self.active) > self.MAX_IDLE_ACCOUNTS:
+            self.accounts = {
+                name: account
+                for name, account in self.accounts.items()
+                if account.count or account.served > self.virtual_time
+            }
+
+    def by_share(self) -> list[AccountQueue]:
+        """Return the accounts with waiting requests, least served first."""
+        accounts = list(self.active.values())
+        if len(accounts) > 1:
+            accounts.sort(key=lambda account: (account.served, account.name))
+        return accounts
+
+    def charge(self, account_name: str, tokens: float) -> None:
+        """Charge an account for a grant; negative tokens return a charge."""
+        account = self.accounts.get(account_name)
+        if account is None:
+            return
+        if tokens > 0 and account.count:
+            self.virtual_time = max(self.virtual_time, self.least_served())
+        account.served += tokens / account.weight
+
+    def least_served(self) -> float:
+        """Return the least virtual time of the accounts with waiting requests."""
+        return min(account.served for account in self.active.values())
+
+    def all(self) -> Iterator[Waiting]:
+        """Yield all waiting requests, in no particular order."""
+        for account in self.active.values():
+            for entry in account.heap:
+                if not entry[2].is_gone:
+                    yield entry[2]
+
+    def last(self) -> Waiting:
+        """Return the request to shed: one that is due late, of the account with most waiting.
+
+        Explanation
+        ===========
+        The end of a heap holds late requests, though not always the latest; looking at a few is
+        enough and keeps shedding cheap while the queue is full.
+        """
+        account = max(self.active.values(), key=lambda item: (item.count / item.weight, item.name))
+        for size in (16, len(account.heap)):
+            live = [entry for entry in account.heap[-size:] if not entry[2].is_gone]
+            if live:
+                break
+        return max(live)[2]
+
+
+class FairQueue:
+    """All waiting requests of a pool."""
+
+    def __init__(self):
+        self.tiers = tuple(TierQueue() for _ in range(TIERS))
+        self.by_request: dict[str, Waiting] = {}
+
+    def __len__(self) -> int:
+        return len(self.by_request)
+
+    def add(self, waiting: Waiting) -> None:
+        """Add a request."""
+        self.by_request[waiting.ticket.request] = waiting
+        self.tiers[waiting.ticket.tier].add(waiting)
+
+    def remove(self, waiting: Waiting) -> None:
+        """Remove a request."""
+        del self.by_request[waiting.ticket.request]
+        self.tiers[waiting.ticket.tier].remove(waiting)
+
+    def charge(self, ticket: Ticket, tokens: float) -> None:
+        """Charge the ticket's account in its tier."""
+        self.tiers[ticket.tier].charge(ticket.account, tokens)
+
+    def lowest_tier(self) -> int:
+        """Return the least urgent tier with a waiting request; -1 when none waits."""
+        for tier in range(TIERS - 1, -1, -1):
+            if self.tiers[tier].count:
+                return tier
+        return -1
+
+    def of_entry(self, instance: str) -> list[Waiting]:
+        """Return the requests that wait at one entry instance."""
+        return [item for item in self.by_request.values() if item.ticket.entry == instance]
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -6,6 +6,9 @@
 
 from mulberrygate.core.wire import message
 
+# Prompt tokens covered by each further hash of `Ticket.prefixes`.
+PREFIX_TOKENS = 256
+
 
 @attrs.frozen
 class Ticket:
--- /dev/null
+++ b/mulberrygate/schedule/room.py
@@ -0,0 +1,72 @@
+"""Endpoints with room for another request, by distance."""
+
+from __future__ import annotations
+
+from mulberrygate.schedule.endpoint import LOCAL, EndpointState
+
+
+class OpenList:
+    """Set of endpoints with constant-time insertion and removal, and a stable order."""
+
+    __slots__ = ("items",)
+
+    def __init__(self):
+        self.items: list[EndpointState] = []
+
+    def add(self, state: EndpointState) -> None:
+        """Add an endpoint that is in no list."""
+        state.open_list = self
+        state.position = len(self.items)
+        self.items.append(state)
+
+    def remove(self, state: EndpointState) -> None:
+        """Remove an endpoint; the last one takes its position."""
+        last = self.items.pop()
+        if last is not state:
+            last.position = state.position
+            self.items[state.position] = last
+        state.position = -1
+        state.open_list = None
+
+
+class Room:
+    """Free slots and free queue positions of the pool.
+
+    Parameters
+    ==========
+    slots : list[OpenList]
+        Endpoints with a free slot, by distance.
+    queues : OpenList
+        Local endpoints whose slots are taken and that have a free queue position.
+    free_slots : list[int]
+        Free slots by distance.
+    """
+
+    def __init__(self):
+        self.slots = [OpenList(), OpenList(), OpenList()]
+        self.queues = OpenList()
+        self.free_slots = [0, 0, 0]
+
+    def update(self, state: EndpointState) -> None:
+        """Move an endpoint to the list that fits its load and limits."""
+        free = max(0, state.slots - state.used)
+        counted = state.free_counted[0]
+        if free != counted:
+            self.free_slots[state.distance] += free - counted
+            state.free_counted = (free, 0)
+        if free:
+            wanted = self.slots[state.distance]
+        elif state.distance == LOCAL and state.used < state.slots + state.queue:
+            wanted = self.queues
+        else:
+            wanted = None
+        if state.open_list is not wanted:
+            if state.open_list is not None:
+                state.open_list.remove(state)
+            if wanted is not None:
+                wanted.add(state)
+
+    def remove(self, state: EndpointState) -> None:
+        """Remove an endpoint that is gone."""
+        state.slots = state.queue = 0
+        self.update(state)
--- /dev/null
+++ b/mulberrygate/schedule/scheduler.py
@@ -0,0 +1,508 @@
+"""Scheduler of one pool in one failure domain."""
+
+from __future__ import annotations
+
+import random
+
+from mulberrygate.core.codes import Code
+from mulberrygate.core.effects import Effect, Send
+from mulberrygate.core.invariant import invariant
+from mulberrygate.endpoints.model import EndpointView
+from mulberrygate.schedule.choose import Choice, Chooser
+from mulberrygate.schedule.codes import (
+    DEADLINE_UNREACHABLE,
+    EVICTED,
+    NO_ENDPOINT,
+    QUEUE_FULL,
+    QUEUE_OVER_LIMIT,
+    SLOTS_MISCOUNTED,
+)
+from mulberrygate.schedule.demand import Demand
+from mulberrygate.schedule.ended import Ended
+from mulberrygate.schedule.endpoint import (
+    LOCAL,
+    OTHER_DOMAIN,
+    OTHER_REGION,
+    EndpointState,
+    Granted,
+)
+from mulberrygate.schedule.fair import FairQueue, TierQueue, Waiting
+from mulberrygate.schedule.learn import learn, observed
+from mulberrygate.schedule.messages import (
+    Done,
+    Grant,
+    Present,
+    Progress,
+    Refuse,
+    Running,
+    Ticket,
+)
+from mulberrygate.schedule.prefix import PrefixIndex
+from mulberrygate.schedule.room import Room
+from mulberrygate.schedule.shares import VersionShares
+from mulberrygate.schedule.shed import (
+    DeadlineWatch,
+    GrantLog,
+    check_capacity_shed,
+    check_deadline_shed,
+)
+from mulberrygate.schedule.speed import DEFAULT_PRIOR, PRIORS, GenerationSpeed, LengthModel
+from mulberrygate.tables.model import TIERS, Pool
+
+# Requests of one account that are examined when its first one can't use the endpoints with room.
+LOOK_AHEAD = 8
+# Requests that may be passed over in one dispatch; a lower tier is served only if all requests of
+# the upper tiers have been examined.
+MOST_HELD = 32
+# An owner that has just started knows no endpoints yet; announcements come every second.
+NO_ENDPOINT_WAIT_S = 2.5
+# A grant whose end is never reported is dropped this long after its deadline or expected end.
+LOST_DONE_S = 30.0
+RETRY_AFTER_S = 1.0
+LONGEST_RETRY_AFTER_S = 30.0
+
+
+class PoolScheduler:
+    """Order the requests of a pool and grant them endpoints.
+
+    Explanation
+    ===========
+    Each method returns the effects to carry out: `Send` of `Grant` and `Refuse` to entries, and
+    `Observed` after a `Done`. A repeated ask gets the same grant or refusal again, since the first
+    one may have been lost; other repeated and late messages change nothing.
+
+    Parameters
+    ==========
+    failure_domain, region : str
+        Place of the scheduler; endpoints elsewhere are used only when the backlog justifies it.
+    pool : Pool
+        Settings of the pool.
+    rng : random.Random
+        Used to sample endpoints in large pools.
+    """
+
+    def __init__(self, failure_domain: str, region: str, pool: Pool, rng: random.Random):
+        self.failure_domain = failure_domain
+        self.region = region
+        self.pool = pool
+        self.queue = FairQueue()
+        self.running: dict[str, Granted] = {}
+        self.ended = Ended()
+        self.states: dict[str, EndpointState] = {}
+        self.generations: dict[str, GenerationSpeed] = {}
+        self.lengths = LengthModel()
+        self.room = Room()
+        self.prefixes = PrefixIndex()
+        self.shares = VersionShares()
+        self.chooser = Chooser(self.room, self.prefixes, self.shares, rng)
+        self.chooser.states = self.states
+        self.demand = Demand()
+        self.watch = DeadlineWatch()
+        self.log = GrantLog()
+        self.order = 0
+        self.reserved = [0] * TIERS
+        self.top_tier = 0
+        self.local_slots = 0
+        self.without_endpoint_since: float | None = None
+
+    # Messages of entries
+
+    def ask(self, ticket: Ticket, now: float) -> list[Effect]:
+        """Queue a request, and grant or shed what follows from it."""
+        request = ticket.request
+        if request in self.queue.by_request:
+            return []
+        granted = self.running.get(request)
+        if granted is not None:
+            return [] if granted.emitted or granted.is_presented else [self._grant_message(granted)]
+        if request in self.ended:
+            refusal = self.ended.refusal(request)
+            return [Send(ticket.entry, refusal)] if refusal is not None else []
+        self._enqueue(ticket, now)
+        return self._settle(now)
+
+    def withdraw(self, request: str, now: float) -> list[Effect]:
+        """Remove a request that doesn't wait any more or won't use its grant."""
+        waiting = self.queue.by_request.get(request)
+        granted = self.running.get(request)
+        self.ended.add(request, None, now)
+        if waiting is not None:
+            self.queue.remove(waiting)
+        if granted is None:
+            return []
+        self._release(granted, now)
+        self.shares.uncount(granted.ticket.route, granted.version)
+        self.queue.charge(granted.ticket, -granted.cost)
+        return self._settle(now)
+
+    def progress(self, message: Progress, now: float) -> list[Effect]:
+        """Take note of tokens received by running requests."""
+        for request, emitted in message.emitted.items():
+            granted = self.running.get(request)
+            if granted is not None:
+                granted.state.progress(granted, emitted)
+                granted.expires = max(granted.expires, now + LOST_DONE_S)
+        return []
+
+    def done(self, message: Done, now: float) -> list[Effect]:
+        """Take note of the end of a granted request, and grant what its end allows."""
+        granted = self.running.get(message.request)
+        if granted is None:
+            return self._done_of_unknown(message, now)
+        state = granted.state
+        load = state.mean_load(granted, now)
+        evidence = observed(granted, message, load)
+        self._release(granted, now)
+        self.ended.add(message.request, None, now)
+        actual = float(message.prompt_tokens + message.output_tokens)
+        self.queue.charge(granted.ticket, actual - granted.cost)
+        if message.fault:
+            state.count_fault(now)
+        elif not message.cancelled:
+            state.faults = 0
+            learn(granted, message, evidence, self.lengths, self._is_reference(message.version))
+        self._update_limits(state, now)
+        return [evidence, *self._settle(now)]
+
+    def present(self, message: Present, sender: str, now: float) -> list[Effect]:
+        """Take over the requests of an entry after a change of owner."""
+        for running in message.running:
+            self._take_over(running, now)
+        for ticket in message.waiting:
+            request = ticket.request
+            if request in self.running or request in self.queue.by_request:
+                continue
+            if request not in self.ended and ticket.entry == sender:
+                self._enqueue(ticket, now)
+        return self._settle(now)
+
+    # Changes of the environment
+
+    def set_endpoints(self, views: list[EndpointView], now: float) -> list[Effect]:
+        """Replace the endpoints of the pool."""
+        gone = self.states.keys() - {view.endpoint for view in views}
+        for name in gone:
+            self._remove_endpoint(self.states[name])
+        for view in views:
+            state = self.states.get(view.endpoint)
+            if state is not None and state.view.incarnation != view.incarnation:
+                self._remove_endpoint(state)
+                state = None
+            if state is None:
+                state = self._add_endpoint(view, now)
+            state.add_area(now)
+            state.view = view
+            state.correct_others()
+            self.prefixes.report(view.endpoint, view.prefixes)
+            self._update_limits(state, now)
+        return self.tick(now)
+
+    def set_shares(self, shares: dict[str, float], now: float) -> list[Effect]:
+        """Set the share of each route's traffic that may go to each version; empty for any."""
+        self.shares.set(shares, self.pool.move.previous if self.pool.move else "")
+        return self._settle(now)
+
+    def set_pool(self, pool: Pool, now: float) -> list[Effect]:
+        """Replace the settings of the pool."""
+        self.pool = pool
+        return self.tick(now)
+
+    def forget_entry(self, instance: str, now: float) -> list[Effect]:
+        """Drop the waiting requests of an entry that died.
+
+        Explanation
+        ===========
+        Its running requests go on at their endpoints, so they are counted until they would have
+        ended.
+        """
+        for waiting in self.queue.of_entry(instance):
+            self.queue.remove(waiting)
+        for granted in self.running.values():
+            if granted.ticket.entry == instance:
+                granted.expires = min(granted.expires, granted.expected_end)
+        return self._settle(now)
+
+    def tick(self, now: float) -> list[Effect]:
+        """Drop lost grants, shed requests that are too late, and update limits and reserves."""
+        for granted in [item for item in self.running.values() if item.expires <= now]:
+            self._release(granted, now)
+            self.ended.add(granted.ticket.request, None, now)
+        for state in self.states.values():
+            self._update_limits(state, now)
+        if any(state.view.accepts_work for state in self.states.values()):
+            self.without_endpoint_since = None
+        elif self.without_endpoint_since is None:
+            self.without_endpoint_since = now
+        self.watch.measure(list(self.states.values()))
+        self.watch.compact()
+        self.ended.forget_old(now)
+        return self._settle(now)
+
+    # Decisions
+
+    def _settle(self, now: float) -> list[Effect]:
+        """Grant what can be granted and shed what has to be shed."""
+        self._update_demand(now)
+        effects = self._shed_late(now)
+        if self._is_without_endpoint(now):
+            return effects + self._shed_all(NO_ENDPOINT, now)
+        effects += self._dispatch(now)
+        if len(self.queue) > self.pool.max_waiting:
+            effects += self._shed_excess(now)
+        invariant(
+            len(self.queue) <= self.pool.max_waiting,
+            QUEUE_OVER_LIMIT,
+            f"{len(self.queue)} of {self.pool.max_waiting}",
+        )
+        return effects
+
+    def _update_demand(self, now: float) -> None:
+        self.top_tier = self.demand.top_tier(now)
+        self.reserved = self.demand.reserved(self.local_slots, now)
+        self.chooser.reach = (
+            self.demand.reach(len(self.queue)) if self.local_slots else OTHER_REGION
+        )
+
+    def _dispatch(self, now: float) -> list[Effect]:
+        """Grant waiting requests in order until none has a place."""
+        effects: list[Effect] = []
+        held: list[Waiting] = []
+        tier = 0
+        while tier < TIERS:
+            queue = self.queue.tiers[tier]
+            if not queue.count:
+                tier += 1
+                continue
+            if not self._has_room(tier):
+                break
+            found = self._next(queue, tier, held, now)
+            if found is not None:
+                effects.append(self._grant(*found, held, now))
+                if self.shares.shares:
+                    # The grant changed what the shares allow to the requests passed over.
+                    held.clear()
+                    tier = 0
+                continue
+            # A lower tier is served only after every request of this one was examined.
+            if sum(waiting.ticket.tier == tier for waiting in held) < queue.count:
+                break
+            tier += 1
+        return effects
+
+    def _has_room(self, tier: int) -> bool:
+        room = self.room
+        if room.free_slots[LOCAL] > self.reserved[tier]:
+            return True
+        if tier <= self.top_tier and room.queues.items:
+            return True
+        reach = self.chooser.reach
+        return any(room.free_slots[distance] for distance in range(OTHER_DOMAIN, reach + 1))
+
+    def _next(
+        self, queue: TierQueue, tier: int, held: list[Waiting], now: float
+    ) -> tuple[Waiting, Choice] | None:
+        """Return the next request of a tier that has a place, and add those passed over."""
+        may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
+        may_queue = tier <= self.top_tier
+        for account in queue.by_share():
+            for limit in (1, LOOK_AHEAD):
+                for waiting in account.in_order(limit):
+                    if waiting in held:
+                        continue
+                    if len(held) >= MOST_HELD:
+                        return None
+                    choice = self.chooser.choose(waiting, may_use_slots, may_queue, now)
+                    if choice is not None:
+                        return waiting, choice
+                    held.append(waiting)
+        return None
+
+    def _grant(self, waiting: Waiting, choice: Choice, held: list[Waiting], now: float) -> Send:
+        ticket, state = waiting.ticket, choice.state
+        self.order += 1
+        upper = [item for item in held if item.ticket.tier < ticket.tier]
+        self.log.check_grant(upper, state, self.order, self.chooser, now)
+        self.log.add(ticket.tier, state, self.order)
+        self.queue.charge(ticket, waiting.cost)
+        self.queue.remove(waiting)
+        self.shares.count(ticket.route, state.view.version)
+        self.demand.grant(now)
+        granted = Granted(ticket, state, state.view.version, now)
+        granted.cost = waiting.cost
+        granted.cached = choice.cached
+        granted.uncached = max(ticket.prompt_tokens - choice.cached, 1.0)
+        granted.output = waiting.output
+        granted.was_queued = choice.wait_s > 0 or state.pending_prefill > 0
+        granted.wait_s = choice.wait_s + state.pending_prefill * state.prefill_s
+        granted.expected_end = now + choice.run_s
+        granted.expires = max(waiting.deadline, now + 4 * choice.run_s) + LOST_DONE_S
+        self._count(granted, now)
+        if ticket.prefixes:
+            self.prefixes.grant(state.name, ticket.prefixes, state.view.kv_tokens)
+        return self._grant_message(granted)
+
+    def _grant_message(self, granted: Granted) -> Send:
+        ticket, view = granted.ticket, granted.state.view
+        grant = Grant(ticket.pool, ticket.request, view.endpoint, view.address, granted.version)
+        return Send(ticket.entry, grant)
+
+    def _shed_late(self, now: float) -> list[Effect]:
+        """Shed the requests that can't meet their deadline any more, lower tiers first."""
+        late = []
+        for waiting in self.watch.due(now):
+            cached = self._most_cached(waiting.ticket)
+            if self.watch.latest_start(waiting, cached) > now:
+                self.watch.watch(waiting, cached)
+            else:
+                late.append((waiting, cached))
+        late.sort(key=lambda item: -item[0].ticket.tier)
+        effects: list[Effect] = []
+        for waiting, cached in late:
+            check_deadline_shed(self.watch, waiting, cached, self.log, now)
+            effects.append(self._refuse(waiting, DEADLINE_UNREACHABLE, now))
+        return effects
+
+    def _shed_excess(self, now: float) -> list[Effect]:
+        """Shed what exceeds the queue's limit, from the lowest waiting tier."""
+        effects: list[Effect] = []
+        newest = max(item.order for item in self.queue.by_request.values())
+        while len(self.queue) > self.pool.max_waiting:
+            waiting = self.queue.tiers[self.queue.lowest_tier()].last()
+            check_capacity_shed(self.queue, waiting, self.log)
+            is_for_upper = waiting.order != newest
+            effects.append(self._refuse(waiting, EVICTED if is_for_upper else QUEUE_FULL, now))
+        return effects
+
+    def _shed_all(self, code: Code, now: float) -> list[Effect]:
+        """Shed all waiting requests, lowest tier first."""
+        effects: list[Effect] = []
+        for queue in reversed(self.queue.tiers):
+            for waiting in list(queue.all()):
+                check_capacity_shed(self.queue, waiting, self.log)
+                effects.append(self._refuse(waiting, code, now))
+        return effects
+
+    def _refuse(self, waiting: Waiting, code: Code, now: float) -> Send:
+        ticket = waiting.ticket
+        self.queue.remove(waiting)
+        wait_s = self.demand.expected_wait_s(len(self.queue))
+        retry_after_s = min(LONGEST_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
+        refusal = Refuse(ticket.pool, ticket.request, code.number, retry_after_s)
+        self.ended.add(ticket.request, refusal, now)
+        return Send(ticket.entry, refusal)
+
+    # Bookkeeping
+
+    def _enqueue(self, ticket: Ticket, now: float) -> None:
+        self.order += 1
+        output = self.lengths.output_tokens(ticket.route, ticket.output_tokens)
+        cost = ticket.prompt_tokens + output
+        waiting = Waiting(ticket, cost, now + ticket.deadline_s, self.order, now, output)
+        self.queue.add(waiting)
+        self.demand.ask(ticket.tier, now)
+        self.top_tier = min(self.top_tier, ticket.tier)
+        self.watch.watch(waiting, self._most_cached(ticket))
+
+    def _most_cached(self, ticket: Ticket) -> float:
+        if not ticket.prefixes:
+            return 0.0
+        return max(self.prefixes.cached_tokens(ticket.prefixes).values(), default=0)
+
+    def _is_without_endpoint(self, now: float) -> bool:
+        since = self.without_endpoint_since
+        return since is not None and now - since >= NO_ENDPOINT_WAIT_S
+
+    def _take_over(self, running: Running, now: float) -> None:
+        ticket = running.ticket
+        state = self.states.get(running.endpoint)
+        request = ticket.request
+        if state is None or request in self.running or request in self.ended:
+            return
+        waiting = self.queue.by_request.get(request)
+        if waiting is not None:
+            self.queue.remove(waiting)
+        granted = Granted(ticket, state, running.version, now)
+        granted.is_presented = True
+        granted.output = self.lengths.output_tokens(ticket.route, ticket.output_tokens)
+        granted.expected_end = now + state.run_s(granted.uncached, granted.output)
+        granted.expires = max(now + ticket.deadline_s, granted.expected_end) + LOST_DONE_S
+        self._count(granted, now)
+        state.progress(granted, running.emitted_tokens)
+
+    def _done_of_unknown(self, message: Done, now: float) -> list[Effect]:
+        """Pass on the evidence of a request that a former owner granted."""
+        state = self.states.get(message.endpoint)
+        if state is None or message.request in self.ended:
+            return []
+        waiting = self.queue.by_request.get(message.request)
+        if waiting is not None:
+            self.queue.remove(waiting)
+        self.ended.add(message.request, None, now)
+        ticket = Ticket(
+            message.request,
+            "",
+            message.pool,
+            message.route,
+            "",
+            1.0,
+            0,
+            message.prompt_tokens,
+            message.output_tokens,
+            (),
+            0.0,
+        )
+        granted = Granted(ticket, state, message.version, now)
+        return [observed(granted, message, float(max(state.used, 1))), *self._settle(now)]
+
+    def _count(self, granted: Granted, now: float) -> None:
+        self.running[granted.ticket.request] = granted
+        granted.state.add(granted, now)
+        self.room.update(granted.state)
+
+    def _release(self, granted: Granted, now: float) -> None:
+        state = granted.state
+        del self.running[granted.ticket.request]
+        state.remove(granted, now)
+        invariant(
+            state.used == len(state.running) + state.others and state.pending_output > -1.0,
+            SLOTS_MISCOUNTED,
+            f"{state.name}: {state.used} used, {len(state.running)} running, {state.others} others",
+        )
+        if self.states.get(state.name) is state:
+            self.room.update(state)
+
+    def _is_reference(self, version: str) -> bool:
+        return self.pool.move is None or version != self.pool.version
+
+    def _distance(self, view: EndpointView) -> int:
+        if view.failure_domain == self.failure_domain:
+            return LOCAL
+        return OTHER_DOMAIN if view.region == self.region else OTHER_REGION
+
+    def _add_endpoint(self, view: EndpointView, now: float) -> EndpointState:
+        generation = self.generations.get(view.hardware)
+        if generation is None:
+            generation = GenerationSpeed(PRIORS.get(view.hardware, DEFAULT_PRIOR))
+            self.generations[view.hardware] = generation
+        state = EndpointState(view, self._distance(view), generation)
+        state.changed_at = now
+        self.states[view.endpoint] = state
+        return state
+
+    def _remove_endpoint(self, state: EndpointState) -> None:
+        del self.states[state.name]
+        if state.distance == LOCAL:
+            self.local_slots -= state.slots
+        self.room.remove(state)
+        self.prefixes.remove(state.name)
+        self.log.forget(state.name)
+
+    def _update_limits(self, state: EndpointState, now: float) -> None:
+        if self.states.get(state.name) is not state:
+            return
+        if state.distance == LOCAL:
+            self.local_slots -= state.slots
+        state.set_limits(self.pool.engine_queue, now)
+        if state.distance == LOCAL:
+            self.local_slots += state.slots
+        self.room.update(state)
--- /dev/null
+++ b/mulberrygate/schedule/shed.py
@@ -0,0 +1,158 @@
+"""Rules of load shedding, and the invariants that check them.
+
+Explanation
+===========
+Two kinds of shedding keep guarantee P2 ("a higher tier is never shed before a lower one"):
+
+- *Capacity*: the queue is over its limit. The victim is of the lowest waiting tier.
+- *Deadline*: the request can't meet its own deadline any more, even if it alone ran on the fastest
+  endpoint. Requests of lower tiers may be waiting then, because their deadlines are later; this is
+  no violation, since the shed request could not have used the place of any of them.
+
+In both cases no request of a lower tier may have been granted, after the shed request asked, an
+endpoint where the shed request could have run at that moment. "Could have run" means: the endpoint
+didn't fail the request before (unless there is no other), the shares of a version move allowed its
+version for the route, the backlog justified its distance, and the request was expected to end there
+before its deadline. `GrantLog` checks this at the grant and again at the shed.
+"""
+
+from __future__ import annotations
+
+import heapq
+
+from mulberrygate.core.invariant import invariant
+from mulberrygate.schedule.choose import OPTIMISM, Chooser
+from mulberrygate.schedule.codes import (
+    DEADLINE_SHED_EARLY,
+    LOWER_TIER_ADMITTED,
+    SHED_BEFORE_LOWER_TIER,
+)
+from mulberrygate.schedule.endpoint import LOCAL, EndpointState
+from mulberrygate.schedule.fair import FairQueue, Waiting
+from mulberrygate.tables.model import TIERS
+
+
+class GrantLog:
+    """Last grant by tier and endpoint, to check that no lower tier was preferred."""
+
+    def __init__(self):
+        self.last: list[dict[str, int]] = [{} for _ in range(TIERS)]
+        self.newest = [0] * TIERS
+
+    def add(self, tier: int, state: EndpointState, order: int) -> None:
+        """Take note of a grant."""
+        self.last[tier][state.name] = order
+        self.newest[tier] = order
+
+    def check_grant(
+        self, held: list[Waiting], state: EndpointState, order: int, chooser: Chooser, now: float
+    ) -> None:
+        """Check that no held request of an upper tier could have been granted the endpoint."""
+        for waiting in held:
+            invariant(
+                not chooser.could_run(waiting, state, now),
+                LOWER_TIER_ADMITTED,
+                f"{waiting.ticket.request} of tier {waiting.ticket.tier} could run at {state.name}",
+            )
+            if waiting.excused is None:
+                waiting.excused = {}
+            waiting.excused[state.name] = order
+
+    def check_shed(self, waiting: Waiting) -> None:
+        """Check that no lower tier was granted an endpoint since the request asked."""
+        excused = waiting.excused or {}
+        for tier in range(waiting.ticket.tier + 1, TIERS):
+            if self.newest[tier] < waiting.order:
+                continue
+            for name, order in self.last[tier].items():
+                invariant(
+                    order < waiting.order or excused.get(name, -1) >= order,
+                    LOWER_TIER_ADMITTED,
+                    f"tier {tier} was granted {name} while {waiting.ticket.request} waited",
+                )
+
+    def forget(self, endpoint: str) -> None:
+        """Forget an endpoint that is gone."""
+        for grants in self.last:
+            grants.pop(endpoint, None)
+
+
+class DeadlineWatch:
+    """Requests by the latest time at which they can start.
+
+    Parameters
+    ==========
+    prefill_s, decode_s : float
+        Least seconds per token of the endpoints in reach at their present load.
+    """
+
+    def __init__(self):
+        self.heap: list[tuple[float, int, Waiting]] = []
+        self.prefill_s = 0.0
+        self.decode_s = 0.0
+
+    def measure(self, states: list[EndpointState]) -> None:
+        """Take the speed of the fastest endpoints, local ones if there are any."""
+        usable = [state for state in states if state.slots > 0]
+        usable = [state for state in usable if state.distance == LOCAL] or usable
+        self.prefill_s = min((state.prefill_s for state in usable), default=0.0)
+        self.decode_s = min(
+            (
+                state.decode_s + state.slope_s * min(state.used, state.view.slots - 1)
+                for state in usable
+            ),
+            default=0.0,
+        )
+
+    def least_run_s(self, waiting: Waiting, cached: float) -> float:
+        """Return the least predicted seconds of a request, if nothing else ran before it."""
+        prompt = max(waiting.ticket.prompt_tokens - cached, 1.0)
+        return OPTIMISM * (prompt * self.prefill_s + waiting.output * self.decode_s)
+
+    def latest_start(self, waiting: Waiting, cached: float) -> float:
+        """Return the latest time at which the request can start."""
+        return waiting.deadline - self.least_run_s(waiting, cached)
+
+    def watch(self, waiting: Waiting, cached: float) -> None:
+        """Watch a request."""
+        entry = (self.latest_start(waiting, cached), waiting.order, waiting)
+        heapq.heappush(self.heap, entry)
+
+    def due(self, now: float) -> list[Waiting]:
+        """Remove and return the waiting requests whose latest start has passed."""
+        due = []
+        while self.heap and (self.heap[0][0] < now or self.heap[0][2].is_gone):
+            waiting = heapq.heappop(self.heap)[2]
+            if not waiting.is_gone:
+                due.append(waiting)
+        return due
+
+    def compact(self) -> None:
+        """Drop the requests that don't wait any more."""
+        live = [entry for entry in self.heap if not entry[2].is_gone]
+        if len(live) * 2 < len(self.heap):
+            heapq.heapify(live)
+            self.heap = live
+
+
+def check_capacity_shed(queue: FairQueue, waiting: Waiting, log: GrantLog) -> None:
+    """Check a shed for capacity: no lower tier waits or was admitted in its place."""
+    lowest = queue.lowest_tier()
+    invariant(
+        lowest <= waiting.ticket.tier,
+        SHED_BEFORE_LOWER_TIER,
+        f"{waiting.ticket.request} of tier {waiting.ticket.tier} while tier {lowest} waits",
+    )
+    log.check_shed(waiting)
+
+
+def check_deadline_shed(
+    watch: DeadlineWatch, waiting: Waiting, cached: float, log: GrantLog, now: float
+) -> None:
+    """Check a shed for the deadline: it is out of reach, and no lower tier took the place."""
+    invariant(
+        now >= watch.latest_start(waiting, cached),
+        DEADLINE_SHED_EARLY,
+        f"{waiting.ticket.request} could start until {watch.latest_start(waiting, cached):.3f}",
+    )
+    log.check_shed(waiting)
