Read and check the tables of routes and pools

Every fault has a line, a column and a numbered code. The parser library reports no positions, so a token scanner finds them for key paths and also finds names that occur twice.

--- a/mulberrygate/tables/__init__.py
+++ b/mulberrygate/tables/__init__.py
@@ -1,5 +1,20 @@
 """Tables of routes and pools."""
 
+from mulberrygate.tables.check import check_table
 from mulberrygate.tables.model import Account, Move, Pool, PoolsTable, Route, RoutesTable
+from mulberrygate.tables.parse import Fault, Faults, Parsed, digest_of, parse_table
 
-__all__ = ["Account", "Move", "Pool", "PoolsTable", "Route", "RoutesTable"]
+__all__ = [
+    "Account",
+    "Fault",
+    "Faults",
+    "Move",
+    "Parsed",
+    "Pool",
+    "PoolsTable",
+    "Route",
+    "RoutesTable",
+    "check_table",
+    "digest_of",
+    "parse_table",
+]
--- /dev/null
+++ b/mulberrygate/tables/parse.py
@@ -0,0 +1,274 @@
+"""Reading of a table: JSON with comments, strict, with the position of every fault."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import math
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import pyjson5
+from cattrs import ClassValidationError, IterableValidationError
+from cattrs.errors import ForbiddenExtraKeysError
+
+from mulberrygate.core.codes import Code, register_code
+from mulberrygate.settings.load import structure
+from mulberrygate.tables.model import PoolsTable, RoutesTable
+from mulberrygate.tables.positions import LineIndex, Path, Positions, find_positions
+
+TOO_LARGE = register_code(4001, "table_too_large", "The table is larger than the limit.", 413)
+NOT_UTF8 = register_code(4002, "table_not_utf8", "The table is not valid UTF-8.", 400)
+MALFORMED = register_code(4003, "table_malformed", "The table is not valid JSON.", 400)
+INVALID = register_code(4004, "table_invalid", "The table has a wrong key or value.", 400)
+DUPLICATE = register_code(4005, "table_duplicate_name", "A name occurs twice in one object.", 400)
+EMPTY = register_code(4006, "table_empty", "The table is empty.", 400)
+UNKNOWN_KIND = register_code(4007, "table_unknown", "The kind of table is not known.", 400)
+
+ROUTES = "routes"
+POOLS = "pools"
+SECTIONS = {"routes", "accounts", "pools"}
+LISTS = {"token_sha256", "idempotent_methods", "accounts"}
+TABLES: dict[str, type] = {ROUTES: RoutesTable, POOLS: PoolsTable}
+
+# 1,700 client accounts with two token hashes each take about 450 KB; larger files are a mistake.
+MAX_BYTES = 2 << 20
+# More faults help nobody and would make the answer to a broken table larger than the table.
+MAX_FAULTS = 50
+# Integers beyond this are not exact in every JSON library that may write a table.
+MAX_INTEGER = 2**53
+
+_NEAR = re.compile(r"near (\d+)")
+_BYTES_NAME = re.compile(r"b'(\w+)'")
+_FIRST_WORD = re.compile(r"\w+")
+
+
+@dataclass(frozen=True)
+class Fault:
+    """Fault of a table.
+
+    Parameters
+    ==========
+    line, column : int
+        Position in the text, from 1.
+    path : str
+        Path of the value, such as ``routes.care.pool``.
+    """
+
+    line: int
+    column: int
+    path: str
+    detail: str
+    code: Code
+
+    def __str__(self) -> str:
+        place = f" {self.path}:" if self.path else ""
+        return f"line {self.line}, column {self.column}:{place} {self.detail}"
+
+
+@dataclass(frozen=True)
+class Faults:
+    """Faults that make a table unusable."""
+
+    faults: tuple[Fault, ...]
+
+    def __str__(self) -> str:
+        return "; ".join(str(fault) for fault in self.faults)
+
+
+@dataclass(frozen=True)
+class Parsed:
+    """Table that was read; `fault_at` gives a fault of one of its values a position."""
+
+    table: RoutesTable | PoolsTable
+    digest: str
+    kind: str
+    positions: Positions = field(default_factory=Positions, compare=False, repr=False)
+    lines: LineIndex = field(default_factory=lambda: LineIndex(""), compare=False, repr=False)
+
+    def fault_at(self, path: Path, detail: str, code: Code) -> Fault:
+        """Return a fault with the position of a path."""
+        return _fault(self.lines, self.positions.offset(path), path, detail, code)
+
+
+def parse_table(text: str | bytes, name: str) -> Parsed | Faults:
+    """Read a table.
+
+    Parameters
+    ==========
+    text : str or bytes
+        Content of the file.
+    name : str
+        ``routes`` or ``pools`` if the caller expects one of them, else empty.
+
+    Examples
+    ========
+    >>> from mulberrygate.tables.parse import parse_table
+    >>> parse_table('{"table": "pools", "version": 2, "pools": {"lamp": {}}}', "pools").kind
+    'pools'
+    >>> print(parse_table('{"table": "pools",\\n "version": "2"}', "pools"))
+    line 2, column 2: version: expected int, got str
+    """
+    decoded = _decode(text)
+    if isinstance(decoded, Faults):
+        return decoded
+    lines = LineIndex(decoded)
+    values = _read_values(decoded, lines)
+    if isinstance(values, Faults):
+        return values
+    positions = find_positions(decoded)
+    faults = [
+        _fault(lines, offset, path, f"the name {path[-1]!r} occurs twice", DUPLICATE)
+        for path, offset in positions.duplicates
+    ]
+    if faults:
+        return Faults(tuple(faults[:MAX_FAULTS]))
+    return _structure(values, name, positions, lines)
+
+
+def digest_of(values: Any) -> str:
+    """Return the SHA-256 of plain values, independent of the order of names and of white space."""
+    text = json.dumps(_canonical(values), sort_keys=True, separators=(",", ":"))
+    return hashlib.sha256(text.encode("utf-8", "surrogatepass")).hexdigest()
+
+
+def _canonical(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {name: _canonical(item) for name, item in value.items()}
+    if isinstance(value, list):
+        return [_canonical(item) for item in value]
+    if isinstance(value, float) and value.is_integer():
+        return int(value)
+    return value
+
+
+def _decode(text: str | bytes) -> str | Faults:
+    if len(text) > MAX_BYTES:
+        return _single(f"{len(text)} bytes are over the limit of {MAX_BYTES}", TOO_LARGE)
+    if isinstance(text, str):
+        return text.removeprefix("\ufeff") if text.strip() else _single("empty table", EMPTY)
+    try:
+        decoded = text.decode("utf-8-sig")
+    except UnicodeDecodeError as error:
+        before = text[: error.start].decode("utf-8", "replace")
+        line, column = LineIndex(before).position(len(before))
+        byte = text[error.start]
+        return Faults((Fault(line, column, "", f"byte 0x{byte:02x} is not UTF-8", NOT_UTF8),))
+    return decoded if decoded.strip() else _single("empty table", EMPTY)
+
+
+def _single(detail: str, code: Code) -> Faults:
+    return Faults((Fault(1, 1, "", detail, code),))
+
+
+def _fault(lines: LineIndex, offset: int, path: Path, detail: str, code: Code) -> Fault:
+    line, column = lines.position(offset)
+    return Fault(line, column, ".".join(str(part) for part in path), detail, code)
+
+
+def _read_values(text: str, lines: LineIndex) -> dict[str, Any] | Faults:
+    try:
+        values = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        message = str(error.args[0]) if error.args else type(error).__name__
+        near = _NEAR.search(message)
+        offset = int(near.group(1)) - 1 if near else len(text)
+        detail = _BYTES_NAME.sub(r"\1", message[: near.start()] if near else message).strip()
+        return Faults((_fault(lines, offset, (), detail, MALFORMED),))
+    if not isinstance(values, dict):
+        return _single("a table is an object", INVALID)
+    return values
+
+
+def _structure(
+    values: dict[str, Any], name: str, positions: Positions, lines: LineIndex
+) -> Parsed | Faults:
+    kind = values.get("table")
+    if not isinstance(kind, str) or kind not in TABLES or name and kind != name:
+        expected = name or " or ".join(TABLES)
+        detail = f"table must be {expected}, not {kind!r}"[:200]
+        code = INVALID if isinstance(kind, str) and kind in TABLES else UNKNOWN_KIND
+        return Faults((_fault(lines, positions.offset(("table",)), ("table",), detail, code),))
+    content = {key: value for key, value in values.items() if key != "table"}
+    found = list(_value_faults(content, ())) + list(_shape_faults(content))
+    if not found:
+        try:
+            table = structure(content, TABLES[kind])
+            return Parsed(table, digest_of(values), kind, positions, lines)
+        except Exception as error:
+            found = list(_causes(error, ()))
+    faults = [_located(path, detail, positions, lines) for path, detail in found[:MAX_FAULTS]]
+    return Faults(tuple(faults))
+
+
+def _value_faults(value: Any, path: Path) -> Iterator[tuple[Path, str]]:
+    """Yield values that JSON5 allows and that the codec between instances can't carry."""
+    if isinstance(value, dict):
+        for key, item in value.items():
+            yield from _value_faults(key, path)
+            yield from _value_faults(item, path + (key,))
+    elif isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from _value_faults(item, path + (index,))
+    elif isinstance(value, str) and any("\ud800" <= letter <= "\udfff" for letter in value):
+        yield path, "the text has an unpaired surrogate"
+    elif isinstance(value, float) and not math.isfinite(value):
+        yield path, "the number is not finite"
+    elif isinstance(value, int) and abs(value) > MAX_INTEGER:
+        yield path, "the number is too large"
+
+
+def _shape_faults(content: dict[str, Any]) -> Iterator[tuple[Path, str]]:
+    """Yield a string where a list belongs, which the converter would take letter by letter, and
+    other values where an object belongs, for which it has no clear message."""
+    for section in SECTIONS & content.keys():
+        entries = content[section]
+        if not isinstance(entries, dict):
+            yield (section,), "expected an object"
+            continue
+        for name, entry in entries.items():
+            yield from _entry_faults((section, name), entry)
+
+
+def _entry_faults(path: Path, entry: Any) -> Iterator[tuple[Path, str]]:
+    if not isinstance(entry, dict):
+        yield path, "expected an object"
+        return
+    for key in LISTS & entry.keys():
+        if not isinstance(entry[key], list):
+            yield path + (key,), "expected a list of strings"
+    if not isinstance(entry.get("move"), dict | None):
+        yield path + ("move",), "expected an object"
+
+
+def _located(path: Path, detail: str, positions: Positions, lines: LineIndex) -> Fault:
+    word = _FIRST_WORD.match(detail)
+    if word and path + (word.group(),) in positions.keys:
+        path = path + (word.group(),)
+    return _fault(lines, positions.offset(path), path, detail, INVALID)
+
+
+def _causes(error: BaseException, path: Path) -> Iterator[tuple[Path, str]]:
+    if isinstance(error, ForbiddenExtraKeysError):
+        for key in sorted(error.extra_fields):
+            yield path + (key,), f"unknown name {key!r}"
+        return
+    if isinstance(error, KeyError):
+        yield path, f"{path[-1] if path else error.args[0]} is missing"
+        return
+    if not isinstance(error, ClassValidationError | IterableValidationError):
+        yield path, str(error)
+        return
+    for cause in error.exceptions:
+        yield from _causes(cause, path + _note_of(cause))
+
+
+def _note_of(error: BaseException) -> Path:
+    for note in getattr(error, "__notes__", ()):
+        if hasattr(note, "name"):
+            return (note.name,)
+        if hasattr(note, "index"):
+            return (note.index,)
+    return ()
--- /dev/null
+++ b/mulberrygate/tables/positions.py
@@ -0,0 +1,123 @@
+"""Positions of names and values in the text of a table."""
+
+from __future__ import annotations
+
+import bisect
+import re
+from dataclasses import dataclass, field
+
+import pyjson5
+
+Path = tuple[str | int, ...]
+
+_TOKEN = re.compile(
+    r"""(?P<skip>[\s\u00a0\ufeff]+|//[^\n\r\u2028\u2029]*|/\*.*?\*/)
+    |(?P<string>"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*')
+    |(?P<mark>[{}\[\]:,])
+    |(?P<word>[^\s{}\[\]:,"'/]+)""",
+    re.VERBOSE | re.DOTALL,
+)
+
+
+class LineIndex:
+    """Converts offsets in a text to line and column, both from 1.
+
+    Examples
+    ========
+    >>> from mulberrygate.tables.positions import LineIndex
+    >>> LineIndex("ab\\ncd").position(4)
+    (2, 2)
+    """
+
+    def __init__(self, text: str):
+        self.length = len(text)
+        self.starts = [0] + [match.end() for match in re.finditer(r"\r\n|\n|\r", text)]
+
+    def position(self, offset: int) -> tuple[int, int]:
+        """Return line and column of an offset; one beyond the end counts as the end."""
+        offset = max(0, min(offset, self.length))
+        line = bisect.bisect_right(self.starts, offset) - 1
+        return line + 1, offset - self.starts[line] + 1
+
+
+@dataclass
+class Positions:
+    """Offsets of names and values by path, and names that occur twice in one object."""
+
+    keys: dict[Path, int] = field(default_factory=dict)
+    values: dict[Path, int] = field(default_factory=dict)
+    duplicates: list[tuple[Path, int]] = field(default_factory=list)
+
+    def offset(self, path: Path) -> int:
+        """Return the offset of a path, or of the closest enclosing one that is in the text."""
+        for length in range(len(path), -1, -1):
+            part = path[:length]
+            if part in self.keys:
+                return self.keys[part]
+            if part in self.values:
+                return self.values[part]
+        return 0
+
+
+@dataclass
+class _Container:
+    path: Path
+    is_object: bool
+    index: int = 0
+    key: str | None = None
+
+    def child(self) -> Path:
+        return self.path + ((self.key or "") if self.is_object else self.index,)
+
+
+def find_positions(text: str) -> Positions:
+    """Return the positions of all names and values of a text that `pyjson5` has accepted.
+
+    Explanation
+    ===========
+    The parser reports no positions, so the text is read a second time, token by token.
+    """
+    found = Positions()
+    stack: list[_Container] = []
+    for match in _TOKEN.finditer(text):
+        if match.lastgroup == "skip":
+            continue
+        token = match.group()
+        if match.lastgroup == "mark":
+            _read_mark(found, stack, token, match.start())
+        elif stack and stack[-1].is_object and stack[-1].key is None:
+            _read_key(found, stack[-1], token, match.start())
+        else:
+            found.values.setdefault(_place(stack), match.start())
+    return found
+
+
+def _place(stack: list[_Container]) -> Path:
+    return stack[-1].child() if stack else ()
+
+
+def _read_mark(found: Positions, stack: list[_Container], token: str, offset: int) -> None:
+    if token in "{[":
+        path = _place(stack)
+        found.values.setdefault(path, offset)
+        stack.append(_Container(path, token == "{"))
+    elif token in "}]" and stack:
+        stack.pop()
+    elif token == "," and stack:
+        stack[-1].index += 1
+        stack[-1].key = None
+
+
+def _read_key(found: Positions, container: _Container, token: str, offset: int) -> None:
+    container.key = _decode_key(token)
+    path = container.child()
+    if path in found.keys:
+        found.duplicates.append((path, offset))
+    else:
+        found.keys[path] = offset
+
+
+def _decode_key(token: str) -> str:
+    if "\\" not in token:
+        return token[1:-1] if token[0] in "\"'" else token
+    return next(iter(pyjson5.decode("{" + token + ":0}")))
