--- /dev/null
+++ b/mulberrygate/control/evidence.py
@@ -0,0 +1,197 @@
+"""Evidence on a version move: sums per route, version and load that scheduler owners report."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from mulberrygate.core.wire import message
+
+# Load fractions (running requests divided by slots of the endpoint) at which a bucket starts.
+LOAD_BUCKETS = (0.0, 0.5, 0.85)
+# Logarithms of normalised time are cut here (a factor of 20), so that one extreme request can't
+# decide a test.
+MAX_LOG_TIME = 3.0
+# Sums travel as integers of thousandths, which take 2 to 5 bytes in place of 9.
+SCALE = 1000
+# Bound of the cells' part of a message; cells that don't fit go with the next message.
+MAX_CELL_BYTES = 360
+CELL_BYTES = 18
+
+Cell = tuple[str, bool, int]
+
+
+@message("control.evidence")
+@attrs.frozen
+class Evidence:
+    """Sums of one pool's requests since the sender first saw the move.
+
+    Explanation
+    ===========
+    Sums are cumulative per sender, so that lost, repeated and reordered messages do no harm and a
+    new leader has the whole evidence after the next messages.
+
+    Parameters
+    ==========
+    pool : str
+    table_version : int
+        Table version that declared the move.
+    sender : str
+        Instance that owns the pool's scheduler in its failure domain.
+    incarnation : int
+        Incarnation of the sender; sums start anew with it.
+    sequence : int
+        Rises with each message of the incarnation.
+    routes : tuple[str, ...]
+        Routes that the cells refer to.
+    cells : tuple[tuple[int, ...], ...]
+        Route's index, 1 for the new version, load bucket, requests, errors, and the sum and the sum
+        of squares of the logarithm of normalised time of the requests without error, in thousandths.
+    stopped : str
+        Reason for which the sender's guard has stopped the new version; empty if it hasn't.
+    """
+
+    pool: str
+    table_version: int
+    sender: str
+    incarnation: int
+    sequence: int
+    routes: tuple[str, ...] = ()
+    cells: tuple[tuple[int, ...], ...] = ()
+    stopped: str = ""
+
+
+@attrs.define
+class Sums:
+    """Sums of requests.
+
+    Parameters
+    ==========
+    count, errors : float
+        Requests, and those of them that failed.
+    total, square : float
+        Sum and sum of squares of the logarithm of normalised time of the others.
+    """
+
+    count: float = 0.0
+    errors: float = 0.0
+    total: float = 0.0
+    square: float = 0.0
+
+    def timed(self) -> float:
+        """Return the number of requests that have a time."""
+        return self.count - self.errors
+
+    def add(self, other: Sums) -> None:
+        """Add other sums."""
+        self.count += other.count
+        self.errors += other.errors
+        self.total += other.total
+        self.square += other.square
+
+    def decay(self, factor: float) -> None:
+        """Multiply all sums."""
+        self.count *= factor
+        self.errors *= factor
+        self.total *= factor
+        self.square *= factor
+
+
+def load_bucket(load_fraction: float) -> int:
+    """Return the number of the load bucket of a load fraction.
+
+    Examples
+    ========
+    >>> from mulberrygate.control.evidence import load_bucket
+    >>> [load_bucket(load) for load in (0.0, 0.5, 1.2)]
+    [0, 1, 2]
+    """
+    return sum(load_fraction >= start for start in LOAD_BUCKETS[1:])
+
+
+def sums_of(expected_s: float, total_s: float, is_error: bool) -> Sums:
+    """Return the sums of one request."""
+    if is_error:
+        return Sums(1.0, 1.0)
+    ratio = math.log(max(total_s, 1e-6) / max(expected_s, 1e-6))
+    value = min(max(ratio, -MAX_LOG_TIME), MAX_LOG_TIME)
+    return Sums(1.0, 0.0, value, value * value)
+
+
+class EvidenceCollector:
+    """Adds up requests of the two versions of a move and makes messages of the sums."""
+
+    def __init__(self, pool: str, table_version: int, sender: str, incarnation: int):
+        self.pool = pool
+        self.table_version = table_version
+        self.sender = sender
+        self.incarnation = incarnation
+        self.sequence = 0
+        self.cells: dict[Cell, Sums] = {}
+        self.unsent: dict[Cell, float] = {}
+
+    def add(self, cell: Cell, sums: Sums) -> None:
+        """Add the sums of requests to a cell (route, whether new version, load bucket)."""
+        self.cells.setdefault(cell, Sums()).add(sums)
+        # Requests on the new version are rarer and decide more, so their cells go first.
+        weight = sums.count * (20.0 if cell[1] else 1.0)
+        self.unsent[cell] = self.unsent.get(cell, 0.0) + weight
+
+    def message(self, stopped: str = "") -> Evidence:
+        """Return the cells that changed most since they were last sent."""
+        self.sequence += 1
+        routes: dict[str, int] = {}
+        packed = []
+        size = 0
+        for cell in sorted(self.unsent, key=lambda key: (-self.unsent[key], key)):
+            size += CELL_BYTES + (0 if cell[0] in routes else len(cell[0].encode()) + 1)
+            if size > MAX_CELL_BYTES:
+                break
+            index = routes.setdefault(cell[0], len(routes))
+            packed.append(_pack(index, cell, self.cells[cell]))
+            del self.unsent[cell]
+        return Evidence(
+            self.pool,
+            self.table_version,
+            self.sender,
+            self.incarnation,
+            self.sequence,
+            tuple(routes),
+            tuple(packed),
+            stopped[:80],
+        )
+
+
+def _pack(index: int, cell: Cell, sums: Sums) -> tuple[int, ...]:
+    total, square = round(sums.total * SCALE), round(sums.square * SCALE)
+    return (index, int(cell[1]), cell[2], int(sums.count), int(sums.errors), total, square)
+
+
+class EvidenceLedger:
+    """Latest sums of every sender; turns messages into increments."""
+
+    def __init__(self):
+        self.known: dict[tuple[str, int, Cell], Sums] = {}
+
+    def increments(self, evidence: Evidence) -> dict[Cell, Sums]:
+        """Return what a message adds; cells with nothing new are left out."""
+        found: dict[Cell, Sums] = {}
+        for fields in evidence.cells:
+            if len(fields) < 7 or not 0 <= fields[0] < len(evidence.routes):
+                continue
+            index, is_new, bucket, count, errors, total, square = fields[:7]
+            cell = (evidence.routes[index], bool(is_new), bucket)
+            key = (evidence.sender, evidence.incarnation, cell)
+            known = self.known.get(key, Sums())
+            if count <= known.count:
+                continue
+            latest = Sums(count, errors, total / SCALE, square / SCALE)
+            self.known[key] = latest
+            found[cell] = Sums(
+                latest.count - known.count,
+                latest.errors - known.errors,
+                latest.total - known.total,
+                latest.square - known.square,
+            )
+        return found
--- /dev/null
+++ b/mulberrygate/control/guard.py
@@ -0,0 +1,370 @@
+"""Sequential test of a new version against the previous one, and the guard that acts on it.
+
+Explanation
+===========
+The test compares increments of sums, so that the guard feeds it single requests and the leader's
+controller feeds it the sums of a message. For each stratum (all requests, a route, a load bucket, a
+route in a load bucket) and each of a few sizes of fault it adds up the logarithm of a likelihood
+ratio of "this fault" against "half of the smallest fault". The null hypothesis lies between the
+previous version and the smallest fault, so that a version that is worse by less than half of the
+smallest fault is not withdrawn by any amount of data.
+
+A sum that falls below `RESTART` starts again at 0, since a fault that begins late would otherwise
+have to outweigh all the good evidence before it. Under the null hypothesis the exponential of each
+such run is a supermartingale that starts at 1, so that it ever reaches ``1 / a`` with a probability
+of at most ``a`` (Ville's inequality). Run number ``r`` gets the part ``1 / (2.11 (r+1) ln²(r+1))`` of
+its stratum's budget; these parts add up to at most 1. The previous version's error rate and mean are
+estimates; their own error is allowed for by a margin (rates) and a larger variance (times), which
+makes the bound approximate. ``bench/moves.py`` measures what it is worth.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from mulberrygate.control.commands import MoveState
+from mulberrygate.control.evidence import (
+    Cell,
+    Evidence,
+    EvidenceCollector,
+    Sums,
+    load_bucket,
+    sums_of,
+)
+from mulberrygate.tables.model import Move
+
+# Probability with which a good version may be withdrawn: the goal allows 1% of all good moves to
+# miss, and late ones are part of it.
+FALSE_ALARM = 0.005
+# The leader's test gets half of the budget; the guards share the other half. More guards than
+# failure domains, since ownership moves during a long move.
+GUARDS = 12
+LEADER_BUDGET = FALSE_ALARM / 2
+GUARD_BUDGET = FALSE_ALARM / 2 / GUARDS
+
+RESTART = -2.0
+RUN_WEIGHT_SUM = 2.11
+# Half-life of the previous version's recent sums, against which the new version is compared, so that
+# a burst that slows both versions down is not held against the new one.
+HALF_LIFE_S = 40.0
+# Requests of long-run figures that are mixed into the recent ones of a thin stratum.
+BLEND_COUNT = 60.0
+# Prior for a stratum with few requests of the previous version: 1% errors with the weight of 10
+# requests, and a standard deviation of 0.5 in the logarithm of time.
+PRIOR_COUNT = 10.0
+PRIOR_ERRORS = 0.1
+PRIOR_VARIANCE = 0.25
+MIN_VARIANCE = 0.01
+# Times have heavier tails than the normal distribution of the test.
+VARIANCE_MARGIN = 1.3
+# A stratum without this many requests of the previous version has nothing to compare with.
+MIN_BASELINE = 20.0
+
+Stratum = tuple[str, int]
+ALL_ROUTES = ""
+ALL_LOADS = -1
+POOLED: Stratum = (ALL_ROUTES, ALL_LOADS)
+
+
+@attrs.frozen
+class Baseline:
+    """What the previous version leads to expect in a stratum."""
+
+    error_rate: float
+    rate_error: float
+    mean: float
+    variance: float
+
+
+@attrs.define
+class Run:
+    """Sum of logarithms of a likelihood ratio since its last restart."""
+
+    value: float = 0.0
+    number: int = 1
+
+    def add(self, increment: float) -> None:
+        """Add an increment and start again if the sum is low."""
+        self.value += increment
+        if self.value < RESTART:
+            self.value = 0.0
+            self.number += 1
+
+    def penalty(self) -> float:
+        """Return what the run's number adds to the threshold."""
+        position = self.number + 1
+        return math.log(RUN_WEIGHT_SUM * position) + 2 * math.log(math.log(position))
+
+
+class StratumTest:
+    """Sequential test of one stratum.
+
+    Parameters
+    ==========
+    move : Move
+        Definition of a fault.
+    """
+
+    def __init__(self, move: Move):
+        self.excess = move.max_error_excess
+        self.slowdown = math.log(move.max_slowdown)
+        self.previous = Sums()
+        self.previous_recent = Sums()
+        self.new = Sums()
+        self.new_recent = Sums()
+        self.decayed_at: float | None = None
+        self.error_runs = [Run() for _ in range(3)]
+        self.time_runs = [Run() for _ in range(2)]
+        self.accept_errors = 0.0
+        self.accept_time = 0.0
+
+    def add_previous(self, sums: Sums, now: float) -> None:
+        """Add requests of the previous version."""
+        self._decay(now)
+        self.previous.add(sums)
+        self.previous_recent.add(sums)
+
+    def add_new(self, sums: Sums, now: float) -> None:
+        """Add requests of the new version and weigh them against the previous one."""
+        self._decay(now)
+        self.new.add(sums)
+        self.new_recent.add(sums)
+        if self.previous.count < MIN_BASELINE:
+            return
+        baseline = self.baseline()
+        self._add_errors(sums, baseline)
+        if sums.timed() > 0 and self.previous.timed() > 1:
+            self._add_times(sums, baseline)
+
+    def baseline(self) -> Baseline:
+        """Return the previous version's figures: recent ones, filled up with long-run ones."""
+        recent, whole = self.previous_recent, self.previous
+        long_rate = (whole.errors + PRIOR_ERRORS) / (whole.count + PRIOR_COUNT)
+        blend = min(BLEND_COUNT, whole.count)
+        weight = recent.count + blend + 1
+        rate = (recent.errors + (blend + 1) * long_rate) / weight
+        long_mean = whole.total / max(whole.timed(), 1.0)
+        mean = (recent.total + blend * long_mean) / max(recent.timed() + blend, 1.0)
+        timed = max(whole.timed(), 1.0)
+        spread = max(whole.square - timed * long_mean * long_mean, 0.0)
+        variance = (spread + PRIOR_COUNT * PRIOR_VARIANCE) / (timed + PRIOR_COUNT)
+        noise = 1 + self.new_recent.count / max(recent.timed() + blend, 1.0)
+        return Baseline(
+            rate,
+            math.sqrt(rate * (1 - rate) / weight),
+            mean,
+            max(variance, MIN_VARIANCE) * VARIANCE_MARGIN * noise,
+        )
+
+    def _decay(self, now: float) -> None:
+        if self.decayed_at is not None and now > self.decayed_at:
+            factor = 0.5 ** ((now - self.decayed_at) / HALF_LIFE_S)
+            self.previous_recent.decay(factor)
+            self.new_recent.decay(factor)
+        self.decayed_at = now if self.decayed_at is None else max(now, self.decayed_at)
+
+    def _add_errors(self, sums: Sums, baseline: Baseline) -> None:
+        rate = baseline.error_rate
+        null = min(rate + self.excess / 2 + baseline.rate_error, 0.8)
+        sizes = (rate + 1.5 * self.excess, rate + 5 * self.excess, 0.5)
+        for run, size in zip(self.error_runs, sizes, strict=True):
+            if size > null * 1.1:
+                run.add(_error_ratio(sums, min(size, 0.95), null))
+        good = max(rate, 1e-4)
+        self.accept_errors += _error_ratio(sums, good, min(good + self.excess, 0.99))
+
+    def _add_times(self, sums: Sums, baseline: Baseline) -> None:
+        null = baseline.mean + self.slowdown / 2
+        for run, size in zip(self.time_runs, (1.25, 3.0), strict=True):
+            fault = baseline.mean + size * self.slowdown
+            run.add(_time_ratio(sums, fault, null, baseline.variance))
+        slow = baseline.mean + self.slowdown
+        self.accept_time += _time_ratio(sums, baseline.mean, slow, baseline.variance)
+
+    def excess_over(self, threshold: float) -> tuple[float, str]:
+        """Return by how much the strongest run passes its threshold, and the kind of fault."""
+        kinds = [("errors", run) for run in self.error_runs]
+        kinds += [("time", run) for run in self.time_runs]
+        limit = threshold + math.log(len(kinds))
+        found = [(run.value - limit - run.penalty(), kind) for kind, run in kinds]
+        return max(found)
+
+
+def _error_ratio(sums: Sums, rate: float, against: float) -> float:
+    return sums.errors * math.log(rate / against) + sums.timed() * math.log(
+        (1 - rate) / (1 - against)
+    )
+
+
+def _time_ratio(sums: Sums, mean: float, against: float, variance: float) -> float:
+    return (mean - against) / variance * (sums.total - sums.timed() * (mean + against) / 2)
+
+
+class VersionTest:
+    """Sequential test of a new version over all strata.
+
+    Parameters
+    ==========
+    move : Move
+        Definition of a fault.
+    budget : float
+        Probability with which a good version may be called faulty. All requests together get half
+        of it; the other strata share the rest.
+    """
+
+    def __init__(self, move: Move, budget: float):
+        self.move = move
+        self.budget = budget
+        self.strata: dict[Stratum, StratumTest] = {POOLED: StratumTest(move)}
+
+    def add(self, increments: Iterable[tuple[Cell, Sums]], now: float) -> None:
+        """Add increments; those of the previous version count first."""
+        ordered = sorted(increments, key=lambda item: (item[0][1], item[0]))
+        for (route, is_new, bucket), sums in ordered:
+            for stratum in (POOLED, (route, ALL_LOADS), (ALL_ROUTES, bucket), (route, bucket)):
+                test = self.strata.get(stratum)
+                if test is None:
+                    test = self.strata[stratum] = StratumTest(self.move)
+                (test.add_new if is_new else test.add_previous)(sums, now)
+
+    def pooled(self) -> StratumTest:
+        """Return the test of all requests."""
+        return self.strata[POOLED]
+
+    def routes(self) -> dict[str, StratumTest]:
+        """Return the tests by route."""
+        return {
+            route: test
+            for (route, bucket), test in self.strata.items()
+            if route != ALL_ROUTES and bucket == ALL_LOADS
+        }
+
+    def loads(self) -> dict[int, StratumTest]:
+        """Return the tests by load bucket."""
+        return {
+            bucket: test
+            for (route, bucket), test in self.strata.items()
+            if route == ALL_ROUTES and bucket != ALL_LOADS
+        }
+
+    def strongest(self) -> tuple[float, str]:
+        """Return by how much the evidence passes its threshold (negative: it does not), and where."""
+        others = max(len(self.strata) - 1, 8)
+        best = (-math.inf, "")
+        for stratum, test in self.strata.items():
+            parts = 2 if stratum == POOLED else 2 * others
+            excess, kind = test.excess_over(math.log(parts / self.budget))
+            if excess > best[0]:
+                best = (excess, f"{kind} {_describe(stratum)}")
+        return best
+
+    def fault(self) -> str:
+        """Return the fault that the evidence shows, or an empty text."""
+        excess, text = self.strongest()
+        return text if excess >= 0 else ""
+
+
+def _describe(stratum: Stratum) -> str:
+    route, bucket = stratum
+    place = f"on route {route}" if route else "on all routes"
+    return place if bucket == ALL_LOADS else f"{place} at load level {bucket}"
+
+
+class VersionGuard:
+    """Share of the new version that a pool scheduler's owner uses, and its own evidence.
+
+    Explanation
+    ===========
+    The guard stops the new version at once when its own requests show a fault, ahead of the
+    verdict, and for good: only a new move starts it again. While control is not reachable it takes
+    over lower shares and ignores higher ones.
+
+    Parameters
+    ==========
+    pool : str
+    sender : str
+        Own instance.
+    incarnation : int
+        Own incarnation.
+    """
+
+    def __init__(self, pool: str, sender: str, incarnation: int):
+        self.pool = pool
+        self.sender = sender
+        self.incarnation = incarnation
+        self.state: MoveState | None = None
+        self.collector: EvidenceCollector | None = None
+        self.test: VersionTest | None = None
+        self.share = 0.0
+        self.stopped = ""
+        self.is_connected = True
+
+    def set_move(self, state: MoveState | None, move: Move | None) -> None:
+        """Take over the move's state from the configuration."""
+        if state is None or move is None:
+            self.state = self.collector = self.test = None
+            self.share, self.stopped = 0.0, ""
+            return
+        if self.state is None or self.state.table_version != state.table_version:
+            self.collector = EvidenceCollector(
+                self.pool, state.table_version, self.sender, self.incarnation
+            )
+            self.test = VersionTest(move, GUARD_BUDGET)
+            self.share, self.stopped = 0.0, ""
+        self.state = state
+        self._take_share()
+
+    def set_connected(self, is_connected: bool) -> None:
+        """Say whether the control group is reachable."""
+        self.is_connected = is_connected
+        self._take_share()
+
+    def _take_share(self) -> None:
+        if self.state is not None and (self.is_connected or self.state.share < self.share):
+            self.share = self.state.share
+
+    def shares(self) -> dict[str, float]:
+        """Return the share of each version; empty without a move."""
+        if self.state is None:
+            return {}
+        share = 0.0 if self.stopped else self.share
+        return {self.state.version: share, self.state.previous: 1.0 - share}
+
+    def observe(
+        self,
+        route: str,
+        version: str,
+        load_fraction: float,
+        expected_s: float,
+        total_s: float,
+        is_error: bool,
+        now: float,
+    ) -> bool:
+        """Take note of a finished request; return whether it stopped the new version.
+
+        Parameters
+        ==========
+        load_fraction : float
+            Running requests divided by slots of the endpoint at dispatch.
+        expected_s, total_s : float
+            Predicted and observed seconds from dispatch to the end.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        if self.state is None or version not in (self.state.version, self.state.previous):
+            return False
+        cell = (route, version == self.state.version, load_bucket(load_fraction))
+        sums = sums_of(expected_s, total_s, is_error)
+        self.collector.add(cell, sums)
+        self.test.add([(cell, sums)], now)
+        if self.stopped or not cell[1]:
+            return False
+        self.stopped = self.test.fault()
+        return bool(self.stopped)
+
+    def evidence(self) -> Evidence | None:
+        """Return the message to the leader, or ``None`` without a move."""
+        return self.collector.message(self.stopped) if self.collector else None
--- /dev/null
+++ b/mulberrygate/control/state.py
@@ -0,0 +1,494 @@
+"""State machine of the control log: tables, shards, version moves and fencing numbers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import attrs
+import msgpack
+
+from mulberrygate.control.commands import (
+    AdvanceMove,
+    ApplyTable,
+    CommandResult,
+    ConfigEntry,
+    MoveState,
+    PutShards,
+    TableState,
+    TakeFence,
+)
+from mulberrygate.control.configuration import Configuration, Delta
+from mulberrygate.core.codes import Code, register_code
+from mulberrygate.core.invariant import invariant
+from mulberrygate.core.wire import converter
+from mulberrygate.ledger.views import Shard, View
+from mulberrygate.tables.check import check_table
+from mulberrygate.tables.model import Account, Pool, PoolsTable, Route, RoutesTable
+from mulberrygate.tables.parse import POOLS, ROUTES, Fault, Parsed, parse_table
+
+VERSION_CONFLICT = register_code(
+    4020,
+    "table_version_conflict",
+    "Another table with this version was accepted; nothing changed.",
+    409,
+)
+VERSION_OLD = register_code(
+    4021, "table_version_old", "The version is lower than the one in force.", 409
+)
+VERSION_SKIPPED = register_code(
+    4022, "table_version_skipped", "The version is not the next one after the one in force.", 409
+)
+VERSION_FORGOTTEN = register_code(
+    4023,
+    "table_version_forgotten",
+    "The version is so old that its content is not remembered; nothing changed.",
+    409,
+)
+DIGEST_MISMATCH = register_code(
+    4024, "table_digest_mismatch", "The digest does not belong to the table's content.", 400
+)
+VERSION_WITHDRAWN = register_code(
+    4017, "version_withdrawn", "Without its move the pool would serve a withdrawn version.", 409
+)
+SHARDS_CHANGED = register_code(
+    5300, "shards_changed", "Some shards changed meanwhile and were left alone.", 409
+)
+MOVE_UNKNOWN = register_code(
+    5301, "move_unknown", "No move of that pool and table version is in force.", 409
+)
+VERDICT_FINAL = register_code(5302, "verdict_final", "The move has another verdict.", 409)
+MOVE_STEP_REFUSED = register_code(
+    5303, "move_step_refused", "The step is not allowed at the move's stage.", 409
+)
+TERM_OLD = register_code(5304, "term_old", "A later term has taken a fencing number.", 409)
+UNKNOWN_COMMAND = register_code(5305, "unknown_command", "The command is not known.", 500)
+
+ACCEPTED_TWICE = register_code(
+    9500, "version_accepted_twice", "A table version was accepted twice with other content."
+)
+VERDICT_FLIPPED = register_code(9501, "verdict_flipped", "The verdict of a move changed.")
+SHARE_TOO_LARGE = register_code(
+    9502, "early_share_exceeded", "A move passed its largest early share before the evidence."
+)
+FENCE_FELL = register_code(9503, "fence_fell", "A fencing number did not rise.")
+INDEX_FELL = register_code(9504, "log_index_fell", "A log index was applied twice.")
+
+DONE = "done"
+WITHDRAWN = "withdrawn"
+LATE = "late"
+VERDICTS = (DONE, WITHDRAWN, LATE)
+
+# Stages of a move: the early ones keep to the largest early share, and the last one is reached only
+# through evidence on each of the stages before it.
+EARLY_STAGES = 2
+LAST_STAGE = 4
+
+# 3,300 changes a day at the target size: re-sent tables are recognised for more than a day.
+MAX_HISTORY = 4096
+SNAPSHOT_FORMAT = 1
+
+
+@attrs.frozen
+class Accepted:
+    """Acceptance of a table version, remembered for operators that send it again."""
+
+    digest: str
+    revision: int
+
+
+def encode_value(value: Any) -> bytes:
+    """Return the body of a configuration entry."""
+    return converter.dumps(value)
+
+
+def decode_route(body: bytes) -> Route:
+    """Return the route of an entry of section ``routes``."""
+    return converter.loads(body, Route)
+
+
+def decode_account(body: bytes) -> Account:
+    """Return the client account of an entry of section ``accounts``."""
+    return converter.loads(body, Account)
+
+
+def decode_pool(body: bytes) -> Pool:
+    """Return the pool of an entry of section ``pools``."""
+    return converter.loads(body, Pool)
+
+
+def decode_table(body: bytes) -> TableState:
+    """Return the state of a table of section ``tables``."""
+    return converter.loads(body, TableState)
+
+
+def decode_shard(body: bytes) -> Shard:
+    """Return the shard of an entry of section ``shards``."""
+    return converter.loads(body, Shard)
+
+
+def decode_move(body: bytes) -> MoveState:
+    """Return the move of an entry of section ``moves``."""
+    return converter.loads(body, MoveState)
+
+
+def decode_section(
+    configuration: Configuration, section: str, decode: Callable[[bytes], Any]
+) -> dict[str, Any]:
+    """Return all values of a section by name."""
+    return {name: decode(body) for name, body in configuration.section(section).items()}
+
+
+class ControlState:
+    """State that the control log builds up; deterministic in the commands and their indices.
+
+    Explanation
+    ===========
+    All voters apply the same commands at the same indices and so hold the same configuration. The
+    index of a command is the revision of the entries that it changes.
+
+    Examples
+    ========
+    >>> from mulberrygate.control.commands import ApplyTable
+    >>> from mulberrygate.control.state import ControlState
+    >>> from mulberrygate.tables import parse_table
+    >>> text = b'{"table": "pools", "version": 1, "pools": {"lamp": {"version": "a"}}}'
+    >>> digest = parse_table(text, "pools").digest
+    >>> state = ControlState()
+    >>> state.apply(1, ApplyTable("pools", 1, text, digest, "ana", 0.0)).code
+    0
+    >>> state.pools()["lamp"].version
+    'a'
+    """
+
+    def __init__(self):
+        self.configuration = Configuration()
+        self.applied = 0
+        self.fence = 0
+        self.fence_term = 0
+        self.history: dict[str, dict[int, Accepted]] = {ROUTES: {}, POOLS: {}}
+
+    def routes(self) -> dict[str, Route]:
+        """Return the routes in force."""
+        return decode_section(self.configuration, "routes", decode_route)
+
+    def accounts(self) -> dict[str, Account]:
+        """Return the client accounts in force."""
+        return decode_section(self.configuration, "accounts", decode_account)
+
+    def pools(self) -> dict[str, Pool]:
+        """Return the pools in force."""
+        return decode_section(self.configuration, "pools", decode_pool)
+
+    def tables(self) -> dict[str, TableState]:
+        """Return the versions of the tables in force."""
+        return decode_section(self.configuration, "tables", decode_table)
+
+    def shards(self) -> dict[str, Shard]:
+        """Return the shards of the ledger."""
+        return decode_section(self.configuration, "shards", decode_shard)
+
+    def moves(self) -> dict[str, MoveState]:
+        """Return the version moves by pool."""
+        return decode_section(self.configuration, "moves", decode_move)
+
+    def apply(self, index: int, command: Any) -> CommandResult:
+        """Apply the command of a log index."""
+        invariant(index > self.applied, INDEX_FELL, f"index {index} after {self.applied}")
+        self.applied = index
+        if isinstance(command, ApplyTable):
+            return self._apply_table(index, command)
+        if isinstance(command, PutShards):
+            return self._put_shards(index, command)
+        if isinstance(command, AdvanceMove):
+            return self._advance_move(index, command)
+        if isinstance(command, TakeFence):
+            return self._take_fence(index, command)
+        return _refuse(UNKNOWN_COMMAND, f"unknown command {type(command).__name__}")
+
+    # Tables
+
+    def _apply_table(self, index: int, command: ApplyTable) -> CommandResult:
+        parsed = parse_table(command.content, command.table)
+        if not isinstance(parsed, Parsed):
+            return _refuse(parsed.faults[0].code, str(parsed))
+        if parsed.digest != command.digest or parsed.table.version != command.version:
+            return _refuse(DIGEST_MISMATCH, "version or digest differs from the content")
+        in_force = self.tables().get(command.table)
+        current = in_force.version if in_force else 0
+        if command.version <= current:
+            return self._answer_known(command, in_force)
+        if command.version > current + 1:
+            return _refuse(VERSION_SKIPPED, f"next is {current + 1}; {_describe(in_force)}")
+        faults = self._check(parsed)
+        if faults:
+            return _refuse(faults[0].code, "; ".join(str(fault) for fault in faults))
+        self._accept(index, command, parsed)
+        return CommandResult(0, index, f"{command.table} version {command.version} accepted")
+
+    def _answer_known(self, command: ApplyTable, in_force: TableState) -> CommandResult:
+        accepted = self.history[command.table].get(command.version)
+        if accepted is None:
+            return _refuse(VERSION_FORGOTTEN, _describe(in_force))
+        if accepted.digest == command.digest:
+            detail = f"{command.table} version {command.version} accepted"
+            return CommandResult(0, accepted.revision, detail)
+        if command.version == in_force.version:
+            return _refuse(VERSION_CONFLICT, _describe(in_force))
+        return _refuse(VERSION_OLD, _describe(in_force))
+
+    def _check(self, parsed: Parsed) -> list[Fault]:
+        if isinstance(parsed.table, RoutesTable):
+            return check_table(parsed, pools=self.pools())
+        serving = {
+            name: self._serving(name, old)
+            for name, old in self.pools().items()
+            if name in parsed.table.pools and parsed.table.pools[name].version != old.version
+        }
+        faults = check_table(parsed, routes=self.routes(), serving=serving)
+        return faults + list(self._withdrawn_versions(parsed))
+
+    def _withdrawn_versions(self, parsed: Parsed) -> Iterator[Fault]:
+        """Yield pools that keep a withdrawn version and drop its move.
+
+        Explanation
+        ===========
+        A pool without a move sends everything to its version, so that removing the move after a
+        withdrawal would give all traffic to the version that was found faulty.
+        """
+        for name, move in sorted(self.moves().items()):
+            pool = parsed.table.pools.get(name)
+            is_withdrawn = move.verdict == WITHDRAWN or move.verdict == DONE and move.share < 1
+            if is_withdrawn and pool and pool.move is None and pool.version == move.version:
+                detail = f"version {move.version!r} is withdrawn; set {move.previous!r}"
+                yield parsed.fault_at(("pools", name), detail, VERSION_WITHDRAWN)
+
+    def _serving(self, name: str, pool: Pool) -> tuple[str, ...]:
+        """Return the versions that may serve a pool, from which a move may start."""
+        move = self.moves().get(name)
+        if move is None or not pool.version:
+            return (pool.version,) if pool.version else ()
+        return (move.previous,) if move.verdict == WITHDRAWN else (pool.version, move.previous)
+
+    def _accept(self, index: int, command: ApplyTable, parsed: Parsed) -> None:
+        history = self.history[command.table]
+        invariant(
+            command.version not in history, ACCEPTED_TWICE, f"{command.table} {command.version}"
+        )
+        history[command.version] = Accepted(command.digest, index)
+        while len(history) > MAX_HISTORY:
+            del history[min(history)]
+        if isinstance(parsed.table, RoutesTable):
+            self._replace("accounts", index, parsed.table.accounts)
+            self._replace("routes", index, parsed.table.routes)
+        else:
+            self._update_moves(index, command.at, parsed.table)
+            self._replace("pools", index, parsed.table.pools)
+        state = TableState(
+            command.table, command.version, command.digest, command.operator, command.at
+        )
+        self.configuration.put("tables", command.table, index, encode_value(state))
+
+    def _replace(self, section: str, index: int, values: dict[str, Any]) -> None:
+        known = self.configuration.section(section)
+        for name in sorted(known.keys() - values.keys()):
+            self.configuration.remove(section, name, index)
+        for name in sorted(values):
+            body = encode_value(values[name])
+            if known.get(name) != body:
+                self.configuration.put(section, name, index, body)
+
+    def _update_moves(self, index: int, at: float, table: PoolsTable) -> None:
+        """Start, keep or end moves, before the new pools replace the old ones.
+
+        Explanation
+        ===========
+        A pool whose version and previous version stay the same keeps its move with stage and
+        verdict, so that an unrelated change neither restarts a move nor undoes a verdict.
+        """
+        old = self.pools()
+        moves = self.moves()
+        for name in sorted(moves.keys() - {n for n, pool in table.pools.items() if pool.move}):
+            self.configuration.remove("moves", name, index)
+        for name in sorted(table.pools):
+            pool = table.pools[name]
+            if pool.move is None:
+                continue
+            known = moves.get(name)
+            if known and (known.version, known.previous) == (pool.version, pool.move.previous):
+                continue
+            if name in old and old[name].version == pool.version:
+                continue
+            move = MoveState(name, table.version, pool.move.previous, pool.version, started_at=at)
+            self.configuration.put("moves", name, index, encode_value(move))
+
+    # Moves
+
+    def _advance_move(self, index: int, command: AdvanceMove) -> CommandResult:
+        move = self.moves().get(command.pool)
+        if move is None or move.table_version != command.table_version:
+            return _refuse(MOVE_UNKNOWN, f"pool {command.pool}, table {command.table_version}")
+        after = attrs.evolve(
+            move,
+            stage=command.stage,
+            share=command.share,
+            verdict=command.verdict,
+            reason=command.reason,
+        )
+        if after == move:
+            body = self.configuration.entries["moves", command.pool]
+            return CommandResult(0, body.revision, "unchanged")
+        early_share = self.pools()[command.pool].move.largest_early_share
+        refusal = _refuse_step(move, after, early_share)
+        if refusal is not None:
+            return refusal
+        self._put_move(index, move, after, early_share)
+        return CommandResult(0, index, f"move of {command.pool} at stage {after.stage}")
+
+    def _put_move(self, index: int, before: MoveState, after: MoveState, early: float) -> None:
+        invariant(
+            not before.verdict or after.verdict == before.verdict,
+            VERDICT_FLIPPED,
+            f"{after.pool}: {before.verdict} to {after.verdict}",
+        )
+        invariant(
+            after.share <= early or after.stage >= EARLY_STAGES and after.verdict != LATE,
+            SHARE_TOO_LARGE,
+            f"{after.pool}: share {after.share} at stage {after.stage}",
+        )
+        self.configuration.put("moves", after.pool, index, encode_value(after))
+
+    # Shards and fencing numbers
+
+    def _put_shards(self, index: int, command: PutShards) -> CommandResult:
+        if len(command.shards) != len(command.expected):
+            return _refuse(SHARDS_CHANGED, "each shard needs its expected view numbers")
+        known = self.shards()
+        kept = []
+        for shard, expected in zip(command.shards, command.expected, strict=True):
+            name = shard.name()
+            if _view_numbers(known.get(name)) != tuple(expected):
+                kept.append(name)
+                continue
+            body = encode_value(shard)
+            if self.configuration.get("shards", name) != body:
+                self.configuration.put("shards", name, index, body)
+                known[name] = shard
+        changed = len(command.shards) - len(kept)
+        if kept:
+            detail = f"left alone: {', '.join(kept[:10])}"
+            return CommandResult(SHARDS_CHANGED.number, index, detail, changed)
+        return CommandResult(0, index, "", changed)
+
+    def _take_fence(self, index: int, command: TakeFence) -> CommandResult:
+        if command.term < self.fence_term:
+            return _refuse(TERM_OLD, f"term {command.term} after term {self.fence_term}")
+        self._set_fence(self.fence + 1)
+        self.fence_term = command.term
+        return CommandResult(0, index, f"taken by {command.leader}", self.fence)
+
+    def _set_fence(self, fence: int) -> None:
+        invariant(fence > self.fence, FENCE_FELL, f"from {self.fence} to {fence}")
+        self.fence = fence
+
+    # Snapshots
+
+    def snapshot(self) -> bytes:
+        """Return the whole state; equal states give equal bytes."""
+        configuration = self.configuration
+        return msgpack.packb(
+            {
+                "format": SNAPSHOT_FORMAT,
+                "applied": self.applied,
+                "fence": [self.fence, self.fence_term],
+                "revision": configuration.revision,
+                "oldest_delta": configuration.oldest_delta,
+                "entries": [_pack(entry) for _, entry in sorted(configuration.entries.items())],
+                "tombstones": [_pack(entry) for entry in configuration.tombstones.values()],
+                "history": {
+                    table: [[v, a.digest, a.revision] for v, a in sorted(versions.items())]
+                    for table, versions in self.history.items()
+                },
+            }
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by that of a snapshot.
+
+        Raises
+        ======
+        ValueError
+            The bytes are not a snapshot of a known format; the state is unchanged.
+        """
+        values = msgpack.unpackb(data)
+        if not isinstance(values, dict) or values.get("format") != SNAPSHOT_FORMAT:
+            raise ValueError("not a snapshot of the control state")
+        configuration = Configuration()
+        configuration.revision = values["revision"]
+        configuration.oldest_delta = values["oldest_delta"]
+        entries = [ConfigEntry(*fields) for fields in values["entries"]]
+        configuration.entries = {(entry.section, entry.name): entry for entry in entries}
+        tombstones = [ConfigEntry(*fields) for fields in values["tombstones"]]
+        configuration.tombstones = {(entry.section, entry.name): entry for entry in tombstones}
+        history = {
+            table: {version: Accepted(digest, revision) for version, digest, revision in versions}
+            for table, versions in values["history"].items()
+        }
+        self.configuration = configuration
+        self.applied = values["applied"]
+        self.fence, self.fence_term = values["fence"]
+        self.history = history
+
+    def changes_since(self, revision: int) -> Delta:
+        """Return the changes of the configuration since a revision."""
+        return self.configuration.changes_since(revision)
+
+
+def _refuse_step(move: MoveState, after: MoveState, early_share: float) -> CommandResult | None:
+    if not 0 <= after.share <= 1 or after.verdict not in ("", *VERDICTS):
+        return _refuse(MOVE_STEP_REFUSED, f"share {after.share}, verdict {after.verdict!r}")
+    if move.verdict:
+        return _refuse_after_verdict(move, after)
+    if not move.stage <= after.stage <= min(move.stage + 1, LAST_STAGE):
+        return _refuse(MOVE_STEP_REFUSED, f"stage {after.stage} after {move.stage}")
+    is_early = after.stage < EARLY_STAGES or after.verdict == LATE
+    if is_early and after.share > early_share:
+        return _refuse(MOVE_STEP_REFUSED, f"share {after.share} is over {early_share}")
+    if after.verdict == DONE and (move.stage != LAST_STAGE or after.share != 1):
+        return _refuse(MOVE_STEP_REFUSED, f"done at stage {move.stage}, share {after.share}")
+    if after.verdict == WITHDRAWN and after.share != 0:
+        return _refuse(MOVE_STEP_REFUSED, f"withdrawn with share {after.share}")
+    return None
+
+
+def _refuse_after_verdict(move: MoveState, after: MoveState) -> CommandResult | None:
+    if after.verdict != move.verdict:
+        return _refuse(VERDICT_FINAL, f"the verdict is {move.verdict}: {move.reason}")
+    if after.stage != move.stage or after.share > move.share:
+        return _refuse(MOVE_STEP_REFUSED, f"after {move.verdict} the share can only fall")
+    return None
+
+
+def _view_numbers(shard: Shard | None) -> tuple[int, int]:
+    return (_number(shard.active), _number(shard.preparing)) if shard else (0, 0)
+
+
+def _number(view: View | None) -> int:
+    return view.number if view else 0
+
+
+def _describe(in_force: TableState | None) -> str:
+    if in_force is None:
+        return "no version is in force"
+    return (
+        f"version {in_force.version} with digest {in_force.digest} by {in_force.operator} "
+        "is in force"
+    )
+
+
+def _pack(entry: ConfigEntry) -> list:
+    return [entry.section, entry.name, entry.revision, entry.body]
+
+
+def _refuse(code: Code, detail: str) -> CommandResult:
+    return CommandResult(code.number, 0, detail)
