--- /dev/null
+++ b/mulberrygate/members/membership.py
@@ -0,0 +1,535 @@
+"""Membership protocol: heartbeats inside a failure domain, summaries between relays."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import attrs
+
+from mulberrygate.core.codes import register_code
+from mulberrygate.core.effects import Effect, Record, Reply, Send
+from mulberrygate.core.invariant import invariant
+from mulberrygate.members.messages import Ask, Compare, Heartbeat, Join, SendAddress, Table
+from mulberrygate.members.rows import (
+    full_row,
+    pack,
+    read_full,
+    read_short,
+    short_row,
+    unpack,
+)
+from mulberrygate.members.table import LIVE, MemberTable, order
+from mulberrygate.members.view import Member, MembershipView, Status
+from mulberrygate.observe.events import Event
+
+OWN_ENTRY_DEAD = register_code(
+    9202, "member_own_entry_dead", "An instance holds itself for suspected or dead."
+)
+SUSPECTED_AFTER_PAUSE = register_code(
+    9203, "member_suspected_after_pause", "A paused instance suspected another one unheard."
+)
+
+
+@attrs.frozen
+class MembershipSettings:
+    """Periods in seconds and limits of the membership.
+
+    Parameters
+    ==========
+    fanout : int
+        Peers that get a heartbeat each round. With 3, a dead instance misses its first heartbeat
+        after 0.3 s on average, and the calls cost 0.14% of a core.
+    probe_s : float
+        Time for the answer to a heartbeat; it is repeated once before the peer is suspected.
+    suspect_s : float
+        Time in which a suspected instance can refute.
+    domain_lost_s : float
+        Silence after which a whole failure domain counts as lost. Longer than the detection of two
+        dead relays plus the spread in the domain, which took up to 7 s.
+    pause_s : float
+        Gap between ticks after which this process was itself paused.
+    seed_s, slow_seed_s : float
+        Period of joins at a seed while something is missing, and of a relay otherwise.
+    fresh_s : float
+        Time for which a change is passed on; the digests bring what was missed.
+    """
+
+    round_s: float = 1.0
+    fanout: int = 3
+    probe_s: float = 0.5
+    suspect_s: float = 1.5
+    domain_lost_s: float = 10.0
+    pause_s: float = 1.5
+    fresh_s: float = 2.5
+    settle_s: float = 2.0
+    seed_s: float = 3.0
+    slow_seed_s: float = 10.0
+    expire_s: float = 600.0
+    max_fresh: int = 24
+    max_revisions: int = 12
+
+
+@attrs.define
+class Probe:
+    """Heartbeat that was not answered yet."""
+
+    sent_at: float
+    tries: int = 1
+
+
+class Membership:
+    """Decide which instances are alive.
+
+    Explanation
+    ===========
+    ``heartbeat`` of a member is raised by the member alone, when it refutes a suspicion or leaves;
+    signs of life themselves are direct and not passed on, which keeps messages small. Instances of
+    another failure domain are never probed: their own domain decides, and its relays report. A
+    failure domain from which no relay has heard is shown as dead without a statement about its
+    members, so that nothing has to be taken back after healing.
+
+    Parameters
+    ==========
+    self_member : Member
+        This instance.
+    seeds : tuple[str, ...]
+        Peer addresses of a few instances.
+    rng : random.Random
+        Source of random numbers.
+
+    See Also
+    ========
+    mulberrygate.members.view.MembershipView
+    """
+
+    def __init__(
+        self,
+        self_member: Member,
+        seeds: tuple[str, ...],
+        rng: random.Random,
+        settings: MembershipSettings | None = None,
+    ):
+        self.settings = settings or MembershipSettings()
+        self.rng = rng
+        self.table = MemberTable(self_member)
+        self.name = self_member.instance
+        self.domain = self_member.failure_domain
+        self.seeds = tuple(seed for seed in seeds if seed != self_member.address)
+        self.probes: dict[str, Probe] = {}
+        self.suspected_at: dict[str, float] = {}
+        self.changed_at: dict[str, float] = {}
+        self.introduced_at: dict[str, float] = {}
+        self.revised_at: dict[str, float] = {}
+        self.gone_at: dict[str, float] = {}
+        self.heard: dict[str, float] = {}
+        self.summary_at: dict[str, float] = {}
+        self.unanswered: set[str] = set()
+        self.last_tick: float | None = None
+        self.last_contact = float("-inf")
+        self.last_compare = float("-inf")
+        self.last_seeds = float("-inf")
+        self.urgent_until = float("-inf")
+        self.next_round = float("-inf")
+        self.next_seed = rng.randrange(1000)
+        self.is_unheard = False
+        self.has_revisions = False
+
+    def view(self) -> MembershipView:
+        """Return the current view; the same object until something changes."""
+        return self.table.view()
+
+    def set_revision(self, revision: int) -> None:
+        """Set the configuration revision that is in force on this instance."""
+        if self.table.set_revision(self.name, revision):
+            self.table.refresh()
+
+    def leave(self, now: float) -> list[Effect]:
+        """Announce that this instance leaves; the heartbeats go on until the process ends."""
+        own = self.table.own
+        self._store(
+            attrs.evolve(own, status=Status.LEAVING, heartbeat=own.heartbeat + 1), now, urgent=True
+        )
+        effects = self._beat(2 * self.settings.fanout, now)
+        return effects + (self._summaries(now) if self._is_relay(own) else [])
+
+    def merge(self, members: list[Member], now: float) -> list[Effect]:
+        """Take over statements from elsewhere, as far as they are newer."""
+        effects: list[Effect] = []
+        for member in members:
+            effects += self._accept(member, now)
+        return effects
+
+    # Incoming messages.
+
+    def handle(self, message: Any, sender: str, now: float) -> list[Effect]:
+        """Handle a message or the answer to an `Ask`."""
+        if isinstance(message, Heartbeat):
+            return self._on_heartbeat(message, sender, now)
+        if isinstance(message, Join):
+            return self._on_join(message, now)
+        if isinstance(message, Compare):
+            domains = self.table.differing(message.digests)
+            return [Reply(Table(self._rows_of(domains), tuple(domains)))]
+        if isinstance(message, Table):
+            return self._on_table(message, sender, now)
+        return []
+
+    def _on_heartbeat(self, message: Heartbeat, sender: str, now: float) -> list[Effect]:
+        members = self.table.members
+        origin = unpack(message.origin)
+        effects = self.merge(
+            [m for m in map(read_full, unpack(message.rows)) if m is not None], now
+        )
+        short = [read_short(row, members) for row in [origin, *unpack(message.updates)]]
+        effects += self.merge([m for m in short if m is not None], now)
+        for name, revision in unpack(message.revisions):
+            self._on_revision(name, revision, now)
+        known = members.get(sender)
+        if known is not None:
+            self._on_contact(known, now)
+        self._on_heard(message.heard, now)
+        is_known = known is not None and bool(origin) and known.incarnation >= origin[1]
+        if message.introduce:
+            effects.append(Send(sender, Table(pack([full_row(self.table.own)]))))
+        if not message.is_answer:
+            answer = self._heartbeat(sender, now, bool(message.digests), is_answer=True)
+            effects.append(Reply(attrs.evolve(answer, introduce=not is_known)))
+        return effects + self._compare(message, sender, now)
+
+    def _on_contact(self, member: Member, now: float) -> None:
+        self.last_contact = now
+        self.is_unheard = False
+        self.probes.pop(member.instance, None)
+        self.unanswered.discard(member.failure_domain)
+        self.heard[member.failure_domain] = now
+
+    def _on_heard(self, ages: dict[str, int], now: float) -> None:
+        for domain, tenths in ages.items():
+            at = now - max(0, tenths) / 10
+            if at > self.heard.get(domain, float("-inf")):
+                self.heard[domain] = at
+
+    def _on_revision(self, name: str, revision: int, now: float) -> None:
+        if name != self.name and self.table.set_revision(name, revision):
+            self.revised_at[name] = now
+            self.has_revisions = True
+
+    def _on_join(self, message: Join, now: float) -> list[Effect]:
+        joined = read_full((unpack(message.row) or [[]])[0])
+        if joined is None:
+            return []
+        effects = self._accept(joined, now)
+        domains = self.table.differing(message.digests)
+        return [*effects, Send(joined.instance, Table(self._rows_of(domains), tuple(domains)))]
+
+    def _on_table(self, message: Table, sender: str, now: float) -> list[Effect]:
+        rows = [read_full(row) for row in unpack(message.rows)]
+        effects = self.merge([member for member in rows if member is not None], now)
+        if sender in self.table.members:
+            self._on_contact(self.table.members[sender], now)
+        if message.want:
+            effects.append(Send(sender, Table(self._rows_of(message.want))))
+        return effects
+
+    def _compare(self, message: Heartbeat, sender: str, now: float) -> list[Effect]:
+        """Ask for differences that the passing on of changes should have settled by now."""
+        settings = self.settings
+        if message.digests:
+            differs = bool(self.table.differing(message.digests))
+        else:
+            differs = message.digest != self.table.digest
+        last_change = max(self.changed_at.values(), default=float("-inf"))
+        if not differs or now - last_change < settings.settle_s:
+            return []
+        if now - self.last_compare < settings.round_s:
+            return []
+        self.last_compare = now
+        return [Ask(sender, Compare(dict(self.table.digests)))]
+
+    # Statements about members.
+
+    def _accept(self, member: Member, now: float) -> list[Effect]:
+        if member.instance == self.name:
+            return self._on_self(member, now)
+        known = self.table.members.get(member.instance)
+        self._on_revision(member.instance, member.revision, now)
+        if known is None:
+            if member.status in (Status.DEAD, Status.LEAVING):
+                return []
+            self.heard.setdefault(member.failure_domain, now)
+            return self._store(member, now)
+        known = self.table.members[member.instance]
+        if order(member) <= order(known):
+            return []
+        if member.status is Status.DEAD and self._needs_suspicion(member, known):
+            # Every instance of the own domain waits out a suspicion of its own, so that verdicts
+            # of an instance that was cut off remove nobody who can refute them.
+            member = attrs.evolve(member, status=Status.SUSPECT)
+            if order(member) <= order(known):
+                return []
+        return self._store(member, now, urgent=member.status is Status.LEAVING)
+
+    def _needs_suspicion(self, member: Member, known: Member) -> bool:
+        if member.failure_domain != self.domain:
+            return False
+        return known.status is not Status.SUSPECT or order(member)[:3] != order(known)[:3]
+
+    def _on_self(self, member: Member, now: float) -> list[Effect]:
+        own = self.table.own
+        if member.incarnation > own.incarnation:
+            event = Event("members.superseded", {"instance": self.name})
+            return [Record(event)]
+        if member.incarnation < own.incarnation or order(member) <= order(own):
+            return []
+        if member.status is Status.DEAD:
+            self._forget_verdicts()
+        return self._store(attrs.evolve(own, heartbeat=member.heartbeat + 1), now)
+
+    def _forget_verdicts(self) -> None:
+        """Drop the deaths of this domain: this instance was cut off, not the others."""
+        for name, member in list(self.table.members.items()):
+            if member.status is Status.DEAD and member.failure_domain == self.domain:
+                self._forget(name)
+
+    def _store(self, member: Member, now: float, urgent: bool = False) -> list[Effect]:
+        name = member.instance
+        is_own = name == self.name
+        status = member.status
+        invariant(not is_own or status in (Status.ALIVE, Status.LEAVING), OWN_ENTRY_DEAD, name)
+        known = self.table.members.get(name)
+        if known is None or known.incarnation != member.incarnation:
+            self.introduced_at[name] = now
+        if known is not None:
+            member = attrs.evolve(member, revision=max(member.revision, known.revision))
+        self.table.put(member)
+        self.changed_at[name] = now
+        self.suspected_at.pop(name, None)
+        self.gone_at.pop(name, None)
+        if status is Status.SUSPECT:
+            self.suspected_at[name] = now
+        elif not is_own and status not in LIVE:
+            self.gone_at[name] = now
+            self.probes.pop(name, None)
+        if urgent:
+            self.urgent_until = now + 3 * self.settings.probe_s
+        return [Record(Event("members." + status.value, {"instance": name}))]
+
+    def _forget(self, name: str) -> None:
+        self.table.remove(name)
+        for times in (self.changed_at, self.introduced_at, self.revised_at, self.gone_at):
+            times.pop(name, None)
+        self.suspected_at.pop(name, None)
+        self.probes.pop(name, None)
+
+    # Time.
+
+    def tick(self, now: float) -> list[Effect]:
+        """Advance to a time; to be called about four times a second."""
+        if self.last_tick is not None and now - self.last_tick > self.settings.pause_s:
+            self._after_pause(now)
+        self.last_tick = now
+        effects = self._check_probes(now) + self._check_suspects(now)
+        self._expire(now)
+        if now >= self.next_round:
+            self.next_round = now + self.settings.round_s * self.rng.uniform(0.9, 1.1)
+            effects += self._round(now)
+        elif now < self.urgent_until:
+            effects += self._beat(2, now)
+        if self._is_relay(self.table.own):
+            effects += self._summaries(now)
+        return effects + self._try_seeds(now)
+
+    def _after_pause(self, now: float) -> None:
+        self.is_unheard = True
+        self.probes.clear()
+        for name in self.suspected_at:
+            self.suspected_at[name] = now
+        for domain in self.heard:
+            self.heard[domain] = now
+
+    def _check_probes(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for name, probe in list(self.probes.items()):
+            if now - probe.sent_at < self.settings.probe_s - 1e-6:
+                continue
+            if probe.tries < 2:
+                probe.tries, probe.sent_at = 2, now
+                effects.append(Ask(name, self._heartbeat(name, now)))
+                continue
+            del self.probes[name]
+            member = self.table.members[name]
+            if member.status is Status.ALIVE and not self.is_unheard:
+                effects += self._suspect(member, now)
+        return effects
+
+    def _suspect(self, member: Member, now: float) -> list[Effect]:
+        invariant(not self.is_unheard, SUSPECTED_AFTER_PAUSE, member.instance)
+        return self._store(attrs.evolve(member, status=Status.SUSPECT), now)
+
+    def _check_suspects(self, now: float) -> list[Effect]:
+        if self.is_unheard:
+            return []
+        effects: list[Effect] = []
+        for name, since in list(self.suspected_at.items()):
+            member = self.table.members[name]
+            is_due = now - since >= self.settings.suspect_s - 1e-6
+            if is_due and member.failure_domain == self.domain:
+                effects += self._store(attrs.evolve(member, status=Status.DEAD), now)
+        return effects
+
+    def _expire(self, now: float) -> None:
+        settings = self.settings
+        limit = now - settings.domain_lost_s
+        lost = {d for d, at in self.heard.items() if at < limit and d != self.domain}
+        self.table.set_lost(frozenset(lost))
+        for name, at in list(self.gone_at.items()):
+            if now - at > settings.expire_s:
+                self._forget(name)
+
+    def _round(self, now: float) -> list[Effect]:
+        if self.has_revisions:
+            self.has_revisions = False
+            self.table.refresh()
+        limit = now - 2 * self.settings.fresh_s
+        for times in (self.changed_at, self.introduced_at, self.revised_at):
+            for name in [name for name, at in times.items() if at < limit]:
+                del times[name]
+        return self._beat(self.settings.fanout, now) + self._probe_dead(now)
+
+    def _beat(self, count: int, now: float) -> list[Effect]:
+        """Send heartbeats to random peers, one of them to a suspect if there is one."""
+        peers = [name for name in self.view().in_domain(self.domain) if name != self.name]
+        chosen = self.rng.sample(peers, min(count, len(peers)))
+        suspects = [n for n in self.suspected_at if n in self.view().live and n not in chosen]
+        suspects = [n for n in suspects if self.table.members[n].failure_domain == self.domain]
+        if suspects and chosen:
+            chosen[-1] = self.rng.choice(sorted(suspects))
+        effects: list[Effect] = []
+        for name in chosen:
+            self.probes.setdefault(name, Probe(now))
+            effects.append(Ask(name, self._heartbeat(name, now)))
+        return effects
+
+    def _probe_dead(self, now: float) -> list[Effect]:
+        """Try a dead instance of the domain now and then; this heals a split inside it."""
+        members = self.table.members
+        dead = [
+            name
+            for name in self.gone_at
+            if members[name].status is Status.DEAD and members[name].failure_domain == self.domain
+        ]
+        peers = len(self.view().in_domain(self.domain))
+        if not dead or self.rng.random() * peers > 3:
+            return []
+        name = self.rng.choice(sorted(dead))
+        return [Ask(name, self._heartbeat(name, now))]
+
+    # Relays.
+
+    def _is_relay(self, own: Member) -> bool:
+        return own.instance in self.view().relays(self.domain) or own.status is Status.LEAVING
+
+    def _summaries(self, now: float) -> list[Effect]:
+        """Exchange summaries with relays of the other failure domains."""
+        period = self.settings.round_s
+        if self.view().relays(self.domain, 1) != [self.name]:
+            period *= 2
+        changed = [self.changed_at[n] for n in self.changed_at if self._is_own_domain(n)]
+        newest = max(changed, default=float("-inf"))
+        effects: list[Effect] = []
+        for domain in sorted(self.table.digests):
+            last = self.summary_at.get(domain, float("-inf"))
+            is_due = now - last >= period - 1e-6 or newest > last
+            if domain == self.domain or not is_due:
+                continue
+            target = self._relay_of(domain)
+            if target:
+                self.summary_at[domain] = now
+                self.unanswered.add(domain)
+                effects.append(Ask(target, self._heartbeat(target, now, is_summary=True)))
+        return effects
+
+    def _is_own_domain(self, name: str) -> bool:
+        return self.table.members[name].failure_domain == self.domain
+
+    def _relay_of(self, domain: str) -> str:
+        """Return a relay of a domain, or any known instance of it if the last one was silent."""
+        relays = self.view().relays(domain)
+        if relays and domain not in self.unanswered:
+            return self.rng.choice(relays)
+        known = [n for n, m in self.table.members.items() if m.failure_domain == domain]
+        live = [name for name in known if self.view().is_alive(name)]
+        return self.rng.choice(sorted(live or known)) if known else ""
+
+    def _try_seeds(self, now: float) -> list[Effect]:
+        """Send a join to the next seed, often while something is missing.
+
+        Explanation
+        ===========
+        Relays go on at a low rate, since parts of the system that started apart, or whose
+        members were all replaced during a partition, don't know what they are missing.
+        """
+        settings = self.settings
+        is_first = self.last_seeds == float("-inf")
+        if not self.seeds or now - self.last_seeds < settings.seed_s:
+            return []
+        is_alone = now - self.last_contact > 2 * settings.seed_s
+        is_relay = self._is_relay(self.table.own)
+        others = [d for d in self.table.digests if d != self.domain and d not in self.table.lost]
+        is_missing = is_alone or (is_relay and (not others or bool(self.table.lost)))
+        is_routine = is_relay and now - self.last_seeds >= settings.slow_seed_s
+        if not is_missing and not is_routine:
+            return []
+        self.last_seeds = now
+        join = Join(pack([full_row(self.table.own)]), dict(self.table.digests))
+        count = min(len(self.seeds), settings.fanout if is_first else 1)
+        self.next_seed += count
+        chosen = [self.seeds[(self.next_seed - n) % len(self.seeds)] for n in range(count)]
+        return [SendAddress(seed, join) for seed in chosen]
+
+    # Outgoing messages.
+
+    def _rows_of(self, domains: Any) -> bytes:
+        wanted = set(domains)
+        members = self.table.members.values()
+        return pack(full_row(m) for m in members if m.failure_domain in wanted)
+
+    def _heartbeat(
+        self, to: str, now: float, is_summary: bool = False, is_answer: bool = False
+    ) -> Heartbeat:
+        members = self.table.members
+        fresh = self._fresh(self.changed_at, self.settings.max_fresh, now, is_summary)
+        rows = [name for name in fresh if name in self.introduced_at]
+        updates = [name for name in fresh if name not in self.introduced_at]
+        peer = members.get(to)
+        if peer is not None and peer.status is not Status.ALIVE and to not in fresh:
+            updates.append(to)
+        revised = self._fresh(self.revised_at, self.settings.max_revisions, now, True)
+        ages = {d: int((now - at) * 10) + 1 for d, at in self.heard.items() if d != self.domain}
+        return Heartbeat(
+            origin=msgpack_row(self.table.own),
+            digest=self.table.digest,
+            updates=pack(short_row(members[name]) for name in updates),
+            rows=pack(full_row(members[name]) for name in rows),
+            revisions=pack([name, members[name].revision] for name in revised),
+            heard=ages,
+            digests=dict(self.table.digests) if is_summary else {},
+            is_answer=is_answer,
+        )
+
+    def _fresh(
+        self, times: dict[str, float], limit: int, now: float, is_own_domain: bool
+    ) -> list[str]:
+        """Return the names that changed last; between relays only those of the own domain."""
+        since = now - self.settings.fresh_s
+        names = [name for name, at in times.items() if at >= since and name in self.table.members]
+        if is_own_domain:
+            names = [name for name in names if self._is_own_domain(name)]
+        names.sort(key=lambda name: (-times[name], name))
+        return names[:limit]
+
+
+def msgpack_row(member: Member) -> bytes:
+    """Return one short row as bytes."""
+    return pack(short_row(member))
--- /dev/null
+++ b/mulberrygate/members/rows.py
@@ -0,0 +1,101 @@
+"""Compact form of members on the wire.
+
+Explanation
+===========
+A full row names every field; a short row only what changes while an instance runs, and is of use to
+receivers that have the full row already. Rows are msgpack lists, which are a third of the size of
+maps with field names.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+import msgpack
+
+from mulberrygate.members.view import Member, Status
+
+STATUSES = (Status.ALIVE, Status.SUSPECT, Status.LEAVING, Status.DEAD)
+NUMBERS = {status: number for number, status in enumerate(STATUSES)}
+SHORT_FIELDS = 5
+
+
+def pack(rows: Iterable[Any]) -> bytes:
+    """Return the bytes of rows; no bytes for no rows."""
+    rows = list(rows)
+    return msgpack.packb(rows) if rows else b""
+
+
+def unpack(body: bytes) -> list[Any]:
+    """Return the rows of a message; malformed bytes are no rows."""
+    if not body:
+        return []
+    try:
+        rows = msgpack.unpackb(body)
+    except Exception:
+        return []
+    return rows if isinstance(rows, list) else []
+
+
+def short_row(member: Member) -> list[Any]:
+    """Return name, incarnation, heartbeat, status and revision."""
+    return [
+        member.instance,
+        member.incarnation,
+        member.heartbeat,
+        NUMBERS[member.status],
+        member.revision,
+    ]
+
+
+def full_row(member: Member) -> list[Any]:
+    """Return all fields of a member."""
+    return [
+        *short_row(member),
+        member.address,
+        member.http_address,
+        member.region,
+        member.failure_domain,
+        list(member.roles),
+    ]
+
+
+def read_full(row: list[Any]) -> Member | None:
+    """Return the member of a full row, or ``None`` for a malformed one."""
+    try:
+        name, incarnation, heartbeat, status, revision, address, http, region, domain, roles = row[
+            :10
+        ]
+        return Member(
+            instance=str(name),
+            address=str(address),
+            http_address=str(http),
+            region=str(region),
+            failure_domain=str(domain),
+            incarnation=int(incarnation),
+            heartbeat=int(heartbeat),
+            status=STATUSES[status],
+            roles=tuple(roles),
+            revision=int(revision),
+        )
+    except (ValueError, TypeError, IndexError):
+        return None
+
+
+def read_short(row: list[Any], members: dict[str, Member]) -> Member | None:
+    """Return the member of a short row, or ``None`` if its incarnation is not known."""
+    try:
+        name, incarnation, heartbeat, status, revision = row[:SHORT_FIELDS]
+        known = members.get(name)
+        if known is None or known.incarnation != incarnation:
+            return None
+        return attrs.evolve(
+            known,
+            heartbeat=int(heartbeat),
+            status=STATUSES[status],
+            revision=max(known.revision, int(revision)),
+        )
+    except (ValueError, TypeError, IndexError):
+        return None
--- a/mulberrygate/members/view.py
+++ b/mulberrygate/members/view.py
@@ -33,11 +33,12 @@
     incarnation : int
         Rises with each start of the process.
     heartbeat : int
-        Rises with each heartbeat of one incarnation.
+        Raised by the member itself, when it refutes a suspicion or leaves.
     roles : tuple[str, ...]
         Parts that the instance runs: ``entry``, ``control``.
     revision : int
-        Configuration revision in force on the instance.
+        Configuration revision in force on the instance; a lower bound for members of other
+        failure domains, except on a relay.
     """
 
     instance: str
