--- /dev/null
+++ b/mulberrygate/ledger/audit.py
@@ -0,0 +1,60 @@
+"""Check of the ledger's guarantee across instances, for simulations and process tests."""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.core.invariant import invariant
+from mulberrygate.ledger.codes import CLAIM_LOST, TWO_RUNS
+from mulberrygate.ledger.messages import RETENTION_S, Attempt, Phase, Record
+
+
+@attrs.frozen
+class Dispatch:
+    """Dispatch of an attempt at a time in seconds."""
+
+    attempt: Attempt
+    at: float
+
+
+class Audit:
+    """Dispatches of all entries; it sees what no single instance can see.
+
+    Examples
+    ========
+    >>> from mulberrygate.ledger.audit import Audit
+    >>> from mulberrygate.ledger.messages import Attempt
+    >>> audit = Audit()
+    >>> audit.note_dispatch("d/k", Attempt("a", 1, 1), 0.0)
+    >>> audit.note_dispatch("d/k", Attempt("b", 1, 1), 5.0)
+    Traceback (most recent call last):
+        ...
+    mulberrygate.core.invariant.InvariantError: 9302 two_runs: d/k ran twice within its retention
+    """
+
+    def __init__(self):
+        self.dispatches: dict[str, Dispatch] = {}
+
+    def note_dispatch(self, key: str, attempt: Attempt, at: float) -> None:
+        """Assert that no other dispatch of the key lies within its retention."""
+        known = self.dispatches.get(key)
+        is_first = known is None or at - known.at >= RETENTION_S
+        invariant(is_first, TWO_RUNS, f"{key} ran twice within its retention")
+        self.dispatches[key] = Dispatch(attempt, at)
+
+    def check_repair(self, records: dict[str, Record], now: float) -> None:
+        """Assert that a replica of a view that becomes active knows every dispatch before it.
+
+        Explanation
+        ===========
+        Not for views that follow the loss of a majority.
+        """
+        for key, dispatch in self.dispatches.items():
+            if now - dispatch.at >= RETENTION_S:
+                continue
+            record = records.get(key)
+            is_known = record is not None and (
+                record.phase is Phase.UNCERTAIN
+                or (record.attempt == dispatch.attempt and record.phase is not Phase.WAITING)
+            )
+            invariant(is_known, CLAIM_LOST, f"{key}: {dispatch.attempt} is not in the copy")
--- a/mulberrygate/ledger/codes.py
+++ b/mulberrygate/ledger/codes.py
@@ -28,6 +28,3 @@
 )
 ATTEMPT_REUSED = register_code(9305, "attempt_reused", "An attempt began twice at its entry.")
 CLAIM_LOST = register_code(9306, "claim_lost", "A completed repair lost a claim that had begun.")
-STALE_DISPATCH = register_code(
-    9307, "stale_dispatch", "An attempt was to be dispatched after its begin had aged."
-)
--- a/mulberrygate/ledger/coordinator.py
+++ b/mulberrygate/ledger/coordinator.py
@@ -171,15 +171,18 @@
         deadline = _now() + timeout_s
         own = self._open(key, fingerprint, home)
         replaces, pause = NO_ATTEMPT, FIRST_PAUSE_S
+        informed = Tally(View(0, ()))
         while True:
             tally, decision = await self._claim_once(own, replaces, deadline)
+            # The time may be up before the last round brings any answer.
+            informed = tally if tally.answers else informed
             if isinstance(decision, Uncertain) and self._may_still_decide(tally):
                 decision = Pending((NO_ATTEMPT,))
             if isinstance(decision, Claimed):
                 return decision
             if not isinstance(decision, Pending) or _now() >= deadline:
                 self._release_later(own)
-                return self._last_answer(decision, tally)
+                return self._last_answer(decision, informed)
             if decision.replaceable:
                 replaces = decision.replaceable[0]
                 if not decision.waiting_for:
--- a/mulberrygate/ledger/outcomes.py
+++ b/mulberrygate/ledger/outcomes.py
@@ -117,6 +117,11 @@
 class Begun:
     """A majority accepted the begin: the entry may dispatch once.
 
+    Explanation
+    ===========
+    The entry asks ``may_dispatch`` right before the first byte, since it may have been paused. If
+    the answer is no, it releases the attempt and answers ``not_run``.
+
     Parameters
     ==========
     attempt : Attempt
@@ -127,6 +132,10 @@
     attempt: Attempt
     dispatch_before: float
 
+    def may_dispatch(self, now: float) -> bool:
+        """Return whether the first byte may still be sent."""
+        return now < self.dispatch_before
+
 
 @dataclass(frozen=True)
 class Superseded:
