--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks at virtual time and measurements of cost."""
--- /dev/null
+++ b/bench/engine_model.py
@@ -0,0 +1,246 @@
+"""Model of a continuously batching engine at virtual time."""
+
+from __future__ import annotations
+
+import heapq
+from collections import OrderedDict, deque
+
+import attrs
+
+from mulberrygate.schedule.messages import PREFIX_TOKENS
+
+# Share of their usual speed that decode and prefill keep while the other one runs too.
+DECODE_BESIDE_PREFILL = 0.6
+PREFILL_BESIDE_DECODE = 0.7
+
+
+@attrs.frozen
+class Hardware:
+    """A hardware generation: speeds in tokens per second and seconds, memory in tokens."""
+
+    name: str
+    slots: int
+    prefill_rate: float
+    decode_s: float
+    slope_s: float
+    kv_tokens: int
+
+
+OLD = Hardware("old", 8, 4000, 0.025, 0.0010, 60_000)
+MIDDLE = Hardware("middle", 16, 9000, 0.015, 0.0005, 150_000)
+NEW = Hardware("new", 24, 20000, 0.009, 0.00025, 300_000)
+
+
+@attrs.define(eq=False)
+class Job:
+    """A request at an engine."""
+
+    request: str
+    prompt_tokens: int
+    output_tokens: int
+    prefixes: tuple[str, ...]
+    sent_at: float
+    first_token_at: float = 0.0
+    prefilled: float = 0.0
+    prefill_left: float = -1.0
+    cached: int = 0
+    recomputed_elsewhere: int = 0
+    decode_start: float = -1.0
+    is_ended: bool = False
+
+    @property
+    def tokens(self) -> int:
+        """Return the KV cache that the job needs."""
+        return self.prompt_tokens + self.output_tokens
+
+
+class Engine:
+    """Engine that admits in arrival order, prefills one request at a time and decodes a batch.
+
+    Parameters
+    ==========
+    is_cached_elsewhere : Callable[[Engine, str], bool]
+        Tells whether another engine has a prefix cached, to count what is computed again.
+    """
+
+    def __init__(self, name, hardware: Hardware, domain, region, is_cached_elsewhere):
+        self.name = name
+        self.hardware = hardware
+        self.domain = domain
+        self.region = region
+        self.is_cached_elsewhere = is_cached_elsewhere
+        self.slow_factor = 1.0
+        self.incarnation = 1
+        self.is_alive = True
+        self.stamp = 0
+        self.clear()
+
+    def clear(self) -> None:
+        """Forget all jobs and the cache."""
+        self.at = 0.0
+        self.waiting: deque[Job] = deque()
+        self.prefilling: deque[Job] = deque()
+        self.decoding: dict[str, Job] = {}
+        self.jobs: dict[str, Job] = {}
+        self.ends: list[tuple[float, str]] = []
+        self.position = 0.0
+        self.cache: OrderedDict[str, None] = OrderedDict()
+        self.kv_used = 0
+        self.cached_events: list[str] = []
+        self.evicted_events: list[str] = []
+
+    @property
+    def load(self) -> int:
+        """Return the requests running and waiting."""
+        return len(self.jobs)
+
+    def rates(self) -> tuple[float, float]:
+        """Return tokens per second of the prefill and of each decoding request."""
+        hardware, decoding = self.hardware, len(self.decoding)
+        prefill = decode = 0.0
+        if self.prefilling:
+            share = PREFILL_BESIDE_DECODE if decoding else 1.0
+            prefill = hardware.prefill_rate * share / self.slow_factor
+        if decoding:
+            share = DECODE_BESIDE_PREFILL if self.prefilling else 1.0
+            step = hardware.decode_s + hardware.slope_s * (decoding - 1)
+            decode = share / step / self.slow_factor
+        return prefill, decode
+
+    def advance(self, now: float) -> None:
+        """Move the jobs on to now, without ending any."""
+        prefill, decode = self.rates()
+        passed = now - self.at
+        self.at = now
+        if prefill:
+            done = min(self.prefilling[0].prefill_left, prefill * passed)
+            self.prefilling[0].prefill_left -= done
+            self.prefilling[0].prefilled += done
+        self.position += decode * passed
+
+    def next_event(self) -> float:
+        """Return the time of the next end of a prefill or a job."""
+        prefill, decode = self.rates()
+        times = []
+        if prefill:
+            times.append(self.prefilling[0].prefill_left / prefill)
+        while self.ends and self.ends[0][1] not in self.decoding:
+            heapq.heappop(self.ends)
+        if decode:
+            times.append(max(0.0, self.ends[0][0] - self.position) / decode)
+        return self.at + min(times) if times else float("inf")
+
+    def add(self, job: Job, now: float) -> None:
+        """Take a job into the queue."""
+        self.advance(now)
+        self.jobs[job.request] = job
+        self.waiting.append(job)
+        self.admit()
+
+    def admit(self) -> None:
+        """Admit waiting jobs in arrival order while slots and memory allow."""
+        hardware = self.hardware
+        while self.waiting:
+            job = self.waiting[0]
+            running = len(self.prefilling) + len(self.decoding)
+            fits = self.kv_used + job.tokens <= hardware.kv_tokens or not running
+            if running >= hardware.slots or not fits:
+                return
+            self.waiting.popleft()
+            self.kv_used += job.tokens
+            self._evict()
+            self.prefilling.append(job)
+            if len(self.prefilling) == 1:
+                self._start_prefill(job)
+
+    def _start_prefill(self, job: Job) -> None:
+        hits = 0
+        for prefix in job.prefixes:
+            if prefix not in self.cache:
+                break
+            self.cache.move_to_end(prefix)
+            hits += 1
+        job.cached = min(hits * PREFIX_TOKENS, job.prompt_tokens - 1)
+        job.prefill_left = float(job.prompt_tokens - job.cached)
+        for prefix in job.prefixes[hits:]:
+            if not self.is_cached_elsewhere(self, prefix):
+                break
+            job.recomputed_elsewhere += PREFIX_TOKENS
+
+    def _evict(self) -> None:
+        room = max(0, self.hardware.kv_tokens - self.kv_used) // PREFIX_TOKENS
+        while len(self.cache) > room:
+            self.evicted_events.append(self.cache.popitem(last=False)[0])
+
+    def step(self, now: float) -> list[Job]:
+        """Carry out what is due and return the jobs that ended."""
+        self.advance(now)
+        if self.prefilling and self.prefilling[0].prefill_left <= 1e-6:
+            self._end_prefill(self.prefilling.popleft(), now)
+        ended = []
+        while self.ends and self.ends[0][0] <= self.position + 1e-6:
+            job = self.decoding.pop(heapq.heappop(self.ends)[1], None)
+            if job is not None:
+                ended.append(job)
+                self._leave(job)
+        self.admit()
+        return ended
+
+    def _end_prefill(self, job: Job, now: float) -> None:
+        job.first_token_at = now
+        job.decode_start = self.position
+        self.decoding[job.request] = job
+        heapq.heappush(self.ends, (self.position + job.output_tokens, job.request))
+        for prefix in job.prefixes:
+            if prefix not in self.cache:
+                self.cached_events.append(prefix)
+            self.cache[prefix] = None
+            self.cache.move_to_end(prefix)
+        self._evict()
+        if self.prefilling:
+            self._start_prefill(self.prefilling[0])
+
+    def _leave(self, job: Job) -> None:
+        job.is_ended = True
+        self.jobs.pop(job.request, None)
+        self.kv_used -= job.tokens
+
+    def cancel(self, request: str, now: float) -> Job | None:
+        """Remove a job."""
+        job = self.jobs.get(request)
+        if job is None:
+            return None
+        self.advance(now)
+        if job in self.waiting:
+            self.waiting.remove(job)
+            self.kv_used += job.tokens
+        elif request in self.decoding:
+            del self.decoding[request]
+        else:
+            is_first = self.prefilling[0] is job
+            self.prefilling.remove(job)
+            if is_first and self.prefilling:
+                self._start_prefill(self.prefilling[0])
+        self._leave(job)
+        self.admit()
+        return job
+
+    def emitted(self, job: Job) -> int:
+        """Return the tokens that a job has emitted."""
+        return int(self.position - job.decode_start) + 1 if job.decode_start >= 0 else 0
+
+    def die(self, now: float) -> list[Job]:
+        """Stop, and return the jobs that were lost."""
+        self.advance(now)
+        lost = list(self.jobs.values())
+        self.clear()
+        self.is_alive = False
+        self.at = now
+        return lost
+
+    def restart(self, now: float) -> None:
+        """Start again with an empty cache."""
+        self.clear()
+        self.at = now
+        self.is_alive = True
+        self.incarnation += 1
