--- /dev/null
+++ b/bench/moves.py
@@ -0,0 +1,455 @@
+"""Version moves at virtual time: good and bad versions against the controller and a baseline.
+
+Run with ``python bench/moves.py --moves 210 --seed 1``. Every move runs the control state machine,
+the leader's controller, three failure domains with a guard each, message delays and, in a third of
+the moves, a change of the leader in the middle.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import itertools
+import json
+import math
+import os
+import random
+import sys
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+
+import attrs
+
+sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+from mulberrygate.control.commands import AdvanceMove, ApplyTable, MoveState
+from mulberrygate.control.evidence import Evidence, EvidenceLedger, load_bucket, sums_of
+from mulberrygate.control.guard import LEADER_BUDGET, VersionGuard, VersionTest
+from mulberrygate.control.moves import MoveController
+from mulberrygate.control.state import DONE, LATE, WITHDRAWN, ControlState
+from mulberrygate.tables import Move, parse_table
+
+GOOD = ("none", "none_burst")
+BAD = ("once_fail", "once_slow", "later_fail", "later_slow", "load", "route", "late_done")
+RATES = (2.0, 10.0, 25.0, 60.0)
+ROUTES = {"writeup": 0.45, "care": 0.3, "lookup": 0.19, "tags": 0.06}
+DOMAINS = ("north", "south", "east")
+DEADLINE_S = 600.0
+WATCH_S = 300.0
+EARLY = 0.05
+MESSAGE_S = 0.05
+COMMIT_S = 0.1
+DELIVERY_S = 0.3
+BASE_ERRORS = 0.002
+SPREAD = 0.35
+
+
+@attrs.define
+class Case:
+    """A move to be simulated."""
+
+    number: int
+    kind: str
+    rate: float
+    seed: int
+    policy: str
+    deadline_s: float = DEADLINE_S
+    scale: float = 1.0
+
+
+@attrs.define
+class Outcome:
+    """What became of a move."""
+
+    case: Case
+    verdict: str = ""
+    decided_at: float = 0.0
+    traffic_ended: bool = False
+    onset: float = -1.0
+    before: int = 0
+    after: int = 0
+    bad_answers: int = 0
+    too_late: int = 0
+    evidence_at: float = -1.0
+    unproved_share: float = 0.0
+    reason: str = ""
+
+
+class FixedThreshold:
+    """Baseline: shares rise by time alone, and fixed thresholds on the sums withdraw."""
+
+    STAGE_S = 60.0
+    SHARES = (0.0125, EARLY, 0.25, 0.5, 0.9)
+    MIN_COUNT = 20
+
+    def __init__(self):
+        self.state: MoveState | None = None
+        self.move: Move | None = None
+        self.ledger = EvidenceLedger()
+        self.sums = {False: sums_of(1, 1, False), True: sums_of(1, 1, False)}
+        self.stage_at = 0.0
+
+    def update(self, moves, pools, now, unix_now) -> None:
+        """Take over the state."""
+        state = moves["lamp"]
+        if self.state is None or state.stage != self.state.stage:
+            self.stage_at = now
+        self.state, self.move = state, pools["lamp"].move
+
+    def observe(self, evidence: Evidence, now: float) -> None:
+        """Add up evidence."""
+        for cell, sums in self.ledger.increments(evidence).items():
+            self.sums[cell[1]].add(sums)
+
+    def tick(self, now: float) -> list[AdvanceMove]:
+        """Return the next step."""
+        state, stage = self.state, self.state.stage
+        if state.verdict == DONE and self._is_bad() and state.share:
+            return [AdvanceMove("lamp", state.table_version, stage, 0.0, DONE, "threshold")]
+        if state.verdict:
+            return []
+        if self._is_bad():
+            return [AdvanceMove("lamp", state.table_version, stage, 0.0, WITHDRAWN, "threshold")]
+        if state.share == 0:
+            return [AdvanceMove("lamp", state.table_version, 0, self.SHARES[0])]
+        if now - self.stage_at < self.STAGE_S:
+            return []
+        if stage == len(self.SHARES) - 1:
+            return [AdvanceMove("lamp", state.table_version, stage, 1.0, DONE)]
+        return [AdvanceMove("lamp", state.table_version, stage + 1, self.SHARES[stage + 1])]
+
+    def _is_bad(self) -> bool:
+        old, new = self.sums[False], self.sums[True]
+        if new.count < self.MIN_COUNT:
+            return False
+        excess = new.errors / new.count - old.errors / old.count
+        slower = new.total / max(new.timed(), 1) - old.total / max(old.timed(), 1)
+        return excess > self.move.max_error_excess or slower > math.log(self.move.max_slowdown)
+
+
+class PassiveGuard(VersionGuard):
+    """Guard that reports and never stops."""
+
+    def observe(self, route, version, load_fraction, expected_s, total_s, is_error, now):
+        """Collect a request."""
+        cell = (route, version == self.state.version, load_bucket(load_fraction))
+        self.collector.add(cell, sums_of(expected_s, total_s, is_error))
+        return False
+
+
+POLICIES: dict[str, tuple[Callable, Callable]] = {
+    "sequential": (MoveController, VersionGuard),
+    "fixed": (FixedThreshold, PassiveGuard),
+}
+
+
+@attrs.define
+class Fault:
+    """Fault of a version: extra errors and slowness, and where and when they show."""
+
+    errors: float = 0.0
+    slowdown: float = 1.0
+    onset: float = 0.0
+    route: str = ""
+    min_load: float = 0.0
+
+
+def draw_fault(case: Case, rng: random.Random) -> Fault | None:
+    """Return the fault of a case; ``None`` for a good version."""
+    if case.kind in GOOD:
+        return None
+    fails = case.kind.endswith("fail") or case.kind in ("load", "route", "late_done")
+    if case.kind in ("load", "route", "late_done"):
+        fails = rng.random() < 0.5
+    fault = Fault(errors=rng.uniform(0.04, 0.4)) if fails else Fault()
+    if not fails:
+        fault.slowdown = rng.uniform(1.5, 3.0)
+    if case.kind.startswith("later"):
+        fault.onset = rng.uniform(0.05, 0.5) * case.deadline_s
+    if case.kind == "late_done":
+        fault.onset = math.inf
+    if case.kind == "load":
+        fault.min_load = 0.7
+    if case.kind == "route":
+        fault.route = rng.choice(list(ROUTES))
+    return fault
+
+
+class Simulation:
+    """One move at virtual time."""
+
+    def __init__(self, case: Case):
+        self.case = case
+        self.rng = random.Random(case.seed)
+        self.make_controller, make_guard = POLICIES[case.policy]
+        self.fault = draw_fault(case, self.rng)
+        self.outcome = Outcome(case)
+        self.state = ControlState()
+        self.index = 0
+        self.queue: list = []
+        self.order = itertools.count()
+        self.now = 0.0
+        self.guards = {name: make_guard("lamp", name, 1) for name in DOMAINS}
+        self.controller = self.make_controller()
+        self.is_leading = True
+        self.end = case.deadline_s + 30.0
+        self.phase = self.rng.uniform(0, 240)
+        self.bursts = [self.rng.uniform(0, 900) for _ in range(3)]
+        self.oracle: VersionTest | None = None
+        self.seen_bad = False
+
+    def at(self, seconds: float, action: Callable, *arguments) -> None:
+        """Call an action after some seconds."""
+        heapq.heappush(self.queue, (self.now + seconds, next(self.order), action, arguments))
+
+    def run(self) -> Outcome:
+        """Run the move to its end."""
+        self.apply_pools(1, {"version": "a"})
+        move = {
+            "previous": "a",
+            "deadline_s": self.case.deadline_s,
+            "largest_early_share": EARLY,
+            "watch_s": WATCH_S,
+        }
+        self.apply_pools(2, {"version": "b", "move": move})
+        self.oracle = VersionTest(self.state.pools()["lamp"].move, LEADER_BUDGET)
+        self.deliver()
+        self.controller.update(self.state.moves(), self.state.pools(), 0.0, 0.0)
+        for number, guard in enumerate(self.guards.values()):
+            self.at(number / 3, self.report, guard)
+        self.at(1.0, self.tick)
+        self.at(0.0, self.arrive)
+        if self.rng.random() < 1 / 3:
+            self.at(self.rng.uniform(20, 0.7 * self.case.deadline_s), self.lose_leader)
+        while self.queue:
+            when, _, action, arguments = heapq.heappop(self.queue)
+            if when > self.end:
+                break
+            self.now = when
+            action(*arguments)
+        return self.finish()
+
+    def apply_pools(self, version: int, pool: dict) -> None:
+        """Accept a pools table."""
+        text = json.dumps({"table": "pools", "version": version, "pools": {"lamp": pool}})
+        digest = parse_table(text, "pools").digest
+        self.index += 1
+        command = ApplyTable("pools", version, text.encode(), digest, "bench", 0.0)
+        result = self.state.apply(self.index, command)
+        assert result.code == 0, result
+
+    def load(self) -> float:
+        """Return the load fraction of the endpoints now."""
+        wave = 0.5 + 0.5 * math.sin((self.now + self.phase) * 2 * math.pi / 240)
+        top = 0.5 if self.case.rate < 5 else 1.0
+        return top * (0.25 + 0.7 * wave) + self.rng.gauss(0, 0.05)
+
+    def arrive(self) -> None:
+        """Dispatch a request and plan the next one."""
+        load = self.load()
+        self.at(self.rng.expovariate(self.case.rate), self.arrive)
+        guard = self.guards[self.rng.choice(DOMAINS)]
+        share = guard.shares().get("b", 0.0)
+        version = "b" if self.rng.random() < share else "a"
+        route = self.rng.choices(list(ROUTES), list(ROUTES.values()))[0]
+        expected = math.exp(self.rng.uniform(math.log(0.3), math.log(6.0)))
+        errors, factor = BASE_ERRORS, 1.0
+        if self.case.kind == "none_burst" and any(0 < self.now - b < 60 for b in self.bursts):
+            factor = 1.6
+        if version == "b" and self.fault is not None:
+            self.count(route, load)
+            if self.is_faulty(route, load):
+                errors += self.fault.errors
+                factor *= self.fault.slowdown
+        total = expected * factor * math.exp(self.rng.gauss(0, SPREAD))
+        is_error = self.rng.random() < errors
+        delay = total * self.rng.random() if is_error else total
+        self.at(delay, self.complete, guard, route, version, load, expected, total, is_error)
+
+    def is_faulty(self, route: str, load: float) -> bool:
+        """Return whether the fault shows for a request that starts now."""
+        fault = self.fault
+        if self.now < fault.onset or load < fault.min_load:
+            return False
+        return not fault.route or route == fault.route
+
+    def count(self, route: str, load: float) -> None:
+        """Count a request on the bad version."""
+        outcome = self.outcome
+        if self.is_faulty(route, load):
+            if not self.seen_bad:
+                self.seen_bad = True
+                outcome.onset = self.now
+            outcome.bad_answers += 1
+        if self.seen_bad:
+            outcome.after += 1
+        else:
+            outcome.before += 1
+        if 0 <= outcome.evidence_at < self.now - 2.0:
+            outcome.too_late += 1
+
+    def complete(self, guard, route, version, load, expected, total, is_error) -> None:
+        """Report the end of a request to its guard."""
+        if self.fault is not None and self.outcome.evidence_at < 0:
+            cell = (route, version == "b", load_bucket(load))
+            self.oracle.add([(cell, sums_of(expected, total, is_error))], self.now)
+            if self.oracle.fault():
+                self.outcome.evidence_at = self.now
+        if guard.observe(route, version, load, expected, total, is_error, self.now):
+            if self.outcome.evidence_at < 0:
+                self.outcome.evidence_at = self.now
+            self.send(guard)
+
+    def report(self, guard) -> None:
+        """Send a guard's evidence once a second."""
+        self.at(1.0, self.report, guard)
+        self.send(guard)
+
+    def send(self, guard) -> None:
+        """Send a guard's evidence; a hundredth of the messages is lost."""
+        message = guard.evidence()
+        if self.rng.random() > 0.01:
+            self.at(MESSAGE_S, self.receive, message)
+
+    def receive(self, message: Evidence) -> None:
+        """Give evidence to the leader."""
+        if self.is_leading:
+            self.controller.observe(message, self.now)
+            self.step()
+
+    def tick(self) -> None:
+        """Give the leader its tick."""
+        self.at(1.0, self.tick)
+        if self.is_leading:
+            self.step()
+
+    def step(self) -> None:
+        """Propose what the controller asks for."""
+        for command in self.controller.tick(self.now):
+            self.at(COMMIT_S, self.commit, command)
+
+    def commit(self, command: AdvanceMove) -> None:
+        """Apply a command, and deliver the result to the guards."""
+        before = self.state.moves()["lamp"]
+        self.index += 1
+        self.state.apply(self.index, command)
+        after = self.state.moves()["lamp"]
+        self.controller.update(self.state.moves(), self.state.pools(), self.now, self.now)
+        if after != before:
+            self.at(DELIVERY_S, self.deliver)
+        if after.verdict and not before.verdict:
+            self.decide(after)
+        if after.verdict == DONE and after.share == 0 and before.share:
+            self.outcome.traffic_ended = True
+            self.outcome.reason = after.reason
+            self.end = min(self.end, self.now + 30.0)
+        if self.fault and self.outcome.evidence_at < 0 and self.fault.onset == 0:
+            self.outcome.unproved_share = max(self.outcome.unproved_share, after.share)
+
+    def decide(self, after: MoveState) -> None:
+        """Take note of the verdict."""
+        self.outcome.verdict, self.outcome.decided_at = after.verdict, self.now
+        self.outcome.reason = after.reason
+        if self.fault is not None and self.fault.onset == math.inf:
+            self.fault.onset = self.now + self.rng.uniform(5, 150)
+        self.end = self.now + (WATCH_S if after.verdict != WITHDRAWN else 30.0)
+
+    def deliver(self) -> None:
+        """Bring the state to the guards."""
+        state, pool = self.state.moves()["lamp"], self.state.pools()["lamp"]
+        for guard in self.guards.values():
+            guard.set_move(state, pool.move)
+
+    def lose_leader(self) -> None:
+        """Lose the leader with all that it remembers; the next one starts 2 s later."""
+        self.is_leading = False
+        self.at(2.0, self.elect)
+
+    def elect(self) -> None:
+        """Start a new leader."""
+        self.is_leading = True
+        self.controller = self.make_controller()
+        self.controller.update(self.state.moves(), self.state.pools(), self.now, self.now)
+
+    def finish(self) -> Outcome:
+        """Return the outcome."""
+        outcome = self.outcome
+        if outcome.verdict in (WITHDRAWN, LATE) and self.state.moves()["lamp"].share == 0:
+            outcome.traffic_ended = True
+        return outcome
+
+
+def simulate(case: Case) -> Outcome:
+    """Simulate one move."""
+    return Simulation(case).run()
+
+
+def make_cases(moves: int, seed: int, policy: str) -> list[Case]:
+    """Return the cases of a run: about half good, the others bad, over all rates."""
+    kinds = list(GOOD) * 3 + list(BAD)
+    pairs = [(kind, rate) for rate in RATES for kind in kinds]
+    cases = []
+    for number in range(moves):
+        kind, rate = pairs[number % len(pairs)]
+        cases.append(Case(number, kind, rate, seed * 100_003 + number, policy))
+    return cases
+
+
+def _part(found: list[Outcome], is_met: Callable[[Outcome], bool]) -> str:
+    met = sum(1 for outcome in found if is_met(outcome))
+    return f"{met}/{len(found)} ({100 * met / len(found):.1f}%)" if found else "none"
+
+
+def print_summary(outcomes: list[Outcome]) -> None:
+    """Print the figures of one policy."""
+    for rate in (*RATES, 0.0):
+        chosen = [o for o in outcomes if o.case.rate == rate or rate == 0.0]
+        good = [o for o in chosen if o.case.kind in GOOD]
+        bad = [o for o in chosen if o.case.kind in BAD]
+        shown = [o for o in bad if o.bad_answers]
+        print(
+            f"  rate {rate or 'all'}: good done in time {_part(good, lambda o: o.verdict == DONE)},"
+            f" late {_part(good, lambda o: o.verdict == LATE)},"
+            f" withdrawn {_part(good, lambda o: o.traffic_ended)};"
+            f" bad ended {_part(shown, lambda o: o.traffic_ended)},"
+            f" bad done and kept {_part(shown, lambda o: o.verdict == DONE and not o.traffic_ended)}"
+        )
+    for kind in BAD:
+        found = [o for o in outcomes if o.case.kind == kind and o.bad_answers]
+        if not found:
+            continue
+        after = sorted(o.after for o in found)
+        print(
+            f"  {kind}: ended {_part(found, lambda o: o.traffic_ended)};"
+            f" requests on the bad version before its faults showed: mean"
+            f" {sum(o.before for o in found) / len(found):.0f}, after: median"
+            f" {after[len(after) // 2]}, largest {after[-1]};"
+            f" over the early share without evidence"
+            f" {_part(found, lambda o: o.unproved_share > EARLY)};"
+            f" new requests over 2 s after the evidence: {sum(o.too_late for o in found)}"
+        )
+
+
+def main() -> None:
+    """Run all moves under both policies."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--moves", type=int, default=208)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--workers", type=int, default=4)
+    parser.add_argument("--policy", choices=list(POLICIES), action="append")
+    parser.add_argument("--failures", action="store_true", help="list moves that miss the goals")
+    options = parser.parse_args()
+    for policy in options.policy or list(POLICIES):
+        with ProcessPoolExecutor(options.workers) as pool:
+            cases = make_cases(options.moves, options.seed, policy)
+            outcomes = list(pool.map(simulate, cases, chunksize=2))
+        print(f"{policy}: {len(outcomes)} moves, seed {options.seed}")
+        print_summary(outcomes)
+        for outcome in outcomes if options.failures else ():
+            is_good = outcome.case.kind in GOOD
+            if outcome.verdict != DONE if is_good else not outcome.traffic_ended:
+                print(f"    {outcome}")
+
+
+if __name__ == "__main__":
+    main()
--- a/mulberrygate/control/evidence.py
+++ b/mulberrygate/control/evidence.py
@@ -46,8 +46,9 @@
     routes : tuple[str, ...]
         Routes that the cells refer to.
     cells : tuple[tuple[int, ...], ...]
-        Route's index, 1 for the new version, load bucket, requests, errors, and the sum and the sum
-        of squares of the logarithm of normalised time of the requests without error, in thousandths.
+        Route's index, 1 for the new version, load bucket, requests, errors, and the sum and the
+        sum of squares of the logarithm of normalised time of the requests without error, in
+        thousandths.
     stopped : str
         Reason for which the sender's guard has stopped the new version; empty if it hasn't.
     """
--- a/mulberrygate/control/guard.py
+++ b/mulberrygate/control/guard.py
@@ -11,11 +11,12 @@
 
 A sum that falls below `RESTART` starts again at 0, since a fault that begins late would otherwise
 have to outweigh all the good evidence before it. Under the null hypothesis the exponential of each
-such run is a supermartingale that starts at 1, so that it ever reaches ``1 / a`` with a probability
-of at most ``a`` (Ville's inequality). Run number ``r`` gets the part ``1 / (2.11 (r+1) ln²(r+1))`` of
-its stratum's budget; these parts add up to at most 1. The previous version's error rate and mean are
-estimates; their own error is allowed for by a margin (rates) and a larger variance (times), which
-makes the bound approximate. ``bench/moves.py`` measures what it is worth.
+such run is a supermartingale that starts at 1, so that it ever reaches ``1 / a`` with a
+probability of at most ``a`` (Ville's inequality). Run number ``r`` gets the part
+``1 / (2.11 (r+1) ln²(r+1))`` of its stratum's budget; these parts add up to at most 1. The previous
+version's error rate and mean are estimates; their own error is allowed for by a margin (rates) and
+a larger variance (times), which makes the bound approximate. ``bench/moves.py`` measures what it is
+worth.
 """
 
 from __future__ import annotations
@@ -47,8 +48,8 @@
 
 RESTART = -2.0
 RUN_WEIGHT_SUM = 2.11
-# Half-life of the previous version's recent sums, against which the new version is compared, so that
-# a burst that slows both versions down is not held against the new one.
+# Half-life of the previous version's recent sums, against which the new version is compared, so
+# that a burst that slows both versions down is not held against the new one.
 HALF_LIFE_S = 40.0
 # Requests of long-run figures that are mixed into the recent ones of a thin stratum.
 BLEND_COUNT = 60.0
@@ -60,8 +61,19 @@
 MIN_VARIANCE = 0.01
 # Times have heavier tails than the normal distribution of the test.
 VARIANCE_MARGIN = 1.3
+# Sizes of fault that are tested for, as multiples of the smallest excess of errors (with one fixed
+# rate) and of the logarithm of the smallest slowdown.
+ERROR_SIZES = (1.5, 5.0)
+ERROR_RATE = 0.5
+TIME_SIZES = (1.25, 3.0)
+LOG_RUNS = math.log(len(ERROR_SIZES) + 1 + len(TIME_SIZES))
 # A stratum without this many requests of the previous version has nothing to compare with.
 MIN_BASELINE = 20.0
+# The budget is split over at least this many strata besides that of all requests, so that the split
+# changes little while routes and load buckets appear one after the other.
+MIN_STRATA = 16
+# Floor of the sums that speak for the new version, so that one bad spell can be outweighed.
+ACCEPT_FLOOR = -5.0
 
 Stratum = tuple[str, int]
 ALL_ROUTES = ""
@@ -116,8 +128,8 @@
         self.new = Sums()
         self.new_recent = Sums()
         self.decayed_at: float | None = None
-        self.error_runs = [Run() for _ in range(3)]
-        self.time_runs = [Run() for _ in range(2)]
+        self.error_runs = [Run() for _ in (*ERROR_SIZES, ERROR_RATE)]
+        self.time_runs = [Run() for _ in TIME_SIZES]
         self.accept_errors = 0.0
         self.accept_time = 0.0
 
@@ -169,28 +181,29 @@
     def _add_errors(self, sums: Sums, baseline: Baseline) -> None:
         rate = baseline.error_rate
         null = min(rate + self.excess / 2 + baseline.rate_error, 0.8)
-        sizes = (rate + 1.5 * self.excess, rate + 5 * self.excess, 0.5)
+        sizes = [rate + size * self.excess for size in ERROR_SIZES] + [ERROR_RATE]
         for run, size in zip(self.error_runs, sizes, strict=True):
             if size > null * 1.1:
                 run.add(_error_ratio(sums, min(size, 0.95), null))
         good = max(rate, 1e-4)
-        self.accept_errors += _error_ratio(sums, good, min(good + self.excess, 0.99))
+        ratio = _error_ratio(sums, good, min(good + self.excess, 0.99))
+        self.accept_errors = max(self.accept_errors + ratio, ACCEPT_FLOOR)
 
     def _add_times(self, sums: Sums, baseline: Baseline) -> None:
         null = baseline.mean + self.slowdown / 2
-        for run, size in zip(self.time_runs, (1.25, 3.0), strict=True):
+        for run, size in zip(self.time_runs, TIME_SIZES, strict=True):
             fault = baseline.mean + size * self.slowdown
             run.add(_time_ratio(sums, fault, null, baseline.variance))
         slow = baseline.mean + self.slowdown
-        self.accept_time += _time_ratio(sums, baseline.mean, slow, baseline.variance)
+        ratio = _time_ratio(sums, baseline.mean, slow, baseline.variance)
+        self.accept_time = max(self.accept_time + ratio, ACCEPT_FLOOR)
 
-    def excess_over(self, threshold: float) -> tuple[float, str]:
-        """Return by how much the strongest run passes its threshold, and the kind of fault."""
-        kinds = [("errors", run) for run in self.error_runs]
-        kinds += [("time", run) for run in self.time_runs]
-        limit = threshold + math.log(len(kinds))
-        found = [(run.value - limit - run.penalty(), kind) for kind, run in kinds]
-        return max(found)
+    def strength(self, threshold: float) -> tuple[float, str]:
+        """Return the strongest run as a part of its threshold, and its kind; 1 shows a fault."""
+        limit = threshold + LOG_RUNS
+        error = max(run.value / (limit + run.penalty()) for run in self.error_runs)
+        time = max(run.value / (limit + run.penalty()) for run in self.time_runs)
+        return max((error, "errors"), (time, "time"))
 
 
 def _error_ratio(sums: Sums, rate: float, against: float) -> float:
@@ -219,6 +232,7 @@
         self.move = move
         self.budget = budget
         self.strata: dict[Stratum, StratumTest] = {POOLED: StratumTest(move)}
+        self.touched: set[Stratum] = set()
 
     def add(self, increments: Iterable[tuple[Cell, Sums]], now: float) -> None:
         """Add increments; those of the previous version count first."""
@@ -228,7 +242,11 @@
                 test = self.strata.get(stratum)
                 if test is None:
                     test = self.strata[stratum] = StratumTest(self.move)
-                (test.add_new if is_new else test.add_previous)(sums, now)
+                if is_new:
+                    test.add_new(sums, now)
+                    self.touched.add(stratum)
+                else:
+                    test.add_previous(sums, now)
 
     def pooled(self) -> StratumTest:
         """Return the test of all requests."""
@@ -251,20 +269,20 @@
         }
 
     def strongest(self) -> tuple[float, str]:
-        """Return by how much the evidence passes its threshold (negative: it does not), and where."""
-        others = max(len(self.strata) - 1, 8)
-        best = (-math.inf, "")
-        for stratum, test in self.strata.items():
-            parts = 2 if stratum == POOLED else 2 * others
-            excess, kind = test.excess_over(math.log(parts / self.budget))
-            if excess > best[0]:
-                best = (excess, f"{kind} {_describe(stratum)}")
-        return best
+        """Return the strongest evidence as a part of its threshold, and where it is."""
+        return max((self._strength(stratum) for stratum in self.strata), default=(0.0, ""))
 
     def fault(self) -> str:
-        """Return the fault that the evidence shows, or an empty text."""
-        excess, text = self.strongest()
-        return text if excess >= 0 else ""
+        """Return a fault that increments since the last call have shown, or an empty text."""
+        touched, self.touched = self.touched, set()
+        strength, text = max((self._strength(stratum) for stratum in touched), default=(0.0, ""))
+        return text if strength >= 1 else ""
+
+    def _strength(self, stratum: Stratum) -> tuple[float, str]:
+        others = max(len(self.strata) - 1, MIN_STRATA)
+        parts = 2 if stratum == POOLED else 2 * others
+        strength, kind = self.strata[stratum].strength(math.log(parts / self.budget))
+        return strength, f"{kind} {_describe(stratum)}"
 
 
 def _describe(stratum: Stratum) -> str:
--- /dev/null
+++ b/mulberrygate/control/moves.py
@@ -0,0 +1,332 @@
+"""Controller of version moves on the control leader.
+
+Explanation
+===========
+A move passes through numbered stages. Stages 0 and 1 keep to the largest early share; the share
+rises further only with evidence for the new version, and stage `LAST_STAGE` asks for requests under
+real load. Evidence for the new version is a likelihood ratio of "like the previous version" against
+"worse by the smallest fault"; a version with such a fault passes with a probability of at most the
+stage's `risk`.
+
+Real load is the highest load bucket that, together with those above it, holds at least a tenth of
+the pool's requests during the move. It is relative to the pool, since a pool that never runs above
+half of its slots has no other load to show.
+
+Rule for the deadline when load is too thin for evidence: the move ends as ``late`` and keeps at
+most the largest early share. About ``ln(1 / risk) / max_error_excess`` requests on the new version are
+needed to tell a good version from one with the smallest fault, whatever the method, and a thin load
+doesn't bring them within the deadline. To complete without them would give a faulty version all
+traffic, which is what moves exist to prevent. To withdraw would be a verdict against the version
+without evidence. The early share bounds the damage, the test goes on, and the operator, who sees
+``late`` and its reason, decides with a new table version.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from mulberrygate.control.commands import AdvanceMove, MoveState
+from mulberrygate.control.evidence import Evidence, EvidenceLedger
+from mulberrygate.control.guard import LEADER_BUDGET, VersionTest
+from mulberrygate.control.state import DONE, EARLY_STAGES, LAST_STAGE, LATE, WITHDRAWN
+from mulberrygate.tables.model import Move, Pool
+
+
+@attrs.frozen
+class MoveSettings:
+    """Settings of the controller.
+
+    Parameters
+    ==========
+    first_part : float
+        Share of stage 0 as a part of the largest early share.
+    shares : tuple[float, ...]
+        Shares of the stages after the early ones.
+    risks : tuple[float, ...]
+        For each stage, the probability with which a version with the smallest fault passes it.
+    dwell_part, max_dwell_s : float
+        Shortest time in a stage: part of the deadline, but at most so many seconds.
+    first_requests, first_part_s : float
+        Stage 0 ends after so many requests, or so large a part of the deadline.
+    route_requests, final_route_requests : int
+        Requests of each common route before the share rises, and before the move is done.
+    loaded_requests : int
+        Requests under real load in the last stage.
+    common_route : float
+        Part of the pool's requests that makes a route a common one.
+    caution : float
+        Part of a fault's threshold at which the share doesn't rise and a late move goes back.
+    resend_s : float
+        Seconds after which a command that had no effect is proposed again.
+    refill_s : float
+        Seconds in which a new leader takes evidence as old.
+    """
+
+    first_part: float = 0.25
+    shares: tuple[float, ...] = (0.25, 0.5, 0.9)
+    risks: tuple[float, ...] = (1.0, 0.02, 0.05, 0.05, 0.05)
+    dwell_part: float = 0.04
+    max_dwell_s: float = 600.0
+    first_requests: float = 10
+    first_part_s: float = 0.08
+    route_requests: int = 8
+    final_route_requests: int = 30
+    loaded_requests: int = 100
+    loaded_part: float = 0.1
+    common_route: float = 0.05
+    caution: float = 0.5
+    resend_s: float = 1.0
+    refill_s: float = 5.0
+
+
+@attrs.define
+class StageStart:
+    """Figures at the start of a stage, from which its own evidence is counted."""
+
+    at: float
+    count: float = 0.0
+    accept_errors: float = 0.0
+    accept_time: float = 0.0
+    loads: dict[int, float] = attrs.field(factory=dict)
+
+
+class MoveTrack:
+    """One move as the leader sees it.
+
+    Parameters
+    ==========
+    state : MoveState
+    move : Move
+    now : float
+        Seconds on the monotonic clock.
+    deadline : float
+        End of the move on the same clock.
+    """
+
+    def __init__(
+        self, state: MoveState, move: Move, now: float, deadline: float, settings: MoveSettings
+    ):
+        self.state = state
+        self.move = move
+        self.settings = settings
+        self.deadline = deadline
+        self.test = VersionTest(move, LEADER_BUDGET)
+        self.ledger = EvidenceLedger()
+        self.fault = ""
+        self.stage = StageStart(now)
+        # What a new leader hears first comes from earlier stages too; it counts for the test and
+        # not for the stage, unless the stage is an early one.
+        is_takeover = state.stage >= EARLY_STAGES
+        self.refill_until = now + settings.refill_s if is_takeover else -math.inf
+        self.watch_until = now + move.watch_s
+        self.sent: AdvanceMove | None = None
+        self.sent_at = -math.inf
+
+    def update(self, state: MoveState, move: Move, now: float) -> None:
+        """Take over the state that the log has reached.
+
+        Explanation
+        ===========
+        A deadline that the operator changed counts at once; the definition of a fault stays that of
+        the move's start, since the evidence was weighed by it.
+        """
+        self.deadline += move.deadline_s - self.move.deadline_s
+        if state.stage != self.state.stage:
+            self._begin_stage(now)
+        if state.verdict and not self.state.verdict:
+            self.watch_until = now + move.watch_s
+        if state != self.state:
+            self.sent = None
+        self.state, self.move = state, move
+
+    def _begin_stage(self, now: float) -> None:
+        pooled = self.test.pooled()
+        loads = {bucket: test.new.count for bucket, test in self.test.loads().items()}
+        self.stage = StageStart(
+            now, pooled.new.count, pooled.accept_errors, pooled.accept_time, loads
+        )
+
+    def observe(self, evidence: Evidence, now: float) -> None:
+        """Take evidence into account."""
+        if evidence.table_version != self.state.table_version:
+            return
+        self.test.add(self.ledger.increments(evidence).items(), now)
+        self.fault = self.fault or self.test.fault()
+        if evidence.stopped and not self.fault:
+            self.fault = f"stopped by {evidence.sender}: {evidence.stopped}"
+
+    def decide(self, now: float) -> AdvanceMove | None:
+        """Return the next step, or ``None``."""
+        if self.refill_until > 0 and now >= self.refill_until:
+            self.refill_until = -math.inf
+            self._begin_stage(now)
+        step = self._step(now)
+        if step is None or step == self.sent and now < self.sent_at + self.settings.resend_s:
+            return None
+        self.sent, self.sent_at = step, now
+        return step
+
+    def _step(self, now: float) -> AdvanceMove | None:
+        state = self.state
+        if state.verdict:
+            return self._step_after_verdict(now)
+        if self.fault:
+            return self._advance(0.0, WITHDRAWN, self.fault)
+        if now >= self.deadline:
+            return self._end_late()
+        if state.stage == 0 and state.share == 0:
+            share = self.move.largest_early_share * self.settings.first_part
+            return self._advance(share, "", "first requests")
+        if self.missing(now):
+            return None
+        if state.stage == LAST_STAGE:
+            return self._advance(1.0, DONE, "evidence on all stages")
+        return self._advance(self._share_of(state.stage + 1), "", "", state.stage + 1)
+
+    def _step_after_verdict(self, now: float) -> AdvanceMove | None:
+        state = self.state
+        is_watched = state.verdict == LATE or state.verdict == DONE and now < self.watch_until
+        if not self.fault or not is_watched or state.share == 0:
+            return None
+        return self._advance(0.0, state.verdict, f"traffic withdrawn: {self.fault}")
+
+    def _end_late(self) -> AdvanceMove:
+        strength, text = self.test.strongest()
+        if strength >= self.settings.caution:
+            return self._advance(0.0, LATE, f"deadline passed with signs of faults: {text}")
+        share = min(self.state.share, self.move.largest_early_share)
+        return self._advance(share, LATE, f"deadline passed; {self.missing(self.deadline)}")
+
+    def _share_of(self, stage: int) -> float:
+        early = self.move.largest_early_share
+        if stage < EARLY_STAGES:
+            return early
+        return max(early, self.settings.shares[stage - EARLY_STAGES])
+
+    def _advance(
+        self, share: float, verdict: str, reason: str, stage: int | None = None
+    ) -> AdvanceMove:
+        state = self.state
+        stage = state.stage if stage is None else stage
+        reason = reason or f"stage {stage}"
+        return AdvanceMove(state.pool, state.table_version, stage, share, verdict, reason[:200])
+
+    def missing(self, now: float) -> str:
+        """Return what the stage still lacks, or an empty text."""
+        settings, stage = self.settings, self.state.stage
+        length = self.deadline - self.stage.at
+        whole = self.move.deadline_s
+        if now - self.stage.at < min(settings.dwell_part * whole, settings.max_dwell_s):
+            return f"stage {stage} has only begun"
+        strength, text = self.test.strongest()
+        if strength >= settings.caution:
+            return f"signs of faults: {text}"
+        pooled = self.test.pooled()
+        if stage == 0:
+            is_seen = pooled.new.count >= settings.first_requests
+            is_over = now - self.stage.at >= min(settings.first_part_s * whole, length)
+            return "" if is_seen or is_over else "too few requests on the new version"
+        return self._missing_evidence(stage) or self._missing_routes(stage) or self._missing_load()
+
+    def _missing_evidence(self, stage: int) -> str:
+        pooled = self.test.pooled()
+        needed = -math.log(self.settings.risks[stage])
+        is_early = stage < EARLY_STAGES
+        errors = pooled.accept_errors - (0.0 if is_early else self.stage.accept_errors)
+        time = pooled.accept_time - (0.0 if is_early else self.stage.accept_time)
+        if errors < needed or time < needed:
+            count = pooled.new.count
+            return f"too little evidence at stage {stage} after {count:.0f} requests"
+        return ""
+
+    def _missing_routes(self, stage: int) -> str:
+        settings = self.settings
+        needed = settings.final_route_requests if stage == LAST_STAGE else settings.route_requests
+        whole = self.test.pooled().previous.count
+        for route, test in self.test.routes().items():
+            is_common = test.previous.count >= settings.common_route * whole
+            if is_common and test.new.count < needed:
+                return f"too few requests on route {route}"
+        return ""
+
+    def _missing_load(self) -> str:
+        if self.state.stage != LAST_STAGE:
+            return ""
+        bucket = self._real_load()
+        loaded = sum(
+            test.new.count - self.stage.loads.get(number, 0.0)
+            for number, test in self.test.loads().items()
+            if number >= bucket
+        )
+        return "" if loaded >= self.settings.loaded_requests else "too few requests under load"
+
+    def _real_load(self) -> int:
+        counts = {b: t.previous.count + t.new.count for b, t in self.test.loads().items()}
+        whole, above = sum(counts.values()), 0.0
+        for bucket in sorted(counts, reverse=True):
+            above += counts[bucket]
+            if above >= self.settings.loaded_part * whole:
+                return bucket
+        return 0
+
+
+class MoveController:
+    """All moves, on the leader of the control group.
+
+    Explanation
+    ===========
+    A new leader makes a new controller. Stage, share, verdict and start of a move come from the
+    log; the evidence comes again with the senders' next messages, since their sums are cumulative.
+    The watch period after completion begins anew with each leader, which only makes it longer.
+
+    Examples
+    ========
+    >>> from mulberrygate.control.commands import MoveState
+    >>> from mulberrygate.control.moves import MoveController
+    >>> from mulberrygate.tables.model import Move, Pool
+    >>> controller = MoveController()
+    >>> pool = Pool(version="b", move=Move(previous="a"))
+    >>> controller.update({"lamp": MoveState("lamp", 2, "a", "b")}, {"lamp": pool}, 0.0, 0.0)
+    >>> controller.tick(1.0)[0].share
+    0.0125
+    """
+
+    def __init__(self, settings: MoveSettings | None = None):
+        self.settings = settings or MoveSettings()
+        self.tracks: dict[str, MoveTrack] = {}
+
+    def update(
+        self, moves: dict[str, MoveState], pools: dict[str, Pool], now: float, unix_now: float
+    ) -> None:
+        """Take over the moves of the control state; to be called after each change of it.
+
+        Parameters
+        ==========
+        now : float
+            Seconds on the monotonic clock.
+        unix_now : float
+            Unix time in seconds, in which the state gives the start of a move.
+        """
+        for name in self.tracks.keys() - moves.keys():
+            del self.tracks[name]
+        for name, state in moves.items():
+            move = pools[name].move
+            track = self.tracks.get(name)
+            if track is not None and track.state.table_version == state.table_version:
+                track.update(state, move, now)
+            else:
+                deadline = now + state.started_at + move.deadline_s - unix_now
+                self.tracks[name] = MoveTrack(state, move, now, deadline, self.settings)
+
+    def observe(self, evidence: Evidence, now: float) -> None:
+        """Take a message of a pool scheduler's owner into account."""
+        track = self.tracks.get(evidence.pool)
+        if track is not None:
+            track.observe(evidence, now)
+
+    def tick(self, now: float) -> list[AdvanceMove]:
+        """Return the commands to propose now; to be called after `observe` and once a second."""
+        steps = [track.decide(now) for track in self.tracks.values()]
+        return [step for step in steps if step is not None]
