--- a/mulberrygate/agreement/changes.py
+++ b/mulberrygate/agreement/changes.py
@@ -64,8 +64,11 @@
         target = min(found, key=lambda member: member.is_voter)
         if target.is_voter and len(self.members.voters()) == 1:
             return ChangeRefused("the last voter can't be removed", self.out)
+        members = self.members.without(target.disk)
+        if not self.has_live_majority(members, now):
+            return ChangeRefused("a majority of the remaining voters does not answer", self.out)
         self.candidates.pop(name, None)
-        index = self.put_members(self.members.without(target.disk), now)
+        index = self.put_members(members, now)
         return Proposed(index, self.term, self.out)
 
     def begin_change(self, now: float) -> NotProposed | ChangeRefused | None:
@@ -116,12 +119,32 @@
         for learner in self.members.learners():
             if not self.is_caught_up(learner, now):
                 continue
-            former = self.members.voter_named(learner.name)
-            if former is not None and len(self.members.voters()) > 1:
-                self.put_members(self.members.without(former.disk), now)
-            else:
-                self.put_members(self.members.plus(attrs.evolve(learner, is_voter=True)), now)
-            return
+            members = self.next_members(learner)
+            if self.has_live_majority(members, now):
+                self.put_members(members, now)
+                return
+
+    def next_members(self, learner: Member) -> Members:
+        """Return the members after the next step for a learner."""
+        former = self.members.voter_named(learner.name)
+        if former is not None:
+            return self.members.without(former.disk)
+        return self.members.plus(attrs.evolve(learner, is_voter=True))
+
+    def has_live_majority(self, members: Members, now: float) -> bool:
+        """Return whether a majority of these voters answers.
+
+        Explanation
+        ===========
+        New members count from the moment they are in the log. Without this check, removing a sound
+        voter while others have lost their disks leaves a leader whose entry can't be committed and
+        whose longer log keeps the others from being elected.
+        """
+        answering = sum(
+            voter.disk == self.disk or self.is_answering(self.progress[voter.disk], now)
+            for voter in members.voters()
+        )
+        return answering >= members.majority()
 
     def is_caught_up(self, learner: Member, now: float) -> bool:
         """Return whether a learner answers and holds everything that is committed."""
--- a/mulberrygate/agreement/formation.py
+++ b/mulberrygate/agreement/formation.py
@@ -4,7 +4,7 @@
 ===========
 The first voters are named in the settings. Only the founder, the first of them in order of name,
 may form the group, and only after **every** first voter has answered that its disk never belonged
-to a group. It then writes the first log entry with all names and disk identifiers, and passes it on.
+to a group. It then writes the first log entry with all names and disk identifiers and passes it on.
 A disk that belongs to a group never forms or joins another.
 
 A founder that lost its disk can't form a second group, because the others say that they belong to
--- /dev/null
+++ b/mulberrygate/agreement/tests/cluster.py
@@ -0,0 +1,410 @@
+"""Simulated group of voters at virtual time, with checks of what callers may observe."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+import attrs
+import msgpack
+
+from mulberrygate.agreement.effects import (
+    Apply,
+    EntryRecord,
+    InstallSnapshot,
+    JoinRecord,
+    ReadFailed,
+    ReadReady,
+    Role,
+    RoleChanged,
+    SaveSnapshot,
+    TakeSnapshot,
+    TermRecord,
+)
+from mulberrygate.agreement.node import AgreementNode
+from mulberrygate.agreement.outcomes import Proposed, ReadStarted
+from mulberrygate.agreement.settings import AgreementSettings
+from mulberrygate.agreement.state import Identity, StorageState
+from mulberrygate.agreement.storage import Segment, pack_entry
+from mulberrygate.core.effects import Persist, Reply, Send
+
+# Small sizes, so that short runs take and transfer snapshots in several parts.
+SETTINGS = AgreementSettings(snapshot_entries=6, keep_entries=2, batch_bytes=48)
+
+
+class MemoryDisk:
+    """What a voter has synced."""
+
+    def __init__(self, voter: str, disk: str):
+        self.identity = Identity(voter, disk)
+        self.segment = Segment()
+        self.snapshot = None
+
+    def persist(self, records) -> None:
+        """Take records as synced."""
+        for record in records:
+            if isinstance(record, JoinRecord):
+                self.identity = attrs.evolve(self.identity, cluster=record.cluster)
+            elif isinstance(record, TermRecord):
+                self.segment.term, self.segment.voted_for = record.term, record.voted_for
+            elif isinstance(record, EntryRecord):
+                self.segment.add(pack_entry(record.entry))
+
+    def save_snapshot(self, effect: SaveSnapshot) -> None:
+        """Take a snapshot as synced."""
+        self.snapshot = effect.snapshot
+        segment = self.segment
+        keeps = segment.term_at(effect.snapshot.index) == effect.snapshot.term
+        first = max(0, effect.base_index - segment.base_index)
+        segment.entries = segment.entries[first:] if keeps else []
+        segment.base_index, segment.base_term = effect.base_index, effect.base_term
+
+    def load(self) -> StorageState:
+        """Return what a restarted voter finds."""
+        s = self.segment
+        return StorageState(
+            self.identity,
+            s.term,
+            s.voted_for,
+            self.snapshot,
+            s.base_index,
+            s.base_term,
+            tuple(s.entries),
+        )
+
+
+class Instance:
+    """One process and its disk."""
+
+    def __init__(self, cluster: Cluster, name: str):
+        self.cluster = cluster
+        self.name = name
+        self.is_frozen = False
+        self.node: AgreementNode | None = None
+        self.new_disk()
+        self.start()
+
+    def new_disk(self) -> None:
+        """Replace the disk by an empty one."""
+        self.cluster.disk_count += 1
+        self.disk = MemoryDisk(self.name, f"{self.name}{self.cluster.disk_count}")
+
+    def start(self) -> None:
+        """Start the process on what its disk holds."""
+        self.pending: deque = deque()
+        self.applied: list = []
+        self.is_frozen = False
+        cluster = self.cluster
+        rng = random.Random(cluster.rng.random())
+        state = self.disk.load()
+        self.node = cluster.node_class(
+            self.name, cluster.first, state, rng, cluster.settings, f"{self.name}:1"
+        )
+        if state.snapshot is not None:
+            self.applied = msgpack.unpackb(state.snapshot.data)
+
+    def stop(self) -> None:
+        """End the process; what it has not synced is lost."""
+        self.node = None
+        self.pending = deque()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process takes part now."""
+        return self.node is not None and not self.is_frozen
+
+
+class Cluster:
+    """Instances, network and virtual time.
+
+    Parameters
+    ==========
+    size : int
+        Number of first voters.
+    seed : int
+    node_class : type
+        Class under test; a mutant where a check is shown to fail.
+    """
+
+    def __init__(self, size: int, seed: int = 0, node_class: type = AgreementNode):
+        self.rng = random.Random(seed)
+        self.node_class = node_class
+        self.settings = SETTINGS
+        self.now = 100.0
+        self.disk_count = 0
+        names = [f"v{number}" for number in range(size)]
+        self.first = {name: f"{name}:1" for name in names}
+        self.network: list[tuple[str, str, object]] = []
+        self.cut: set[str] = set()
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, bytes] = {}
+        self.clusters: set[str] = set()
+        self.reads: dict[tuple[str, int], int] = {}
+        self.reads_done = 0
+        self.command_count = 0
+        self.instances = {name: Instance(self, name) for name in names}
+
+    def submit(self, instance: Instance, effects, sender: str = "") -> None:
+        """Queue effects behind those that are not carried out yet."""
+        instance.pending.append((effects, sender))
+
+    def flush(self, instance: Instance) -> None:
+        """Carry out the queued effects of an instance, in order."""
+        while instance.pending and instance.is_running:
+            effects, sender = instance.pending.popleft()
+            for effect in effects:
+                self.carry_out(instance, effect, sender)
+
+    def carry_out(self, instance: Instance, effect, sender: str) -> None:
+        """Carry out one effect, and check what it makes visible."""
+        if isinstance(effect, Persist):
+            instance.disk.persist(effect.records)
+        elif isinstance(effect, SaveSnapshot):
+            instance.disk.save_snapshot(effect)
+        elif isinstance(effect, Send):
+            self.network.append((instance.name, effect.to, effect.message))
+        elif isinstance(effect, Reply):
+            self.network.append((instance.name, sender, effect.message))
+        elif isinstance(effect, Apply):
+            self.apply(instance, effect)
+        elif isinstance(effect, TakeSnapshot):
+            data = msgpack.packb(instance.applied)
+            self.submit(instance, instance.node.snapshot_taken(effect.index, data))
+        elif isinstance(effect, InstallSnapshot):
+            instance.applied = msgpack.unpackb(effect.snapshot.data)
+            for index, command in instance.applied:
+                self.check_committed(index, command)
+        elif isinstance(effect, RoleChanged):
+            self.note_role(instance, effect)
+        elif isinstance(effect, ReadReady):
+            self.check_read(instance, effect)
+        elif isinstance(effect, ReadFailed):
+            self.reads.pop((instance.node.disk, effect.number), None)
+
+    def note_role(self, instance: Instance, effect: RoleChanged) -> None:
+        """Check that a term has one leader."""
+        if effect.role is Role.LEADER:
+            known = self.leaders.setdefault(effect.term, instance.disk.identity.disk)
+            assert known == instance.disk.identity.disk, f"two leaders in term {effect.term}"
+
+    def apply(self, instance: Instance, effect: Apply) -> None:
+        """Apply a command, and check that it is the same everywhere."""
+        assert not instance.applied or instance.applied[-1][0] < effect.index, "applied twice"
+        self.check_committed(effect.index, effect.command)
+        self.clusters.add(instance.node.cluster)
+        assert len(self.clusters) == 1, "two groups committed commands"
+        instance.applied.append([effect.index, effect.command])
+
+    def check_committed(self, index: int, command: bytes) -> None:
+        """Check that a committed entry never changes."""
+        known = self.committed.setdefault(index, command)
+        assert known == command, f"entry {index} changed from {known} to {command}"
+
+    def check_read(self, instance: Instance, effect: ReadReady) -> None:
+        """Check that a read sees what was committed before it began."""
+        floor = self.reads.pop((instance.node.disk, effect.number), None)
+        if floor is None:
+            return
+        self.reads_done += 1
+        expected = {index for index in self.committed if index <= floor}
+        seen = {index for index, _ in instance.applied}
+        assert expected <= seen, f"stale read at {instance.name}: misses {expected - seen}"
+
+    def check_leases(self) -> None:
+        """Check that at most one voter holds a lease."""
+        holders = [
+            i.name
+            for i in self.instances.values()
+            if i.node and i.node.role is Role.LEADER and i.node.lease_until > self.now
+        ]
+        assert len(holders) <= 1, f"leases of {holders}"
+
+    def tick(self, seconds: float) -> None:
+        """Let time pass and tick the processes that run."""
+        self.now += seconds
+        for instance in self.instances.values():
+            if instance.is_running:
+                self.submit(instance, instance.node.tick(self.now))
+        self.check_leases()
+
+    def deliver(self, position: int, keeps_copy: bool = False) -> None:
+        """Deliver one message of the network, or drop it at a cut."""
+        if not self.network:
+            return
+        position %= len(self.network)
+        sender, to, message = self.network[position]
+        target = self.instances.get(to)
+        if target is not None and target.is_frozen:
+            return
+        if not keeps_copy:
+            self.network.pop(position)
+        is_cut = (sender in self.cut) != (to in self.cut)
+        if target is not None and target.node is not None and not is_cut:
+            self.submit(target, target.node.handle(message, sender, self.now), sender)
+
+    def drop(self, position: int) -> None:
+        """Lose one message."""
+        if self.network:
+            self.network.pop(position % len(self.network))
+
+    def run(self, seconds: float, loss: float = 0.0, is_shuffled: bool = False) -> None:
+        """Let the group work for a time."""
+        end = self.now + seconds
+        while self.now < end:
+            self.tick(0.05)
+            for _ in range(4):
+                for instance in self.instances.values():
+                    self.flush(instance)
+                messages = len(self.network)
+                for _ in range(messages):
+                    if self.rng.random() < loss:
+                        self.drop(self.rng.randrange(1 << 16))
+                    else:
+                        self.deliver(self.rng.randrange(1 << 16) if is_shuffled else 0)
+
+    def propose(self, name: str) -> None:
+        """Propose a command at an instance."""
+        instance = self.instances[name]
+        if instance.is_running:
+            self.command_count += 1
+            outcome = instance.node.propose(b"c%d" % self.command_count, self.now)
+            self.submit(instance, outcome.effects)
+
+    def read(self, name: str) -> None:
+        """Start a read at an instance."""
+        instance = self.instances[name]
+        if not instance.is_running:
+            return
+        floor = max(self.committed, default=0)
+        outcome = instance.node.read_index(self.now)
+        if isinstance(outcome, ReadStarted):
+            self.reads[instance.node.disk, outcome.number] = floor
+        self.submit(instance, outcome.effects)
+
+    def change(self, name: str, target: str, is_added: bool) -> bool:
+        """Ask an instance to add or remove a voter."""
+        instance = self.instances[name]
+        if not instance.is_running or not (is_added or self.has_all_disks()):
+            return False
+        action = instance.node.add_voter if is_added else instance.node.remove_voter
+        outcome = action(target, self.now)
+        self.submit(instance, outcome.effects)
+        return isinstance(outcome, Proposed)
+
+    def crash(self, name: str) -> None:
+        """End a process and start it again on its disk."""
+        self.instances[name].stop()
+        self.forget_reads(name)
+        self.instances[name].start()
+
+    def forget_reads(self, name: str) -> None:
+        """Forget the reads of a process that ended."""
+        disk = self.instances[name].disk.identity.disk
+        self.reads = {key: floor for key, floor in self.reads.items() if key[0] != disk}
+
+    def may_lose(self, name: str) -> bool:
+        """Return whether a majority of every group of voters that is in use keeps its disks."""
+        lost = self.instances[name].disk.identity.disk
+        disks = {i.disk.identity.disk for i in self.instances.values()} - {lost}
+        configurations = [i.node.members for i in self.instances.values() if i.node]
+        configurations += [i.node.members_at(i.node.commit) for i in self.instances.values()]
+        return all(
+            sum(m.disk in disks for m in members.voters()) >= members.majority()
+            for members in configurations
+            if members.voters()
+        )
+
+    def has_all_disks(self) -> bool:
+        """Return whether no voter has lost its disk.
+
+        Explanation
+        ===========
+        Two of five voters may lose their disks. A sound voter removed at that moment is a third
+        loss, which no group of five survives.
+        """
+        disks = {i.disk.identity.disk for i in self.instances.values()}
+        nodes = [i.node for i in self.instances.values()]
+        return all(m.disk in disks for n in nodes if n for m in n.members.voters())
+
+    def lose_disk(self, name: str) -> bool:
+        """Replace the disk of an instance by an empty one, unless that loses a majority."""
+        if not self.clusters or not self.may_lose(name):
+            return False
+        self.instances[name].stop()
+        self.forget_reads(name)
+        self.instances[name].new_disk()
+        self.instances[name].start()
+        return True
+
+    def leader(self) -> str:
+        """Return the name of a running leader with a lease, empty if there is none."""
+        for instance in self.instances.values():
+            is_leading = instance.is_running and instance.node.role is Role.LEADER
+            if is_leading and instance.node.lease_until > self.now:
+                return instance.name
+        return ""
+
+    def heal(self) -> None:
+        """End partitions and freezes."""
+        self.cut = set()
+        for instance in self.instances.values():
+            instance.is_frozen = False
+
+    def check_recovery(self) -> None:
+        """Check that a healed group agrees, and that nothing committed was lost."""
+        self.heal()
+        self.run(12.0)
+        name = self.leader()
+        assert name, "no leader after the group was healed"
+        self.propose(name)
+        self.run(2.0)
+        voters = [m.name for m in self.instances[name].node.members.voters()]
+        for voter in voters:
+            seen = dict(self.instances[voter].applied)
+            assert seen == self.committed, f"{voter} lacks {set(self.committed) - set(seen)}"
+
+
+def step_at_random(cluster: Cluster) -> None:
+    """Take one step of a random run."""
+    rng = cluster.rng
+    name = rng.choice(sorted(cluster.instances))
+    leader = cluster.leader() or name
+    choice = rng.random()
+    if choice < 0.30:
+        cluster.run(rng.choice((0.05, 0.2, 0.6)), rng.choice((0, 0, 0.1, 0.4)), True)
+    elif choice < 0.52:
+        cluster.deliver(rng.randrange(1 << 16), rng.random() < 0.2)
+    elif choice < 0.58:
+        cluster.drop(rng.randrange(1 << 16))
+    elif choice < 0.64:
+        cluster.flush(cluster.instances[name])
+    elif choice < 0.68:
+        cluster.tick(rng.choice((0.01, 0.3, 1.2)))
+    elif choice < 0.80:
+        cluster.propose(rng.choice((leader, name)))
+    elif choice < 0.86:
+        cluster.read(rng.choice((leader, name)))
+    elif choice < 0.89:
+        cluster.crash(name)
+    elif choice < 0.91:
+        cluster.instances[name].is_frozen = True
+    elif choice < 0.93:
+        cluster.heal()
+    elif choice < 0.95:
+        cluster.cut = set(rng.sample(sorted(cluster.instances), len(cluster.instances) // 2))
+    elif choice < 0.965:
+        cluster.lose_disk(name)
+    elif choice < 0.98:
+        node = cluster.instances[leader].node
+        cluster.submit(cluster.instances[leader], node.transfer(cluster.now))
+    elif choice < 0.99:
+        cluster.change(leader, name, False)
+    else:
+        cluster.change(leader, name, True)
+
+
+def run_at_random(cluster: Cluster, steps: int) -> None:
+    """Take many random steps in a group that has formed."""
+    cluster.run(3.0)
+    for _ in range(steps):
+        step_at_random(cluster)
