--- a/mulberrygate/cli/apply.py
+++ b/mulberrygate/cli/apply.py
@@ -46,7 +46,7 @@
     except OSError as error:
         print(f"{options.file}: {error.strerror}", file=sys.stderr)
         return REFUSED
-    parsed = parse_table(content)
+    parsed = parse_table(content, "")
     if isinstance(parsed, Faults):
         print_faults(options.file, parsed.faults)
         return REFUSED
--- a/mulberrygate/cli/check.py
+++ b/mulberrygate/cli/check.py
@@ -4,10 +4,11 @@
 
 import argparse
 import sys
+from collections.abc import Iterable
 
 from mulberrygate.cli.command import OK, REFUSED, command
-from mulberrygate.tables.check import check_tables
-from mulberrygate.tables.parse import Fault, Faults, parse_table
+from mulberrygate.tables.check import check_table
+from mulberrygate.tables.parse import POOLS, ROUTES, Fault, Faults, Parsed, parse_table
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -15,7 +16,9 @@
     parser.add_argument("files", nargs="+", metavar="FILE", help="routes or pools tables")
 
 
-@command("check", "Validate tables offline; both together also check their references.", add_arguments)
+@command(
+    "check", "Validate tables offline; both together also check their references.", add_arguments
+)
 def run(options: argparse.Namespace) -> int:
     """Print each fault with its file, line and column."""
     parsed = {}
@@ -27,15 +30,13 @@
         except OSError as error:
             print(f"{path}: {error.strerror}", file=sys.stderr)
             return REFUSED
-        result = parse_table(content)
+        result = parse_table(content, "")
         if isinstance(result, Faults):
             count += print_faults(path, result.faults)
         else:
             parsed[result.kind] = (path, result)
-    if not count and len(parsed) == 2:
-        faults = check_tables(parsed["routes"][1], parsed["pools"][1])
-        for kind, found in faults.items():
-            count += print_faults(parsed[kind][0], found)
+    for path, result in parsed.values():
+        count += print_faults(path, check_references(result, parsed))
     if count:
         print(f"{count} faults", file=sys.stderr)
         return REFUSED
@@ -44,8 +45,18 @@
     return OK
 
 
-def print_faults(path: str, faults: list[Fault]) -> int:
+def check_references(result: Parsed, parsed: dict[str, tuple[str, Parsed]]) -> list[Fault]:
+    """Return the faults of a table against itself and the other table, if that is given."""
+    routes = parsed[ROUTES][1].table.routes if ROUTES in parsed else None
+    pools = parsed[POOLS][1].table.pools if POOLS in parsed else None
+    if result.kind == ROUTES:
+        return check_table(result, pools=pools)
+    return check_table(result, routes=routes)
+
+
+def print_faults(path: str, faults: Iterable[Fault]) -> int:
     """Print faults and return their number."""
+    faults = list(faults)
     for fault in faults:
         print(f"{path}:{fault.line}:{fault.column}: {fault.detail}", file=sys.stderr)
     return len(faults)
--- a/mulberrygate/cli/command.py
+++ b/mulberrygate/cli/command.py
@@ -107,7 +107,7 @@
         with open(options.token_file, encoding="utf-8") as file:
             token = file.read().strip()
         return asyncio.run(_call(options.entry, token, method, path, body, query))
-    except (OSError, aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+    except (TimeoutError, OSError, aiohttp.ClientError, ValueError) as error:
         raise EntryUnreachable(f"{options.entry}: {error or type(error).__name__}") from error
 
 
--- a/mulberrygate/cli/status.py
+++ b/mulberrygate/cli/status.py
@@ -15,6 +15,8 @@
     print_rows,
 )
 
+YES_NO = {True: "yes", False: "no"}
+
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the arguments of the subcommand."""
@@ -57,7 +59,7 @@
         (
             name,
             state["failure_domain"],
-            "yes" if state["ready"] else "no",
+            YES_NO[state["ready"]],
             state["revision"],
             state["control"],
             state["active_requests"],
@@ -66,7 +68,15 @@
         for name, state in sorted(status["instances"].items())
     ]
     rows += [(name, "-", "unreachable", "-", "-", "-", "-") for name in status["unreachable"]]
-    header = ("instance", "failure domain", "ready", "revision", "control", "active", "cut off from")
+    header = (
+        "instance",
+        "failure domain",
+        "ready",
+        "revision",
+        "control",
+        "active",
+        "cut off from",
+    )
     print()
     print_rows(header, rows)
 
@@ -90,7 +100,13 @@
     if endpoints:
         print()
         rows = [
-            (name, e["pool"], e["failure_domain"], e["version"], "yes" if e["accepts_work"] else "no")
+            (
+                name,
+                e["pool"],
+                e["failure_domain"],
+                e["version"],
+                "yes" if e["accepts_work"] else "no",
+            )
             for name, e in sorted(endpoints.items())
         ]
         print_rows(("endpoint", "pool", "failure domain", "version", "accepts work"), rows)
--- a/mulberrygate/control/client.py
+++ b/mulberrygate/control/client.py
@@ -14,7 +14,10 @@
     5001, "no_leader", "No control leader can be reached; tables can't change now.", 503
 )
 ANSWER_LOST = register_code(
-    5002, "answer_lost", "The leader gave no answer; the change may be in force. Send it again.", 504
+    5002,
+    "answer_lost",
+    "The leader gave no answer; the change may be in force. Repeat it.",
+    504,
 )
 
 CALL_TIMEOUT_S = 8.0
--- a/mulberrygate/core/timers.py
+++ b/mulberrygate/core/timers.py
@@ -99,17 +99,27 @@
             if then is not None:
                 then()
             return
-        task = asyncio.ensure_future(self._guard(subscription, result, then))
+        self.spawn(self._guard(subscription.name, result, then))
+
+    def spawn(self, work: Awaitable) -> asyncio.Task:
+        """Run a coroutine that ends at the latest with this service."""
+        task = asyncio.ensure_future(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._end)
+        return task
+
+    def _end(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.on_error("spawned task", task.exception())
 
     async def _guard(
-        self, subscription: Subscription, awaitable: Awaitable, then: Callable[[], None] | None
+        self, name: str, awaitable: Awaitable, then: Callable[[], None] | None
     ) -> None:
         try:
             await awaitable
         except Exception as error:
-            self.on_error(subscription.name, error)
+            self.on_error(name, error)
         if then is not None:
             then()
 
--- /dev/null
+++ b/mulberrygate/daemon/compose.py
@@ -0,0 +1,462 @@
+"""Composition root: makes the parts of a daemon and wires them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from mulberrygate.control.client import ControlClient
+from mulberrygate.control.configuration import Configuration, Delta
+from mulberrygate.control.distribution import (
+    Applied,
+    AskRevision,
+    ConfigurationHolder,
+    Pull,
+    Push,
+)
+from mulberrygate.control.inforce import InForce
+from mulberrygate.control.state import ControlState
+from mulberrygate.core.clock import HybridClock
+from mulberrygate.core.effects import Effect
+from mulberrygate.core.invariant import on_violation
+from mulberrygate.core.outcome import Refusal
+from mulberrygate.core.timers import TimerService
+from mulberrygate.daemon.effects import EffectRunner
+from mulberrygate.daemon.leader import ControlVoter
+from mulberrygate.daemon.movewatch import MoveWatch
+from mulberrygate.daemon.poolhost import PoolHost
+from mulberrygate.daemon.report import Reporter
+from mulberrygate.daemon.web import BAD_ANNOUNCEMENT, WebServer
+from mulberrygate.endpoints.directory import Directory, DirectoryMessages
+from mulberrygate.endpoints.model import Announcement
+from mulberrygate.entry.chain import Chain
+from mulberrygate.entry.context import Background, EntryParts
+from mulberrygate.entry.crashes import Cleared, CrashTracker, OnBoard
+from mulberrygate.entry.tickets import TicketDesk
+from mulberrygate.entry.upstream import Upstream
+from mulberrygate.ledger import (
+    Begin,
+    Claim,
+    Coordinator,
+    CopyPart,
+    CopyShard,
+    Finish,
+    Lookup,
+    Release,
+    Replica,
+    ReportCopy,
+)
+from mulberrygate.members.membership import Membership
+from mulberrygate.members.messages import Compare, Heartbeat, Join, Table
+from mulberrygate.members.view import Member, MembershipView
+from mulberrygate.observe.events import EventRing
+from mulberrygate.observe.logs import logger
+from mulberrygate.observe.metrics import Metrics, add_process_gauges
+from mulberrygate.peers import PeerClient, PeerServer
+from mulberrygate.settings.model import CONTROL, Settings
+
+log = logger("daemon")
+
+MEMBERS_TICK_S = 0.25
+HOLDER_TICK_S = 0.1
+LEDGER_TICK_S = 0.5
+DIRECTORY_TICK_S = 0.25
+CRASH_TICK_S = 0.2
+IDLE_CHECK_S = 10.0
+STOP_POLL_S = 0.05
+# The platform's balancer needs this time to see that the instance is not ready any more.
+DRAIN_NOTICE_S = 0.5
+
+
+class Tokens:
+    """Secrets that the daemon read from its files."""
+
+    def __init__(self, peer: str, operator: str, endpoint: str):
+        self.peer = peer
+        self.operator = operator
+        self.endpoint = endpoint
+
+
+class Daemon:
+    """All parts of one process.
+
+    Explanation
+    ===========
+    The order of construction follows the layers: clock and transport, membership, configuration,
+    ledger, endpoints, scheduling, control, entry, HTTP.
+
+    Parameters
+    ==========
+    settings : Settings
+        Checked settings.
+    tokens : Tokens
+        Secrets of other daemons, operators and endpoints.
+    seed : int or None
+        Seed of random choices; ``None`` for one from the operating system.
+    """
+
+    def __init__(self, settings: Settings, tokens: Tokens, seed: int | None = None):
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.incarnation = time.time_ns() // 1_000_000
+        self.clock = HybridClock(lambda: time.time_ns() // 1_000_000)
+        self.metrics = Metrics()
+        add_process_gauges(self.metrics)
+        self.events = EventRing(settings.instance, self.clock)
+        self.timers = TimerService(self._on_timer_error)
+        self.background = Background()
+        on_violation(self._on_violation)
+        self._make_peers(tokens.peer)
+        self._make_members()
+        self._make_configuration()
+        self._make_ledger()
+        self._make_endpoints()
+        self._make_control()
+        self._make_entry(tokens)
+
+    def _on_timer_error(self, name: str, error: BaseException) -> None:
+        self.metrics.count("internal_errors_total", part=name)
+        log.error("A timer failed.", timer=name, error=repr(error))
+
+    def _on_violation(self, code, detail: str) -> None:
+        self.metrics.count("invariant_violations_total", code=str(code.number))
+        self.events.add("invariant.violated", f"{code}: {detail}")
+        log.error("An invariant does not hold.", code=code, detail=detail)
+
+    def _make_peers(self, token: str) -> None:
+        settings = self.settings
+        self.server = PeerServer(settings.instance, self.incarnation, token, self.clock)
+        self.peers = PeerClient(self.server, self._address_of)
+        self.metrics.gauge("peer_sent_bytes", lambda: self.peers.sent_bytes)
+        self.metrics.gauge("peer_received_bytes", lambda: self.server.received_bytes)
+        self.metrics.gauge("peer_sent_messages", lambda: self.peers.sent_messages)
+        self.timers_to_start = [(IDLE_CHECK_S, self.peers.close_idle, "peers.idle")]
+
+    def _address_of(self, instance: str) -> str | None:
+        return self.view().address_of(instance) or self.settings.voters.get(instance)
+
+    def _make_members(self) -> None:
+        settings = self.settings
+        member = Member(
+            settings.instance,
+            settings.peer_address,
+            settings.http_address,
+            settings.region,
+            settings.failure_domain,
+            self.incarnation,
+            roles=settings.parts,
+        )
+        self.membership = Membership(member, settings.seeds, self.rng)
+
+    def view(self) -> MembershipView:
+        """Return the current view of the membership."""
+        return self.membership.view()
+
+    def _make_configuration(self) -> None:
+        self.holder = ConfigurationHolder(Configuration(), self.membership, self.rng)
+        self.in_force = InForce(self.holder.configuration)
+        self.holder.on_apply(self._on_configuration)
+
+    def _on_configuration(self, _delta: Delta) -> None:
+        self.in_force.refresh()
+        self.replica_runner.run(self.replica.install(self.in_force.shards, self.timers.now()))
+
+    def _make_ledger(self) -> None:
+        settings = self.settings
+        self.replica = Replica(settings.instance, self.incarnation)
+        self.coordinator = Coordinator(
+            self.peers,
+            lambda: self.in_force.shards,
+            settings.instance,
+            self.incarnation,
+            time.time,
+            self.rng,
+            self._is_alive,
+        )
+
+    def _is_alive(self, instance: str, incarnation: int) -> bool:
+        member = self.view().live.get(instance)
+        return member is not None and member.incarnation == incarnation
+
+    def _make_endpoints(self) -> None:
+        settings = self.settings
+        self.directory = Directory(settings.failure_domain, self.membership, self.rng)
+
+    def _make_control(self) -> None:
+        settings = self.settings
+        self.control = ControlClient(self.peers, self.view, self._voters)
+        self.voter: ControlVoter | None = None
+        if CONTROL in settings.parts:
+            self.voter = ControlVoter(
+                settings,
+                self.peers,
+                self.view,
+                self.timers,
+                self.events,
+                self.rng,
+                self._on_control_change,
+                self._on_lead,
+            )
+
+    def _voters(self) -> list[str]:
+        """Return the instances that run the part ``control``, live ones first."""
+        members = self.view().members.values()
+        names = [m.instance for m in members if CONTROL in m.roles]
+        names += [name for name in self.settings.voters if name not in names]
+        return sorted(names, key=lambda name: (not self.view().is_alive(name), name))
+
+    def _on_control_change(self, state: ControlState) -> None:
+        """Take over the control state; the leader also pushes it to the other instances."""
+        now = self.timers.now()
+        if self.voter is not None and self.voter.is_leader:
+            effects = self.holder.publish(state.configuration, now)
+        else:
+            effects = self.holder.apply_delta(state.changes_since(self.holder.revision), now)
+        self.holder_runner.run(effects)
+
+    def _on_lead(self, leads: bool) -> None:
+        if leads:
+            state = self.voter.machine.state
+            now = self.timers.now()
+            self.holder_runner.run(self.holder.publish(state.configuration, now))
+        else:
+            self.holder.resign()
+
+    def _on_report_copy(self, effect: Effect) -> None:
+        if isinstance(effect, ReportCopy):
+            self.timers.spawn(self._send_report(effect))
+
+    async def _send_report(self, effect: ReportCopy) -> None:
+        leader = await self.control.find_leader()
+        if leader:
+            self.peers.send(leader, effect.report)
+
+    def _make_entry(self, tokens: Tokens) -> None:
+        self.crashes = CrashTracker()
+        self.reporter = Reporter(self.peers, self.view, self.events, self.status)
+        self.tokens = tokens
+
+    def _start_parts(self) -> None:
+        """Make the parts that need a running event loop, and start the timers."""
+        settings, peers, timers = self.settings, self.peers, self.timers
+        runner = lambda *arguments: EffectRunner(
+            *arguments, peers, timers, self.events
+        )  # noqa: E731
+        self.members_runner = runner(self.membership, (Heartbeat, Join, Compare, Table))
+        self.holder_runner = runner(self.holder, (Push, Applied, Pull, Delta, AskRevision))
+        self.directory_runner = runner(self.directory, DirectoryMessages)
+        self.replica_runner = EffectRunner(
+            self.replica,
+            (Claim, Begin, Finish, Release, Lookup, CopyShard, CopyPart),
+            peers,
+            timers,
+            self.events,
+            self._on_report_copy,
+        )
+        self.replica.wall_at_zero = time.time() - timers.now()
+        self.upstream = Upstream()
+        self.pool_host = PoolHost(
+            settings,
+            peers,
+            self.view,
+            self.directory,
+            self.in_force,
+            timers,
+            self.metrics,
+            self.events,
+            self.rng,
+        )
+        self.pool_host.move_watch = MoveWatch(
+            settings.instance,
+            self.incarnation,
+            self.in_force,
+            self.directory,
+            self.control,
+            timers,
+            self.events,
+        )
+        desk = TicketDesk(settings.instance, settings.failure_domain, peers, self.view, timers)
+        self.parts = EntryParts(
+            settings=settings,
+            in_force=self.in_force,
+            directory=self.directory,
+            coordinator=self.coordinator,
+            desk=desk,
+            upstream=self.upstream,
+            crashes=self.crashes,
+            view=self.view,
+            metrics=self.metrics,
+            events=self.events,
+            timers=timers,
+            background=self.background,
+        )
+        self.web = WebServer(
+            self.parts,
+            Chain(self.parts),
+            self.control,
+            self.reporter,
+            self.tokens.operator,
+            self.tokens.endpoint,
+            self.is_ready,
+            self.announce,
+        )
+        self._start_timers()
+
+    def _start_timers(self) -> None:
+        peers, timers = self.peers, self.timers
+        peers.on(OnBoard, lambda m, _sender: self.crashes.join(m, timers.now()))
+        peers.on(Cleared, lambda m, _sender: [self.crashes.clear(c) for c in m.contents] and None)
+        self.directory.on_death(lambda name: self.crashes.endpoint_died(name, timers.now()))
+        ticks = [
+            (MEMBERS_TICK_S, self.members_runner, self.membership, "members.tick"),
+            (HOLDER_TICK_S, self.holder_runner, self.holder, "distribution.tick"),
+            (LEDGER_TICK_S, self.replica_runner, self.replica, "ledger.tick"),
+            (DIRECTORY_TICK_S, self.directory_runner, self.directory, "endpoints.tick"),
+        ]
+        for seconds, runner, part, name in ticks:
+            timers.every(
+                seconds, lambda r=runner, p=part: r.run(p.tick(timers.now())) and None, name
+            )
+        timers.every(CRASH_TICK_S, self._tick_crashes, "crashes.tick")
+        for seconds, callback, name in self.timers_to_start:
+            timers.every(seconds, callback, name)
+
+    def _tick(self, runner: EffectRunner, part) -> None:
+        runner.run(part.tick(self.timers.now()))
+
+    def _tick_crashes(self) -> None:
+        """Judge endpoint deaths and exchange reports with the failure domain."""
+        self.crashes.tick(self.timers.now())
+        messages = list(self.crashes.take_reports())
+        cleared = self.crashes.take_cleared()
+        if cleared is not None:
+            messages.append(cleared)
+        for message in messages:
+            for name in self.view().in_domain(self.settings.failure_domain):
+                if name != self.settings.instance:
+                    self.peers.send(name, message)
+
+    def announce(self, announcement: Announcement) -> Refusal | None:
+        """Take the announcement of an endpoint."""
+        if announcement.pool and announcement.pool not in self.in_force.pools:
+            detail = f"no pool {announcement.pool[:80]!r} is in force"
+            if self.in_force.tables.get("pools") is not None:
+                return Refusal(BAD_ANNOUNCEMENT, detail)
+        now = self.timers.now()
+        self.directory_runner.run(self.directory.announce(announcement, now, time.time()))
+        return None
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send requests here."""
+        return (
+            not self.parts.is_stopping
+            and self.holder.is_current()
+            and self.in_force.tables.keys() >= {"routes", "pools"}
+        )
+
+    def status(self) -> dict:
+        """Return the state of this instance for operators."""
+        view = self.view()
+        now = self.timers.now()
+        mine = self.settings.failure_domain
+        return {
+            "failure_domain": mine,
+            "region": self.settings.region,
+            "ready": self.is_ready(),
+            "revision": self.holder.revision,
+            "tables": {
+                name: {"version": t.version, "digest": t.digest, "operator": t.operator}
+                for name, t in self.in_force.tables.items()
+            },
+            "moves": {
+                name: {
+                    "previous": m.previous,
+                    "version": m.version,
+                    "stage": m.stage,
+                    "share": m.share,
+                    "verdict": m.verdict,
+                    "reason": m.reason,
+                }
+                for name, m in self.in_force.moves.items()
+            },
+            "control": self.voter.status()["role"] if self.voter else "-",
+            "voter": self.voter.status() if self.voter else {},
+            "active_requests": self.web.active,
+            "cut_off": ", ".join(d for d in sorted(view.regions) if not view.in_domain(d)),
+            "pools": self.pool_host.status(),
+            "endpoints": [
+                {
+                    "endpoint": e.endpoint,
+                    "pool": e.pool,
+                    "failure_domain": e.failure_domain,
+                    "version": e.version,
+                    "accepts_work": e.accepts_work,
+                }
+                for pool in self.in_force.pools
+                for e in self.directory.views(pool, now)
+            ],
+            "tiers": self._tier_figures(),
+        }
+
+    def _tier_figures(self) -> dict[str, dict]:
+        figures: dict[str, dict] = {}
+        names = {
+            "goodput_total": "goodput",
+            "shed_total": "shed",
+            "wasted_prefill_tokens_total": "wasted_prefill_tokens",
+        }
+        for (name, labels), value in self.metrics.counters.items():
+            tier = dict(labels).get("tier")
+            if name in names and tier is not None:
+                row = figures.setdefault(tier, dict.fromkeys(names.values(), 0))
+                row[names[name]] += value
+        return figures
+
+    async def start(self) -> None:
+        """Listen and start all parts."""
+        self._start_parts()
+        host, _, port = self.settings.peer_address.rpartition(":")
+        await self.server.start(host, int(port))
+        if self.voter is not None:
+            self.voter.start()
+        host, _, port = self.settings.http_address.rpartition(":")
+        await self.web.start(host, int(port))
+        self.events.add("daemon.started", instance=self.settings.instance)
+        log.info("Started.", instance=self.settings.instance, parts=",".join(self.settings.parts))
+
+    async def stop(self) -> None:
+        """Stop gracefully: no request is cut off.
+
+        Explanation
+        ===========
+        Readiness falls first and new requests are refused as not run, so that the balancer uses
+        other instances. Requests that wait or run here end in the usual way, within
+        ``stop_grace_s``. Then other instances take over what this one owned.
+        """
+        self.parts.is_stopping = True
+        self.events.add("daemon.stopping", instance=self.settings.instance)
+        log.info("Stops.", instance=self.settings.instance, active=self.web.active)
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        limit = self.timers.now() + self.settings.stop_grace_s
+        while self.web.active or self.background.tasks:
+            if self.timers.now() >= limit:
+                log.warning("Stops with requests running.", active=self.web.active)
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        self.members_runner.run(self.membership.leave(self.timers.now()))
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        await self.close()
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        if self.voter is not None:
+            await self.voter.close()
+        await self.web.close()
+        await self.background.close()
+        await self.coordinator.close()
+        await self.timers.close()
+        await self.upstream.close()
+        await self.peers.close()
+        await self.server.close()
+        log.info("Ended.", instance=self.settings.instance)
--- /dev/null
+++ b/mulberrygate/daemon/effects.py
@@ -0,0 +1,91 @@
+"""Carries out the effects of decision classes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from mulberrygate.core.effects import Effect, Record, Reply, Send
+from mulberrygate.core.timers import TimerService
+from mulberrygate.core.wire import Ack
+from mulberrygate.members.messages import Ask, SendAddress
+from mulberrygate.observe.events import EventRing
+from mulberrygate.peers.client import PeerClient, Unreachable
+
+Extra = Callable[[Effect], None]
+
+
+class Decider(Protocol):
+    """Decision class that handles messages."""
+
+    def handle(self, message: Any, sender: str, now: float) -> list[Effect]:
+        """Handle a message and return the effects to carry out."""
+
+
+class EffectRunner:
+    """Connect a decision class to the peers, the timers and the timeline.
+
+    Parameters
+    ==========
+    decider : Decider
+        Decision class; gets messages, and the answers to its calls.
+    messages : Iterable[type]
+        Message classes that other instances send to it.
+    extra : Callable[[Effect], None]
+        Carries out the effects that only this part has.
+    """
+
+    def __init__(
+        self,
+        decider: Decider,
+        messages: Iterable[type],
+        peers: PeerClient,
+        timers: TimerService,
+        events: EventRing,
+        extra: Extra | None = None,
+    ):
+        self.decider = decider
+        self.peers = peers
+        self.timers = timers
+        self.events = events
+        self.extra = extra
+        for cls in messages:
+            peers.on(cls, self.on_message)
+
+    def on_message(self, message: Any, sender: str) -> Any:
+        """Handle a message of another instance and return the answer, if there is one."""
+        return self.run(self.decider.handle(message, sender, self.timers.now()))
+
+    def run(self, effects: list[Effect]) -> Any:
+        """Carry out effects in order and return the message of a `Reply`."""
+        answer = None
+        for effect in effects:
+            if isinstance(effect, Reply):
+                answer = effect.message
+            elif isinstance(effect, Send):
+                self.peers.send(effect.to, effect.message)
+            elif isinstance(effect, SendAddress):
+                self.spawn(self.ask_address(effect))
+            elif isinstance(effect, Ask):
+                self.spawn(self.ask(effect))
+            elif isinstance(effect, Record):
+                self.events.record(effect.event)
+            elif self.extra is not None:
+                self.extra(effect)
+        return answer
+
+    def spawn(self, work: Any) -> None:
+        """Run a call beside others; it ends with the timer service."""
+        self.timers.spawn(work)
+
+    async def ask(self, effect: Ask) -> None:
+        """Call an instance and hand its answer to the decision class."""
+        answer = await self.peers.call(effect.to, effect.message, effect.timeout_s)
+        if not isinstance(answer, (Unreachable, Ack)):
+            self.on_message(answer, effect.to)
+
+    async def ask_address(self, effect: SendAddress) -> None:
+        """Call an address whose instance is not known."""
+        answer = await self.peers.call_address(effect.address, effect.message, 1.0)
+        if not isinstance(answer, (Unreachable, Ack)):
+            self.on_message(answer, "")
--- /dev/null
+++ b/mulberrygate/daemon/leader.py
@@ -0,0 +1,289 @@
+"""Part `control`: a voter of the control group, and the duties of its leader."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from mulberrygate.agreement import (
+    AgreementNode,
+    AgreementService,
+    Committed,
+    NotLeader,
+    Role,
+    Storage,
+    StorageError,
+)
+from mulberrygate.control.commands import ApplyTable, CommandResult
+from mulberrygate.control.evidence import Evidence
+from mulberrygate.control.messages import (
+    ApplyRequest,
+    ControlAnswer,
+    FindLeader,
+    ReadTable,
+    TableText,
+)
+from mulberrygate.control.moves import MoveController
+from mulberrygate.control.state import ControlState
+from mulberrygate.control.views import ViewPlanner
+from mulberrygate.core.codes import register_code
+from mulberrygate.core.timers import TimerService
+from mulberrygate.core.wire import decode, encode
+from mulberrygate.ledger.messages import CopyReport
+from mulberrygate.members.view import MembershipView
+from mulberrygate.observe.events import EventRing
+from mulberrygate.observe.logs import logger
+from mulberrygate.peers.client import PeerClient
+from mulberrygate.settings.model import Settings
+from mulberrygate.tables.model import PoolsTable, RoutesTable
+from mulberrygate.tables.parse import ROUTES, Faults, parse_table
+from mulberrygate.tables.render import render_table
+
+log = logger("control")
+
+UNDETERMINED = register_code(
+    5003, "undetermined", "The change may or may not be in force. Send it again.", 504
+)
+NO_TABLE = register_code(5004, "no_table", "No version of the table is in force.", 404)
+
+PROPOSE_TIMEOUT_S = 6.0
+READ_TIMEOUT_S = 4.0
+DUTY_S = 0.25
+
+
+class ControlMachine:
+    """State machine of the agreement service: the control state behind encoded commands."""
+
+    def __init__(self, on_change: Callable[[], None]):
+        self.state = ControlState()
+        self.on_change = on_change
+
+    def apply(self, index: int, command: bytes) -> CommandResult:
+        """Apply a command of the log."""
+        kind, body = msgpack.unpackb(command)
+        result = self.state.apply(index, decode(kind, body))
+        self.on_change()
+        return result
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return self.state.snapshot()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+        self.state.restore(data)
+        self.on_change()
+
+
+def encode_command(command: Any) -> bytes:
+    """Return the bytes of a command for the log."""
+    return msgpack.packb(list(encode(command)))
+
+
+@dataclass(frozen=True)
+class Unproposed:
+    """A command did not get into the log, or it is not known whether it did."""
+
+    leader: str
+    code: int
+    detail: str
+
+
+class ControlVoter:
+    """Voter of the control group on this instance.
+
+    Parameters
+    ==========
+    on_change : Callable[[ControlState], None]
+        Called after each change of the control state on this voter.
+    on_lead : Callable[[bool], None]
+        Called when this voter starts or stops leading.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        peers: PeerClient,
+        view: Callable[[], MembershipView],
+        timers: TimerService,
+        events: EventRing,
+        rng: random.Random,
+        on_change: Callable[[ControlState], None],
+        on_lead: Callable[[bool], None],
+    ):
+        self.settings = settings
+        self.peers = peers
+        self.view = view
+        self.timers = timers
+        self.events = events
+        self.rng = rng
+        self.on_lead = on_lead
+        self.failure = ""
+        self.service: AgreementService | None = None
+        self.machine = ControlMachine(lambda: on_change(self.machine.state))
+        self.planner = ViewPlanner()
+        self.moves = MoveController()
+        self.is_proposing = False
+
+    def start(self) -> None:
+        """Read the data folder and join the group; a bad disk stops the voter only."""
+        storage = Storage(self.settings.data_folder)
+        try:
+            state = storage.load(self.settings.instance)
+        except StorageError as error:
+            self.failure = str(error)
+            log.error("The data folder can't be used; this voter does not start.", reason=error)
+            self.events.add("control.disk_failed", str(error), instance=self.settings.instance)
+            return
+        node = AgreementNode(
+            self.settings.instance,
+            self.settings.voters,
+            state,
+            self.rng,
+            address=self.settings.peer_address,
+        )
+        self.service = AgreementService(node, storage, self.peers, self.timers, self.machine)
+        self.service.on_role.append(self._on_role)
+        self.peers.on(ApplyRequest, self.on_apply)
+        self.peers.on(ReadTable, self.on_read)
+        self.peers.on(FindLeader, self.on_find)
+        self.peers.on(CopyReport, self.on_copy_report)
+        self.peers.on(Evidence, self.on_evidence)
+        self.timers.every(DUTY_S, self.do_duties, "control.duties")
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this voter leads under a lease that still holds."""
+        return self.service is not None and self.service.role is Role.LEADER
+
+    def _on_role(self, role: Role, term: int) -> None:
+        leads = role is Role.LEADER
+        self.events.add(
+            "control.role", f"{role.value} in term {term}", instance=self.settings.instance
+        )
+        if leads:
+            self.planner = ViewPlanner()
+            self.moves = MoveController()
+        self.on_lead(leads)
+
+    def on_find(self, _message: FindLeader, _sender: str) -> ControlAnswer:
+        """Say who leads."""
+        if self.is_leader:
+            return ControlAnswer(True, self.settings.instance)
+        return ControlAnswer(False, self.service.leader)
+
+    async def on_apply(self, request: ApplyRequest, _sender: str) -> ControlAnswer:
+        """Put a table in force, if this voter leads."""
+        if not self.is_leader:
+            return ControlAnswer(False, self.service.leader)
+        parsed = await asyncio.to_thread(parse_table, request.content, request.table)
+        if isinstance(parsed, Faults):
+            return ControlAnswer(True, code=parsed.faults[0].code.number, detail=str(parsed))
+        version = parsed.table.version
+        command = ApplyTable(
+            request.table, version, request.content, parsed.digest, request.operator, time.time()
+        )
+        result = await self.propose(command)
+        if isinstance(result, Unproposed):
+            return ControlAnswer(not result.leader, result.leader, result.code, 0, result.detail)
+        self.events.add(
+            "control.table",
+            f"version {version}: {result.detail}" if not result.code else f"refused {result.code}",
+            table=request.table,
+            operator=request.operator,
+        )
+        return ControlAnswer(True, "", result.code, result.revision, result.detail)
+
+    async def propose(self, command: Any) -> CommandResult | Unproposed:
+        """Propose a command and wait for its result."""
+        outcome = await self.service.propose(encode_command(command), PROPOSE_TIMEOUT_S)
+        if isinstance(outcome, Committed):
+            return outcome.result
+        if isinstance(outcome, NotLeader):
+            return Unproposed(outcome.leader or "?", 0, "another voter leads")
+        return Unproposed("", UNDETERMINED.number, outcome.reason)
+
+    async def on_read(self, request: ReadTable, _sender: str) -> TableText:
+        """Return a table in force, confirmed by a majority."""
+        outcome = await self.service.read_barrier(READ_TIMEOUT_S)
+        if isinstance(outcome, NotLeader):
+            return TableText(False, outcome.leader)
+        if not hasattr(outcome, "index"):
+            return TableText(True, code=UNDETERMINED.number, detail=outcome.reason)
+        state = self.machine.state
+        in_force = state.tables().get(request.table)
+        if in_force is None:
+            return TableText(True, code=NO_TABLE.number)
+        if request.table == ROUTES:
+            table = RoutesTable(in_force.version, state.routes(), state.accounts())
+        else:
+            table = PoolsTable(in_force.version, state.pools())
+        text = render_table(table).encode()
+        return TableText(True, version=in_force.version, content=text)
+
+    def on_copy_report(self, report: CopyReport, _sender: str) -> None:
+        """Take note of a completed copy of a ledger shard."""
+        self.planner.report(report)
+
+    def on_evidence(self, evidence: Evidence, _sender: str) -> None:
+        """Take note of evidence on a version move."""
+        if self.is_leader:
+            self.moves.observe(evidence, self.timers.now())
+
+    async def do_duties(self) -> None:
+        """Place ledger replicas and advance version moves, while this voter leads."""
+        if not self.is_leader or self.is_proposing:
+            return
+        now, wall = self.timers.now(), time.time()
+        state = self.machine.state
+        plan = self.planner.plan(self.view(), state.shards(), now, wall)
+        commands: list[Any] = [plan] if plan.shards else []
+        moves = state.moves()
+        if moves or self.moves.tracks:
+            self.moves.update(moves, state.pools(), now, wall)
+            commands += self.moves.tick(now)
+        self.is_proposing = True
+        try:
+            for command in commands:
+                result = await self.propose(command)
+                self._note(command, result)
+        finally:
+            self.is_proposing = False
+
+    def _note(self, command: Any, result: CommandResult | Unproposed) -> None:
+        """Add a command of the leader to the timeline."""
+        if isinstance(result, Unproposed):
+            log.warning("A command of the leader did not get through.", reason=result.detail)
+            return
+        pool = getattr(command, "pool", "")
+        if pool and not result.code:
+            verdict = command.verdict or f"stage {command.stage}, share {command.share:.3f}"
+            self.events.add("moves.step", f"{verdict} {command.reason}".strip(), move=pool)
+        elif not pool:
+            shards = [shard.name() for shard in command.shards]
+            self.events.add("ledger.views", f"{len(shards)} shards from {shards[0]}")
+
+    def status(self) -> dict:
+        """Return the voter's state for operators."""
+        if self.service is None:
+            return {"role": "stopped", "failure": self.failure}
+        status = self.service.status()
+        return {
+            "role": status.role,
+            "term": status.term,
+            "leader": status.leader,
+            "commit": status.commit,
+            "voters": [f"{m.name}{'' if m.is_voter else ' (learner)'}" for m in status.members],
+            "failure": status.failure,
+        }
+
+    async def close(self) -> None:
+        """Hand over leadership and close the log."""
+        if self.service is not None:
+            await self.service.close()
--- /dev/null
+++ b/mulberrygate/daemon/movewatch.py
@@ -0,0 +1,106 @@
+"""Version moves as the owner of a pool's scheduler sees them: shares and evidence."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from mulberrygate.control.client import ControlClient
+from mulberrygate.control.guard import VersionGuard
+from mulberrygate.core.effects import Effect
+from mulberrygate.core.timers import TimerService
+from mulberrygate.observe.events import EventRing
+from mulberrygate.observe.logs import logger
+from mulberrygate.schedule.effects import Observed
+
+if TYPE_CHECKING:
+    from mulberrygate.control.inforce import InForce
+    from mulberrygate.endpoints.directory import Directory
+
+log = logger("moves")
+
+# Evidence of a pool under a move goes to the leader this often.
+REPORT_S = 1.0
+CANCELLED = "cancelled"
+
+
+class MoveWatch:
+    """Guards of the moves of all pools whose schedulers run here.
+
+    Explanation
+    ===========
+    A guard stops a faulty version on this instance's own evidence at once. Its evidence goes to the
+    leader, which decides on the move. While no leader is found the share can't rise.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        in_force: InForce,
+        directory: Directory,
+        control: ControlClient,
+        timers: TimerService,
+        events: EventRing,
+    ):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.in_force = in_force
+        self.directory = directory
+        self.control = control
+        self.timers = timers
+        self.events = events
+        self.guards: dict[str, VersionGuard] = {}
+        timers.every(REPORT_S, self.report, "moves.report")
+
+    def guard(self, pool: str) -> VersionGuard | None:
+        """Return the guard of a pool under a move."""
+        state = self.in_force.moves.get(pool)
+        if state is None:
+            self.guards.pop(pool, None)
+            return None
+        guard = self.guards.get(pool)
+        if guard is None:
+            guard = self.guards[pool] = VersionGuard(pool, self.instance, self.incarnation)
+        settings = self.in_force.pools[pool].move
+        if guard.state != state:
+            guard.set_move(state, settings)
+        return guard
+
+    def shares(self, pool: str) -> dict[str, float]:
+        """Return the share of each version of a pool, empty without a move."""
+        guard = self.guard(pool)
+        return guard.shares() if guard is not None else {}
+
+    def observe(self, pool: str, effect: Effect) -> None:
+        """Take note of a finished request."""
+        if not isinstance(effect, Observed) or effect.fault == CANCELLED:
+            return
+        guard = self.guard(pool)
+        if guard is None:
+            return
+        endpoint = self.directory.find(effect.endpoint)
+        slots = max(1, endpoint.slots) if endpoint is not None else 1
+        stopped = guard.observe(
+            effect.route,
+            effect.version,
+            effect.load / slots,
+            effect.expected_s,
+            effect.total_s,
+            bool(effect.fault),
+            self.timers.now(),
+        )
+        if stopped:
+            log.warning("Stopped a version on own evidence.", pool=pool, reason=guard.stopped)
+            self.events.add("moves.stopped", guard.stopped, move=pool, version=effect.version)
+
+    async def report(self) -> None:
+        """Send evidence to the leader, and note whether there is one."""
+        for pool in list(self.guards):
+            guard = self.guard(pool)
+            if guard is None or guard.collector is None:
+                continue
+            leader = await self.control.find_leader()
+            guard.set_connected(bool(leader))
+            evidence = guard.evidence()
+            if leader and evidence is not None:
+                self.control.peers.send(leader, evidence)
--- a/mulberrygate/daemon/poolhost.py
+++ b/mulberrygate/daemon/poolhost.py
@@ -175,6 +175,10 @@
     def status(self) -> dict[str, dict]:
         """Return figures of the hosted pools for operators."""
         return {
-            pool: {"owner": self.is_owner(pool), **hosted.scheduler.status()}
+            pool: {
+                "owner": self.is_owner(pool),
+                "waiting": len(hosted.scheduler.queue),
+                "running": len(hosted.scheduler.running),
+            }
             for pool, hosted in self.hosted.items()
         }
--- /dev/null
+++ b/mulberrygate/daemon/run.py
@@ -0,0 +1,68 @@
+"""Entry point of the daemon `mulberrygated`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+
+from mulberrygate import __version__
+from mulberrygate.core.outcome import Refusal
+from mulberrygate.daemon.compose import Daemon, Tokens
+from mulberrygate.observe.logs import logger, start_logging
+from mulberrygate.settings import Settings, load_settings, read_token
+
+log = logger("daemon")
+
+BAD_SETTINGS = 2
+
+
+async def serve(settings: Settings, tokens: Tokens) -> None:
+    """Run a daemon until it is asked to stop."""
+    daemon = Daemon(settings, tokens)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await daemon.start()
+    await stop.wait()
+    await daemon.stop()
+
+
+def read_tokens(settings: Settings) -> Tokens | Refusal:
+    """Read the secrets that the settings name."""
+    tokens = []
+    for path in (
+        settings.peer_token_file,
+        settings.operator_token_file,
+        settings.endpoint_token_file,
+    ):
+        token = read_token(path)
+        if isinstance(token, Refusal):
+            return token
+        tokens.append(token)
+    return Tokens(*tokens)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the daemon and return its exit code."""
+    parser = argparse.ArgumentParser(prog="mulberrygated", description="Daemon of mulberrygate.")
+    parser.add_argument("--settings", required=True, metavar="FILE", help="JSON with comments")
+    parser.add_argument("--version", action="version", version=__version__)
+    options = parser.parse_args(arguments)
+    settings = load_settings(options.settings)
+    if isinstance(settings, Refusal):
+        print(f"{settings.code}: {settings.detail}", file=sys.stderr)
+        return BAD_SETTINGS
+    tokens = read_tokens(settings)
+    if isinstance(tokens, Refusal):
+        print(f"{tokens.code}: {tokens.detail}", file=sys.stderr)
+        return BAD_SETTINGS
+    start_logging(settings.log_level)
+    asyncio.run(serve(settings, tokens))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/mulberrygate/daemon/web.py
+++ b/mulberrygate/daemon/web.py
@@ -258,5 +258,3 @@
     """Return whether a request carries a bearer token."""
     given = request.headers.get("Authorization", "").removeprefix("Bearer ").strip()
     return hmac.compare_digest(given.encode(), token.encode())
-
-
--- a/mulberrygate/entry/answers.py
+++ b/mulberrygate/entry/answers.py
@@ -52,5 +52,3 @@
     """Return the server-sent event that ends a stream with an explicit error."""
     body = json.dumps({"error": problem(refusal, request_id)})
     return f"event: error\ndata: {body}\n\n".encode()
-
-
--- /dev/null
+++ b/mulberrygate/entry/attach.py
@@ -0,0 +1,64 @@
+"""Answers to a request whose key was used before: attach to the stream, or replay the answer."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from mulberrygate.core.outcome import Execution, Refusal
+from mulberrygate.entry.codes import ANSWER_NOT_KEPT
+from mulberrygate.entry.context import EntryParts, RequestContext, stream_name
+from mulberrygate.entry.relay import (
+    Delivery,
+    completion_response,
+    follow,
+    start_stream,
+    unpack_service_answer,
+)
+from mulberrygate.entry.stream import EVENT_END, AnswerText
+from mulberrygate.ledger import Record
+
+
+async def attach_model(
+    parts: EntryParts, request: RequestContext, record: Record
+) -> web.StreamResponse | Refusal:
+    """Follow the stream of an earlier attempt from the engine that runs it."""
+    if not request.is_model:
+        return Refusal(ANSWER_NOT_KEPT, execution=Execution.COMPLETED)
+    stream = stream_name(record.attempt)
+    request.dispatched_at = parts.timers.now()
+    follower = follow(parts, record.address, stream, wanted_offset(request, stream))
+    follower.start(None)
+    try:
+        outcome = await Delivery(parts, request, follower).run()
+    finally:
+        follower.close()
+    if isinstance(outcome, Refusal) and record.has_run():
+        return Refusal(ANSWER_NOT_KEPT, execution=Execution.COMPLETED)
+    return outcome
+
+
+def wanted_offset(request: RequestContext, stream: str) -> int:
+    """Return the first offset that the caller does not have yet."""
+    name, _, offset = request.http.headers.get("Last-Event-ID", "").rpartition(":")
+    if request.wants_stream and name == stream and offset.isdigit():
+        return int(offset) + 1
+    return 0
+
+
+async def replay(request: RequestContext, answer: bytes) -> web.StreamResponse:
+    """Return the answer that the ledger kept."""
+    if not request.is_model:
+        return unpack_service_answer(answer, request)
+    if not request.wants_stream:
+        text = AnswerText()
+        text.add(answer)
+        events = answer.count(EVENT_END) - 2
+        return completion_response(request, text, max(0, events))
+    response = await start_stream(request)
+    first_line = answer[: answer.find(b"\n")].decode()
+    skipped = wanted_offset(request, first_line.removeprefix("id: ").rpartition(":")[0])
+    events = answer.split(EVENT_END)[:-1]
+    for event in events[skipped:]:
+        await response.write(event + EVENT_END)
+    await response.write_eof()
+    return response
--- /dev/null
+++ b/mulberrygate/entry/claim.py
@@ -0,0 +1,145 @@
+"""Filter: claim the request's key, or answer from an earlier attempt with the same key."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+
+from aiohttp import web
+
+from mulberrygate.core.outcome import Execution, Refusal
+from mulberrygate.entry.attach import attach_model, replay
+from mulberrygate.entry.codes import (
+    ENDPOINT_ERROR,
+    KEY_CONFLICT,
+    LEDGER_UNAVAILABLE,
+    OUTCOME_UNKNOWN,
+)
+from mulberrygate.entry.context import EntryParts, RequestContext
+from mulberrygate.ledger import (
+    Answered,
+    Attached,
+    Claimed,
+    Conflicting,
+    Phase,
+    Record,
+    Uncertain,
+)
+from mulberrygate.ledger.keys import is_minted
+
+# A shard that gives no majority within this time is treated as unavailable, so that the caller is
+# told promptly.
+CLAIM_TIMEOUT_S = 3.0
+# Pause between looks at a running call that another entry follows.
+LOOK_PAUSE_S = 0.2
+
+
+class Claim:
+    """Claim the key of a request that may run at most once.
+
+    Explanation
+    ===========
+    A key belongs to one client account, so equal keys of two accounts do not meet. A request
+    without a key gets one that no other entry can know, which needs no message.
+    """
+
+    def __init__(self, parts: EntryParts):
+        self.parts = parts
+
+    async def __call__(self, request: RequestContext, proceed):
+        if request.is_idempotent:
+            return await proceed()
+        self._name(request)
+        while True:
+            outcome = await self._claim(request)
+            if isinstance(outcome, Claimed):
+                return await self._run(request, outcome, proceed)
+            if isinstance(outcome, Answered):
+                return await self._answer(request, outcome.record)
+            if isinstance(outcome, Attached):
+                if outcome.record.phase is Phase.RUNNING:
+                    return await self._attach(request, outcome.record)
+                if request.remaining_s(self.parts.timers.now()) > 0:
+                    continue
+                return Refusal(OUTCOME_UNKNOWN, "an earlier attempt waits", Execution.UNKNOWN, 1.0)
+            return self._refuse(outcome)
+
+    def _name(self, request: RequestContext) -> None:
+        """Set the key, its home and the fingerprint of the claim."""
+        parts = self.parts
+        domain = parts.settings.failure_domain
+        content = f"{request.account_name}\0{request.fingerprint}".encode()
+        request.claim_fingerprint = hashlib.blake2b(content, digest_size=16).digest()
+        if not request.has_caller_key:
+            request.key = request.ledger_key = parts.coordinator.mint_key(domain)
+            request.home = domain
+            return
+        request.home = parts.coordinator.home_of(
+            request.key, request.account.home, domain, parts.known_domains()
+        )
+        request.ledger_key = request.key
+        if not is_minted(request.key):
+            request.ledger_key = f"{request.account_name}:{request.key}"
+
+    async def _claim(self, request: RequestContext):
+        coordinator = self.parts.coordinator
+        key, fingerprint = request.ledger_key, request.claim_fingerprint
+        if not request.has_caller_key:
+            return coordinator.claim_minted(key, fingerprint)
+        left = max(0.1, request.remaining_s(self.parts.timers.now()))
+        return await coordinator.claim(key, fingerprint, min(CLAIM_TIMEOUT_S, left), request.home)
+
+    async def _run(self, request: RequestContext, claimed: Claimed, proceed):
+        request.attempt = claimed.attempt
+        if not request.outlives_caller:
+            return await self._proceed(request, proceed)
+        task = self.parts.background.spawn(self._proceed(request, proceed))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            # Once it is being sent it is followed to its end; until then nobody waits for it.
+            if not request.is_dispatching:
+                task.cancel()
+            raise
+
+    async def _proceed(self, request: RequestContext, proceed):
+        try:
+            return await proceed()
+        finally:
+            if not request.has_begun:
+                self.parts.background.spawn(self.parts.coordinator.release(request.attempt))
+
+    async def _answer(self, request: RequestContext, record: Record):
+        self.parts.metrics.count("replayed_total")
+        if record.answer:
+            return await replay(request, record.answer)
+        if record.has_run() and record.outcome == Execution.COMPLETED.value:
+            return await attach_model(self.parts, request, record)
+        if record.outcome == Execution.NOT_RUN.value:
+            return Refusal(LEDGER_UNAVAILABLE, "the key is spent; use another one")
+        return Refusal(ENDPOINT_ERROR, "an earlier attempt failed", Execution.UNKNOWN)
+
+    async def _attach(self, request: RequestContext, record: Record):
+        """Follow an attempt that runs, at whichever entry it was dispatched."""
+        parts = self.parts
+        parts.metrics.count("attached_total")
+        parts.events.add("entry.attached", request=request.request_id, endpoint=record.endpoint)
+        if request.is_model:
+            return await attach_model(parts, request, record)
+        while request.remaining_s(parts.timers.now()) > 0:
+            found = await parts.coordinator.lookup(request.ledger_key, request.home)
+            if isinstance(found, Answered):
+                return await self._answer(request, found.record)
+            attempt = record.attempt
+            if not parts.is_alive(attempt.instance, attempt.incarnation):
+                break
+            await asyncio.sleep(LOOK_PAUSE_S)
+        return Refusal(OUTCOME_UNKNOWN, "an earlier attempt runs or ran", Execution.UNKNOWN, 1.0)
+
+    @staticmethod
+    def _refuse(outcome) -> Refusal | web.StreamResponse:
+        if isinstance(outcome, Conflicting):
+            return Refusal(KEY_CONFLICT)
+        if isinstance(outcome, Uncertain):
+            return Refusal(OUTCOME_UNKNOWN, outcome.detail, outcome.execution)
+        return Refusal(LEDGER_UNAVAILABLE, outcome.detail, retry_after_s=1.0)
--- a/mulberrygate/entry/context.py
+++ b/mulberrygate/entry/context.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -11,6 +11,8 @@
 from aiohttp import ClientResponse, web
 
 from mulberrygate.core.timers import TimerService
+from mulberrygate.ledger.messages import Attempt
+from mulberrygate.members.view import MembershipView
 from mulberrygate.observe.events import EventRing
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.schedule.messages import Grant
@@ -24,6 +26,7 @@
     from mulberrygate.entry.tickets import TicketDesk
     from mulberrygate.entry.upstream import Upstream
     from mulberrygate.ledger.coordinator import Coordinator
+    from mulberrygate.ledger.outcomes import OpenAttempt
 
 
 class Background:
@@ -39,6 +42,10 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
+    async def finish(self, work: Coroutine) -> Any:
+        """Wait for work that goes on to its end even if the caller goes away meanwhile."""
+        return await asyncio.shield(self.spawn(work))
+
     async def close(self) -> None:
         """Cancel all tasks."""
         for task in list(self.tasks):
@@ -57,12 +64,32 @@
     desk: TicketDesk
     upstream: Upstream
     crashes: CrashTracker
+    view: Callable[[], MembershipView]
     metrics: Metrics
     events: EventRing
     timers: TimerService
     background: Background
     is_stopping: bool = False
 
+    def known_domains(self) -> Collection[str]:
+        """Return the failure domains that the membership knows."""
+        return self.view().regions.keys()
+
+    def is_alive(self, instance: str, incarnation: int) -> bool:
+        """Return whether an incarnation of an instance is alive as far as is known."""
+        member = self.view().live.get(instance)
+        return member is not None and member.incarnation == incarnation
+
+
+def stream_name(attempt: Attempt) -> str:
+    """Return the identifier of an attempt's stream at its engine.
+
+    Explanation
+    ===========
+    It follows from the ledger's record, so that any entry can resume the stream.
+    """
+    return f"{attempt.instance}.{attempt.incarnation:x}.{attempt.number}"
+
 
 @dataclass(frozen=True)
 class TryElsewhere:
@@ -90,6 +117,9 @@
         Seconds from dispatch.
     is_complete : bool
         Whether the whole answer was received from the endpoint.
+    is_reported : bool
+        Whether the result was recorded; a caller may close its connection at that moment, and the
+        cancellation must not record it again.
     """
 
     fault: str = ""
@@ -100,6 +130,7 @@
     total_s: float = 0.0
     is_complete: bool = False
     is_cancelled: bool = False
+    is_reported: bool = False
 
 
 @attrs.define(eq=False)
@@ -109,11 +140,15 @@
     Parameters
     ==========
     key : str
-        Key in the ledger; empty for idempotent calls.
+        Key that the caller gave or that was minted; empty for idempotent calls.
+    ledger_key, home : str
+        Key in the ledger, apart for each client account, and its home failure domain.
     has_caller_key : bool
         Whether the caller gave the key and so may send the request again.
     has_begun : bool
         Whether bytes may have been sent to an endpoint under the claim.
+    is_dispatching : bool
+        Whether the request has a grant and is being sent or followed.
     deadline_at : float
         Monotonic time in seconds until which the answer is of use.
     response : web.StreamResponse or None
@@ -139,10 +174,14 @@
     prefixes: tuple[str, ...] = ()
     fingerprint: str = ""
     key: str = ""
+    ledger_key: str = ""
+    home: str = ""
+    claim_fingerprint: bytes = b""
     has_caller_key: bool = False
     has_begun: bool = False
+    is_dispatching: bool = False
     is_idempotent: bool = False
-    attempt: Any = None
+    attempt: OpenAttempt | None = None
     tries: int = 0
     avoid: tuple[str, ...] = ()
     grant: Grant | None = None
@@ -157,6 +196,11 @@
         """Whether the request goes to a model pool."""
         return self.kind == MODEL
 
+    @property
+    def stream(self) -> str:
+        """Identifier of the request at its endpoint."""
+        return stream_name(self.attempt.attempt) if self.attempt else self.grant.request
+
     @property
     def wants_stream(self) -> bool:
         """Whether the caller asked for server-sent events."""
--- a/mulberrygate/entry/dispatch.py
+++ b/mulberrygate/entry/dispatch.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 
+import attrs
+
 from mulberrygate.core.outcome import Execution, Refusal
 from mulberrygate.entry.codes import (
     ATTEMPT_SUPERSEDED,
@@ -41,21 +43,24 @@
         self.budget = RetryBudget()
 
     async def __call__(self, request: RequestContext, proceed):
-        if request.outlives_caller:
-            return await asyncio.shield(self.parts.background.spawn(self._run(request, proceed)))
-        return await self._run(request, proceed)
+        request.is_dispatching = True
+        outcome = await self._run(request, proceed)
+        request.is_dispatching = not isinstance(outcome, TryElsewhere)
+        return outcome
 
     async def _run(self, request: RequestContext, proceed):
-        grant = request.grant
+        parts = self.parts
         self.budget.earn()
+        if not self._is_open(request):
+            return TryElsewhere("the endpoint takes no new work")
         if request.attempt is not None:
             refusal = await self._begin(request)
             if refusal is not None:
-                self.parts.desk.hand_back(grant.request)
+                parts.desk.hand_back(request.grant.request)
                 return refusal
-        if not self.parts.directory.accepts_work(grant.endpoint, self.parts.timers.now()):
-            self.parts.desk.hand_back(grant.request)
-            return TryElsewhere("the endpoint takes no new work")
+            # The begin may have taken long enough for the endpoint to leave.
+            if not self._is_open(request):
+                return TryElsewhere("the endpoint takes no new work")
         try:
             return await self._send(request, proceed)
         except asyncio.CancelledError:
@@ -63,17 +68,27 @@
                 self._abandon(request)
             raise
 
+    def _is_open(self, request: RequestContext) -> bool:
+        """Return whether the endpoint takes new work; if not, hand the grant back."""
+        grant = request.grant
+        if self.parts.directory.accepts_work(grant.endpoint, self.parts.timers.now()):
+            return True
+        self.parts.desk.hand_back(grant.request)
+        return False
+
     async def _begin(self, request: RequestContext) -> Refusal | None:
+        """Begin the attempt; nothing may have been sent under it before."""
         grant = request.grant
-        outcome = await self.parts.coordinator.begin(
-            request.attempt, grant.endpoint, grant.address, grant.request
-        )
-        if isinstance(outcome, Begun):
+        if request.attempt.has_begun:
+            # An earlier begin of this attempt was not followed by a byte, so it may begin again.
+            request.attempt = attrs.evolve(request.attempt, has_begun=False)
+        outcome = await self.parts.coordinator.begin(request.attempt, grant.endpoint, grant.address)
+        if isinstance(outcome, Begun) and self.parts.timers.now() < outcome.dispatch_before:
             return None
         if isinstance(outcome, Superseded):
             return Refusal(ATTEMPT_SUPERSEDED, retry_after_s=1.0)
         if isinstance(outcome, Uncertain):
-            return Refusal(OUTCOME_UNKNOWN, execution=Execution.UNKNOWN)
+            return Refusal(LEDGER_UNAVAILABLE, "the begin was not confirmed; use another key")
         return Refusal(LEDGER_UNAVAILABLE, "the begin was not accepted", retry_after_s=1.0)
 
     async def _send(self, request: RequestContext, proceed):
@@ -111,14 +126,14 @@
         if request.is_idempotent and self.budget.spend():
             return self._end_try(request, "cut", broken.reason)
         request.result.fault = "cut"
-        await record_result(self.parts, request)
+        await self.parts.background.finish(record_result(self.parts, request))
         return Refusal(OUTCOME_UNKNOWN, broken.reason, Execution.UNKNOWN)
 
     async def _endpoint_error(self, request: RequestContext, response) -> Refusal:
         status = response.status
         response.close()
         request.result.fault = "error"
-        await record_result(self.parts, request)
+        await self.parts.background.finish(record_result(self.parts, request))
         return Refusal(ENDPOINT_ERROR, f"the endpoint answered {status}", Execution.UNKNOWN)
 
     def _end_try(self, request: RequestContext, fault: str, reason: str) -> TryElsewhere:
@@ -133,7 +148,7 @@
         request.result.is_cancelled = True
         grant = request.grant
         if request.is_model:
-            self.parts.background.spawn(self.parts.upstream.cancel(grant.address, grant.request))
+            self.parts.background.spawn(self.parts.upstream.cancel(grant.address, request.stream))
         self.parts.background.spawn(record_result(self.parts, request))
 
     @staticmethod
@@ -146,7 +161,9 @@
         if request.is_model:
             return f"http://{address}/v1/chat/completions"
         query = request.http.query_string
-        return f"http://{address}/{request.http.match_info['path']}" + (f"?{query}" if query else "")
+        return f"http://{address}/{request.http.match_info['path']}" + (
+            f"?{query}" if query else ""
+        )
 
     @staticmethod
     def _body(request: RequestContext) -> bytes | None:
@@ -161,7 +178,7 @@
 
     @staticmethod
     def _headers(request: RequestContext) -> dict[str, str]:
-        headers = {"X-Request-Id": request.grant.request}
+        headers = {"X-Request-Id": request.stream}
         if request.is_model:
             headers["Content-Type"] = "application/json"
             headers["Accept"] = "text/event-stream"
--- a/mulberrygate/entry/record.py
+++ b/mulberrygate/entry/record.py
@@ -24,6 +24,8 @@
 async def record_result(parts: EntryParts, request: RequestContext) -> None:
     """Record the result of a dispatched request everywhere it counts."""
     result = request.result
+    if result.is_reported:
+        return
     report_try(parts, request)
     if request.attempt is not None:
         outcome = COMPLETED if result.is_complete else FAILED if result.fault else UNKNOWN
@@ -33,6 +35,7 @@
 def report_try(parts: EntryParts, request: RequestContext) -> None:
     """Report one dispatch, whatever became of it, to the pool's scheduler and the metrics."""
     result = request.result
+    result.is_reported = True
     grant = request.grant
     now = parts.timers.now()
     result.total_s = result.total_s or now - request.dispatched_at
--- a/mulberrygate/entry/relay.py
+++ b/mulberrygate/entry/relay.py
@@ -39,35 +39,26 @@
 
     async def _model(self, request: RequestContext, proceed):
         grant = request.grant
-        follower = self.follower(grant.address, grant.request)
+        follower = follow(self.parts, grant.address, request.stream)
         follower.start(request.upstream)
         delivery = Delivery(self.parts, request, follower)
         try:
             outcome = await delivery.run()
         except asyncio.CancelledError:
             request.result.is_cancelled = True
-            self.parts.background.spawn(self.parts.upstream.cancel(grant.address, grant.request))
+            self.parts.background.spawn(self.parts.upstream.cancel(grant.address, request.stream))
             self.parts.background.spawn(proceed())
             raise
         finally:
             follower.close()
-        await proceed()
+        await self.parts.background.finish(proceed())
         return outcome
 
-    def follower(self, address: str, stream: str, offset: int = 0) -> Follower:
-        """Return a follower of an engine's stream."""
-
-        def on_silence() -> None:
-            self.parts.metrics.count("silent_connections_total")
-            self.parts.events.add("entry.silent", "connection silent", request=stream)
-
-        return Follower(self.parts.upstream, address, stream, offset, on_silence)
-
     async def _service(self, request: RequestContext, proceed):
         response = request.upstream
         try:
             body = await self._read_service(response)
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return await self._service_failed(request, type(error).__name__, proceed)
         finally:
             response.release()
@@ -75,7 +66,7 @@
         result.received_bytes = len(body)
         if len(body) > MAX_SERVICE_ANSWER_BYTES:
             result.fault = "error"
-            await proceed()
+            await self.parts.background.finish(proceed())
             return Refusal(ANSWER_TOO_LARGE, execution=Execution.COMPLETED)
         headers = {n: response.headers[n] for n in SERVICE_HEADERS if n in response.headers}
         result.is_complete = True
@@ -85,7 +76,7 @@
             report_try(self.parts, request)
             request.result = Result()
             return TryElsewhere(f"the endpoint answered {response.status}")
-        await proceed()
+        await self.parts.background.finish(proceed())
         headers.update(identity_headers(request))
         return web.Response(status=response.status, body=body, headers=headers)
 
@@ -106,10 +97,20 @@
             report_try(self.parts, request)
             request.result = Result()
             return TryElsewhere(reason)
-        await proceed()
+        await self.parts.background.finish(proceed())
         return Refusal(OUTCOME_UNKNOWN, reason, Execution.UNKNOWN)
 
 
+def follow(parts: EntryParts, address: str, stream: str, offset: int = 0) -> Follower:
+    """Return a follower of an engine's stream that reports silent connections."""
+
+    def on_silence() -> None:
+        parts.metrics.count("silent_connections_total")
+        parts.events.add("entry.silent", "the connection was silent", request=stream)
+
+    return Follower(parts.upstream, address, stream, offset, on_silence)
+
+
 class Delivery:
     """Bring the events of one engine stream to the caller.
 
@@ -149,7 +150,8 @@
             result.first_token_s = now - self.request.dispatched_at
         result.output_tokens += events.count - (2 if events.is_end else 0)
         result.received_bytes += len(events.raw)
-        self.parts.desk.note_emitted(self.follower.request, result.output_tokens)
+        if self.request.grant is not None:
+            self.parts.desk.note_emitted(self.request.grant.request, result.output_tokens)
         self.kept_bytes += len(events.raw)
         if self.kept_bytes <= KEPT_ANSWER_BYTES:
             self.kept.append(events.raw)
@@ -182,7 +184,7 @@
     async def _end_stream(self) -> None:
         try:
             await asyncio.wait_for(self.request.response.write_eof(), CALLER_STALL_S)
-        except (ConnectionError, asyncio.TimeoutError):
+        except (TimeoutError, ConnectionError):
             self.request.result.is_cancelled = True
 
     async def _fail(self, failed: Failed) -> web.StreamResponse | Refusal:
@@ -231,6 +233,4 @@
 def unpack_service_answer(packed: bytes, request: RequestContext) -> web.Response:
     """Return the answer that the ledger kept."""
     status, headers, body = msgpack.unpackb(packed)
-    return web.Response(
-        status=status, body=body, headers={**headers, **identity_headers(request)}
-    )
+    return web.Response(status=status, body=body, headers={**headers, **identity_headers(request)})
--- a/mulberrygate/entry/schedule.py
+++ b/mulberrygate/entry/schedule.py
@@ -30,7 +30,9 @@
             grant = await parts.desk.acquire(self._ticket(request), request.deadline_at)
             now = parts.timers.now()
             if isinstance(grant, Refusal):
-                parts.metrics.count("shed_total", tier=str(request.tier), code=str(grant.code.number))
+                parts.metrics.count(
+                    "shed_total", tier=str(request.tier), code=str(grant.code.number)
+                )
                 parts.events.add("entry.shed", str(grant.code), request=request.request_id)
                 return grant
             parts.metrics.observe(
@@ -63,4 +65,3 @@
             attempt=request.tries,
             avoid=(*request.avoid, *self.parts.crashes.suspect_endpoints(request.fingerprint)),
         )
-
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -113,7 +113,7 @@
             self._ask(waiting)
             async with asyncio.timeout_at(deadline_at):
                 answer = await waiting.answer
-        except asyncio.TimeoutError:
+        except TimeoutError:
             return Refusal(DEADLINE_PASSED, retry_after_s=1.0)
         finally:
             self.waiting.pop(ticket.request, None)
@@ -126,17 +126,15 @@
         return answer
 
     def _withdraw(self, waiting: Waiting) -> None:
-        if waiting.answer.done() and not waiting.answer.cancelled():
-            if isinstance(waiting.answer.result(), Refuse):
-                return
+        answer = waiting.answer
+        if answer.done() and not answer.cancelled() and isinstance(answer.result(), Refuse):
+            return
         self.peers.send(waiting.owner, Withdraw(waiting.ticket.pool, waiting.ticket.request))
 
     def _ask(self, waiting: Waiting) -> None:
         left = max(0.0, waiting.deadline_at - self.timers.now())
         ticket = attrs.evolve(waiting.ticket, deadline_s=left)
-        task = asyncio.ensure_future(self._ask_owner(waiting, ticket))
-        self.timers.tasks.add(task)
-        task.add_done_callback(self.timers.tasks.discard)
+        self.timers.spawn(self._ask_owner(waiting, ticket))
 
     async def _ask_owner(self, waiting: Waiting, ticket: Ticket) -> None:
         owner = waiting.owner
--- a/mulberrygate/entry/upstream.py
+++ b/mulberrygate/entry/upstream.py
@@ -83,11 +83,11 @@
             return Connected(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotSent(type(error).__name__)
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Broken(type(error).__name__)
 
     async def cancel(self, address: str, request: str) -> None:
-        """Cancel a stream at an engine; a failure is ignored, since the engine then ends it late."""
+        """Cancel a stream at an engine; if that fails, the engine runs it to its end."""
         answer = await self.open(
             "DELETE", f"http://{address}/v1/streams/{request}", {}, None, CANCEL_TIMEOUT_S
         )
--- a/mulberrygate/ledger/keys.py
+++ b/mulberrygate/ledger/keys.py
@@ -60,3 +60,15 @@
     found = _MINTED.fullmatch(key)
     minted = int(found[1]) / 1000 if found else 0.0
     return minted if minted <= wall_s + CLOCK_MARGIN_S else 0.0
+
+
+def is_minted(key: str) -> bool:
+    """Return whether a key has the form of minted keys.
+
+    Examples
+    ========
+    >>> from mulberrygate.ledger.keys import is_minted
+    >>> is_minted("dakar-1/1700000000500-00000000000000ff"), is_minted("order-7")
+    (True, False)
+    """
+    return _MINTED.fullmatch(key) is not None
--- a/mulberrygate/standin/engine.py
+++ b/mulberrygate/standin/engine.py
@@ -25,21 +25,6 @@
 
 CRASH_MARK = "[[crash engine]]"
 WORDS = "check the ballast then the starter and swap both tubes before the next session".split()
-    "check",
-    "the",
-    "ballast",
-    "then",
-    "the",
-    "starter",
-    "and",
-    "swap",
-    "both",
-    "tubes",
-    "before",
-    "the",
-    "next",
-    "session",
-]
 
 
 @attrs.define
