--- /dev/null
+++ b/mulberrygate/endpoints/directory.py
@@ -0,0 +1,360 @@
+"""Directory of endpoints on each entry instance."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgpack
+
+from mulberrygate.core.effects import Effect, Record, Reply, Send
+from mulberrygate.endpoints.lease import (
+    AGE_UNIT_S,
+    LEAVE_LIMIT_S,
+    OLDEST,
+    Lease,
+    LeaseTable,
+    age_byte,
+)
+from mulberrygate.endpoints.messages import (
+    Forwarded,
+    PullRows,
+    Redirected,
+    Renewals,
+    Reports,
+    Rows,
+    Summary,
+    SummaryHeld,
+)
+from mulberrygate.endpoints.model import Announcement, EndpointView
+from mulberrygate.endpoints.summaries import SummarySender, read_summary
+from mulberrygate.members import Ask, MembershipView
+from mulberrygate.observe.events import Event
+
+DeathListener = Callable[[str, int, str], None]
+Owner = Callable[[str, str], str]
+
+# Loads and cache events to the owner of a pool are collected for this time. At 100 endpoints in one
+# pool of a domain with 60 entries the owner gets 70 messages a second.
+REPORT_PERIOD_S = 0.5
+# Gap between ticks after which this process was itself paused; messages that waited meanwhile say
+# nothing about the present, so they renew no lease for `DISTRUST_S`.
+PAUSE_S = 1.5
+DISTRUST_S = 0.5
+PULL_GAP_S = 0.25
+# An incarnation that ended is remembered for this time, so that late news do not bring it back.
+TOMBSTONE_S = 60.0
+
+
+class Directory:
+    """Know the endpoints of the failure domain, their leases, loads and caches.
+
+    Explanation
+    ===========
+    Only what changes is sent to all entry instances at once. Renewals spread as a vector of one byte
+    for each endpoint: at each tick an instance exchanges it with one random peer, which reaches 60
+    instances within about a second. Loads and cache events go to the owner of the pool's scheduler
+    only. Owners send summaries to the owners of the same pool in other failure domains.
+
+    Parameters
+    ==========
+    name, failure_domain : str
+        This instance and its place.
+    view : Callable[[], MembershipView]
+        Current members.
+    rng : random.Random
+        Source of random numbers.
+    owner_of : Callable[[str, str], str] or None
+        Owner of the scheduler for a failure domain and a pool; by default the rendezvous owner of
+        the pool's name.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        failure_domain: str,
+        view: Callable[[], MembershipView],
+        rng: random.Random,
+        owner_of: Owner | None = None,
+    ):
+        self.name = name
+        self.failure_domain = failure_domain
+        self.members = view
+        self.rng = rng
+        self.owner_of = owner_of or (lambda domain, pool: view().owner(domain, pool))
+        self.table = LeaseTable()
+        self.remote: dict[tuple[str, str], LeaseTable] = {}
+        self.tombstones: dict[str, tuple[int, float]] = {}
+        self.death_listeners: list[DeathListener] = []
+        self.reports: list[list[Any]] = []
+        self.summaries = SummarySender(failure_domain)
+        self.last_report = float("-inf")
+        self.last_pull = float("-inf")
+        self.last_tick: float | None = None
+        self.distrust_until = float("-inf")
+
+    def on_death(self, listener: DeathListener) -> None:
+        """Call a listener with endpoint, incarnation and reason when an endpoint died.
+
+        Explanation
+        ===========
+        The reason is ``lease`` or ``incarnation``. An endpoint that said it leaves does not die.
+        """
+        self.death_listeners.append(listener)
+
+    def views(self, pool: str, now: float) -> list[EndpointView]:
+        """Return the endpoints of a pool, those of other failure domains included."""
+        tables = [self.table] + [t for (_, name), t in self.remote.items() if name == pool]
+        return [
+            lease.view(now)
+            for table in tables
+            for lease in table.leases.values()
+            if lease.announcement.pool == pool
+        ]
+
+    def pools(self) -> list[str]:
+        """Return the names of the pools that have endpoints in this failure domain."""
+        return sorted({lease.announcement.pool for lease in self.table.leases.values()})
+
+    # Announcements.
+
+    def announce(self, announcement: Announcement, now: float) -> list[Effect]:
+        """Take an announcement that an endpoint made to this instance."""
+        if announcement.failure_domain != self.failure_domain:
+            target = self.owner_of(announcement.failure_domain, announcement.pool)
+            return [Send(target, Redirected(announcement))] if target else []
+        if not self._is_newer(announcement):
+            return []
+        is_changed, effects = self._store(announcement, self._renewal_time(now), now)
+        effects += self._report(announcement, now)
+        if is_changed:
+            lease = self.table.leases[announcement.endpoint]
+            effects += [Send(p, Forwarded(lease.announcement)) for p in self._peers()]
+        return effects
+
+    def _is_newer(self, announcement: Announcement) -> bool:
+        name = announcement.endpoint
+        if name in self.tombstones and announcement.incarnation < self.tombstones[name][0]:
+            return False
+        lease = self.table.leases.get(name)
+        order = (announcement.incarnation, announcement.sequence)
+        return lease is None or order > lease.order
+
+    def _renewal_time(self, now: float) -> float:
+        return now if now >= self.distrust_until and not self._was_paused(now) else float("-inf")
+
+    def _was_paused(self, now: float) -> bool:
+        return self.last_tick is not None and now - self.last_tick > PAUSE_S
+
+    def _store(
+        self, announcement: Announcement, renewed_at: float, now: float
+    ) -> tuple[bool, list[Effect]]:
+        """Store a newer announcement; return whether properties differ, and the effects."""
+        name = announcement.endpoint
+        known = self.table.leases.get(name)
+        effects: list[Effect] = []
+        if known is not None and known.announcement.incarnation < announcement.incarnation:
+            effects += self._tell_death(known, "incarnation")
+        lease, is_changed = self.table.put(announcement, renewed_at)
+        if renewed_at > float("-inf"):
+            lease.renew(renewed_at, now)
+        if is_changed:
+            subjects = {"endpoint": name, "pool": announcement.pool}
+            kind = "endpoints.leaving" if announcement.leaving else "endpoints.changed"
+            effects.append(Record(Event(kind, subjects)))
+        return is_changed, effects
+
+    def _tell_death(self, lease: Lease, reason: str) -> list[Effect]:
+        known = lease.announcement
+        if known.leaving:
+            return []
+        for listener in list(self.death_listeners):
+            listener(known.endpoint, known.incarnation, reason)
+        subjects = {"endpoint": known.endpoint, "pool": known.pool}
+        return [Record(Event("endpoints.died", subjects, reason))]
+
+    def _report(self, announcement: Announcement, now: float) -> list[Effect]:
+        """Keep load and cache events for the owner, or use them if this instance is the owner."""
+        lease = self.table.leases[announcement.endpoint]
+        age = lease.load_age(announcement.load_at, now) if announcement.load_at else 0.0
+        row = [
+            announcement.endpoint,
+            announcement.incarnation,
+            announcement.sequence,
+            0,
+            announcement.load,
+            int(age * 1000),
+            announcement.cache_sequence,
+            announcement.cached_prefixes,
+            announcement.evicted_prefixes,
+        ]
+        self._apply_report(row, now)
+        owner = self.owner_of(self.failure_domain, announcement.pool)
+        if owner and owner != self.name:
+            self.reports.append([owner, now, row])
+        return []
+
+    def _apply_report(self, row: list[Any], now: float) -> None:
+        name, incarnation, sequence, units, load, age_ms, cache_sequence, cached, evicted = row[:9]
+        lease = self.table.leases.get(name)
+        if lease is None:
+            return
+        load_at = now - (units * AGE_UNIT_S + max(0, age_ms) / 1000)
+        if lease.report((incarnation, sequence), load, load_at):
+            lease.apply_cache(cache_sequence, cached, evicted)
+
+    def _peers(self) -> list[str]:
+        view = self.members()
+        names = view.in_domain(self.failure_domain)
+        return [n for n in names if n != self.name and "entry" in view.members[n].roles]
+
+    # Incoming messages.
+
+    def handle(self, message: Any, sender: str, now: float) -> list[Effect]:
+        """Handle a message or the answer to an `Ask`."""
+        if isinstance(message, Forwarded):
+            announcement = message.announcement
+            if self._is_newer(announcement):
+                return self._store(announcement, self._renewal_time(now), now)[1]
+        elif isinstance(message, Redirected):
+            if message.announcement.failure_domain == self.failure_domain:
+                return self.announce(message.announcement, now)
+        elif isinstance(message, Renewals):
+            return self._on_renewals(message, sender, now)
+        elif isinstance(message, PullRows):
+            return [self._rows(message.names, now)]
+        elif isinstance(message, Rows):
+            return self._on_rows(message, now)
+        elif isinstance(message, Reports):
+            self._on_reports(message, now)
+        elif isinstance(message, Summary):
+            return self._on_summary(message, now)
+        elif isinstance(message, SummaryHeld):
+            self.summaries.acknowledge(message, sender)
+        return []
+
+    def _on_renewals(self, message: Renewals, sender: str, now: float) -> list[Effect]:
+        is_same = message.digest == self.table.digest
+        is_trusted = self._renewal_time(now) > float("-inf")
+        effects: list[Effect] = []
+        if is_same and is_trusted:
+            self.table.renew_all(message.ages, now)
+        if message.named:
+            effects += self._on_named(msgpack.unpackb(message.named), sender, is_trusted, now)
+        if not message.is_answer:
+            ages = self.table.ages(now) if is_same else b""
+            named = b"" if is_same else self._named(now)
+            effects.append(Reply(Renewals(self.table.digest, ages, named, True)))
+        return effects
+
+    def _named(self, now: float) -> bytes:
+        rows = []
+        for name, lease in self.table.leases.items():
+            rows.append([name, *lease.order, age_byte(now - lease.renewed_at), lease.fingerprint])
+        return msgpack.packb(rows)
+
+    def _on_named(
+        self, rows: Iterable[list[Any]], sender: str, is_trusted: bool, now: float
+    ) -> list[Effect]:
+        """Take over renewals by name and pull what is not known."""
+        wanted = []
+        for name, incarnation, sequence, units, mark in (row[:5] for row in rows):
+            lease = self.table.leases.get(name)
+            is_alive = units * AGE_UNIT_S < LEAVE_LIMIT_S
+            order = (incarnation, sequence)
+            if lease is None or (lease.fingerprint != mark and order > lease.order):
+                wanted += [name] if is_alive else []
+            elif lease.announcement.incarnation == incarnation and is_trusted and units < OLDEST:
+                lease.renew(now - units * AGE_UNIT_S, now)
+        if not wanted or now - self.last_pull < PULL_GAP_S:
+            return []
+        self.last_pull = now
+        return [Ask(sender, PullRows(tuple(wanted)))]
+
+    def _rows(self, names: Iterable[str], now: float) -> Effect:
+        leases = [self.table.leases[name] for name in names if name in self.table.leases]
+        ages = bytes(age_byte(now - lease.renewed_at) for lease in leases)
+        return Reply(Rows(tuple(lease.announcement for lease in leases), ages))
+
+    def _on_rows(self, message: Rows, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        is_trusted = self._renewal_time(now) > float("-inf")
+        for announcement, units in zip(message.announcements, message.ages, strict=False):
+            if self._is_newer(announcement):
+                is_useful = is_trusted and units < OLDEST
+                at = now - units * AGE_UNIT_S if is_useful else float("-inf")
+                effects += self._store(announcement, at, now)[1]
+        return effects
+
+    def _on_reports(self, message: Reports, now: float) -> None:
+        for row in msgpack.unpackb(message.rows):
+            lease = self.table.leases.get(row[0])
+            self._apply_report(row, now)
+            is_same = lease is not None and lease.announcement.incarnation == row[1]
+            if is_same and self._renewal_time(now) > float("-inf"):
+                lease.renew(now - row[3] * AGE_UNIT_S, now)
+
+    def _on_summary(self, message: Summary, now: float) -> list[Effect]:
+        if message.failure_domain == self.failure_domain:
+            return []
+        key = (message.failure_domain, message.pool)
+        table = self.remote.setdefault(key, LeaseTable())
+        read_summary(table, message, self._renewal_time(now) > float("-inf"), now)
+        return [Reply(SummaryHeld(*key, table.digest))]
+
+    # Time.
+
+    def tick(self, now: float) -> list[Effect]:
+        """Advance to a time; to be called about four times a second."""
+        if self._was_paused(now):
+            self.distrust_until = now + DISTRUST_S
+        self.last_tick = now
+        effects = self._expire(now)
+        effects += self._flush_reports(now)
+        peers = self._peers()
+        if peers and (self.table.leases or self.rng.random() < 0.25):
+            message = Renewals(self.table.digest, self.table.ages(now))
+            effects.append(Ask(self.rng.choice(peers), message))
+        return effects + self._summarize(now)
+
+    def _expire(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if now < self.distrust_until:
+            return effects
+        for name, lease in list(self.table.leases.items()):
+            if lease.is_dead(now):
+                self.table.remove(name)
+                self.tombstones[name] = (lease.announcement.incarnation, now)
+                effects += self._tell_death(lease, "lease")
+        for table in self.remote.values():
+            for name in [n for n, lease in table.leases.items() if lease.is_dead(now)]:
+                table.remove(name)
+        for name in [n for n, (_, at) in self.tombstones.items() if now - at > TOMBSTONE_S]:
+            del self.tombstones[name]
+        return effects
+
+    def _flush_reports(self, now: float) -> list[Effect]:
+        if not self.reports or now - self.last_report < REPORT_PERIOD_S - 1e-6:
+            return []
+        self.last_report = now
+        batches: dict[str, list[Any]] = {}
+        for owner, at, row in self.reports:
+            row[3] = age_byte(now - at)
+            batches.setdefault(owner, []).append(row)
+        self.reports = []
+        return [Send(owner, Reports(msgpack.packb(rows))) for owner, rows in batches.items()]
+
+    def _summarize(self, now: float) -> list[Effect]:
+        """Send summaries of the pools whose scheduler this instance owns."""
+        domains = [d for d in self.members().domains if d != self.failure_domain]
+        if not domains:
+            return []
+        effects: list[Effect] = []
+        for pool in self.pools():
+            if self.owner_of(self.failure_domain, pool) != self.name:
+                continue
+            leases = {n: v for n, v in self.table.leases.items() if v.announcement.pool == pool}
+            targets = {domain: self.owner_of(domain, pool) for domain in domains}
+            effects += self.summaries.send(pool, leases, targets, now)
+        return effects
--- a/mulberrygate/endpoints/model.py
+++ b/mulberrygate/endpoints/model.py
@@ -37,7 +37,8 @@
     cached_prefixes, evicted_prefixes : tuple[str, ...]
         Cache events since the previous announcement, as prefix hashes; may have gaps.
     cache_sequence : int
-        Sequence of the cache events; a gap means that events were lost.
+        Number of the last cache event, rising by one with each cached or evicted prefix; a gap
+        means that events were lost.
     leaving : bool
         The endpoint wants no new work.
     """
--- /dev/null
+++ b/mulberrygate/endpoints/summaries.py
@@ -0,0 +1,99 @@
+"""Summaries of a failure domain's endpoints for the other failure domains."""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.core.effects import Effect
+from mulberrygate.endpoints.lease import AGE_UNIT_S, OLDEST, Lease, LeaseTable, age_byte
+from mulberrygate.endpoints.messages import Summary, SummaryHeld
+from mulberrygate.members import Ask
+
+# Leases hold for 3 s without news, so a summary has to arrive at least once a second.
+SUMMARY_PERIOD_S = 1.0
+
+
+@attrs.define
+class Target:
+    """What the owner of a pool in another failure domain has acknowledged."""
+
+    owner: str
+    sent_at: float = float("-inf")
+    held_digest: int = 0
+    sent_digest: int = 0
+
+
+class SummarySender:
+    """Decide what to send to the owners of the same pool in other failure domains.
+
+    Parameters
+    ==========
+    failure_domain : str
+        Failure domain of this instance.
+    """
+
+    def __init__(self, failure_domain: str):
+        self.failure_domain = failure_domain
+        self.targets: dict[tuple[str, str], Target] = {}
+
+    def send(
+        self, pool: str, leases: dict[str, Lease], owners: dict[str, str], now: float
+    ) -> list[Effect]:
+        """Return the summaries that are due: each second, and at once after a change."""
+        digest = 0
+        for lease in leases.values():
+            digest ^= lease.fingerprint
+        effects: list[Effect] = []
+        for domain, owner in owners.items():
+            target = self.targets.get((domain, pool))
+            if target is None or target.owner != owner:
+                target = self.targets[domain, pool] = Target(owner)
+            is_due = now - target.sent_at >= SUMMARY_PERIOD_S - 1e-6
+            if not owner or not (is_due or target.sent_digest != digest):
+                continue
+            target.sent_at = now
+            target.sent_digest = digest
+            effects.append(Ask(owner, self._summary(pool, leases, digest, target, now)))
+        return effects
+
+    def _summary(
+        self, pool: str, leases: dict[str, Lease], digest: int, target: Target, now: float
+    ) -> Summary:
+        names = sorted(leases)
+        is_held = target.held_digest == digest
+        return Summary(
+            failure_domain=self.failure_domain,
+            pool=pool,
+            digest=digest,
+            announcements=() if is_held else tuple(leases[n].announcement for n in names),
+            names=() if is_held else tuple(names),
+            ages=bytes(age_byte(now - leases[n].renewed_at) for n in names),
+            loads=bytes(min(255, max(0, leases[n].load)) for n in names),
+        )
+
+    def acknowledge(self, message: SummaryHeld, sender: str) -> None:
+        """Take note of what a receiver holds."""
+        for (_, pool), target in self.targets.items():
+            if pool == message.pool and target.owner == sender:
+                target.held_digest = message.digest
+
+
+def read_summary(table: LeaseTable, message: Summary, is_trusted: bool, now: float) -> None:
+    """Take over a summary into the table of the failure domain and pool that it is about."""
+    for announcement in message.announcements:
+        lease = table.leases.get(announcement.endpoint)
+        order = (announcement.incarnation, announcement.sequence)
+        if lease is None or order > lease.order:
+            table.put(announcement, float("-inf"))
+    if message.names:
+        for name in set(table.leases) - set(message.names):
+            table.remove(name)
+    if message.digest != table.digest or not is_trusted:
+        return
+    for name, units, load in zip(table.names(), message.ages, message.loads, strict=False):
+        if units < OLDEST:
+            at = now - units * AGE_UNIT_S
+            lease = table.leases[name]
+            lease.renew(at, now)
+            lease.load = load
+            lease.load_at = at
--- a/mulberrygate/members/membership.py
+++ b/mulberrygate/members/membership.py
@@ -40,6 +40,8 @@
     fanout : int
         Peers that get a heartbeat each round. With 3, a dead instance misses its first heartbeat
         after 0.3 s on average, and the calls cost 0.14% of a core.
+    summary_s : float
+        Period of summaries between relays; changes are sent at once.
     probe_s : float
         Time for the answer to a heartbeat; it is repeated once before the peer is suspected.
     suspect_s : float
@@ -57,6 +59,7 @@
 
     round_s: float = 1.0
     fanout: int = 3
+    summary_s: float = 2.0
     probe_s: float = 0.5
     suspect_s: float = 1.5
     domain_lost_s: float = 10.0
@@ -268,7 +271,11 @@
             member = attrs.evolve(member, status=Status.SUSPECT)
             if order(member) <= order(known):
                 return []
-        return self._store(member, now, urgent=member.status is Status.LEAVING)
+        return self._store(member, now, urgent=self._is_urgent(member))
+
+    def _is_urgent(self, member: Member) -> bool:
+        is_near = member.failure_domain == self.domain
+        return member.status is Status.LEAVING or (is_near and member.status is Status.SUSPECT)
 
     def _needs_suspicion(self, member: Member, known: Member) -> bool:
         if member.failure_domain != self.domain:
@@ -331,6 +338,9 @@
         self.last_tick = now
         effects = self._check_probes(now) + self._check_suspects(now)
         self._expire(now)
+        if self.has_revisions:
+            self.has_revisions = False
+            self.table.refresh()
         if now >= self.next_round:
             self.next_round = now + self.settings.round_s * self.rng.uniform(0.9, 1.1)
             effects += self._round(now)
@@ -365,7 +375,7 @@
 
     def _suspect(self, member: Member, now: float) -> list[Effect]:
         invariant(not self.is_unheard, SUSPECTED_AFTER_PAUSE, member.instance)
-        return self._store(attrs.evolve(member, status=Status.SUSPECT), now)
+        return self._store(attrs.evolve(member, status=Status.SUSPECT), now, urgent=True)
 
     def _check_suspects(self, now: float) -> list[Effect]:
         if self.is_unheard:
@@ -388,9 +398,6 @@
                 self._forget(name)
 
     def _round(self, now: float) -> list[Effect]:
-        if self.has_revisions:
-            self.has_revisions = False
-            self.table.refresh()
         limit = now - 2 * self.settings.fresh_s
         for times in (self.changed_at, self.introduced_at, self.revised_at):
             for name in [name for name, at in times.items() if at < limit]:
@@ -432,7 +439,7 @@
 
     def _summaries(self, now: float) -> list[Effect]:
         """Exchange summaries with relays of the other failure domains."""
-        period = self.settings.round_s
+        period = self.settings.summary_s
         if self.view().relays(self.domain, 1) != [self.name]:
             period *= 2
         changed = [self.changed_at[n] for n in self.changed_at if self._is_own_domain(n)]
--- a/mulberrygate/members/tests/network.py
+++ b/mulberrygate/members/tests/network.py
@@ -142,10 +142,10 @@
             return
         index = host.parts.index(part)
         times = 2 if self.rng.random() < self.repeat else 1
+        sent_at = self.now
         for _ in range(times):
             if self.rng.random() < self.loss:
                 continue
-            sent_at = self.now
             when = self.now + self._delay(host, target)
             self.at(when, lambda: self._arrive(host, target, index, kind, body, timeout, sent_at))
 
