--- a/mulberrygate/endpoints/directory.py
+++ b/mulberrygate/endpoints/directory.py
@@ -52,10 +52,10 @@
 
     Explanation
     ===========
-    Only what changes is sent to all entry instances at once. Renewals spread as a vector of one byte
-    for each endpoint: at each tick an instance exchanges it with one random peer, which reaches 60
-    instances within about a second. Loads and cache events go to the owner of the pool's scheduler
-    only. Owners send summaries to the owners of the same pool in other failure domains.
+    Only what changes is sent to all entry instances at once. Renewals spread as a vector of one
+    byte for each endpoint: at each tick an instance exchanges it with one random peer, which
+    reaches 60 instances within about a second. Loads and cache events go to the owner of the pool's
+    scheduler only. Owners send summaries to the owners of the same pool in other failure domains.
 
     Parameters
     ==========
@@ -167,7 +167,7 @@
 
     def _tell_death(self, lease: Lease, reason: str) -> list[Effect]:
         known = lease.announcement
-        if known.leaving:
+        if known.leaving or lease.renewed_at == float("-inf"):
             return []
         for listener in list(self.death_listeners):
             listener(known.endpoint, known.incarnation, reason)
