--- a/mulberrygate/control/distribution.py
+++ b/mulberrygate/control/distribution.py
@@ -373,9 +373,9 @@
         unheard = [name for name in peers if name not in self.answers]
         pending = [name for name in unheard if self.asked.get(name, 0) < self.settings.asks]
         has_current = any(answer.is_current for answer in answers)
-        if not pending and (has_current or self._has_waited(bool(peers), bool(answers), now)):
-            if self.revision >= self._newest(answers):
-                return self._set_current(answers)
+        is_sure = has_current or self._has_waited(bool(peers), bool(answers), now)
+        if not pending and is_sure and self.revision >= self._newest(answers):
+            return self._set_current(answers)
         if now - self.last_asked < self.settings.ask_s:
             return []
         self.last_asked = now
