--- /dev/null
+++ b/bench/cost.py
@@ -0,0 +1,146 @@
+"""Time and memory of the scheduler at the target size."""
+
+from __future__ import annotations
+
+import gc
+import random
+import time
+import tracemalloc
+
+from mulberrygate.core.effects import Send
+from mulberrygate.endpoints.model import EndpointView
+from mulberrygate.schedule import Done, Grant, PoolScheduler, Ticket
+from mulberrygate.tables.model import Pool
+
+ENDPOINTS = 100
+WAITING = 2000
+REQUESTS = 20_000
+ACCOUNTS = 300
+HARDWARE = ("old", "middle", "new")
+
+
+def make_ticket(number: int, rng: random.Random) -> Ticket:
+    """Return a ticket with a prefix that some others share."""
+    document = rng.randrange(200)
+    return Ticket(
+        request=f"request-{number}",
+        entry=f"entry-{number % 60}",
+        pool="care",
+        route="note",
+        account=f"account-{rng.randrange(ACCOUNTS)}",
+        weight=1.0,
+        tier=rng.randrange(4),
+        prompt_tokens=1500,
+        output_tokens=rng.randint(20, 400),
+        prefixes=tuple(f"{document}.{block}" for block in range(5)),
+        deadline_s=600.0,
+    )
+
+
+def make_views() -> list[EndpointView]:
+    """Return the endpoints of a failure domain."""
+    return [
+        EndpointView(
+            endpoint=f"endpoint-{number}",
+            incarnation=1,
+            address="10.0.0.1:8000",
+            pool="care",
+            failure_domain="d1",
+            region="r1",
+            version="v1",
+            hardware=HARDWARE[number % 3],
+            slots=16,
+            kv_tokens=150_000,
+            accepts_work=True,
+        )
+        for number in range(ENDPOINTS)
+    ]
+
+
+class Feed:
+    """Drive a scheduler: each request asks, is granted and ends."""
+
+    def __init__(self, tickets: list[Ticket]):
+        self.scheduler = PoolScheduler("d1", "r1", Pool(max_waiting=10_000), random.Random(1))
+        self.views = make_views()
+        self.tickets = tickets
+        self.running: list[tuple[Grant, Ticket]] = []
+        self.by_name = {ticket.request: ticket for ticket in tickets}
+        self.now = 1.0
+        self.scheduler.set_endpoints(self.views, self.now)
+
+    def take(self, effects) -> None:
+        """Keep the grants."""
+        for effect in effects:
+            if isinstance(effect, Send) and isinstance(effect.message, Grant):
+                self.running.append((effect.message, self.by_name[effect.message.request]))
+
+    def ask(self, ticket: Ticket) -> None:
+        """Send an ask."""
+        self.take(self.scheduler.ask(ticket, self.now))
+
+    def end(self, index: int) -> None:
+        """End a running request."""
+        self.running[index], self.running[-1] = self.running[-1], self.running[index]
+        grant, ticket = self.running.pop()
+        total_s = 0.2 + 0.02 * ticket.output_tokens
+        done = Done(
+            "care",
+            grant.request,
+            grant.endpoint,
+            "v1",
+            ticket.route,
+            ticket.prompt_tokens,
+            ticket.output_tokens,
+            0.2,
+            total_s,
+        )
+        self.take(self.scheduler.done(done, self.now))
+
+    def run(self, tickets: list[Ticket], rng: random.Random) -> float:
+        """Return processor seconds for asks and ends in turn, with ticks ten times a second."""
+        started = time.process_time()
+        for number, ticket in enumerate(tickets):
+            self.now += 1 / 140
+            self.ask(ticket)
+            if self.running:
+                self.end(rng.randrange(len(self.running)))
+            if number % 14 == 0:
+                self.scheduler.tick(self.now)
+            if number % 140 == 0:
+                self.scheduler.set_endpoints(self.views, self.now)
+        return time.process_time() - started
+
+
+def measure(running: int, waiting: int) -> tuple[float, float]:
+    """Return microseconds per request and bytes per waiting request."""
+    rng = random.Random(7)
+    tickets = [make_ticket(number, rng) for number in range(running + waiting + REQUESTS)]
+    feed = Feed(tickets)
+    for ticket in tickets[:running]:
+        feed.ask(ticket)
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for ticket in tickets[running : running + waiting]:
+        feed.ask(ticket)
+    held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    seconds = feed.run(tickets[running + waiting :], rng)
+    return seconds / REQUESTS * 1e6, held / max(1, waiting)
+
+
+def print_cost() -> None:
+    """Print the cost with all slots taken and requests waiting, and with free slots."""
+    full = ENDPOINTS * 17
+    busy_us, held = measure(full, WAITING)
+    idle_us, _ = measure(full // 2, 0)
+    print(
+        f"{ENDPOINTS} endpoints, {WAITING} waiting: {busy_us:.1f} us a request (ask, grant, done,"
+    )
+    print(f"ticks), {held:.0f} bytes a waiting request beside its ticket; half of the slots free:")
+    print(f"{idle_us:.1f} us a request")
+
+
+if __name__ == "__main__":
+    print_cost()
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -14,8 +14,9 @@
 # Of more endpoints with room than this, a random run of as many is examined, which bounds the
 # time per grant; endpoints that hold the prompt's prefix are examined besides.
 MOST_EXAMINED = 16
-# A prefill also delays the other requests of its batch, so the time it takes counts more than once.
-PREFILL_WEIGHT = 2.0
+# Seconds of predicted finish that are given up for each prompt token that needn't be computed
+# again. The gain goes to the whole batch, since a prefill delays all its requests.
+RECOMPUTE_S = 0.005
 # Predictions are exceeded about as often as not; a request is held back only if the prediction
 # misses its deadline clearly.
 OPTIMISM = 0.9
@@ -94,25 +95,25 @@
         chosen = items[start : start + MOST_EXAMINED]
         if len(chosen) < MOST_EXAMINED:
             chosen += items[: MOST_EXAMINED - len(chosen)]
-        open_list = items[0].open_list
+        lists = {id(items[0].open_list), id(items[-1].open_list)}
         for name in cached:
             state = self.states.get(name)
-            if state is not None and state.open_list is open_list and state not in chosen:
+            if state is not None and id(state.open_list) in lists and state not in chosen:
                 chosen.append(state)
         return chosen
 
     def _best(
         self, waiting: Waiting, items: Iterable[EndpointState], cached: dict, now: float
     ) -> Choice | None:
-        best, best_score = None, 0.0
+        best, best_score = None, (0, 0.0)
+        most_cached = max(cached.values(), default=0)
         is_free = not waiting.ticket.avoid and not self.shares.shares
         due = None if is_free else self.shares.due(waiting.ticket.route)
         for state in items:
             if not is_free and not self.is_usable(waiting, state):
                 continue
             choice = self.predict(waiting, state, cached.get(state.name, 0))
-            uncached = max(waiting.ticket.prompt_tokens - choice.cached, 1.0)
-            score = choice.run_s + (PREFILL_WEIGHT - 1) * uncached * state.prefill_s
+            score = choice.run_s + RECOMPUTE_S * (most_cached - choice.cached)
             # A version under a move gets the share it is due, or its evidence would depend on how
             # attractive its endpoints are.
             rank = (0 if due and state.view.version in due else 1, score)
@@ -135,10 +136,11 @@
         prefixes = waiting.ticket.prefixes
         cached = self.prefixes.cached_tokens(prefixes) if prefixes else {}
         lists = []
-        if may_use_slots:
-            lists.append(self.room.slots[LOCAL].items)
-        if may_queue:
-            lists.append(self.room.queues.items)
+        local = self.room.slots[LOCAL].items if may_use_slots else []
+        if may_queue and len(local) <= MOST_EXAMINED:
+            # A short wait at an endpoint that has the prefix can be better than a free slot.
+            local = local + self.room.queues.items
+        lists.append(local)
         for distance in range(OTHER_DOMAIN, self.reach + 1):
             lists.append(self.room.slots[distance].items)
         for items in lists:
--- a/mulberrygate/schedule/demand.py
+++ b/mulberrygate/schedule/demand.py
@@ -13,6 +13,10 @@
 MEMORY_S = 10.0
 # At most this share of the local slots is reserved; a pool of fewer slots reserves none.
 LARGEST_RESERVED_SHARE = 1 / 6
+# Slots reserved if upper tiers sent all requests; in proportion if they send a part. Free slots on
+# several endpoints let urgent requests reach one that has their prefix; bench/policy.py: fewer
+# than 30 doubled the prefill that was computed again, and goodput did not change.
+RESERVED_PER_SHARE = 64
 # Expected wait, in seconds, from which a request may go further: the traffic to other domains is
 # paid for by volume, and the gain has to be worth it.
 DOMAIN_WAIT_S = 0.25
@@ -70,13 +74,17 @@
 
         Explanation
         ===========
-        While the next slot becomes free, as many requests of upper tiers arrive as their rate over
-        the rate of grants; twice that many slots are kept, and at least one.
+        The reserve follows the upper tiers' share of the grants, so that a tier that sends little
+        keeps few slots idle; it is at least one slot.
         """
         most = int(slots * LARGEST_RESERVED_SHARE)
         reserved, upper, is_recent = [], 0.0, False
         for tier in range(TIERS):
-            wanted = max(1, math.ceil(2 * upper / max(self.grants, 1.0))) if is_recent else 0
+            wanted = (
+                max(1, math.ceil(RESERVED_PER_SHARE * upper / max(self.grants, 1.0)))
+                if is_recent
+                else 0
+            )
             reserved.append(min(most, wanted))
             upper += self.asks[tier]
             is_recent = is_recent or now - self.last_ask[tier] <= RECENT_S
--- a/mulberrygate/schedule/fair.py
+++ b/mulberrygate/schedule/fair.py
@@ -8,6 +8,10 @@
 from mulberrygate.schedule.messages import Ticket
 from mulberrygate.tables.model import TIERS
 
+# Seconds by which each expected output token puts a request behind others of its account. Under
+# overload some requests have to miss their deadline, and short ones cost less to serve.
+LENGTH_WEIGHT_S = 0.06
+
 
 class Waiting:
     """Request that waits for a grant.
@@ -22,7 +26,19 @@
         Position in the scheduler's sequence of asks and grants.
     """
 
-    __slots__ = ("ticket", "cost", "deadline", "order", "asked_at", "output", "excused", "is_gone")
+    __slots__ = (
+        "ticket",
+        "cost",
+        "deadline",
+        "order",
+        "asked_at",
+        "output",
+        "excused",
+        "is_gone",
+        "cached",
+        "cached_at",
+        "passed",
+    )
 
     def __init__(
         self, ticket: Ticket, cost: float, deadline: float, order: int, now: float, output: float
@@ -36,11 +52,20 @@
         # Order of the last grant to a lower tier, by endpoint on which this request couldn't run.
         self.excused: dict[str, int] | None = None
         self.is_gone = False
+        # Prompt tokens that are probably cached, by endpoint, as of `cached_at`.
+        self.cached: dict[str, int] = {}
+        self.cached_at = -1e9
+        self.passed = 0
 
     def __lt__(self, other: Waiting) -> bool:
         return self.order < other.order
 
 
+def due(waiting: Waiting) -> float:
+    """Return the time that orders an account's requests: the deadline, later for long ones."""
+    return waiting.deadline + LENGTH_WEIGHT_S * waiting.output
+
+
 class AccountQueue:
     """Requests of one client account in one tier, earliest deadline first.
 
@@ -70,8 +95,16 @@
         first = self.first()
         if limit == 1 or first is None:
             return [first] if first else []
-        live = (entry for entry in self.heap if not entry[2].is_gone)
-        return [entry[2] for entry in heapq.nsmallest(limit, live)]
+        heap, size, found = self.heap, len(self.heap), []
+        frontier = [(heap[0], 0)]
+        while frontier and len(found) < limit:
+            entry, index = heapq.heappop(frontier)
+            if not entry[2].is_gone:
+                found.append(entry[2])
+            for child in (2 * index + 1, 2 * index + 2):
+                if child < size:
+                    heapq.heappush(frontier, (heap[child], child))
+        return found
 
 
 class TierQueue:
@@ -102,7 +135,7 @@
         if not account.count:
             account.served = max(account.served, self.virtual_time)
             self.active[account.name] = account
-        heapq.heappush(account.heap, (waiting.deadline, waiting.order, waiting))
+        heapq.heappush(account.heap, (due(waiting), waiting.order, waiting))
         account.count += 1
         self.count += 1
 
--- a/mulberrygate/schedule/room.py
+++ b/mulberrygate/schedule/room.py
@@ -4,6 +4,9 @@
 
 from mulberrygate.schedule.endpoint import LOCAL, EndpointState
 
+# Requests are matched to the prefixes of free endpoints only while this few have room.
+FEW = 4
+
 
 class OpenList:
     """Set of endpoints with constant-time insertion and removal, and a stable order."""
@@ -66,6 +69,12 @@
             if wanted is not None:
                 wanted.add(state)
 
+    def few(self) -> list[EndpointState]:
+        """Return the local endpoints with a free slot if they are few, else none."""
+        slots = self.slots[LOCAL].items
+        items = slots or self.queues.items
+        return items if len(items) <= FEW else []
+
     def remove(self, state: EndpointState) -> None:
         """Remove an endpoint that is gone."""
         state.slots = state.queue = 0
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterator
 
 from mulberrygate.core.codes import Code
 from mulberrygate.core.effects import Effect, Send
@@ -26,7 +27,7 @@
     EndpointState,
     Granted,
 )
-from mulberrygate.schedule.fair import FairQueue, TierQueue, Waiting
+from mulberrygate.schedule.fair import AccountQueue, FairQueue, TierQueue, Waiting
 from mulberrygate.schedule.learn import learn, observed
 from mulberrygate.schedule.messages import (
     Done,
@@ -51,6 +52,12 @@
 
 # Requests of one account that are examined when its first one can't use the endpoints with room.
 LOOK_AHEAD = 8
+# Requests of one account among which one may be taken out of order for its cached prefix, how often
+# a request is passed over, and the time that it must have left to be.
+REORDERED = 16
+MOST_PASSED = 16
+PASS_SLACK_S = 0.0
+CACHED_AGE_S = 2.0
 # Requests that may be passed over in one dispatch; a lower tier is served only if all requests of
 # the upper tiers have been examined.
 MOST_HELD = 32
@@ -257,7 +264,8 @@
         return effects
 
     def _update_demand(self, now: float) -> None:
-        self.top_tier = self.demand.top_tier(now)
+        waiting = (tier for tier in range(TIERS) if self.queue.tiers[tier].count)
+        self.top_tier = min(self.demand.top_tier(now), next(waiting, TIERS))
         self.reserved = self.demand.reserved(self.local_slots, now)
         self.chooser.reach = (
             self.demand.reach(len(self.queue)) if self.local_slots else OTHER_REGION
@@ -305,18 +313,59 @@
         may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
         may_queue = tier <= self.top_tier
         for account in queue.by_share():
-            for limit in (1, LOOK_AHEAD):
-                for waiting in account.in_order(limit):
-                    if waiting in held:
-                        continue
-                    if len(held) >= MOST_HELD:
-                        return None
-                    choice = self.chooser.choose(waiting, may_use_slots, may_queue, now)
-                    if choice is not None:
-                        return waiting, choice
-                    held.append(waiting)
+            for waiting in self._candidates(account, now):
+                if waiting in held:
+                    continue
+                if len(held) >= MOST_HELD:
+                    return None
+                choice = self.chooser.choose(waiting, may_use_slots, may_queue, now)
+                if choice is not None:
+                    return waiting, choice
+                held.append(waiting)
         return None
 
+    def _candidates(self, account: AccountQueue, now: float) -> Iterator[Waiting]:
+        """Yield an account's next requests, those first whose prefix the free endpoint has.
+
+        Explanation
+        ===========
+        While the pool is busy one endpoint at a time has room. Taking a request out of order that
+        finds its prefix there saves the prefill of both. A request is passed over a limited number
+        of times, and not when it has little time left.
+        """
+        first = account.first()
+        states = self.room.few()
+        if not states or account.count == 1 or not self._may_pass(first, now):
+            yield first
+        else:
+            found = account.in_order(REORDERED)
+            best = min(found, key=lambda item: self._loss(item, states, now))
+            if best is not first:
+                for item in found[: found.index(best)]:
+                    item.passed += 1
+            yield best
+        if account.count > 1:
+            yield from account.in_order(LOOK_AHEAD)
+
+    def _may_pass(self, waiting: Waiting, now: float) -> bool:
+        if waiting.passed >= MOST_PASSED:
+            return False
+        left = waiting.deadline - now - self.watch.least_run_s(waiting, 0.0)
+        return left > PASS_SLACK_S
+
+    def _loss(self, waiting: Waiting, states: list[EndpointState], now: float) -> float:
+        """Return the tokens to be computed again if the request went to one of the endpoints."""
+        prefixes = waiting.ticket.prefixes
+        if not prefixes:
+            return 0.0
+        if now - waiting.cached_at > CACHED_AGE_S:
+            waiting.cached = self.prefixes.cached_tokens(prefixes)
+            waiting.cached_at = now
+        cached = waiting.cached
+        if not cached:
+            return 0.0
+        return max(cached.values()) - 2 * max(cached.get(state.name, 0) for state in states)
+
     def _grant(self, waiting: Waiting, choice: Choice, held: list[Waiting], now: float) -> Send:
         ticket, state = waiting.ticket, choice.state
         self.order += 1
