--- a/mulberrygate/schedule/fair.py
+++ b/mulberrygate/schedule/fair.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Iterator
 
 from mulberrygate.schedule.messages import Ticket
 from mulberrygate.tables.model import TIERS
 
+# Seconds by which each expected output token puts a request behind others of its account. Under
+# overload some requests have to miss their deadline, and short ones cost less to serve.
+LENGTH_WEIGHT_S = 0.06
+
 
 class Waiting:
     """Request that waits for a grant.
@@ -22,7 +27,19 @@
         Position in the scheduler's sequence of asks and grants.
     """
 
-    __slots__ = ("ticket", "cost", "deadline", "order", "asked_at", "output", "excused", "is_gone")
+    __slots__ = (
+        "ticket",
+        "cost",
+        "deadline",
+        "order",
+        "asked_at",
+        "output",
+        "excused",
+        "is_gone",
+        "cached",
+        "cached_at",
+        "passed",
+    )
 
     def __init__(
         self, ticket: Ticket, cost: float, deadline: float, order: int, now: float, output: float
@@ -36,11 +53,20 @@
         # Order of the last grant to a lower tier, by endpoint on which this request couldn't run.
         self.excused: dict[str, int] | None = None
         self.is_gone = False
+        # Prompt tokens that are probably cached, by endpoint, as of `cached_at`.
+        self.cached: dict[str, int] = {}
+        self.cached_at = -math.inf
+        self.passed = 0
 
     def __lt__(self, other: Waiting) -> bool:
         return self.order < other.order
 
 
+def due(waiting: Waiting) -> float:
+    """Return the time that orders an account's requests: the deadline, later for long ones."""
+    return waiting.deadline + LENGTH_WEIGHT_S * waiting.output
+
+
 class AccountQueue:
     """Requests of one client account in one tier, earliest deadline first.
 
@@ -50,12 +76,14 @@
         Virtual time: tokens served so far, divided by the account's weight.
     """
 
-    __slots__ = ("name", "weight", "served", "heap", "count")
+    __slots__ = ("name", "weight", "served", "listed", "heap", "count")
 
     def __init__(self, name: str):
         self.name = name
         self.weight = 1.0
         self.served = 0.0
+        # Virtual time of the valid entry in the tier's heap; negative if there is none.
+        self.listed = -1.0
         self.heap: list[tuple[float, int, Waiting]] = []
         self.count = 0
 
@@ -70,8 +98,16 @@
         first = self.first()
         if limit == 1 or first is None:
             return [first] if first else []
-        live = (entry for entry in self.heap if not entry[2].is_gone)
-        return [entry[2] for entry in heapq.nsmallest(limit, live)]
+        heap, size, found = self.heap, len(self.heap), []
+        frontier = [(heap[0], 0)]
+        while frontier and len(found) < limit:
+            entry, index = heapq.heappop(frontier)
+            if not entry[2].is_gone:
+                found.append(entry[2])
+            for child in (2 * index + 1, 2 * index + 2):
+                if child < size:
+                    heapq.heappush(frontier, (heap[child], child))
+        return found
 
 
 class TierQueue:
@@ -89,6 +125,7 @@
     def __init__(self):
         self.accounts: dict[str, AccountQueue] = {}
         self.active: dict[str, AccountQueue] = {}
+        self.order: list[tuple[float, str, AccountQueue]] = []
         self.virtual_time = 0.0
         self.count = 0
 
@@ -102,7 +139,8 @@
         if not account.count:
             account.served = max(account.served, self.virtual_time)
             self.active[account.name] = account
-        heapq.heappush(account.heap, (waiting.deadline, waiting.order, waiting))
+            self._list(account)
+        heapq.heappush(account.heap, (due(waiting), waiting.order, waiting))
         account.count += 1
         self.count += 1
 
@@ -128,25 +166,47 @@
                 if account.count or account.served > self.virtual_time
             }
 
-    def by_share(self) -> list[AccountQueue]:
-        """Return the accounts with waiting requests, least served first."""
-        accounts = list(self.active.values())
-        if len(accounts) > 1:
-            accounts.sort(key=lambda account: (account.served, account.name))
-        return accounts
+    def _list(self, account: AccountQueue) -> None:
+        """Enter an account at its virtual time; its earlier entry becomes invalid."""
+        if account.listed != account.served:
+            account.listed = account.served
+            heapq.heappush(self.order, (account.served, account.name, account))
+
+    def _least(self) -> AccountQueue | None:
+        """Return the least served account with waiting requests, and drop invalid entries."""
+        order = self.order
+        while order:
+            served, _, account = order[0]
+            if account.listed == served and account.count:
+                return account
+            heapq.heappop(order)
+            if account.listed == served:
+                account.listed = -1.0
+        return None
+
+    def by_share(self) -> Iterator[AccountQueue]:
+        """Yield the accounts with waiting requests, least served first."""
+        passed = []
+        try:
+            while (account := self._least()) is not None:
+                passed.append(heapq.heappop(self.order))
+                yield account
+        finally:
+            for entry in passed:
+                heapq.heappush(self.order, entry)
 
     def charge(self, account_name: str, tokens: float) -> None:
         """Charge an account for a grant; negative tokens return a charge."""
         account = self.accounts.get(account_name)
         if account is None:
             return
-        if tokens > 0 and account.count:
-            self.virtual_time = max(self.virtual_time, self.least_served())
-        account.served += tokens / account.weight
-
-    def least_served(self) -> float:
-        """Return the least virtual time of the accounts with waiting requests."""
-        return min(account.served for account in self.active.values())
+        if account.count:
+            least = self._least()
+            if tokens > 0 and least is not None:
+                self.virtual_time = max(self.virtual_time, least.served)
+        account.served = max(0.0, account.served + tokens / account.weight)
+        if account.count:
+            self._list(account)
 
     def all(self) -> Iterator[Waiting]:
         """Yield all waiting requests, in no particular order."""
