Weigh the versions of a move over the same period only

Cause: the baseline lagged behind a slowdown that hit both versions, and a new leader compared sums of different periods.

--- a/bench/moves.py
+++ b/bench/moves.py
@@ -400,6 +400,11 @@
     return f"{met}/{len(found)} ({100 * met / len(found):.1f}%)" if found else "none"
 
 
+def is_kept(outcome: Outcome) -> bool:
+    """Return whether a bad version was called done and kept its traffic."""
+    return outcome.verdict == DONE and not outcome.traffic_ended
+
+
 def print_summary(outcomes: list[Outcome]) -> None:
     """Print the figures of one policy."""
     for rate in (*RATES, 0.0):
@@ -412,7 +417,7 @@
             f" late {_part(good, lambda o: o.verdict == LATE)},"
             f" withdrawn {_part(good, lambda o: o.traffic_ended)};"
             f" bad ended {_part(shown, lambda o: o.traffic_ended)},"
-            f" bad done and kept {_part(shown, lambda o: o.verdict == DONE and not o.traffic_ended)}"
+            f" bad done and kept {_part(shown, is_kept)}"
         )
     for kind in BAD:
         found = [o for o in outcomes if o.case.kind == kind and o.bad_answers]
--- a/mulberrygate/control/evidence.py
+++ b/mulberrygate/control/evidence.py
@@ -130,28 +130,36 @@
         self.incarnation = incarnation
         self.sequence = 0
         self.cells: dict[Cell, Sums] = {}
-        self.unsent: dict[Cell, float] = {}
+        self.unsent: dict[tuple[str, int], float] = {}
 
     def add(self, cell: Cell, sums: Sums) -> None:
         """Add the sums of requests to a cell (route, whether new version, load bucket)."""
         self.cells.setdefault(cell, Sums()).add(sums)
         # Requests on the new version are rarer and decide more, so their cells go first.
         weight = sums.count * (20.0 if cell[1] else 1.0)
-        self.unsent[cell] = self.unsent.get(cell, 0.0) + weight
+        key = (cell[0], cell[2])
+        self.unsent[key] = self.unsent.get(key, 0.0) + weight
 
     def message(self, stopped: str = "") -> Evidence:
-        """Return the cells that changed most since they were last sent."""
+        """Return the cells that changed most since they were last sent.
+
+        Explanation
+        ===========
+        The cells of both versions for a route and load bucket go together, so that the leader
+        compares requests of the same period.
+        """
         self.sequence += 1
         routes: dict[str, int] = {}
         packed = []
         size = 0
-        for cell in sorted(self.unsent, key=lambda key: (-self.unsent[key], key)):
-            size += CELL_BYTES + (0 if cell[0] in routes else len(cell[0].encode()) + 1)
+        for route, bucket in sorted(self.unsent, key=lambda key: (-self.unsent[key], key)):
+            cells = [c for c in ((route, True, bucket), (route, False, bucket)) if c in self.cells]
+            size += CELL_BYTES * len(cells) + (0 if route in routes else len(route.encode()) + 1)
             if size > MAX_CELL_BYTES:
                 break
-            index = routes.setdefault(cell[0], len(routes))
-            packed.append(_pack(index, cell, self.cells[cell]))
-            del self.unsent[cell]
+            index = routes.setdefault(route, len(routes))
+            packed += [_pack(index, cell, self.cells[cell]) for cell in cells]
+            del self.unsent[route, bucket]
         return Evidence(
             self.pool,
             self.table_version,
@@ -177,22 +185,34 @@
 
     def increments(self, evidence: Evidence) -> dict[Cell, Sums]:
         """Return what a message adds; cells with nothing new are left out."""
+        return self.split(evidence)[0]
+
+    def split(self, evidence: Evidence) -> tuple[dict[Cell, Sums], dict[Cell, Sums]]:
+        """Return what a message adds, and the part of it in cells that the sender names first."""
         found: dict[Cell, Sums] = {}
+        first: dict[Cell, Sums] = {}
         for fields in evidence.cells:
             if len(fields) < 7 or not 0 <= fields[0] < len(evidence.routes):
                 continue
             index, is_new, bucket, count, errors, total, square = fields[:7]
             cell = (evidence.routes[index], bool(is_new), bucket)
             key = (evidence.sender, evidence.incarnation, cell)
-            known = self.known.get(key, Sums())
-            if count <= known.count:
-                continue
+            known = self.known.get(key)
             latest = Sums(count, errors, total / SCALE, square / SCALE)
+            if count <= (known.count if known else 0):
+                continue
             self.known[key] = latest
-            found[cell] = Sums(
-                latest.count - known.count,
-                latest.errors - known.errors,
-                latest.total - known.total,
-                latest.square - known.square,
-            )
-        return found
+            if known is None:
+                found[cell] = first[cell] = latest
+            else:
+                found[cell] = _difference(latest, known)
+        return found, first
+
+
+def _difference(latest: Sums, known: Sums) -> Sums:
+    return Sums(
+        latest.count - known.count,
+        latest.errors - known.errors,
+        latest.total - known.total,
+        latest.square - known.square,
+    )
--- a/mulberrygate/control/guard.py
+++ b/mulberrygate/control/guard.py
@@ -48,10 +48,19 @@
 
 RESTART = -2.0
 RUN_WEIGHT_SUM = 2.11
-# Half-life of the previous version's recent sums, against which the new version is compared, so
-# that a burst that slows both versions down is not held against the new one.
+# Requests of the new version are weighed in batches against those of the previous version in the
+# same period, of which there are at least this many, so that a slowdown or an outage that hits both
+# versions is not held against the new one.
+MIN_BATCH = 5.0
+# Largest step of one batch towards a fault: three batches at least must agree, since a few requests
+# of the previous version may have escaped an outage by chance.
+MAX_STEP = 6.0
+# Recent requests of the previous version count like this many of the batch in its mean time. A
+# larger number makes the test faster and more prone to take a common slowdown for a fault.
+DRIFT_COUNT = 4.0
+# Half-life of the previous version's recent sums.
 HALF_LIFE_S = 40.0
-# Requests of long-run figures that are mixed into the recent ones of a thin stratum.
+# Requests of long-run figures that are mixed into the recent error rate of a thin stratum.
 BLEND_COUNT = 60.0
 # Prior for a stratum with few requests of the previous version: 1% errors with the weight of 10
 # requests, and a standard deviation of 0.5 in the logarithm of time.
@@ -125,8 +134,9 @@
         self.slowdown = math.log(move.max_slowdown)
         self.previous = Sums()
         self.previous_recent = Sums()
+        self.previous_batch = Sums()
         self.new = Sums()
-        self.new_recent = Sums()
+        self.new_batch = Sums()
         self.decayed_at: float | None = None
         self.error_runs = [Run() for _ in (*ERROR_SIZES, ERROR_RATE)]
         self.time_runs = [Run() for _ in TIME_SIZES]
@@ -137,45 +147,57 @@
         """Add requests of the previous version."""
         self._decay(now)
         self.previous.add(sums)
-        self.previous_recent.add(sums)
+        self.previous_batch.add(sums)
+        self._weigh()
 
     def add_new(self, sums: Sums, now: float) -> None:
-        """Add requests of the new version and weigh them against the previous one."""
+        """Add requests of the new version."""
         self._decay(now)
         self.new.add(sums)
-        self.new_recent.add(sums)
-        if self.previous.count < MIN_BASELINE:
+        self.new_batch.add(sums)
+        self._weigh()
+
+    def add_history(self, sums: Sums, is_new: bool) -> None:
+        """Add requests of an unknown earlier period, which can't be weighed."""
+        (self.new if is_new else self.previous).add(sums)
+
+    def _weigh(self) -> None:
+        """Weigh the requests of both versions since the last time against each other."""
+        old, new = self.previous_batch, self.new_batch
+        if old.count < MIN_BATCH or new.count == 0:
             return
-        baseline = self.baseline()
-        self._add_errors(sums, baseline)
-        if sums.timed() > 0 and self.previous.timed() > 1:
-            self._add_times(sums, baseline)
+        if self.previous.count >= MIN_BASELINE:
+            baseline = self.baseline()
+            self._add_errors(new, baseline)
+            if new.timed() > 0:
+                self._add_times(new, baseline)
+        self.previous_recent.add(old)
+        self.previous_batch, self.new_batch = Sums(), Sums()
 
     def baseline(self) -> Baseline:
-        """Return the previous version's figures: recent ones, filled up with long-run ones."""
-        recent, whole = self.previous_recent, self.previous
+        """Return what the previous version leads to expect in the batch that is weighed."""
+        recent, whole, batch = self.previous_recent, self.previous, self.previous_batch
         long_rate = (whole.errors + PRIOR_ERRORS) / (whole.count + PRIOR_COUNT)
-        blend = min(BLEND_COUNT, whole.count)
-        weight = recent.count + blend + 1
-        rate = (recent.errors + (blend + 1) * long_rate) / weight
-        long_mean = whole.total / max(whole.timed(), 1.0)
-        mean = (recent.total + blend * long_mean) / max(recent.timed() + blend, 1.0)
+        weight = recent.count + batch.count + BLEND_COUNT
+        rate = (recent.errors + batch.errors + BLEND_COUNT * long_rate) / weight
+        rate_error = math.sqrt(rate * (1 - rate) / weight)
         timed = max(whole.timed(), 1.0)
+        long_mean = whole.total / timed
         spread = max(whole.square - timed * long_mean * long_mean, 0.0)
         variance = (spread + PRIOR_COUNT * PRIOR_VARIANCE) / (timed + PRIOR_COUNT)
-        noise = 1 + self.new_recent.count / max(recent.timed() + blend, 1.0)
+        recent_mean = (recent.total + long_mean) / (recent.timed() + 1.0)
+        mean = (batch.total + DRIFT_COUNT * recent_mean) / (batch.timed() + DRIFT_COUNT)
+        noise = 1 + self.new_batch.timed() / (batch.timed() + DRIFT_COUNT)
         return Baseline(
-            rate,
-            math.sqrt(rate * (1 - rate) / weight),
+            max(rate, batch.errors / batch.count),
+            rate_error,
             mean,
             max(variance, MIN_VARIANCE) * VARIANCE_MARGIN * noise,
         )
 
     def _decay(self, now: float) -> None:
         if self.decayed_at is not None and now > self.decayed_at:
-            factor = 0.5 ** ((now - self.decayed_at) / HALF_LIFE_S)
-            self.previous_recent.decay(factor)
-            self.new_recent.decay(factor)
+            self.previous_recent.decay(0.5 ** ((now - self.decayed_at) / HALF_LIFE_S))
         self.decayed_at = now if self.decayed_at is None else max(now, self.decayed_at)
 
     def _add_errors(self, sums: Sums, baseline: Baseline) -> None:
@@ -184,7 +206,7 @@
         sizes = [rate + size * self.excess for size in ERROR_SIZES] + [ERROR_RATE]
         for run, size in zip(self.error_runs, sizes, strict=True):
             if size > null * 1.1:
-                run.add(_error_ratio(sums, min(size, 0.95), null))
+                run.add(min(_error_ratio(sums, min(size, 0.95), null), MAX_STEP))
         good = max(rate, 1e-4)
         ratio = _error_ratio(sums, good, min(good + self.excess, 0.99))
         self.accept_errors = max(self.accept_errors + ratio, ACCEPT_FLOOR)
@@ -193,7 +215,7 @@
         null = baseline.mean + self.slowdown / 2
         for run, size in zip(self.time_runs, TIME_SIZES, strict=True):
             fault = baseline.mean + size * self.slowdown
-            run.add(_time_ratio(sums, fault, null, baseline.variance))
+            run.add(min(_time_ratio(sums, fault, null, baseline.variance), MAX_STEP))
         slow = baseline.mean + self.slowdown
         ratio = _time_ratio(sums, baseline.mean, slow, baseline.variance)
         self.accept_time = max(self.accept_time + ratio, ACCEPT_FLOOR)
@@ -238,15 +260,30 @@
         """Add increments; those of the previous version count first."""
         ordered = sorted(increments, key=lambda item: (item[0][1], item[0]))
         for (route, is_new, bucket), sums in ordered:
-            for stratum in (POOLED, (route, ALL_LOADS), (ALL_ROUTES, bucket), (route, bucket)):
-                test = self.strata.get(stratum)
-                if test is None:
-                    test = self.strata[stratum] = StratumTest(self.move)
+            for stratum in _strata_of(route, bucket):
                 if is_new:
-                    test.add_new(sums, now)
-                    self.touched.add(stratum)
+                    self._test(stratum).add_new(sums, now)
                 else:
-                    test.add_previous(sums, now)
+                    self._test(stratum).add_previous(sums, now)
+                self.touched.add(stratum)
+
+    def add_history(self, increments: Iterable[tuple[Cell, Sums]]) -> None:
+        """Add sums of an earlier period as background only.
+
+        Explanation
+        ===========
+        The share of the new version changed during that period, so that the two versions' sums stem
+        from different times and a slowdown of the whole pool would look like a difference.
+        """
+        for (route, is_new, bucket), sums in increments:
+            for stratum in _strata_of(route, bucket):
+                self._test(stratum).add_history(sums, is_new)
+
+    def _test(self, stratum: Stratum) -> StratumTest:
+        test = self.strata.get(stratum)
+        if test is None:
+            test = self.strata[stratum] = StratumTest(self.move)
+        return test
 
     def pooled(self) -> StratumTest:
         """Return the test of all requests."""
@@ -285,6 +322,10 @@
         return strength, f"{kind} {_describe(stratum)}"
 
 
+def _strata_of(route: str, bucket: int) -> tuple[Stratum, ...]:
+    return (POOLED, (route, ALL_LOADS), (ALL_ROUTES, bucket), (route, bucket))
+
+
 def _describe(stratum: Stratum) -> str:
     route, bucket = stratum
     place = f"on route {route}" if route else "on all routes"
--- a/mulberrygate/control/moves.py
+++ b/mulberrygate/control/moves.py
@@ -8,17 +8,18 @@
 "worse by the smallest fault"; a version with such a fault passes with a probability of at most the
 stage's `risk`.
 
-Real load is the highest load bucket that, together with those above it, holds at least a tenth of
-the pool's requests during the move. It is relative to the pool, since a pool that never runs above
-half of its slots has no other load to show.
+Requests under real load count while the share is at least a quarter. Real load is the highest load
+bucket that, together with those above it, holds at least a tenth of the pool's requests during the
+move. It is relative to the pool, since a pool that never runs above half of its slots has no other
+load to show.
 
 Rule for the deadline when load is too thin for evidence: the move ends as ``late`` and keeps at
-most the largest early share. About ``ln(1 / risk) / max_error_excess`` requests on the new version are
-needed to tell a good version from one with the smallest fault, whatever the method, and a thin load
-doesn't bring them within the deadline. To complete without them would give a faulty version all
-traffic, which is what moves exist to prevent. To withdraw would be a verdict against the version
-without evidence. The early share bounds the damage, the test goes on, and the operator, who sees
-``late`` and its reason, decides with a new table version.
+most the largest early share. About ``ln(1 / risk) / max_error_excess`` requests on the new version
+are needed to tell a good version from one with the smallest fault, whatever the method, and a thin
+load doesn't bring them within the deadline. To complete without them would give a faulty version
+all traffic, which is what moves exist to prevent. To withdraw would be a verdict against the
+version without evidence. The early share bounds the damage, the test goes on, and the operator, who
+sees ``late`` and its reason, decides with a new table version.
 """
 
 from __future__ import annotations
@@ -30,7 +31,7 @@
 from mulberrygate.control.commands import AdvanceMove, MoveState
 from mulberrygate.control.evidence import Evidence, EvidenceLedger
 from mulberrygate.control.guard import LEADER_BUDGET, VersionTest
-from mulberrygate.control.state import DONE, EARLY_STAGES, LAST_STAGE, LATE, WITHDRAWN
+from mulberrygate.control.state import DONE, EARLY_STAGES, LAST_STAGE, LATE, WATCH_SHARE, WITHDRAWN
 from mulberrygate.tables.model import Move, Pool
 
 
@@ -46,10 +47,17 @@
         Shares of the stages after the early ones.
     risks : tuple[float, ...]
         For each stage, the probability with which a version with the smallest fault passes it.
+    late_risk, late_part : float
+        Risk of the stages in the time after that part of the deadline. A version with twice the
+        smallest fault passes a stage with a probability of about the square of the risk.
     dwell_part, max_dwell_s : float
         Shortest time in a stage: part of the deadline, but at most so many seconds.
     first_requests, first_part_s : float
         Stage 0 ends after so many requests, or so large a part of the deadline.
+    route_risk : float
+        Like `risks`, for each common route; asked for only in the first part of the time.
+    route_part : float
+        Part of the deadline after which a route no longer has to bring that evidence.
     route_requests, final_route_requests : int
         Requests of each common route before the share rises, and before the move is done.
     loaded_requests : int
@@ -60,25 +68,26 @@
         Part of a fault's threshold at which the share doesn't rise and a late move goes back.
     resend_s : float
         Seconds after which a command that had no effect is proposed again.
-    refill_s : float
-        Seconds in which a new leader takes evidence as old.
     """
 
     first_part: float = 0.25
-    shares: tuple[float, ...] = (0.25, 0.5, 0.9)
-    risks: tuple[float, ...] = (1.0, 0.02, 0.05, 0.05, 0.05)
+    shares: tuple[float, ...] = (0.25, 0.5, WATCH_SHARE)
+    risks: tuple[float, ...] = (1.0, 0.05, 0.05, 0.05, 0.05)
+    late_risk: float = 0.1
+    late_part: float = 0.5
     dwell_part: float = 0.04
     max_dwell_s: float = 600.0
     first_requests: float = 10
-    first_part_s: float = 0.08
+    first_part_s: float = 0.05
+    route_risk: float = 0.2
+    route_part: float = 0.4
     route_requests: int = 8
     final_route_requests: int = 30
     loaded_requests: int = 100
     loaded_part: float = 0.1
     common_route: float = 0.05
-    caution: float = 0.5
+    caution: float = 0.3
     resend_s: float = 1.0
-    refill_s: float = 5.0
 
 
 @attrs.define
@@ -86,10 +95,8 @@
     """Figures at the start of a stage, from which its own evidence is counted."""
 
     at: float
-    count: float = 0.0
     accept_errors: float = 0.0
     accept_time: float = 0.0
-    loads: dict[int, float] = attrs.field(factory=dict)
 
 
 class MoveTrack:
@@ -116,10 +123,10 @@
         self.ledger = EvidenceLedger()
         self.fault = ""
         self.stage = StageStart(now)
-        # What a new leader hears first comes from earlier stages too; it counts for the test and
-        # not for the stage, unless the stage is an early one.
-        is_takeover = state.stage >= EARLY_STAGES
-        self.refill_until = now + settings.refill_s if is_takeover else -math.inf
+        self.early_loads: dict[int, float] = {}
+        # What a new leader hears first comes from several stages; it is background, unless all of
+        # it comes from the early ones, where the share changes little.
+        self.is_takeover = state.stage >= EARLY_STAGES
         self.watch_until = now + move.watch_s
         self.sent: AdvanceMove | None = None
         self.sent_at = -math.inf
@@ -135,6 +142,9 @@
         self.deadline += move.deadline_s - self.move.deadline_s
         if state.stage != self.state.stage:
             self._begin_stage(now)
+            if state.stage == EARLY_STAGES:
+                loads = self.test.loads().items()
+                self.early_loads = {bucket: test.new.count for bucket, test in loads}
         if state.verdict and not self.state.verdict:
             self.watch_until = now + move.watch_s
         if state != self.state:
@@ -143,25 +153,23 @@
 
     def _begin_stage(self, now: float) -> None:
         pooled = self.test.pooled()
-        loads = {bucket: test.new.count for bucket, test in self.test.loads().items()}
-        self.stage = StageStart(
-            now, pooled.new.count, pooled.accept_errors, pooled.accept_time, loads
-        )
+        self.stage = StageStart(now, pooled.accept_errors, pooled.accept_time)
 
     def observe(self, evidence: Evidence, now: float) -> None:
         """Take evidence into account."""
         if evidence.table_version != self.state.table_version:
             return
-        self.test.add(self.ledger.increments(evidence).items(), now)
+        increments, first = self.ledger.split(evidence)
+        if self.is_takeover:
+            self.test.add_history(first.items())
+            increments = {cell: sums for cell, sums in increments.items() if cell not in first}
+        self.test.add(increments.items(), now)
         self.fault = self.fault or self.test.fault()
         if evidence.stopped and not self.fault:
             self.fault = f"stopped by {evidence.sender}: {evidence.stopped}"
 
     def decide(self, now: float) -> AdvanceMove | None:
         """Return the next step, or ``None``."""
-        if self.refill_until > 0 and now >= self.refill_until:
-            self.refill_until = -math.inf
-            self._begin_stage(now)
         step = self._step(now)
         if step is None or step == self.sent and now < self.sent_at + self.settings.resend_s:
             return None
@@ -182,15 +190,19 @@
         if self.missing(now):
             return None
         if state.stage == LAST_STAGE:
-            return self._advance(1.0, DONE, "evidence on all stages")
+            share = WATCH_SHARE if self.move.watch_s else 1.0
+            return self._advance(share, DONE, "evidence on all stages")
         return self._advance(self._share_of(state.stage + 1), "", "", state.stage + 1)
 
     def _step_after_verdict(self, now: float) -> AdvanceMove | None:
         state = self.state
-        is_watched = state.verdict == LATE or state.verdict == DONE and now < self.watch_until
-        if not self.fault or not is_watched or state.share == 0:
+        if state.share in (0.0, 1.0) or state.verdict == WITHDRAWN:
             return None
-        return self._advance(0.0, state.verdict, f"traffic withdrawn: {self.fault}")
+        if self.fault:
+            return self._advance(0.0, state.verdict, f"traffic withdrawn: {self.fault}")
+        if state.verdict == DONE and now >= self.watch_until:
+            return self._advance(1.0, DONE, "no fault in the watch period")
+        return None
 
     def _end_late(self) -> AdvanceMove:
         strength, text = self.test.strongest()
@@ -228,11 +240,19 @@
             is_seen = pooled.new.count >= settings.first_requests
             is_over = now - self.stage.at >= min(settings.first_part_s * whole, length)
             return "" if is_seen or is_over else "too few requests on the new version"
-        return self._missing_evidence(stage) or self._missing_routes(stage) or self._missing_load()
+        return (
+            self._missing_evidence(stage, now) or self._missing_routes(now) or self._missing_load()
+        )
+
+    def _is_past(self, part: float, now: float) -> bool:
+        return now >= self.deadline - (1 - part) * self.move.deadline_s
 
-    def _missing_evidence(self, stage: int) -> str:
+    def _missing_evidence(self, stage: int, now: float) -> str:
         pooled = self.test.pooled()
-        needed = -math.log(self.settings.risks[stage])
+        risk = self.settings.risks[stage]
+        if self._is_past(self.settings.late_part, now):
+            risk = max(risk, self.settings.late_risk)
+        needed = -math.log(risk)
         is_early = stage < EARLY_STAGES
         errors = pooled.accept_errors - (0.0 if is_early else self.stage.accept_errors)
         time = pooled.accept_time - (0.0 if is_early else self.stage.accept_time)
@@ -241,14 +261,25 @@
             return f"too little evidence at stage {stage} after {count:.0f} requests"
         return ""
 
-    def _missing_routes(self, stage: int) -> str:
+    def _missing_routes(self, now: float) -> str:
+        """Return a common route that lacks evidence of its own.
+
+        Explanation
+        ===========
+        A fault on a route with few requests hardly shows among all requests. Such a route would
+        need most of the deadline for full evidence, so that it gets a part of the time.
+        """
         settings = self.settings
-        needed = settings.final_route_requests if stage == LAST_STAGE else settings.route_requests
+        is_last = self.state.stage == LAST_STAGE
+        needed = settings.final_route_requests if is_last else settings.route_requests
+        is_past = self._is_past(settings.route_part, now)
+        evidence = -math.inf if is_past else -math.log(settings.route_risk)
         whole = self.test.pooled().previous.count
         for route, test in self.test.routes().items():
-            is_common = test.previous.count >= settings.common_route * whole
-            if is_common and test.new.count < needed:
-                return f"too few requests on route {route}"
+            if test.previous.count < settings.common_route * whole:
+                continue
+            if test.new.count < needed or min(test.accept_errors, test.accept_time) < evidence:
+                return f"too little evidence on route {route}"
         return ""
 
     def _missing_load(self) -> str:
@@ -256,7 +287,7 @@
             return ""
         bucket = self._real_load()
         loaded = sum(
-            test.new.count - self.stage.loads.get(number, 0.0)
+            test.new.count - self.early_loads.get(number, 0.0)
             for number, test in self.test.loads().items()
             if number >= bucket
         )
--- a/mulberrygate/control/state.py
+++ b/mulberrygate/control/state.py
@@ -83,6 +83,9 @@
 # through evidence on each of the stages before it.
 EARLY_STAGES = 2
 LAST_STAGE = 4
+# Share from which a move may be done. The previous version keeps the rest until the watch period
+# ends, since a late fault is told from a slowdown of the whole pool only by comparison.
+WATCH_SHARE = 0.9
 
 # 3,300 changes a day at the target size: re-sent tables are recognised for more than a day.
 MAX_HISTORY = 4096
@@ -258,7 +261,7 @@
         """
         for name, move in sorted(self.moves().items()):
             pool = parsed.table.pools.get(name)
-            is_withdrawn = move.verdict == WITHDRAWN or move.verdict == DONE and move.share < 1
+            is_withdrawn = move.verdict == WITHDRAWN or move.verdict == DONE and move.share == 0
             if is_withdrawn and pool and pool.move is None and pool.version == move.version:
                 detail = f"version {move.version!r} is withdrawn; set {move.previous!r}"
                 yield parsed.fault_at(("pools", name), detail, VERSION_WITHDRAWN)
@@ -454,7 +457,7 @@
     is_early = after.stage < EARLY_STAGES or after.verdict == LATE
     if is_early and after.share > early_share:
         return _refuse(MOVE_STEP_REFUSED, f"share {after.share} is over {early_share}")
-    if after.verdict == DONE and (move.stage != LAST_STAGE or after.share != 1):
+    if after.verdict == DONE and (move.stage != LAST_STAGE or after.share < WATCH_SHARE):
         return _refuse(MOVE_STEP_REFUSED, f"done at stage {move.stage}, share {after.share}")
     if after.verdict == WITHDRAWN and after.share != 0:
         return _refuse(MOVE_STEP_REFUSED, f"withdrawn with share {after.share}")
@@ -464,7 +467,8 @@
 def _refuse_after_verdict(move: MoveState, after: MoveState) -> CommandResult | None:
     if after.verdict != move.verdict:
         return _refuse(VERDICT_FINAL, f"the verdict is {move.verdict}: {move.reason}")
-    if after.stage != move.stage or after.share > move.share:
+    ends_watch = move.verdict == DONE and move.share >= WATCH_SHARE
+    if after.stage != move.stage or after.share > move.share and not ends_watch:
         return _refuse(MOVE_STEP_REFUSED, f"after {move.verdict} the share can only fall")
     return None
 
