--- a/mulberrygate/agreement/base.py
+++ b/mulberrygate/agreement/base.py
@@ -220,6 +220,14 @@
         self.members = self.snapshot.members if self.snapshot else Members()
         self.members_index = self.snapshot.index if self.snapshot else 0
 
+    def members_at(self, index: int) -> Members:
+        """Return the members in force after the entry at an index."""
+        for position in range(index, self.log.base_index, -1):
+            entry = self.log.at(position)
+            if entry.kind is EntryKind.MEMBERS:
+                return converter.loads(entry.body, Members)
+        return self.snapshot.members if self.snapshot else Members()
+
     def set_commit(self, index: int) -> None:
         """Raise the commit index and apply what became committed."""
         in_range = self.commit <= index <= self.log.last_index
--- a/mulberrygate/agreement/changes.py
+++ b/mulberrygate/agreement/changes.py
@@ -46,6 +46,8 @@
         request = self.candidates.get(name)
         if request is None:
             return ChangeRefused(f"instance {name} has not asked to join", self.out)
+        if self.members.by_disk(request.disk) is not None:
+            return ChangeRefused(f"instance {name} is a member already", self.out)
         names = {member.name for member in self.members.members}
         if len(names | {name}) > MOST_VOTERS:
             return ChangeRefused(f"the group has {MOST_VOTERS} members", self.out)
@@ -154,10 +156,14 @@
         return progress.match >= self.commit - CAUGHT_UP_ENTRIES
 
     def ask_to_join(self, now: float) -> None:
-        """Ask the known instances to take this disk, if it is no member and hears no leader."""
+        """Ask the known instances to take this disk, if it is no voter and hears no leader.
+
+        Explanation
+        ===========
+        A learner asks too: the entry that added it may have been replaced by another leader's.
+        """
         limit = 2 * self.settings.election_timeout_s
-        is_member = self.members.by_disk(self.disk) is not None
-        if is_member or now < self.join_due or now < self.heard_at + limit:
+        if self.is_voter or now < self.join_due or now < self.heard_at + limit:
             return
         self.join_due = now + limit
         names = {**self.first_voters, **{m.name: m.address for m in self.members.members}}
--- a/mulberrygate/agreement/election.py
+++ b/mulberrygate/agreement/election.py
@@ -17,18 +17,33 @@
     def campaign(self, now: float, is_pre: bool, is_transfer: bool = False) -> None:
         """Ask the other voters for their vote, or first for the promise of one."""
         self.reset_election(now)
-        if not self.is_voter:
+        if not self.may_campaign():
             return
         self.is_pre = is_pre
         self.is_transfer = is_transfer
         if not is_pre:
             self.set_term(self.term + 1, self.disk)
         self.set_role(Role.CANDIDATE)
-        self.votes = {self.disk}
+        self.votes = {self.disk}  # Counts only if this disk is a voter.
         self.count_votes(now)
         if self.role is Role.CANDIDATE:
             self.request_votes()
 
+    def may_campaign(self) -> bool:
+        """Return whether this disk is a voter, or may hold the only copy of its removal.
+
+        Explanation
+        ===========
+        A leader that removed itself and lost its leadership before the entry was committed may
+        have a longer log than all voters. It has to be elected once more to commit that entry.
+        """
+        if self.is_voter:
+            return True
+        if self.members_index <= max(self.commit, self.log.base_index):
+            return False
+        before = self.members_at(self.members_index - 1).by_disk(self.disk)
+        return before is not None and before.is_voter
+
     def request_votes(self) -> None:
         """Send the vote requests of this candidate."""
         for member in self.members.voters():
--- a/mulberrygate/agreement/snapshots.py
+++ b/mulberrygate/agreement/snapshots.py
@@ -7,16 +7,13 @@
 from mulberrygate.agreement.effects import InstallSnapshot, Role, SaveSnapshot
 from mulberrygate.agreement.log import Log
 from mulberrygate.agreement.messages import (
-    EntryKind,
     Member,
-    Members,
     Snapshot,
     SnapshotPart,
     SnapshotReply,
 )
 from mulberrygate.core.effects import Effect, Reply, Send
 from mulberrygate.core.invariant import invariant
-from mulberrygate.core.wire import converter
 
 
 class Snapshots(NodeBase):
@@ -41,14 +38,6 @@
         self.out.append(SaveSnapshot(self.snapshot, base, self.log.base_term))
         return self.out
 
-    def members_at(self, index: int) -> Members:
-        """Return the members in force after the entry at an index."""
-        for position in range(index, self.log.base_index, -1):
-            entry = self.log.at(position)
-            if entry.kind is EntryKind.MEMBERS:
-                return converter.loads(entry.body, Members)
-        return self.snapshot.members if self.snapshot else Members()
-
     def send_snapshot(self, member: Member, progress: Progress, now: float) -> None:
         """Send the next part of the snapshot."""
         snapshot = self.snapshot
