Wire the endpoint directory and pass its region with each grant

Cause: the interim directory sent every announcement to every instance. Change: the directory with renewals by exchange and reports to the pool's owner; a grant names the endpoint's region, since entries don't know the endpoints of other failure domains.

--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -28,7 +28,15 @@
 from mulberrygate.daemon.poolhost import PoolHost
 from mulberrygate.daemon.report import Reporter
 from mulberrygate.daemon.web import BAD_ANNOUNCEMENT, WebServer
-from mulberrygate.endpoints.directory import Directory, DirectoryMessages
+from mulberrygate.endpoints.directory import Directory
+from mulberrygate.endpoints.messages import (
+    Forwarded,
+    PullRows,
+    Redirected,
+    Renewals,
+    Reports,
+    Summary,
+)
 from mulberrygate.endpoints.model import Announcement
 from mulberrygate.entry.chain import Chain
 from mulberrygate.entry.context import Background, EntryParts
@@ -54,6 +62,7 @@
 from mulberrygate.observe.logs import logger
 from mulberrygate.observe.metrics import Metrics, add_process_gauges
 from mulberrygate.peers import PeerClient, PeerServer
+from mulberrygate.schedule.messages import pool_subject
 from mulberrygate.settings.model import CONTROL, Settings
 
 log = logger("daemon")
@@ -181,7 +190,12 @@
 
     def _make_endpoints(self) -> None:
         settings = self.settings
-        self.directory = Directory(settings.failure_domain, self.membership, self.rng)
+        self.directory = Directory(
+            settings.instance, settings.failure_domain, self.view, self.rng, self._pool_owner
+        )
+
+    def _pool_owner(self, failure_domain: str, pool: str) -> str:
+        return self.view().owner(failure_domain, pool_subject(pool))
 
     def _make_control(self) -> None:
         settings = self.settings
@@ -245,7 +259,9 @@
         )  # noqa: E731
         self.members_runner = runner(self.membership, (Heartbeat, Join, Compare, Table))
         self.holder_runner = runner(self.holder, (Push, Applied, Pull, Delta, AskRevision))
-        self.directory_runner = runner(self.directory, DirectoryMessages)
+        self.directory_runner = runner(
+            self.directory, (Forwarded, Redirected, Renewals, PullRows, Reports, Summary)
+        )
         self.replica_runner = EffectRunner(
             self.replica,
             (Claim, Begin, Finish, Release, Lookup, CopyShard, CopyPart),
@@ -307,7 +323,7 @@
         peers, timers = self.peers, self.timers
         peers.on(OnBoard, lambda m, _sender: self.crashes.join(m, timers.now()))
         peers.on(Cleared, lambda m, _sender: [self.crashes.clear(c) for c in m.contents] and None)
-        self.directory.on_death(lambda name: self.crashes.endpoint_died(name, timers.now()))
+        self.directory.on_death(lambda name, *_: self.crashes.endpoint_died(name, timers.now()))
         ticks = [
             (MEMBERS_TICK_S, self.members_runner, self.membership, "members.tick"),
             (HOLDER_TICK_S, self.holder_runner, self.holder, "distribution.tick"),
@@ -344,7 +360,7 @@
             if self.in_force.tables.get("pools") is not None:
                 return Refusal(BAD_ANNOUNCEMENT, detail)
         now = self.timers.now()
-        self.directory_runner.run(self.directory.announce(announcement, now, time.time()))
+        self.directory_runner.run(self.directory.announce(announcement, now))
         return None
 
     def is_ready(self) -> bool:
--- a/mulberrygate/daemon/movewatch.py
+++ b/mulberrygate/daemon/movewatch.py
@@ -78,7 +78,7 @@
         guard = self.guard(pool)
         if guard is None:
             return
-        endpoint = self.directory.find(effect.endpoint)
+        endpoint = self.directory.find(effect.endpoint, self.timers.now())
         slots = max(1, endpoint.slots) if endpoint is not None else 1
         stopped = guard.observe(
             effect.route,
--- a/mulberrygate/daemon/poolhost.py
+++ b/mulberrygate/daemon/poolhost.py
@@ -16,7 +16,14 @@
 from mulberrygate.observe.logs import logger
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.peers.client import PeerClient
-from mulberrygate.schedule.messages import Ask, Done, Present, Progress, Withdraw
+from mulberrygate.schedule.messages import (
+    Ask,
+    Done,
+    Present,
+    Progress,
+    Withdraw,
+    pool_subject,
+)
 from mulberrygate.schedule.scheduler import PoolScheduler
 from mulberrygate.settings.model import Settings
 
@@ -83,7 +90,7 @@
     def is_owner(self, pool: str) -> bool:
         """Return whether this instance owns a pool's scheduler."""
         domain = self.settings.failure_domain
-        return self.view().owner(domain, f"pool/{pool}") == self.settings.instance
+        return self.view().owner(domain, pool_subject(pool)) == self.settings.instance
 
     def scheduler(self, pool: str) -> PoolScheduler | None:
         """Return the scheduler of a pool in force, made at the first use."""
--- a/mulberrygate/endpoints/directory.py
+++ b/mulberrygate/endpoints/directory.py
@@ -117,6 +117,25 @@
         """Return the names of the pools that have endpoints in this failure domain."""
         return sorted({lease.announcement.pool for lease in self.table.leases.values()})
 
+    def find(self, endpoint: str, now: float) -> EndpointView | None:
+        """Return an endpoint, ``None`` if this instance does not know it."""
+        for table in (self.table, *self.remote.values()):
+            lease = table.leases.get(endpoint)
+            if lease is not None:
+                return lease.view(now)
+        return None
+
+    def accepts_work(self, endpoint: str, now: float) -> bool:
+        """Return whether a granted endpoint may still get the request.
+
+        Explanation
+        ===========
+        Endpoints of other failure domains are known to the owners of their pools only. The owner
+        checked the lease when it made the grant, so an unknown endpoint is accepted.
+        """
+        view = self.find(endpoint, now)
+        return view is None or view.accepts_work
+
     # Announcements.
 
     def announce(self, announcement: Announcement, now: float) -> list[Effect]:
--- a/mulberrygate/entry/record.py
+++ b/mulberrygate/entry/record.py
@@ -81,5 +81,5 @@
         if result.output_tokens > 1:
             spread = result.total_s - result.first_token_s
             metrics.observe("inter_token_seconds", spread / (result.output_tokens - 1), tier=tier)
-    if not parts.directory.is_in_region(request.grant.endpoint, parts.settings.region):
+    if request.grant.region not in ("", parts.settings.region):
         metrics.count("cross_region_bytes_total", len(request.body) + result.received_bytes)
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -24,6 +24,7 @@
     Running,
     Ticket,
     Withdraw,
+    pool_subject,
 )
 
 log = logger("entry")
@@ -94,7 +95,7 @@
 
     def owner(self, pool: str) -> str:
         """Return the instance that schedules a pool for this entry at the moment."""
-        owner = self.view().owner(self.failure_domain, f"pool/{pool}") or self.instance
+        owner = self.view().owner(self.failure_domain, pool_subject(pool)) or self.instance
         if self.passed_over.get(owner, 0.0) > self.timers.now():
             return self.instance
         return owner
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -10,6 +10,11 @@
 PREFIX_TOKENS = 256
 
 
+def pool_subject(pool: str) -> str:
+    """Return the subject of the rendezvous hash that names the owner of a pool's scheduler."""
+    return f"pool/{pool}"
+
+
 @attrs.frozen
 class Ticket:
     """Request that waits for an endpoint.
@@ -135,6 +140,7 @@
     endpoint: str
     address: str
     version: str
+    region: str = ""
 
 
 @message("schedule.refuse")
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -408,7 +408,8 @@
 
     def _grant_message(self, granted: Granted) -> Send:
         ticket, view = granted.ticket, granted.state.view
-        grant = Grant(ticket.pool, ticket.request, view.endpoint, view.address, granted.version)
+        place = (view.endpoint, view.address, granted.version, view.region)
+        grant = Grant(ticket.pool, ticket.request, *place)
         return Send(ticket.entry, grant)
 
     def _shed_late(self, now: float) -> list[Effect]:
