--- a/mulberrygate/ledger/replica.py
+++ b/mulberrygate/ledger/replica.py
@@ -43,7 +43,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -67,13 +66,7 @@
 # A completed copy is reported again until the view is active, since a report may be lost.
 REPORT_S = 2.0
 
-STEPS: dict[type, Callable] = {
-    Claim: Table.claim,
-    Begin: Table.begin,
-    Finish: Table.finish,
-    Release: Table.release,
-    Lookup: Table.lookup,
-}
+STEPS = {Claim: "claim", Begin: "begin", Finish: "finish", Release: "release", Lookup: "lookup"}
 
 
 @attrs.frozen
@@ -132,7 +125,8 @@
         table = held.tables.get(message.view) if held is not None else None
         if table is None or table.is_sealed:
             return [Reply(NotServing(_newest_served(held)))]
-        return [Reply(STEPS[type(message)](table, message, now, self.wall_at_zero + now))]
+        step = getattr(table, STEPS[type(message)])
+        return [Reply(step(message, now, self.wall_at_zero + now))]
 
     def install(self, shards: dict[str, Shard], now: float) -> list[Effect]:
         """Take over the shards of a configuration: start copies and drop old tables."""
--- a/mulberrygate/ledger/tests/simulation.py
+++ b/mulberrygate/ledger/tests/simulation.py
@@ -209,6 +209,35 @@
                 except AssertionError:
                     pass
 
+    def fail(self, name, kind):
+        """Let an instance fail, or let all of them recover."""
+        node = self.nodes[name]
+        if kind == "restart":
+            node.start()
+        elif kind == "freeze":
+            node.running.clear()
+        elif kind == "dead":
+            self.declared_dead.add(name)
+        elif kind == "hold":
+            node.is_config_held = True
+        elif kind == "isolate":
+            self.cut.update(frozenset((name, other)) for other in self.nodes if other != name)
+        else:
+            self.cut.clear()
+            self.declared_dead.clear()
+            for node in self.nodes.values():
+                node.is_config_held = False
+                node.running.set()
+
+    def storm(self, key, failures, seconds):
+        """Send a key to every entry, let instances fail meanwhile and let time pass."""
+        for name in self.nodes:
+            self.request(name, key, wait_s=self.rng.choice([0, 0, 0.3]))
+        self.run(self.rng.uniform(0.02, 0.4))
+        for name, kind in failures:
+            self.fail(name, kind)
+        self.run(seconds)
+
     async def deliver_config(self, node, incarnation, shards):
         await asyncio.sleep(self.rng.uniform(0.01, 0.4))
         await node.running.wait()
--- a/mulberrygate/ledger/tests/test_simulation.py
+++ b/mulberrygate/ledger/tests/test_simulation.py
@@ -2,6 +2,7 @@
 
 import collections
 import os
+import random
 import unittest
 from unittest import mock
 
@@ -15,10 +16,22 @@
     run_state_machine_as_test,
 )
 
+from mulberrygate.control import views as control_views
+from mulberrygate.core import Reply
+from mulberrygate.ledger import views
+from mulberrygate.ledger.merge import merge
+from mulberrygate.ledger.messages import Accepted, NotServing, Record
+from mulberrygate.ledger.messages import Phase as RecordPhase
+from mulberrygate.ledger.outcomes import Pending, Recorded
+from mulberrygate.ledger.replica import STEPS, Replica
+from mulberrygate.ledger.table import Table
 from mulberrygate.ledger.tests.simulation import World
 
 NODES = {"a": "d", "b": "d", "c": "d", "x": "e", "y": "e"}
 EXAMPLES = int(os.environ.get("LEDGER_EXAMPLES", "60"))
+STORMS = int(os.environ.get("LEDGER_STORMS", "100"))
+MUTANT_STORMS = 300
+FAILURES = ["restart", "freeze", "dead", "hold", "isolate"]
 
 nodes = st.sampled_from(sorted(NODES))
 totals: collections.Counter = collections.Counter()
@@ -56,19 +69,18 @@
             self.world.request(node, f"{domain}/{self.newest_key}", is_finished=node != "a")
         self.world.run(seconds)
 
-    @rule(node=nodes, kind=st.sampled_from(["restart", "freeze", "dead", "hold", "isolate"]))
+    @rule(node=nodes, kind=st.sampled_from(FAILURES))
     def fail(self, node, kind):
-        world = self.world
-        if kind == "restart":
-            world.nodes[node].start()
-        elif kind == "freeze":
-            world.nodes[node].running.clear()
-        elif kind == "dead":
-            world.declared_dead.add(node)
-        elif kind == "hold":
-            world.nodes[node].is_config_held = True
-        else:
-            world.cut.update(frozenset((node, other)) for other in NODES if other != node)
+        self.world.fail(node, kind)
+
+    @rule(
+        domain=st.sampled_from("dde"),
+        failures=st.lists(st.tuples(nodes, st.sampled_from(FAILURES)), max_size=2),
+        seconds=st.sampled_from([0.2, 0.5, 1.5]),
+    )
+    def storm(self, domain, failures, seconds):
+        self.newest_key += 1
+        self.world.storm(f"{domain}/{self.newest_key}", failures, seconds)
 
     @rule(is_slow=st.sampled_from([0.0, 0.0, 0.1, 0.4]))
     def cut_domains(self, is_slow):
@@ -78,11 +90,7 @@
 
     @rule(seconds=st.sampled_from([0, 0.5, 3, 30, 30, 3700]))
     def heal(self, seconds):
-        self.world.cut.clear()
-        self.world.declared_dead.clear()
-        for node in self.world.nodes.values():
-            node.is_config_held = False
-            node.running.set()
+        self.world.fail("a", "heal")
         self.world.run(seconds)
 
     @invariant()
@@ -114,8 +122,8 @@
         report_multiple_bugs=False,
     )
     with (
-        mock.patch("mulberrygate.ledger.views.SHARDS_PER_DOMAIN", 1),
-        mock.patch("mulberrygate.control.views.SHARDS_PER_DOMAIN", 1),
+        mock.patch.object(views, "SHARDS_PER_DOMAIN", 1),
+        mock.patch.object(control_views, "SHARDS_PER_DOMAIN", 1),
     ):
         run_state_machine_as_test(LedgerMachine, settings=options)
 
@@ -132,5 +140,95 @@
         self.assertGreater(totals["Begun"], EXAMPLES)
 
 
+def begin_of_any_attempt(table, step, now, wall_s):
+    table._put(Record(step.key, step.fingerprint, step.attempt, RecordPhase.RUNNING), now)
+    return Accepted()
+
+
+def begin_with_one_replica(tally):
+    return Recorded() if tally.count(Accepted) else Pending()
+
+
+def seal_without_refusing(table):
+    table.snapshot = list(table.records.values())
+
+
+def serve_sealed_tables(replica, message, sender, now):
+    if type(message) not in STEPS:
+        return HANDLE(replica, message, sender, now)
+    held = replica.shards.get(message.shard)
+    table = held.tables.get(message.view) if held is not None else None
+    if table is None:
+        return [Reply(NotServing())]
+    step = getattr(table, STEPS[type(message)])
+    return [Reply(step(message, now, replica.wall_at_zero + now))]
+
+
+def merge_without_single_begins(sources, is_majority):
+    sources = list(sources)
+    merged = merge(sources, is_majority)
+    return tuple(r for r in merged if all(r.key in source for source in sources))
+
+
+def start_empty(replica, name, held, shard, now):
+    held.tables[shard.preparing.number] = Table(shard.preparing, (), now)
+    return replica._report(name, held, now)
+
+
+HANDLE = Replica.handle
+# Place of the change, changed code, codes of which one must be reported.
+MUTANTS = [
+    ("table.Table.begin", begin_of_any_attempt, {9301}),
+    ("coordinator.decide_begin", begin_with_one_replica, {9302, 9306}),
+    ("table.Table.seal", seal_without_refusing, {9302, 9306}),
+    ("replica.Replica.handle", serve_sealed_tables, {9303}),
+    ("copying.CopyJob.is_complete", lambda job, now: bool(job._complete()), {9304}),
+    ("copying.merge", merge_without_single_begins, {9302, 9306}),
+    ("replica.Replica._start_copy", start_empty, {9302, 9306}),
+]
+
+
+def run_storms(seed):
+    """Return the first violation of a run of storms, or an empty string."""
+    with (
+        mock.patch.object(views, "SHARDS_PER_DOMAIN", 1),
+        mock.patch.object(control_views, "SHARDS_PER_DOMAIN", 1),
+    ):
+        world, rng = World(seed, NODES), random.Random(seed)
+        world.run(1.5)
+        world.loss, world.slow = rng.choice([0.1, 0.3]), rng.choice([0, 0.2])
+        for number in range(5):
+            kinds = rng.choices(["restart", "isolate", "freeze", "heal"], k=rng.randrange(3))
+            failures = [(rng.choice(sorted(NODES)), kind) for kind in kinds]
+            world.storm(f"d/{number}", failures, rng.uniform(0.2, 1.5))
+        world.fail("a", "heal")
+        world.storm("d/4", [], 3)
+        totals["views"] += world.views
+        totals["dispatches"] += len(world.audit.dispatches)
+        world.close()
+        return world.violations[0] if world.violations else ""
+
+
+class StormTest(unittest.TestCase):
+    """Re-sends everywhere at once, during failures and repairs."""
+
+    def test_no_invariant_breaks(self):
+        """A key that is sent to every entry at once ran twice, or was lost in a repair."""
+        totals.clear()
+        for seed in range(STORMS):
+            self.assertEqual(run_storms(seed), "", f"seed {seed}")
+        print(f"{STORMS} storms: {dict(totals)}")
+        self.assertGreater(totals["dispatches"], STORMS)
+
+    def test_mutants_are_caught(self):
+        """An invariant that can't fail would prove nothing."""
+        for place, changed, codes in MUTANTS:
+            with self.subTest(place), mock.patch(f"mulberrygate.ledger.{place}", changed):
+                runs = ((seed, run_storms(seed)) for seed in range(MUTANT_STORMS))
+                seed, found = next((run for run in runs if run[1]), (0, "0000 none"))
+                print(f"{place}: {found} at seed {seed}")
+                self.assertIn(int(found[:4]), codes)
+
+
 if __name__ == "__main__":
     unittest.main()
