--- /dev/null
+++ b/mulberrygate/ledger/model.py
@@ -0,0 +1,180 @@
+"""Model of claims, begins, view changes and replica losses for complete search.
+
+Explanation
+===========
+One key, two attempts, replicas 0 to 2 in the first view and one spare for each further view. A
+message may be delayed, lost, repeated or reordered: each step is possible at any time at which its
+receiver would accept it, under every view that is or was active, so coordinators with old views are
+included. An attempt may be dispatched once a majority of one view has accepted its begin, whether
+or not these replicas have been sealed or lost since.
+
+A copied begin counts as accepted, since the replica accepts the begin of that attempt again. This
+allows more dispatches than the program does.
+
+Records: ``-`` not copied yet, ``.`` none, ``w1 w2`` waiting, ``r1 r2`` begun, ``u`` uncertain.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from itertools import combinations
+
+import attrs
+from minicheck import Protocol, check_safety
+
+FIELDS = ("views", "alive", "dispatched")
+ATTEMPTS = ("1", "2")
+NO_COPY, NONE, UNCERTAIN = "-", ".", "u"
+FAULTS = ("copy_unsealed", "copy_from_one", "begin_any", "drop_single_begin", "add_views")
+
+
+@attrs.frozen
+class ModelView:
+    """View of the model: its replicas, their records, and which of them are sealed."""
+
+    members: tuple[int, ...]
+    records: tuple[str, ...]
+    sealed: tuple[bool, ...] = (False, False, False)
+    is_active: bool = False
+
+
+@attrs.frozen
+class Model:
+    """Bounds and seeded fault of a search.
+
+    Parameters
+    ==========
+    changes : int
+        Largest number of view changes.
+    losses : int
+        Largest number of replicas that are lost.
+    has_claims : bool
+        Whether attempts claim and take over; without claims they only begin.
+    fault : str
+        One of `FAULTS`, or empty.
+    """
+
+    changes: int = 1
+    losses: int = 1
+    has_claims: bool = True
+    fault: str = ""
+
+    def protocol(self) -> Protocol:
+        """Return the model for the checker."""
+        first = ModelView((0, 1, 2), (NONE,) * 3, is_active=True)
+        alive = tuple(True for _ in range(3 + self.changes))
+        return Protocol(
+            name="ledger",
+            candidate=False,
+            fields=FIELDS,
+            initial=((first,), alive, ()),
+            transitions=lambda state: list(self.steps(state)),
+            invariants={"one_dispatch": lambda values: len(values["dispatched"]) <= 1},
+        )
+
+    def check(self, max_states: int = 3_000_000) -> dict:
+        """Search all states and return the checker's result."""
+        return check_safety(self.protocol(), max_states=max_states)
+
+    def steps(self, state: tuple) -> Iterator[tuple[str, tuple]]:
+        """Return every possible step with its label."""
+        views, alive, dispatched = state
+        yield from self._dispatches(state)
+        for number, view in enumerate(views):
+            if view.is_active:
+                for label, changed in self._requests(view, alive):
+                    yield f"{label} in view {number}", (
+                        _replace(views, number, changed),
+                        alive,
+                        dispatched,
+                    )
+        if alive.count(False) < self.losses:
+            for replica in range(len(alive)):
+                if alive[replica]:
+                    yield f"lose {replica}", (views, _replace(alive, replica, False), dispatched)
+        for label, changed in self._view_changes(views, alive):
+            yield label, (changed, alive, dispatched)
+
+    def _dispatches(self, state: tuple) -> Iterator[tuple[str, tuple]]:
+        views, alive, dispatched = state
+        for attempt in ATTEMPTS:
+            begun = [view.records.count(f"r{attempt}") for view in views if view.is_active]
+            if self.fault == "add_views":
+                begun = [sum(begun)]
+            if attempt not in dispatched and max(begun) >= 2:
+                done = tuple(sorted((*dispatched, attempt)))
+                yield f"dispatch {attempt}", (views, alive, done)
+
+    def _requests(self, view: ModelView, alive: tuple) -> Iterator[tuple[str, ModelView]]:
+        for place, replica in enumerate(view.members):
+            if not alive[replica] or view.sealed[place]:
+                continue
+            record = view.records[place]
+            for attempt in ATTEMPTS:
+                if self.has_claims and record in (NONE, *_waiting_others(attempt)):
+                    yield f"claim {attempt} at {replica}", _put(view, place, f"w{attempt}")
+                may_begin = record in (NONE, f"w{attempt}") or self.fault == "begin_any"
+                if may_begin and record not in (NO_COPY, f"r{attempt}"):
+                    yield f"begin {attempt} at {replica}", _put(view, place, f"r{attempt}")
+
+    def _view_changes(self, views: tuple, alive: tuple) -> Iterator[tuple[str, tuple]]:
+        base = max(number for number, view in enumerate(views) if view.is_active)
+        if len(views) <= self.changes:
+            yield from self._prepare(views, base, alive)
+        if base == len(views) - 1:
+            return
+        view = views[-1]
+        for place, replica in enumerate(views[base].members):
+            if alive[replica] and not views[base].sealed[place]:
+                sealed = _replace(views[base].sealed, place, True)
+                changed = attrs.evolve(views[base], sealed=sealed)
+                yield f"seal {replica}", _replace(views, base, changed)
+        for place, replica in enumerate(view.members):
+            if alive[replica] and view.records[place] == NO_COPY:
+                for record in self._copies(views[base], alive):
+                    changed = _replace(views, len(views) - 1, _put(view, place, record))
+                    yield f"copy {record} to {replica}", changed
+        if NO_COPY not in view.records:
+            active = attrs.evolve(view, is_active=True)
+            yield f"activate {len(views) - 1}", _replace(views, len(views) - 1, active)
+
+    def _prepare(self, views: tuple, base: int, alive: tuple) -> Iterator[tuple[str, tuple]]:
+        """Replace one replica of the newest view; the copy starts from the last active one."""
+        newest = views[-1]
+        spare = 2 + len(views)
+        lost = [replica for replica in newest.members if not alive[replica]]
+        for replaced in lost or newest.members:
+            members = tuple(spare if m == replaced else m for m in newest.members)
+            prepared = ModelView(members, (NO_COPY,) * 3)
+            yield f"prepare {len(views)} without {replaced}", (*views, prepared)
+
+    def _copies(self, base: ModelView, alive: tuple) -> set[str]:
+        """Return what copies from any sealed majority of the base view can hold."""
+        places = [
+            place
+            for place, replica in enumerate(base.members)
+            if alive[replica] and (base.sealed[place] or self.fault == "copy_unsealed")
+        ]
+        size = 1 if self.fault == "copy_from_one" else 2
+        sets = [c for count in (size, 3) for c in combinations(places, count)]
+        return {self._merge([base.records[place] for place in chosen]) for chosen in sets}
+
+    def _merge(self, records: list[str]) -> str:
+        begun = [record for record in records if record[0] in "ru"]
+        if self.fault == "drop_single_begin" and len(begun) == 1:
+            begun = []
+        if begun:
+            return begun[0] if len(set(begun)) == 1 else UNCERTAIN
+        return min((record for record in records if record[0] == "w"), default=NONE)
+
+
+def _replace(values: tuple, position: int, value: object) -> tuple:
+    return (*values[:position], value, *values[position + 1 :])
+
+
+def _put(view: ModelView, place: int, record: str) -> ModelView:
+    return attrs.evolve(view, records=_replace(view.records, place, record))
+
+
+def _waiting_others(attempt: str) -> tuple[str, ...]:
+    return tuple(f"w{other}" for other in ATTEMPTS if other != attempt)
