--- /dev/null
+++ b/mulberrygate/control/tests/test_views.py
@@ -0,0 +1,198 @@
+"""Planner of ledger views."""
+
+import unittest
+
+import attrs
+
+from mulberrygate.control.views import (
+    BALANCE_STABLE_S,
+    DOMAIN_AFTER_S,
+    MOVES_AT_ONCE,
+    REPLACE_AFTER_S,
+    SHAPE_STABLE_S,
+    ViewPlanner,
+)
+from mulberrygate.ledger.messages import CopyReport
+from mulberrygate.ledger.views import SHARDS_PER_DOMAIN, ReplicaId
+from mulberrygate.members.view import Member, MembershipView, Status
+
+WALL = 1_700_000_000.0
+
+
+class Cluster:
+    """Membership and shards, with a planner whose commands take effect at once."""
+
+    def __init__(self, *domains, size=4):
+        self.members = {}
+        for domain in domains:
+            for number in range(size):
+                self.add(f"{domain}{number}", domain)
+        self.shards = {}
+        self.planner = ViewPlanner()
+        self.now = 100.0
+
+    def add(self, name, domain):
+        region = domain[0]
+        self.members[name] = Member(name, "", "", region, domain, 1)
+
+    def change(self, name, **values):
+        self.members[name] = attrs.evolve(self.members[name], **values)
+
+    def plan(self, seconds=0.0):
+        self.now += seconds
+        view = MembershipView(dict(self.members))
+        command = self.planner.plan(view, self.shards, self.now, WALL + self.now)
+        self.shards |= {shard.name(): shard for shard in command.shards}
+        return command.shards
+
+    def report_all(self):
+        for name, shard in self.shards.items():
+            if shard.preparing is not None:
+                for replica in shard.preparing.replicas:
+                    self.planner.report(CopyReport(name, shard.preparing.number, replica))
+
+    def settle(self):
+        self.report_all()
+        while self.plan():
+            self.report_all()
+        return self
+
+    def instances(self, name):
+        return [replica.instance for replica in self.shards[name].active.replicas]
+
+    def preparing(self):
+        return {name for name, shard in self.shards.items() if shard.preparing is not None}
+
+
+class PlannerTest(unittest.TestCase):
+    """Views that the planner proposes."""
+
+    def setUp(self):
+        self.cluster = Cluster("a1", "a2", "b1").settle()
+        self.victim = self.cluster.instances("a1/0")[0]
+        self.held = {n for n in self.cluster.shards if self.victim in self.cluster.instances(n)}
+
+    def test_first_placement_has_two_at_home_and_one_near(self):
+        """Replicas of one domain would be lost together, remote ones would be slow."""
+        self.assertEqual(len(self.cluster.shards), 3 * SHARDS_PER_DOMAIN)
+        for name, shard in self.cluster.shards.items():
+            domains = [instance[:2] for instance in self.cluster.instances(name)]
+            self.assertEqual(domains[:2], [shard.failure_domain] * 2)
+            if shard.failure_domain == "a1":
+                self.assertEqual(domains[2], "a2")
+
+    def test_view_waits_for_all_reports(self):
+        """A view with an incomplete copy would become active."""
+        self.cluster.change(self.victim, incarnation=2)
+        self.cluster.plan()
+        preparing = self.cluster.shards["a1/0"].preparing
+        for replica in preparing.replicas[:2]:
+            self.cluster.planner.report(CopyReport("a1/0", preparing.number, replica))
+        stale = CopyReport("a1/0", preparing.number - 1, preparing.replicas[2])
+        self.cluster.planner.report(stale)
+        self.assertEqual(self.cluster.plan(), ())
+        last = CopyReport("a1/0", preparing.number, preparing.replicas[2])
+        self.cluster.planner.report(last)
+        self.cluster.plan()
+        self.assertEqual(self.cluster.shards["a1/0"].active, preparing)
+
+    def test_restart_is_repaired_at_once(self):
+        """A restarted replica is empty, so the shard runs with two until it is replaced."""
+        self.cluster.change(self.victim, incarnation=2)
+        self.cluster.plan()
+        self.assertEqual(self.cluster.preparing(), self.held)
+        self.assertNotIn(ReplicaId(self.victim, 1), self.cluster.shards["a1/0"].preparing.replicas)
+
+    def test_unreachable_instance_is_replaced_after_a_delay(self):
+        """A short silence would move shards."""
+        self.cluster.change(self.victim, status=Status.DEAD)
+        self.assertEqual(self.cluster.plan(), ())
+        self.assertEqual(self.cluster.plan(REPLACE_AFTER_S - 1), ())
+        self.cluster.plan(2)
+        self.assertEqual(self.cluster.preparing(), self.held)
+
+    def test_flapping_instance_moves_nothing(self):
+        """An instance that comes and goes would move its shards again and again."""
+        for number in range(200):
+            status = Status.DEAD if number % 2 else Status.ALIVE
+            self.cluster.change(self.victim, status=status)
+            self.assertEqual(self.cluster.plan(REPLACE_AFTER_S / 2), ())
+
+    def test_cut_off_domain_keeps_its_shards(self):
+        """The cut-off domain goes on under its views and would be sealed out."""
+        for name in self.cluster.members:
+            if name.startswith("a1"):
+                self.cluster.change(name, status=Status.DEAD)
+        self.cluster.plan()
+        self.cluster.plan(DOMAIN_AFTER_S * 10)
+        self.cluster.plan(10)
+        touched = {name for name in self.cluster.preparing() if name.startswith("a1/")}
+        self.assertEqual(touched, set())
+        self.assertTrue(any(name.startswith("a2/") for name in self.cluster.preparing()))
+
+    def test_nothing_is_prepared_without_a_majority_to_copy_from(self):
+        """The remaining replica would be sealed for a copy that can't be completed."""
+        one, two, _ = self.cluster.instances("a1/0")
+        self.cluster.change(one, incarnation=2)
+        self.cluster.change(two, status=Status.DEAD)
+        self.cluster.plan(REPLACE_AFTER_S * 5)
+        self.cluster.plan(REPLACE_AFTER_S * 5)
+        self.assertNotIn("a1/0", self.cluster.preparing())
+
+    def test_lost_majority_carries_the_time_of_loss(self):
+        """Keys that ran before the loss would run again."""
+        for name in self.cluster.instances("a1/0")[:2]:
+            self.cluster.change(name, incarnation=2)
+        self.cluster.plan()
+        lost_at = self.cluster.shards["a1/0"].preparing.lost_at
+        self.assertEqual(lost_at, WALL + self.cluster.now)
+        self.cluster.settle()
+        self.cluster.change(self.cluster.instances("a1/0")[0], incarnation=3)
+        self.cluster.plan()
+        self.assertEqual(self.cluster.shards["a1/0"].preparing.lost_at, lost_at)
+
+    def test_operator_declares_a_majority_lost(self):
+        """Without an order, a majority that is only unreachable is never given up."""
+        for replica in self.cluster.shards["a1/0"].active.replicas[:2]:
+            self.cluster.change(replica.instance, status=Status.DEAD)
+            self.cluster.planner.declare_lost(replica)
+        self.cluster.plan()
+        self.assertGreater(self.cluster.shards["a1/0"].preparing.lost_at, WALL)
+
+    def test_second_loss_prepares_the_next_number_from_the_same_view(self):
+        """The repair would wait for a replica that is gone."""
+        self.cluster.change(self.victim, incarnation=2)
+        self.cluster.plan()
+        first = self.cluster.shards["a1/0"]
+        new = next(r for r in first.preparing.replicas if r not in first.active.replicas)
+        self.cluster.change(new.instance, incarnation=new.incarnation + 1)
+        self.cluster.plan()
+        second = self.cluster.shards["a1/0"]
+        self.assertEqual(second.active, first.active)
+        self.assertEqual(second.preparing.number, first.preparing.number + 1)
+        self.assertNotIn(new, second.preparing.replicas)
+
+    def test_better_shape_is_taken_up_few_at_a_time(self):
+        """All shards of a domain would move at once when instances come back."""
+        cluster = Cluster("a1", size=4).settle()
+        for number in range(4):
+            cluster.add(f"a2{number}", "a2")
+        cluster.settle()
+        cluster.plan(SHAPE_STABLE_S + 1)
+        self.assertEqual(len(cluster.preparing()), MOVES_AT_ONCE)
+        for _ in range(100):
+            cluster.settle()
+        domains = {tuple(i[:2] for i in cluster.instances(f"a1/{n}")) for n in range(32)}
+        self.assertEqual(domains, {("a1", "a1", "a2")})
+
+    def test_new_instance_gets_its_share_slowly(self):
+        """An instance that joins for a moment would take shards over."""
+        self.cluster.add("a19", "a1")
+        self.assertEqual(self.cluster.plan(BALANCE_STABLE_S - 1), ())
+        self.assertEqual(self.cluster.plan(BALANCE_STABLE_S - 1), ())
+        self.cluster.plan(2)
+        self.assertEqual(len(self.cluster.preparing()), MOVES_AT_ONCE)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/ledger/tests/test_model.py
@@ -0,0 +1,29 @@
+"""Complete search of the ledger's model."""
+
+import unittest
+
+from mulberrygate.ledger.model import FAULTS, Model
+
+
+class ModelTest(unittest.TestCase):
+    """At most one attempt is dispatched in every reachable state."""
+
+    def test_one_view_change_and_one_loss(self):
+        """Some order of begins, seals, copies and a loss would let two attempts run."""
+        result = Model(changes=1, losses=1, has_claims=False).check()
+        print(f"model: {result['reachable_states']} states")
+        self.assertTrue(result["exhaustive"])
+        self.assertTrue(result["properties"]["one_dispatch"]["holds"])
+
+    def test_seeded_faults_are_found(self):
+        """A model that can't fail would prove nothing."""
+        for fault in FAULTS:
+            with self.subTest(fault):
+                result = Model(1, 1, False, fault).check()
+                found = result["properties"]["one_dispatch"]
+                print(f"{fault}: counterexample of {len(found['counterexample'])} states")
+                self.assertFalse(found["holds"])
+
+
+if __name__ == "__main__":
+    unittest.main()
