--- a/mulberrygate/ledger/coordinator.py
+++ b/mulberrygate/ledger/coordinator.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Coroutine
 from typing import Any
 
 from mulberrygate.core.invariant import invariant
@@ -43,6 +43,7 @@
     decide_begin,
     decide_claim,
     decide_lookup,
+    decide_released,
     decide_stored,
     may_keep_claim,
 )
@@ -59,6 +60,11 @@
 # Pauses between rounds double from the first to the second value, with random spread.
 FIRST_PAUSE_S = 0.02
 LONGEST_PAUSE_S = 0.4
+# A claim that gives way to another one waits this long for its release.
+RELEASE_WAIT_S = 0.5
+# A release that a replica has not answered is repeated for this long, at most this often.
+RELEASE_RETRY_S = 300.0
+LONGEST_RELEASE_PAUSE_S = 10.0
 # A begin may be dispatched for this long. It must be far below the retention of records, so that
 # an entry that was paused can't dispatch after its records have expired.
 BEGIN_VALID_S = 60.0
@@ -73,7 +79,7 @@
     Parameters
     ==========
     peers : PeerClient
-        Only ``call(instance, message, timeout_s)`` and ``send(instance, message)`` are used.
+        Only ``call(instance, message, timeout_s)`` is used.
     shards : Callable[[], dict[str, Shard]]
         Shards of the configuration in force, by name.
     instance, incarnation : str, int
@@ -181,14 +187,14 @@
             if isinstance(decision, Claimed):
                 return decision
             if not isinstance(decision, Pending) or _now() >= deadline:
-                self._release_later(own)
+                self._spawn(self.release(own))
                 return self._last_answer(decision, informed)
             if decision.replaceable:
                 replaces = decision.replaceable[0]
                 if not decision.waiting_for:
                     continue
             if decision.waiting_for and not may_keep_claim(tally, own.attempt):
-                await self.release(own)
+                await self.release(own, RELEASE_WAIT_S)
                 own = self._open(key, fingerprint, home)
             pause = await self._pause(pause, deadline)
 
@@ -248,7 +254,7 @@
         age = max(_now() - started, self.wall_clock() - wall)
         if isinstance(decision, Recorded) and age < BEGIN_VALID_S:
             return Begun(attempt.attempt, started + BEGIN_VALID_S)
-        self._release_later(attempt)
+        self._spawn(self.release(attempt))
         if isinstance(decision, Superseded):
             return decision
         if may_be_accepted:
@@ -267,11 +273,17 @@
         kept = answer if len(answer) <= MAX_ANSWER_BYTES else b""
         step = (attempt.key, attempt.fingerprint, attempt.attempt, outcome, kept)
         return await self._store(
-            attempt, lambda view: Finish(attempt.shard, view, *step), timeout_s
+            attempt, lambda view: Finish(attempt.shard, view, *step), decide_stored, timeout_s
         )
 
     async def release(self, attempt: OpenAttempt, timeout_s: float = 2.0) -> Recorded | Unavailable:
-        """Give up an attempt that was not dispatched; the entry must not dispatch it any more."""
+        """Give up an attempt that was not dispatched; the entry must not dispatch it any more.
+
+        Explanation
+        ===========
+        Every replica that was asked must hear of it, since a claim that is left at one of them
+        makes re-sends wait. `Unavailable` says that the release is repeated in the background.
+        """
         attempt.has_begun = True
         if not attempt.asked:
             return Recorded()
@@ -279,22 +291,39 @@
         def make(view: int) -> Release:
             return Release(attempt.shard, view, attempt.key, attempt.attempt)
 
-        asked = set(attempt.asked)
-        result = await self._store(attempt, make, timeout_s)
-        shard = self.shards().get(attempt.shard)
-        if shard is not None and shard.active is not None:
-            for name in asked - attempt.stored_by:
-                self.peers.send(name, make(shard.active.number))
+        asked = frozenset(attempt.asked)
+
+        def decide(tally: Tally) -> Recorded | Pending:
+            return decide_released(tally, asked)
+
+        result = await self._store(attempt, make, decide, timeout_s)
+        if not isinstance(result, Recorded):
+            self._spawn(self._retry_release(attempt, make, decide))
         return result
 
+    async def _retry_release(
+        self, attempt: OpenAttempt, make: Callable[[int], Any], decide: Callable[[Tally], Any]
+    ) -> None:
+        """Repeat a release: until it is stored, re-sends of the key wait for this attempt."""
+        deadline, pause = _now() + RELEASE_RETRY_S, 1.0
+        while _now() < deadline:
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, LONGEST_RELEASE_PAUSE_S)
+            result = await self._store(attempt, make, decide, CALL_TIMEOUT_S)
+            if isinstance(result, Recorded):
+                return
+
     async def _store(
-        self, attempt: OpenAttempt, make: Callable[[int], Any], timeout_s: float
+        self,
+        attempt: OpenAttempt,
+        make: Callable[[int], Any],
+        decide: Callable[[Tally], Any],
+        timeout_s: float,
     ) -> Recorded | Unavailable:
         deadline, pause = _now() + timeout_s, FIRST_PAUSE_S
         while True:
-            tally = await self._ask(attempt, make, decide_stored, deadline)
-            attempt.stored_by = set(tally.answers)
-            if isinstance(decide_stored(tally), Recorded):
+            tally = await self._ask(attempt, make, decide, deadline)
+            if isinstance(decide(tally), Recorded):
                 return Recorded()
             if _now() >= deadline:
                 return Unavailable(f"{len(tally.answers)} replicas stored the step")
@@ -380,13 +409,17 @@
         await asyncio.sleep(max(0.0, min(wanted, deadline - _now())))
         return min(pause * 2, LONGEST_PAUSE_S)
 
-    def _release_later(self, attempt: OpenAttempt) -> None:
-        task = asyncio.ensure_future(self.release(attempt))
+    def _spawn(self, coroutine: Coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def close(self) -> None:
-        """Wait for releases that are under way."""
+    async def close(self, timeout_s: float = 2.0) -> None:
+        """Give releases that are under way some time and end them."""
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=timeout_s)
+        for task in list(self.tasks):
+            task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
--- a/mulberrygate/ledger/copying.py
+++ b/mulberrygate/ledger/copying.py
@@ -111,4 +111,4 @@
         complete = self._complete()
         is_majority = len(complete) >= self.base.majority()
         invariant(is_majority or self.is_loss, COPY_TOO_SMALL, f"{self.shard} {self.view.number}")
-        return merge([source.records for source in complete], is_majority)
+        return merge([source.records for source in complete], self.base.majority())
--- a/mulberrygate/ledger/merge.py
+++ b/mulberrygate/ledger/merge.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 import attrs
 
@@ -11,29 +11,33 @@
 from mulberrygate.ledger.messages import Phase, Record
 
 
-def merge(sources: Iterable[dict[str, Record]], is_majority: bool) -> tuple[Record, ...]:
+def merge(sources: Collection[dict[str, Record]], majority: int) -> tuple[Record, ...]:
     """Merge tables that cover a sealed majority, or what is left after the loss of one.
 
     Explanation
     ===========
     A begin that one source knows may have been accepted by a majority with a replica that is not
-    among the sources, so it is kept. Two begins of one key make the key uncertain. Without a
+    among the sources, so it is kept. Two begins of one key make the key uncertain. A claim that
+    fewer sources than a majority know is dropped: it may be left from an attempt that was released
+    elsewhere, and its loss costs the attempt nothing unless the key is sent again. Without a
     majority every record that has not finished is uncertain, because another attempt may have
     begun at the lost replicas.
+
+    Parameters
+    ==========
+    majority : int
+        Number of replicas that make a majority of the view that is copied.
     """
     by_key: dict[str, list[Record]] = {}
     for source in sources:
         for key, record in source.items():
             by_key.setdefault(key, []).append(record)
-    merged = []
-    for records in by_key.values():
-        if len(records) > 1 or not is_majority or records[0].outcome:
-            records = _merge_key(records, is_majority)
-        merged += records
-    return tuple(merged)
+    is_lost = len(sources) < majority
+    merged = [_merge_key(records, majority, is_lost) for records in by_key.values()]
+    return tuple(record for records in merged for record in records)
 
 
-def _merge_key(records: list[Record], is_majority: bool) -> list[Record]:
+def _merge_key(records: list[Record], majority: int, is_lost: bool) -> list[Record]:
     expires = max(record.expires for record in records)
     finished = [record for record in records if record.has_run()]
     if finished:
@@ -44,15 +48,16 @@
     # An attempt that its entry gave up has not run; a record of it at another replica is stale.
     given_up = {record.attempt for record in records if record.phase is Phase.FINISHED}
     open_records = [record for record in records if record.attempt not in given_up]
-    if not is_majority:
+    if is_lost:
         chosen = (open_records or records)[0]
         return [attrs.evolve(chosen, phase=Phase.UNCERTAIN, outcome="", expires=expires)]
     if not open_records:
         return []
     begun = [record for record in open_records if record.phase is not Phase.WAITING]
     if not begun:
-        chosen = min(open_records, key=lambda record: record.attempt)
-        return [attrs.evolve(chosen, expires=expires)]
+        attempts = [record.attempt for record in open_records]
+        is_claimed = len(attempts) >= majority and len(set(attempts)) == 1
+        return [attrs.evolve(open_records[0], expires=expires)] if is_claimed else []
     is_one = len({record.attempt for record in begun}) == 1
     is_known = is_one and all(record.phase is Phase.RUNNING for record in begun)
     phase = Phase.RUNNING if is_known else Phase.UNCERTAIN
--- a/mulberrygate/ledger/outcomes.py
+++ b/mulberrygate/ledger/outcomes.py
@@ -31,8 +31,6 @@
     attempt : Attempt
     asked : set[str]
         Instances that may hold a record of the attempt.
-    stored_by : set[str]
-        Instances that answered its last finish or release.
     has_begun : bool
         ``begin`` or ``release`` was called; the attempt can't begin any more.
     """
@@ -42,7 +40,6 @@
     shard: str
     attempt: Attempt
     asked: set[str] = attrs.Factory(set)
-    stored_by: set[str] = attrs.Factory(set)
     has_begun: bool = False
 
 
--- a/mulberrygate/ledger/tally.py
+++ b/mulberrygate/ledger/tally.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from mulberrygate.ledger.messages import (
@@ -151,10 +151,16 @@
 
 
 def decide_stored(tally: Tally) -> Recorded | Pending:
-    """Decide a finish or a release."""
+    """Decide a finish."""
     return Recorded() if tally.is_majority(len(tally.answers)) else Pending()
 
 
+def decide_released(tally: Tally, asked: Collection[str]) -> Recorded | Pending:
+    """Decide a release: all replicas that may hold the attempt, and at least a majority."""
+    is_heard = all(name in tally.answers for name in tally.members if name in asked)
+    return Recorded() if is_heard and tally.is_majority(len(tally.answers)) else Pending()
+
+
 def decide_lookup(tally: Tally) -> Answered | Attached | Uncertain | Missing | Pending:
     """Decide a lookup; a waiting attempt counts as attached."""
     known = decide_known(tally)
