--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -14,7 +14,7 @@
 
 from mulberrygate.core import Send, decode, encode
 from mulberrygate.ledger import Coordinator, Replica, ReplicaId, Shard, View
-from mulberrygate.ledger.messages import MAX_ANSWER_BYTES
+from mulberrygate.ledger.messages import MAX_ANSWER_BYTES, Attempt, Begin, Finish
 
 WALL = 1_700_000_000.0
 REQUESTS = 3000
@@ -80,7 +80,8 @@
     total = time.process_time() - start
     calls = peers.counts["calls"]
     print(
-        f"{title}: {calls / REQUESTS:.2f} remote calls, {peers.counts['bytes'] / REQUESTS:.0f} bytes, "
+        f"{title}: {calls / REQUESTS:.2f} remote calls, "
+        f"{peers.counts['bytes'] / REQUESTS:.0f} bytes, "
         f"coordinator {1e6 * (total - peers.replica_s) / REQUESTS:.0f} us, "
         f"replica {1e6 * peers.replica_s / max(1, calls):.0f} us a remote call"
     )
@@ -88,8 +89,6 @@
 
 def fill(replica, count, answer=b"", shard="d/0"):
     """Put finished records with messages from the wire into a replica."""
-    from mulberrygate.ledger.messages import Attempt, Begin, Finish
-
     for number in range(count):
         key = f"dakar-1/{1_700_000_000_000 + number}-{number:016x}"
         attempt = Attempt("instance-7", 1, number)
@@ -125,11 +124,14 @@
     while queue and isinstance(queue[0], Send):
         request = queue.pop(0)
         began = time.process_time()
-        part = peers.replicas[request.to].handle(request.message, "x", 2.0)[0].message
-        frame = encode(part)
-        sent += len(frame[1])
-        messages += 2
-        queue += target.handle(decode(*frame), request.to, 2.0)
+        if request.to == "x":
+            queue += target.handle(request.message, "x", 2.0)
+        else:
+            part = peers.replicas[request.to].handle(request.message, "x", 2.0)[0].message
+            frame = encode(part)
+            sent += len(frame[1])
+            messages += 2
+            queue += target.handle(decode(*frame), request.to, 2.0)
         longest = max(longest, time.process_time() - began)
     assert len(target.shards["d/0"].tables[2].records) == count
     print(
--- a/mulberrygate/ledger/copying.py
+++ b/mulberrygate/ledger/copying.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from itertools import islice
+
 import attrs
 
 from mulberrygate.core.effects import Effect, Send
@@ -9,11 +12,14 @@
 from mulberrygate.ledger.codes import COPY_TOO_SMALL
 from mulberrygate.ledger.merge import merge
 from mulberrygate.ledger.messages import CopyPart, CopyShard, Record
+from mulberrygate.ledger.table import Table
 from mulberrygate.ledger.views import View
 
 # A part that does not arrive within this is asked for again, and the replicas that were not
 # needed so far are asked too.
 RETRY_S = 0.5
+# Records merged in one step: a few ms, so that answers that stream meanwhile are not held up.
+MERGE_RECORDS = 200
 # After the loss of a majority a copy takes what the remaining replicas sent within this.
 LOST_WAIT_S = 5.0
 
@@ -48,19 +54,18 @@
         self.started_at = now
         self.asked_at = now
         self.sources: dict[str, Source] = {}
+        self.table = Table(view)
+        self.merging: Iterator[Record] | None = None
 
-    def start(self, own: Source | None, instance: str) -> list[Effect]:
-        """Ask as many replicas as are needed; the instance's own sealed table counts as one."""
-        if own is not None:
-            self.sources[instance] = own
-        others = [replica.instance for replica in self.base.replicas]
-        others = [name for name in others if name not in self.sources]
-        missing = len(others) if self.is_loss else self.base.majority() - len(self.sources)
-        return [self._ask(name) for name in others[:missing]]
+    def start(self, instance: str) -> list[Effect]:
+        """Ask as many replicas as are needed, this instance first if it is one of them."""
+        names = [replica.instance for replica in self.base.replicas]
+        names.sort(key=lambda name: name != instance)
+        return [self._ask(name) for name in names[: None if self.is_loss else self.base.majority()]]
 
     def retry(self, now: float) -> list[Effect]:
         """Ask every replica of the base view that has not sent everything."""
-        if now < self.asked_at + RETRY_S:
+        if self.merging is not None or now < self.asked_at + RETRY_S:
             return []
         self.asked_at = now
         names = [replica.instance for replica in self.base.replicas]
@@ -81,6 +86,7 @@
         source = self.sources.get(sender)
         is_expected = (
             source is not None
+            and self.merging is None
             and not source.is_complete
             and (part.base, part.view) == (self.base.number, self.view.number)
             and part.position == source.position
@@ -106,9 +112,17 @@
     def _complete(self) -> list[Source]:
         return [source for source in self.sources.values() if source.is_complete]
 
-    def result(self) -> tuple[Record, ...]:
-        """Return the merged records."""
-        complete = self._complete()
-        is_majority = len(complete) >= self.base.majority()
-        invariant(is_majority or self.is_loss, COPY_TOO_SMALL, f"{self.shard} {self.view.number}")
-        return merge([source.records for source in complete], self.base.majority())
+    def merge_some(self, now: float) -> bool:
+        """Merge the next records into the table; return whether it is complete."""
+        if self.merging is None:
+            complete = self._complete()
+            is_majority = len(complete) >= self.base.majority()
+            invariant(
+                is_majority or self.is_loss, COPY_TOO_SMALL, f"{self.shard} {self.view.number}"
+            )
+            self.merging = merge([source.records for source in complete], self.base.majority())
+        count = 0
+        for record in islice(self.merging, MERGE_RECORDS):
+            self.table.load(record, now)
+            count += 1
+        return count < MERGE_RECORDS
--- a/mulberrygate/ledger/merge.py
+++ b/mulberrygate/ledger/merge.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+import heapq
+from collections.abc import Collection, Iterator
 
 import attrs
 
@@ -11,7 +12,7 @@
 from mulberrygate.ledger.messages import Phase, Record
 
 
-def merge(sources: Collection[dict[str, Record]], majority: int) -> tuple[Record, ...]:
+def merge(sources: Collection[dict[str, Record]], majority: int) -> Iterator[Record]:
     """Merge tables that cover a sealed majority, or what is left after the loss of one.
 
     Explanation
@@ -23,21 +24,30 @@
     majority every record that has not finished is uncertain, because another attempt may have
     begun at the lost replicas.
 
+    The result comes in the order of expiry, one record at a time, so that the caller can spread the
+    work.
+
     Parameters
     ==========
+    sources : Collection[dict[str, Record]]
+        Tables in the order of expiry.
     majority : int
         Number of replicas that make a majority of the view that is copied.
     """
-    by_key: dict[str, list[Record]] = {}
-    for source in sources:
-        for key, record in source.items():
-            by_key.setdefault(key, []).append(record)
     is_lost = len(sources) < majority
-    merged = [_merge_key(records, majority, is_lost) for records in by_key.values()]
-    return tuple(record for records in merged for record in records)
+    seen: set[str] = set()
+    in_order = heapq.merge(*(s.values() for s in sources), key=lambda record: record.expires)
+    for first in in_order:
+        if first.key in seen:
+            continue
+        seen.add(first.key)
+        records = [source[first.key] for source in sources if first.key in source]
+        yield from _merge_key(records, majority, is_lost)
 
 
 def _merge_key(records: list[Record], majority: int, is_lost: bool) -> list[Record]:
+    if len(records) == 1 and not is_lost and records[0].phase is Phase.RUNNING:
+        return records
     expires = max(record.expires for record in records)
     finished = [record for record in records if record.has_run()]
     if finished:
--- a/mulberrygate/ledger/messages.py
+++ b/mulberrygate/ledger/messages.py
@@ -214,6 +214,15 @@
     records: tuple[Record, ...] = ()
 
 
+@message("ledger.merge_step")
+@attrs.frozen
+class MergeStep:
+    """Message of a replica to itself: merge the next records of a copy."""
+
+    shard: str
+    view: int
+
+
 @message("ledger.copied")
 @attrs.frozen
 class CopyReport:
--- a/mulberrygate/ledger/replica.py
+++ b/mulberrygate/ledger/replica.py
@@ -48,7 +48,7 @@
 import attrs
 
 from mulberrygate.core.effects import Effect, Reply, Send
-from mulberrygate.ledger.copying import CopyJob, Source
+from mulberrygate.ledger.copying import CopyJob
 from mulberrygate.ledger.messages import (
     Begin,
     Claim,
@@ -57,6 +57,7 @@
     CopyShard,
     Finish,
     Lookup,
+    MergeStep,
     NotServing,
     Release,
 )
@@ -122,6 +123,9 @@
         if isinstance(message, CopyPart):
             return self._take_part(message, sender, now)
         held = self.shards.get(message.shard)
+        if isinstance(message, MergeStep):
+            is_current = held is not None and held.preparing == message.view
+            return self._complete(message.shard, held, now) if is_current else []
         table = held.tables.get(message.view) if held is not None else None
         if table is None or table.is_sealed:
             return [Reply(NotServing(_newest_served(held)))]
@@ -160,21 +164,10 @@
 
     def _start_copy(self, name: str, held: HeldShard, shard: Shard, now: float) -> list[Effect]:
         if shard.active is None:
-            held.tables[shard.preparing.number] = Table(shard.preparing, (), now)
+            held.tables[shard.preparing.number] = Table(shard.preparing)
             return self._report(name, held, now)
         held.job = CopyJob(name, shard.active, shard.preparing, now)
-        own = held.tables.get(shard.active.number)
-        source = None
-        if own is not None:
-            own.seal()
-            request = CopyShard(name, shard.active.number, shard.preparing.number)
-            source = Source(is_complete=True)
-            while request.position >= 0:
-                part = own.part(request, now)
-                source.records.update((record.key, record) for record in part.records)
-                request = attrs.evolve(request, position=part.next)
-        effects = held.job.start(source, self.id.instance)
-        return effects + self._complete(name, held, now)
+        return held.job.start(self.id.instance)
 
     def _serve_copy(self, request: CopyShard, sender: str, now: float) -> list[Effect]:
         held = self.shards.get(request.shard)
@@ -193,7 +186,9 @@
     def _complete(self, name: str, held: HeldShard, now: float) -> list[Effect]:
         if held.job is None or not held.job.is_complete(now):
             return []
-        held.tables[held.preparing] = Table(held.job.view, held.job.result(), now)
+        if not held.job.merge_some(now):
+            return [Send(self.id.instance, MergeStep(name, held.preparing))]
+        held.tables[held.preparing] = held.job.table
         held.job = None
         return self._report(name, held, now)
 
--- a/mulberrygate/ledger/table.py
+++ b/mulberrygate/ledger/table.py
@@ -39,8 +39,8 @@
 # Answers of one table beyond this are dropped, oldest first; at 1.6 shards an instance this stays
 # below a tenth of the memory that control may use.
 MAX_TABLE_ANSWER_BYTES = 12 * 1024 * 1024
-# Parts of a copy stay well below the size limit of a gRPC message.
-PART_BYTES = 128 * 1024
+# Parts of a copy are small, so that coding one does not hold up answers that stream meanwhile.
+PART_BYTES = 64 * 1024
 RECORD_BYTES = 200
 
 
@@ -55,12 +55,9 @@
     Parameters
     ==========
     view : View
-    records : tuple[Record, ...]
-        Complete copy that the table starts from, with seconds left as ``expires``.
-    now : float
     """
 
-    def __init__(self, view: View, records: tuple[Record, ...], now: float):
+    def __init__(self, view: View):
         self.view = view
         self.is_sealed = False
         self.snapshot: list[Record] = []
@@ -68,12 +65,19 @@
         self.answers: dict[str, tuple[bytes, float]] = {}
         self.answer_bytes = 0
         self.released: dict[Attempt, float] = {}
-        for record in sorted(records, key=lambda record: record.expires):
-            self._load(record, now)
 
-    def _load(self, record: Record, now: float) -> None:
-        held = attrs.evolve(record, answer=b"", expires=now + record.expires)
-        self.records[record.key] = held
+    def load(self, record: Record, now: float) -> None:
+        """Take over a record of a copy, with seconds left as ``expires``."""
+        self.records[record.key] = Record(
+            record.key,
+            record.fingerprint,
+            record.attempt,
+            record.phase,
+            sys.intern(record.endpoint),
+            sys.intern(record.address),
+            sys.intern(record.outcome),
+            expires=now + record.expires,
+        )
         age = RETENTION_S - record.expires
         if record.answer and age < ANSWER_RETENTION_S:
             self._keep_answer(record.key, record.answer, now + ANSWER_RETENTION_S - age)
@@ -178,7 +182,17 @@
 
     def _outgoing(self, record: Record, now: float) -> Record:
         answer = self.answers.get(record.key, (b"", 0.0))[0]
-        return attrs.evolve(record, answer=answer, expires=max(0.0, record.expires - now))
+        return Record(
+            record.key,
+            record.fingerprint,
+            record.attempt,
+            record.phase,
+            record.endpoint,
+            record.address,
+            record.outcome,
+            answer,
+            max(0.0, record.expires - now),
+        )
 
     def _put(self, record: Record, now: float) -> None:
         invariant(not self.is_sealed, SEALED_CHANGED, record.key)
--- a/mulberrygate/ledger/tests/test_replica.py
+++ b/mulberrygate/ledger/tests/test_replica.py
@@ -110,7 +110,8 @@
         """A step under another view would count towards a wrong majority."""
         self.assertEqual(self.claim(ONE, number=2), NotServing(1))
         effects = self.install(self.first, view(2, "a", "b", "x"))
-        self.assertIsInstance(effects[0], Send)
+        self.assertEqual(self.claim(ONE, number=2), NotServing(1))
+        self.replica.handle(effects[0].message, "a", 1.0)
         self.assertEqual(self.claim(ONE, number=2), NotServing(0))
         self.assertEqual(self.claim(ONE), NotServing(0))
 
@@ -133,6 +134,9 @@
         effects = other.tick(2.0)
         self.assertEqual(effects, [lost])
         while isinstance(effects[0], Send):
+            if effects[0].to == "x":
+                effects = other.handle(effects[0].message, "x", 2.0)
+                continue
             part = source.handle(effects[0].message, "x", 2.0)[0]
             effects = other.handle(decode(*encode(part.message)), "a", 2.0)
         self.assertEqual(effects, [ReportCopy(effects[0].report)])
--- a/mulberrygate/ledger/tests/test_simulation.py
+++ b/mulberrygate/ledger/tests/test_simulation.py
@@ -166,11 +166,11 @@
 
 def merge_without_single_begins(sources, majority):
     merged = merge(sources, majority)
-    return tuple(r for r in merged if all(r.key in source for source in sources))
+    return (r for r in merged if all(r.key in source for source in sources))
 
 
 def start_empty(replica, name, held, shard, now):
-    held.tables[shard.preparing.number] = Table(shard.preparing, (), now)
+    held.tables[shard.preparing.number] = Table(shard.preparing)
     return replica._report(name, held, now)
 
 
