--- a/mulberrygate/ledger/coordinator.py
+++ b/mulberrygate/ledger/coordinator.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Callable, Collection, Coroutine
+from collections.abc import Callable, Collection, Coroutine, Iterator
 from typing import Any
 
 from mulberrygate.core.invariant import invariant
@@ -174,11 +175,16 @@
         home : str
             Home failure domain of the key; its prefix if empty.
         """
-        deadline = _now() + timeout_s
-        own = self._open(key, fingerprint, home)
+        opened = [self._open(key, fingerprint, home)]
+        with self._released_if_cancelled(opened):
+            return await self._claim(opened, home, _now() + timeout_s)
+
+    async def _claim(self, opened: list[OpenAttempt], home: str, deadline: float) -> Any:
+        """Claim with the last one of the attempts; one that gave way is followed by a new one."""
         replaces, pause = NO_ATTEMPT, FIRST_PAUSE_S
         informed = Tally(View(0, ()))
         while True:
+            own = opened[-1]
             tally, decision = await self._claim_once(own, replaces, deadline)
             # The time may be up before the last round brings any answer.
             informed = tally if tally.answers else informed
@@ -195,9 +201,19 @@
                     continue
             if decision.waiting_for and not may_keep_claim(tally, own.attempt):
                 await self.release(own, RELEASE_WAIT_S)
-                own = self._open(key, fingerprint, home)
+                opened.append(self._open(own.key, own.fingerprint, home))
             pause = await self._pause(pause, deadline)
 
+    @contextlib.contextmanager
+    def _released_if_cancelled(self, opened: list[OpenAttempt]) -> Iterator[None]:
+        """Release attempts whose entry cancels them, for instance because its caller is gone."""
+        try:
+            yield
+        except asyncio.CancelledError:
+            for attempt in opened:
+                self._spawn(self.release(attempt))
+            raise
+
     async def _claim_once(
         self, own: OpenAttempt, replaces: Attempt, deadline: float
     ) -> tuple[Tally, Any]:
@@ -233,6 +249,12 @@
         """Begin an attempt; only `Begun` permits a dispatch, once and before its time limit."""
         invariant(not attempt.has_begun, codes.ATTEMPT_REUSED, f"{attempt.attempt}")
         attempt.has_begun = True
+        with self._released_if_cancelled([attempt]):
+            return await self._begin(attempt, endpoint, address, timeout_s)
+
+    async def _begin(
+        self, attempt: OpenAttempt, endpoint: str, address: str, timeout_s: float
+    ) -> Begun | Uncertain | Unavailable | Superseded:
         started, wall = _now(), self.wall_clock()
         deadline = started + min(timeout_s, BEGIN_VALID_S / 2)
         step = (attempt.key, attempt.fingerprint, attempt.attempt, endpoint, address)
@@ -362,27 +384,29 @@
         names = self._in_order(tally.members, attempt.asked)
         tasks: dict[asyncio.Task, str] = {}
         wanted = shard.active.majority()
-        while isinstance(decide(tally), Pending) and not tally.is_complete():
-            left = deadline - _now()
-            if left <= 0:
-                break
-            while names and len(tasks) + len(tally.answers) < wanted:
-                name = names.pop(0)
-                attempt.asked.add(name)
-                tally.asked.add(name)
-                call = self._call(name, message, min(CALL_TIMEOUT_S, left))
-                tasks[asyncio.ensure_future(call)] = name
-            done, _ = await asyncio.wait(
-                tasks,
-                timeout=min(left, HEDGE_S) if names else left,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            for task in done:
-                tally.add(tasks.pop(task), task.result())
-            if not done or not tasks:
-                wanted = len(tally.members)
-        for task in tasks:
-            task.cancel()
+        try:
+            while isinstance(decide(tally), Pending) and not tally.is_complete():
+                left = deadline - _now()
+                if left <= 0:
+                    break
+                while names and len(tasks) + len(tally.answers) < wanted:
+                    name = names.pop(0)
+                    attempt.asked.add(name)
+                    tally.asked.add(name)
+                    call = self._call(name, message, min(CALL_TIMEOUT_S, left))
+                    tasks[asyncio.ensure_future(call)] = name
+                done, _ = await asyncio.wait(
+                    tasks,
+                    timeout=min(left, HEDGE_S) if names else left,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in done:
+                    tally.add(tasks.pop(task), task.result())
+                if not done or not tasks:
+                    wanted = len(tally.members)
+        finally:
+            for task in tasks:
+                task.cancel()
         return tally
 
     def _in_order(self, members: list[str], asked: set[str]) -> list[str]:
--- a/mulberrygate/ledger/model.py
+++ b/mulberrygate/ledger/model.py
@@ -25,10 +25,12 @@
 FIELDS = ("views", "alive", "dispatched")
 ATTEMPTS = ("1", "2")
 NO_COPY, NONE, UNCERTAIN = "-", ".", "u"
+MIRROR = {"1": "2", "2": "1", "r1": "r2", "r2": "r1", "w1": "w2", "w2": "w1"}
+MIRROR |= {record: record for record in (NO_COPY, NONE, UNCERTAIN)}
 FAULTS = ("copy_unsealed", "copy_from_one", "begin_any", "drop_single_begin", "add_views")
 
 
-@attrs.frozen
+@attrs.frozen(order=True)
 class ModelView:
     """View of the model: its replicas, their records, and which of them are sealed."""
 
@@ -68,7 +70,7 @@
             candidate=False,
             fields=FIELDS,
             initial=((first,), alive, ()),
-            transitions=lambda state: list(self.steps(state)),
+            transitions=lambda state: [(name, _canonical(s)) for name, s in self.steps(state)],
             invariants={"one_dispatch": lambda values: len(values["dispatched"]) <= 1},
         )
 
@@ -143,7 +145,9 @@
         newest = views[-1]
         spare = 2 + len(views)
         lost = [replica for replica in newest.members if not alive[replica]]
-        for replaced in lost or newest.members:
+        # The first replicas are alike until one is lost, so one choice stands for all of them.
+        choices = lost or (newest.members if len(views) > 1 else newest.members[-1:])
+        for replaced in choices:
             members = tuple(spare if m == replaced else m for m in newest.members)
             prepared = ModelView(members, (NO_COPY,) * 3)
             yield f"prepare {len(views)} without {replaced}", (*views, prepared)
@@ -168,6 +172,17 @@
         return min((record for record in records if record[0] == "w"), default=NONE)
 
 
+def _canonical(state: tuple) -> tuple:
+    """Return a state or its mirror image, since the two attempts are alike."""
+    views, alive, dispatched = state
+    mirrored = tuple(
+        ModelView(v.members, tuple(MIRROR[r] for r in v.records), v.sealed, v.is_active)
+        for v in views
+    )
+    other = tuple(sorted(MIRROR[attempt] for attempt in dispatched))
+    return min(state, (mirrored, alive, other))
+
+
 def _replace(values: tuple, position: int, value: object) -> tuple:
     return (*values[:position], value, *values[position + 1 :])
 
--- a/mulberrygate/ledger/tests/test_coordinator.py
+++ b/mulberrygate/ledger/tests/test_coordinator.py
@@ -50,7 +50,9 @@
             await asyncio.sleep(timeout_s)
             return Unreachable(name, "cut off")
         await asyncio.sleep(self.delay)
-        return self.replicas[name].handle(message, "e", self.loop.time())[0].message
+        answer = self.replicas[name].handle(message, "e", self.loop.time())[0].message
+        await asyncio.sleep(self.delay)
+        return answer
 
     def send(self, name, message):
         if name not in self.down:
@@ -140,6 +142,28 @@
 
         self.assertIsInstance(self.run_one(course()), Claimed)
 
+    def test_cancelled_steps_are_released(self):
+        """A caller that is gone would leave a claim that makes its retry wait."""
+
+        async def course(seconds):
+            first = asyncio.ensure_future(self.begin_slowly())
+            await asyncio.sleep(seconds)
+            first.cancel()
+            await asyncio.sleep(0.5)
+            return await self.two.claim(KEY, b"f", 1.0)
+
+        self.peers.delay = 0.05
+        for seconds in (0.02, 0.07, 0.12):
+            outcome = self.run_one(course(seconds))
+            self.assertIsInstance(outcome, Claimed, f"after {seconds} s")
+            self.run_one(self.two.release(outcome.attempt))
+        accepted = self.run_one(course(0.17))
+        self.assertIs(accepted.execution, Execution.NOT_RUN)
+
+    async def begin_slowly(self):
+        claimed = await self.one.claim(KEY, b"f", 1.0)
+        await self.one.begin(claimed.attempt, "engine", "h:1")
+
     def test_resends_everywhere_at_once_have_one_winner(self):
         """Partial claims would block each other."""
         self.peers.delay = 0.05
