--- a/mulberrygate/ledger/coordinator.py
+++ b/mulberrygate/ledger/coordinator.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Coroutine, Iterator
 from typing import Any
 
 from mulberrygate.core.invariant import invariant
@@ -43,6 +44,7 @@
     decide_begin,
     decide_claim,
     decide_lookup,
+    decide_released,
     decide_stored,
     may_keep_claim,
 )
@@ -59,6 +61,11 @@
 # Pauses between rounds double from the first to the second value, with random spread.
 FIRST_PAUSE_S = 0.02
 LONGEST_PAUSE_S = 0.4
+# A claim that gives way to another one waits this long for its release.
+RELEASE_WAIT_S = 0.5
+# A release that a replica has not answered is repeated for this long, at most this often.
+RELEASE_RETRY_S = 300.0
+LONGEST_RELEASE_PAUSE_S = 10.0
 # A begin may be dispatched for this long. It must be far below the retention of records, so that
 # an entry that was paused can't dispatch after its records have expired.
 BEGIN_VALID_S = 60.0
@@ -73,7 +80,7 @@
     Parameters
     ==========
     peers : PeerClient
-        Only ``call(instance, message, timeout_s)`` and ``send(instance, message)`` are used.
+        Only ``call(instance, message, timeout_s)`` is used.
     shards : Callable[[], dict[str, Shard]]
         Shards of the configuration in force, by name.
     instance, incarnation : str, int
@@ -168,11 +175,16 @@
         home : str
             Home failure domain of the key; its prefix if empty.
         """
-        deadline = _now() + timeout_s
-        own = self._open(key, fingerprint, home)
+        opened = [self._open(key, fingerprint, home)]
+        with self._released_if_cancelled(opened):
+            return await self._claim(opened, home, _now() + timeout_s)
+
+    async def _claim(self, opened: list[OpenAttempt], home: str, deadline: float) -> Any:
+        """Claim with the last one of the attempts; one that gave way is followed by a new one."""
         replaces, pause = NO_ATTEMPT, FIRST_PAUSE_S
         informed = Tally(View(0, ()))
         while True:
+            own = opened[-1]
             tally, decision = await self._claim_once(own, replaces, deadline)
             # The time may be up before the last round brings any answer.
             informed = tally if tally.answers else informed
@@ -181,17 +193,27 @@
             if isinstance(decision, Claimed):
                 return decision
             if not isinstance(decision, Pending) or _now() >= deadline:
-                self._release_later(own)
+                self._spawn(self.release(own))
                 return self._last_answer(decision, informed)
             if decision.replaceable:
                 replaces = decision.replaceable[0]
                 if not decision.waiting_for:
                     continue
             if decision.waiting_for and not may_keep_claim(tally, own.attempt):
-                await self.release(own)
-                own = self._open(key, fingerprint, home)
+                await self.release(own, RELEASE_WAIT_S)
+                opened.append(self._open(own.key, own.fingerprint, home))
             pause = await self._pause(pause, deadline)
 
+    @contextlib.contextmanager
+    def _released_if_cancelled(self, opened: list[OpenAttempt]) -> Iterator[None]:
+        """Release attempts whose entry cancels them, for instance because its caller is gone."""
+        try:
+            yield
+        except asyncio.CancelledError:
+            for attempt in opened:
+                self._spawn(self.release(attempt))
+            raise
+
     async def _claim_once(
         self, own: OpenAttempt, replaces: Attempt, deadline: float
     ) -> tuple[Tally, Any]:
@@ -227,6 +249,12 @@
         """Begin an attempt; only `Begun` permits a dispatch, once and before its time limit."""
         invariant(not attempt.has_begun, codes.ATTEMPT_REUSED, f"{attempt.attempt}")
         attempt.has_begun = True
+        with self._released_if_cancelled([attempt]):
+            return await self._begin(attempt, endpoint, address, timeout_s)
+
+    async def _begin(
+        self, attempt: OpenAttempt, endpoint: str, address: str, timeout_s: float
+    ) -> Begun | Uncertain | Unavailable | Superseded:
         started, wall = _now(), self.wall_clock()
         deadline = started + min(timeout_s, BEGIN_VALID_S / 2)
         step = (attempt.key, attempt.fingerprint, attempt.attempt, endpoint, address)
@@ -248,7 +276,7 @@
         age = max(_now() - started, self.wall_clock() - wall)
         if isinstance(decision, Recorded) and age < BEGIN_VALID_S:
             return Begun(attempt.attempt, started + BEGIN_VALID_S)
-        self._release_later(attempt)
+        self._spawn(self.release(attempt))
         if isinstance(decision, Superseded):
             return decision
         if may_be_accepted:
@@ -267,11 +295,17 @@
         kept = answer if len(answer) <= MAX_ANSWER_BYTES else b""
         step = (attempt.key, attempt.fingerprint, attempt.attempt, outcome, kept)
         return await self._store(
-            attempt, lambda view: Finish(attempt.shard, view, *step), timeout_s
+            attempt, lambda view: Finish(attempt.shard, view, *step), decide_stored, timeout_s
         )
 
     async def release(self, attempt: OpenAttempt, timeout_s: float = 2.0) -> Recorded | Unavailable:
-        """Give up an attempt that was not dispatched; the entry must not dispatch it any more."""
+        """Give up an attempt that was not dispatched; the entry must not dispatch it any more.
+
+        Explanation
+        ===========
+        Every replica that was asked must hear of it, since a claim that is left at one of them
+        makes re-sends wait. `Unavailable` says that the release is repeated in the background.
+        """
         attempt.has_begun = True
         if not attempt.asked:
             return Recorded()
@@ -279,22 +313,39 @@
         def make(view: int) -> Release:
             return Release(attempt.shard, view, attempt.key, attempt.attempt)
 
-        asked = set(attempt.asked)
-        result = await self._store(attempt, make, timeout_s)
-        shard = self.shards().get(attempt.shard)
-        if shard is not None and shard.active is not None:
-            for name in asked - attempt.stored_by:
-                self.peers.send(name, make(shard.active.number))
+        asked = frozenset(attempt.asked)
+
+        def decide(tally: Tally) -> Recorded | Pending:
+            return decide_released(tally, asked)
+
+        result = await self._store(attempt, make, decide, timeout_s)
+        if not isinstance(result, Recorded):
+            self._spawn(self._retry_release(attempt, make, decide))
         return result
 
+    async def _retry_release(
+        self, attempt: OpenAttempt, make: Callable[[int], Any], decide: Callable[[Tally], Any]
+    ) -> None:
+        """Repeat a release: until it is stored, re-sends of the key wait for this attempt."""
+        deadline, pause = _now() + RELEASE_RETRY_S, 1.0
+        while _now() < deadline:
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, LONGEST_RELEASE_PAUSE_S)
+            result = await self._store(attempt, make, decide, CALL_TIMEOUT_S)
+            if isinstance(result, Recorded):
+                return
+
     async def _store(
-        self, attempt: OpenAttempt, make: Callable[[int], Any], timeout_s: float
+        self,
+        attempt: OpenAttempt,
+        make: Callable[[int], Any],
+        decide: Callable[[Tally], Any],
+        timeout_s: float,
     ) -> Recorded | Unavailable:
         deadline, pause = _now() + timeout_s, FIRST_PAUSE_S
         while True:
-            tally = await self._ask(attempt, make, decide_stored, deadline)
-            attempt.stored_by = set(tally.answers)
-            if isinstance(decide_stored(tally), Recorded):
+            tally = await self._ask(attempt, make, decide, deadline)
+            if isinstance(decide(tally), Recorded):
                 return Recorded()
             if _now() >= deadline:
                 return Unavailable(f"{len(tally.answers)} replicas stored the step")
@@ -333,27 +384,29 @@
         names = self._in_order(tally.members, attempt.asked)
         tasks: dict[asyncio.Task, str] = {}
         wanted = shard.active.majority()
-        while isinstance(decide(tally), Pending) and not tally.is_complete():
-            left = deadline - _now()
-            if left <= 0:
-                break
-            while names and len(tasks) + len(tally.answers) < wanted:
-                name = names.pop(0)
-                attempt.asked.add(name)
-                tally.asked.add(name)
-                call = self._call(name, message, min(CALL_TIMEOUT_S, left))
-                tasks[asyncio.ensure_future(call)] = name
-            done, _ = await asyncio.wait(
-                tasks,
-                timeout=min(left, HEDGE_S) if names else left,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            for task in done:
-                tally.add(tasks.pop(task), task.result())
-            if not done or not tasks:
-                wanted = len(tally.members)
-        for task in tasks:
-            task.cancel()
+        try:
+            while isinstance(decide(tally), Pending) and not tally.is_complete():
+                left = deadline - _now()
+                if left <= 0:
+                    break
+                while names and len(tasks) + len(tally.answers) < wanted:
+                    name = names.pop(0)
+                    attempt.asked.add(name)
+                    tally.asked.add(name)
+                    call = self._call(name, message, min(CALL_TIMEOUT_S, left))
+                    tasks[asyncio.ensure_future(call)] = name
+                done, _ = await asyncio.wait(
+                    tasks,
+                    timeout=min(left, HEDGE_S) if names else left,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in done:
+                    tally.add(tasks.pop(task), task.result())
+                if not done or not tasks:
+                    wanted = len(tally.members)
+        finally:
+            for task in tasks:
+                task.cancel()
         return tally
 
     def _in_order(self, members: list[str], asked: set[str]) -> list[str]:
@@ -380,13 +433,17 @@
         await asyncio.sleep(max(0.0, min(wanted, deadline - _now())))
         return min(pause * 2, LONGEST_PAUSE_S)
 
-    def _release_later(self, attempt: OpenAttempt) -> None:
-        task = asyncio.ensure_future(self.release(attempt))
+    def _spawn(self, coroutine: Coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def close(self) -> None:
-        """Wait for releases that are under way."""
+    async def close(self, timeout_s: float = 2.0) -> None:
+        """Give releases that are under way some time and end them."""
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=timeout_s)
+        for task in list(self.tasks):
+            task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
