--- a/mulberrygate/control/evidence.py
+++ b/mulberrygate/control/evidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 
 import attrs
 
@@ -18,7 +19,11 @@
 # Bound of the cells' part of a message; cells that don't fit go with the next message.
 MAX_CELL_BYTES = 360
 CELL_BYTES = 18
+MAX_RUNS = 4
 
+# Strong run of a test: route or empty, load bucket or -1, number of the fault's size, value in
+# nats, and number of the run.
+StrongRun = tuple[str, int, int, float, int]
 Cell = tuple[str, bool, int]
 
 
@@ -51,6 +56,10 @@
         thousandths.
     stopped : str
         Reason for which the sender's guard has stopped the new version; empty if it hasn't.
+    runs : tuple[tuple[int, ...], ...]
+        Strong runs of the sender's own test, from which a new leader's test starts: index of the
+        route or -1 for all, load bucket or -1 for all, number of the fault's size, value in
+        thousandths, number of the run.
     """
 
     pool: str
@@ -61,6 +70,7 @@
     routes: tuple[str, ...] = ()
     cells: tuple[tuple[int, ...], ...] = ()
     stopped: str = ""
+    runs: tuple[tuple[int, ...], ...] = ()
 
 
 @attrs.define
@@ -140,7 +150,7 @@
         key = (cell[0], cell[2])
         self.unsent[key] = self.unsent.get(key, 0.0) + weight
 
-    def message(self, stopped: str = "") -> Evidence:
+    def message(self, stopped: str = "", runs: Sequence[StrongRun] = ()) -> Evidence:
         """Return the cells that changed most since they were last sent.
 
         Explanation
@@ -150,8 +160,12 @@
         """
         self.sequence += 1
         routes: dict[str, int] = {}
+        packed_runs = []
+        for route, bucket, kind, value, number in runs[:MAX_RUNS]:
+            index = routes.setdefault(route, len(routes)) if route else -1
+            packed_runs.append((index, bucket, kind, round(value * SCALE), number))
         packed = []
-        size = 0
+        size = CELL_BYTES * len(packed_runs) + sum(len(route.encode()) + 1 for route in routes)
         for route, bucket in sorted(self.unsent, key=lambda key: (-self.unsent[key], key)):
             cells = [c for c in ((route, True, bucket), (route, False, bucket)) if c in self.cells]
             size += CELL_BYTES * len(cells) + (0 if route in routes else len(route.encode()) + 1)
@@ -169,9 +183,20 @@
             tuple(routes),
             tuple(packed),
             stopped[:80],
+            tuple(packed_runs),
         )
 
 
+def runs_of(evidence: Evidence) -> list[StrongRun]:
+    """Return the strong runs of a message."""
+    found = []
+    for index, bucket, kind, value, number in evidence.runs[:MAX_RUNS]:
+        if index < len(evidence.routes):
+            route = evidence.routes[index] if index >= 0 else ""
+            found.append((route, bucket, kind, value / SCALE, number))
+    return found
+
+
 def _pack(index: int, cell: Cell, sums: Sums) -> tuple[int, ...]:
     total, square = round(sums.total * SCALE), round(sums.square * SCALE)
     return (index, int(cell[1]), cell[2], int(sums.count), int(sums.errors), total, square)
--- a/mulberrygate/control/guard.py
+++ b/mulberrygate/control/guard.py
@@ -28,9 +28,11 @@
 
 from mulberrygate.control.commands import MoveState
 from mulberrygate.control.evidence import (
+    MAX_RUNS,
     Cell,
     Evidence,
     EvidenceCollector,
+    StrongRun,
     Sums,
     load_bucket,
     sums_of,
@@ -81,6 +83,8 @@
 # The budget is split over at least this many strata besides that of all requests, so that the split
 # changes little while routes and load buckets appear one after the other.
 MIN_STRATA = 16
+# Runs of at least this value are reported; smaller ones come and go by chance.
+STRONG = 2.0
 # Floor of the sums that speak for the new version, so that one bad spell can be outweighed.
 ACCEPT_FLOOR = -5.0
 
@@ -220,6 +224,10 @@
         ratio = _time_ratio(sums, baseline.mean, slow, baseline.variance)
         self.accept_time = max(self.accept_time + ratio, ACCEPT_FLOOR)
 
+    def runs(self) -> list[Run]:
+        """Return all runs, those of errors first."""
+        return self.error_runs + self.time_runs
+
     def strength(self, threshold: float) -> tuple[float, str]:
         """Return the strongest run as a part of its threshold, and its kind; 1 shows a fault."""
         limit = threshold + LOG_RUNS
@@ -279,6 +287,31 @@
             for stratum in _strata_of(route, bucket):
                 self._test(stratum).add_history(sums, is_new)
 
+    def strong_runs(self) -> list[StrongRun]:
+        """Return the strongest runs."""
+        found = [
+            (route, bucket, kind, run.value, run.number)
+            for (route, bucket), test in self.strata.items()
+            for kind, run in enumerate(test.runs())
+            if run.value >= STRONG
+        ]
+        return sorted(found, key=lambda run: -run[3])[:MAX_RUNS]
+
+    def add_runs(self, runs: Iterable[StrongRun]) -> None:
+        """Add the runs of a test on other requests.
+
+        Explanation
+        ===========
+        Tests on disjoint requests are independent, so that the product of their likelihood ratios
+        is one again; its number of restarts is the sum of theirs.
+        """
+        for route, bucket, kind, value, number in runs:
+            tests = self._test((route, bucket)).runs()
+            if 0 <= kind < len(tests):
+                tests[kind].value = max(tests[kind].value, 0.0) + value
+                tests[kind].number += number
+                self.touched.add((route, bucket))
+
     def _test(self, stratum: Stratum) -> StratumTest:
         test = self.strata.get(stratum)
         if test is None:
@@ -426,4 +459,6 @@
 
     def evidence(self) -> Evidence | None:
         """Return the message to the leader, or ``None`` without a move."""
-        return self.collector.message(self.stopped) if self.collector else None
+        if self.collector is None:
+            return None
+        return self.collector.message(self.stopped, self.test.strong_runs())
--- a/mulberrygate/control/moves.py
+++ b/mulberrygate/control/moves.py
@@ -29,7 +29,7 @@
 import attrs
 
 from mulberrygate.control.commands import AdvanceMove, MoveState
-from mulberrygate.control.evidence import Evidence, EvidenceLedger
+from mulberrygate.control.evidence import Evidence, EvidenceLedger, runs_of
 from mulberrygate.control.guard import LEADER_BUDGET, VersionTest
 from mulberrygate.control.state import DONE, EARLY_STAGES, LAST_STAGE, LATE, WATCH_SHARE, WITHDRAWN
 from mulberrygate.tables.model import Move, Pool
@@ -46,7 +46,8 @@
     shares : tuple[float, ...]
         Shares of the stages after the early ones.
     risks : tuple[float, ...]
-        For each stage, the probability with which a version with the smallest fault passes it.
+        For each stage, the probability with which a version with the smallest fault passes it. The
+        later stages ask for less each, since the evidence of all of them must agree.
     late_risk, late_part : float
         Risk of the stages in the time after that part of the deadline. A version with twice the
         smallest fault passes a stage with a probability of about the square of the risk.
@@ -66,13 +67,15 @@
         Part of the pool's requests that makes a route a common one.
     caution : float
         Part of a fault's threshold at which the share doesn't rise and a late move goes back.
+    late_odds : float
+        Odds for the smallest fault at which a late move goes back to the previous version.
     resend_s : float
         Seconds after which a command that had no effect is proposed again.
     """
 
     first_part: float = 0.25
     shares: tuple[float, ...] = (0.25, 0.5, WATCH_SHARE)
-    risks: tuple[float, ...] = (1.0, 0.05, 0.05, 0.05, 0.05)
+    risks: tuple[float, ...] = (1.0, 0.05, 0.2, 0.2, 0.2)
     late_risk: float = 0.1
     late_part: float = 0.5
     dwell_part: float = 0.04
@@ -80,13 +83,14 @@
     first_requests: float = 10
     first_part_s: float = 0.05
     route_risk: float = 0.2
-    route_part: float = 0.4
+    route_part: float = 0.25
     route_requests: int = 8
     final_route_requests: int = 30
     loaded_requests: int = 100
     loaded_part: float = 0.1
     common_route: float = 0.05
     caution: float = 0.3
+    late_odds: float = 20.0
     resend_s: float = 1.0
 
 
@@ -124,6 +128,7 @@
         self.fault = ""
         self.stage = StageStart(now)
         self.early_loads: dict[int, float] = {}
+        self.senders: set[tuple[str, int]] = set()
         # What a new leader hears first comes from several stages; it is background, unless all of
         # it comes from the early ones, where the share changes little.
         self.is_takeover = state.stage >= EARLY_STAGES
@@ -161,6 +166,9 @@
             return
         increments, first = self.ledger.split(evidence)
         if self.is_takeover:
+            if (evidence.sender, evidence.incarnation) not in self.senders:
+                self.senders.add((evidence.sender, evidence.incarnation))
+                self.test.add_runs(runs_of(evidence))
             self.test.add_history(first.items())
             increments = {cell: sums for cell, sums in increments.items() if cell not in first}
         self.test.add(increments.items(), now)
@@ -205,12 +213,30 @@
         return None
 
     def _end_late(self) -> AdvanceMove:
-        strength, text = self.test.strongest()
-        if strength >= self.settings.caution:
-            return self._advance(0.0, LATE, f"deadline passed with signs of faults: {text}")
+        text = self._signs()
+        if text:
+            return self._advance(0.0, LATE, f"deadline passed; {text}")
         share = min(self.state.share, self.move.largest_early_share)
         return self._advance(share, LATE, f"deadline passed; {self.missing(self.deadline)}")
 
+    def _signs(self) -> str:
+        """Return what speaks against a version at the deadline, or an empty text.
+
+        Explanation
+        ===========
+        Besides the strength that keeps the share from rising, it is enough that the requests are
+        `late_odds` times as likely under the smallest fault as under a good version. This takes
+        traffic from some good versions, which are late in any case.
+        """
+        strength, text = self.test.strongest()
+        if strength >= self.settings.caution:
+            return f"signs of faults: {text}"
+        tests = [("all routes", self.test.pooled()), *self.test.routes().items()]
+        for place, test in tests:
+            if min(test.accept_errors, test.accept_time) < -math.log(self.settings.late_odds):
+                return f"a fault is likelier than none on {place}"
+        return ""
+
     def _share_of(self, stage: int) -> float:
         early = self.move.largest_early_share
         if stage < EARLY_STAGES:
