--- /dev/null
+++ b/mulberrygate/control/tests/test_orders.py
@@ -0,0 +1,177 @@
+"""Orders to endpoints."""
+
+import random
+import unittest
+from unittest import mock
+
+from mulberrygate.control.orders import (
+    ENDPOINT_GONE,
+    FENCE_NOT_NEWER,
+    LEADERSHIP_LOST,
+    ORDER_EXPIRED,
+    ORDER_REFUSED,
+    ORDER_REPLACED,
+    SENT_TOO_EARLY,
+    SENT_WITHOUT_LEASE,
+    OrderController,
+    OrderEnded,
+    OrderKind,
+    OrderSettings,
+    SendOrder,
+)
+from mulberrygate.core import InvariantError
+from mulberrygate.endpoints.model import Announcement
+
+SETTINGS = OrderSettings(lease_s=3, order_life_s=2, margin_s=0.5, store_bytes_s=100, max_loads=2)
+FAR = 1e9
+
+
+def announcement(name, checks_fence=True):
+    return Announcement(name, 1, 1, "h:1", "lamp", "d", "r", checks_fence=checks_fence)
+
+
+class OrdersTest(unittest.TestCase):
+    def setUp(self):
+        self.orders = OrderController(SETTINGS)
+        self.orders.announced(announcement("checking"))
+        self.orders.announced(announcement("ignoring", checks_fence=False))
+
+    def lead(self, lease_until=FAR):
+        self.orders.lead(1, lease_until, 100.0)
+
+    def request(self, endpoint, target="b", now=100.0, kind=OrderKind.LOAD_VERSION, size=0):
+        return self.orders.request(endpoint, kind, target, now, size)
+
+    def sent(self, now):
+        return [e for e in self.orders.tick(now) if isinstance(e, SendOrder)]
+
+    def codes(self, effects):
+        return [e.code for e in effects if isinstance(e, OrderEnded)]
+
+    def test_order_carries_the_fence(self):
+        """Guards against an order that an endpoint can't tell from an old one."""
+        self.lead()
+        self.request("checking")
+        effect = self.sent(100)[0]
+        self.assertEqual((effect.order.fence, effect.order.life_s, effect.address), (1, 2, "h:1"))
+
+    def test_waits_for_the_old_leader_where_the_fence_is_ignored(self):
+        """Guards against an old leader's order that arrives after a new one."""
+        self.lead()
+        self.request("ignoring")
+        self.assertEqual(self.sent(104.9), [])
+        self.assertEqual(len(self.sent(105)), 1)
+
+    def test_no_order_without_lease_margin(self):
+        """Guards against a leader that was frozen and sends afterwards."""
+        self.lead(lease_until=102)
+        self.request("checking")
+        effect = self.sent(101)[0]
+        self.assertTrue(self.orders.may_send(effect, 101.5))
+        self.assertFalse(self.orders.may_send(effect, 101.6))
+        self.request("checking", "c")
+        self.assertEqual(self.sent(101.6), [])
+        self.orders.renew(200)
+        self.assertTrue(self.orders.may_send(effect, 101.6))
+
+    def test_order_of_an_earlier_term_is_not_sent(self):
+        """Guards against an effect that waited while the leadership changed."""
+        self.lead()
+        self.request("checking")
+        effect = self.sent(100)[0]
+        self.assertEqual(self.codes(self.orders.follow()), [LEADERSHIP_LOST])
+        self.assertFalse(self.orders.may_send(effect, 101))
+        self.orders.lead(2, FAR, 110)
+        self.assertFalse(self.orders.may_send(effect, 120))
+
+    def test_life_of_an_order(self):
+        """Guards against orders without end."""
+        self.lead()
+        self.request("checking")
+        order = self.sent(100)[0].order
+        self.assertEqual(self.orders.answered(order, True, 101), [])
+        self.assertEqual(self.sent(104), [])
+        self.assertEqual(self.orders.completed(order), [OrderEnded(order, None)])
+        self.assertEqual(self.orders.completed(order), [])
+
+    def test_unanswered_order_is_sent_again_and_then_given_up(self):
+        """Guards against an order that is lost for good, and one that is sent for ever."""
+        self.lead()
+        self.request("checking")
+        self.assertEqual([len(self.sent(now)) for now in (100, 101, 103, 104)], [1, 0, 1, 0])
+        self.assertEqual(self.codes(self.orders.tick(221)), [ORDER_EXPIRED])
+
+    def test_refused_and_gone(self):
+        """Guards against waiting for endpoints that will not answer."""
+        self.lead()
+        self.request("checking")
+        order = self.sent(100)[0].order
+        self.assertEqual(self.codes(self.orders.answered(order, False, 101)), [ORDER_REFUSED])
+        self.request("checking", "c")
+        self.assertEqual(self.codes(self.orders.gone("checking")), [ENDPOINT_GONE])
+
+    def test_waiting_order_is_replaced(self):
+        """Guards against carrying out an order that is no longer wanted."""
+        self.lead()
+        self.request("checking", "b")
+        self.assertEqual(self.request("checking", "b"), [])
+        self.assertEqual(self.codes(self.request("checking", "c")), [ORDER_REPLACED])
+        self.assertEqual([e.order.target for e in self.sent(100)], ["c"])
+
+    def test_loads_are_paced(self):
+        """Guards against loads that share the weight store and all miss their time."""
+        self.lead()
+        for number in range(4):
+            self.orders.announced(announcement(f"e{number}"))
+            self.request(f"e{number}", size=1000)
+        self.request("checking", "draining", kind=OrderKind.DRAIN)
+        first = [effect.order for effect in self.sent(100)]
+        self.assertEqual([order.endpoint for order in first], ["e0", "checking"])
+        for order in first:
+            self.orders.answered(order, True, 101)
+        self.assertEqual(self.sent(109), [])
+        second = [effect.order for effect in self.sent(110)]
+        self.assertEqual([order.endpoint for order in second], ["e1"])
+        self.orders.answered(second[0], True, 111)
+        self.assertEqual(self.sent(120), [])
+        self.orders.completed(first[0])
+        self.assertEqual([e.order.endpoint for e in self.sent(120)], ["e2"])
+
+    def test_random_runs_keep_the_invariants(self):
+        """Guards against orders outside the lease in any order of events."""
+        rng = random.Random(11)
+        for _ in range(200):
+            self.setUp()
+            now, fence, last = 100.0, 0, {}
+            for _ in range(60):
+                now += rng.choice((0.0, 0.2, 1.0, 4.0))
+                action = rng.randrange(5)
+                if action == 0:
+                    fence += 1
+                    self.orders.lead(fence, now + 3, now)
+                elif action == 1:
+                    self.orders.renew(now + 3 if fence else 0)
+                elif action == 2:
+                    self.orders.follow()
+                else:
+                    endpoint = rng.choice(("checking", "ignoring"))
+                    self.request(endpoint, str(rng.randrange(3)), now)
+                for effect in self.sent(now):
+                    self.assertTrue(self.orders.may_send(effect, now))
+                    self.assertGreaterEqual(effect.order.fence, last.get(effect.endpoint, 0))
+                    last[effect.endpoint] = effect.order.fence
+
+    def test_mutants_break_the_invariants(self):
+        """Guards against invariants that can't fail."""
+        cases = ((100.0, "ignoring", SENT_TOO_EARLY), (FAR, "checking", SENT_WITHOUT_LEASE))
+        for now, endpoint, code in cases:
+            self.setUp()
+            self.lead()
+            self.request(endpoint)
+            with mock.patch.object(OrderController, "_may_send_to", return_value=True):
+                with self.assertRaises(InvariantError) as caught:
+                    self.orders.tick(now)
+            self.assertEqual(caught.exception.code, code)
+        with self.assertRaises(InvariantError) as caught:
+            self.lead()
+        self.assertEqual(caught.exception.code, FENCE_NOT_NEWER)
--- a/mulberrygate/tables/parse.py
+++ b/mulberrygate/tables/parse.py
@@ -96,6 +96,11 @@
 def parse_table(text: str | bytes, name: str) -> Parsed | Faults:
     """Read a table.
 
+    Explanation
+    ===========
+    All faults of names, types and ranges are reported together, but the ranges of an object are
+    only looked at once its names and types are right.
+
     Parameters
     ==========
     text : str or bytes
