--- a/mulberrygate/control/guard.py
+++ b/mulberrygate/control/guard.py
@@ -62,6 +62,7 @@
 DRIFT_COUNT = 4.0
 # Half-life of the previous version's recent sums.
 HALF_LIFE_S = 40.0
+DECAY_STEP_S = 0.5
 # Requests of long-run figures that are mixed into the recent error rate of a thin stratum.
 BLEND_COUNT = 60.0
 # Prior for a stratum with few requests of the previous version: 1% errors with the weight of 10
@@ -147,29 +148,29 @@
         self.accept_errors = 0.0
         self.accept_time = 0.0
 
-    def add_previous(self, sums: Sums, now: float) -> None:
-        """Add requests of the previous version."""
+    def add_previous(self, sums: Sums, now: float) -> bool:
+        """Add requests of the previous version; return whether a batch was weighed."""
         self._decay(now)
         self.previous.add(sums)
         self.previous_batch.add(sums)
-        self._weigh()
+        return self._weigh()
 
-    def add_new(self, sums: Sums, now: float) -> None:
-        """Add requests of the new version."""
+    def add_new(self, sums: Sums, now: float) -> bool:
+        """Add requests of the new version; return whether a batch was weighed."""
         self._decay(now)
         self.new.add(sums)
         self.new_batch.add(sums)
-        self._weigh()
+        return self._weigh()
 
     def add_history(self, sums: Sums, is_new: bool) -> None:
         """Add requests of an unknown earlier period, which can't be weighed."""
         (self.new if is_new else self.previous).add(sums)
 
-    def _weigh(self) -> None:
+    def _weigh(self) -> bool:
         """Weigh the requests of both versions since the last time against each other."""
         old, new = self.previous_batch, self.new_batch
         if old.count < MIN_BATCH or new.count == 0:
-            return
+            return False
         if self.previous.count >= MIN_BASELINE:
             baseline = self.baseline()
             self._add_errors(new, baseline)
@@ -177,6 +178,7 @@
                 self._add_times(new, baseline)
         self.previous_recent.add(old)
         self.previous_batch, self.new_batch = Sums(), Sums()
+        return True
 
     def baseline(self) -> Baseline:
         """Return what the previous version leads to expect in the batch that is weighed."""
@@ -200,9 +202,11 @@
         )
 
     def _decay(self, now: float) -> None:
-        if self.decayed_at is not None and now > self.decayed_at:
+        if self.decayed_at is None:
+            self.decayed_at = now
+        elif now >= self.decayed_at + DECAY_STEP_S:
             self.previous_recent.decay(0.5 ** ((now - self.decayed_at) / HALF_LIFE_S))
-        self.decayed_at = now if self.decayed_at is None else max(now, self.decayed_at)
+            self.decayed_at = now
 
     def _add_errors(self, sums: Sums, baseline: Baseline) -> None:
         rate = baseline.error_rate
@@ -269,11 +273,9 @@
         ordered = sorted(increments, key=lambda item: (item[0][1], item[0]))
         for (route, is_new, bucket), sums in ordered:
             for stratum in _strata_of(route, bucket):
-                if is_new:
-                    self._test(stratum).add_new(sums, now)
-                else:
-                    self._test(stratum).add_previous(sums, now)
-                self.touched.add(stratum)
+                test = self._test(stratum)
+                if (test.add_new if is_new else test.add_previous)(sums, now):
+                    self.touched.add(stratum)
 
     def add_history(self, increments: Iterable[tuple[Cell, Sums]]) -> None:
         """Add sums of an earlier period as background only.
@@ -344,6 +346,8 @@
 
     def fault(self) -> str:
         """Return a fault that increments since the last call have shown, or an empty text."""
+        if not self.touched:
+            return ""
         touched, self.touched = self.touched, set()
         strength, text = max((self._strength(stratum) for stratum in touched), default=(0.0, ""))
         return text if strength >= 1 else ""
@@ -452,7 +456,7 @@
         sums = sums_of(expected_s, total_s, is_error)
         self.collector.add(cell, sums)
         self.test.add([(cell, sums)], now)
-        if self.stopped or not cell[1]:
+        if self.stopped:
             return False
         self.stopped = self.test.fault()
         return bool(self.stopped)
