Weigh a good version's errors over several rates

Cause: evidence for a version compared the smallest fault with the previous version's exact error rate, so that two chance errors more than expected cost hundreds of requests. Change: the evidence is the mean of likelihood ratios for excesses of 0, a quarter and half of the smallest fault.

--- a/mulberrygate/control/guard.py
+++ b/mulberrygate/control/guard.py
@@ -86,6 +86,8 @@
 MIN_STRATA = 16
 # Runs of at least this value are reported; smaller ones come and go by chance.
 STRONG = 2.0
+# Excess of errors of versions that count as good, as parts of the smallest fault.
+GOOD_SIZES = (0.0, 0.25, 0.5)
 # Floor of the sums that speak for the new version, so that one bad spell can be outweighed.
 ACCEPT_FLOOR = -5.0
 
@@ -105,6 +107,34 @@
     variance: float
 
 
+@attrs.frozen
+class Acceptance:
+    """Logarithms of likelihood ratios of a good version against one with the smallest fault.
+
+    Parameters
+    ==========
+    errors : tuple[float, ...]
+        One for each of `GOOD_SIZES`.
+    time : float
+    """
+
+    errors: tuple[float, ...] = (0.0,) * len(GOOD_SIZES)
+    time: float = 0.0
+
+    def since(self, start: Acceptance) -> float:
+        """Return the weaker of both kinds of evidence since an earlier moment, in nats.
+
+        Explanation
+        ===========
+        The mean over `GOOD_SIZES` is a likelihood ratio too. Against the previous version's error
+        rate alone, two chance errors more than expected would cost hundreds of requests.
+        """
+        gains = [now - then for now, then in zip(self.errors, start.errors, strict=True)]
+        most = max(gains)
+        mean = sum(math.exp(gain - most) for gain in gains) / len(gains)
+        return min(most + math.log(mean), self.time - start.time)
+
+
 @attrs.define
 class Run:
     """Sum of logarithms of a likelihood ratio since its last restart."""
@@ -145,7 +175,7 @@
         self.decayed_at: float | None = None
         self.error_runs = [Run() for _ in (*ERROR_SIZES, ERROR_RATE)]
         self.time_runs = [Run() for _ in TIME_SIZES]
-        self.accept_errors = 0.0
+        self.accept_errors = [0.0 for _ in GOOD_SIZES]
         self.accept_time = 0.0
 
     def add_previous(self, sums: Sums, now: float) -> bool:
@@ -215,9 +245,11 @@
         for run, size in zip(self.error_runs, sizes, strict=True):
             if size > null * 1.1:
                 run.add(min(_error_ratio(sums, min(size, 0.95), null), MAX_STEP))
-        good = max(rate, 1e-4)
-        ratio = _error_ratio(sums, good, min(good + self.excess, 0.99))
-        self.accept_errors = max(self.accept_errors + ratio, ACCEPT_FLOOR)
+        fault = min(rate + self.excess, 0.99)
+        for number, size in enumerate(GOOD_SIZES):
+            good = min(max(rate + size * self.excess, 1e-4), 0.98)
+            value = self.accept_errors[number] + _error_ratio(sums, good, fault)
+            self.accept_errors[number] = max(value, ACCEPT_FLOOR)
 
     def _add_times(self, sums: Sums, baseline: Baseline) -> None:
         null = baseline.mean + self.slowdown / 2
@@ -228,6 +260,10 @@
         ratio = _time_ratio(sums, baseline.mean, slow, baseline.variance)
         self.accept_time = max(self.accept_time + ratio, ACCEPT_FLOOR)
 
+    def acceptance(self) -> Acceptance:
+        """Return the sums that speak for the new version."""
+        return Acceptance(tuple(self.accept_errors), self.accept_time)
+
     def runs(self) -> list[Run]:
         """Return all runs, those of errors first."""
         return self.error_runs + self.time_runs
--- a/mulberrygate/control/moves.py
+++ b/mulberrygate/control/moves.py
@@ -30,7 +30,7 @@
 
 from mulberrygate.control.commands import AdvanceMove, MoveState
 from mulberrygate.control.evidence import Evidence, EvidenceLedger, runs_of
-from mulberrygate.control.guard import LEADER_BUDGET, VersionTest
+from mulberrygate.control.guard import LEADER_BUDGET, Acceptance, VersionTest
 from mulberrygate.control.state import DONE, EARLY_STAGES, LAST_STAGE, LATE, WATCH_SHARE, WITHDRAWN
 from mulberrygate.tables.model import Move, Pool
 
@@ -99,8 +99,7 @@
     """Figures at the start of a stage, from which its own evidence is counted."""
 
     at: float
-    accept_errors: float = 0.0
-    accept_time: float = 0.0
+    acceptance: Acceptance = Acceptance()
 
 
 class MoveTrack:
@@ -157,8 +156,7 @@
         self.state, self.move = state, move
 
     def _begin_stage(self, now: float) -> None:
-        pooled = self.test.pooled()
-        self.stage = StageStart(now, pooled.accept_errors, pooled.accept_time)
+        self.stage = StageStart(now, self.test.pooled().acceptance())
 
     def observe(self, evidence: Evidence, now: float) -> None:
         """Take evidence into account."""
@@ -233,7 +231,7 @@
             return f"signs of faults: {text}"
         tests = [("all routes", self.test.pooled()), *self.test.routes().items()]
         for place, test in tests:
-            if min(test.accept_errors, test.accept_time) < -math.log(self.settings.late_odds):
+            if test.acceptance().since(Acceptance()) < -math.log(self.settings.late_odds):
                 return f"a fault is likelier than none on {place}"
         return ""
 
@@ -279,10 +277,8 @@
         if self._is_past(self.settings.late_part, now):
             risk = max(risk, self.settings.late_risk)
         needed = -math.log(risk)
-        is_early = stage < EARLY_STAGES
-        errors = pooled.accept_errors - (0.0 if is_early else self.stage.accept_errors)
-        time = pooled.accept_time - (0.0 if is_early else self.stage.accept_time)
-        if errors < needed or time < needed:
+        start = Acceptance() if stage < EARLY_STAGES else self.stage.acceptance
+        if pooled.acceptance().since(start) < needed:
             count = pooled.new.count
             return f"too little evidence at stage {stage} after {count:.0f} requests"
         return ""
@@ -304,7 +300,7 @@
         for route, test in self.test.routes().items():
             if test.previous.count < settings.common_route * whole:
                 continue
-            if test.new.count < needed or min(test.accept_errors, test.accept_time) < evidence:
+            if test.new.count < needed or test.acceptance().since(Acceptance()) < evidence:
                 return f"too little evidence on route {route}"
         return ""
 
