--- a/mulberrygate/tables/parse.py
+++ b/mulberrygate/tables/parse.py
@@ -8,6 +8,7 @@
 import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Any
 
 import pyjson5
@@ -17,7 +18,13 @@
 from mulberrygate.core.codes import Code, register_code
 from mulberrygate.settings.load import structure
 from mulberrygate.tables.model import PoolsTable, RoutesTable
-from mulberrygate.tables.positions import LineIndex, Path, Positions, find_positions
+from mulberrygate.tables.positions import (
+    LineIndex,
+    Path,
+    Positions,
+    count_names,
+    find_positions,
+)
 
 TOO_LARGE = register_code(4001, "table_too_large", "The table is larger than the limit.", 413)
 NOT_UTF8 = register_code(4002, "table_not_utf8", "The table is not valid UTF-8.", 400)
@@ -42,6 +49,7 @@
 
 _NEAR = re.compile(r"near (\d+)")
 _BYTES_NAME = re.compile(r"b'(\w+)'")
+_SURROGATE = re.compile("[\ud800-\udfff]")
 _FIRST_WORD = re.compile(r"\w+")
 
 
@@ -78,6 +86,38 @@
         return "; ".join(str(fault) for fault in self.faults)
 
 
+class Source:
+    """Text of a table; positions are only found once a fault needs them.
+
+    Explanation
+    ===========
+    To find them takes as long as all the rest, and the control state machine reads every accepted
+    table on the event loop.
+    """
+
+    def __init__(self, text: str):
+        self.text = text
+
+    @cached_property
+    def lines(self) -> LineIndex:
+        """Index of the lines."""
+        return LineIndex(self.text)
+
+    @cached_property
+    def positions(self) -> Positions:
+        """Positions of names and values."""
+        return find_positions(self.text)
+
+    def fault_at(self, path: Path, detail: str, code: Code) -> Fault:
+        """Return a fault with the position of a path."""
+        return self.fault(self.positions.offset(path), path, detail, code)
+
+    def fault(self, offset: int, path: Path, detail: str, code: Code) -> Fault:
+        """Return a fault with the position of an offset."""
+        line, column = self.lines.position(offset)
+        return Fault(line, column, ".".join(str(part) for part in path), detail, code)
+
+
 @dataclass(frozen=True)
 class Parsed:
     """Table that was read; `fault_at` gives a fault of one of its values a position."""
@@ -85,12 +125,11 @@
     table: RoutesTable | PoolsTable
     digest: str
     kind: str
-    positions: Positions = field(default_factory=Positions, compare=False, repr=False)
-    lines: LineIndex = field(default_factory=lambda: LineIndex(""), compare=False, repr=False)
+    source: Source = field(compare=False, repr=False)
 
     def fault_at(self, path: Path, detail: str, code: Code) -> Fault:
         """Return a fault with the position of a path."""
-        return _fault(self.lines, self.positions.offset(path), path, detail, code)
+        return self.source.fault_at(path, detail, code)
 
 
 def parse_table(text: str | bytes, name: str) -> Parsed | Faults:
@@ -119,18 +158,24 @@
     decoded = _decode(text)
     if isinstance(decoded, Faults):
         return decoded
-    lines = LineIndex(decoded)
-    values = _read_values(decoded, lines)
+    source = Source(decoded)
+    values = _read_values(source)
     if isinstance(values, Faults):
         return values
-    positions = find_positions(decoded)
-    faults = [
-        _fault(lines, offset, path, f"the name {path[-1]!r} occurs twice", DUPLICATE)
-        for path, offset in positions.duplicates
-    ]
-    if faults:
-        return Faults(tuple(faults[:MAX_FAULTS]))
-    return _structure(values, name, positions, lines)
+    if count_names(decoded) != _count_keys(values):
+        faults = [
+            source.fault(offset, path, f"the name {path[-1]!r} occurs twice", DUPLICATE)
+            for path, offset in source.positions.duplicates
+        ]
+        if faults:
+            return Faults(tuple(faults[:MAX_FAULTS]))
+    return _structure(values, name, source)
+
+
+def _count_keys(value: Any) -> int:
+    if isinstance(value, dict):
+        return len(value) + sum(map(_count_keys, value.values()))
+    return sum(map(_count_keys, value)) if isinstance(value, list) else 0
 
 
 def digest_of(values: Any) -> str:
@@ -168,43 +213,36 @@
     return Faults((Fault(1, 1, "", detail, code),))
 
 
-def _fault(lines: LineIndex, offset: int, path: Path, detail: str, code: Code) -> Fault:
-    line, column = lines.position(offset)
-    return Fault(line, column, ".".join(str(part) for part in path), detail, code)
-
-
-def _read_values(text: str, lines: LineIndex) -> dict[str, Any] | Faults:
+def _read_values(source: Source) -> dict[str, Any] | Faults:
     try:
-        values = pyjson5.decode(text)
+        values = pyjson5.decode(source.text)
     except pyjson5.Json5Exception as error:
         message = str(error.args[0]) if error.args else type(error).__name__
         near = _NEAR.search(message)
-        offset = int(near.group(1)) - 1 if near else len(text)
+        offset = int(near.group(1)) - 1 if near else len(source.text)
         detail = _BYTES_NAME.sub(r"\1", message[: near.start()] if near else message).strip()
-        return Faults((_fault(lines, offset, (), detail, MALFORMED),))
+        return Faults((source.fault(offset, (), detail, MALFORMED),))
     if not isinstance(values, dict):
         return _single("a table is an object", INVALID)
     return values
 
 
-def _structure(
-    values: dict[str, Any], name: str, positions: Positions, lines: LineIndex
-) -> Parsed | Faults:
+def _structure(values: dict[str, Any], name: str, source: Source) -> Parsed | Faults:
     kind = values.get("table")
     if not isinstance(kind, str) or kind not in TABLES or name and kind != name:
         expected = name or " or ".join(TABLES)
         detail = f"table must be {expected}, not {kind!r}"[:200]
         code = INVALID if isinstance(kind, str) and kind in TABLES else UNKNOWN_KIND
-        return Faults((_fault(lines, positions.offset(("table",)), ("table",), detail, code),))
+        return Faults((source.fault_at(("table",), detail, code),))
     content = {key: value for key, value in values.items() if key != "table"}
     found = list(_value_faults(content, ())) + list(_shape_faults(content))
     if not found:
         try:
             table = structure(content, TABLES[kind])
-            return Parsed(table, digest_of(values), kind, positions, lines)
+            return Parsed(table, digest_of(values), kind, source)
         except Exception as error:
             found = list(_causes(error, ()))
-    faults = [_located(path, detail, positions, lines) for path, detail in found[:MAX_FAULTS]]
+    faults = [_located(path, detail, source) for path, detail in found[:MAX_FAULTS]]
     return Faults(tuple(faults))
 
 
@@ -217,8 +255,9 @@
     elif isinstance(value, list):
         for index, item in enumerate(value):
             yield from _value_faults(item, path + (index,))
-    elif isinstance(value, str) and any("\ud800" <= letter <= "\udfff" for letter in value):
-        yield path, "the text has an unpaired surrogate"
+    elif isinstance(value, str):
+        if not value.isascii() and _SURROGATE.search(value):
+            yield path, "the text has an unpaired surrogate"
     elif isinstance(value, float) and not math.isfinite(value):
         yield path, "the number is not finite"
     elif isinstance(value, int) and abs(value) > MAX_INTEGER:
@@ -228,7 +267,7 @@
 def _shape_faults(content: dict[str, Any]) -> Iterator[tuple[Path, str]]:
     """Yield a string where a list belongs, which the converter would take letter by letter, and
     other values where an object belongs, for which it has no clear message."""
-    for section in SECTIONS & content.keys():
+    for section in sorted(SECTIONS & content.keys()):
         entries = content[section]
         if not isinstance(entries, dict):
             yield (section,), "expected an object"
@@ -241,18 +280,18 @@
     if not isinstance(entry, dict):
         yield path, "expected an object"
         return
-    for key in LISTS & entry.keys():
+    for key in sorted(LISTS & entry.keys()):
         if not isinstance(entry[key], list):
             yield path + (key,), "expected a list of strings"
     if not isinstance(entry.get("move"), dict | None):
         yield path + ("move",), "expected an object"
 
 
-def _located(path: Path, detail: str, positions: Positions, lines: LineIndex) -> Fault:
+def _located(path: Path, detail: str, source: Source) -> Fault:
     word = _FIRST_WORD.match(detail)
-    if word and path + (word.group(),) in positions.keys:
+    if word and path + (word.group(),) in source.positions.keys:
         path = path + (word.group(),)
-    return _fault(lines, positions.offset(path), path, detail, INVALID)
+    return source.fault_at(path, detail, INVALID)
 
 
 def _causes(error: BaseException, path: Path) -> Iterator[tuple[Path, str]]:
--- a/mulberrygate/tables/positions.py
+++ b/mulberrygate/tables/positions.py
@@ -10,6 +10,10 @@
 
 Path = tuple[str | int, ...]
 
+_NO_MARKS = re.compile(
+    r"""//[^\n\r\u2028\u2029]*|/\*.*?\*/|"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*'""", re.DOTALL
+)
+
 _TOKEN = re.compile(
     r"""(?P<skip>[\s\u00a0\ufeff]+|//[^\n\r\u2028\u2029]*|/\*.*?\*/)
     |(?P<string>"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*')
@@ -70,6 +74,18 @@
         return self.path + ((self.key or "") if self.is_object else self.index,)
 
 
+def count_names(text: str) -> int:
+    """Return the number of names in a text that `pyjson5` has accepted, repeated ones included.
+
+    Examples
+    ========
+    >>> from mulberrygate.tables.positions import count_names
+    >>> count_names("{a: 1, /* b: */ 'c:': {a: 2}, a: 3}")
+    4
+    """
+    return _NO_MARKS.sub("", text).count(":")
+
+
 def find_positions(text: str) -> Positions:
     """Return the positions of all names and values of a text that `pyjson5` has accepted.
 
