--- a/mulberrygate/control/state.py
+++ b/mulberrygate/control/state.py
@@ -252,16 +252,16 @@
         return faults + list(self._withdrawn_versions(parsed))
 
     def _withdrawn_versions(self, parsed: Parsed) -> Iterator[Fault]:
-        """Yield pools that keep a withdrawn version and drop its move.
+        """Yield pools that keep a version without traffic and drop its move.
 
         Explanation
         ===========
-        A pool without a move sends everything to its version, so that removing the move after a
-        withdrawal would give all traffic to the version that was found faulty.
+        A pool without a move sends everything to its version, so that removing the move after its
+        traffic was withdrawn would give all traffic to the version that was found faulty.
         """
         for name, move in sorted(self.moves().items()):
             pool = parsed.table.pools.get(name)
-            is_withdrawn = move.verdict == WITHDRAWN or move.verdict == DONE and move.share == 0
+            is_withdrawn = move.verdict and move.share == 0
             if is_withdrawn and pool and pool.move is None and pool.version == move.version:
                 detail = f"version {move.version!r} is withdrawn; set {move.previous!r}"
                 yield parsed.fault_at(("pools", name), detail, VERSION_WITHDRAWN)
@@ -271,7 +271,7 @@
         move = self.moves().get(name)
         if move is None or not pool.version:
             return (pool.version,) if pool.version else ()
-        return (move.previous,) if move.verdict == WITHDRAWN else (pool.version, move.previous)
+        return (move.previous,) if move.share == 0 else (pool.version, move.previous)
 
     def _accept(self, index: int, command: ApplyTable, parsed: Parsed) -> None:
         history = self.history[command.table]
--- a/mulberrygate/control/tests/test_state.py
+++ b/mulberrygate/control/tests/test_state.py
@@ -149,7 +149,7 @@
         """Guards against returning traffic to a version that never served."""
         self.accept(pools(1, lamp={"version": "a"}))
         self.assertEqual(self.code(moving(2, previous="x")), WRONG_PREVIOUS.number)
-        self.accept(moving(2), moving(3, to="c"))
+        self.accept(moving(2), self.advance(0, 0.05), moving(3, "b", "c"))
         self.assertEqual(self.state.moves()["lamp"].table_version, 3)
 
     def test_verdict_is_final(self):
@@ -163,11 +163,15 @@
 
     def test_dropping_the_move_of_a_withdrawn_version(self):
         """Guards against all traffic on a version that was found faulty."""
-        self.accept(pools(1, lamp={"version": "a"}), moving(2))
-        self.accept(self.advance(0, 0.0, "withdrawn"))
-        self.assertEqual(self.code(pools(3, lamp={"version": "b"})), VERSION_WITHDRAWN.number)
-        self.accept(pools(3, lamp={"version": "a"}))
-        self.assertEqual(self.state.moves(), {})
+        for verdict in ("withdrawn", "late"):
+            self.setUp()
+            self.accept(pools(1, lamp={"version": "a"}), moving(2))
+            self.accept(self.advance(0, 0.0, verdict))
+            drop = pools(3, lamp={"version": "b"})
+            self.assertEqual(self.code(drop), VERSION_WITHDRAWN.number)
+            self.assertEqual(self.code(moving(3, "b", "c")), WRONG_PREVIOUS.number)
+            self.accept(pools(3, lamp={"version": "a"}))
+            self.assertEqual(self.state.moves(), {})
 
     def test_steps(self):
         """Guards against skipped stages and shares beyond the stage."""
