--- a/mulberrygate/control/moves.py
+++ b/mulberrygate/control/moves.py
@@ -29,7 +29,7 @@
 import attrs
 
 from mulberrygate.control.commands import AdvanceMove, MoveState
-from mulberrygate.control.evidence import Evidence, EvidenceLedger, runs_of
+from mulberrygate.control.evidence import Cell, Evidence, EvidenceLedger, Sums, runs_of
 from mulberrygate.control.guard import LEADER_BUDGET, Acceptance, VersionTest
 from mulberrygate.control.state import DONE, EARLY_STAGES, LAST_STAGE, LATE, WATCH_SHARE, WITHDRAWN
 from mulberrygate.tables.model import Move, Pool
@@ -62,7 +62,9 @@
     route_requests, final_route_requests : int
         Requests of each common route before the share rises, and before the move is done.
     loaded_requests : int
-        Requests under real load in the last stage.
+        Requests under real load before the move is done.
+    loaded_part : float
+        Part of the pool's requests that the load buckets of real load hold at least.
     common_route : float
         Part of the pool's requests that makes a route a common one.
     caution : float
@@ -96,7 +98,7 @@
 
 @attrs.define
 class StageStart:
-    """Figures at the start of a stage, from which its own evidence is counted."""
+    """Start of a stage, from which its own evidence is counted."""
 
     at: float
     acceptance: Acceptance = Acceptance()
@@ -167,13 +169,19 @@
             if (evidence.sender, evidence.incarnation) not in self.senders:
                 self.senders.add((evidence.sender, evidence.incarnation))
                 self.test.add_runs(runs_of(evidence))
-            self.test.add_history(first.items())
+            self._add_history(first)
             increments = {cell: sums for cell, sums in increments.items() if cell not in first}
         self.test.add(increments.items(), now)
         self.fault = self.fault or self.test.fault()
         if evidence.stopped and not self.fault:
             self.fault = f"stopped by {evidence.sender}: {evidence.stopped}"
 
+    def _add_history(self, first: dict[Cell, Sums]) -> None:
+        self.test.add_history(first.items())
+        for (_, is_new, bucket), sums in first.items():
+            if is_new:
+                self.early_loads[bucket] = self.early_loads.get(bucket, 0.0) + sums.count
+
     def decide(self, now: float) -> AdvanceMove | None:
         """Return the next step, or ``None``."""
         step = self._step(now)
@@ -365,7 +373,9 @@
         for name in self.tracks.keys() - moves.keys():
             del self.tracks[name]
         for name, state in moves.items():
-            move = pools[name].move
+            move = pools[name].move if name in pools else None
+            if move is None:
+                continue
             track = self.tracks.get(name)
             if track is not None and track.state.table_version == state.table_version:
                 track.update(state, move, now)
--- a/mulberrygate/control/tests/test_moves.py
+++ b/mulberrygate/control/tests/test_moves.py
@@ -105,6 +105,15 @@
         self.assertEqual([step.stage for step in steps], [4, 4, 4])
         self.assertEqual(self.state.verdict, "done")
 
+    def test_new_leader_asks_for_real_load_of_its_own(self):
+        """Guards against counting requests of the early stages as requests under real load."""
+        while self.state.stage < 4:
+            self.run_until(self.now + 1, bucket=0)
+        self.controller = MoveController()
+        self.update()
+        self.run_until(self.now + 40, new=1)
+        self.assertEqual(self.state.verdict, "")
+
     def test_deadline_survives_a_leader_change(self):
         """Guards against a deadline that begins anew with each leader."""
         self.run_until(599, new=0)
