--- a/mulberrygate/control/tests/test_moves.py
+++ b/mulberrygate/control/tests/test_moves.py
@@ -108,11 +108,14 @@
     def test_new_leader_asks_for_real_load_of_its_own(self):
         """Guards against counting requests of the early stages as requests under real load."""
         while self.state.stage < 4:
-            self.run_until(self.now + 1, bucket=0)
+            self.run_until(self.now + 1)
         self.controller = MoveController()
         self.update()
-        self.run_until(self.now + 40, new=1)
+        self.run_until(self.now + 1)
+        self.run_until(self.now + 40, new=18, bucket=0)
         self.assertEqual(self.state.verdict, "")
+        self.run_until(self.now + 10, new=18)
+        self.assertEqual(self.state.verdict, "done")
 
     def test_deadline_survives_a_leader_change(self):
         """Guards against a deadline that begins anew with each leader."""
