--- a/mulberrygate/control/tests/test_orders.py
+++ b/mulberrygate/control/tests/test_orders.py
@@ -161,6 +161,49 @@
                     self.assertGreaterEqual(effect.order.fence, last.get(effect.endpoint, 0))
                     last[effect.endpoint] = effect.order.fence
 
+    def arrivals(self, rng, has_checks):
+        """Run two leaders with pauses and slow delivery; return fences in order of arrival."""
+        leaders = [OrderController(SETTINGS) for _ in range(2)]
+        for leader in leaders:
+            leader.announced(announcement("ignoring", checks_fence=False))
+        leaders[0].lead(1, 103.0, 90.0)
+        now, elected_at, arrived, pending = 100.0, 100 + rng.uniform(0, 5), [], []
+        while now < 120:
+            now += rng.choice((0.1, 0.3, 1.0))
+            if now < elected_at:
+                leaders[0].renew(now + SETTINGS.lease_s)
+            elif not leaders[1].fence:
+                leaders[1].lead(2, FAR, now)
+            for leader in leaders:
+                leader.request("ignoring", OrderKind.DRAIN, str(rng.random()), now)
+                pause = rng.choice((0.0, 0.0, 1.0, 6.0))
+                pending += [(now + pause, leader, e) for e in leader.tick(now)]
+                for order in [track.order for track in leader.open.values()]:
+                    leader.completed(order)
+            for due in [entry for entry in pending if entry[0] <= now]:
+                pending.remove(due)
+                _, leader, effect = due
+                if not isinstance(effect, SendOrder):
+                    continue
+                if not has_checks or leader.may_send(effect, now):
+                    delay = rng.uniform(0, SETTINGS.margin_s) + rng.uniform(
+                        0, SETTINGS.order_life_s
+                    )
+                    arrived.append((now + delay, effect.order.fence))
+        return [fence for _, fence in sorted(arrived)]
+
+    def test_orders_of_two_leaders_arrive_in_order(self):
+        """Guards against an old leader's order after a new one's, with pauses and delays."""
+        reordered, orders = 0, 0
+        for seed in range(60):
+            fences = self.arrivals(random.Random(seed), True)
+            orders += len(fences)
+            self.assertEqual(fences, sorted(fences), seed)
+            unchecked = self.arrivals(random.Random(seed), False)
+            reordered += unchecked != sorted(unchecked)
+        self.assertGreater(orders, 1000)
+        self.assertGreater(reordered, 0)
+
     def test_mutants_break_the_invariants(self):
         """Guards against invariants that can't fail."""
         cases = ((100.0, "ignoring", SENT_TOO_EARLY), (FAR, "checking", SENT_WITHOUT_LEASE))
