--- a/bench/moves.py
+++ b/bench/moves.py
@@ -31,10 +31,19 @@
 
 GOOD = ("none", "none_burst")
 BAD = ("once_fail", "once_slow", "later_fail", "later_slow", "load", "route", "late_done")
-RATES = (2.0, 10.0, 25.0, 60.0)
+# Requests per second and deadline. The first two bring about 60 and 300 requests at the early share
+# within the deadline, too few for evidence; the others bring 750 and more.
+LOADS = (
+    (2.0, 600.0),
+    (10.0, 600.0),
+    (2.0, 9000.0),
+    (10.0, 1800.0),
+    (25.0, 600.0),
+    (60.0, 600.0),
+)
+THIN = LOADS[:2]
 ROUTES = {"writeup": 0.45, "care": 0.3, "lookup": 0.19, "tags": 0.06}
 DOMAINS = ("north", "south", "east")
-DEADLINE_S = 600.0
 WATCH_S = 300.0
 EARLY = 0.05
 MESSAGE_S = 0.05
@@ -53,8 +62,7 @@
     rate: float
     seed: int
     policy: str
-    deadline_s: float = DEADLINE_S
-    scale: float = 1.0
+    deadline_s: float
 
 
 @attrs.define
@@ -71,6 +79,8 @@
     bad_answers: int = 0
     too_late: int = 0
     evidence_at: float = -1.0
+    shown_at: float = -1.0
+    too_late_shown: int = 0
     unproved_share: float = 0.0
     reason: str = ""
 
@@ -287,6 +297,8 @@
             outcome.before += 1
         if 0 <= outcome.evidence_at < self.now - 2.0:
             outcome.too_late += 1
+        if 0 <= outcome.shown_at < self.now - 2.0:
+            outcome.too_late_shown += 1
 
     def complete(self, guard, route, version, load, expected, total, is_error) -> None:
         """Report the end of a request to its guard."""
@@ -298,8 +310,14 @@
         if guard.observe(route, version, load, expected, total, is_error, self.now):
             if self.outcome.evidence_at < 0:
                 self.outcome.evidence_at = self.now
+            self.show()
             self.send(guard)
 
+    def show(self) -> None:
+        """Take note of the first moment at which the system itself has the evidence."""
+        if self.outcome.shown_at < 0:
+            self.outcome.shown_at = self.now
+
     def report(self, guard) -> None:
         """Send a guard's evidence once a second."""
         self.at(1.0, self.report, guard)
@@ -326,6 +344,8 @@
     def step(self) -> None:
         """Propose what the controller asks for."""
         for command in self.controller.tick(self.now):
+            if command.share == 0:
+                self.show()
             self.at(COMMIT_S, self.commit, command)
 
     def commit(self, command: AdvanceMove) -> None:
@@ -387,11 +407,11 @@
 def make_cases(moves: int, seed: int, policy: str) -> list[Case]:
     """Return the cases of a run: about half good, the others bad, over all rates."""
     kinds = list(GOOD) * 3 + list(BAD)
-    pairs = [(kind, rate) for rate in RATES for kind in kinds]
+    pairs = [(kind, load) for load in LOADS for kind in kinds]
     cases = []
     for number in range(moves):
-        kind, rate = pairs[number % len(pairs)]
-        cases.append(Case(number, kind, rate, seed * 100_003 + number, policy))
+        kind, (rate, deadline_s) = pairs[number % len(pairs)]
+        cases.append(Case(number, kind, rate, seed * 100_003 + number, policy, deadline_s))
     return cases
 
 
@@ -405,18 +425,36 @@
     return outcome.verdict == DONE and not outcome.traffic_ended
 
 
+def is_held(outcome: Outcome) -> bool:
+    """Return whether a move ended late with the early share."""
+    return outcome.verdict == LATE and not outcome.traffic_ended
+
+
+def is_returned(outcome: Outcome) -> bool:
+    """Return whether a version lost its traffic without the verdict withdrawn."""
+    return outcome.verdict != WITHDRAWN and outcome.traffic_ended
+
+
 def print_summary(outcomes: list[Outcome]) -> None:
     """Print the figures of one policy."""
-    for rate in (*RATES, 0.0):
-        chosen = [o for o in outcomes if o.case.rate == rate or rate == 0.0]
+    by_load: dict[str, list[Outcome]] = {}
+    for outcome in outcomes:
+        load = (outcome.case.rate, outcome.case.deadline_s)
+        group = "all thin loads" if load in THIN else "all other loads"
+        for name in (f"{load[0]:g}/s, {load[1]:g} s", group):
+            by_load.setdefault(name, []).append(outcome)
+    for name, chosen in sorted(by_load.items()):
         good = [o for o in chosen if o.case.kind in GOOD]
         bad = [o for o in chosen if o.case.kind in BAD]
         shown = [o for o in bad if o.bad_answers]
         print(
-            f"  rate {rate or 'all'}: good done in time {_part(good, lambda o: o.verdict == DONE)},"
+            f"  {name}: good done in time {_part(good, lambda o: o.verdict == DONE)},"
             f" late {_part(good, lambda o: o.verdict == LATE)},"
-            f" withdrawn {_part(good, lambda o: o.traffic_ended)};"
-            f" bad ended {_part(shown, lambda o: o.traffic_ended)},"
+            f" withdrawn {_part(good, lambda o: o.verdict == WITHDRAWN)},"
+            f" done or late without traffic {_part(good, is_returned)};"
+            f" bad without traffic at the end {_part(shown, lambda o: o.traffic_ended)},"
+            f" of them late {sum(o.verdict == LATE for o in shown if o.traffic_ended)},"
+            f" bad late at the early share {_part(shown, is_held)},"
             f" bad done and kept {_part(shown, is_kept)}"
         )
     for kind in BAD:
@@ -431,14 +469,16 @@
             f" {after[len(after) // 2]}, largest {after[-1]};"
             f" over the early share without evidence"
             f" {_part(found, lambda o: o.unproved_share > EARLY)};"
-            f" new requests over 2 s after the evidence: {sum(o.too_late for o in found)}"
+            f" new requests over 2 s after the system's evidence:"
+            f" {sum(o.too_late_shown for o in found)}, after that of a test that sees every request"
+            f" at once: {sum(o.too_late for o in found)}"
         )
 
 
 def main() -> None:
     """Run all moves under both policies."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--moves", type=int, default=208)
+    parser.add_argument("--moves", type=int, default=234)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--workers", type=int, default=4)
     parser.add_argument("--policy", choices=list(POLICIES), action="append")
--- a/mulberrygate/control/guard.py
+++ b/mulberrygate/control/guard.py
@@ -28,9 +28,11 @@
 
 from mulberrygate.control.commands import MoveState
 from mulberrygate.control.evidence import (
+    MAX_RUNS,
     Cell,
     Evidence,
     EvidenceCollector,
+    StrongRun,
     Sums,
     load_bucket,
     sums_of,
@@ -60,6 +62,7 @@
 DRIFT_COUNT = 4.0
 # Half-life of the previous version's recent sums.
 HALF_LIFE_S = 40.0
+DECAY_STEP_S = 0.5
 # Requests of long-run figures that are mixed into the recent error rate of a thin stratum.
 BLEND_COUNT = 60.0
 # Prior for a stratum with few requests of the previous version: 1% errors with the weight of 10
@@ -81,6 +84,13 @@
 # The budget is split over at least this many strata besides that of all requests, so that the split
 # changes little while routes and load buckets appear one after the other.
 MIN_STRATA = 16
+# Runs of at least this value are reported; smaller ones come and go by chance.
+STRONG = 2.0
+# Excess of errors of versions that count as good, as parts of the smallest fault.
+# The version without excess is the likeliest: equal weights would cost it ln(1.8) nats, which are
+# about 30 requests without error at an excess of 2%.
+GOOD_SIZES = (0.0, 0.25, 0.5)
+GOOD_WEIGHTS = (0.6, 0.2, 0.2)
 # Floor of the sums that speak for the new version, so that one bad spell can be outweighed.
 ACCEPT_FLOOR = -5.0
 
@@ -100,6 +110,35 @@
     variance: float
 
 
+@attrs.frozen
+class Acceptance:
+    """Logarithms of likelihood ratios of a good version against one with the smallest fault.
+
+    Parameters
+    ==========
+    errors : tuple[float, ...]
+        One for each of `GOOD_SIZES`.
+    time : float
+    """
+
+    errors: tuple[float, ...] = (0.0,) * len(GOOD_SIZES)
+    time: float = 0.0
+
+    def since(self, start: Acceptance) -> float:
+        """Return the weaker of both kinds of evidence since an earlier moment, in nats.
+
+        Explanation
+        ===========
+        The weighted mean over `GOOD_SIZES` is a likelihood ratio too. Against the previous
+        version's error rate alone, two chance errors more than expected would cost hundreds of
+        requests.
+        """
+        gains = [now - then for now, then in zip(self.errors, start.errors, strict=True)]
+        most = max(gains)
+        terms = (w * math.exp(g - most) for w, g in zip(GOOD_WEIGHTS, gains, strict=True))
+        return min(most + math.log(sum(terms)), self.time - start.time)
+
+
 @attrs.define
 class Run:
     """Sum of logarithms of a likelihood ratio since its last restart."""
@@ -140,32 +179,32 @@
         self.decayed_at: float | None = None
         self.error_runs = [Run() for _ in (*ERROR_SIZES, ERROR_RATE)]
         self.time_runs = [Run() for _ in TIME_SIZES]
-        self.accept_errors = 0.0
+        self.accept_errors = [0.0 for _ in GOOD_SIZES]
         self.accept_time = 0.0
 
-    def add_previous(self, sums: Sums, now: float) -> None:
-        """Add requests of the previous version."""
+    def add_previous(self, sums: Sums, now: float) -> bool:
+        """Add requests of the previous version; return whether a batch was weighed."""
         self._decay(now)
         self.previous.add(sums)
         self.previous_batch.add(sums)
-        self._weigh()
+        return self._weigh()
 
-    def add_new(self, sums: Sums, now: float) -> None:
-        """Add requests of the new version."""
+    def add_new(self, sums: Sums, now: float) -> bool:
+        """Add requests of the new version; return whether a batch was weighed."""
         self._decay(now)
         self.new.add(sums)
         self.new_batch.add(sums)
-        self._weigh()
+        return self._weigh()
 
     def add_history(self, sums: Sums, is_new: bool) -> None:
         """Add requests of an unknown earlier period, which can't be weighed."""
         (self.new if is_new else self.previous).add(sums)
 
-    def _weigh(self) -> None:
+    def _weigh(self) -> bool:
         """Weigh the requests of both versions since the last time against each other."""
         old, new = self.previous_batch, self.new_batch
         if old.count < MIN_BATCH or new.count == 0:
-            return
+            return False
         if self.previous.count >= MIN_BASELINE:
             baseline = self.baseline()
             self._add_errors(new, baseline)
@@ -173,6 +212,7 @@
                 self._add_times(new, baseline)
         self.previous_recent.add(old)
         self.previous_batch, self.new_batch = Sums(), Sums()
+        return True
 
     def baseline(self) -> Baseline:
         """Return what the previous version leads to expect in the batch that is weighed."""
@@ -196,9 +236,11 @@
         )
 
     def _decay(self, now: float) -> None:
-        if self.decayed_at is not None and now > self.decayed_at:
+        if self.decayed_at is None:
+            self.decayed_at = now
+        elif now >= self.decayed_at + DECAY_STEP_S:
             self.previous_recent.decay(0.5 ** ((now - self.decayed_at) / HALF_LIFE_S))
-        self.decayed_at = now if self.decayed_at is None else max(now, self.decayed_at)
+            self.decayed_at = now
 
     def _add_errors(self, sums: Sums, baseline: Baseline) -> None:
         rate = baseline.error_rate
@@ -207,9 +249,11 @@
         for run, size in zip(self.error_runs, sizes, strict=True):
             if size > null * 1.1:
                 run.add(min(_error_ratio(sums, min(size, 0.95), null), MAX_STEP))
-        good = max(rate, 1e-4)
-        ratio = _error_ratio(sums, good, min(good + self.excess, 0.99))
-        self.accept_errors = max(self.accept_errors + ratio, ACCEPT_FLOOR)
+        fault = min(rate + self.excess, 0.99)
+        for number, size in enumerate(GOOD_SIZES):
+            good = min(max(rate + size * self.excess, 1e-4), 0.98)
+            value = self.accept_errors[number] + _error_ratio(sums, good, fault)
+            self.accept_errors[number] = max(value, ACCEPT_FLOOR)
 
     def _add_times(self, sums: Sums, baseline: Baseline) -> None:
         null = baseline.mean + self.slowdown / 2
@@ -220,6 +264,14 @@
         ratio = _time_ratio(sums, baseline.mean, slow, baseline.variance)
         self.accept_time = max(self.accept_time + ratio, ACCEPT_FLOOR)
 
+    def acceptance(self) -> Acceptance:
+        """Return the sums that speak for the new version."""
+        return Acceptance(tuple(self.accept_errors), self.accept_time)
+
+    def runs(self) -> list[Run]:
+        """Return all runs, those of errors first."""
+        return self.error_runs + self.time_runs
+
     def strength(self, threshold: float) -> tuple[float, str]:
         """Return the strongest run as a part of its threshold, and its kind; 1 shows a fault."""
         limit = threshold + LOG_RUNS
@@ -261,11 +313,9 @@
         ordered = sorted(increments, key=lambda item: (item[0][1], item[0]))
         for (route, is_new, bucket), sums in ordered:
             for stratum in _strata_of(route, bucket):
-                if is_new:
-                    self._test(stratum).add_new(sums, now)
-                else:
-                    self._test(stratum).add_previous(sums, now)
-                self.touched.add(stratum)
+                test = self._test(stratum)
+                if (test.add_new if is_new else test.add_previous)(sums, now):
+                    self.touched.add(stratum)
 
     def add_history(self, increments: Iterable[tuple[Cell, Sums]]) -> None:
         """Add sums of an earlier period as background only.
@@ -279,6 +329,31 @@
             for stratum in _strata_of(route, bucket):
                 self._test(stratum).add_history(sums, is_new)
 
+    def strong_runs(self) -> list[StrongRun]:
+        """Return the strongest runs."""
+        found = [
+            (route, bucket, kind, run.value, run.number)
+            for (route, bucket), test in self.strata.items()
+            for kind, run in enumerate(test.runs())
+            if run.value >= STRONG
+        ]
+        return sorted(found, key=lambda run: -run[3])[:MAX_RUNS]
+
+    def add_runs(self, runs: Iterable[StrongRun]) -> None:
+        """Add the runs of a test on other requests.
+
+        Explanation
+        ===========
+        Tests on disjoint requests are independent, so that the product of their likelihood ratios
+        is one again; its number of restarts is the sum of theirs.
+        """
+        for route, bucket, kind, value, number in runs:
+            tests = self._test((route, bucket)).runs()
+            if 0 <= kind < len(tests):
+                tests[kind].value = max(tests[kind].value, 0.0) + value
+                tests[kind].number += number
+                self.touched.add((route, bucket))
+
     def _test(self, stratum: Stratum) -> StratumTest:
         test = self.strata.get(stratum)
         if test is None:
@@ -311,6 +386,8 @@
 
     def fault(self) -> str:
         """Return a fault that increments since the last call have shown, or an empty text."""
+        if not self.touched:
+            return ""
         touched, self.touched = self.touched, set()
         strength, text = max((self._strength(stratum) for stratum in touched), default=(0.0, ""))
         return text if strength >= 1 else ""
@@ -419,11 +496,13 @@
         sums = sums_of(expected_s, total_s, is_error)
         self.collector.add(cell, sums)
         self.test.add([(cell, sums)], now)
-        if self.stopped or not cell[1]:
+        if self.stopped:
             return False
         self.stopped = self.test.fault()
         return bool(self.stopped)
 
     def evidence(self) -> Evidence | None:
         """Return the message to the leader, or ``None`` without a move."""
-        return self.collector.message(self.stopped) if self.collector else None
+        if self.collector is None:
+            return None
+        return self.collector.message(self.stopped, self.test.strong_runs())
--- a/mulberrygate/control/moves.py
+++ b/mulberrygate/control/moves.py
@@ -29,8 +29,8 @@
 import attrs
 
 from mulberrygate.control.commands import AdvanceMove, MoveState
-from mulberrygate.control.evidence import Evidence, EvidenceLedger
-from mulberrygate.control.guard import LEADER_BUDGET, VersionTest
+from mulberrygate.control.evidence import Cell, Evidence, EvidenceLedger, Sums, runs_of
+from mulberrygate.control.guard import LEADER_BUDGET, Acceptance, VersionTest
 from mulberrygate.control.state import DONE, EARLY_STAGES, LAST_STAGE, LATE, WATCH_SHARE, WITHDRAWN
 from mulberrygate.tables.model import Move, Pool
 
@@ -46,7 +46,8 @@
     shares : tuple[float, ...]
         Shares of the stages after the early ones.
     risks : tuple[float, ...]
-        For each stage, the probability with which a version with the smallest fault passes it.
+        For each stage, the probability with which a version with the smallest fault passes it. The
+        later stages ask for less each, since the evidence of all of them must agree.
     late_risk, late_part : float
         Risk of the stages in the time after that part of the deadline. A version with twice the
         smallest fault passes a stage with a probability of about the square of the risk.
@@ -61,18 +62,22 @@
     route_requests, final_route_requests : int
         Requests of each common route before the share rises, and before the move is done.
     loaded_requests : int
-        Requests under real load in the last stage.
+        Requests under real load before the move is done.
+    loaded_part : float
+        Part of the pool's requests that the load buckets of real load hold at least.
     common_route : float
         Part of the pool's requests that makes a route a common one.
     caution : float
         Part of a fault's threshold at which the share doesn't rise and a late move goes back.
+    late_odds : float
+        Odds for the smallest fault at which a late move goes back to the previous version.
     resend_s : float
         Seconds after which a command that had no effect is proposed again.
     """
 
     first_part: float = 0.25
     shares: tuple[float, ...] = (0.25, 0.5, WATCH_SHARE)
-    risks: tuple[float, ...] = (1.0, 0.05, 0.05, 0.05, 0.05)
+    risks: tuple[float, ...] = (1.0, 0.05, 0.2, 0.2, 0.2)
     late_risk: float = 0.1
     late_part: float = 0.5
     dwell_part: float = 0.04
@@ -80,23 +85,23 @@
     first_requests: float = 10
     first_part_s: float = 0.05
     route_risk: float = 0.2
-    route_part: float = 0.4
+    route_part: float = 0.25
     route_requests: int = 8
     final_route_requests: int = 30
     loaded_requests: int = 100
     loaded_part: float = 0.1
     common_route: float = 0.05
     caution: float = 0.3
+    late_odds: float = 20.0
     resend_s: float = 1.0
 
 
 @attrs.define
 class StageStart:
-    """Figures at the start of a stage, from which its own evidence is counted."""
+    """Start of a stage, from which its own evidence is counted."""
 
     at: float
-    accept_errors: float = 0.0
-    accept_time: float = 0.0
+    acceptance: Acceptance = Acceptance()
 
 
 class MoveTrack:
@@ -124,6 +129,7 @@
         self.fault = ""
         self.stage = StageStart(now)
         self.early_loads: dict[int, float] = {}
+        self.senders: set[tuple[str, int]] = set()
         # What a new leader hears first comes from several stages; it is background, unless all of
         # it comes from the early ones, where the share changes little.
         self.is_takeover = state.stage >= EARLY_STAGES
@@ -152,8 +158,7 @@
         self.state, self.move = state, move
 
     def _begin_stage(self, now: float) -> None:
-        pooled = self.test.pooled()
-        self.stage = StageStart(now, pooled.accept_errors, pooled.accept_time)
+        self.stage = StageStart(now, self.test.pooled().acceptance())
 
     def observe(self, evidence: Evidence, now: float) -> None:
         """Take evidence into account."""
@@ -161,13 +166,22 @@
             return
         increments, first = self.ledger.split(evidence)
         if self.is_takeover:
-            self.test.add_history(first.items())
+            if (evidence.sender, evidence.incarnation) not in self.senders:
+                self.senders.add((evidence.sender, evidence.incarnation))
+                self.test.add_runs(runs_of(evidence))
+            self._add_history(first)
             increments = {cell: sums for cell, sums in increments.items() if cell not in first}
         self.test.add(increments.items(), now)
         self.fault = self.fault or self.test.fault()
         if evidence.stopped and not self.fault:
             self.fault = f"stopped by {evidence.sender}: {evidence.stopped}"
 
+    def _add_history(self, first: dict[Cell, Sums]) -> None:
+        self.test.add_history(first.items())
+        for (_, is_new, bucket), sums in first.items():
+            if is_new:
+                self.early_loads[bucket] = self.early_loads.get(bucket, 0.0) + sums.count
+
     def decide(self, now: float) -> AdvanceMove | None:
         """Return the next step, or ``None``."""
         step = self._step(now)
@@ -205,12 +219,30 @@
         return None
 
     def _end_late(self) -> AdvanceMove:
-        strength, text = self.test.strongest()
-        if strength >= self.settings.caution:
-            return self._advance(0.0, LATE, f"deadline passed with signs of faults: {text}")
+        text = self._signs()
+        if text:
+            return self._advance(0.0, LATE, f"deadline passed; {text}")
         share = min(self.state.share, self.move.largest_early_share)
         return self._advance(share, LATE, f"deadline passed; {self.missing(self.deadline)}")
 
+    def _signs(self) -> str:
+        """Return what speaks against a version at the deadline, or an empty text.
+
+        Explanation
+        ===========
+        Besides the strength that keeps the share from rising, it is enough that the requests are
+        `late_odds` times as likely under the smallest fault as under a good version. This takes
+        traffic from some good versions, which are late in any case.
+        """
+        strength, text = self.test.strongest()
+        if strength >= self.settings.caution:
+            return f"signs of faults: {text}"
+        tests = [("all routes", self.test.pooled()), *self.test.routes().items()]
+        for place, test in tests:
+            if test.acceptance().since(Acceptance()) < -math.log(self.settings.late_odds):
+                return f"a fault is likelier than none on {place}"
+        return ""
+
     def _share_of(self, stage: int) -> float:
         early = self.move.largest_early_share
         if stage < EARLY_STAGES:
@@ -253,10 +285,8 @@
         if self._is_past(self.settings.late_part, now):
             risk = max(risk, self.settings.late_risk)
         needed = -math.log(risk)
-        is_early = stage < EARLY_STAGES
-        errors = pooled.accept_errors - (0.0 if is_early else self.stage.accept_errors)
-        time = pooled.accept_time - (0.0 if is_early else self.stage.accept_time)
-        if errors < needed or time < needed:
+        start = Acceptance() if stage < EARLY_STAGES else self.stage.acceptance
+        if pooled.acceptance().since(start) < needed:
             count = pooled.new.count
             return f"too little evidence at stage {stage} after {count:.0f} requests"
         return ""
@@ -278,7 +308,7 @@
         for route, test in self.test.routes().items():
             if test.previous.count < settings.common_route * whole:
                 continue
-            if test.new.count < needed or min(test.accept_errors, test.accept_time) < evidence:
+            if test.new.count < needed or test.acceptance().since(Acceptance()) < evidence:
                 return f"too little evidence on route {route}"
         return ""
 
@@ -343,7 +373,9 @@
         for name in self.tracks.keys() - moves.keys():
             del self.tracks[name]
         for name, state in moves.items():
-            move = pools[name].move
+            move = pools[name].move if name in pools else None
+            if move is None:
+                continue
             track = self.tracks.get(name)
             if track is not None and track.state.table_version == state.table_version:
                 track.update(state, move, now)
