Carry peer messages over one stream for each pair of instances

Change: one bidirectional stream for each pair, frames in batches, answers matched by number, silent streams probed and replaced. Found on the way by the process tests: a begin known to a minority lost its record at the time limit; a pool that came back to an earlier owner lost its waiting tickets, because a withdrawn ticket is ignored, and the end of a request was told to one of its two owners only.

--- a/mulberrygate/control/client.py
+++ b/mulberrygate/control/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +26,7 @@
 
 CALL_TIMEOUT_S = 8.0
 FIND_TIMEOUT_S = 1.0
+FRESH_S = 1.0
 
 
 class ControlClient:
@@ -46,9 +48,18 @@
         self.view = view
         self.voters = voters
         self.leader = ""
+        self.confirmed_at = float("-inf")
 
     async def find_leader(self) -> str:
-        """Return the leader's name, or an empty string."""
+        """Return the leader's name, or an empty string.
+
+        Explanation
+        ===========
+        A leader that was confirmed within `FRESH_S` is not asked again; its lease is about as long.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.leader and now < self.confirmed_at + FRESH_S:
+            return self.leader
         candidates = [self.leader, *self.voters()] if self.leader else self.voters()
         tried: set[str] = set()
         while candidates:
@@ -60,6 +71,7 @@
             if isinstance(answer, ControlAnswer):
                 if answer.is_leader:
                     self.leader = voter
+                    self.confirmed_at = now
                     return voter
                 if answer.leader:
                     candidates.insert(0, answer.leader)
@@ -86,4 +98,5 @@
             if answer.is_leader:
                 return answer
             self.leader = answer.leader
+            self.confirmed_at = float("-inf")
         return Unreachable("", "the leader changed")
--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -136,12 +136,14 @@
     def _make_peers(self, token: str) -> None:
         settings = self.settings
         self.server = PeerServer(settings.instance, self.incarnation, token, self.clock)
-        self.peers = PeerClient(self.server, self._address_of)
-        self.metrics.gauge("peer_sent_bytes", lambda: self.peers.sent_bytes)
+        self.peers = PeerClient(self.server, self._address_of, self._on_sent)
         self.metrics.gauge("peer_received_bytes", lambda: self.server.received_bytes)
-        self.metrics.gauge("peer_sent_messages", lambda: self.peers.sent_messages)
         self.timers_to_start = [(IDLE_CHECK_S, self.peers.close_idle, "peers.idle")]
 
+    def _on_sent(self, kind: str, size: int) -> None:
+        self.metrics.count("peer_sent_messages_total", kind=kind)
+        self.metrics.count("peer_sent_bytes_total", size, kind=kind)
+
     def _address_of(self, instance: str) -> str | None:
         return self.view().address_of(instance) or self.settings.voters.get(instance)
 
--- a/mulberrygate/daemon/tests/test_requests.py
+++ b/mulberrygate/daemon/tests/test_requests.py
@@ -61,6 +61,7 @@
         with self.assertRaises(aiohttp.ClientError):
             await first
         status, answer = await self.complete("a1", tokens=LONG, key="case-2")
+        self.assertEqual(status, 200, answer)
         self.assertEqual((status, answer["usage"]["completion_tokens"]), (200, LONG))
         self.assertEqual((await self.engine())["runs"]["total"], 1)
 
@@ -108,7 +109,7 @@
         await wait_for(self.running, "the first request runs")
         await self.system.kill(owner)
         answers = await asyncio.gather(*requests)
-        self.assertEqual([status for status, _ in answers], [200] * 8)
+        self.assertEqual([status for status, _ in answers], [200] * 8, answers)
         self.assertEqual((await self.engine())["runs"]["total"], 10)
 
     async def test_claim_of_a_waiting_request_is_taken_over_when_its_entry_died(self):
@@ -120,8 +121,8 @@
         await self.system.kill("b1")
         with self.assertRaises(aiohttp.ClientError):
             await waiting
-        status, _ = await self.complete("a2", tokens=5, key="case-4")
-        self.assertEqual(status, 200)
+        status, answer = await self.complete("a2", tokens=5, key="case-4")
+        self.assertEqual(status, 200, answer)
         await running
 
     async def test_graceful_stop_cuts_off_no_request(self):
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -41,20 +41,38 @@
 
 @attrs.define(eq=False)
 class Waiting:
-    """Ticket that waits for a grant."""
+    """Ticket that waits for a grant.
+
+    Parameters
+    ==========
+    owner : str
+        Instance that is asked now.
+    asked : set[str]
+        Instances that may hold the ticket. An owner ignores a ticket that was withdrawn from it, so
+        none is withdrawn before the wait is over: the pool may come back to an earlier owner.
+    """
 
     ticket: Ticket
     deadline_at: float
     answer: asyncio.Future
     owner: str
+    asked: set[str] = attrs.field(factory=set)
 
 
 @attrs.define(eq=False)
 class Dispatched:
-    """Granted request, from the grant until it is done."""
+    """Granted request, from the grant until it is done.
+
+    Parameters
+    ==========
+    granted_by, owner : str
+        Instance that made the grant, and the one that owns the pool now. Both count the request,
+        so both are told of its end.
+    """
 
     ticket: Ticket
     grant: Grant
+    granted_by: str
     owner: str
     emitted: int = 0
     reported: int = 0
@@ -118,21 +136,22 @@
             return Refusal(DEADLINE_PASSED, retry_after_s=1.0)
         finally:
             self.waiting.pop(ticket.request, None)
-            if not isinstance(answer, Grant):
-                self._withdraw(waiting)
+            self._withdraw(waiting)
         if isinstance(answer, Refuse):
             code = code_by_number(answer.code)
             return Refusal(code, retry_after_s=answer.retry_after_s)
-        self.running[ticket.request] = Dispatched(ticket, answer, waiting.owner)
+        self.running[ticket.request] = Dispatched(ticket, answer, waiting.owner, waiting.owner)
         return answer
 
     def _withdraw(self, waiting: Waiting) -> None:
-        answer = waiting.answer
-        if answer.done() and not answer.cancelled() and isinstance(answer.result(), Refuse):
-            return
-        self.peers.send(waiting.owner, Withdraw(waiting.ticket.pool, waiting.ticket.request))
+        """Withdraw the ticket everywhere but at the owner that has answered it."""
+        is_answered = waiting.answer.done() and not waiting.answer.cancelled()
+        holders = waiting.asked - ({waiting.owner} if is_answered else set())
+        for owner in holders:
+            self.peers.send(owner, Withdraw(waiting.ticket.pool, waiting.ticket.request))
 
     def _ask(self, waiting: Waiting) -> None:
+        waiting.asked.add(waiting.owner)
         left = max(0.0, waiting.deadline_at - self.timers.now())
         ticket = attrs.evolve(waiting.ticket, deadline_s=left)
         self.timers.spawn(self._ask_owner(waiting, ticket))
@@ -175,13 +194,17 @@
         """Give back a grant that was not used."""
         dispatched = self.running.pop(request, None)
         if dispatched is not None:
-            self.peers.send(dispatched.owner, Withdraw(dispatched.ticket.pool, request))
+            self._tell(dispatched, Withdraw(dispatched.ticket.pool, request))
 
     def done(self, done: Done) -> None:
         """Report that a granted request has ended."""
         dispatched = self.running.pop(done.request, None)
         if dispatched is not None:
-            self.peers.send(dispatched.owner, done)
+            self._tell(dispatched, done)
+
+    def _tell(self, dispatched: Dispatched, message: Done | Withdraw) -> None:
+        for owner in {dispatched.granted_by, dispatched.owner}:
+            self.peers.send(owner, message)
 
     def repeat(self) -> None:
         """Ask again for requests that still wait, and present all to a new owner."""
@@ -194,11 +217,7 @@
             self.owners[pool] = owner
         for waiting in list(self.waiting.values()):
             owner = self.owners[waiting.ticket.pool]
-            if waiting.owner != owner:
-                self.peers.send(
-                    waiting.owner, Withdraw(waiting.ticket.pool, waiting.ticket.request)
-                )
-                waiting.owner = owner
+            waiting.owner = owner
             self._ask(waiting)
 
     def _present(self, pool: str, owner: str) -> None:
--- a/mulberrygate/ledger/coordinator.py
+++ b/mulberrygate/ledger/coordinator.py
@@ -237,7 +237,9 @@
         records = tally.records()
         for record in records:
             if record.phase in (Phase.RUNNING, Phase.UNCERTAIN):
-                return Uncertain("only a minority knows the begin of an earlier attempt")
+                detail = "only a minority knows the begin of an earlier attempt"
+                begun = record if record.phase is Phase.RUNNING else None
+                return Uncertain(detail, record=begun)
         waiting = [record for record in records if record.phase is Phase.WAITING]
         if waiting:
             return Attached(waiting[0])
--- a/mulberrygate/peers/client.py
+++ b/mulberrygate/peers/client.py
@@ -1,36 +1,26 @@
-"""Client side of the peer protocol: one connection for each instance."""
+"""Client side of the peer protocol: one link for each instance."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
+import inspect
+from collections.abc import Callable, Coroutine
 from typing import Any
 
-from grpclib.client import Channel
-from grpclib.config import Configuration
-
-from mulberrygate.core.clock import Stamp
-from mulberrygate.core.wire import decode
-from mulberrygate.peers import peer_grpc
-from mulberrygate.peers.server import TOKEN_HEADER, PeerServer, make_frame
-
-# A one-way message is given up after this time; its sender repeats what matters.
-SEND_TIMEOUT_S = 2.0
-# More one-way messages in flight to one instance than this are dropped, so that an instance that
-# does not answer can't hold memory.
-SEND_LIMIT = 256
-# A connection with no call for this time is closed, so that connections do not add up at 360
-# instances that meet random peers.
-IDLE_CLOSE_S = 30.0
+from mulberrygate.core.wire import Ack, decode, encode
+from mulberrygate.observe.logs import logger
+from mulberrygate.peers.link import Link, Unreachable
+from mulberrygate.peers.server import Handler, PeerServer
 
+log = logger("peers")
 
-@dataclass(frozen=True)
-class Unreachable:
-    """An instance gave no answer in time; whether it handled the message is not known."""
+__all__ = ["PeerClient", "Unreachable"]
 
-    instance: str
-    reason: str
+# A link with no message for this time is closed, so that connections do not add up at 360 instances
+# that meet random peers.
+IDLE_CLOSE_S = 30.0
+# After a failed link to an address the next one is not tried before this time.
+RETRY_S = 0.25
 
 
 class PeerClient:
@@ -42,130 +32,130 @@
         Server of this process; messages to this instance are handed to it directly.
     address_of : Callable[[str], str | None]
         Finds ``host:port`` of an instance.
+    on_sent : Callable[[str, int], None]
+        Called with kind and body bytes of each message that leaves the process.
 
     See Also
     ========
     mulberrygate.peers.server.PeerServer
     """
 
-    def __init__(self, server: PeerServer, address_of: Callable[[str], str | None]):
+    def __init__(
+        self,
+        server: PeerServer,
+        address_of: Callable[[str], str | None],
+        on_sent: Callable[[str, int], None] = lambda kind, size: None,
+    ):
         self.server = server
         self.address_of = address_of
-        self.channels: dict[str, Channel] = {}
-        self.used_at: dict[str, float] = {}
+        self.on_sent = on_sent
+        self.links: dict[str, Link] = {}
+        self.failed_at: dict[str, float] = {}
         self.tasks: set[asyncio.Task] = set()
-        self.in_flight: dict[str, int] = {}
         self.blocked: set[str] = set()
-        self.sent_bytes = 0
-        self.sent_messages = 0
 
-    def on(self, cls: type, handler: Any) -> None:
+    def on(self, cls: type, handler: Handler) -> None:
         """Register the handler of a message class at the server of this process."""
         self.server.on(cls, handler)
 
     async def call(self, instance: str, message: Any, timeout_s: float) -> Any | Unreachable:
         """Send a message and return the answer, or `Unreachable`."""
         if instance == self.server.instance:
-            try:
-                return await self.server.dispatch(message, instance)
-            except Exception as error:
-                return Unreachable(instance, f"{type(error).__name__}: {error}")
+            return await self._call_self(message)
         address = self.address_of(instance)
         if address is None:
             return Unreachable(instance, "no address is known")
         return await self.call_address(address, message, timeout_s, instance)
 
+    async def _call_self(self, message: Any) -> Any | Unreachable:
+        instance = self.server.instance
+        try:
+            answer = self.server.dispatch(message, instance)
+            if inspect.isawaitable(answer):
+                answer = await answer
+        except Exception as error:
+            log.error("A message handler failed.", error=repr(error))
+            return Unreachable(instance, f"{type(error).__name__}: {error}")
+        return Ack() if answer is None else answer
+
     async def call_address(
         self, address: str, message: Any, timeout_s: float, instance: str = ""
     ) -> Any | Unreachable:
         """Send a message to an address and return the answer, or `Unreachable`."""
         name = instance or address
-        if name in self.blocked or address in self.blocked:
-            return Unreachable(name, "cut off by the partition switch")
-        channel = self._channel(address)
-        server = self.server
-        frame = make_frame(message, server.instance, server.incarnation, server.clock)
-        self.sent_bytes += len(frame.body)
-        self.sent_messages += 1
-        try:
-            answer = await peer_grpc.PeerStub(channel).Call(
-                frame, timeout=timeout_s, metadata={TOKEN_HEADER: server.token}
-            )
-        except TimeoutError:
-            # The connection may have gone silent while new ones work.
-            self._drop(address)
-            return Unreachable(name, f"no answer within {timeout_s:g} s")
-        except Exception as error:
-            if not isinstance(error, asyncio.CancelledError) and not _is_answered(error):
-                self._drop(address)
-            return Unreachable(name, f"{type(error).__name__}: {error}")
-        server.clock.receive(Stamp(answer.stamp_wall_ms, answer.stamp_count))
+        link = self._link(address, instance)
+        if isinstance(link, Unreachable):
+            return link
+        kind, body = encode(message)
+        self.on_sent(kind, len(body))
+        frame = await link.call(kind, body, timeout_s)
+        if isinstance(frame, Unreachable):
+            return Unreachable(name, frame.reason)
+        if frame.error:
+            return Unreachable(name, frame.error)
         try:
-            return decode(answer.kind, answer.body)
+            return decode(frame.kind, frame.body)
         except ValueError as error:
             return Unreachable(name, str(error))
 
     def send(self, instance: str, message: Any) -> None:
         """Send a message without waiting; it may be lost."""
-        self._send(instance, self.call(instance, message, SEND_TIMEOUT_S))
+        if instance == self.server.instance:
+            self._spawn(self._call_self(message))
+            return
+        address = self.address_of(instance)
+        if address is not None:
+            self._send(address, message, instance)
 
     def send_address(self, address: str, message: Any) -> None:
         """Send a message to an address without waiting; it may be lost."""
-        self._send(address, self.call_address(address, message, SEND_TIMEOUT_S))
+        self._send(address, message, "")
 
-    def _send(self, target: str, call: Any) -> None:
-        if self.in_flight.get(target, 0) >= SEND_LIMIT:
-            call.close()
-            return
-        self.in_flight[target] = self.in_flight.get(target, 0) + 1
-        task = asyncio.ensure_future(call)
+    def _send(self, address: str, message: Any, instance: str) -> None:
+        link = self._link(address, instance)
+        if isinstance(link, Link):
+            kind, body = encode(message)
+            self.on_sent(kind, len(body))
+            link.send(kind, body)
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.ensure_future(work)
         self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
-        def done(finished: asyncio.Task) -> None:
-            self.tasks.discard(finished)
-            self.in_flight[target] -= 1
-            if not self.in_flight[target]:
-                del self.in_flight[target]
-            if not finished.cancelled():
-                finished.exception()
-
-        task.add_done_callback(done)
-
-    def _channel(self, address: str) -> Channel:
-        self.used_at[address] = asyncio.get_running_loop().time()
-        channel = self.channels.get(address)
-        if channel is None:
-            host, _, port = address.rpartition(":")
-            channel = Channel(host, int(port), config=Configuration())
-            self.channels[address] = channel
-        return channel
-
-    def _drop(self, address: str) -> None:
-        channel = self.channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+    def _link(self, address: str, instance: str) -> Link | Unreachable:
+        """Return the link to an address, a new one if there is none."""
+        name = instance or address
+        if name in self.blocked or address in self.blocked:
+            return Unreachable(name, "cut off by the partition switch")
+        link = self.links.get(address)
+        if link is not None:
+            return link
+        now = asyncio.get_running_loop().time()
+        if now < self.failed_at.get(address, float("-inf")) + RETRY_S:
+            return Unreachable(name, "the last connection failed just now")
+        link = self.links[address] = Link(self.server, address, self._on_link_end)
+        return link
+
+    def _on_link_end(self, link: Link) -> None:
+        if self.links.get(link.address) is link:
+            del self.links[link.address]
+            self.failed_at[link.address] = asyncio.get_running_loop().time()
 
     def close_idle(self) -> None:
-        """Close connections that had no call for `IDLE_CLOSE_S`."""
-        limit = asyncio.get_running_loop().time() - IDLE_CLOSE_S
-        for address in [a for a in self.channels if self.used_at[a] < limit]:
-            self._drop(address)
+        """Close links without a message for `IDLE_CLOSE_S`."""
+        now = asyncio.get_running_loop().time()
+        for link in list(self.links.values()):
+            if now - link.used_at > IDLE_CLOSE_S and not link.pending:
+                del self.links[link.address]
+                link.end("idle")
+        self.failed_at = {a: at for a, at in self.failed_at.items() if now < at + RETRY_S}
 
     async def close(self) -> None:
-        """Close all connections and drop messages in flight."""
-        for task in list(self.tasks):
+        """Close all links and drop messages in flight."""
+        tasks = [*self.tasks, *(link.task for link in self.links.values())]
+        for link in list(self.links.values()):
+            link.end("the process stops")
+        for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        for address in list(self.channels):
-            self._drop(address)
-
-
-def _is_answered(error: Exception) -> bool:
-    """Return whether the other instance answered with an error, so the connection is sound."""
-    status = getattr(error, "status", None)
-    return status is not None and status.name in {
-        "UNIMPLEMENTED",
-        "INVALID_ARGUMENT",
-        "INTERNAL",
-        "UNAUTHENTICATED",
-    }
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/mulberrygate/peers/peer_grpc.py
+++ b/mulberrygate/peers/peer_grpc.py
@@ -15,16 +15,16 @@
 class PeerBase(abc.ABC):
 
     @abc.abstractmethod
-    async def Call(self, stream: 'grpclib.server.Stream[mulberrygate.peers.peer_pb2.Frame, mulberrygate.peers.peer_pb2.Frame]') -> None:
+    async def Exchange(self, stream: 'grpclib.server.Stream[mulberrygate.peers.peer_pb2.Batch, mulberrygate.peers.peer_pb2.Batch]') -> None:
         pass
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
-            '/mulberrygate.Peer/Call': grpclib.const.Handler(
-                self.Call,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                mulberrygate.peers.peer_pb2.Frame,
-                mulberrygate.peers.peer_pb2.Frame,
+            '/mulberrygate.Peer/Exchange': grpclib.const.Handler(
+                self.Exchange,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                mulberrygate.peers.peer_pb2.Batch,
+                mulberrygate.peers.peer_pb2.Batch,
             ),
         }
 
@@ -32,9 +32,9 @@
 class PeerStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Call = grpclib.client.UnaryUnaryMethod(
+        self.Exchange = grpclib.client.StreamStreamMethod(
             channel,
-            '/mulberrygate.Peer/Call',
-            mulberrygate.peers.peer_pb2.Frame,
-            mulberrygate.peers.peer_pb2.Frame,
+            '/mulberrygate.Peer/Exchange',
+            mulberrygate.peers.peer_pb2.Batch,
+            mulberrygate.peers.peer_pb2.Batch,
         )
--- a/mulberrygate/peers/server.py
+++ b/mulberrygate/peers/server.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import hmac
 import inspect
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from grpclib import GRPCError, Status
+from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server, Stream
 
 from mulberrygate.core.clock import HybridClock, Stamp
 from mulberrygate.core.wire import Ack, DecodeError, decode, encode
 from mulberrygate.observe.logs import logger
-from mulberrygate.peers import peer_grpc, peer_pb2
+from mulberrygate.peers import peer_grpc
+from mulberrygate.peers.outbox import Outbox
+from mulberrygate.peers.peer_pb2 import Frame
 
 log = logger("peers")
 
@@ -22,6 +26,10 @@
 TOKEN_HEADER = "mulberrygate-token"
 
 
+class UnhandledMessage(Exception):
+    """No handler is registered for a message class."""
+
+
 class PeerServer(peer_grpc.PeerBase):
     """Receive messages of other instances.
 
@@ -46,6 +54,7 @@
         self.blocked: set[str] = set()
         self.received_bytes = 0
         self.server: Server | None = None
+        self.tasks: set[asyncio.Task] = set()
 
     def on(self, cls: type, handler: Handler) -> None:
         """Register the handler of a message class.
@@ -57,41 +66,76 @@
         """
         self.handlers[cls] = handler
 
-    async def dispatch(self, message: Any, sender: str) -> Any:
-        """Run the handler of a message and return its answer."""
+    def dispatch(self, message: Any, sender: str) -> Any | Awaitable[Any]:
+        """Run the handler of a message and return its answer, or a coroutine that does.
+
+        Raises
+        ======
+        UnhandledMessage
+            No handler is registered.
+        """
         handler = self.handlers.get(type(message))
         if handler is None:
-            raise GRPCError(Status.UNIMPLEMENTED, f"no handler for {type(message).__name__}")
-        answer = handler(message, sender)
-        if inspect.isawaitable(answer):
-            answer = await answer
-        return Ack() if answer is None else answer
+            raise UnhandledMessage(f"no handler for {type(message).__name__}")
+        return handler(message, sender)
 
-    async def Call(self, stream: Stream) -> None:
-        """Serve the RPC of the peer protocol."""
+    async def Exchange(self, stream: Stream) -> None:
+        """Serve the stream of one client."""
         token = str((stream.metadata or {}).get(TOKEN_HEADER, ""))
         if not hmac.compare_digest(token.encode(), self.token.encode()):
-            log.warning("Refused a message without the shared token.")
+            log.warning("Refused a connection without the shared token.")
             raise GRPCError(Status.UNAUTHENTICATED, "the shared token is missing or wrong")
-        frame = await stream.recv_message()
-        if frame is None:
-            return
-        if frame.sender in self.blocked:
-            raise GRPCError(Status.UNAVAILABLE, "the sender is cut off by the partition switch")
-        self.received_bytes += len(frame.body)
+        outbox = Outbox(self.instance, self.incarnation, self.clock)
+        writer = asyncio.ensure_future(outbox.write_to(stream))
+        try:
+            async for batch in stream:
+                # A cut-off sender gets no answer, as with a silent network partition.
+                if batch.sender in self.blocked:
+                    continue
+                self.clock.receive(Stamp(batch.stamp_wall_ms, batch.stamp_count))
+                for frame in batch.frames:
+                    self.received_bytes += len(frame.body)
+                    self._handle(frame, batch.sender, outbox)
+        except (StreamTerminatedError, ConnectionError):
+            pass
+        finally:
+            writer.cancel()
+
+    def _handle(self, frame: Frame, sender: str, outbox: Outbox) -> None:
         try:
-            message = decode(frame.kind, frame.body)
-        except DecodeError as error:
-            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
-        self.clock.receive(Stamp(frame.stamp_wall_ms, frame.stamp_count))
+            answer = self.dispatch(decode(frame.kind, frame.body), sender)
+        except (DecodeError, UnhandledMessage) as error:
+            self._answer(frame, outbox, error=str(error))
+            return
+        except Exception as error:
+            self._fail(frame, outbox, error)
+            return
+        if inspect.isawaitable(answer):
+            task = asyncio.ensure_future(self._wait(frame, outbox, answer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        else:
+            self._answer(frame, outbox, answer)
+
+    async def _wait(self, frame: Frame, outbox: Outbox, work: Awaitable[Any]) -> None:
         try:
-            answer = await self.dispatch(message, frame.sender)
-        except GRPCError:
-            raise
+            self._answer(frame, outbox, await work)
         except Exception as error:
-            log.error("A message handler failed.", kind=frame.kind, error=repr(error))
-            raise GRPCError(Status.INTERNAL, type(error).__name__) from error
-        await stream.send_message(make_frame(answer, self.instance, self.incarnation, self.clock))
+            self._fail(frame, outbox, error)
+
+    def _fail(self, frame: Frame, outbox: Outbox, error: Exception) -> None:
+        log.error("A message handler failed.", kind=frame.kind, error=repr(error))
+        self._answer(frame, outbox, error=type(error).__name__)
+
+    @staticmethod
+    def _answer(frame: Frame, outbox: Outbox, answer: Any = None, error: str = "") -> None:
+        if not frame.id:
+            return
+        if error:
+            outbox.add(Frame(id=frame.id, is_answer=True, error=error))
+            return
+        kind, body = encode(Ack() if answer is None else answer)
+        outbox.add(Frame(kind=kind, body=body, id=frame.id, is_answer=True))
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address."""
@@ -99,21 +143,9 @@
         await self.server.start(host, port)
 
     async def close(self) -> None:
-        """Stop listening and end open calls."""
+        """Stop listening and end open streams."""
+        for task in list(self.tasks):
+            task.cancel()
         if self.server is not None:
             self.server.close()
             await self.server.wait_closed()
-
-
-def make_frame(message: Any, instance: str, incarnation: int, clock: HybridClock) -> peer_pb2.Frame:
-    """Return the frame of a message."""
-    kind, body = encode(message)
-    stamp = clock.now()
-    return peer_pb2.Frame(
-        kind=kind,
-        body=body,
-        sender=instance,
-        incarnation=incarnation,
-        stamp_wall_ms=stamp.wall_ms,
-        stamp_count=stamp.count,
-    )
--- a/mulberrygate/peers/tests/test_peers.py
+++ b/mulberrygate/peers/tests/test_peers.py
@@ -62,7 +62,30 @@
     async def test_blocked_sender_is_cut_off(self):
         """Guards against a partition switch that lets messages through."""
         self.server.blocked.add("a")
+        self.assertIsInstance(await self.client.call("b", Question("x"), 0.05), Unreachable)
+
+    async def test_call_after_the_other_instance_restarted(self):
+        """Guards against a link that stays broken after its instance came back."""
+        await self.client.call("b", Question("first"), 5.0)
+        await self.server.close()
         self.assertIsInstance(await self.client.call("b", Question("x"), 5.0), Unreachable)
+        again = make_server("b")
+        again.on(Question, lambda m, sender: m)
+        await again.start("127.0.0.1", self.port)
+        self.addAsyncCleanup(again.close)
+        answer = Unreachable("b", "")
+        for _ in range(100):
+            answer = await self.client.call("b", Question("second"), 5.0)
+            if answer == Question("second"):
+                break
+            await asyncio.sleep(0.05)
+        self.assertEqual(answer, Question("second"))
+
+    async def test_many_calls_get_their_own_answers(self):
+        """Guards against answers of one stream that are given to the wrong calls."""
+        calls = [self.client.call("b", Question(str(n)), 5.0) for n in range(200)]
+        answers = await asyncio.gather(*calls)
+        self.assertEqual([a.text for a in answers], [f"{n} from a" for n in range(200)])
 
     async def test_silent_instance_does_not_hold_the_caller(self):
         """Guards against a call that waits forever for an instance that stopped answering."""
