--- a/mulberrygate/agreement/changes.py
+++ b/mulberrygate/agreement/changes.py
@@ -156,14 +156,15 @@
         return progress.match >= self.commit - CAUGHT_UP_ENTRIES
 
     def ask_to_join(self, now: float) -> None:
-        """Ask the known instances to take this disk, if it is no voter and hears no leader.
+        """Ask the known instances to take this disk, if it hears no leader.
 
         Explanation
         ===========
-        A learner asks too: the entry that added it may have been replaced by another leader's.
+        A learner asks too: the entry that added it may have been replaced by another leader's. So
+        does a voter after a longer time: it may have been removed without being told.
         """
-        limit = 2 * self.settings.election_timeout_s
-        if self.is_voter or now < self.join_due or now < self.heard_at + limit:
+        limit = (5 if self.is_voter else 2) * self.settings.election_timeout_s
+        if now < self.join_due or now < self.heard_at + limit:
             return
         self.join_due = now + limit
         names = {**self.first_voters, **{m.name: m.address for m in self.members.members}}
--- /dev/null
+++ b/mulberrygate/agreement/model.py
@@ -0,0 +1,212 @@
+"""Specification of elections, acceptance and disk replacement for `minicheck`.
+
+Explanation
+===========
+Three voters, one log position, a bounded number of terms, one lost disk. A state holds for each
+name its term, its vote, whether it is a candidate or leader, the term of its entry (0 for none),
+and the disks whose votes and acknowledgements it has. Votes and acknowledgements that a disk gave
+before it was lost remain counted.
+
+The change of the voters is one atomic step with a majority of the new voters, as if its entry were
+committed at once; voters with different views of the members are left to the randomised runs.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+from minicheck import Protocol
+
+SIZE = 3
+FOLLOWER, CANDIDATE, LEADER = 0, 1, 2
+# Progress of the replacement of the lost disk.
+SOUND, LOST, REMOVED, REPLACED = 0, 1, 2, 3
+
+
+@attrs.frozen
+class Voter:
+    """State of the process with one name; ``votes`` and ``acks`` are bit sets of disks."""
+
+    term: int = 0
+    voted_for: int = -1
+    role: int = FOLLOWER
+    entry: int = 0
+    votes: int = 0
+    acks: int = 0
+
+
+@attrs.frozen
+class Group:
+    """State of the group.
+
+    Parameters
+    ==========
+    voters : tuple[Voter, ...]
+    lost : int
+        Name whose disk was lost, -1 for none. Its new disk has the bit ``SIZE``.
+    phase : int
+        Progress of the replacement.
+    accepted : int
+        Term of the accepted entry, 0 for none.
+    led : tuple[int, ...]
+        Disk that led each term, -1 for none.
+    is_sole : bool
+        Whether no term had two leaders.
+    """
+
+    voters: tuple[Voter, ...]
+    lost: int = -1
+    phase: int = SOUND
+    accepted: int = 0
+    led: tuple[int, ...] = ()
+    is_sole: bool = True
+
+
+class Specification:
+    """Transitions of the group.
+
+    Parameters
+    ==========
+    terms : int
+        Highest term.
+    keeps_identity : bool
+        Fault: an empty disk answers under its former identity.
+    is_promoted_empty : bool
+        Fault: a learner becomes a voter before it has caught up.
+    """
+
+    def __init__(self, terms: int, keeps_identity: bool = False, is_promoted_empty: bool = False):
+        self.terms = terms
+        self.keeps_identity = keeps_identity
+        self.is_promoted_empty = is_promoted_empty
+
+    def initial(self) -> Group:
+        """Return the group after its formation."""
+        return Group(tuple(Voter() for _ in range(SIZE)), led=(-1,) * (self.terms + 1))
+
+    def disk(self, group: Group, name: int) -> int:
+        """Return the disk under which a name answers."""
+        return SIZE if name == group.lost and not self.keeps_identity else name
+
+    def members(self, group: Group) -> int:
+        """Return the disks that count, as a bit set."""
+        every = (1 << SIZE) - 1
+        if group.phase in (SOUND, LOST):
+            return every
+        others = every & ~(1 << group.lost)
+        return others | 1 << SIZE if group.phase == REPLACED else others
+
+    def is_member(self, group: Group, name: int) -> bool:
+        """Return whether the disk under which a name answers counts."""
+        return bool(self.members(group) >> self.disk(group, name) & 1)
+
+    def is_majority(self, group: Group, disks: int) -> bool:
+        """Return whether a set of disks holds a majority."""
+        members = self.members(group)
+        return (disks & members).bit_count() > members.bit_count() // 2
+
+    def put(self, group: Group, name: int, **changes) -> Group:
+        """Return the group with one voter changed."""
+        voters = list(group.voters)
+        voters[name] = attrs.evolve(voters[name], **changes)
+        return attrs.evolve(group, voters=tuple(voters))
+
+    def steps(self, group: Group) -> Iterator[tuple[str, Group]]:
+        """Yield all transitions."""
+        for name in range(SIZE):
+            voter = group.voters[name]
+            yield from self.own_steps(group, name, voter)
+            for other in range(SIZE):
+                if other != name:
+                    yield from self.shared_steps(group, name, voter, other)
+        if group.phase == SOUND:
+            for name in range(SIZE):
+                yield f"lose disk {name}", self.lose(group, name)
+
+    def own_steps(self, group: Group, name: int, voter: Voter) -> Iterator[tuple[str, Group]]:
+        """Yield the steps that one voter takes alone."""
+        disk = 1 << self.disk(group, name)
+        if voter.term < self.terms and self.is_member(group, name):
+            changes = {"term": voter.term + 1, "voted_for": name, "role": CANDIDATE}
+            yield f"{name} campaigns", self.put(group, name, **changes, votes=disk, acks=0)
+        if voter.role == CANDIDATE and self.is_majority(group, voter.votes):
+            yield f"{name} leads", self.lead(group, name, voter)
+        if voter.role == LEADER:
+            if voter.entry != voter.term and not voter.entry:
+                yield f"{name} proposes", self.put(group, name, entry=voter.term, acks=disk)
+            is_own = voter.entry == voter.term and not group.accepted
+            if is_own and self.is_majority(group, voter.acks):
+                yield f"{name} accepts", attrs.evolve(group, accepted=voter.term)
+            yield from self.change_steps(group, name, voter)
+
+    def lead(self, group: Group, name: int, voter: Voter) -> Group:
+        """Return the group after an election."""
+        disk = self.disk(group, name)
+        known = group.led[voter.term]
+        led = tuple(disk if term == voter.term else d for term, d in enumerate(group.led))
+        group = self.put(group, name, role=LEADER, acks=0)
+        return attrs.evolve(group, led=led, is_sole=group.is_sole and known in (-1, disk))
+
+    def shared_steps(
+        self, group: Group, name: int, voter: Voter, other: int
+    ) -> Iterator[tuple[str, Group]]:
+        """Yield the steps in which ``other`` answers ``name``."""
+        peer = group.voters[other]
+        disk = 1 << self.disk(group, other)
+        is_free = peer.term < voter.term or (peer.term == voter.term and peer.voted_for == -1)
+        is_vote = voter.role == CANDIDATE and not voter.votes & disk and peer.entry <= voter.entry
+        if is_vote and is_free and self.is_member(group, other):
+            after = self.put(
+                group, other, term=voter.term, voted_for=name, role=FOLLOWER, votes=0, acks=0
+            )
+            yield f"{other} votes for {name}", self.put(after, name, votes=voter.votes | disk)
+        if voter.role == LEADER and peer.term <= voter.term and voter.entry:
+            changes = {"term": voter.term, "role": FOLLOWER, "entry": voter.entry}
+            if peer.term < voter.term:
+                changes["voted_for"] = -1
+            after = self.put(group, other, **changes, votes=0, acks=0)
+            yield f"{name} sends to {other}", self.put(after, name, acks=voter.acks | disk)
+
+    def lose(self, group: Group, name: int) -> Group:
+        """Return the group after the disk of a name was replaced by an empty one."""
+        group = attrs.evolve(group, lost=name, phase=LOST)
+        return self.put(group, name, **attrs.asdict(Voter()))
+
+    def change_steps(self, group: Group, name: int, voter: Voter) -> Iterator[tuple[str, Group]]:
+        """Yield the steps of a leader that replaces the lost disk."""
+        if group.phase not in (LOST, REMOVED) or not voter.entry or name == group.lost:
+            return
+        is_caught_up = self.is_promoted_empty or voter.acks >> SIZE & 1
+        after = attrs.evolve(group, phase=group.phase + 1)
+        # The entry that changes the members follows the leader's own entry, so those who hold it
+        # hold that entry too.
+        acks = voter.acks | (1 << SIZE if self.is_promoted_empty else 0)
+        if is_caught_up and voter.entry == voter.term and self.is_majority(after, acks):
+            yield f"{name} makes replacement step {after.phase}", after
+
+
+def protocol(terms: int, **faults: bool) -> Protocol:
+    """Return the model for `minicheck.check_safety`."""
+    specification = Specification(terms, **faults)
+
+    def holds_accepted(d: dict) -> bool:
+        """Return whether leaders of later terms hold the accepted entry."""
+        group = d["group"]
+        return not group.accepted or all(
+            voter.entry == group.accepted
+            for voter in group.voters
+            if voter.role == LEADER and voter.term > group.accepted
+        )
+
+    return Protocol(
+        name="agreement",
+        candidate=False,
+        fields=("group",),
+        initial=(specification.initial(),),
+        transitions=lambda state: [(label, (g,)) for label, g in specification.steps(state[0])],
+        invariants={
+            "one_leader_a_term": lambda d: d["group"].is_sole,
+            "accepted_is_kept": holds_accepted,
+        },
+    )
--- /dev/null
+++ b/mulberrygate/agreement/tests/mutants.py
@@ -0,0 +1,126 @@
+"""Small mutants of `AgreementNode`, each without one rule, to show that the checks see it."""
+
+from mulberrygate.agreement.node import AgreementNode
+from mulberrygate.core.effects import Persist
+
+
+class LeadsWithoutMajority(AgreementNode):
+    """Leads with its own vote only."""
+
+    def count_votes(self, now):
+        if self.is_pre:
+            self.campaign(now, is_pre=False)
+        else:
+            self.lead(now)
+
+
+class VotesTwice(AgreementNode):
+    """Gives its vote again in the same term."""
+
+    def on_vote_request(self, request, sender, now):
+        if self.is_meant(request) and not request.is_pre and request.term == self.term:
+            self.set_term(self.term, request.disk)
+            self.reply_vote(request, True)
+            return
+        super().on_vote_request(request, sender, now)
+
+
+class VotesForShorterLog(AgreementNode):
+    """Votes for a candidate that lacks committed entries."""
+
+    def is_up_to_date(self, request):
+        return True
+
+
+class CommitsUnknownEntries(AgreementNode):
+    """Takes the leader's commit index beyond its own log."""
+
+    def known_commit(self, message, match):
+        return message.commit
+
+
+class CommitsEarlierTerms(AgreementNode):
+    """Counts replicas of entries of earlier terms."""
+
+    def is_committable(self, index):
+        return True
+
+
+class CommitsAlone(AgreementNode):
+    """Commits before a majority holds the entry."""
+
+    def majority_index(self):
+        return self.log.last_index
+
+
+class AppliesAgain(AgreementNode):
+    """Starts to apply at the commit index that a restart began with."""
+
+    def set_commit(self, index):
+        if index > self.commit and self.applied:
+            self.apply_next(self.log.at(self.applied))
+        super().set_commit(index)
+
+
+class SwapsVoters(AgreementNode):
+    """Replaces a lost voter by its successor in one step."""
+
+    def next_members(self, learner):
+        former = self.members.voter_named(learner.name)
+        members = self.members if former is None else self.members.without(former.disk)
+        return members.plus(type(learner)(learner.name, learner.address, learner.disk, True))
+
+
+class ReadsWithoutMajority(AgreementNode):
+    """Answers reads without hearing from a majority."""
+
+    def is_confirmed(self, number):
+        return True
+
+
+class KeepsLeading(AgreementNode):
+    """Does not notice that its lease has run out."""
+
+    def is_lease_over(self, now):
+        return False
+
+
+class InstallsOldSnapshots(AgreementNode):
+    """Installs a snapshot that is older than what it has committed."""
+
+    def has_reached(self, index):
+        return False
+
+
+class JoinsTwice(AgreementNode):
+    """Takes the first entry of a second group."""
+
+    def may_join(self):
+        return True
+
+
+class ExtendsLeaseAlone(AgreementNode):
+    """Extends its lease without hearing from a majority."""
+
+    def majority_sent_at(self, now):
+        return now
+
+
+class VotesDuringLease(AgreementNode):
+    """Votes although it has heard from a leader lately."""
+
+    def on_vote_request(self, request, sender, now):
+        self.heard_at = float("-inf")
+        super().on_vote_request(request, sender, now)
+
+
+class ReadsAlone(ReadsWithoutMajority, KeepsLeading):
+    """Keeps leading and answers reads without a majority."""
+
+
+class ForgetsToSync(AgreementNode):
+    """Acknowledges entries that it has not synced."""
+
+    def on_append(self, message, sender, now):
+        super().on_append(message, sender, now)
+        self.out = [effect for effect in self.out if not isinstance(effect, Persist)]
--- /dev/null
+++ b/mulberrygate/agreement/tests/test_model.py
@@ -0,0 +1,41 @@
+"""Complete search of the specification."""
+
+import unittest
+
+from minicheck import check_safety
+
+from mulberrygate.agreement.model import protocol
+
+MOST_STATES = 2_000_000
+TERMS = 2
+
+
+def search(terms: int = TERMS, **faults: bool) -> dict:
+    """Search all states; a search that is not complete raises."""
+    return check_safety(protocol(terms, **faults), max_states=MOST_STATES)
+
+
+class ModelTest(unittest.TestCase):
+    """Safety of elections, acceptance and replacement."""
+
+    def test_all_states_are_safe(self):
+        """Guards against two leaders in a term and against a lost accepted entry."""
+        result = search()
+        print({key: value for key, value in result.items() if key != "properties"})
+        for name, found in result["properties"].items():
+            self.assertIs(found["holds"], True, name)
+
+    def test_fault_of_a_kept_identity_is_found(self):
+        """Guards against a model that misses an empty disk voting as its former self."""
+        found = search(keeps_identity=True)["properties"]
+        self.assertIs(found["one_leader_a_term"]["holds"], False)
+        self.assertIs(found["accepted_is_kept"]["holds"], False)
+
+    def test_fault_of_an_empty_voter_is_found(self):
+        """Guards against a model that misses a learner promoted before it caught up."""
+        found = search(is_promoted_empty=True)["properties"]
+        self.assertIs(found["accepted_is_kept"]["holds"], False)
+
+
+if __name__ == "__main__":
+    unittest.main()
