--- a/mulberrygate/agreement/model.py
+++ b/mulberrygate/agreement/model.py
@@ -72,14 +72,14 @@
         Highest term.
     keeps_identity : bool
         Fault: an empty disk answers under its former identity.
-    is_promoted_empty : bool
-        Fault: a learner becomes a voter before it has caught up.
+    swaps_empty : bool
+        Fault: the new disk takes the place of the lost one at once, before it has caught up.
     """
 
-    def __init__(self, terms: int, keeps_identity: bool = False, is_promoted_empty: bool = False):
+    def __init__(self, terms: int, keeps_identity: bool = False, swaps_empty: bool = False):
         self.terms = terms
         self.keeps_identity = keeps_identity
-        self.is_promoted_empty = is_promoted_empty
+        self.swaps_empty = swaps_empty
 
     def initial(self) -> Group:
         """Return the group after its formation."""
@@ -177,14 +177,22 @@
         """Yield the steps of a leader that replaces the lost disk."""
         if group.phase not in (LOST, REMOVED) or not voter.entry or name == group.lost:
             return
-        is_caught_up = self.is_promoted_empty or voter.acks >> SIZE & 1
-        after = attrs.evolve(group, phase=group.phase + 1)
-        # The entry that changes the members follows the leader's own entry, so those who hold it
-        # hold that entry too.
-        acks = voter.acks | (1 << SIZE if self.is_promoted_empty else 0)
-        if is_caught_up and voter.entry == voter.term and self.is_majority(after, acks):
+        after = attrs.evolve(group, phase=REPLACED if self.swaps_empty else group.phase + 1)
+        # The entry that changes the members follows the leader's own entry, so those who take it
+        # now are in the leader's term and hold that entry too.
+        takers = self.takers(group, voter)
+        is_caught_up = takers >> SIZE & 1
+        if is_caught_up and voter.entry == voter.term and self.is_majority(after, takers):
             yield f"{name} makes replacement step {after.phase}", after
 
+    def takers(self, group: Group, voter: Voter) -> int:
+        """Return the disks that would take another entry of a leader now."""
+        takers = 1 << SIZE if self.swaps_empty else 0
+        for name, peer in enumerate(group.voters):
+            if peer.term == voter.term and peer.entry == voter.entry:
+                takers |= 1 << self.disk(group, name)
+        return takers
+
 
 def protocol(terms: int, **faults: bool) -> Protocol:
     """Return the model for `minicheck.check_safety`."""
--- a/mulberrygate/agreement/tests/test_model.py
+++ b/mulberrygate/agreement/tests/test_model.py
@@ -7,7 +7,7 @@
 from mulberrygate.agreement.model import protocol
 
 MOST_STATES = 2_000_000
-TERMS = 2
+TERMS = 3
 
 
 def search(terms: int = TERMS, **faults: bool) -> dict:
@@ -27,13 +27,13 @@
 
     def test_fault_of_a_kept_identity_is_found(self):
         """Guards against a model that misses an empty disk voting as its former self."""
-        found = search(keeps_identity=True)["properties"]
+        found = search(2, keeps_identity=True)["properties"]
         self.assertIs(found["one_leader_a_term"]["holds"], False)
         self.assertIs(found["accepted_is_kept"]["holds"], False)
 
     def test_fault_of_an_empty_voter_is_found(self):
-        """Guards against a model that misses a learner promoted before it caught up."""
-        found = search(is_promoted_empty=True)["properties"]
+        """Guards against a model that misses a learner that counts before it caught up."""
+        found = search(2, swaps_empty=True)["properties"]
         self.assertIs(found["accepted_is_kept"]["holds"], False)
 
 
