--- a/mulberrygate/agreement/__init__.py
+++ b/mulberrygate/agreement/__init__.py
@@ -8,8 +8,9 @@
     NotLeader,
     ReadOk,
     Undetermined,
+    VoterStopped,
 )
-from mulberrygate.agreement.service import AgreementService, AgreementStatus
+from mulberrygate.agreement.service import AgreementService, AgreementStatus, open_service
 from mulberrygate.agreement.settings import AgreementSettings
 from mulberrygate.agreement.storage import Storage, StorageError
 
@@ -26,4 +27,6 @@
     "Storage",
     "StorageError",
     "Undetermined",
+    "VoterStopped",
+    "open_service",
 ]
--- a/mulberrygate/agreement/outcomes.py
+++ b/mulberrygate/agreement/outcomes.py
@@ -78,6 +78,14 @@
     code: Code = NOT_LEADER
 
 
+@dataclass(frozen=True)
+class VoterStopped:
+    """A voter can't start on its folder."""
+
+    reason: str
+    code: Code = STORAGE_FAILED
+
+
 @dataclass(frozen=True)
 class Undetermined:
     """It is not known whether the command was, or will be, committed."""
--- a/mulberrygate/agreement/service.py
+++ b/mulberrygate/agreement/service.py
@@ -31,7 +31,9 @@
     Proposed,
     ReadOk,
     Undetermined,
+    VoterStopped,
 )
+from mulberrygate.agreement.settings import AgreementSettings
 from mulberrygate.agreement.storage import Storage, StorageError
 from mulberrygate.core.effects import Effect, Persist, Reply, Send
 from mulberrygate.core.invariant import InvariantError
@@ -263,9 +265,9 @@
             return NotLeader("")
         try:
             outcome = action(self.timers.now())
-        except InvariantError as error:
-            self.fail(str(error))
-            return Undetermined(str(error))
+        except Exception as error:
+            self.fail(describe(error))
+            return Undetermined(self.failure)
         self.submit(outcome.effects)
         if isinstance(outcome, NotProposed):
             return NotLeader(outcome.leader)
@@ -291,9 +293,10 @@
             return
         try:
             effects = action(self.timers.now())
-        except InvariantError as error:
+        except Exception as error:
+            # The node may have changed its state without returning what has to be synced.
             effects = []
-            self.fail(str(error))
+            self.fail(describe(error))
         self.submit(effects, reply)
 
     def submit(self, effects: list[Effect], reply: asyncio.Future | None = None) -> None:
@@ -312,10 +315,8 @@
                 try:
                     for effect in effects:
                         await self.carry_out(effect, reply)
-                except StorageError as error:
-                    self.fail(str(error))
                 except Exception as error:
-                    self.fail(f"{type(error).__name__}: {error}")
+                    self.fail(describe(error))
                 finish(reply, None)
             self.has_work.clear()
             await self.has_work.wait()
@@ -441,6 +442,49 @@
         await asyncio.to_thread(self.storage.close)
 
 
+def describe(error: Exception) -> str:
+    """Return the reason for which an error stops a voter."""
+    if isinstance(error, StorageError | InvariantError):
+        return str(error)
+    return f"{type(error).__name__}: {error}"
+
+
+async def open_service(
+    folder: str,
+    voter: str,
+    voters: dict[str, str],
+    peers: Any,
+    timers: Any,
+    machine: Machine,
+    rng: random.Random,
+    settings: AgreementSettings | None = None,
+    address: str = "",
+) -> AgreementService | VoterStopped:
+    """Start a voter on its folder.
+
+    Parameters
+    ==========
+    folder : str
+        Folder of this voter alone, inside the data folder.
+    voter, voters, address
+        As ``voter``, ``peers`` and ``address`` of `AgreementNode`.
+
+    Returns
+    =======
+    AgreementService | VoterStopped
+        `VoterStopped` if the folder can't be used; the daemon goes on without a voter.
+    """
+    storage = Storage(folder)
+    try:
+        state = await asyncio.to_thread(storage.load, voter)
+    except StorageError as error:
+        log.error("The voter can't start.", voter=voter, reason=str(error))
+        storage.close()
+        return VoterStopped(str(error))
+    node = AgreementNode(voter, voters, state, rng, settings, address)
+    return AgreementService(node, storage, peers, timers, machine)
+
+
 def finish(future: asyncio.Future | None, result: object) -> None:
     """Set the result of a future that still waits."""
     if future is not None and not future.done():
--- a/mulberrygate/agreement/tests/test_service.py
+++ b/mulberrygate/agreement/tests/test_service.py
@@ -9,15 +9,14 @@
 from unittest import mock
 
 from mulberrygate.agreement import (
-    AgreementNode,
-    AgreementService,
     Committed,
     NotLeader,
     ReadOk,
     Role,
-    Storage,
     StorageError,
     Undetermined,
+    VoterStopped,
+    open_service,
 )
 from mulberrygate.core import HybridClock, TimerService
 from mulberrygate.peers import PeerClient, PeerServer
@@ -58,7 +57,7 @@
             self.clients[name] = PeerClient(server, addresses.get)
         self.addresses = addresses
         for name in addresses:
-            self.start(name)
+            await self.start(name)
         self.leader = await self.wait_leader()
 
     async def asyncTearDown(self):
@@ -70,16 +69,19 @@
             await self.servers[name].close()
         self.assertEqual(self.errors, [])
 
-    def start(self, name):
-        """Start a voter on its folder."""
-        storage = Storage(os.path.join(self.folder, name))
-        state = storage.load(name)
-        node = AgreementNode(name, self.addresses, state, random.Random(name))
-        machine = ListMachine()
-        self.services[name] = AgreementService(
-            node, storage, self.clients[name], self.timers, machine
+    async def open(self, name, voter):
+        """Open the folder of one name for a voter."""
+        folder = os.path.join(self.folder, name)
+        rng = random.Random(name)
+        peers = self.clients[voter]
+        return await open_service(
+            folder, voter, self.addresses, peers, self.timers, ListMachine(), rng
         )
 
+    async def start(self, name):
+        """Start a voter on its folder."""
+        self.services[name] = await self.open(name, name)
+
     async def wait_leader(self):
         """Return the service that leads with a lease."""
         for _ in range(400):
@@ -107,7 +109,7 @@
         for service in self.services.values():
             await service.close()
         for name in self.addresses:
-            self.start(name)
+            await self.start(name)
         leader = await self.wait_leader()
         self.assertIsInstance(await leader.read_barrier(5.0), ReadOk)
         self.assertEqual(leader.machine.commands, [b"kept"])
@@ -134,6 +136,20 @@
         self.assertIsNot(leader, stopped)
         self.assertIsInstance(await leader.propose(b"y", 5.0), Committed)
 
+    async def test_foreign_folder_gives_an_outcome(self):
+        """Guards against a daemon that ends because its data folder is not usable."""
+        await self.services["c"].close()
+        outcome = await self.open("c", "b")
+        self.assertIsInstance(outcome, VoterStopped)
+        self.assertIn("belongs to voter c", outcome.reason)
+
+    async def test_error_in_the_node_stops_the_voter(self):
+        """Guards against a voter that goes on after it may have lost what it had to sync."""
+        self.leader.node.on_append_reply = mock.Mock(side_effect=KeyError("x"))
+        outcome = await self.leader.propose(b"x", 5.0)
+        self.assertIsInstance(outcome, Undetermined)
+        self.assertIs(self.leader.role, Role.STOPPED)
+
     async def test_planned_stop_hands_leadership_over(self):
         """Guards against a planned stop that costs an election timeout."""
         old = self.leader
