--- a/mulberrygate/agreement/formation.py
+++ b/mulberrygate/agreement/formation.py
@@ -12,6 +12,10 @@
 the old first entry late is then in a group in which the lost disk is a voter. Each of the n - 1
 other disks joins only one of the two groups, and the two would need n of them, so at most one ever
 has a majority. Unanimity costs nothing in operation: it is needed once, before any state exists.
+
+Two assumptions remain. One process runs under a name at a time. And the first voters of the
+settings are not all replaced by instances with empty disks: once every voter has moved to another
+instance, the settings must name the present voters, else the former ones could form a new group.
 """
 
 from __future__ import annotations
