--- a/mulberrygate/control/distribution.py
+++ b/mulberrygate/control/distribution.py
@@ -101,6 +101,11 @@
     asks: int = 3
 
 
+def is_later(held: Held, known: Held) -> bool:
+    """Return whether a report is of a later incarnation, or of a later revision of the same one."""
+    return held > known
+
+
 @attrs.define
 class Campaign:
     """Attempts of the leader to reach one failure domain."""
@@ -296,7 +301,7 @@
 
     def _hold(self, name: str, held: Held) -> bool:
         known = self.held.get(name, (0, 0))
-        if held <= known:
+        if not is_later(held, known):
             return False
         fell = held[0] == known[0] and held[1] < known[1]
         invariant(not fell, REPORT_FELL, f"{name}: {known} then {held}")
--- a/mulberrygate/members/membership.py
+++ b/mulberrygate/members/membership.py
@@ -51,6 +51,8 @@
         dead relays plus the spread in the domain, which took up to 7 s.
     pause_s : float
         Gap between ticks after which this process was itself paused.
+    unheard_s : float
+        Time after a pause in which silence of all peers is not held against them.
     seed_s, slow_seed_s : float
         Period of joins at a seed while something is missing, and of a relay otherwise.
     fresh_s : float
@@ -64,6 +66,7 @@
     suspect_s: float = 1.5
     domain_lost_s: float = 10.0
     pause_s: float = 1.5
+    unheard_s: float = 10.0
     fresh_s: float = 2.5
     settle_s: float = 2.0
     seed_s: float = 3.0
@@ -136,6 +139,7 @@
         self.next_round = float("-inf")
         self.next_seed = rng.randrange(1000)
         self.is_unheard = False
+        self.resumed_at = float("-inf")
         self.has_revisions = False
 
     def view(self) -> MembershipView:
@@ -335,6 +339,9 @@
         """Advance to a time; to be called about four times a second."""
         if self.last_tick is not None and now - self.last_tick > self.settings.pause_s:
             self._after_pause(now)
+        elif now - self.resumed_at > self.settings.unheard_s:
+            # Ticks came regularly since the pause, so it is the peers that are silent.
+            self.is_unheard = False
         self.last_tick = now
         effects = self._check_probes(now) + self._check_suspects(now)
         self._expire(now)
@@ -352,6 +359,7 @@
 
     def _after_pause(self, now: float) -> None:
         self.is_unheard = True
+        self.resumed_at = now
         self.probes.clear()
         for name in self.suspected_at:
             self.suspected_at[name] = now
--- /dev/null
+++ b/mulberrygate/members/tests/test_membership_random.py
@@ -0,0 +1,11 @@
+"""Random runs of the membership."""
+
+from mulberrygate.members.tests.faults import SETTINGS, FaultMachine
+
+
+class MembershipMachine(FaultMachine):
+    """Guards against views that differ for good after any sequence of faults."""
+
+
+TestMembership = MembershipMachine.TestCase
+TestMembership.settings = SETTINGS
