--- a/mulberrygate/control/distribution.py
+++ b/mulberrygate/control/distribution.py
@@ -401,7 +401,7 @@
         that hears nobody may serve what it has, but one that has nothing and knows seeds is cut
         off rather than alone.
         """
-        if now - (self.started_at or now) < self.settings.alone_s:
+        if self.started_at is None or now - self.started_at < self.settings.alone_s:
             return False
         is_alone = not has_peers and (self.revision > 0 or not self.membership.seeds)
         return has_answers or is_alone
