--- a/mulberrygate/members/tests/network.py
+++ b/mulberrygate/members/tests/network.py
@@ -17,9 +17,6 @@
 from mulberrygate.members.view import Member
 
 TICK_S = 0.25
-# Bytes of a call beside the message body: frame fields, HTTP/2 frames and compressed headers.
-# An estimate; bench/members.py prints bodies and this separately.
-CALL_OVERHEAD = 150
 
 
 class Host:
@@ -37,18 +34,27 @@
         self.sent_messages = 0
         self.calls = 0
         self.seconds = 0.0
-        self.handled = 0
+        self.received_calls = 0
+        self.received_messages = 0
         self.kinds: Counter[str] = Counter()
         self.kind_bytes: Counter[str] = Counter()
 
-    def run(self, act: Callable[[], list[Any]]) -> list[Any]:
-        """Run a step of a decision class and measure its processor time."""
-        start = time.process_time_ns() if self.network.is_measured else 0
-        effects = act()
-        if self.network.is_measured:
-            self.seconds += (time.process_time_ns() - start) / 1e9
-        self.handled += 1
-        return effects
+    def run(self, act: Callable[[], Any]) -> Any:
+        """Run a step of a decision class or of the codec and measure its processor time."""
+        if not self.network.is_measured:
+            return act()
+        start = time.process_time_ns()
+        result = act()
+        self.seconds += (time.process_time_ns() - start) / 1e9
+        return result
+
+    def reset(self) -> None:
+        """Start counting anew."""
+        self.sent_bytes = self.sent_messages = self.calls = self.received_calls = 0
+        self.received_messages = 0
+        self.seconds = 0.0
+        self.kinds.clear()
+        self.kind_bytes.clear()
 
     def tick(self) -> None:
         """Run the periodic step of all parts."""
@@ -134,7 +140,7 @@
         host.kind_bytes[kind] += len(body)
 
     def _send(self, host: Host, part: Any, to: str, message: Any, timeout: float | None) -> None:
-        kind, body = encode(message)
+        kind, body = host.run(lambda: encode(message))
         self._count(host, kind, body)
         host.calls += 1
         target = self.hosts.get(to)
@@ -158,11 +164,13 @@
             )
             return
         part = target.parts[index]
+        target.received_calls += 1
+        target.received_messages += 1
         effects = target.run(lambda: part.handle(decode(kind, body), host.name, self.now))
         answer = self.carry_out(target, part, effects)
         if timeout is None or answer is None:
             return
-        answer_kind, answer_body = encode(answer)
+        answer_kind, answer_body = target.run(lambda: encode(answer))
         self._count(target, answer_kind, answer_body)
         if self.is_cut(target, host) or self.rng.random() < self.loss:
             return
@@ -175,6 +183,7 @@
         if self.hosts.get(host.name) is not host or not host.is_up or host.is_frozen:
             return
         part = host.parts[index]
+        host.received_messages += 1
         effects = host.run(lambda: part.handle(decode(kind, body), target.name, self.now))
         self.carry_out(host, part, effects)
 
