--- a/mulberrygate/endpoints/directory.py
+++ b/mulberrygate/endpoints/directory.py
@@ -195,6 +195,7 @@
             announcement.cache_sequence,
             announcement.cached_prefixes,
             announcement.evicted_prefixes,
+            lease.fingerprint,
         ]
         self._apply_report(row, now)
         owner = self.owner_of(self.failure_domain, announcement.pool)
@@ -302,7 +303,9 @@
         for row in msgpack.unpackb(message.rows):
             lease = self.table.leases.get(row[0])
             self._apply_report(row, now)
-            is_same = lease is not None and lease.announcement.incarnation == row[1]
+            # A report about changed properties, such as a leave that did not arrive yet, must not
+            # extend the lease of the old ones.
+            is_same = lease is not None and lease.fingerprint == row[9]
             if is_same and self._renewal_time(now) > float("-inf"):
                 lease.renew(now - row[3] * AGE_UNIT_S, now)
 
--- a/mulberrygate/endpoints/messages.py
+++ b/mulberrygate/endpoints/messages.py
@@ -76,7 +76,7 @@
     ==========
     rows : bytes
         Rows of name, incarnation, sequence, age in units of `AGE_UNIT_S`, load, age of the load
-        in milliseconds, cache sequence, cached prefixes and evicted prefixes.
+        in milliseconds, cache sequence, cached prefixes, evicted prefixes and fingerprint.
     """
 
     rows: bytes
--- a/mulberrygate/endpoints/tests/test_directory.py
+++ b/mulberrygate/endpoints/tests/test_directory.py
@@ -5,6 +5,7 @@
 from unittest.mock import patch
 
 import attrs
+import msgpack
 
 from mulberrygate.core.effects import Send
 from mulberrygate.core.invariant import InvariantError
@@ -221,6 +222,21 @@
             any(name == "endpoints.reports" for name in self.network.hosts[other].kinds)
         )
 
+    def test_report_of_a_leave_extends_no_lease(self):
+        """Reports keep an endpoint in use at an owner that missed its leave."""
+        self.start(4, 1)
+        owner = self.members["i000"].view().owner("d0", "lamp")
+        other = next(name for name in sorted(self.places) if name != owner)
+        self.announce(other)
+        self.network.run(0.2)
+        directory, lease = self.directories[owner], self.directories[owner].table.leases["e1"]
+        before = lease.renewed_at
+        changed = attrs.evolve(ANNOUNCEMENT, sequence=2, leaving=True)
+        self.directories[other].announce(changed, self.network.now)
+        reports = [row for _, _, row in self.directories[other].reports]
+        directory.handle(Reports(msgpack.packb(reports)), other, self.network.now + 1)
+        self.assertEqual(lease.renewed_at, before)
+
     def test_summary_reaches_other_domains(self):
         """The owner in another domain does not know endpoints, or keeps one that left."""
         self.start(12, 2)
--- a/mulberrygate/endpoints/tests/test_directory_random.py
+++ b/mulberrygate/endpoints/tests/test_directory_random.py
@@ -29,13 +29,15 @@
     def announce(self, name, endpoint, leaving, restarted):
         """Announce an endpoint of d0 to any instance."""
         host = self.network.hosts[name]
+        if not host.is_up or host.is_frozen:
+            return
         incarnation, sequence, has_left, _ = self.states.get(endpoint, (1, 0, False, 0.0))
         if restarted:
             incarnation, sequence, has_left = incarnation + 1, 0, False
         is_leaving = leaving or has_left
-        self.states[endpoint] = (incarnation, sequence + 1, is_leaving, self.network.now)
-        if not host.is_up or host.is_frozen:
-            return
+        # A leaving endpoint goes on announcing; what counts is when it first said so.
+        said_at = self.states[endpoint][3] if has_left else self.network.now
+        self.states[endpoint] = (incarnation, sequence + 1, is_leaving, said_at)
         announcement = Announcement(
             endpoint,
             incarnation,
@@ -53,7 +55,7 @@
 
     @invariant()
     def offers_only_what_announced_itself(self):
-        """No entry offers an endpoint whose last sign of life is older than the limit."""
+        """No entry offers an endpoint that left or was last heard before the limit."""
         now = self.network.now if hasattr(self, "network") else 0.0
         for directory in self.directories.values():
             for view in directory.views("lamp", now):
