--- a/mulberrygate/endpoints/directory.py
+++ b/mulberrygate/endpoints/directory.py
@@ -44,10 +44,10 @@
 DISTRUST_S = 0.5
 PULL_GAP_S = 0.25
 # Period at which an instance exchanges renewals with one random peer. Few peers need fewer rounds
-# until all know a renewal.
+# until all know a renewal; at 20 instances the slow period let renewals get 3.2 s old.
 EXCHANGE_S = 0.25
 SLOW_EXCHANGE_S = 0.5
-FEW_PEERS = 20
+FEW_PEERS = 8
 # An incarnation that ended is remembered for this time, so that late news do not bring it back.
 TOMBSTONE_S = 60.0
 
@@ -137,7 +137,8 @@
         effects += self._report(announcement, now)
         if is_changed:
             lease = self.table.leases[announcement.endpoint]
-            effects += [Send(p, Forwarded(lease.announcement)) for p in self._peers()]
+            forwarded = Forwarded(lease.announcement, age_byte(now - lease.renewed_at))
+            effects += [Send(peer, forwarded) for peer in self._peers()]
         return effects
 
     def _is_newer(self, announcement: Announcement) -> bool:
@@ -222,9 +223,7 @@
     def handle(self, message: Any, sender: str, now: float) -> list[Effect]:
         """Handle a message or the answer to an `Ask`."""
         if isinstance(message, Forwarded):
-            announcement = message.announcement
-            if self._is_newer(announcement):
-                return self._store(announcement, self._renewal_time(now), now)[1]
+            return self._on_rows(Rows((message.announcement,), bytes([message.age])), now)
         elif isinstance(message, Redirected):
             if message.announcement.failure_domain == self.failure_domain:
                 return self.announce(message.announcement, now)
--- a/mulberrygate/endpoints/messages.py
+++ b/mulberrygate/endpoints/messages.py
@@ -11,9 +11,17 @@
 @message("endpoints.forwarded")
 @attrs.frozen
 class Forwarded:
-    """To all entries of the domain: an endpoint is new or changed; never forwarded again."""
+    """To all entries of the domain: an endpoint is new or changed; never forwarded again.
+
+    Parameters
+    ==========
+    age : int
+        Age of the announcement in units of `AGE_UNIT_S`, since the sender may have been paused
+        before it handled it.
+    """
 
     announcement: Announcement
+    age: int = 0
 
 
 @message("endpoints.redirected")
