--- a/mulberrygate/endpoints/tests/test_directory.py
+++ b/mulberrygate/endpoints/tests/test_directory.py
@@ -10,7 +10,7 @@
 from mulberrygate.core.effects import Send
 from mulberrygate.core.invariant import InvariantError
 from mulberrygate.endpoints import LEAVE_LIMIT_S, Announcement, Directory
-from mulberrygate.endpoints.lease import Lease
+from mulberrygate.endpoints.lease import OLDEST, Lease
 from mulberrygate.endpoints.messages import Forwarded, Reports
 from mulberrygate.members import MembershipView
 from mulberrygate.members.tests.network import Network, make_member, place, start_members
@@ -129,6 +129,15 @@
         self.directory.tick(60.6)
         self.assertEqual(self.deaths, [("e1", 1, "lease")])
 
+    def test_paused_instance_forwards_the_age(self):
+        """An announcement that waited at a paused entry counts as new at all others."""
+        sent = [e.message for e in self.announce(60.0) if isinstance(e, Send)]
+        self.assertEqual({message.age for message in sent}, {OLDEST})
+        self.directory.tick(60.0)
+        self.directory.tick(61.0)
+        self.directory.handle(sent[0], "b", 61.0)
+        self.assertFalse(self.directory.views("lamp", 61.0)[0].accepts_work)
+
     def test_wrong_domain_is_redirected(self):
         """An endpoint that reaches an entry of another domain is taken for a local one."""
         effects = self.announce(0.0, failure_domain="d1")
