--- a/mulberrygate/endpoints/directory.py
+++ b/mulberrygate/endpoints/directory.py
@@ -12,6 +12,7 @@
 from mulberrygate.endpoints.lease import (
     AGE_UNIT_S,
     LEAVE_LIMIT_S,
+    MIN_GAIN_S,
     OLDEST,
     Lease,
     LeaseTable,
@@ -277,7 +278,9 @@
             if lease is None or (lease.fingerprint != mark and order > lease.order):
                 wanted += [name] if is_alive else []
             elif lease.announcement.incarnation == incarnation and is_trusted and units < OLDEST:
-                lease.renew(now - units * AGE_UNIT_S, now)
+                at = now - units * AGE_UNIT_S
+                if at > lease.renewed_at + MIN_GAIN_S:
+                    lease.renew(at, now)
         if not wanted or now - self.last_pull < PULL_GAP_S:
             return []
         self.last_pull = now
--- a/mulberrygate/endpoints/lease.py
+++ b/mulberrygate/endpoints/lease.py
@@ -30,6 +30,10 @@
 # messages are under way can't keep a lease alive.
 AGE_UNIT_S = 0.05
 OLDEST = 255
+# Renewals that are passed on count only if they are this much later than the known one. Delays of
+# messages make an age look younger at each hop, and without this two instances on a slow network
+# kept renewing a dead endpoint for each other. Announcements come about a second apart.
+MIN_GAIN_S = 0.4
 MAX_PREFIXES = 20_000
 # A load figure older than this means that the endpoint's clock was set; its offset is learned anew.
 MAX_LOAD_AGE_S = 30.0
@@ -244,5 +248,5 @@
         for name, units in zip(self.names(), ages, strict=True):
             at = now - units * AGE_UNIT_S
             lease = leases[name]
-            if units < OLDEST and at > lease.renewed_at:
+            if units < OLDEST and at > lease.renewed_at + MIN_GAIN_S:
                 lease.renew(at, now)
--- a/mulberrygate/endpoints/tests/test_directory.py
+++ b/mulberrygate/endpoints/tests/test_directory.py
@@ -206,6 +206,14 @@
             self.assertEqual(self.accepting(), set(self.places))
             self.network.run(0.9)
 
+    def test_slow_network_keeps_no_dead_endpoint(self):
+        """Instances renew a dead endpoint for each other while messages are slow."""
+        self.start(6, 1)
+        self.announce("i001")
+        self.network.slow_s = 0.4
+        self.network.run(LEAVE_LIMIT_S + 1.0)
+        self.assertEqual(self.accepting(), set())
+
     def test_lost_forwarding_is_made_up_for(self):
         """An entry that missed a leave sends work until the lease ends."""
         self.start(12, 1)
