--- a/mulberrygate/endpoints/directory.py
+++ b/mulberrygate/endpoints/directory.py
@@ -12,6 +12,7 @@
 from mulberrygate.endpoints.lease import (
     AGE_UNIT_S,
     LEAVE_LIMIT_S,
+    MIN_GAIN_S,
     OLDEST,
     Lease,
     LeaseTable,
@@ -43,6 +44,11 @@
 PAUSE_S = 1.5
 DISTRUST_S = 0.5
 PULL_GAP_S = 0.25
+# Period at which an instance exchanges renewals with one random peer. Few peers need fewer rounds
+# until all know a renewal; at 20 instances the slow period let renewals get 3.2 s old.
+EXCHANGE_S = 0.25
+SLOW_EXCHANGE_S = 0.5
+FEW_PEERS = 8
 # An incarnation that ended is remembered for this time, so that late news do not bring it back.
 TOMBSTONE_S = 60.0
 
@@ -53,9 +59,9 @@
     Explanation
     ===========
     Only what changes is sent to all entry instances at once. Renewals spread as a vector of one
-    byte for each endpoint: at each tick an instance exchanges it with one random peer, which
-    reaches 60 instances within about a second. Loads and cache events go to the owner of the pool's
-    scheduler only. Owners send summaries to the owners of the same pool in other failure domains.
+    byte for each endpoint: at each tick an instance exchanges it with one random peer. Loads and
+    cache events go to the owner of the pool's scheduler only. Owners send summaries to the owners
+    of the same pool in other failure domains.
 
     Parameters
     ==========
@@ -91,6 +97,8 @@
         self.summaries = SummarySender(failure_domain)
         self.last_report = float("-inf")
         self.last_pull = float("-inf")
+        self.last_exchange = float("-inf")
+        self.last_return = float("-inf")
         self.last_tick: float | None = None
         self.distrust_until = float("-inf")
 
@@ -149,7 +157,8 @@
         effects += self._report(announcement, now)
         if is_changed:
             lease = self.table.leases[announcement.endpoint]
-            effects += [Send(p, Forwarded(lease.announcement)) for p in self._peers()]
+            forwarded = Forwarded(lease.announcement, age_byte(now - lease.renewed_at))
+            effects += [Send(peer, forwarded) for peer in self._peers()]
         return effects
 
     def _is_newer(self, announcement: Announcement) -> bool:
@@ -207,6 +216,7 @@
             announcement.cache_sequence,
             announcement.cached_prefixes,
             announcement.evicted_prefixes,
+            lease.fingerprint,
         ]
         self._apply_report(row, now)
         owner = self.owner_of(self.failure_domain, announcement.pool)
@@ -233,9 +243,7 @@
     def handle(self, message: Any, sender: str, now: float) -> list[Effect]:
         """Handle a message or the answer to an `Ask`."""
         if isinstance(message, Forwarded):
-            announcement = message.announcement
-            if self._is_newer(announcement):
-                return self._store(announcement, self._renewal_time(now), now)[1]
+            return self._on_rows(Rows((message.announcement,), bytes([message.age])), now)
         elif isinstance(message, Redirected):
             if message.announcement.failure_domain == self.failure_domain:
                 return self.announce(message.announcement, now)
@@ -264,7 +272,11 @@
         if not message.is_answer:
             ages = self.table.ages(now) if is_same else b""
             named = b"" if is_same else self._named(now)
-            effects.append(Reply(Renewals(self.table.digest, ages, named, True)))
+            effects.append(Reply(Renewals(self.table.digest, ages, named, is_answer=True)))
+            if not is_same and not message.is_return and now - self.last_return >= PULL_GAP_S:
+                # The answer tells the sender what it lacks; this asks what this instance lacks.
+                self.last_return = now
+                effects.append(Ask(sender, Renewals(self.table.digest, is_return=True)))
         return effects
 
     def _named(self, now: float) -> bytes:
@@ -285,7 +297,9 @@
             if lease is None or (lease.fingerprint != mark and order > lease.order):
                 wanted += [name] if is_alive else []
             elif lease.announcement.incarnation == incarnation and is_trusted and units < OLDEST:
-                lease.renew(now - units * AGE_UNIT_S, now)
+                at = now - units * AGE_UNIT_S
+                if at > lease.renewed_at + MIN_GAIN_S:
+                    lease.renew(at, now)
         if not wanted or now - self.last_pull < PULL_GAP_S:
             return []
         self.last_pull = now
@@ -310,7 +324,9 @@
         for row in msgpack.unpackb(message.rows):
             lease = self.table.leases.get(row[0])
             self._apply_report(row, now)
-            is_same = lease is not None and lease.announcement.incarnation == row[1]
+            # A report about changed properties, such as a leave that did not arrive yet, must not
+            # extend the lease of the old ones.
+            is_same = lease is not None and lease.fingerprint == row[9]
             if is_same and self._renewal_time(now) > float("-inf"):
                 lease.renew(now - row[3] * AGE_UNIT_S, now)
 
@@ -332,7 +348,9 @@
         effects = self._expire(now)
         effects += self._flush_reports(now)
         peers = self._peers()
-        if peers and (self.table.leases or self.rng.random() < 0.25):
+        period = EXCHANGE_S if len(peers) > FEW_PEERS else SLOW_EXCHANGE_S
+        if peers and now - self.last_exchange >= period - 1e-6:
+            self.last_exchange = now
             message = Renewals(self.table.digest, self.table.ages(now))
             effects.append(Ask(self.rng.choice(peers), message))
         return effects + self._summarize(now)
--- a/mulberrygate/endpoints/lease.py
+++ b/mulberrygate/endpoints/lease.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import math
 from collections.abc import Iterable
 
 import attrs
@@ -31,6 +30,10 @@
 # messages are under way can't keep a lease alive.
 AGE_UNIT_S = 0.05
 OLDEST = 255
+# Renewals that are passed on count only if they are this much later than the known one. Delays of
+# messages make an age look younger at each hop, and without this two instances on a slow network
+# kept renewing a dead endpoint for each other. Announcements come about a second apart.
+MIN_GAIN_S = 0.4
 MAX_PREFIXES = 20_000
 # A load figure older than this means that the endpoint's clock was set; its offset is learned anew.
 MAX_LOAD_AGE_S = 30.0
@@ -38,7 +41,8 @@
 
 def age_byte(seconds: float) -> int:
     """Return an age in units, rounded up; `OLDEST` for everything older."""
-    return min(OLDEST, math.ceil(max(0.0, seconds) / AGE_UNIT_S) + 1)
+    units = max(0.0, seconds) / AGE_UNIT_S
+    return int(units) + 2 if units < OLDEST - 2 else OLDEST
 
 
 def strip(announcement: Announcement) -> Announcement:
@@ -234,15 +238,15 @@
     def ages(self, now: float) -> bytes:
         """Return the ages of all leases in order of names."""
         leases = self.leases
-        return bytes(age_byte(now - leases[name].renewed_at) for name in self.names())
+        return bytes([age_byte(now - leases[name].renewed_at) for name in self.names()])
 
     def renew_all(self, ages: bytes, now: float) -> None:
         """Renew the leases by ages in order of names."""
         if len(ages) != len(self.names()):
             return
+        leases = self.leases
         for name, units in zip(self.names(), ages, strict=True):
-            if units < OLDEST:
-                at = now - units * AGE_UNIT_S
-                lease = self.leases[name]
-                if at > lease.renewed_at:
-                    lease.renew(at, now)
+            at = now - units * AGE_UNIT_S
+            lease = leases[name]
+            if units < OLDEST and at > lease.renewed_at + MIN_GAIN_S:
+                lease.renew(at, now)
--- a/mulberrygate/endpoints/messages.py
+++ b/mulberrygate/endpoints/messages.py
@@ -11,9 +11,17 @@
 @message("endpoints.forwarded")
 @attrs.frozen
 class Forwarded:
-    """To all entries of the domain: an endpoint is new or changed; never forwarded again."""
+    """To all entries of the domain: an endpoint is new or changed; never forwarded again.
+
+    Parameters
+    ==========
+    age : int
+        Age of the announcement in units of `AGE_UNIT_S`, since the sender may have been paused
+        before it handled it.
+    """
 
     announcement: Announcement
+    age: int = 0
 
 
 @message("endpoints.redirected")
@@ -37,13 +45,17 @@
         One byte for each endpoint in order of their names, in units of `AGE_UNIT_S`; applies only
         where the digest is the same.
     named : bytes
-        In place of ages if the digests differ: rows of name, incarnation, sequence and age.
+        In place of ages if the digests differ: rows of name, incarnation, sequence, age and
+        fingerprint.
+    is_answer, is_return : bool
+        The message answers another one, or was sent because the digests differed.
     """
 
     digest: int
     ages: bytes = b""
     named: bytes = b""
     is_answer: bool = False
+    is_return: bool = False
 
 
 @message("endpoints.pull_rows")
@@ -72,7 +84,7 @@
     ==========
     rows : bytes
         Rows of name, incarnation, sequence, age in units of `AGE_UNIT_S`, load, age of the load
-        in milliseconds, cache sequence, cached prefixes and evicted prefixes.
+        in milliseconds, cache sequence, cached prefixes, evicted prefixes and fingerprint.
     """
 
     rows: bytes
--- a/mulberrygate/members/membership.py
+++ b/mulberrygate/members/membership.py
@@ -51,6 +51,8 @@
         dead relays plus the spread in the domain, which took up to 7 s.
     pause_s : float
         Gap between ticks after which this process was itself paused.
+    unheard_s : float
+        Time after a pause in which silence of all peers is not held against them.
     seed_s, slow_seed_s : float
         Period of joins at a seed while something is missing, and of a relay otherwise.
     fresh_s : float
@@ -64,6 +66,7 @@
     suspect_s: float = 1.5
     domain_lost_s: float = 10.0
     pause_s: float = 1.5
+    unheard_s: float = 10.0
     fresh_s: float = 2.5
     settle_s: float = 2.0
     seed_s: float = 3.0
@@ -135,7 +138,9 @@
         self.urgent_until = float("-inf")
         self.next_round = float("-inf")
         self.next_seed = rng.randrange(1000)
+        self.is_superseded = False
         self.is_unheard = False
+        self.resumed_at = float("-inf")
         self.has_revisions = False
 
     def view(self) -> MembershipView:
@@ -150,11 +155,12 @@
     def leave(self, now: float) -> list[Effect]:
         """Announce that this instance leaves; the heartbeats go on until the process ends."""
         own = self.table.own
+        was_relay = self._is_relay()
         self._store(
             attrs.evolve(own, status=Status.LEAVING, heartbeat=own.heartbeat + 1), now, urgent=True
         )
         effects = self._beat(2 * self.settings.fanout, now)
-        return effects + (self._summaries(now) if self._is_relay(own) else [])
+        return effects + (self._summaries(now) if was_relay else [])
 
     def merge(self, members: list[Member], now: float) -> list[Effect]:
         """Take over statements from elsewhere, as far as they are newer."""
@@ -285,8 +291,8 @@
     def _on_self(self, member: Member, now: float) -> list[Effect]:
         own = self.table.own
         if member.incarnation > own.incarnation:
-            event = Event("members.superseded", {"instance": self.name})
-            return [Record(event)]
+            is_news, self.is_superseded = not self.is_superseded, True
+            return [Record(Event("members.superseded", {"instance": self.name}))] * is_news
         if member.incarnation < own.incarnation or order(member) <= order(own):
             return []
         if member.status is Status.DEAD:
@@ -335,6 +341,9 @@
         """Advance to a time; to be called about four times a second."""
         if self.last_tick is not None and now - self.last_tick > self.settings.pause_s:
             self._after_pause(now)
+        elif now - self.resumed_at > self.settings.unheard_s:
+            # Ticks came regularly since the pause, so it is the peers that are silent.
+            self.is_unheard = False
         self.last_tick = now
         effects = self._check_probes(now) + self._check_suspects(now)
         self._expire(now)
@@ -346,12 +355,13 @@
             effects += self._round(now)
         elif now < self.urgent_until:
             effects += self._beat(2, now)
-        if self._is_relay(self.table.own):
+        if self._is_relay():
             effects += self._summaries(now)
         return effects + self._try_seeds(now)
 
     def _after_pause(self, now: float) -> None:
         self.is_unheard = True
+        self.resumed_at = now
         self.probes.clear()
         for name in self.suspected_at:
             self.suspected_at[name] = now
@@ -434,8 +444,8 @@
 
     # Relays.
 
-    def _is_relay(self, own: Member) -> bool:
-        return own.instance in self.view().relays(self.domain) or own.status is Status.LEAVING
+    def _is_relay(self) -> bool:
+        return self.name in self.view().relays(self.domain)
 
     def _summaries(self, now: float) -> list[Effect]:
         """Exchange summaries with relays of the other failure domains."""
@@ -482,7 +492,7 @@
         if not self.seeds or now - self.last_seeds < settings.seed_s:
             return []
         is_alone = now - self.last_contact > 2 * settings.seed_s
-        is_relay = self._is_relay(self.table.own)
+        is_relay = self._is_relay()
         others = [d for d in self.table.digests if d != self.domain and d not in self.table.lost]
         is_missing = is_alone or (is_relay and (not others or bool(self.table.lost)))
         is_routine = is_relay and now - self.last_seeds >= settings.slow_seed_s
@@ -493,6 +503,11 @@
         count = min(len(self.seeds), settings.fanout if is_first else 1)
         self.next_seed += count
         chosen = [self.seeds[(self.next_seed - n) % len(self.seeds)] for n in range(count)]
+        view = self.view()
+        gone = [m.address for name, m in sorted(view.members.items()) if name not in view.live]
+        if is_missing and gone:
+            # Members are restarted at their address, perhaps while all seeds are dead.
+            chosen.append(self.rng.choice(gone))
         return [SendAddress(seed, join) for seed in chosen]
 
     # Outgoing messages.
