Test the scheduler with random runs, mutants and unit tests

Cause: the invariants had not been shown to fail, and reserves lagged by 50 ms when an urgent tier appeared; a request presented as running on a lost endpoint could be granted again.

--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -416,10 +416,10 @@
         late = []
         for waiting in self.watch.due(now):
             cached = self._most_cached(waiting, now)
-            if self.watch.latest_start(waiting, cached) > now:
-                self.watch.watch(waiting, cached)
-            else:
+            if self._is_late(waiting, cached, now):
                 late.append((waiting, cached))
+            else:
+                self.watch.watch(waiting, cached)
         late.sort(key=lambda item: -item[0].ticket.tier)
         effects: list[Effect] = []
         for waiting, cached in late:
@@ -427,17 +427,23 @@
             effects.append(self._refuse(waiting, DEADLINE_UNREACHABLE, now))
         return effects
 
+    def _is_late(self, waiting: Waiting, cached: float, now: float) -> bool:
+        return self.watch.latest_start(waiting, cached) <= now
+
     def _shed_excess(self, now: float) -> list[Effect]:
         """Shed what exceeds the queue's limit, from the lowest waiting tier."""
         effects: list[Effect] = []
         newest = max(item.order for item in self.queue.by_request.values())
         while len(self.queue) > self.pool.max_waiting:
-            waiting = self.queue.tiers[self.queue.lowest_tier()].last()
+            waiting = self._victim()
             check_capacity_shed(self.queue, waiting, self.log)
             is_for_upper = waiting.order != newest
             effects.append(self._refuse(waiting, EVICTED if is_for_upper else QUEUE_FULL, now))
         return effects
 
+    def _victim(self) -> Waiting:
+        return self.queue.tiers[self.queue.lowest_tier()].last()
+
     def _shed_all(self, code: Code, now: float) -> list[Effect]:
         """Shed all waiting requests, lowest tier first."""
         effects: list[Effect] = []
@@ -465,7 +471,10 @@
         waiting = Waiting(ticket, cost, now + ticket.deadline_s, self.order, now, output)
         self.queue.add(waiting)
         self.demand.ask(ticket.tier, now)
-        self.top_tier = min(self.top_tier, ticket.tier)
+        if ticket.tier < self.top_tier:
+            # Reserves have to follow at once when a more urgent tier appears.
+            self.top_tier = ticket.tier
+            self.demand_at = -math.inf
         self.watch.watch(waiting, self._most_cached(waiting, now))
 
     def _most_cached(self, waiting: Waiting, now: float) -> float:
@@ -481,11 +490,15 @@
         ticket = running.ticket
         state = self.states.get(running.endpoint)
         request = ticket.request
-        if state is None or request in self.running or request in self.ended:
+        if request in self.running or request in self.ended:
             return
         waiting = self.queue.by_request.get(request)
         if waiting is not None:
             self.queue.remove(waiting)
+        if state is None:
+            # The endpoint is gone; a late ask must not grant the request a second time.
+            self.ended.add(request, None, now)
+            return
         granted = Granted(ticket, state, running.version, now)
         granted.is_presented = True
         granted.output = self.lengths.output_tokens(ticket.route, ticket.output_tokens)
--- a/mulberrygate/schedule/shed.py
+++ b/mulberrygate/schedule/shed.py
@@ -141,11 +141,11 @@
 
 def check_capacity_shed(queue: FairQueue, waiting: Waiting, log: GrantLog) -> None:
     """Check a shed for capacity: no lower tier waits or was admitted in its place."""
-    lowest = queue.lowest_tier()
+    lower = sum(tier.count for tier in queue.tiers[waiting.ticket.tier + 1 :])
     invariant(
-        lowest <= waiting.ticket.tier,
+        lower == 0,
         SHED_BEFORE_LOWER_TIER,
-        f"{waiting.ticket.request} of tier {waiting.ticket.tier} while tier {lowest} waits",
+        f"{waiting.ticket.request} of tier {waiting.ticket.tier} while {lower} of lower tiers wait",
     )
     log.check_shed(waiting)
 
--- /dev/null
+++ b/mulberrygate/schedule/tests/test_stateful.py
@@ -0,0 +1,133 @@
+"""Random runs of the scheduler, and of mutants that break one rule each."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from mulberrygate.core.invariant import InvariantError
+from mulberrygate.schedule import PoolScheduler, codes
+from mulberrygate.schedule.endpoint import EndpointState
+from mulberrygate.schedule.fair import TierQueue
+from mulberrygate.schedule.shares import VersionShares
+from mulberrygate.schedule.shed import DeadlineWatch
+from mulberrygate.schedule.tests.machine import SchedulerMachine
+
+SETTINGS = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=50,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+MUTANT_SETTINGS = settings(SETTINGS, max_examples=400, phases=[Phase.generate])
+
+
+class TopTierFirst(PoolScheduler):
+    """Mutant: sheds the most urgent waiting tier when the queue is full."""
+
+    def _victim(self):
+        return next(tier for tier in self.queue.tiers if tier.count).last()
+
+
+class UpperTiersHeldBack(PoolScheduler):
+    """Mutant: passes over a waiting request of tier 0 or 1 that has a place."""
+
+    def _next(self, queue, tier, held, now):
+        if tier < 2:
+            held.extend(waiting for waiting in queue.all() if waiting not in held)
+            return None
+        return super()._next(queue, tier, held, now)
+
+
+class LowerTiersFirst(PoolScheduler):
+    """Mutant: serves tiers 2 and 3 as if no request of tiers 0 and 1 waited."""
+
+    def _dispatch(self, now):
+        tiers = self.queue.tiers
+        self.queue.tiers = (TierQueue(), TierQueue(), *tiers[2:])
+        effects = super()._dispatch(now)
+        self.queue.tiers = tiers
+        return effects + super()._dispatch(now)
+
+
+class NothingShed(PoolScheduler):
+    """Mutant: lets the queue grow beyond its limit."""
+
+    def _shed_excess(self, now):
+        return []
+
+
+class AllLate(PoolScheduler):
+    """Mutant: sheds requests for their deadline while they can meet it."""
+
+    def _is_late(self, waiting, cached, now):
+        return True
+
+
+class StatefulTest(unittest.TestCase):
+    def expect(self, code, scheduler_class=PoolScheduler):
+        """Run a mutant and expect that the invariant finds it."""
+
+        class Mutant(SchedulerMachine):
+            pass
+
+        Mutant.scheduler_class = scheduler_class
+        with self.assertRaises(InvariantError) as raised:
+            run_state_machine_as_test(Mutant, settings=MUTANT_SETTINGS)
+        self.assertEqual(raised.exception.code, code)
+
+    def test_random_runs_hold_the_invariants(self):
+        """Guards against any order of messages that breaks a guarantee or a count."""
+        run_state_machine_as_test(SchedulerMachine, settings=SETTINGS)
+
+    def test_finds_shed_of_upper_tier(self):
+        """Guards against an invariant that misses a shed before a lower tier."""
+        self.expect(codes.SHED_BEFORE_LOWER_TIER, TopTierFirst)
+
+    def test_finds_grant_to_lower_tier(self):
+        """Guards against an invariant that misses a lower tier preferred at a grant."""
+        self.expect(codes.LOWER_TIER_ADMITTED, UpperTiersHeldBack)
+
+    def test_finds_lower_tier_admitted_before_shed(self):
+        """Guards against a shed that ignores earlier grants to lower tiers."""
+        self.expect(codes.LOWER_TIER_ADMITTED, LowerTiersFirst)
+
+    def test_finds_excess_share(self):
+        """Guards against a version that gets more than its share unnoticed."""
+        with mock.patch.object(VersionShares, "is_allowed", lambda *arguments: True):
+            self.expect(codes.SHARE_EXCEEDED)
+
+    def test_finds_miscounted_slots(self):
+        """Guards against slots that leak when grants end."""
+        remove = EndpointState.remove
+
+        def leak(state, granted, now):
+            remove(state, granted, now)
+            state.used += 1
+
+        with mock.patch.object(EndpointState, "remove", leak):
+            self.expect(codes.SLOTS_MISCOUNTED)
+
+    def test_finds_queue_over_limit(self):
+        """Guards against a queue that grows without bound."""
+        self.expect(codes.QUEUE_OVER_LIMIT, NothingShed)
+
+    def test_finds_early_deadline_shed(self):
+        """Guards against shedding requests that could still be answered."""
+        with (
+            mock.patch.object(DeadlineWatch, "is_due", lambda watch, now: True),
+            mock.patch.object(
+                DeadlineWatch,
+                "due",
+                lambda watch, now: [entry[2] for entry in watch.heap if not entry[2].is_gone],
+            ),
+        ):
+            self.expect(codes.DEADLINE_SHED_EARLY, AllLate)
+
+
+if __name__ == "__main__":
+    unittest.main()
