Estimate the backlog's wait from the rate at which slots become free

Cause: after the start the rate of grants is low, so one waiting request already justified another region. Change: the rate is at least the local slots over the mean run time.

--- a/mulberrygate/schedule/demand.py
+++ b/mulberrygate/schedule/demand.py
@@ -11,6 +11,9 @@
 RECENT_S = 60.0
 # Time constant of the rates.
 MEMORY_S = 10.0
+# Weight of one grant in the mean run time, and its value before the first one.
+RUN_GAIN = 0.05
+FIRST_RUN_S = 1.0
 # At most this share of the local slots is reserved; a pool of fewer slots reserves none.
 LARGEST_RESERVED_SHARE = 1 / 6
 # Slots reserved if upper tiers sent all requests; in proportion if they send a part. Free slots on
@@ -41,6 +44,7 @@
         self.last_ask = [-math.inf] * TIERS
         self.asks = [0.0] * TIERS
         self.grants = 0.0
+        self.run_s = FIRST_RUN_S
         self.updated_at = -math.inf
 
     def ask(self, tier: int, now: float) -> None:
@@ -49,10 +53,11 @@
         self.last_ask[tier] = now
         self.asks[tier] += 1.0
 
-    def grant(self, now: float) -> None:
-        """Count a grant."""
+    def grant(self, run_s: float, now: float) -> None:
+        """Count a grant and its predicted seconds."""
         self._decay(now)
         self.grants += 1.0
+        self.run_s += RUN_GAIN * (run_s - self.run_s)
 
     def _decay(self, now: float) -> None:
         if now - self.updated_at < 0.1:
@@ -90,13 +95,20 @@
             is_recent = is_recent or now - self.last_ask[tier] <= RECENT_S
         return reserved
 
-    def expected_wait_s(self, waiting: int) -> float:
-        """Return the seconds until that many requests have been granted."""
-        return waiting * MEMORY_S / self.grants if self.grants > 0.5 else math.inf
+    def expected_wait_s(self, waiting: int, slots: int) -> float:
+        """Return the seconds until that many requests have been granted.
 
-    def reach(self, waiting: int) -> int:
+        Explanation
+        ===========
+        The rate of grants is low while there is little to grant, so it is at least the rate at
+        which the local slots become free.
+        """
+        rate = max(self.grants / MEMORY_S, slots / self.run_s)
+        return waiting / rate if rate > 0 else math.inf
+
+    def reach(self, waiting: int, slots: int) -> int:
         """Return the largest distance that the backlog justifies."""
-        wait_s = self.expected_wait_s(waiting) if waiting else 0.0
+        wait_s = self.expected_wait_s(waiting, slots) if waiting else 0.0
         if wait_s > REGION_WAIT_S:
             return OTHER_REGION
         return OTHER_DOMAIN if wait_s > DOMAIN_WAIT_S else LOCAL
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -285,7 +285,9 @@
         self.top_tier = min(self.demand.top_tier(now), next(waiting, TIERS))
         self.reserved = self.demand.reserved(self.local_slots, now)
         self.chooser.reach = (
-            self.demand.reach(len(self.queue)) if self.local_slots else OTHER_REGION
+            self.demand.reach(len(self.queue), self.local_slots)
+            if self.local_slots
+            else OTHER_REGION
         )
 
     def _dispatch(self, now: float) -> list[Effect]:
@@ -391,7 +393,7 @@
         self.queue.remove(waiting)
         if self.shares.shares:
             self.shares.count(ticket.route, state.view.version)
-        self.demand.grant(now)
+        self.demand.grant(choice.run_s, now)
         granted = Granted(ticket, state, state.view.version, now)
         granted.cost = waiting.cost
         granted.cached = choice.cached
@@ -456,7 +458,7 @@
     def _refuse(self, waiting: Waiting, code: Code, now: float) -> Send:
         ticket = waiting.ticket
         self.queue.remove(waiting)
-        wait_s = self.demand.expected_wait_s(len(self.queue))
+        wait_s = self.demand.expected_wait_s(len(self.queue), self.local_slots)
         retry_after_s = min(LONGEST_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
         refusal = Refuse(ticket.pool, ticket.request, code.number, retry_after_s)
         self.ended.add(ticket.request, refusal, now)
