--- a/mulberrygate/schedule/room.py
+++ b/mulberrygate/schedule/room.py
@@ -5,7 +5,7 @@
 from mulberrygate.schedule.endpoint import LOCAL, EndpointState
 
 # Requests are matched to the prefixes of free endpoints only while this few have room.
-FEW = 4
+FEW = 8
 
 
 class OpenList:
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -113,7 +113,7 @@
         self.log = GrantLog()
         self.order = 0
         self.reserved = [0] * TIERS
-        self.top_tier = 0
+        self.top_tier = self.newest_tier = 0
         self.local_slots = 0
         self.without_endpoint_since: float | None = None
         self.blocked: dict[str, EndpointState] = {}
@@ -442,11 +442,10 @@
     def _shed_excess(self, now: float) -> list[Effect]:
         """Shed what exceeds the queue's limit, from the lowest waiting tier."""
         effects: list[Effect] = []
-        newest = max(item.order for item in self.queue.by_request.values())
         while len(self.queue) > self.pool.max_waiting:
             waiting = self._victim()
             check_capacity_shed(self.queue, waiting, self.log)
-            is_for_upper = waiting.order != newest
+            is_for_upper = self.newest_tier < waiting.ticket.tier
             effects.append(self._refuse(waiting, EVICTED if is_for_upper else QUEUE_FULL, now))
         return effects
 
@@ -479,6 +478,7 @@
         cost = ticket.prompt_tokens + output
         waiting = Waiting(ticket, cost, now + ticket.deadline_s, self.order, now, output)
         self.queue.add(waiting)
+        self.newest_tier = ticket.tier
         self.demand.ask(ticket.tier, now)
         if ticket.tier < self.top_tier:
             # Reserves have to follow at once when a more urgent tier appears.
--- a/mulberrygate/schedule/tests/test_order.py
+++ b/mulberrygate/schedule/tests/test_order.py
@@ -132,6 +132,12 @@
             self.bench.ask(name, tier=tier)
         self.assertEqual(self.bench.refused, {"low": codes.QUEUE_FULL.number})
 
+    def test_eviction_inside_a_tier_is_reported_as_a_full_queue(self):
+        """Guards against a refusal that blames a higher tier when there is none."""
+        for number in range(5):
+            self.bench.ask(f"q{number}", tier=1, deadline=600.0 - number)
+        self.assertEqual(set(self.bench.refused.values()), {codes.QUEUE_FULL.number})
+
     def test_request_past_its_latest_start_is_shed(self):
         """Guards against running requests for nothing."""
         self.bench.ask("short", deadline=5.0, tokens=200)
