--- a/bench/cost.py
+++ b/bench/cost.py
@@ -4,6 +4,7 @@
 
 import gc
 import random
+import statistics
 import time
 import tracemalloc
 
@@ -15,6 +16,7 @@
 ENDPOINTS = 100
 WAITING = 2000
 REQUESTS = 20_000
+PART = 500
 ACCOUNTS = 300
 HARDWARE = ("old", "middle", "new")
 
@@ -67,6 +69,7 @@
         self.running: list[tuple[Grant, Ticket]] = []
         self.by_name = {ticket.request: ticket for ticket in tickets}
         self.now = 1.0
+        self.seconds = 0.0
         self.scheduler.set_endpoints(self.views, self.now)
 
     def take(self, effects) -> None:
@@ -79,12 +82,12 @@
         """Send an ask."""
         self.take(self.scheduler.ask(ticket, self.now))
 
-    def end(self, index: int) -> None:
-        """End a running request."""
+    def pick(self, rng: random.Random) -> Done:
+        """Take a running request and return the message of its end."""
+        index = rng.randrange(len(self.running))
         self.running[index], self.running[-1] = self.running[-1], self.running[index]
         grant, ticket = self.running.pop()
-        total_s = 0.2 + 0.02 * ticket.output_tokens
-        done = Done(
+        return Done(
             "care",
             grant.request,
             grant.endpoint,
@@ -93,27 +96,37 @@
             ticket.prompt_tokens,
             ticket.output_tokens,
             0.2,
-            total_s,
+            0.2 + 0.02 * ticket.output_tokens,
         )
-        self.take(self.scheduler.done(done, self.now))
 
-    def run(self, tickets: list[Ticket], rng: random.Random) -> float:
-        """Return processor seconds for asks and ends in turn, with ticks ten times a second."""
+    def timed(self, method, *arguments) -> None:
+        """Call the scheduler and add up the processor time of the call."""
         started = time.process_time()
+        effects = method(*arguments, self.now)
+        self.seconds += time.process_time() - started
+        self.take(effects)
+
+    def run(self, tickets: list[Ticket], rng: random.Random) -> list[float]:
+        """Ask and end in turn, tick ten times a second; return processor seconds by part."""
+        scheduler = self.scheduler
+        parts = []
         for number, ticket in enumerate(tickets):
             self.now += 1 / 140
-            self.ask(ticket)
+            self.timed(scheduler.ask, ticket)
             if self.running:
-                self.end(rng.randrange(len(self.running)))
+                self.timed(scheduler.done, self.pick(rng))
             if number % 14 == 0:
-                self.scheduler.tick(self.now)
+                self.timed(scheduler.tick)
             if number % 140 == 0:
-                self.scheduler.set_endpoints(self.views, self.now)
-        return time.process_time() - started
+                self.timed(scheduler.set_endpoints, self.views)
+            if (number + 1) % PART == 0:
+                parts.append(self.seconds)
+                self.seconds = 0.0
+        return parts
 
 
-def measure(running: int, waiting: int) -> tuple[float, float]:
-    """Return microseconds per request and bytes per waiting request."""
+def measure(running: int, waiting: int) -> tuple[list[float], float]:
+    """Return microseconds per request by part, and bytes per waiting request."""
     rng = random.Random(7)
     tickets = [make_ticket(number, rng) for number in range(running + waiting + REQUESTS)]
     feed = Feed(tickets)
@@ -129,20 +142,28 @@
     # The tickets of the whole run exist beforehand; the collector needn't visit them each time.
     gc.collect()
     gc.freeze()
-    seconds = feed.run(tickets[running + waiting :], rng)
-    return seconds / REQUESTS * 1e6, held / max(1, waiting)
+    parts = feed.run(tickets[running + waiting :], rng)
+    return [seconds / PART * 1e6 for seconds in parts], held / max(1, waiting)
+
+
+def loop_ns() -> float:
+    """Return nanoseconds for one step of an empty loop, as a measure of the machine's speed."""
+    started = time.process_time()
+    for _ in range(1_000_000):
+        pass
+    return (time.process_time() - started) * 1e3
 
 
 def print_cost() -> None:
     """Print the cost with all slots taken and requests waiting, and with free slots."""
     full = ENDPOINTS * 17
-    busy_us, held = measure(full, WAITING)
-    idle_us, _ = measure(full // 2, 0)
-    print(
-        f"{ENDPOINTS} endpoints, {WAITING} waiting: {busy_us:.1f} us a request (ask, grant, done,"
-    )
-    print(f"ticks), {held:.0f} bytes a waiting request beside its ticket; half of the slots free:")
-    print(f"{idle_us:.1f} us a request")
+    busy, held = measure(full, WAITING)
+    idle, _ = measure(full // 2, 0)
+    print(f"{ENDPOINTS} endpoints; ask, grant, done and ticks in us a request, processor time,")
+    print(f"median and least of parts of {PART} requests; an empty loop takes {loop_ns():.0f} ns")
+    for name, parts in ((f"slots taken, {WAITING} waiting", busy), ("half of slots free", idle)):
+        print(f"  {name}: {statistics.median(parts):.1f}, {min(parts):.1f}")
+    print(f"  {held:.0f} bytes a waiting request beside its ticket")
 
 
 if __name__ == "__main__":
--- a/mulberrygate/schedule/prefix.py
+++ b/mulberrygate/schedule/prefix.py
@@ -14,7 +14,7 @@
 
 
 # Holders of a shorter prefix are not looked for once this many endpoints are known.
-MOST_HOLDERS = 8
+MOST_HOLDERS = 6
 
 
 class PrefixIndex:
@@ -84,8 +84,10 @@
         for index in range(min(len(prefixes), MAX_PREFIXES) - 1, -1, -1):
             names = self.holders.get(prefixes[index])
             if names:
+                tokens = (index + 1) * PREFIX_TOKENS
                 for name in names:
-                    found.setdefault(name, (index + 1) * PREFIX_TOKENS)
-                if len(found) >= MOST_HOLDERS:
-                    break
+                    if name not in found:
+                        found[name] = tokens
+                        if len(found) >= MOST_HOLDERS:
+                            return found
         return found
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -69,6 +69,7 @@
 RETRY_AFTER_S = 1.0
 # Periods of the work that isn't done for each message.
 CLEAN_S = 0.5
+EXPIRE_S = 3.0
 DEMAND_S = 0.05
 LONGEST_RETRY_AFTER_S = 30.0
 
@@ -112,11 +113,11 @@
         self.log = GrantLog()
         self.order = 0
         self.reserved = [0] * TIERS
-        self.top_tier = 0
+        self.top_tier = self.newest_tier = 0
         self.local_slots = 0
         self.without_endpoint_since: float | None = None
         self.blocked: dict[str, EndpointState] = {}
-        self.cleaned_at = self.demand_at = -math.inf
+        self.cleaned_at = self.expired_at = self.demand_at = -math.inf
 
     # Messages of entries
 
@@ -144,7 +145,7 @@
         if granted is None:
             return []
         self._release(granted, now)
-        self.shares.uncount(granted.ticket.route, granted.version)
+        self.shares.uncount(granted.ticket.route, granted.version, granted.share_epoch)
         self.queue.charge(granted.ticket, -granted.cost)
         return self._settle(now)
 
@@ -169,12 +170,14 @@
         self.ended.add(message.request, None, now)
         actual = float(message.prompt_tokens + message.output_tokens)
         self.queue.charge(granted.ticket, actual - granted.cost)
+        before = (state.faults, state.detector.is_slow)
         if message.fault:
             state.count_fault(now)
         elif not message.cancelled:
             state.faults = 0
             learn(granted, message, evidence, self.lengths, self._is_reference(message.version))
-        self._update_limits(state, now)
+        if (state.faults, state.detector.is_slow) != before:
+            self._update_limits(state, now)
         return [evidence, *self._settle(now)]
 
     def present(self, message: Present, sender: str, now: float) -> list[Effect]:
@@ -249,18 +252,24 @@
     def _clean(self, now: float) -> None:
         """Drop lost grants and bring up to date what needn't be exact to the moment."""
         self.cleaned_at = now
-        for granted in [item for item in self.running.values() if item.expires <= now]:
-            self._release(granted, now)
-            self.ended.add(granted.ticket.request, None, now)
+        if now >= self.expired_at + EXPIRE_S:
+            self._expire(now)
         if any(state.view.accepts_work for state in self.states.values()):
             self.without_endpoint_since = None
         elif self.without_endpoint_since is None:
             self.without_endpoint_since = now
         self.watch.measure(list(self.states.values()))
-        self.watch.compact()
+        self.watch.compact(len(self.queue))
         self.ended.forget_old(now)
         self._update_demand(now)
 
+    def _expire(self, now: float) -> None:
+        """Drop grants whose end was never reported."""
+        self.expired_at = now
+        for granted in [item for item in self.running.values() if item.expires <= now]:
+            self._release(granted, now)
+            self.ended.add(granted.ticket.request, None, now)
+
     # Decisions
 
     def _settle(self, now: float) -> list[Effect]:
@@ -285,7 +294,9 @@
         self.top_tier = min(self.demand.top_tier(now), next(waiting, TIERS))
         self.reserved = self.demand.reserved(self.local_slots, now)
         self.chooser.reach = (
-            self.demand.reach(len(self.queue)) if self.local_slots else OTHER_REGION
+            self.demand.reach(len(self.queue), self.local_slots)
+            if self.local_slots
+            else OTHER_REGION
         )
 
     def _dispatch(self, now: float) -> list[Effect]:
@@ -386,19 +397,17 @@
         if held:
             upper = [item for item in held if item.ticket.tier < ticket.tier]
             self.log.check_grant(upper, state, self.order, self.chooser, now)
-        self.log.add(ticket.tier, state, self.order)
+        self.log.add(ticket.tier, state.name, self.order)
         self.queue.charge(ticket, waiting.cost)
         self.queue.remove(waiting)
+        self.demand.grant(choice.run_s, now)
+        granted = Granted(
+            ticket, state, state.view.version, now, waiting.cost, waiting.output, choice.cached
+        )
         if self.shares.shares:
             self.shares.count(ticket.route, state.view.version)
-        self.demand.grant(now)
-        granted = Granted(ticket, state, state.view.version, now)
-        granted.cost = waiting.cost
-        granted.cached = choice.cached
-        granted.uncached = max(ticket.prompt_tokens - choice.cached, 1.0)
-        granted.output = waiting.output
+            granted.share_epoch = self.shares.epoch
         granted.wait_s = state.wait_s + state.pending_prefill * state.prefill_s
-        granted.was_queued = granted.wait_s > 0
         granted.expected_end = now + choice.run_s
         granted.expires = max(waiting.deadline, now + 4 * choice.run_s) + LOST_DONE_S
         self._count(granted, now)
@@ -417,10 +426,10 @@
         late = []
         for waiting in self.watch.due(now):
             cached = self._most_cached(waiting, now)
-            if self.watch.latest_start(waiting, cached) > now:
-                self.watch.watch(waiting, cached)
-            else:
+            if self._is_late(waiting, cached, now):
                 late.append((waiting, cached))
+            else:
+                self.watch.watch(waiting, cached)
         late.sort(key=lambda item: -item[0].ticket.tier)
         effects: list[Effect] = []
         for waiting, cached in late:
@@ -428,17 +437,22 @@
             effects.append(self._refuse(waiting, DEADLINE_UNREACHABLE, now))
         return effects
 
+    def _is_late(self, waiting: Waiting, cached: float, now: float) -> bool:
+        return self.watch.latest_start(waiting, cached) <= now
+
     def _shed_excess(self, now: float) -> list[Effect]:
         """Shed what exceeds the queue's limit, from the lowest waiting tier."""
         effects: list[Effect] = []
-        newest = max(item.order for item in self.queue.by_request.values())
         while len(self.queue) > self.pool.max_waiting:
-            waiting = self.queue.tiers[self.queue.lowest_tier()].last()
+            waiting = self._victim()
             check_capacity_shed(self.queue, waiting, self.log)
-            is_for_upper = waiting.order != newest
+            is_for_upper = self.newest_tier < waiting.ticket.tier
             effects.append(self._refuse(waiting, EVICTED if is_for_upper else QUEUE_FULL, now))
         return effects
 
+    def _victim(self) -> Waiting:
+        return self.queue.tiers[self.queue.lowest_tier()].last()
+
     def _shed_all(self, code: Code, now: float) -> list[Effect]:
         """Shed all waiting requests, lowest tier first."""
         effects: list[Effect] = []
@@ -451,7 +465,7 @@
     def _refuse(self, waiting: Waiting, code: Code, now: float) -> Send:
         ticket = waiting.ticket
         self.queue.remove(waiting)
-        wait_s = self.demand.expected_wait_s(len(self.queue))
+        wait_s = self.demand.expected_wait_s(len(self.queue), self.local_slots)
         retry_after_s = min(LONGEST_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
         refusal = Refuse(ticket.pool, ticket.request, code.number, retry_after_s)
         self.ended.add(ticket.request, refusal, now)
@@ -465,9 +479,14 @@
         cost = ticket.prompt_tokens + output
         waiting = Waiting(ticket, cost, now + ticket.deadline_s, self.order, now, output)
         self.queue.add(waiting)
+        self.newest_tier = ticket.tier
         self.demand.ask(ticket.tier, now)
-        self.top_tier = min(self.top_tier, ticket.tier)
-        self.watch.watch(waiting, self._most_cached(waiting, now))
+        if ticket.tier < self.top_tier:
+            # Reserves have to follow at once when a more urgent tier appears.
+            self.top_tier = ticket.tier
+            self.demand_at = -math.inf
+        # As if the whole prompt were cached; what is cached is looked up when the time has come.
+        self.watch.watch(waiting, float(ticket.prompt_tokens) if ticket.prefixes else 0.0)
 
     def _most_cached(self, waiting: Waiting, now: float) -> float:
         if not waiting.ticket.prefixes:
@@ -482,14 +501,19 @@
         ticket = running.ticket
         state = self.states.get(running.endpoint)
         request = ticket.request
-        if state is None or request in self.running or request in self.ended:
+        if request in self.running or request in self.ended:
             return
         waiting = self.queue.by_request.get(request)
         if waiting is not None:
             self.queue.remove(waiting)
-        granted = Granted(ticket, state, running.version, now)
+        if state is None:
+            # The endpoint is gone; a late ask must not grant the request a second time.
+            self.ended.add(request, None, now)
+            return
+        output = self.lengths.output_tokens(ticket.route, ticket.output_tokens)
+        cost = ticket.prompt_tokens + output
+        granted = Granted(ticket, state, running.version, now, cost, output, 0.0)
         granted.is_presented = True
-        granted.output = self.lengths.output_tokens(ticket.route, ticket.output_tokens)
         granted.expected_end = now + state.finish_s(granted.uncached, granted.output)
         granted.expires = max(now + ticket.deadline_s, granted.expected_end) + LOST_DONE_S
         self._count(granted, now)
@@ -517,7 +541,7 @@
             (),
             0.0,
         )
-        granted = Granted(ticket, state, message.version, now)
+        granted = Granted(ticket, state, message.version, now, 0.0, 0.0, 0.0)
         return [observed(granted, message, float(max(state.used, 1))), *self._settle(now)]
 
     def _count(self, granted: Granted, now: float) -> None:
@@ -572,7 +596,7 @@
         state.set_limits(self.pool.engine_queue, now)
         if now < state.blocked_until:
             self.blocked[state.name] = state
-        else:
+        elif self.blocked:
             self.blocked.pop(state.name, None)
         if state.distance == LOCAL:
             self.local_slots += state.slots
--- a/mulberrygate/schedule/shed.py
+++ b/mulberrygate/schedule/shed.py
@@ -39,9 +39,9 @@
         self.last: list[dict[str, int]] = [{} for _ in range(TIERS)]
         self.newest = [0] * TIERS
 
-    def add(self, tier: int, state: EndpointState, order: int) -> None:
+    def add(self, tier: int, endpoint: str, order: int) -> None:
         """Take note of a grant."""
-        self.last[tier][state.name] = order
+        self.last[tier][endpoint] = order
         self.newest[tier] = order
 
     def check_grant(
@@ -131,21 +131,20 @@
                 due.append(waiting)
         return due
 
-    def compact(self) -> None:
-        """Drop the requests that don't wait any more."""
-        live = [entry for entry in self.heap if not entry[2].is_gone]
-        if len(live) * 2 < len(self.heap):
-            heapq.heapify(live)
-            self.heap = live
+    def compact(self, waiting: int) -> None:
+        """Drop the requests that don't wait any more if they are more than those that do."""
+        if len(self.heap) > 2 * waiting + 64:
+            self.heap = [entry for entry in self.heap if not entry[2].is_gone]
+            heapq.heapify(self.heap)
 
 
 def check_capacity_shed(queue: FairQueue, waiting: Waiting, log: GrantLog) -> None:
     """Check a shed for capacity: no lower tier waits or was admitted in its place."""
-    lowest = queue.lowest_tier()
+    lower = sum(tier.count for tier in queue.tiers[waiting.ticket.tier + 1 :])
     invariant(
-        lowest <= waiting.ticket.tier,
+        lower == 0,
         SHED_BEFORE_LOWER_TIER,
-        f"{waiting.ticket.request} of tier {waiting.ticket.tier} while tier {lowest} waits",
+        f"{waiting.ticket.request} of tier {waiting.ticket.tier} while {lower} of lower tiers wait",
     )
     log.check_shed(waiting)
 
