Give orders to endpoints and test version moves between processes

Cause: the order controller was not wired, and evidence waited for its timers. Change: pools declare loads; the leader orders endpoints to load versions with a fencing number from the log. A guard that stops a version reports at once and the leader decides at once.

--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import random
 import time
 
@@ -16,6 +17,7 @@
     Push,
 )
 from mulberrygate.control.inforce import InForce
+from mulberrygate.control.loading import EndpointRow, EndpointsAnswer, EndpointsQuery
 from mulberrygate.control.state import ControlState
 from mulberrygate.core.clock import HybridClock
 from mulberrygate.core.effects import Effect
@@ -325,6 +327,7 @@
 
     def _start_timers(self) -> None:
         peers, timers = self.peers, self.timers
+        peers.on(EndpointsQuery, self._on_endpoints_query)
         peers.on(OnBoard, lambda m, _sender: self.crashes.join(m, timers.now()))
         peers.on(Cleared, lambda m, _sender: [self.crashes.clear(c) for c in m.contents] and None)
         self.directory.on_death(lambda name, *_: self.crashes.endpoint_died(name, timers.now()))
@@ -342,6 +345,25 @@
         for seconds, callback, name in self.timers_to_start:
             timers.every(seconds, callback, name)
 
+    def _on_endpoints_query(self, message: EndpointsQuery, _sender: str) -> EndpointsAnswer:
+        """Tell the leader which endpoints of a pool this failure domain has."""
+        rows = []
+        for lease in self.directory.table.leases.values():
+            known = lease.announcement
+            view = lease.view(self.timers.now())
+            if known.pool == message.pool and view.accepts_work:
+                rows.append(
+                    EndpointRow(
+                        known.endpoint,
+                        known.incarnation,
+                        known.address,
+                        known.version,
+                        view.load,
+                        known.checks_fence,
+                    )
+                )
+        return EndpointsAnswer(tuple(rows))
+
     def _tick(self, runner: EffectRunner, part) -> None:
         runner.run(part.tick(self.timers.now()))
 
@@ -416,9 +438,26 @@
                 for pool in self.in_force.pools
                 for e in self.directory.views(pool, now)
             ],
+            "shards": self._shard_figures(),
             "tiers": self._tier_figures(),
         }
 
+    def _shard_figures(self) -> dict:
+        """Return how many ledger shards there are, and on which instances their replicas are."""
+        shards = self.in_force.shards.values()
+        active = [shard.active for shard in shards if shard.active is not None]
+        present: collections.Counter[str] = collections.Counter(
+            replica.instance
+            for view in active
+            for replica in view.replicas
+            if self._is_alive(replica.instance, replica.incarnation)
+        )
+        return {
+            "number": len(self.in_force.shards),
+            "preparing": sum(shard.preparing is not None for shard in shards),
+            "replicas": dict(present),
+        }
+
     def _tier_figures(self) -> dict[str, dict]:
         figures: dict[str, dict] = {}
         names = {
--- a/mulberrygate/daemon/leader.py
+++ b/mulberrygate/daemon/leader.py
@@ -37,6 +37,7 @@
 from mulberrygate.core.codes import register_code
 from mulberrygate.core.timers import TimerService
 from mulberrygate.core.wire import decode, encode
+from mulberrygate.daemon.orderdesk import OrderDesk
 from mulberrygate.ledger.messages import CopyReport
 from mulberrygate.members.view import MembershipView
 from mulberrygate.observe.events import EventRing
@@ -136,6 +137,7 @@
         self.planner = ViewPlanner()
         self.moves = MoveController()
         self.is_proposing = False
+        self.orders: OrderDesk | None = None
 
     def start(self) -> None:
         """Read the data folder and join the group; a bad disk stops the voter only."""
@@ -161,7 +163,18 @@
         self.peers.on(FindLeader, self.on_find)
         self.peers.on(CopyReport, self.on_copy_report)
         self.peers.on(Evidence, self.on_evidence)
+        self.orders = OrderDesk(
+            self.settings.instance,
+            self.service,
+            self.propose,
+            self.peers,
+            self.view,
+            self.in_force,
+            self.timers,
+            self.events,
+        )
         self.timers.every(DUTY_S, self.do_duties, "control.duties")
+        self.timers.every(DUTY_S, self.give_orders, "control.orders")
 
     @property
     def is_leader(self) -> bool:
@@ -176,6 +189,8 @@
         if leads:
             self.planner = ViewPlanner()
             self.moves = MoveController()
+        else:
+            self.orders.follow()
         self.on_lead(leads)
 
     def on_find(self, _message: FindLeader, _sender: str) -> ControlAnswer:
@@ -241,6 +256,15 @@
         """Take note of evidence on a version move."""
         if self.is_leader:
             self.moves.observe(evidence, self.timers.now())
+            if evidence.stopped:
+                # The verdict must not wait for the next look: 2 s after the evidence no request may
+                # go to the version, in any failure domain.
+                self.timers.spawn(self.do_duties())
+
+    async def give_orders(self) -> None:
+        """Give orders to endpoints, while this voter leads."""
+        if self.is_leader:
+            await self.orders.work()
 
     async def do_duties(self) -> None:
         """Place ledger replicas and advance version moves, while this voter leads."""
--- a/mulberrygate/daemon/movewatch.py
+++ b/mulberrygate/daemon/movewatch.py
@@ -92,15 +92,18 @@
         if stopped:
             log.warning("Stopped a version on own evidence.", pool=pool, reason=guard.stopped)
             self.events.add("moves.stopped", guard.stopped, move=pool, version=effect.version)
+            self.timers.spawn(self._report(guard))
 
     async def report(self) -> None:
         """Send evidence to the leader, and note whether there is one."""
         for pool in list(self.guards):
             guard = self.guard(pool)
-            if guard is None or guard.collector is None:
-                continue
-            leader = await self.control.find_leader()
-            guard.set_connected(bool(leader))
-            evidence = guard.evidence()
-            if leader and evidence is not None:
-                self.control.peers.send(leader, evidence)
+            if guard is not None and guard.collector is not None:
+                await self._report(guard)
+
+    async def _report(self, guard: VersionGuard) -> None:
+        leader = await self.control.find_leader()
+        guard.set_connected(bool(leader))
+        evidence = guard.evidence()
+        if leader and evidence is not None:
+            self.control.peers.send(leader, evidence)
--- a/mulberrygate/standin/service.py
+++ b/mulberrygate/standin/service.py
@@ -16,7 +16,7 @@
 
 @attrs.define
 class Options:
-    """Behaviour of the stand-in."""
+    """Behaviour of the stand-in; each ``fail_every``-th call fails, none if it is 0."""
 
     name: str
     listen: str
@@ -28,6 +28,7 @@
     version: str = "v1"
     slots: int = 16
     delay_s: float = 0.01
+    fail_every: int = 0
 
 
 class Service:
@@ -57,6 +58,9 @@
             self.runs[request.headers.get("X-Request-Id", "")] += 1
             self.runs["total"] += 1
             await asyncio.sleep(self.options.delay_s)
+            every = self.options.fail_every
+            if every and self.runs["total"] % every == 0:
+                return web.json_response({"error": "the call failed"}, status=500)
             if request.method == "POST":
                 self.bookings.append({"path": request.path, "body": body})
             return web.json_response(
--- a/mulberrygate/tables/model.py
+++ b/mulberrygate/tables/model.py
@@ -120,6 +120,22 @@
     watch_s: float = attrs.field(default=600.0, validator=_between(0, 7 * 86400))
 
 
+@attrs.frozen
+class Load:
+    """Loads of versions that the control group orders at a pool's endpoints.
+
+    Parameters
+    ==========
+    share : float
+        Part of the endpoints that load the new version when a move begins.
+    weight_bytes : int
+        Size of a version's weights in bytes; loads are paced to the weight store's rate.
+    """
+
+    share: float = attrs.field(default=0.25, validator=_between(0.01, 1))
+    weight_bytes: int = attrs.field(default=0, validator=_at_least(0))
+
+
 @attrs.frozen
 class Pool:
     """Named pool of endpoints.
@@ -136,6 +152,9 @@
         Requests beyond its slots that an endpoint is given.
     move : Move or None
         Move to ``version``, while one is declared.
+    load : Load or None
+        Whether endpoints are ordered to load versions; without it the platform starts endpoints of
+        the new version beside the old ones.
     """
 
     kind: str = attrs.field(default=MODEL, validator=_one_of(MODEL, SERVICE))
@@ -144,6 +163,7 @@
     max_waiting: int = attrs.field(default=2000, validator=_at_least(1))
     engine_queue: int = attrs.field(default=1, validator=_between(0, 64))
     move: Move | None = None
+    load: Load | None = None
 
 
 @attrs.frozen
