Keep the cost of a version move under overload bounded

Cause: with a share of 5% and 2000 requests waiting, each message examined up to 32 requests that no version with room might take: 2.7 ms a request. Change: routes are counted per tier and versions with room per list, so that a tier whose routes are all held back is recognised at once; the allowed versions are computed once per choice.

--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -116,12 +116,17 @@
     ) -> Choice | None:
         ticket, output, prompt = waiting.ticket, waiting.output, waiting.ticket.prompt_tokens
         most_cached = max(cached.values()) if cached else 0
-        is_free = not ticket.avoid and not self.shares.shares
-        due = () if is_free else self.shares.due(ticket.route)
+        shares = self.shares
+        is_limited, due, allowed = bool(shares.shares), (), ()
+        if is_limited:
+            due = shares.due(ticket.route)
+            allowed = [name for name in shares.shares if shares.is_allowed(ticket.route, name)]
         limit = (waiting.deadline - now) / OPTIMISM
         best, best_rank, best_score = None, 2, 0.0
         for state in items:
-            if not is_free and not self.is_usable(waiting, state):
+            if is_limited and state.view.version not in allowed:
+                continue
+            if ticket.avoid and self.is_avoided(waiting, state):
                 continue
             hit = cached.get(state.name, 0) if cached else 0
             uncached = prompt - hit if prompt > hit else 1.0
@@ -137,6 +142,17 @@
                 best, best_rank, best_score = state, rank, score
         return None if best is None else self.predict(waiting, best, cached.get(best.name, 0))
 
+    def open_versions(self, may_use_slots: bool, may_queue: bool) -> set[str]:
+        """Return the versions of the endpoints with room; parameters as in `choose`."""
+        versions: set[str] = set()
+        if may_use_slots:
+            versions.update(self.room.slots[LOCAL].versions)
+        if may_queue:
+            versions.update(self.room.queues.versions)
+        for open_list in self.room.slots[OTHER_DOMAIN : self.reach + 1]:
+            versions.update(open_list.versions)
+        return versions
+
     def choose(
         self, waiting: Waiting, may_use_slots: bool, may_queue: bool, now: float
     ) -> Choice | None:
--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -112,6 +112,7 @@
         # Position in the lists of endpoints with room; -1 when it is in neither.
         self.position = -1
         self.open_list = None
+        self.open_version = ""
         self.free_counted = (0, 0)
         self.refresh_speed()
 
--- a/mulberrygate/schedule/fair.py
+++ b/mulberrygate/schedule/fair.py
@@ -128,6 +128,7 @@
         self.order: list[tuple[float, str, AccountQueue]] = []
         self.virtual_time = 0.0
         self.count = 0
+        self.routes: dict[str, int] = {}
 
     def add(self, waiting: Waiting) -> None:
         """Add a request."""
@@ -143,6 +144,7 @@
         heapq.heappush(account.heap, (due(waiting), waiting.order, waiting))
         account.count += 1
         self.count += 1
+        self.routes[ticket.route] = self.routes.get(ticket.route, 0) + 1
 
     def remove(self, waiting: Waiting) -> None:
         """Remove a request that was granted, shed or withdrawn."""
@@ -150,6 +152,10 @@
         account = self.accounts[waiting.ticket.account]
         account.count -= 1
         self.count -= 1
+        route = waiting.ticket.route
+        self.routes[route] -= 1
+        if not self.routes[route]:
+            del self.routes[route]
         if not account.count:
             account.heap.clear()
             del self.active[account.name]
--- a/mulberrygate/schedule/room.py
+++ b/mulberrygate/schedule/room.py
@@ -11,16 +11,19 @@
 class OpenList:
     """Set of endpoints with constant-time insertion and removal, and a stable order."""
 
-    __slots__ = ("items",)
+    __slots__ = ("items", "versions")
 
     def __init__(self):
         self.items: list[EndpointState] = []
+        # Number of endpoints by version, so that the versions are known without a scan.
+        self.versions: dict[str, int] = {}
 
     def add(self, state: EndpointState) -> None:
         """Add an endpoint that is in no list."""
         state.open_list = self
         state.position = len(self.items)
         self.items.append(state)
+        self.versions[state.open_version] = self.versions.get(state.open_version, 0) + 1
 
     def remove(self, state: EndpointState) -> None:
         """Remove an endpoint; the last one takes its position."""
@@ -30,6 +33,9 @@
             self.items[state.position] = last
         state.position = -1
         state.open_list = None
+        self.versions[state.open_version] -= 1
+        if not self.versions[state.open_version]:
+            del self.versions[state.open_version]
 
 
 class Room:
@@ -63,10 +69,12 @@
             wanted = self.queues
         else:
             wanted = None
-        if state.open_list is not wanted:
+        version = state.view.version
+        if state.open_list is not wanted or state.open_version != version:
             if state.open_list is not None:
                 state.open_list.remove(state)
             if wanted is not None:
+                state.open_version = version
                 wanted.add(state)
 
     def few(self) -> list[EndpointState]:
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from mulberrygate.core.codes import Code
 from mulberrygate.core.effects import Effect, Send
@@ -222,6 +222,7 @@
     def set_pool(self, pool: Pool, now: float) -> list[Effect]:
         """Replace the settings of the pool."""
         self.pool = pool
+        self.shares.set(self.shares.shares, pool.move.previous if pool.move else "")
         for state in self.states.values():
             self._update_limits(state, now)
         return self._settle(now)
@@ -312,6 +313,10 @@
                 continue
             if not self._has_room(tier):
                 break
+            # While a move's shares hold back all routes of a tier, lower tiers wait too; looking at
+            # each request would take milliseconds with a long queue.
+            if self.shares.shares and not self._has_share(queue.routes, tier):
+                break
             found = self._next(queue, tier, held, now)
             if found is not None:
                 effects.append(self._grant(*found, held, now))
@@ -343,18 +348,29 @@
         """Return the next request of a tier that has a place, and add those passed over."""
         may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
         may_queue = tier <= self.top_tier
+        has_shares = bool(self.shares.shares)
         for account in queue.by_share():
             for waiting in self._candidates(account, now):
                 if waiting in held:
                     continue
                 if len(held) >= MOST_HELD:
                     return None
+                if has_shares and not self._has_share((waiting.ticket.route,), tier):
+                    held.append(waiting)
+                    continue
                 choice = self.chooser.choose(waiting, may_use_slots, may_queue, now)
                 if choice is not None:
                     return waiting, choice
                 held.append(waiting)
         return None
 
+    def _has_share(self, routes: Iterable[str], tier: int) -> bool:
+        """Return whether the share of one of the routes allows a version that has room."""
+        may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
+        versions = self.chooser.open_versions(may_use_slots, tier <= self.top_tier)
+        allowed = self.shares.is_allowed
+        return any(allowed(route, version) for route in routes for version in versions)
+
     def _candidates(self, account: AccountQueue, now: float) -> Iterator[Waiting]:
         """Yield an account's next requests, those first whose prefix the free endpoint has.
 
@@ -366,7 +382,8 @@
         """
         first = account.first()
         states = self.room.few()
-        if not states or account.count == 1 or not self._may_pass(first, now):
+        is_ordered = not states or account.count == 1 or bool(self.shares.shares)
+        if is_ordered or not self._may_pass(first, now):
             yield first
         else:
             found = account.in_order(REORDERED)
