Examine queue positions also when many endpoints have free slots

Cause: with over 8 endpoints with free slots, all of the limited version, a top-tier request didn't get a queue position of the old version; it waited, and each message examined it again. Change: queue positions are examined after the slots in that case; a regression test.

--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -167,11 +167,13 @@
         """
         cached = self.hits(waiting, now)
         lists = []
-        local = self.room.slots[LOCAL].items if may_use_slots else []
-        if may_queue and len(local) <= MOST_EXAMINED:
+        slots = self.room.slots[LOCAL].items if may_use_slots else []
+        queues = self.room.queues.items if may_queue else []
+        if queues and len(slots) <= MOST_EXAMINED:
             # A short wait at an endpoint that has the prefix can be better than a free slot.
-            local = local + self.room.queues.items
-        lists.append(local)
+            lists.append(slots + queues)
+        else:
+            lists += [slots, queues]
         for distance in range(OTHER_DOMAIN, self.reach + 1):
             lists.append(self.room.slots[distance].items)
         for items in lists:
--- a/mulberrygate/schedule/tests/test_choice.py
+++ b/mulberrygate/schedule/tests/test_choice.py
@@ -58,6 +58,16 @@
         bench.ask("q9")
         self.assertEqual(bench.grants["q9"].version, "v2")
 
+    def test_top_tier_queues_when_only_the_limited_version_has_slots(self):
+        """Guards against urgent requests that wait while the old version has a queue position."""
+        pool = Pool(version="v2", move=Move(previous="v1"), engine_queue=1)
+        views = [make_view(f"new-{number}", "v2") for number in range(20)]
+        bench = Bench([make_view("old", "v1"), *views], pool)
+        bench.call("set_shares", {"v1": 0.95, "v2": 0.05})
+        bench.ask("q0", tier=0)
+        bench.ask("q1", tier=0)
+        self.assertEqual([grant.version for grant in bench.grants.values()], ["v1", "v1"])
+
     def test_version_without_share_gets_nothing(self):
         """Guards against traffic to a version that was withdrawn."""
         bench = Bench([make_view("new", "v2", slots=5)], MOVING)
