--- a/mulberrygate/ledger/tests/simulation.py
+++ b/mulberrygate/ledger/tests/simulation.py
@@ -48,8 +48,27 @@
         return self.virtual
 
 
+class Link:
+    """Peer client of one incarnation of a node; it sends nothing after the incarnation's end."""
+
+    def __init__(self, node):
+        self.node, self.incarnation = node, node.incarnation
+
+    async def call(self, to, message, timeout_s):
+        """Send a message; it may arrive after the caller has given up."""
+        if self.node.incarnation != self.incarnation:
+            await asyncio.sleep(timeout_s)
+            return Unreachable(to, "this process has ended")
+        world = self.node.world
+        task = world.spawn(world.exchange(self.node, to, message))
+        try:
+            return await asyncio.wait_for(asyncio.shield(task), timeout_s)
+        except TimeoutError:
+            return Unreachable(to, "no answer in time")
+
+
 class Node:
-    """Instance of the simulated cluster; it is its own peer client."""
+    """Instance of the simulated cluster."""
 
     def __init__(self, world, name, domain):
         self.world, self.name, self.domain = world, name, domain
@@ -70,7 +89,7 @@
         wall_at_zero = WALL + self.skew
         self.replica = Replica(self.name, self.incarnation, wall_at_zero)
         self.coordinator = Coordinator(
-            self,
+            Link(self),
             lambda: self.shards,
             self.name,
             self.incarnation,
@@ -79,14 +98,6 @@
             self.world.is_alive,
         )
 
-    async def call(self, to, message, timeout_s):
-        """Send a message; it may arrive after the caller has given up."""
-        task = self.world.spawn(self.world.exchange(self, to, message))
-        try:
-            return await asyncio.wait_for(asyncio.shield(task), timeout_s)
-        except TimeoutError:
-            return Unreachable(to, "no answer in time")
-
     def send(self, to, message):
         """Send a message without waiting."""
         self.world.spawn(self.world.exchange(self, to, message))
@@ -128,9 +139,10 @@
     def close(self):
         """Cancel everything that runs."""
         self.unsubscribe()
-        for task in self.tasks:
-            task.cancel()
-        self.loop.run_until_complete(asyncio.sleep(0))
+        while tasks := asyncio.all_tasks(self.loop):
+            for task in tasks:
+                task.cancel()
+            self.loop.run_until_complete(asyncio.sleep(0))
         self.loop.close()
 
     def spawn(self, coroutine):
