--- a/mulberrygate/members/membership.py
+++ b/mulberrygate/members/membership.py
@@ -47,8 +47,8 @@
     suspect_s : float
         Time in which a suspected instance can refute.
     domain_lost_s : float
-        Silence after which a whole failure domain counts as lost. Longer than the detection of two
-        dead relays plus the spread in the domain, which took up to 7 s.
+        Silence after which a whole failure domain counts as lost. With both relays dead at once
+        and 60 instances in the domain, news of the other domain got up to 6 s old.
     pause_s : float
         Gap between ticks after which this process was itself paused.
     unheard_s : float
