Test the ledger between processes when its replicas restart and are lost

An attempt whose endpoint refused the connection begins again at the next one, so that re-sends find its stream; an instance that leaves still counts as alive for its claims; the stand-in engine numbers its cache events; a daemon stops when another process has its name.

--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -53,13 +53,14 @@
     CopyShard,
     Finish,
     Lookup,
+    MergeStep,
     Release,
     Replica,
     ReportCopy,
 )
 from mulberrygate.members.membership import Membership
 from mulberrygate.members.messages import Compare, Heartbeat, Join, Table
-from mulberrygate.members.view import Member, MembershipView
+from mulberrygate.members.view import Member, MembershipView, Status
 from mulberrygate.observe.events import EventRing
 from mulberrygate.observe.logs import logger
 from mulberrygate.observe.metrics import Metrics, add_process_gauges
@@ -117,6 +118,7 @@
         self.events = EventRing(settings.instance, self.clock)
         self.timers = TimerService(self._on_timer_error)
         self.background = Background()
+        self.superseded = asyncio.Event()
         on_violation(self._on_violation)
         self._make_peers(tokens.peer)
         self._make_members()
@@ -189,8 +191,10 @@
         )
 
     def _is_alive(self, instance: str, incarnation: int) -> bool:
-        member = self.view().live.get(instance)
-        return member is not None and member.incarnation == incarnation
+        """Return whether an incarnation may still act; one that leaves may, until it has ended."""
+        member = self.view().members.get(instance)
+        is_gone = member is None or member.status is Status.DEAD
+        return not is_gone and member.incarnation == incarnation
 
     def _make_endpoints(self) -> None:
         settings = self.settings
@@ -270,7 +274,7 @@
         )
         self.replica_runner = EffectRunner(
             self.replica,
-            (Claim, Begin, Finish, Release, Lookup, CopyShard, CopyPart),
+            (Claim, Begin, Finish, Release, Lookup, CopyShard, CopyPart, MergeStep),
             peers,
             timers,
             self.events,
@@ -342,6 +346,7 @@
                 seconds, lambda r=runner, p=part: r.run(p.tick(timers.now())) and None, name
             )
         timers.every(CRASH_TICK_S, self._tick_crashes, "crashes.tick")
+        timers.every(1.0, self._check_superseded, "members.superseded")
         for seconds, callback, name in self.timers_to_start:
             timers.every(seconds, callback, name)
 
@@ -364,6 +369,12 @@
                 )
         return EndpointsAnswer(tuple(rows))
 
+    def _check_superseded(self) -> None:
+        """Stop if another process runs under this name with a higher incarnation."""
+        if self.membership.is_superseded and not self.superseded.is_set():
+            log.error("Another process has this instance's name; this one stops.")
+            self.superseded.set()
+
     def _tick(self, runner: EffectRunner, part) -> None:
         runner.run(part.tick(self.timers.now()))
 
--- a/mulberrygate/daemon/run.py
+++ b/mulberrygate/daemon/run.py
@@ -26,7 +26,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     await daemon.start()
-    await stop.wait()
+    waits = [asyncio.ensure_future(stop.wait()), asyncio.ensure_future(daemon.superseded.wait())]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
     await daemon.stop()
 
 
--- a/mulberrygate/daemon/tests/test_ledger.py
+++ b/mulberrygate/daemon/tests/test_ledger.py
@@ -22,17 +22,19 @@
         calls = (self.book(entry, f"a/visit-{n}", body={"n": n}) for n in range(KEYS))
         return list(await asyncio.gather(*calls))
 
-    async def wait_repaired(self, entry: str, restarted: str) -> None:
-        """Wait until no shard has a view in preparation and the restarted instance is in them."""
+    async def wait_repaired(self, entry: str, restarted: str = "") -> None:
+        """Wait until all shards have three live replicas, some of them on an instance if named."""
 
         async def is_repaired() -> bool:
             status = await self.system.json(entry, "/admin/status")
             state = status.get("instances", {}).get(entry, {})
             shards = state.get("shards", {})
-            placed = shards.get("replicas", {}).get(restarted, 0)
-            return shards.get("preparing") == 0 and placed >= shards.get("number", 1) // 4
+            replicas = shards.get("replicas", {})
+            is_whole = sum(replicas.values()) == 3 * shards.get("number", 0) > 0
+            placed = replicas.get(restarted, 0) if restarted else 1
+            return shards.get("preparing") == 0 and is_whole and placed > 0
 
-        await wait_for(is_repaired, f"the shards have {restarted} as a replica again")
+        await wait_for(is_repaired, f"all shards have their replicas {restarted}")
 
     async def test_second_loss_right_after_a_repair_loses_no_claim(self):
         """Guards against doubled bookings when two replicas are lost, one after the other."""
@@ -56,7 +58,7 @@
             self.system.start_daemon(name)
             await self.system.wait_ready(name)
             other = "b2" if name != "b2" else "a1"
-            await self.wait_repaired(other, name)
+            await self.wait_repaired(other)
         again = await self.book_all("b2")
         self.assertEqual(again, first)
         self.assertEqual(await self.bookings(), KEYS)
--- a/mulberrygate/entry/context.py
+++ b/mulberrygate/entry/context.py
@@ -77,8 +77,7 @@
 
     def is_alive(self, instance: str, incarnation: int) -> bool:
         """Return whether an incarnation of an instance is alive as far as is known."""
-        member = self.view().live.get(instance)
-        return member is not None and member.incarnation == incarnation
+        return self.coordinator.is_alive(instance, incarnation)
 
 
 def stream_name(attempt: Attempt) -> str:
--- a/mulberrygate/entry/dispatch.py
+++ b/mulberrygate/entry/dispatch.py
@@ -85,7 +85,7 @@
             # An earlier begin of this attempt was not followed by a byte, so it may begin again.
             request.attempt = attrs.evolve(request.attempt, has_begun=False)
         outcome = await self.parts.coordinator.begin(request.attempt, grant.endpoint, grant.address)
-        if isinstance(outcome, Begun) and self.parts.timers.now() < outcome.dispatch_before:
+        if isinstance(outcome, Begun) and outcome.may_dispatch(self.parts.timers.now()):
             return None
         if isinstance(outcome, Superseded):
             return Refusal(ATTEMPT_SUPERSEDED, retry_after_s=1.0)
--- a/mulberrygate/ledger/table.py
+++ b/mulberrygate/ledger/table.py
@@ -103,7 +103,13 @@
         return Existing(self._outgoing(record, now))
 
     def begin(self, step: Begin, now: float, wall_s: float):
-        """Accept the begin of an attempt unless another one owns the key."""
+        """Accept the begin of an attempt unless another one owns the key.
+
+        Explanation
+        ===========
+        An attempt whose endpoint refused the connection begins again at another one; no byte was
+        sent under its earlier begin, so the record only changes its endpoint.
+        """
         if step.attempt in self.released:
             return Withdrawn()
         record = self.records.get(step.key)
@@ -111,7 +117,12 @@
             return Existing(self._unknown(step.key))
         if record is not None and record.attempt != step.attempt:
             return Existing(self._outgoing(record, now))
-        if record is None or record.phase is Phase.WAITING:
+        is_elsewhere = record is not None and record.endpoint != step.endpoint
+        if (
+            record is None
+            or record.phase is Phase.WAITING
+            or (record.phase is Phase.RUNNING and is_elsewhere)
+        ):
             self._put(
                 Record(
                     step.key,
--- a/mulberrygate/standin/engine.py
+++ b/mulberrygate/standin/engine.py
@@ -252,8 +252,7 @@
     def announcement(self, sequence: int) -> Announcement:
         """Return the state to announce."""
         options = self.options
-        if self.new_prefixes or self.lost_prefixes:
-            self.cache_sequence += 1
+        self.cache_sequence += len(self.new_prefixes) + len(self.lost_prefixes)
         cached, self.new_prefixes = self.new_prefixes, []
         evicted, self.lost_prefixes = self.lost_prefixes, []
         return Announcement(
