--- a/mulberrygate/control/inforce.py
+++ b/mulberrygate/control/inforce.py
@@ -45,6 +45,7 @@
         self.tables: dict[str, TableState] = {}
         self.moves: dict[str, MoveState] = {}
         self.shards: dict[str, Shard] = {}
+        self.shard_domains: frozenset[str] = frozenset()
         self.refresh()
 
     def refresh(self) -> bool:
@@ -68,6 +69,7 @@
         self.tables = self._section("tables")
         self.moves = self._section("moves")
         self.shards = self._section("shards")
+        self.shard_domains = frozenset(s.failure_domain for s in self.shards.values())
         self.account_by_token = {
             token: name for name, account in self.accounts.items() for token in account.token_sha256
         }
--- a/mulberrygate/daemon/tests/base.py
+++ b/mulberrygate/daemon/tests/base.py
@@ -59,6 +59,23 @@
             if near:
                 await self.system.wait_endpoints(name, *near)
 
+    async def asyncTearDown(self):
+        """Check that no invariant broke and no part failed in any process that still runs."""
+        for name, daemon in self.system.daemons.items():
+            if daemon.process is None or daemon.process.poll() is not None:
+                continue
+            _, text, _ = await self.system.call(name, "GET", "/metrics")
+            broken = [
+                line
+                for line in text.decode().splitlines()
+                if line.startswith(("mulberrygate_invariant", "mulberrygate_internal"))
+            ]
+            self.assertEqual(broken, [], name)
+        for name, daemon in self.system.daemons.items():
+            with open(daemon.log, encoding="utf-8") as file:
+                errors = [line for line in file if " ERROR " in line or "Traceback" in line]
+            self.assertEqual(errors, [], name)
+
     async def complete(
         self,
         entry: str,
--- a/mulberrygate/entry/context.py
+++ b/mulberrygate/entry/context.py
@@ -72,8 +72,14 @@
     is_stopping: bool = False
 
     def known_domains(self) -> Collection[str]:
-        """Return the failure domains that the membership knows."""
-        return self.view().regions.keys()
+        """Return the failure domains that a key's prefix can name.
+
+        Explanation
+        ===========
+        They come from the configuration. The membership of an instance that has just started may
+        lack a domain; its keys would then get another home than at other entries, and run twice.
+        """
+        return self.in_force.shard_domains
 
     def is_alive(self, instance: str, incarnation: int) -> bool:
         """Return whether an incarnation of an instance is alive as far as is known."""
--- a/mulberrygate/ledger/table.py
+++ b/mulberrygate/ledger/table.py
@@ -207,10 +207,12 @@
 
     def _put(self, record: Record, now: float) -> None:
         invariant(not self.is_sealed, SEALED_CHANGED, record.key)
-        old = self.records.pop(record.key, None)
+        old = self.records.get(record.key)
         if old is not None and record.phase is Phase.RUNNING:
-            may_begin = old.phase is Phase.WAITING and old.attempt == record.attempt
+            is_open = old.phase in (Phase.WAITING, Phase.RUNNING)
+            may_begin = is_open and old.attempt == record.attempt
             invariant(may_begin, SECOND_BEGIN, f"{old.attempt}, {record.attempt}")
+        self.records.pop(record.key, None)
         self.records[record.key] = attrs.evolve(record, expires=now + RETENTION_S)
 
     def _keep_answer(self, key: str, answer: bytes, expires: float) -> None:
--- a/mulberrygate/ledger/tests/test_replica.py
+++ b/mulberrygate/ledger/tests/test_replica.py
@@ -67,6 +67,14 @@
         self.assertEqual(self.begin(ONE), Accepted())
         self.assertEqual(self.claim(TWO, ONE).record.phase, Phase.RUNNING)
 
+    def test_begin_at_another_endpoint_replaces_the_first(self):
+        """A re-send would look for the stream at an endpoint that refused the connection."""
+        self.assertEqual(self.begin(ONE), Accepted())
+        elsewhere = self.step(Begin, "d/k", b"f", ONE, "other", "h:2")
+        self.assertEqual(elsewhere, Accepted())
+        self.assertEqual(self.step(Lookup, "d/k").record.address, "h:2")
+        self.assertEqual(self.begin(TWO).record.attempt, ONE)
+
     def test_takeover_ends_the_old_attempt(self):
         """A paused entry would begin after its claim was taken over and given back."""
         self.claim(ONE)
