Refuse bad input with numbered codes before it reaches an endpoint or the ledger

Service calls are passed on with the path and query as sent: decoding turned %2F into a separator and %3F into a query. Announcements, settings, headers and query parameters are bounded, and errors of the HTTP server carry a code.

--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -22,12 +22,13 @@
 from mulberrygate.core.invariant import on_violation
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.core.timers import TimerService
+from mulberrygate.daemon.announcements import BAD_ANNOUNCEMENT, pool_fault
 from mulberrygate.daemon.effects import EffectRunner
 from mulberrygate.daemon.leader import ControlVoter
 from mulberrygate.daemon.movewatch import MoveWatch
 from mulberrygate.daemon.poolhost import PoolHost
 from mulberrygate.daemon.report import Reporter
-from mulberrygate.daemon.web import BAD_ANNOUNCEMENT, WebServer
+from mulberrygate.daemon.web import WebServer
 from mulberrygate.endpoints.directory import Directory
 from mulberrygate.endpoints.messages import (
     Forwarded,
@@ -359,9 +360,12 @@
 
     def announce(self, announcement: Announcement) -> Refusal | None:
         """Take the announcement of an endpoint."""
-        if announcement.pool and announcement.pool not in self.in_force.pools:
-            detail = f"no pool {announcement.pool[:80]!r} is in force"
-            if self.in_force.tables.get("pools") is not None:
+        if announcement.failure_domain not in self.view().regions:
+            detail = f"no failure domain {announcement.failure_domain!r} is known"
+            return Refusal(BAD_ANNOUNCEMENT, detail)
+        if self.in_force.tables.get("pools") is not None:
+            detail = pool_fault(announcement, self.in_force.pools.get(announcement.pool))
+            if detail:
                 return Refusal(BAD_ANNOUNCEMENT, detail)
         now = self.timers.now()
         self.directory_runner.run(self.directory.announce(announcement, now))
--- a/mulberrygate/daemon/run.py
+++ b/mulberrygate/daemon/run.py
@@ -12,6 +12,7 @@
 from mulberrygate.daemon.compose import Daemon, Tokens
 from mulberrygate.observe.logs import logger, start_logging
 from mulberrygate.settings import Settings, load_settings, read_token
+from mulberrygate.settings.load import INVALID
 
 log = logger("daemon")
 
@@ -42,6 +43,9 @@
         if isinstance(token, Refusal):
             return token
         tokens.append(token)
+    if len(set(tokens)) < len(tokens):
+        # With a shared one, an endpoint could act as an operator.
+        return Refusal(INVALID, "the tokens of peers, operators and endpoints must differ")
     return Tokens(*tokens)
 
 
--- a/mulberrygate/daemon/web.py
+++ b/mulberrygate/daemon/web.py
@@ -14,30 +14,28 @@
 from mulberrygate.control.messages import ApplyRequest, ReadTable
 from mulberrygate.core.codes import code_by_number, register_code
 from mulberrygate.core.outcome import Execution, Refusal
+from mulberrygate.daemon.announcements import read_announcement
+from mulberrygate.daemon.protocol import explain_errors, listen
 from mulberrygate.daemon.report import Reporter
 from mulberrygate.endpoints.model import Announcement
 from mulberrygate.entry.answers import problem_event, problem_response
 from mulberrygate.entry.chain import Chain
-from mulberrygate.entry.codes import INTERNAL, STOPPING, UNAUTHORIZED
+from mulberrygate.entry.codes import BAD_QUERY, INTERNAL, MALFORMED, STOPPING, UNAUTHORIZED
 from mulberrygate.entry.context import EntryParts, RequestContext
 from mulberrygate.observe.logs import logger
 from mulberrygate.peers.client import Unreachable
-from mulberrygate.settings.load import explain, structure
 from mulberrygate.tables.model import MODEL, SERVICE
 from mulberrygate.tables.parse import Faults, parse_table
 
 log = logger("web")
 
-BAD_ANNOUNCEMENT = register_code(
-    6001, "bad_announcement", "The announcement has a wrong field or value.", 400
-)
 TABLE_FAULTS = register_code(
     4090, "table_faults", "The table has faults; each is named with line and column.", 400
 )
 
 MAX_TABLE_BYTES = 16 << 20
-MAX_ANNOUNCEMENT_BYTES = 256 << 10
 MAX_EVENTS = 5000
+MAX_OPERATOR_CHARS = 64
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -74,10 +72,11 @@
         self.announce = announce
         self.active = 0
         self.runner: web.AppRunner | None = None
+        self.listener: asyncio.Server | None = None
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application(client_max_size=MAX_TABLE_BYTES)
+        app = web.Application(client_max_size=MAX_TABLE_BYTES, middlewares=[explain_errors])
         app.router.add_post("/v1/chat/completions", self.on_model)
         app.router.add_route("*", "/services/{route}/{path:.*}", self.on_service)
         app.router.add_post("/endpoints/announce", self.on_announce)
@@ -98,10 +97,12 @@
             self.application(), access_log=None, handler_cancellation=True, shutdown_timeout=2.0
         )
         await self.runner.setup()
-        await web.TCPSite(self.runner, host, port).start()
+        self.listener = await listen(self.runner.server, host, port)
 
     async def close(self) -> None:
         """Stop listening and close connections."""
+        if self.listener is not None:
+            self.listener.close()
         if self.runner is not None:
             await self.runner.cleanup()
 
@@ -158,14 +159,9 @@
         """Take the announcement of an endpoint."""
         if not has_token(request, self.endpoint_token):
             return problem_response(Refusal(UNAUTHORIZED, "the endpoint token is wrong"))
-        body = await request.read()
-        if len(body) > MAX_ANNOUNCEMENT_BYTES:
-            return problem_response(Refusal(BAD_ANNOUNCEMENT, "the announcement is too large"))
-        try:
-            announcement = structure(json.loads(body), Announcement)
-        except Exception as error:
-            detail = "; ".join(explain(error))[:500]
-            return problem_response(Refusal(BAD_ANNOUNCEMENT, detail))
+        announcement = read_announcement(await request.read())
+        if isinstance(announcement, Refusal):
+            return problem_response(announcement)
         refusal = self.announce(announcement)
         if refusal is not None:
             return problem_response(refusal)
@@ -201,7 +197,7 @@
         parsed = await asyncio.to_thread(parse_table, content, table)
         if isinstance(parsed, Faults):
             return self._table_faults(table, parsed)
-        operator = request.headers.get("X-Operator", "")[:64]
+        operator = printable(request.headers.get("X-Operator", ""))[:MAX_OPERATOR_CHARS]
         answer = await self.control.request(ApplyRequest(table, content, operator))
         if isinstance(answer, Unreachable):
             return self._no_leader(answer)
@@ -245,12 +241,19 @@
     async def on_timeline(self, request: web.Request) -> web.Response:
         """Return the merged timeline of all instances."""
         subjects = dict(request.query)
-        limit = min(MAX_EVENTS, int(subjects.pop("limit", "500")))
+        text = subjects.pop("limit", "500")
+        limit = int(text) if text.isascii() and text.isdigit() and len(text) < 10 else 0
+        if not limit:
+            return problem_response(Refusal(BAD_QUERY, "limit is not a positive whole number"))
+        limit = min(MAX_EVENTS, limit)
         return web.json_response(await self.reporter.timeline(subjects, limit))
 
     async def on_partition(self, request: web.Request) -> web.Response:
         """Cut this instance off from others; for tests."""
-        blocked = set(await request.json())
+        try:
+            blocked = set(json.loads(await request.read()))
+        except (TypeError, ValueError):
+            return problem_response(Refusal(MALFORMED, "the body is not a JSON list of names"))
         self.control.peers.blocked = blocked
         self.control.peers.server.blocked = blocked
         return web.json_response({"blocked": sorted(blocked)})
@@ -258,5 +261,12 @@
 
 def has_token(request: web.Request, token: str) -> bool:
     """Return whether a request carries a bearer token."""
-    given = request.headers.get("Authorization", "").removeprefix("Bearer ").strip()
-    return hmac.compare_digest(given.encode(), token.encode())
+    scheme, _, given = request.headers.get("Authorization", "").partition(" ")
+    # Bytes that are not UTF-8 arrive as surrogates.
+    is_same = hmac.compare_digest(given.strip().encode("utf-8", "surrogateescape"), token.encode())
+    return is_same and scheme == "Bearer"
+
+
+def printable(text: str) -> str:
+    """Return a text without control characters and unpaired surrogates."""
+    return "".join(char for char in text if char.isprintable())
--- a/mulberrygate/entry/attach.py
+++ b/mulberrygate/entry/attach.py
@@ -17,6 +17,8 @@
 from mulberrygate.entry.stream import EVENT_END, AnswerText
 from mulberrygate.ledger import Record
 
+MAX_OFFSET_DIGITS = 9
+
 
 async def attach_model(
     parts: EntryParts, request: RequestContext, record: Record
@@ -40,7 +42,8 @@
 def wanted_offset(request: RequestContext, stream: str) -> int:
     """Return the first offset that the caller does not have yet."""
     name, _, offset = request.http.headers.get("Last-Event-ID", "").rpartition(":")
-    if request.wants_stream and name == stream and offset.isdigit():
+    is_number = offset.isascii() and offset.isdigit() and len(offset) <= MAX_OFFSET_DIGITS
+    if request.wants_stream and name == stream and is_number:
         return int(offset) + 1
     return 0
 
--- a/mulberrygate/entry/codes.py
+++ b/mulberrygate/entry/codes.py
@@ -25,6 +25,12 @@
 WRONG_KIND = register_code(
     1011, "wrong_kind", "The route belongs to a pool of the other kind.", 400
 )
+UNKNOWN_PATH = register_code(1012, "unknown_path", "Nothing is served under this path.", 404)
+WRONG_METHOD = register_code(1013, "wrong_method", "The path does not take this method.", 405)
+BAD_HTTP = register_code(
+    1014, "bad_http", "The request is not valid HTTP or its head is too large.", 400
+)
+BAD_QUERY = register_code(1015, "bad_query", "A query parameter has a wrong value.", 400)
 DEADLINE_PASSED = register_code(
     2101, "deadline_passed", "The deadline passed while the request waited.", 504
 )
--- a/mulberrygate/entry/dispatch.py
+++ b/mulberrygate/entry/dispatch.py
@@ -17,6 +17,7 @@
 from mulberrygate.entry.context import EntryParts, RequestContext, Result, TryElsewhere
 from mulberrygate.entry.record import record_result, report_try
 from mulberrygate.entry.retry import RetryBudget
+from mulberrygate.entry.service_call import PASSED_HEADERS, service_target
 from mulberrygate.entry.upstream import Broken, Connected, NotSent
 from mulberrygate.ledger.coordinator import Begun, Superseded, Uncertain
 
@@ -25,8 +26,6 @@
 HEAD_TIMEOUT_S = 30.0
 # A call that may be repeated is given up earlier, so that another endpoint has time to answer.
 REPEATABLE_HEAD_TIMEOUT_S = 5.0
-# Headers of the caller that are passed on to plain services.
-PASSED_HEADERS = ("Content-Type", "Accept", "Accept-Language", "Content-Encoding", "If-Match")
 
 
 class Dispatch:
@@ -162,10 +161,7 @@
         address = request.grant.address
         if request.is_model:
             return f"http://{address}/v1/chat/completions"
-        query = request.http.query_string
-        return f"http://{address}/{request.http.match_info['path']}" + (
-            f"?{query}" if query else ""
-        )
+        return f"http://{address}{service_target(request.http.rel_url)}"
 
     @staticmethod
     def _body(request: RequestContext) -> bytes | None:
--- a/mulberrygate/entry/identify.py
+++ b/mulberrygate/entry/identify.py
@@ -22,15 +22,18 @@
         header = request.http.headers.get("Authorization", "")
         if not header.startswith(SCHEME):
             return Refusal(UNAUTHORIZED)
-        digest = hashlib.sha256(header[len(SCHEME) :].strip().encode()).hexdigest()
+        # Bytes that are not UTF-8 arrive as surrogates.
+        token = header[len(SCHEME) :].strip().encode("utf-8", "surrogateescape")
+        digest = hashlib.sha256(token).hexdigest()
         name = self.parts.in_force.account_by_token.get(digest)
         if name is None:
             return Refusal(UNAUTHORIZED)
         request.account_name = name
         request.account = self.parts.in_force.accounts[name]
-        key = request.http.headers.get("Idempotency-Key")
-        if key is not None:
-            if not is_key(key):
+        keys = request.http.headers.getall("Idempotency-Key", ())
+        if keys:
+            key = keys[0]
+            if len(keys) > 1 or not is_key(key):
                 return Refusal(BAD_KEY)
             request.key = key
             request.has_caller_key = True
--- a/mulberrygate/entry/limit.py
+++ b/mulberrygate/entry/limit.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import hashlib
-import json
+
+import aiohttp
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.entry.codes import BODY_TOO_LARGE, MALFORMED
+from mulberrygate.entry.completion import parse_completion
 from mulberrygate.entry.context import EntryParts, RequestContext
 
 # No route may allow more, see `tables.model.Route`.
@@ -25,15 +29,19 @@
         if length is not None and length > limit:
             return Refusal(BODY_TOO_LARGE, f"the limit is {limit} bytes")
         body = bytearray()
-        async for data in request.http.content.iter_any():
-            body += data
-            if len(body) > limit:
-                return Refusal(BODY_TOO_LARGE, f"the limit is {limit} bytes")
+        try:
+            async for data in request.http.content.iter_any():
+                body += data
+                if len(body) > limit:
+                    return Refusal(BODY_TOO_LARGE, f"the limit is {limit} bytes")
+        except (HttpProcessingError, aiohttp.ClientPayloadError, web.RequestPayloadError) as error:
+            return Refusal(MALFORMED, f"the body can't be read: {type(error).__name__}")
         request.body = bytes(body)
         if request.is_model:
-            refusal = self._parse(request)
-            if refusal is not None:
-                return refusal
+            payload = parse_completion(request.body)
+            if isinstance(payload, Refusal):
+                return payload
+            request.payload = payload
         request.fingerprint = self._fingerprint(request)
         return await proceed()
 
@@ -42,22 +50,6 @@
         routes = self.parts.in_force.routes.values()
         return min(MAX_BODY_BYTES, max((route.max_body_bytes for route in routes), default=0))
 
-    @staticmethod
-    def _parse(request: RequestContext) -> Refusal | None:
-        try:
-            payload = json.loads(request.body)
-        except (ValueError, RecursionError) as error:
-            return Refusal(MALFORMED, f"the body is not JSON: {str(error)[:200]}")
-        if not isinstance(payload, dict):
-            return Refusal(MALFORMED, "the body is not a JSON object")
-        messages = payload.get("messages")
-        if not isinstance(messages, list) or not all(isinstance(m, dict) for m in messages):
-            return Refusal(MALFORMED, "messages is not a list of objects")
-        if not isinstance(payload.get("model"), str):
-            return Refusal(MALFORMED, "model does not name a route")
-        request.payload = payload
-        return None
-
     @staticmethod
     def _fingerprint(request: RequestContext) -> str:
         """Return a hash of the content that a crash can depend on."""
--- a/mulberrygate/entry/route.py
+++ b/mulberrygate/entry/route.py
@@ -11,7 +11,9 @@
     UNKNOWN_ROUTE,
     WRONG_KIND,
 )
+from mulberrygate.entry.completion import has_surrogate, prompt_text
 from mulberrygate.entry.context import EntryParts, RequestContext
+from mulberrygate.entry.service_call import PASSED_HEADERS, service_target
 
 
 class ChooseRoute:
@@ -52,13 +54,24 @@
     @staticmethod
     def _estimate(request: RequestContext) -> Refusal | None:
         if not request.is_model:
-            return None
+            return _check_call(request)
         route = request.route
         wanted = request.payload.get("max_tokens", route.max_output_tokens)
         if not isinstance(wanted, int) or isinstance(wanted, bool) or wanted < 1:
             return Refusal(MALFORMED, "max_tokens is not a positive whole number")
         request.output_tokens = min(wanted, route.max_output_tokens)
-        text = "\n".join(str(m.get("content", "")) for m in request.payload["messages"])
+        text = prompt_text(request.payload)
         request.prompt_tokens = estimate_tokens(text)
         request.prefixes = prefix_hashes(text)
         return None
+
+
+def _check_call(request: RequestContext) -> Refusal | None:
+    """Refuse what the HTTP client can't send on as it is, before the ledger's begin."""
+    target = service_target(request.http.rel_url)
+    if not target.isascii() or not target.isprintable() or " " in target or "#" in target:
+        return Refusal(MALFORMED, "the path has characters that must be percent-encoded")
+    for name in PASSED_HEADERS:
+        if has_surrogate(request.http.headers.get(name, "")):
+            return Refusal(MALFORMED, f"the header {name} is not UTF-8")
+    return None
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -58,6 +58,13 @@
     owner: str
     asked: set[str] = attrs.field(factory=set)
 
+    def is_granted(self, endpoint: str) -> bool:
+        """Return whether the answer is a grant of an endpoint."""
+        if not self.answer.done() or self.answer.cancelled():
+            return False
+        answer = self.answer.result()
+        return isinstance(answer, Grant) and answer.endpoint == endpoint
+
 
 @attrs.define(eq=False)
 class Dispatched:
@@ -163,7 +170,7 @@
             return
         self.passed_over[owner] = self.timers.now() + OWN_SHARE_S
         log.warning("A pool's owner does not answer.", owner=owner, pool=ticket.pool)
-        if ticket.request in self.waiting:
+        if ticket.request in self.waiting and not waiting.answer.done():
             waiting.owner = self.instance
             self._ask(waiting)
 
@@ -174,6 +181,9 @@
             waiting.owner = sender
             waiting.answer.set_result(grant)
             return
+        if waiting is not None and waiting.is_granted(grant.endpoint) and waiting.owner == sender:
+            # The same grant again, before the request that waits for it has gone on.
+            return
         dispatched = self.running.get(grant.request)
         if dispatched is None or dispatched.grant.endpoint != grant.endpoint:
             self.peers.send(sender, Withdraw(grant.pool, grant.request))
@@ -215,11 +225,15 @@
             if self.owners.get(pool, owner) != owner:
                 self._present(pool, owner)
             self.owners[pool] = owner
-        for waiting in list(self.waiting.values()):
+        for waiting in self._open_waits():
             owner = self.owners[waiting.ticket.pool]
             waiting.owner = owner
             self._ask(waiting)
 
+    def _open_waits(self) -> list[Waiting]:
+        """Return the tickets without an answer; an answered one stays with its owner."""
+        return [w for w in self.waiting.values() if not w.answer.done()]
+
     def _present(self, pool: str, owner: str) -> None:
         running = [d for d in self.running.values() if d.ticket.pool == pool]
         for dispatched in running:
@@ -227,7 +241,7 @@
         now = self.timers.now()
         waiting = tuple(
             attrs.evolve(w.ticket, deadline_s=max(0.0, w.deadline_at - now))
-            for w in self.waiting.values()
+            for w in self._open_waits()
             if w.ticket.pool == pool
         )
         presented = tuple(
--- a/mulberrygate/entry/tier.py
+++ b/mulberrygate/entry/tier.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+import re
 
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.entry.codes import BAD_DEADLINE
@@ -11,6 +11,8 @@
 DEADLINE_HEADER = "Request-Timeout"
 MIN_DEADLINE_S = 0.1
 MAX_DEADLINE_S = 3600.0
+# float() also takes "nan", "1_0" and digits of other scripts.
+_SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class ChooseTier:
@@ -24,11 +26,10 @@
         seconds = request.route.deadline_s
         header = request.http.headers.get(DEADLINE_HEADER)
         if header is not None:
-            try:
-                seconds = float(header)
-            except ValueError:
+            if not _SECONDS.fullmatch(header):
                 return Refusal(BAD_DEADLINE)
-            if not math.isfinite(seconds) or not MIN_DEADLINE_S <= seconds <= MAX_DEADLINE_S:
+            seconds = float(header)
+            if not MIN_DEADLINE_S <= seconds <= MAX_DEADLINE_S:
                 return Refusal(BAD_DEADLINE)
         request.deadline_at = request.received_at + seconds
         return await proceed()
--- a/mulberrygate/entry/upstream.py
+++ b/mulberrygate/entry/upstream.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+from yarl import URL
 
 # Connecting within a region takes milliseconds; an endpoint that does not answer for a second is
 # treated as not reachable, and nothing was sent to it.
@@ -78,7 +79,13 @@
         try:
             async with asyncio.timeout(timeout_s):
                 response = await session.request(
-                    method, url, headers=headers, data=body, timeout=timeout, allow_redirects=False
+                    method,
+                    # The path goes to the endpoint as the caller wrote it, dots included.
+                    URL(url, encoded=True),
+                    headers=headers,
+                    data=body,
+                    timeout=timeout,
+                    allow_redirects=False,
                 )
             return Connected(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/mulberrygate/observe/logs.py
+++ b/mulberrygate/observe/logs.py
@@ -10,6 +10,13 @@
 FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.message}"
 
 
+def _printable(text: str) -> str:
+    """Return a text that can't end its line, since values may come from outside."""
+    if text.isprintable():
+        return text
+    return "".join(char if char.isprintable() else ascii(char)[1:-1] for char in text)
+
+
 class PartLogger:
     """Logger of one part.
 
@@ -23,7 +30,7 @@
         self.logbook = logbook.Logger(part)
 
     def _line(self, sentence: str, fields: dict[str, Any]) -> str:
-        tail = "".join(f" {name}={value}" for name, value in fields.items())
+        tail = "".join(f" {name}={_printable(str(value))}" for name, value in fields.items())
         return f"{self.part}: {sentence}{tail}"
 
     def info(self, sentence: str, **fields: Any) -> None:
--- a/mulberrygate/observe/metrics.py
+++ b/mulberrygate/observe/metrics.py
@@ -25,6 +25,11 @@
     return "{" + ",".join(parts) + "}" if parts else ""
 
 
+def _number(value: float) -> str:
+    """Return all digits; ``:g`` would round a byte counter to a millionth of its value."""
+    return str(int(value)) if float(value).is_integer() else repr(float(value))
+
+
 def _escape(value: str) -> str:
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
@@ -82,10 +87,10 @@
             if name not in seen:
                 seen.add(name)
                 lines.append(f"# TYPE {PREFIX}{name} counter")
-            lines.append(f"{PREFIX}{name}{_label_text(labels)} {value:g}")
+            lines.append(f"{PREFIX}{name}{_label_text(labels)} {_number(value)}")
         for name, read in sorted(self.gauges.items()):
             lines.append(f"# TYPE {PREFIX}{name} gauge")
-            lines.append(f"{PREFIX}{name} {read():g}")
+            lines.append(f"{PREFIX}{name} {_number(read())}")
         for (name, labels), histogram in sorted(self.histograms.items()):
             if name not in seen:
                 seen.add(name)
@@ -95,7 +100,7 @@
                 value = histogram.get_value_at_percentile(percent) / 1e6
                 lines.append(f"{PREFIX}{name}{text} {value:g}")
             tail = _label_text(labels)
-            lines.append(f"{PREFIX}{name}_sum{tail} {self.sums[name, labels]:g}")
+            lines.append(f"{PREFIX}{name}_sum{tail} {_number(self.sums[name, labels])}")
             lines.append(f"{PREFIX}{name}_count{tail} {histogram.get_total_count()}")
         return "\n".join(lines) + "\n"
 
--- a/mulberrygate/settings/load.py
+++ b/mulberrygate/settings/load.py
@@ -4,7 +4,7 @@
 
 import os
 from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import Any, TypeVar, get_origin
 
 import attrs
 import cattrs
@@ -14,11 +14,16 @@
 from mulberrygate.core.codes import register_code
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.settings.model import Settings
+from mulberrygate.settings.positions import LineIndex, count_keys, count_names, find_positions
 
 MALFORMED = register_code(7001, "settings_malformed", "The settings file is not valid JSON.", 400)
 INVALID = register_code(7002, "settings_invalid", "The settings have a wrong key or value.", 400)
 UNREADABLE = register_code(7003, "settings_unreadable", "A settings file can't be read.", 400)
 
+# Settings with 7 voters and a few seeds take about 2 KB; a larger file is a mistake.
+MAX_BYTES = 1 << 20
+MIN_TOKEN_CHARS = 16
+
 Class = TypeVar("Class")
 
 _converter = cattrs.Converter(forbid_extra_keys=True)
@@ -40,6 +45,17 @@
 _converter.register_structure_hook(bool, _structure_exact((bool,), bool))
 
 
+def _structure_list(value: Any, cls: type) -> Any:
+    """Structure a list; the converter would take a string letter by letter."""
+    if not isinstance(value, list | tuple):
+        raise ValueError(f"expected a list, got {type(value).__name__}")
+    return _list_hook(value, cls)
+
+
+_list_hook = _converter.get_structure_hook(tuple[str, ...])
+_converter.register_structure_hook_func(lambda cls: get_origin(cls) is tuple, _structure_list)
+
+
 @dataclass(frozen=True)
 class Loaded:
     """Value that was read from a file."""
@@ -73,17 +89,20 @@
     Settings or Refusal
         The refusal names every key that is wrong. Relative paths are taken from the settings file.
     """
-    try:
-        with open(path, encoding="utf-8") as file:
-            text = file.read()
-    except (OSError, UnicodeDecodeError) as error:
-        return Refusal(UNREADABLE, f"{path}: {error}")
+    text = _read_text(path)
+    if isinstance(text, Refusal):
+        return text
+    if not text.strip():
+        return Refusal(MALFORMED, f"{path}: the file is empty")
     try:
         values = pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
         return Refusal(MALFORMED, f"{path}: {error.args[0] if error.args else error}")
     if not isinstance(values, dict):
         return Refusal(INVALID, f"{path}: the settings must be an object")
+    twice = _duplicate_names(text, values)
+    if twice:
+        return Refusal(INVALID, f"{path}: {'; '.join(twice)}")
     try:
         settings = structure(values, Settings)
     except Exception as error:
@@ -91,6 +110,31 @@
     return _with_absolute_paths(settings, os.path.dirname(os.path.abspath(path)))
 
 
+def _read_text(path: str) -> str | Refusal:
+    """Return the text of a small file."""
+    try:
+        with open(path, "rb") as file:
+            content = file.read(MAX_BYTES + 1)
+        if len(content) > MAX_BYTES:
+            return Refusal(UNREADABLE, f"{path}: the file is over the limit of {MAX_BYTES} bytes")
+        return content.decode("utf-8-sig")
+    except (OSError, ValueError) as error:
+        # A path with a NUL character or an unpaired surrogate raises ValueError.
+        return Refusal(UNREADABLE, f"{path!r}: {error}")
+
+
+def _duplicate_names(text: str, values: dict) -> list[str]:
+    """Return a sentence for each name that occurs twice in one object."""
+    if count_names(text) == count_keys(values):
+        return []
+    lines = LineIndex(text)
+    found = []
+    for path, offset in find_positions(text).duplicates:
+        line, column = lines.position(offset)
+        found.append(f"line {line}, column {column}: the name {path[-1]!r} occurs twice")
+    return found
+
+
 def _with_absolute_paths(settings: Settings, folder: str) -> Settings:
     changes = {}
     for name in ("peer_token_file", "operator_token_file", "endpoint_token_file", "data_folder"):
@@ -102,11 +146,13 @@
 
 def read_token(path: str) -> str | Refusal:
     """Read a secret from a file; white space around it does not count."""
-    try:
-        with open(path, encoding="utf-8") as file:
-            token = file.read().strip()
-    except (OSError, UnicodeDecodeError) as error:
-        return Refusal(UNREADABLE, f"{path}: {error}")
-    if len(token) < 16:
-        return Refusal(INVALID, f"{path}: a token has at least 16 characters")
+    text = _read_text(path)
+    if isinstance(text, Refusal):
+        return text
+    token = text.strip()
+    if len(token) < MIN_TOKEN_CHARS:
+        return Refusal(INVALID, f"{path}: a token has at least {MIN_TOKEN_CHARS} characters")
+    if not all("!" <= char <= "~" for char in token):
+        # A header can't carry it, so nobody could ever present it.
+        return Refusal(INVALID, f"{path}: a token has visible ASCII characters only")
     return token
--- a/mulberrygate/settings/model.py
+++ b/mulberrygate/settings/model.py
@@ -2,21 +2,56 @@
 
 from __future__ import annotations
 
+import math
+import re
+
 import attrs
 
 ENTRY = "entry"
 CONTROL = "control"
 PARTS = (ENTRY, CONTROL)
+LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
+
+
+_ADDRESS = re.compile(r"([A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):(?P<port>[0-9]{1,5})")
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
+
+
+def is_address(value: str) -> bool:
+    """Return whether a text is ``host:port``.
+
+    Examples
+    ========
+    >>> from mulberrygate.settings.model import is_address
+    >>> is_address("10.0.0.1:80"), is_address("[::1]:80"), is_address("h:80/x"), is_address("h")
+    (True, True, False, False)
+    """
+    match = _ADDRESS.fullmatch(value)
+    return match is not None and 0 < int(match["port"]) < 65536
 
 
 def _is_address(instance, attribute, value: str) -> None:
-    host, separator, port = value.rpartition(":")
-    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not is_address(value):
         raise ValueError(f"{attribute.name} must be host:port, not {value!r}")
 
 
+def _are_addresses(instance, attribute, value) -> None:
+    for address in value.values() if isinstance(value, dict) else value:
+        _is_address(instance, attribute, address)
+
+
+def _is_level(instance, attribute, value: str) -> None:
+    if value not in LOG_LEVELS:
+        raise ValueError(f"{attribute.name} must be one of {', '.join(LOG_LEVELS)}, not {value!r}")
+
+
+def _is_duration(instance, attribute, value: float) -> None:
+    if not math.isfinite(value) or value < 0:
+        raise ValueError(f"{attribute.name} must be a number of seconds from 0, not {value!r}")
+
+
 def _is_name(instance, attribute, value: str) -> None:
-    if not value or len(value) > 64 or not all(c.isalnum() or c in "-_." for c in value):
+    if not _NAME.fullmatch(value):
         raise ValueError(
             f"{attribute.name} must be 1 to 64 letters, digits, '-', '_' or '.', not {value!r}"
         )
@@ -64,12 +99,12 @@
     peer_token_file: str
     operator_token_file: str
     endpoint_token_file: str
-    seeds: tuple[str, ...] = ()
+    seeds: tuple[str, ...] = attrs.field(default=(), validator=_are_addresses)
     parts: tuple[str, ...] = attrs.field(default=(ENTRY,), validator=_are_parts)
     data_folder: str = ""
-    voters: dict[str, str] = attrs.field(factory=dict)
-    log_level: str = "INFO"
-    stop_grace_s: float = 3600.0
+    voters: dict[str, str] = attrs.field(factory=dict, validator=_are_addresses)
+    log_level: str = attrs.field(default="INFO", validator=_is_level)
+    stop_grace_s: float = attrs.field(default=3600.0, validator=_is_duration)
     partition_switch: bool = False
 
     def __attrs_post_init__(self) -> None:
--- a/mulberrygate/tables/positions.py
+++ b/mulberrygate/settings/positions.py
@@ -1,10 +1,11 @@
-"""Positions of names and values in the text of a table."""
+"""Positions of names and values in the text of settings or a table."""
 
 from __future__ import annotations
 
 import bisect
 import re
 from dataclasses import dataclass, field
+from typing import Any
 
 import pyjson5
 
@@ -28,7 +29,7 @@
 
     Examples
     ========
-    >>> from mulberrygate.tables.positions import LineIndex
+    >>> from mulberrygate.settings.positions import LineIndex
     >>> LineIndex("ab\\ncd").position(4)
     (2, 2)
     """
@@ -79,13 +80,20 @@
 
     Examples
     ========
-    >>> from mulberrygate.tables.positions import count_names
+    >>> from mulberrygate.settings.positions import count_names
     >>> count_names("{a: 1, /* b: */ 'c:': {a: 2}, a: 3}")
     4
     """
     return _NO_MARKS.sub("", text).count(":")
 
 
+def count_keys(value: Any) -> int:
+    """Return the number of names in decoded values; less than `count_names` if one is repeated."""
+    if isinstance(value, dict):
+        return len(value) + sum(map(count_keys, value.values()))
+    return sum(map(count_keys, value)) if isinstance(value, list) else 0
+
+
 def find_positions(text: str) -> Positions:
     """Return the positions of all names and values of a text that `pyjson5` has accepted.
 
--- a/mulberrygate/tables/check.py
+++ b/mulberrygate/tables/check.py
@@ -6,9 +6,9 @@
 from collections.abc import Collection, Iterator, Mapping
 
 from mulberrygate.core.codes import Code, register_code
+from mulberrygate.settings.positions import Path
 from mulberrygate.tables.model import Move, Pool, PoolsTable, Route, RoutesTable
 from mulberrygate.tables.parse import MAX_FAULTS, Fault, Parsed
-from mulberrygate.tables.positions import Path
 
 MISSING_POOL = register_code(4010, "missing_pool", "A route names a pool that is missing.", 409)
 MISSING_ACCOUNT = register_code(
--- a/mulberrygate/tables/parse.py
+++ b/mulberrygate/tables/parse.py
@@ -17,14 +17,15 @@
 
 from mulberrygate.core.codes import Code, register_code
 from mulberrygate.settings.load import structure
-from mulberrygate.tables.model import PoolsTable, RoutesTable
-from mulberrygate.tables.positions import (
+from mulberrygate.settings.positions import (
     LineIndex,
     Path,
     Positions,
+    count_keys,
     count_names,
     find_positions,
 )
+from mulberrygate.tables.model import PoolsTable, RoutesTable
 
 TOO_LARGE = register_code(4001, "table_too_large", "The table is larger than the limit.", 413)
 NOT_UTF8 = register_code(4002, "table_not_utf8", "The table is not valid UTF-8.", 400)
@@ -162,7 +163,7 @@
     values = _read_values(source)
     if isinstance(values, Faults):
         return values
-    if count_names(decoded) != _count_keys(values):
+    if count_names(decoded) != count_keys(values):
         faults = [
             source.fault(offset, path, f"the name {path[-1]!r} occurs twice", DUPLICATE)
             for path, offset in source.positions.duplicates
@@ -172,12 +173,6 @@
     return _structure(values, name, source)
 
 
-def _count_keys(value: Any) -> int:
-    if isinstance(value, dict):
-        return len(value) + sum(map(_count_keys, value.values()))
-    return sum(map(_count_keys, value)) if isinstance(value, list) else 0
-
-
 def digest_of(values: Any) -> str:
     """Return the SHA-256 of plain values, independent of the order of names and of white space."""
     text = json.dumps(_canonical(values), sort_keys=True, separators=(",", ":"))
