--- a/mulberrygate/daemon/web.py
+++ b/mulberrygate/daemon/web.py
@@ -78,7 +78,7 @@
         """Return the HTTP application."""
         app = web.Application(client_max_size=MAX_TABLE_BYTES, middlewares=[explain_errors])
         app.router.add_post("/v1/chat/completions", self.on_model)
-        app.router.add_route("*", "/services/{route}/{path:.*}", self.on_service)
+        app.router.add_route("*", "/services/{route}/{path:[\\s\\S]*}", self.on_service)
         app.router.add_post("/endpoints/announce", self.on_announce)
         app.router.add_get("/health/live", self.on_live)
         app.router.add_get("/health/ready", self.on_ready)
--- a/mulberrygate/settings/load.py
+++ b/mulberrygate/settings/load.py
@@ -10,11 +10,18 @@
 import cattrs
 import pyjson5
 from cattrs import ClassValidationError, transform_error
+from cattrs.v import format_exception
 
 from mulberrygate.core.codes import register_code
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.settings.model import Settings
-from mulberrygate.settings.positions import LineIndex, count_keys, count_names, find_positions
+from mulberrygate.settings.positions import (
+    LineIndex,
+    count_keys,
+    count_names,
+    find_positions,
+    syntax_fault,
+)
 
 MALFORMED = register_code(7001, "settings_malformed", "The settings file is not valid JSON.", 400)
 INVALID = register_code(7002, "settings_invalid", "The settings have a wrong key or value.", 400)
@@ -77,8 +84,15 @@
 def explain(error: Exception) -> list[str]:
     """Return one sentence for each fault that `structure` found."""
     if isinstance(error, ClassValidationError):
-        return transform_error(error, path="")
-    return [str(error)]
+        faults = transform_error(error, path="", format_exception=_describe)
+        return [fault.removesuffix(" @ ") for fault in faults]
+    return [str(error) or type(error).__name__]
+
+
+def _describe(error: BaseException, kind: type | None) -> str:
+    """Return the message of a validator, which cattrs would shorten to "invalid value"."""
+    is_plain = isinstance(error, ValueError | OverflowError) and str(error)
+    return str(error) if is_plain else format_exception(error, kind)
 
 
 def load_settings(path: str) -> Settings | Refusal:
@@ -97,7 +111,9 @@
     try:
         values = pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
-        return Refusal(MALFORMED, f"{path}: {error.args[0] if error.args else error}")
+        offset, detail = syntax_fault(error, text)
+        line, column = LineIndex(text).position(offset)
+        return Refusal(MALFORMED, f"{path}: line {line}, column {column}: {detail}")
     if not isinstance(values, dict):
         return Refusal(INVALID, f"{path}: the settings must be an object")
     twice = _duplicate_names(text, values)
--- a/mulberrygate/settings/positions.py
+++ b/mulberrygate/settings/positions.py
@@ -15,6 +15,9 @@
     r"""//[^\n\r\u2028\u2029]*|/\*.*?\*/|"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*'""", re.DOTALL
 )
 
+_NEAR = re.compile(r"near (\d+)")
+_BYTES_NAME = re.compile(r"b'(\w+)'")
+
 _TOKEN = re.compile(
     r"""(?P<skip>[\s\u00a0\ufeff]+|//[^\n\r\u2028\u2029]*|/\*.*?\*/)
     |(?P<string>"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*')
@@ -94,6 +97,14 @@
     return sum(map(count_keys, value)) if isinstance(value, list) else 0
 
 
+def syntax_fault(error: pyjson5.Json5Exception, text: str) -> tuple[int, str]:
+    """Return the offset and the description of what `pyjson5` could not read."""
+    message = str(error.args[0]) if error.args else type(error).__name__
+    near = _NEAR.search(message)
+    offset = int(near.group(1)) - 1 if near else len(text)
+    return offset, _BYTES_NAME.sub(r"\1", message[: near.start()] if near else message).strip()
+
+
 def find_positions(text: str) -> Positions:
     """Return the positions of all names and values of a text that `pyjson5` has accepted.
 
--- a/mulberrygate/standin/service.py
+++ b/mulberrygate/standin/service.py
@@ -46,23 +46,26 @@
         app = web.Application()
         app.router.add_get("/standin", self.report)
         app.router.add_post("/standin", self.adjust)
-        app.router.add_route("*", "/{path:.*}", self.call)
+        app.router.add_route("*", "/{path:[\\s\\S]*}", self.call)
         return app
 
     async def call(self, request: web.Request) -> web.Response:
         """Run a call; a POST adds a booking."""
         self.load += 1
         try:
-            body = await request.text()
+            body = (await request.read()).decode("utf-8", "replace")
             self.runs[request.headers.get("X-Request-Id", "")] += 1
             self.runs["total"] += 1
             await asyncio.sleep(self.options.delay_s)
             if request.method == "POST":
-                self.bookings.append({"path": request.path, "body": body})
+                self.bookings.append(
+                    {"path": request.path, "target": request.raw_path, "body": body}
+                )
             return web.json_response(
                 {
                     "method": request.method,
                     "path": request.path,
+                    "target": request.raw_path,
                     "number": len(self.bookings),
                     "served_by": self.options.name,
                 }
--- a/mulberrygate/tables/parse.py
+++ b/mulberrygate/tables/parse.py
@@ -24,6 +24,7 @@
     count_keys,
     count_names,
     find_positions,
+    syntax_fault,
 )
 from mulberrygate.tables.model import PoolsTable, RoutesTable
 
@@ -48,8 +49,6 @@
 # Integers beyond this are not exact in every JSON library that may write a table.
 MAX_INTEGER = 2**53
 
-_NEAR = re.compile(r"near (\d+)")
-_BYTES_NAME = re.compile(r"b'(\w+)'")
 _SURROGATE = re.compile("[\ud800-\udfff]")
 _FIRST_WORD = re.compile(r"\w+")
 
@@ -212,10 +211,7 @@
     try:
         values = pyjson5.decode(source.text)
     except pyjson5.Json5Exception as error:
-        message = str(error.args[0]) if error.args else type(error).__name__
-        near = _NEAR.search(message)
-        offset = int(near.group(1)) - 1 if near else len(source.text)
-        detail = _BYTES_NAME.sub(r"\1", message[: near.start()] if near else message).strip()
+        offset, detail = syntax_fault(error, source.text)
         return Faults((source.fault(offset, (), detail, MALFORMED),))
     if not isinstance(values, dict):
         return _single("a table is an object", INVALID)
