--- a/mulberrygate/cli/apply.py
+++ b/mulberrygate/cli/apply.py
@@ -72,7 +72,10 @@
     """Wait until the revision is in force everywhere and say where it is not."""
     limit = time.monotonic() + options.wait
     while True:
-        status = call_entry(options, "GET", "/admin/status").json()
+        reply = call_entry(options, "GET", "/admin/status")
+        if reply.status != 200:
+            return print_problem(reply)
+        status = reply.json()
         states = status["instances"]
         behind = [n for n, s in states.items() if s["revision"] < answer["revision"]]
         answer |= {"in_force_on": len(states) - len(behind), "behind": behind}
--- a/mulberrygate/cli/check.py
+++ b/mulberrygate/cli/check.py
@@ -21,7 +21,7 @@
 )
 def run(options: argparse.Namespace) -> int:
     """Print each fault with its file, line and column."""
-    parsed = {}
+    parsed: list[tuple[str, Parsed]] = []
     count = 0
     for path in options.files:
         try:
@@ -34,21 +34,22 @@
         if isinstance(result, Faults):
             count += print_faults(path, result.faults)
         else:
-            parsed[result.kind] = (path, result)
-    for path, result in parsed.values():
-        count += print_faults(path, check_references(result, parsed))
+            parsed.append((path, result))
+    newest = {result.kind: result for _, result in parsed}
+    for path, result in parsed:
+        count += print_faults(path, check_references(result, newest))
     if count:
         print(f"{count} faults", file=sys.stderr)
         return REFUSED
-    for path, result in parsed.values():
+    for path, result in parsed:
         print(f"{path}: {result.kind} version {result.table.version} is valid")
     return OK
 
 
-def check_references(result: Parsed, parsed: dict[str, tuple[str, Parsed]]) -> list[Fault]:
+def check_references(result: Parsed, parsed: dict[str, Parsed]) -> list[Fault]:
     """Return the faults of a table against itself and the other table, if that is given."""
-    routes = parsed[ROUTES][1].table.routes if ROUTES in parsed else None
-    pools = parsed[POOLS][1].table.pools if POOLS in parsed else None
+    routes = parsed[ROUTES].table.routes if ROUTES in parsed else None
+    pools = parsed[POOLS].table.pools if POOLS in parsed else None
     if result.kind == ROUTES:
         return check_table(result, pools=pools)
     return check_table(result, routes=routes)
--- a/mulberrygate/cli/command.py
+++ b/mulberrygate/cli/command.py
@@ -53,6 +53,10 @@
     return register
 
 
+class EntryUnreachable(Exception):
+    """No entry instance answered."""
+
+
 @dataclass(frozen=True)
 class Reply:
     """Answer of an entry instance."""
@@ -62,12 +66,20 @@
     headers: dict[str, str]
 
     def json(self) -> dict:
-        """Return the body as JSON."""
-        return json.loads(self.body)
-
-
-class EntryUnreachable(Exception):
-    """No entry instance answered."""
+        """Return the body as a JSON object.
+
+        Raises
+        ======
+        EntryUnreachable
+            Something else than an entry instance has answered.
+        """
+        try:
+            value = json.loads(self.body)
+        except ValueError:
+            value = None
+        if not isinstance(value, dict):
+            raise EntryUnreachable("the answer is not a JSON object; is this an entry instance?")
+        return value
 
 
 def add_entry_arguments(parser: argparse.ArgumentParser) -> None:
@@ -127,7 +139,7 @@
     try:
         problem = reply.json()
         print(f"{problem['code']} {problem['title']}: {problem['detail']}", file=sys.stderr)
-    except (ValueError, KeyError, TypeError):
+    except (EntryUnreachable, KeyError):
         print(f"the entry instance answered {reply.status}", file=sys.stderr)
     return REFUSED
 
--- /dev/null
+++ b/mulberrygate/entry/tests/test_completion.py
@@ -0,0 +1,76 @@
+"""Tests of the parsers that read what callers and endpoints send."""
+
+import json
+import random
+import time
+import unittest
+
+from mulberrygate.core import Refusal
+from mulberrygate.entry.codes import MALFORMED
+from mulberrygate.entry.completion import MAX_DEPTH, is_deeper, parse_completion
+
+GOOD = {
+    "model": "lookup",
+    "messages": [{"role": "user", "content": [{"type": "text", "text": 'héllo \\ " \n'}]}],
+    "max_tokens": 12,
+    "temperature": 0.5,
+    "stream": True,
+}
+PIECES = (b"{", b"]", b'"', b":", b",", b"\\ud800", b"\xff", b"\x00", b"1e999", b"-", b"null")
+
+
+def mutate(data: bytes, rng: random.Random) -> bytes:
+    """Return data with a few random changes."""
+    changed = bytearray(data)
+    for _ in range(rng.randint(1, 5)):
+        at = rng.randrange(len(changed))
+        changed[at : at + rng.randint(0, 4)] = rng.choice(PIECES)
+    return bytes(changed)
+
+
+class ParseTest(unittest.TestCase):
+    """Bodies of chat completions."""
+
+    def test_random_changes_never_raise(self):
+        """Guards against an exception, or a long time, for any body."""
+        rng = random.Random(3)
+        good = json.dumps(GOOD, ensure_ascii=False).encode()
+        self.assertEqual(parse_completion(good), GOOD)
+        start = time.process_time()
+        accepted = 0
+        for _ in range(5000):
+            result = parse_completion(mutate(good, rng))
+            if isinstance(result, Refusal):
+                self.assertEqual(result.code, MALFORMED)
+            else:
+                accepted += 1
+                json.dumps(result, allow_nan=False).encode()
+        self.assertGreater(accepted, 0)
+        self.assertLess(time.process_time() - start, 60)
+
+    def test_hostile_bodies_are_refused_in_bounded_time(self):
+        """Guards against a body that holds up the event loop."""
+        bodies = (
+            b"[" * 4_000_000,
+            b'{"a":' * 800_000,
+            b'"' + b"\\u0000" * 600_000,
+            b"9" * 4_000_000,
+        )
+        for body in bodies:
+            with self.subTest(body[:9]):
+                start = time.process_time()
+                self.assertEqual(parse_completion(body).code, MALFORMED)
+                self.assertLess(time.process_time() - start, 10)
+
+    def test_depth(self):
+        """Guards against a limit that is off by one, or that counts only lists."""
+        for wrap in (lambda v: [v], lambda v: {"a": v}):
+            value = 1
+            for _ in range(MAX_DEPTH):
+                value = wrap(value)
+            self.assertFalse(is_deeper(value, MAX_DEPTH))
+            self.assertTrue(is_deeper(wrap(wrap(value)), MAX_DEPTH))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/entry/tests/test_follow.py
@@ -0,0 +1,136 @@
+"""Tests of following an answer over broken connections."""
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from mulberrygate.entry import follow
+from mulberrygate.entry.follow import MAX_RESUMES, Failed, Follower
+from mulberrygate.entry.tests.test_stream import WHOLE, end, event
+from mulberrygate.entry.upstream import Upstream
+from mulberrygate.standin.local import free_ports
+
+HEAD = event(0) + event(1, "é")
+
+
+class FollowTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of a small server, one script step for each connection.
+
+    A step is a status, or the bytes that are sent before the connection ends; ``None`` at the end
+    of a tuple keeps the connection open.
+    """
+
+    async def asyncSetUp(self):
+        pause = follow.RESUME_PAUSE_S
+        follow.RESUME_PAUSE_S = 0.001
+        self.addCleanup(setattr, follow, "RESUME_PAUSE_S", pause)
+        self.steps = []
+        self.resumed_after = []
+        self.silences = 0
+        app = web.Application()
+        app.router.add_get("/v1/streams/r", self.serve)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        (port,) = free_ports(1)
+        self.address = f"127.0.0.1:{port}"
+        await web.TCPSite(self.runner, "127.0.0.1", port).start()
+        self.upstream = Upstream()
+        self.addAsyncCleanup(self.runner.cleanup)
+        self.addAsyncCleanup(self.upstream.close)
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Serve the next step; the last one again and again."""
+        self.resumed_after.append(request.headers.get("Last-Event-ID"))
+        step = self.steps.pop(0) if len(self.steps) > 1 else self.steps[0]
+        if isinstance(step, int):
+            return web.Response(status=step)
+        response = web.StreamResponse()
+        await response.prepare(request)
+        parts = step if isinstance(step, tuple) else (step,)
+        for part in parts:
+            if part is None:
+                await asyncio.Event().wait()
+            await response.write(part)
+        # Cut in the middle of the chunked body.
+        request.transport.close()
+        return response
+
+    def silent(self) -> None:
+        """Count a silent connection."""
+        self.silences += 1
+
+    async def follow(self, *steps, offset: int = 0) -> tuple[bytes, bool, Failed | None]:
+        """Return the bytes, whether the end marker came, and the failure."""
+        self.steps = list(steps)
+        follower = Follower(self.upstream, self.address, "r", offset, self.silent, 0.2, 0.2)
+        follower.start(None)
+        raw = b""
+        try:
+            async with asyncio.timeout(60):
+                while True:
+                    events = await follower.read()
+                    if isinstance(events, Failed):
+                        return raw, False, events
+                    raw += events.raw
+                    if events.is_end:
+                        return raw, True, None
+        finally:
+            follower.close()
+
+    async def test_cut_connection_is_resumed_after_the_last_event(self):
+        """Guards against text that is lost or repeated at a cut."""
+        rest = WHOLE[len(HEAD) :]
+        for tail in (b"", rest[:9]):
+            with self.subTest(tail):
+                self.resumed_after.clear()
+                raw, is_end, failed = await self.follow(HEAD + tail, 500, rest)
+                self.assertEqual((raw, is_end, failed), (WHOLE, True, None))
+                self.assertEqual(self.resumed_after, [None, "r:1", "r:1"])
+
+    async def test_engine_that_resumes_too_early_or_too_late(self):
+        """Guards against an engine whose resume repeats or skips events."""
+        raw, is_end, _ = await self.follow(HEAD, end(3), WHOLE)
+        self.assertEqual((raw, is_end), (WHOLE, True))
+        self.assertEqual(self.resumed_after, [None, "r:1", "r:1"])
+        raw, is_end, _ = await self.follow(WHOLE, offset=2)
+        self.assertEqual((raw, is_end), (WHOLE[len(HEAD) :], True))
+        self.assertEqual(self.resumed_after[-1], "r:1")
+
+    async def test_silent_connection_is_replaced(self):
+        """Guards against a caller that waits on a connection that went silent."""
+        raw, is_end, _ = await self.follow((HEAD, None), WHOLE)
+        self.assertEqual((raw, is_end, self.silences), (WHOLE, True, 1))
+
+    async def test_answer_without_end_marker_is_never_complete(self):
+        """Guards against a cut answer that is reported as a whole one."""
+        cases = {
+            "cut": (WHOLE[:-1],),
+            "marker of another": (HEAD + event(2, "c") + end(3, "other"),),
+            "gap": (HEAD + end(3),),
+            "empty": (b"",),
+            "bad offset": (HEAD + b"id: r:x\ndata: [DONE]\n\n",),
+        }
+        for name, steps in cases.items():
+            with self.subTest(name):
+                raw, is_end, failed = await self.follow(*steps)
+                self.assertFalse(is_end)
+                self.assertTrue(WHOLE.startswith(raw))
+                self.assertEqual(failed.fault, "cut")
+        self.assertLessEqual(len(self.resumed_after), len(cases) * (2 * MAX_RESUMES + 2))
+
+    async def test_silent_and_lost_streams_end_in_their_own_fault(self):
+        """Guards against a restarted engine that is asked for a stream again and again."""
+        _, _, failed = await self.follow((HEAD, None), (b": alive\n\n", None))
+        self.assertEqual(failed.fault, "silent")
+        self.resumed_after.clear()
+        raw, _, failed = await self.follow(HEAD, 404)
+        self.assertEqual((raw, failed.fault), (HEAD, "lost"))
+        self.assertEqual(len(self.resumed_after), 2)
+        await self.runner.cleanup()
+        _, _, failed = await self.follow(HEAD)
+        self.assertEqual(failed.fault, "gone")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -0,0 +1,182 @@
+"""Tests of the entry's side of scheduling with a peer client that loses messages."""
+
+import asyncio
+import unittest
+
+from mulberrygate.core import Refusal, TimerService
+from mulberrygate.core.wire import Ack
+from mulberrygate.entry import tickets
+from mulberrygate.entry.codes import DEADLINE_PASSED
+from mulberrygate.entry.tickets import TicketDesk
+from mulberrygate.peers.client import Unreachable
+from mulberrygate.schedule.codes import QUEUE_FULL
+from mulberrygate.schedule.messages import Done, Grant, Present, Refuse, Ticket, Withdraw
+
+TICKET = Ticket("r", "me", "pool", "route", "account", 1.0, 0, 10, 10, (), 5.0)
+LIMIT_S = 60.0
+
+
+class Peers:
+    """Peer client that notes messages; ``on_ask`` says what becomes of an ask."""
+
+    def __init__(self):
+        self.sent = []
+        self.asked = []
+        self.handlers = {}
+        self.unreachable = set()
+        self.on_ask = lambda owner, count: None
+
+    def on(self, cls, handler):
+        """Register a handler."""
+        self.handlers[cls] = handler
+
+    def send(self, instance, message):
+        """Note a message."""
+        self.sent.append((instance, message))
+
+    async def call(self, instance, message, timeout_s):
+        """Note an ask and answer it."""
+        self.asked.append(instance)
+        if instance in self.unreachable:
+            return Unreachable(instance, "test")
+        self.on_ask(instance, len(self.asked))
+        return Ack()
+
+    def sent_to(self, instance, kind) -> int:
+        """Return how many messages of a kind went to an instance."""
+        return sum(1 for to, message in self.sent if to == instance and isinstance(message, kind))
+
+
+class View:
+    """Membership in which a test names the owner."""
+
+    name = "one"
+
+    def owner(self, domain, subject):
+        """Return the owner of each pool."""
+        return self.name
+
+
+class TicketDeskTest(unittest.IsolatedAsyncioTestCase):
+    """Waiting requests."""
+
+    async def asyncSetUp(self):
+        repeat = tickets.REPEAT_S
+        tickets.REPEAT_S = 0.02
+        self.addCleanup(setattr, tickets, "REPEAT_S", repeat)
+        self.peers, self.view = Peers(), View()
+        self.errors = []
+        self.timers = TimerService(lambda name, error: self.errors.append(error))
+        self.addAsyncCleanup(self.timers.close)
+        self.desk = TicketDesk("me", "a", self.peers, lambda: self.view, self.timers)
+
+    def grant(self, sender: str, endpoint: str = "e") -> None:
+        """Deliver a grant."""
+        self.desk.on_grant(Grant("pool", "r", endpoint, "x:1", "v1", "west"), sender)
+
+    async def acquire(self, seconds: float = LIMIT_S) -> Grant | Refusal:
+        """Wait for a grant."""
+        return await self.desk.acquire(TICKET, self.timers.now() + seconds)
+
+    async def test_lost_grant_is_asked_for_again(self):
+        """Guards against a request that waits for a grant which the network lost."""
+        self.peers.on_ask = lambda owner, count: count >= 3 and self.grant(owner)
+        answer = await self.acquire()
+        self.assertEqual(answer.endpoint, "e")
+        self.assertEqual(self.peers.sent_to("one", Withdraw), 0)
+
+    async def test_owner_change_presents_and_withdraws(self):
+        """Guards against a ticket that stays at the old owner and takes a slot there."""
+
+        def change(owner, count):
+            self.view.name = "two"
+            if owner == "two":
+                self.grant("two")
+
+        self.peers.on_ask = change
+        self.assertEqual((await self.acquire()).endpoint, "e")
+        self.assertEqual(self.peers.sent_to("two", Present), 1)
+        self.assertEqual(self.peers.sent_to("one", Withdraw), 1)
+        self.assertEqual(self.peers.sent_to("two", Withdraw), 0)
+
+    async def test_unreachable_owner_is_passed_over(self):
+        """Guards against a request that waits for an owner which does not answer."""
+        self.peers.unreachable = {"one"}
+        self.peers.on_ask = lambda owner, count: self.grant(owner)
+        self.assertEqual((await self.acquire()).endpoint, "e")
+        self.assertEqual(self.peers.asked[:2], ["one", "me"])
+        self.assertEqual(self.desk.running["r"].granted_by, "me")
+
+    async def test_late_grant_is_handed_back(self):
+        """Guards against a slot that stays taken by a request which has given up."""
+        answer = await self.acquire(0.01)
+        self.assertEqual(answer.code, DEADLINE_PASSED)
+        withdrawn = self.peers.sent_to("one", Withdraw)
+        self.grant("one")
+        self.assertEqual(self.peers.sent_to("one", Withdraw), withdrawn + 1)
+        self.assertEqual((self.desk.waiting, self.desk.running), ({}, {}))
+
+    async def test_same_grant_twice_is_kept(self):
+        """Guards against a grant that is used and handed back at the same time."""
+
+        def twice(owner, count):
+            self.grant(owner)
+            self.grant(owner)
+
+        self.peers.on_ask = twice
+        await self.acquire()
+        self.grant("one")
+        self.assertEqual(self.peers.sent_to("one", Withdraw), 0)
+        self.grant("two", "other")
+        self.assertEqual(self.peers.sent_to("two", Withdraw), 1)
+
+    async def test_answered_ticket_keeps_its_owner(self):
+        """Guards against an end that is reported to an owner which never made the grant."""
+
+        def grant_and_change(owner, count):
+            self.grant(owner)
+            self.view.name = "two"
+            self.desk.repeat()
+
+        self.peers.on_ask = grant_and_change
+        await self.acquire()
+        self.assertEqual(self.desk.running["r"].granted_by, "one")
+        self.assertEqual(self.peers.sent_to("one", Withdraw), 0)
+
+    async def test_end_is_told_to_both_owners(self):
+        """Guards against an owner that counts a request for ever."""
+        self.peers.on_ask = lambda owner, count: self.grant(owner)
+        await self.acquire()
+        self.desk.repeat()
+        self.view.name = "two"
+        self.desk.repeat()
+        self.desk.done(Done("pool", "r", "e", "v1", "route", 1, 1, 1.0, 1.0, ""))
+        self.assertEqual([self.peers.sent_to(o, Done) for o in ("one", "two")], [1, 1])
+
+    async def test_refusal_of_an_earlier_owner_is_ignored(self):
+        """Guards against a request that is refused by an instance which no longer decides."""
+
+        def refuse(owner, count):
+            self.desk.on_refuse(Refuse("pool", "r", QUEUE_FULL.number, 2.0), "other")
+            if count >= 2:
+                self.desk.on_refuse(Refuse("pool", "r", QUEUE_FULL.number, 2.0), owner)
+
+        self.peers.on_ask = refuse
+        answer = await self.acquire()
+        self.assertEqual((answer.code, answer.retry_after_s), (QUEUE_FULL, 2.0))
+        self.assertGreaterEqual(len(self.peers.asked), 2)
+
+    async def test_cancelled_wait_is_withdrawn(self):
+        """Guards against a slot for a caller that has gone."""
+        asked = asyncio.Event()
+        self.peers.on_ask = lambda owner, count: asked.set()
+        task = asyncio.ensure_future(self.acquire())
+        await asyncio.wait_for(asked.wait(), LIMIT_S)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(self.peers.sent_to("one", Withdraw), 1)
+        self.assertEqual(self.errors, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -134,6 +134,8 @@
         loop = asyncio.get_running_loop()
         waiting = Waiting(ticket, deadline_at, loop.create_future(), self.owner(ticket.pool))
         self.waiting[ticket.request] = waiting
+        # Without it, a change before the first `repeat` would not be seen as one.
+        self.owners.setdefault(ticket.pool, waiting.owner)
         answer: Grant | Refuse | None = None
         try:
             self._ask(waiting)
