--- /dev/null
+++ b/mulberrygate/daemon/tests/test_announcements.py
@@ -0,0 +1,66 @@
+"""Tests of reading announcements."""
+
+import json
+import random
+import time
+import unittest
+
+import attrs
+
+from mulberrygate.core import Refusal
+from mulberrygate.core.wire import decode, encode
+from mulberrygate.daemon.announcements import (
+    BAD_ANNOUNCEMENT,
+    MAX_LEASE_S,
+    pool_fault,
+    read_announcement,
+)
+from mulberrygate.endpoints.model import Announcement
+from mulberrygate.tables.model import Pool
+
+GOOD = Announcement(
+    "e", 1, 2, "127.0.0.1:9", "care", "a", "west", kv_tokens=9, cached_prefixes=("ab", "cd")
+)
+
+
+class ReadTest(unittest.TestCase):
+    """Bodies of announcements."""
+
+    def test_random_changes_never_raise(self):
+        """Guards against an exception, or an announcement that other instances can't decode."""
+        rng = random.Random(4)
+        good = json.dumps(attrs.asdict(GOOD)).encode()
+        pieces = (b"{", b"]", b'"', b",", b"\\ud800", b"\xff", b"NaN", b"-9", b"9" * 30, b"1e999")
+        start = time.process_time()
+        accepted = 0
+        for _ in range(4000):
+            data = bytearray(good)
+            for _ in range(rng.randint(1, 3)):
+                at = rng.randrange(len(data))
+                data[at : at + rng.randint(0, 3)] = rng.choice(pieces)
+            result = read_announcement(bytes(data))
+            if isinstance(result, Refusal):
+                self.assertEqual(result.code, BAD_ANNOUNCEMENT)
+                self.assertTrue(result.detail)
+            else:
+                accepted += 1
+                self.assertEqual(decode(*encode(result)), result)
+        self.assertGreater(accepted, 0)
+        self.assertLess(time.process_time() - start, 60)
+
+    def test_lease_is_bounded(self):
+        """Guards against a dead endpoint that is known for an hour."""
+        body = json.dumps(attrs.asdict(attrs.evolve(GOOD, lease_s=3600.0))).encode()
+        self.assertEqual(read_announcement(body).lease_s, MAX_LEASE_S)
+
+    def test_kind_of_the_pool(self):
+        """Guards against a plain service that gets chat completions."""
+        service = attrs.evolve(GOOD, kv_tokens=0)
+        self.assertEqual(pool_fault(GOOD, Pool()), "")
+        self.assertEqual(pool_fault(service, Pool(kind="service")), "")
+        for announcement, pool in ((service, Pool()), (GOOD, Pool(kind="service")), (GOOD, None)):
+            self.assertTrue(pool_fault(announcement, pool))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/mulberrygate/entry/codes.py
+++ b/mulberrygate/entry/codes.py
@@ -31,6 +31,7 @@
     1014, "bad_http", "The request is not valid HTTP or its head is too large.", 400
 )
 BAD_QUERY = register_code(1015, "bad_query", "A query parameter has a wrong value.", 400)
+BODY_SILENT = register_code(1016, "body_silent", "The body stopped arriving.", 408)
 DEADLINE_PASSED = register_code(
     2101, "deadline_passed", "The deadline passed while the request waited.", 504
 )
--- a/mulberrygate/entry/limit.py
+++ b/mulberrygate/entry/limit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 
 import aiohttp
@@ -9,12 +10,15 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from mulberrygate.core.outcome import Refusal
-from mulberrygate.entry.codes import BODY_TOO_LARGE, MALFORMED
+from mulberrygate.entry.codes import BODY_SILENT, BODY_TOO_LARGE, MALFORMED
 from mulberrygate.entry.completion import parse_completion
 from mulberrygate.entry.context import EntryParts, RequestContext
 
 # No route may allow more, see `tables.model.Route`.
 MAX_BODY_BYTES = 32 << 20
+# A body that stops arriving must not hold the request for ever; aiohttp also leaves the reader
+# waiting when a chunk is malformed.
+BODY_SILENCE_S = 10.0
 
 
 class LimitSize:
@@ -30,10 +34,13 @@
             return Refusal(BODY_TOO_LARGE, f"the limit is {limit} bytes")
         body = bytearray()
         try:
-            async for data in request.http.content.iter_any():
-                body += data
+            while not request.http.content.at_eof():
+                async with asyncio.timeout(BODY_SILENCE_S):
+                    body += await request.http.content.readany()
                 if len(body) > limit:
                     return Refusal(BODY_TOO_LARGE, f"the limit is {limit} bytes")
+        except TimeoutError:
+            return Refusal(BODY_SILENT)
         except (HttpProcessingError, aiohttp.ClientPayloadError, web.RequestPayloadError) as error:
             return Refusal(MALFORMED, f"the body can't be read: {type(error).__name__}")
         request.body = bytes(body)
--- a/mulberrygate/entry/route.py
+++ b/mulberrygate/entry/route.py
@@ -69,7 +69,9 @@
 def _check_call(request: RequestContext) -> Refusal | None:
     """Refuse what the HTTP client can't send on as it is, before the ledger's begin."""
     target = service_target(request.http.rel_url)
-    if not target.isascii() or not target.isprintable() or " " in target or "#" in target:
+    # The parser of the URL drops a fragment, so it is looked for in the raw path.
+    is_plain = target.isascii() and target.isprintable() and " " not in target
+    if not is_plain or "#" in request.http.raw_path:
         return Refusal(MALFORMED, "the path has characters that must be percent-encoded")
     for name in PASSED_HEADERS:
         if has_surrogate(request.http.headers.get(name, "")):
