--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -327,7 +327,7 @@
     def _start_timers(self) -> None:
         peers, timers = self.peers, self.timers
         peers.on(OnBoard, lambda m, _sender: self.crashes.join(m, timers.now()))
-        peers.on(Cleared, lambda m, _sender: [self.crashes.clear(c) for c in m.contents] and None)
+        peers.on(Cleared, self._on_cleared)
         self.directory.on_death(lambda name, *_: self.crashes.endpoint_died(name, timers.now()))
         ticks = [
             (MEMBERS_TICK_S, self.members_runner, self.membership, "members.tick"),
@@ -343,8 +343,9 @@
         for seconds, callback, name in self.timers_to_start:
             timers.every(seconds, callback, name)
 
-    def _tick(self, runner: EffectRunner, part) -> None:
-        runner.run(part.tick(self.timers.now()))
+    def _on_cleared(self, message: Cleared, _sender: str) -> None:
+        for content in message.contents:
+            self.crashes.clear(content)
 
     def _tick_crashes(self) -> None:
         """Judge endpoint deaths and exchange reports with the failure domain."""
--- a/mulberrygate/daemon/tests/test_announcements.py
+++ b/mulberrygate/daemon/tests/test_announcements.py
@@ -48,6 +48,21 @@
         self.assertGreater(accepted, 0)
         self.assertLess(time.process_time() - start, 60)
 
+    def test_values_that_pass_the_types_alone(self):
+        """Guards against a number or a text that fails only where it is used or sent on."""
+        for values in (
+            {"load_at": float("inf")},
+            {"lease_s": float("inf")},
+            {"lease_s": float("nan")},
+            {"cached_prefixes": ["\ud800"]},
+            {"evicted_prefixes": [""]},
+            {"load": 2**64},
+            {"address": "127.0.0.1:9/path"},
+        ):
+            with self.subTest(values):
+                body = json.dumps({**attrs.asdict(GOOD), **values}).encode()
+                self.assertIsInstance(read_announcement(body), Refusal)
+
     def test_lease_is_bounded(self):
         """Guards against a dead endpoint that is known for an hour."""
         body = json.dumps(attrs.asdict(attrs.evolve(GOOD, lease_s=3600.0))).encode()
