--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -343,9 +343,8 @@
         for seconds, callback, name in self.timers_to_start:
             timers.every(seconds, callback, name)
 
-    def _on_cleared(self, message: Cleared, _sender: str) -> None:
-        for content in message.contents:
-            self.crashes.clear(content)
+    def _tick(self, runner: EffectRunner, part) -> None:
+        runner.run(part.tick(self.timers.now()))
 
     def _tick_crashes(self) -> None:
         """Judge endpoint deaths and exchange reports with the failure domain."""
@@ -359,6 +358,10 @@
                 if name != self.settings.instance:
                     self.peers.send(name, message)
 
+    def _on_cleared(self, message: Cleared, _sender: str) -> None:
+        for content in message.contents:
+            self.crashes.clear(content)
+
     def announce(self, announcement: Announcement) -> Refusal | None:
         """Take the announcement of an endpoint."""
         if announcement.failure_domain not in self.view().regions:
