--- a/mulberrygate/tables/positions.py
+++ b/mulberrygate/settings/positions.py
@@ -1,10 +1,11 @@
-"""Positions of names and values in the text of a table."""
+"""Positions of names and values in the text of settings or a table."""
 
 from __future__ import annotations
 
 import bisect
 import re
 from dataclasses import dataclass, field
+from typing import Any
 
 import pyjson5
 
@@ -14,6 +15,9 @@
     r"""//[^\n\r\u2028\u2029]*|/\*.*?\*/|"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*'""", re.DOTALL
 )
 
+_NEAR = re.compile(r"near (\d+)")
+_BYTES_NAME = re.compile(r"b'(\w+)'")
+
 _TOKEN = re.compile(
     r"""(?P<skip>[\s\u00a0\ufeff]+|//[^\n\r\u2028\u2029]*|/\*.*?\*/)
     |(?P<string>"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*')
@@ -28,7 +32,7 @@
 
     Examples
     ========
-    >>> from mulberrygate.tables.positions import LineIndex
+    >>> from mulberrygate.settings.positions import LineIndex
     >>> LineIndex("ab\\ncd").position(4)
     (2, 2)
     """
@@ -79,13 +83,28 @@
 
     Examples
     ========
-    >>> from mulberrygate.tables.positions import count_names
+    >>> from mulberrygate.settings.positions import count_names
     >>> count_names("{a: 1, /* b: */ 'c:': {a: 2}, a: 3}")
     4
     """
     return _NO_MARKS.sub("", text).count(":")
 
 
+def count_keys(value: Any) -> int:
+    """Return the number of names in decoded values; less than `count_names` if one is repeated."""
+    if isinstance(value, dict):
+        return len(value) + sum(map(count_keys, value.values()))
+    return sum(map(count_keys, value)) if isinstance(value, list) else 0
+
+
+def syntax_fault(error: pyjson5.Json5Exception, text: str) -> tuple[int, str]:
+    """Return the offset and the description of what `pyjson5` could not read."""
+    message = str(error.args[0]) if error.args else type(error).__name__
+    near = _NEAR.search(message)
+    offset = int(near.group(1)) - 1 if near else len(text)
+    return offset, _BYTES_NAME.sub(r"\1", message[: near.start()] if near else message).strip()
+
+
 def find_positions(text: str) -> Positions:
     """Return the positions of all names and values of a text that `pyjson5` has accepted.
 
--- a/mulberrygate/tables/parse.py
+++ b/mulberrygate/tables/parse.py
@@ -17,14 +17,16 @@
 
 from mulberrygate.core.codes import Code, register_code
 from mulberrygate.settings.load import structure
-from mulberrygate.tables.model import PoolsTable, RoutesTable
-from mulberrygate.tables.positions import (
+from mulberrygate.settings.positions import (
     LineIndex,
     Path,
     Positions,
+    count_keys,
     count_names,
     find_positions,
+    syntax_fault,
 )
+from mulberrygate.tables.model import PoolsTable, RoutesTable
 
 TOO_LARGE = register_code(4001, "table_too_large", "The table is larger than the limit.", 413)
 NOT_UTF8 = register_code(4002, "table_not_utf8", "The table is not valid UTF-8.", 400)
@@ -47,8 +49,6 @@
 # Integers beyond this are not exact in every JSON library that may write a table.
 MAX_INTEGER = 2**53
 
-_NEAR = re.compile(r"near (\d+)")
-_BYTES_NAME = re.compile(r"b'(\w+)'")
 _SURROGATE = re.compile("[\ud800-\udfff]")
 _FIRST_WORD = re.compile(r"\w+")
 
@@ -162,7 +162,7 @@
     values = _read_values(source)
     if isinstance(values, Faults):
         return values
-    if count_names(decoded) != _count_keys(values):
+    if count_names(decoded) != count_keys(values):
         faults = [
             source.fault(offset, path, f"the name {path[-1]!r} occurs twice", DUPLICATE)
             for path, offset in source.positions.duplicates
@@ -172,12 +172,6 @@
     return _structure(values, name, source)
 
 
-def _count_keys(value: Any) -> int:
-    if isinstance(value, dict):
-        return len(value) + sum(map(_count_keys, value.values()))
-    return sum(map(_count_keys, value)) if isinstance(value, list) else 0
-
-
 def digest_of(values: Any) -> str:
     """Return the SHA-256 of plain values, independent of the order of names and of white space."""
     text = json.dumps(_canonical(values), sort_keys=True, separators=(",", ":"))
@@ -217,10 +211,7 @@
     try:
         values = pyjson5.decode(source.text)
     except pyjson5.Json5Exception as error:
-        message = str(error.args[0]) if error.args else type(error).__name__
-        near = _NEAR.search(message)
-        offset = int(near.group(1)) - 1 if near else len(source.text)
-        detail = _BYTES_NAME.sub(r"\1", message[: near.start()] if near else message).strip()
+        offset, detail = syntax_fault(error, source.text)
         return Faults((source.fault(offset, (), detail, MALFORMED),))
     if not isinstance(values, dict):
         return _single("a table is an object", INVALID)
