--- a/mulberrygate/cli/apply.py
+++ b/mulberrygate/cli/apply.py
@@ -11,6 +11,7 @@
     NOT_EVERYWHERE,
     OK,
     REFUSED,
+    Reply,
     add_entry_arguments,
     add_format_argument,
     call_entry,
@@ -18,9 +19,12 @@
     print_json,
     print_problem,
 )
+from mulberrygate.control.client import ANSWER_LOST, NO_LEADER, UNDETERMINED
 from mulberrygate.tables.parse import Faults, parse_table
 
 POLL_S = 0.25
+# With these codes the same version may be sent again; it is accepted once.
+REPEATABLE = {code.number for code in (NO_LEADER, ANSWER_LOST, UNDETERMINED)}
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -31,7 +35,7 @@
         type=float,
         default=0.0,
         metavar="SECONDS",
-        help="wait until the table is in force on every reachable instance",
+        help="wait for a leader, and until the table is in force on every reachable instance",
     )
     add_entry_arguments(parser)
     add_format_argument(parser)
@@ -50,7 +54,8 @@
     if isinstance(parsed, Faults):
         print_faults(options.file, parsed.faults)
         return REFUSED
-    reply = call_entry(options, "POST", f"/admin/tables/{parsed.kind}", content)
+    limit = time.monotonic() + options.wait
+    reply = send(options, parsed.kind, content, limit)
     if reply.status != 200:
         return print_problem(reply)
     answer = reply.json()
@@ -58,7 +63,24 @@
         print(
             f"{parsed.kind} version {parsed.table.version} accepted, revision {answer['revision']}"
         )
-    return wait_in_force(options, answer) if options.wait else finish(options, answer, OK)
+    return wait_in_force(options, answer, limit) if options.wait else finish(options, answer, OK)
+
+
+def send(options: argparse.Namespace, kind: str, content: bytes, limit: float) -> Reply:
+    """Send the table, again until the limit while there is no leader or its answer was lost."""
+    while True:
+        reply = call_entry(options, "POST", f"/admin/tables/{kind}", content)
+        if not is_repeatable(reply) or time.monotonic() >= limit:
+            return reply
+        time.sleep(POLL_S)
+
+
+def is_repeatable(reply: Reply) -> bool:
+    """Return whether the same table may be sent again after this answer."""
+    try:
+        return reply.status != 200 and reply.json()["code"] in REPEATABLE
+    except (ValueError, KeyError, TypeError):
+        return False
 
 
 def finish(options: argparse.Namespace, answer: dict, code: int) -> int:
@@ -68,9 +90,8 @@
     return code
 
 
-def wait_in_force(options: argparse.Namespace, answer: dict) -> int:
+def wait_in_force(options: argparse.Namespace, answer: dict, limit: float) -> int:
     """Wait until the revision is in force everywhere and say where it is not."""
-    limit = time.monotonic() + options.wait
     while True:
         status = call_entry(options, "GET", "/admin/status").json()
         states = status["instances"]
--- a/mulberrygate/cli/get.py
+++ b/mulberrygate/cli/get.py
@@ -20,9 +20,13 @@
     add_entry_arguments(parser)
 
 
-@command("get", "Print the text of a table in force, confirmed by a majority.", add_arguments)
+@command(
+    "get",
+    "Print a table in force, confirmed by a majority, without comments and default values.",
+    add_arguments,
+)
 def run(options: argparse.Namespace) -> int:
-    """Print the table as its operator wrote it."""
+    """Print the table in its normal form; comments and values equal to the default are not kept."""
     reply = call_entry(options, "GET", f"/admin/tables/{options.table}")
     if reply.status != 200:
         return print_problem(reply)
