--- a/mulberrygate/cli/status.py
+++ b/mulberrygate/cli/status.py
@@ -49,8 +49,10 @@
     if summary["behind"]:
         print(f"behind: {', '.join(summary['behind'])}")
     for name, move in sorted(summary["moves"].items()):
-        verdict = move["verdict"] or f"stage {move['stage']}, share {move['share']:.0%}"
-        print(f"move of {name} {move['previous']} -> {move['version']}: {verdict} {move['reason']}")
+        stage = f"stage {move['stage']}"
+        reason = f" ({move['reason']})" if move["reason"] not in ("", stage) else ""
+        state = f"{move['verdict'] or stage}, share {move['share']:.1%}{reason}"
+        print(f"move of {name} {move['previous']} -> {move['version']}: {state}")
 
 
 def print_instances(status: dict) -> None:
