--- a/mulberrygate/cli/apply.py
+++ b/mulberrygate/cli/apply.py
@@ -11,6 +11,7 @@
     NOT_EVERYWHERE,
     OK,
     REFUSED,
+    EntryUnreachable,
     Reply,
     add_entry_arguments,
     add_format_argument,
@@ -67,11 +68,22 @@
 
 
 def send(options: argparse.Namespace, kind: str, content: bytes, limit: float) -> Reply:
-    """Send the table, again until the limit while there is no leader or its answer was lost."""
+    """Send the table, again until the limit while nobody answers or there is no leader.
+
+    Raises
+    ======
+    EntryUnreachable
+        The entry did not answer until the limit.
+    """
     while True:
-        reply = call_entry(options, "POST", f"/admin/tables/{kind}", content)
-        if not is_repeatable(reply) or time.monotonic() >= limit:
-            return reply
+        is_last = time.monotonic() >= limit
+        try:
+            reply = call_entry(options, "POST", f"/admin/tables/{kind}", content)
+            if is_last or not is_repeatable(reply):
+                return reply
+        except EntryUnreachable:
+            if is_last:
+                raise
         time.sleep(POLL_S)
 
 
--- a/mulberrygate/cli/command.py
+++ b/mulberrygate/cli/command.py
@@ -70,6 +70,10 @@
     """No entry instance answered."""
 
 
+class BadAccess(Exception):
+    """The entry instance or the token file is not given, or the file can't be read."""
+
+
 def add_entry_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the options of commands that talk to an entry instance."""
     parser.add_argument(
@@ -96,16 +100,21 @@
 
     Raises
     ======
+    BadAccess
+        The entry or the token file is not given, or the file can't be read.
     EntryUnreachable
-        The entry or the token file is not given, can't be read or does not answer.
+        The entry does not answer.
     """
     if not options.entry or not options.token_file:
-        raise EntryUnreachable(
+        raise BadAccess(
             f"--entry and --token-file are needed, or {ENTRY_VARIABLE} and {TOKEN_VARIABLE}"
         )
     try:
         with open(options.token_file, encoding="utf-8") as file:
             token = file.read().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadAccess(f"the token file can't be read: {error}") from error
+    try:
         return asyncio.run(_call(options.entry, token, method, path, body, query))
     except (TimeoutError, OSError, aiohttp.ClientError, ValueError) as error:
         raise EntryUnreachable(f"{options.entry}: {error or type(error).__name__}") from error
--- a/mulberrygate/cli/main.py
+++ b/mulberrygate/cli/main.py
@@ -7,7 +7,7 @@
 
 from mulberrygate import __version__
 from mulberrygate.cli import apply, check, codes, get, status, timeline
-from mulberrygate.cli.command import UNREACHABLE, EntryUnreachable, commands
+from mulberrygate.cli.command import UNREACHABLE, USAGE, BadAccess, EntryUnreachable, commands
 
 __all__ = ["apply", "check", "codes", "get", "main", "status", "timeline"]
 
@@ -35,6 +35,9 @@
     except EntryUnreachable as error:
         print(f"no answer from an entry instance: {error}", file=sys.stderr)
         return UNREACHABLE
+    except BadAccess as error:
+        print(error, file=sys.stderr)
+        return USAGE
     except BrokenPipeError:
         return 0
 
