--- a/mulberrygate/peers/client.py
+++ b/mulberrygate/peers/client.py
@@ -33,7 +33,7 @@
     address_of : Callable[[str], str | None]
         Finds ``host:port`` of an instance.
     on_sent : Callable[[str, int], None]
-        Called with kind and body bytes of each message that leaves the process.
+        Called with kind and body bytes of each message that leaves the process, answers included.
 
     See Also
     ========
@@ -48,7 +48,7 @@
     ):
         self.server = server
         self.address_of = address_of
-        self.on_sent = on_sent
+        self.on_sent = server.on_sent = on_sent
         self.links: dict[str, Link] = {}
         self.failed_at: dict[str, float] = {}
         self.tasks: set[asyncio.Task] = set()
--- a/mulberrygate/peers/server.py
+++ b/mulberrygate/peers/server.py
@@ -53,6 +53,7 @@
         self.handlers: dict[type, Handler] = {}
         self.blocked: set[str] = set()
         self.received_bytes = 0
+        self.on_sent: Callable[[str, int], None] = lambda kind, size: None
         self.server: Server | None = None
         self.tasks: set[asyncio.Task] = set()
 
@@ -127,14 +128,14 @@
         log.error("A message handler failed.", kind=frame.kind, error=repr(error))
         self._answer(frame, outbox, error=type(error).__name__)
 
-    @staticmethod
-    def _answer(frame: Frame, outbox: Outbox, answer: Any = None, error: str = "") -> None:
+    def _answer(self, frame: Frame, outbox: Outbox, answer: Any = None, error: str = "") -> None:
         if not frame.id:
             return
         if error:
             outbox.add(Frame(id=frame.id, is_answer=True, error=error))
             return
         kind, body = encode(Ack() if answer is None else answer)
+        self.on_sent(kind, len(body))
         outbox.add(Frame(kind=kind, body=body, id=frame.id, is_answer=True))
 
     async def start(self, host: str, port: int) -> None:
--- a/mulberrygate/peers/tests/test_peers.py
+++ b/mulberrygate/peers/tests/test_peers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from mulberrygate.core import HybridClock, message
+from mulberrygate.core import HybridClock, encode, message
 from mulberrygate.peers import PeerClient, PeerServer, Unreachable
 
 TOKEN = "a-token-for-tests-only"
@@ -51,6 +51,15 @@
         answer = await self.client.call("b", Question("hello"), 5.0)
         self.assertEqual(answer, Question("hello from a"))
 
+    async def test_answers_are_counted_as_sent(self):
+        """Guards against byte figures that leave out half of the traffic, the answers."""
+        sent = []
+        answering = PeerClient(self.server, lambda _: None, lambda *counted: sent.append(counted))
+        await self.client.call("b", Question("hello"), 5.0)
+        _, body = encode(Question("hello from a"))
+        self.assertEqual(sent, [("test_peers.question", len(body))])
+        await answering.close()
+
     async def test_wrong_token_is_refused(self):
         """Guards against a stranger who gets a message handled."""
         stranger = PeerClient(make_server("c", "another-token-entirely"), self.client.address_of)
