--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -210,13 +210,30 @@
         print(f"  {role}, bytes/s by part at {max(found)} daemons: {parts}")
 
 
-def run_virtual(number: int, domains: int, seconds: float) -> dict[str, float]:
-    """Return figures of the decision classes at virtual time, with the system idle but live."""
-    system = System(number, domains, max(6, number * 100 // 60), 4, 1)
-    network = system.network
-    network.run(45)
+def start_virtual(number: int) -> System:
+    """Return a system in 6 failure domains at virtual time, converged and with 20 changes."""
+    system = System(number, 6, max(6, number * 100 // 60), 4, 1)
+    system.network.run(45)
     system.publish(20)
-    network.run(10)
+    system.network.run(10)
+    return system
+
+
+def lose_domain(system: System) -> None:
+    """Stop all instances and endpoints of a failure domain without the leader."""
+    lost = next(d for d in set(system.places.values()) if d != system.places[system.leader])
+    for name, domain in system.places.items():
+        if domain == lost:
+            system.crash(name)
+    domains = len(set(system.places.values()))
+    for index, endpoint in enumerate(list(system.sequences)):
+        if f"d{index % domains}" == lost:
+            del system.sequences[endpoint]
+
+
+def virtual_figures(system: System, seconds: float) -> dict[str, float]:
+    """Return figures of the decision classes by role, with one change in the time."""
+    network = system.network
     hosts = [network.hosts[name] for name in sorted(system.live)]
     for host in hosts:
         host.reset()
@@ -233,9 +250,7 @@
     }
     figures: dict[str, float] = {}
     for role, members in groups.items():
-        if not members:
-            continue
-        count = len(members) * seconds
+        count = max(1, len(members)) * seconds
         sent = sum(h.sent_bytes for h in members) / count
         messages = sum(h.sent_messages for h in members) / count
         figures[f"{role}, sent B/s"] = sent
@@ -245,15 +260,33 @@
     return figures
 
 
+def show_virtual(results: dict[int, dict[str, float]]) -> None:
+    """Print lines of all figures by number of daemons."""
+    for figure in results[max(results)]:
+        points = [(n, result[figure]) for n, result in results.items()]
+        show_line(figure, "a daemon", "daemons", points)
+
+
 def report_virtual(quick: bool) -> None:
     """Print the cost of membership, distribution and endpoints by number of daemons."""
     print("(b) decision classes at virtual time, 6 failure domains, 1.7 endpoints a daemon, seed 1")
-    numbers = (12, 24, 48) if quick else (24, 60, 120, 360)
-    results = {n: run_virtual(n, 6, 10 if quick else 20) for n in numbers}
-    for figure in results[numbers[-1]]:
-        points = [(n, result[figure]) for n, result in results.items() if figure in result]
-        if len(points) > 1:
-            show_line(figure, "a daemon", "daemons", points)
+    numbers = (18, 24, 48) if quick else (24, 60, 120, 360)
+    seconds = 10 if quick else 20
+    show_virtual({n: virtual_figures(start_virtual(n), seconds) for n in numbers})
+
+
+def report_loss(quick: bool) -> None:
+    """Print the same cost in the seconds after a whole failure domain is lost."""
+    print("(b) the same in the 10 s after 1 of 6 failure domains is lost, seed 1")
+    results = {}
+    for number in (18, 24, 48) if quick else (24, 60, 120, 240):
+        system = start_virtual(number)
+        lose_domain(system)
+        system.publish()
+        in_force = system.network.run_until(system.is_in_force, 30, 0.02)
+        print(f"  {number} daemons: change made at the loss in force after {in_force:.2f} s")
+        results[number] = virtual_figures(system, 10)
+    show_virtual(results)
 
 
 async def measure_requests(counts: tuple[int, ...]) -> None:
@@ -498,6 +531,7 @@
 PARTS = {
     "idle": report_idle,
     "virtual": report_virtual,
+    "loss": report_loss,
     "requests": report_requests_cost,
     "tables": report_tables,
     "memory": report_memory,
