--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -33,7 +33,9 @@
 from mulberrygate.control.configuration import Configuration
 from mulberrygate.control.inforce import InForce
 from mulberrygate.control.state import ControlState, encode_value
+from mulberrygate.control.views import ViewPlanner
 from mulberrygate.core import encode
+from mulberrygate.daemon.leader import DUTY_S
 from mulberrygate.endpoints import Announcement, Directory
 from mulberrygate.ledger import ReplicaId, Shard, View
 from mulberrygate.members.membership import Membership
@@ -462,6 +464,36 @@
     }
 
 
+def place_shards(view: MembershipView) -> tuple[ViewPlanner, dict[str, Shard]]:
+    """Return a planner and the shards of all domains in active views, each replica copied."""
+    planner, shards = ViewPlanner(), {}
+    while plan := planner.plan(view, shards, 1.0, 1.0).shards:
+        for shard in plan:
+            if shard.preparing is not None:
+                shard = attrs.evolve(shard, active=shard.preparing, preparing=None)
+            shards[shard.name()] = shard
+    return planner, shards
+
+
+def measure_planner(daemons: int) -> float:
+    """Return the processor time in % of the leader's planner, called every `DUTY_S`."""
+    names = [(f"i{n:03d}", f"d{n % 6}") for n in range(daemons)]
+    view = MembershipView({name: make_member(name, domain) for name, domain in names})
+    planner, shards = place_shards(view)
+    started = time.process_time()
+    for _ in range(20):
+        planner.plan(view, shards, 2.0, 2.0)
+    return 100 * (time.process_time() - started) / 20 / DUTY_S
+
+
+def report_planner(quick: bool) -> None:
+    """Print the processor time of the leader's planner by daemons."""
+    print("(d) planner of the ledger's views at the leader, 6 failure domains, 192 shards")
+    sizes = (24, 60, 120) if quick else (24, 60, 120, 360)
+    points = [(n, measure_planner(n)) for n in sizes]
+    show_line("leader, planner, processor %", "a daemon", "daemons", points)
+
+
 def report_tables(quick: bool) -> None:
     """Print memory and time of tables by accounts and by changes."""
     print("(d) tables with 192 shards and a tenth as many routes as accounts", flush=True)
@@ -494,6 +526,7 @@
             hardware="h1",
             slots=16,
             cached_prefixes=tuple(f"{n + 512 * number:016x}" for n in range(100)),
+            cache_sequence=100,
         )
         directory.announce(announcement, 100.0)
     return directory
@@ -534,6 +567,7 @@
     "loss": report_loss,
     "requests": report_requests_cost,
     "tables": report_tables,
+    "planner": report_planner,
     "memory": report_memory,
 }
 
