--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -152,7 +152,7 @@
 
 
 def roles_of(places: dict[str, tuple[str, str]], voters: tuple[str, ...], leader: str) -> dict:
-    """Return the names of the daemons by role; a voter that is a relay counts as a relay."""
+    """Return the names of the daemons by role; a relay that is a voter counts as a voter."""
     relays = set()
     for domain in DOMAINS:
         near = [name for name, (_, place) in places.items() if place == domain]
