--- a/mulberrygate/control/tests/test_views.py
+++ b/mulberrygate/control/tests/test_views.py
@@ -7,6 +7,7 @@
 from mulberrygate.control.views import (
     BALANCE_STABLE_S,
     DOMAIN_AFTER_S,
+    FILL_STABLE_S,
     MOVES_AT_ONCE,
     REPLACE_AFTER_S,
     SHAPE_STABLE_S,
@@ -172,6 +173,18 @@
         self.assertEqual(second.preparing.number, first.preparing.number + 1)
         self.assertNotIn(new, second.preparing.replicas)
 
+    def test_empty_place_is_filled_soon(self):
+        """Shards of a small system would stay at two replicas for a minute after a restart."""
+        cluster = Cluster("a1", size=3).settle()
+        cluster.change("a10", status=Status.LEAVING)
+        cluster.settle()
+        self.assertEqual(len(cluster.instances("a1/0")), 2)
+        cluster.change("a10", status=Status.ALIVE, incarnation=2)
+        cluster.plan()
+        cluster.plan(FILL_STABLE_S + 0.1)
+        cluster.settle()
+        self.assertEqual({len(cluster.instances(n)) for n in cluster.shards}, {3})
+
     def test_better_shape_is_taken_up_few_at_a_time(self):
         """All shards of a domain would move at once when instances come back."""
         cluster = Cluster("a1", size=4).settle()
--- a/mulberrygate/control/views.py
+++ b/mulberrygate/control/views.py
@@ -18,8 +18,9 @@
 - The majority of a view counts as lost only if new incarnations have been seen in the place of the
   lost replicas, or the operator has declared them lost (`declare_lost`). The next view then carries
   the time of loss. Declaring a majority lost that still serves elsewhere allows second runs.
-- Voluntary moves wait until the better placement has been the same for a while, and few run at the
-  same time.
+- A place that was empty for want of instances is filled soon after one has come.
+- Other voluntary moves wait until the better placement has been the same for a while, and few run
+  at the same time.
 """
 
 from __future__ import annotations
@@ -42,6 +43,9 @@
 DOMAIN_AFTER_S = 300.0
 # A better shape (two replicas at home, one outside) is worth a move soon, mere balance is not.
 SHAPE_STABLE_S = 60.0
+# A place that was empty for want of instances is filled at once: until then the shard survives one
+# loss less. The time lets a membership that is still growing settle.
+FILL_STABLE_S = 2.0
 BALANCE_STABLE_S = 900.0
 MOVES_AT_ONCE = 4
 # Bounds the size of a command on the control log.
@@ -228,6 +232,8 @@
             wish = self.wishes[shard.name()] = Wish(frozenset(best), now)
         is_better = _shape(shard, best, members) > _shape(shard, held, members)
         stable_s = SHAPE_STABLE_S if is_better else BALANCE_STABLE_S
+        if len(best) > len(held):
+            stable_s, may_move = FILL_STABLE_S, True
         if not may_move or now < wish.since + stable_s:
             return shard
         lost_at = self._lost_at(shard, members, 0.0)
--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -78,8 +78,8 @@
 CRASH_TICK_S = 0.2
 IDLE_CHECK_S = 10.0
 STOP_POLL_S = 0.05
-# The platform's balancer needs this time to see that the instance is not ready any more.
-DRAIN_NOTICE_S = 0.5
+# Other instances need this time to hear that this one leaves, and take over what it owned.
+LEAVE_NOTICE_S = 0.5
 
 
 class Tokens:
@@ -120,6 +120,7 @@
         self.timers = TimerService(self._on_timer_error)
         self.background = Background()
         self.superseded = asyncio.Event()
+        self.is_draining = False
         on_violation(self._on_violation)
         self._make_peers(tokens.peer)
         self._make_members()
@@ -411,9 +412,10 @@
     def is_ready(self) -> bool:
         """Return whether the balancer may send requests here."""
         return (
-            not self.parts.is_stopping
+            not self.is_draining
             and self.holder.is_current()
             and self.in_force.tables.keys() >= {"routes", "pools"}
+            and bool(self.in_force.shards)
         )
 
     def status(self) -> dict:
@@ -508,14 +510,16 @@
 
         Explanation
         ===========
-        Readiness falls first and new requests are refused as not run, so that the balancer uses
-        other instances. Requests that wait or run here end in the usual way, within
-        ``stop_grace_s``. Then other instances take over what this one owned.
+        Readiness falls first, and for ``drain_notice_s`` requests are still served, until the
+        balancer uses other instances. Then new ones are refused as not run. Requests that wait or
+        run here end in the usual way, within ``stop_grace_s``, and other instances take over what
+        this one owned.
         """
-        self.parts.is_stopping = True
+        self.is_draining = True
         self.events.add("daemon.stopping", instance=self.settings.instance)
         log.info("Stops.", instance=self.settings.instance, active=self.web.active)
-        await asyncio.sleep(DRAIN_NOTICE_S)
+        await asyncio.sleep(self.settings.drain_notice_s)
+        self.parts.is_stopping = True
         limit = self.timers.now() + self.settings.stop_grace_s
         while self.web.active or self.background.tasks:
             if self.timers.now() >= limit:
@@ -523,7 +527,7 @@
                 break
             await asyncio.sleep(STOP_POLL_S)
         self.members_runner.run(self.membership.leave(self.timers.now()))
-        await asyncio.sleep(DRAIN_NOTICE_S)
+        await asyncio.sleep(LEAVE_NOTICE_S)
         await self.close()
 
     async def close(self) -> None:
--- a/mulberrygate/daemon/leader.py
+++ b/mulberrygate/daemon/leader.py
@@ -148,6 +148,7 @@
             self.failure = str(error)
             log.error("The data folder can't be used; this voter does not start.", reason=error)
             self.events.add("control.disk_failed", str(error), instance=self.settings.instance)
+            self.peers.on(FindLeader, lambda _message, _sender: ControlAnswer(False))
             return
         node = AgreementNode(
             self.settings.instance,
--- a/mulberrygate/entry/claim.py
+++ b/mulberrygate/entry/claim.py
@@ -11,9 +11,6 @@
 from mulberrygate.entry.attach import attach_model, replay
 from mulberrygate.entry.codes import (
     ENDPOINT_ERROR,
-    KEY_CONFLICT,
-    LEDGER_UNAVAILABLE,
-    OUTCOME_UNKNOWN,
 )
 from mulberrygate.entry.context import EntryParts, RequestContext
 from mulberrygate.ledger import (
@@ -25,6 +22,7 @@
     Record,
     Uncertain,
 )
+from mulberrygate.ledger.codes import CONFLICTING, UNAVAILABLE, UNCERTAIN
 from mulberrygate.ledger.keys import is_minted
 
 # A shard that gives no majority within this time is treated as unavailable, so that the caller is
@@ -61,7 +59,7 @@
                     return await self._attach(request, outcome.record)
                 if request.remaining_s(self.parts.timers.now()) > 0:
                     continue
-                return Refusal(OUTCOME_UNKNOWN, "an earlier attempt waits", Execution.UNKNOWN, 1.0)
+                return Refusal(UNCERTAIN, "an earlier attempt waits", Execution.UNKNOWN, 1.0)
             if isinstance(outcome, Uncertain) and outcome.record and request.is_model:
                 return await attach_model(self.parts, request, outcome.record)
             return self._refuse(outcome)
@@ -118,7 +116,7 @@
         if record.has_run() and record.outcome == Execution.COMPLETED.value:
             return await attach_model(self.parts, request, record)
         if record.outcome == Execution.NOT_RUN.value:
-            return Refusal(LEDGER_UNAVAILABLE, "the key is spent; use another one")
+            return Refusal(UNAVAILABLE, "the key is spent; use another one")
         return Refusal(ENDPOINT_ERROR, "an earlier attempt failed", Execution.UNKNOWN)
 
     async def _attach(self, request: RequestContext, record: Record):
@@ -136,12 +134,12 @@
             if not parts.is_alive(attempt.instance, attempt.incarnation):
                 break
             await asyncio.sleep(LOOK_PAUSE_S)
-        return Refusal(OUTCOME_UNKNOWN, "an earlier attempt runs or ran", Execution.UNKNOWN, 1.0)
+        return Refusal(UNCERTAIN, "an earlier attempt runs or ran", Execution.UNKNOWN, 1.0)
 
     @staticmethod
     def _refuse(outcome) -> Refusal | web.StreamResponse:
         if isinstance(outcome, Conflicting):
-            return Refusal(KEY_CONFLICT)
+            return Refusal(CONFLICTING)
         if isinstance(outcome, Uncertain):
-            return Refusal(OUTCOME_UNKNOWN, outcome.detail, outcome.execution)
-        return Refusal(LEDGER_UNAVAILABLE, outcome.detail, retry_after_s=1.0)
+            return Refusal(UNCERTAIN, outcome.detail, outcome.execution)
+        return Refusal(UNAVAILABLE, outcome.detail, retry_after_s=1.0)
--- a/mulberrygate/entry/codes.py
+++ b/mulberrygate/entry/codes.py
@@ -36,20 +36,8 @@
     2101, "deadline_passed", "The deadline passed while the request waited.", 504
 )
 NO_GRANT = register_code(2102, "no_grant", "No endpoint took the request in several tries.", 503)
-KEY_CONFLICT = register_code(
-    3501, "key_conflict", "The key was used for a request with other content.", 409
-)
-OUTCOME_UNKNOWN = register_code(
-    3502, "outcome_unknown", "It is not known whether an earlier attempt ran.", 409
-)
-LEDGER_UNAVAILABLE = register_code(
-    3503, "ledger_unavailable", "The ledger shard of the key can't be reached.", 503
-)
 ANSWER_NOT_KEPT = register_code(
-    3504, "answer_not_kept", "The request completed, but its answer is no longer kept.", 410
-)
-ATTEMPT_SUPERSEDED = register_code(
-    3505, "attempt_superseded", "Another attempt with the same key took over.", 409
+    3008, "answer_not_kept", "The request completed, but its answer is no longer kept.", 410
 )
 ANSWER_CUT = register_code(6101, "answer_cut", "The endpoint's answer broke off.", 502)
 ENDPOINT_SILENT = register_code(6102, "endpoint_silent", "The endpoint stopped sending.", 504)
--- a/mulberrygate/entry/dispatch.py
+++ b/mulberrygate/entry/dispatch.py
@@ -9,16 +9,14 @@
 
 from mulberrygate.core.outcome import Execution, Refusal
 from mulberrygate.entry.codes import (
-    ATTEMPT_SUPERSEDED,
     ENDPOINT_ERROR,
-    LEDGER_UNAVAILABLE,
-    OUTCOME_UNKNOWN,
 )
 from mulberrygate.entry.context import EntryParts, RequestContext, Result, TryElsewhere
 from mulberrygate.entry.record import record_result, report_try
 from mulberrygate.entry.retry import RetryBudget
 from mulberrygate.entry.service_call import PASSED_HEADERS, service_target
 from mulberrygate.entry.upstream import Broken, Connected, NotSent
+from mulberrygate.ledger.codes import SUPERSEDED, UNAVAILABLE, UNCERTAIN
 from mulberrygate.ledger.coordinator import Begun, Superseded, Uncertain
 
 # Time for sending the request and for the head of the answer; an engine may send the head with the
@@ -87,10 +85,10 @@
         if isinstance(outcome, Begun) and outcome.may_dispatch(self.parts.timers.now()):
             return None
         if isinstance(outcome, Superseded):
-            return Refusal(ATTEMPT_SUPERSEDED, retry_after_s=1.0)
+            return Refusal(SUPERSEDED, retry_after_s=1.0)
         if isinstance(outcome, Uncertain):
-            return Refusal(LEDGER_UNAVAILABLE, "the begin was not confirmed; use another key")
-        return Refusal(LEDGER_UNAVAILABLE, "the begin was not accepted", retry_after_s=1.0)
+            return Refusal(UNAVAILABLE, "the begin was not confirmed; use another key")
+        return Refusal(UNAVAILABLE, "the begin was not accepted", retry_after_s=1.0)
 
     async def _send(self, request: RequestContext, proceed):
         parts = self.parts
@@ -128,7 +126,7 @@
             return self._end_try(request, "cut", broken.reason)
         request.result.fault = "cut"
         await self.parts.background.finish(record_result(self.parts, request))
-        return Refusal(OUTCOME_UNKNOWN, broken.reason, Execution.UNKNOWN)
+        return Refusal(UNCERTAIN, broken.reason, Execution.UNKNOWN)
 
     async def _endpoint_error(self, request: RequestContext, response) -> Refusal:
         status = response.status
--- a/mulberrygate/entry/relay.py
+++ b/mulberrygate/entry/relay.py
@@ -10,11 +10,14 @@
 
 from mulberrygate.core.outcome import Execution, Refusal
 from mulberrygate.entry.answers import problem_event
-from mulberrygate.entry.codes import ANSWER_TOO_LARGE, OUTCOME_UNKNOWN
+from mulberrygate.entry.codes import (
+    ANSWER_TOO_LARGE,
+)
 from mulberrygate.entry.context import EntryParts, RequestContext, Result, TryElsewhere
 from mulberrygate.entry.follow import Failed, Follower
 from mulberrygate.entry.record import report_try
 from mulberrygate.entry.stream import AnswerText, Events
+from mulberrygate.ledger.codes import UNCERTAIN
 
 # Answers up to this size are kept in the ledger for callers that send the request again.
 KEPT_ANSWER_BYTES = 16 << 10
@@ -99,7 +102,7 @@
             request.result = Result()
             return TryElsewhere(reason)
         await self.parts.background.finish(proceed())
-        return Refusal(OUTCOME_UNKNOWN, reason, Execution.UNKNOWN)
+        return Refusal(UNCERTAIN, reason, Execution.UNKNOWN)
 
 
 def follow(parts: EntryParts, address: str, stream: str, offset: int = 0) -> Follower:
--- a/mulberrygate/entry/stream.py
+++ b/mulberrygate/entry/stream.py
@@ -7,7 +7,7 @@
 import attrs
 
 EVENT_END = b"\n\n"
-END_MARKER = b"data: [DONE]"
+END_LINE = b"\ndata: [DONE]\n\n"
 # An event of a model engine holds one or a few tokens; a larger one is not an event.
 MAX_EVENT_BYTES = 1 << 20
 
@@ -100,7 +100,7 @@
             else:
                 self.offset += 1
                 kept.append(event)
-                is_end = END_MARKER in event
+                is_end = event.endswith(END_LINE)
         self.buffer = buffer[start:]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise StreamError("an event is larger than 1 MiB")
@@ -132,12 +132,13 @@
             _, _, data = event.partition(b"data: ")
             if not data or data == b"[DONE]":
                 continue
-            try:
-                choice = json.loads(data)["choices"][0]
-            except (ValueError, KeyError, IndexError, TypeError):
-                continue
-            self.parts.append(choice.get("delta", {}).get("content") or "")
-            self.finish_reason = choice.get("finish_reason") or self.finish_reason
+            choice = _first_choice(data)
+            delta = choice.get("delta")
+            content = delta.get("content") if isinstance(delta, dict) else None
+            self.parts.append(content if isinstance(content, str) else "")
+            finish_reason = choice.get("finish_reason")
+            if isinstance(finish_reason, str):
+                self.finish_reason = finish_reason
 
     def completion(self, request: str, model: str, prompt_tokens: int, tokens: int) -> dict:
         """Return the chat completion object."""
@@ -158,3 +159,12 @@
                 "total_tokens": prompt_tokens + tokens,
             },
         }
+
+
+def _first_choice(data: bytes) -> dict:
+    """Return the first choice of a chunk, empty if the chunk has another shape."""
+    try:
+        choice = json.loads(data)["choices"][0]
+    except (ValueError, KeyError, IndexError, TypeError, RecursionError):
+        return {}
+    return choice if isinstance(choice, dict) else {}
--- a/mulberrygate/ledger/tally.py
+++ b/mulberrygate/ledger/tally.py
@@ -145,6 +145,9 @@
     """Decide a begin: a majority of acceptances, or so many refusals that none is possible."""
     if tally.is_majority(tally.count(Accepted)):
         return Recorded()
+    if not tally.members:
+        # The shard has no active view yet.
+        return Pending()
     refused = len(tally.answers) - tally.count(Accepted)
     if refused > len(tally.members) - tally.view.majority():
         return Superseded()
--- a/mulberrygate/settings/model.py
+++ b/mulberrygate/settings/model.py
@@ -85,6 +85,9 @@
         Folder of the control log; needed by ``control`` only.
     voters : dict[str, str]
         First voters of the control group, name to peer address, equal on all instances.
+    drain_notice_s : float
+        Seconds between the fall of readiness and the refusal of new requests in a planned stop;
+        more than the balancer's period of health checks.
     stop_grace_s : float
         Seconds that a planned stop waits for running answers before it reports them.
     partition_switch : bool
@@ -104,6 +107,7 @@
     data_folder: str = ""
     voters: dict[str, str] = attrs.field(factory=dict, validator=_are_addresses)
     log_level: str = attrs.field(default="INFO", validator=_is_level)
+    drain_notice_s: float = attrs.field(default=5.0, validator=_is_duration)
     stop_grace_s: float = attrs.field(default=3600.0, validator=_is_duration)
     partition_switch: bool = False
 
--- a/mulberrygate/standin/local.py
+++ b/mulberrygate/standin/local.py
@@ -150,6 +150,7 @@
                 "parts": ["entry", "control"] if name in voters else ["entry"],
                 "voters": {voter: peers[voter] for voter in voters},
                 "partition_switch": True,
+                "drain_notice_s": 0.5,
                 **settings,
             }
             if name in voters:
