--- a/mulberrygate/daemon/leader.py
+++ b/mulberrygate/daemon/leader.py
@@ -55,6 +55,9 @@
 PROPOSE_TIMEOUT_S = 6.0
 READ_TIMEOUT_S = 4.0
 DUTY_S = 0.25
+# To judge 192 shards takes 3.3 ms; at each duty this would be 1.3% of a core. Changes of
+# membership and shards, and reports, are looked at immediately, expired delays within this time.
+PLAN_S = 2.0
 
 
 class ControlMachine:
@@ -137,6 +140,9 @@
         self.planner = ViewPlanner()
         self.moves = MoveController()
         self.is_proposing = False
+        self.planned: tuple[Any, Any] = (None, None)
+        self.planned_at = float("-inf")
+        self.has_report = False
         self.orders: OrderDesk | None = None
 
     def start(self) -> None:
@@ -252,6 +258,7 @@
     def on_copy_report(self, report: CopyReport, _sender: str) -> None:
         """Take note of a completed copy of a ledger shard."""
         self.planner.report(report)
+        self.has_report = True
 
     def on_evidence(self, evidence: Evidence, _sender: str) -> None:
         """Take note of evidence on a version move."""
@@ -273,8 +280,10 @@
             return
         now, wall = self.timers.now(), time.time()
         in_force = self.in_force
-        plan = self.planner.plan(self.view(), in_force.shards, now, wall)
-        commands: list[Any] = [plan] if plan.shards else []
+        commands: list[Any] = []
+        if self._is_plan_due(now):
+            plan = self.planner.plan(self.view(), in_force.shards, now, wall)
+            commands += [plan] if plan.shards else []
         if in_force.moves or self.moves.tracks:
             self.moves.update(in_force.moves, in_force.pools, now, wall)
             commands += self.moves.tick(now)
@@ -286,6 +295,15 @@
         finally:
             self.is_proposing = False
 
+    def _is_plan_due(self, now: float) -> bool:
+        """Return whether the views of the ledger have to be looked at."""
+        seen = (self.view(), self.in_force.shards)
+        is_changed = any(new is not old for new, old in zip(seen, self.planned, strict=True))
+        if not is_changed and not self.has_report and now < self.planned_at + PLAN_S:
+            return False
+        self.planned, self.planned_at, self.has_report = seen, now, False
+        return True
+
     def _note(self, command: Any, result: CommandResult | Unproposed) -> None:
         """Add a command of the leader to the timeline."""
         if isinstance(result, Unproposed):
--- a/mulberrygate/daemon/run.py
+++ b/mulberrygate/daemon/run.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import gc
 import signal
 import sys
 
@@ -17,6 +18,8 @@
 log = logger("daemon")
 
 BAD_SETTINGS = 2
+# New container objects between two collections of the youngest generation.
+COLLECT_AFTER = 20_000
 
 
 async def serve(settings: Settings, tokens: Tokens) -> None:
@@ -27,6 +30,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     await daemon.start()
+    tune_collector()
     waits = [asyncio.ensure_future(stop.wait()), asyncio.ensure_future(daemon.superseded.wait())]
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     for wait in waits:
@@ -34,6 +38,19 @@
     await daemon.stop()
 
 
+def tune_collector() -> None:
+    """Let the garbage collector look at new objects only, and less often.
+
+    Explanation
+    ===========
+    Modules, code and classes live as long as the process. A full collection that walks them and
+    10,000 ledger records stopped the event loop for 48 ms, 8 ms without.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER, 20, 50)
+
+
 def read_tokens(settings: Settings) -> Tokens | Refusal:
     """Read the secrets that the settings name."""
     tokens = []
