Say 'unknown' after a repeated call that was sent; give up callers that do not read

A read that endpoints had answered with 503 in several tries was refused as 'not run'; the retries after an answer were outside the retry budget; a caller that reads nothing held its engine's stream. Change: a try says whether the call was sent, and refusals after such a try are 'unknown'; one budget for all retries; a bound on writes once 32 KiB are unread.

--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -338,15 +338,13 @@
         peers.on(Cleared, self._on_cleared)
         self.directory.on_death(lambda name, *_: self.crashes.endpoint_died(name, timers.now()))
         ticks = [
-            (MEMBERS_TICK_S, self.members_runner, self.membership, "members.tick"),
-            (HOLDER_TICK_S, self.holder_runner, self.holder, "distribution.tick"),
-            (LEDGER_TICK_S, self.replica_runner, self.replica, "ledger.tick"),
-            (DIRECTORY_TICK_S, self.directory_runner, self.directory, "endpoints.tick"),
+            (MEMBERS_TICK_S, self.members_runner, "members.tick"),
+            (HOLDER_TICK_S, self.holder_runner, "distribution.tick"),
+            (LEDGER_TICK_S, self.replica_runner, "ledger.tick"),
+            (DIRECTORY_TICK_S, self.directory_runner, "endpoints.tick"),
         ]
-        for seconds, runner, part, name in ticks:
-            timers.every(
-                seconds, lambda r=runner, p=part: r.run(p.tick(timers.now())) and None, name
-            )
+        for seconds, runner, name in ticks:
+            timers.every(seconds, runner.tick, name)
         timers.every(CRASH_TICK_S, self._tick_crashes, "crashes.tick")
         timers.every(1.0, self._check_superseded, "members.superseded")
         for seconds, callback, name in self.timers_to_start:
@@ -377,9 +375,6 @@
             log.error("Another process has this instance's name; this one stops.")
             self.superseded.set()
 
-    def _tick(self, runner: EffectRunner, part) -> None:
-        runner.run(part.tick(self.timers.now()))
-
     def _tick_crashes(self) -> None:
         """Judge endpoint deaths and exchange reports with the failure domain."""
         self.crashes.tick(self.timers.now())
--- a/mulberrygate/daemon/effects.py
+++ b/mulberrygate/daemon/effects.py
@@ -21,6 +21,9 @@
     def handle(self, message: Any, sender: str, now: float) -> list[Effect]:
         """Handle a message and return the effects to carry out."""
 
+    def tick(self, now: float) -> list[Effect]:
+        """Return the effects of what is due."""
+
 
 class EffectRunner:
     """Connect a decision class to the peers, the timers and the timeline.
@@ -56,6 +59,10 @@
         """Handle a message of another instance and return the answer, if there is one."""
         return self.run(self.decider.handle(message, sender, self.timers.now()))
 
+    def tick(self) -> None:
+        """Let the decision class do what is due."""
+        self.run(self.decider.tick(self.timers.now()))
+
     def run(self, effects: list[Effect]) -> Any:
         """Carry out effects in order and return the message of a `Reply`."""
         answer = None
--- a/mulberrygate/daemon/tests/test_requests.py
+++ b/mulberrygate/daemon/tests/test_requests.py
@@ -1,6 +1,7 @@
 """Process tests of the request path under failures."""
 
 import asyncio
+import json
 import unittest
 
 import aiohttp
@@ -208,6 +209,17 @@
 
         await wait_for(is_cancelled, "the engine cancelled the stream")
 
+    async def test_read_that_was_sent_is_not_refused_as_not_run(self):
+        """Guards against "not run" after tries that reached an endpoint."""
+        await self.adjust("booking-a", fail_every=1, fail_status=503)
+        status, answer, _ = await self.system.call(
+            "a1", "GET", "/services/booking/stock", token_of("field")
+        )
+        runs = (await self.system.json("booking-a", "/standin"))["runs"]["total"]
+        self.assertGreater(runs, 1)
+        self.assertEqual(status, 503)
+        self.assertEqual(json.loads(answer)["outcome"], "unknown", answer)
+
     async def test_refused_connection_goes_to_another_endpoint(self):
         """Guards against an error for a request of which no byte was sent."""
         await self.system.kill("engine-a")
--- a/mulberrygate/entry/context.py
+++ b/mulberrygate/entry/context.py
@@ -11,6 +11,7 @@
 from aiohttp import ClientResponse, web
 
 from mulberrygate.core.timers import TimerService
+from mulberrygate.entry.retry import RetryBudget
 from mulberrygate.ledger.messages import Attempt
 from mulberrygate.members.view import MembershipView
 from mulberrygate.observe.events import EventRing
@@ -69,6 +70,7 @@
     events: EventRing
     timers: TimerService
     background: Background
+    retries: RetryBudget = attrs.field(factory=RetryBudget)
     is_stopping: bool = False
 
     def known_domains(self) -> Collection[str]:
@@ -100,12 +102,16 @@
 class TryElsewhere:
     """Outcome of a try after which another endpoint may be tried.
 
-    Explanation
-    ===========
-    Nothing was sent to the endpoint, or the call may be repeated.
+    Parameters
+    ==========
+    reason : str
+    was_sent : bool
+        Whether the endpoint may have got the call, which then may be repeated. A refusal after
+        such a try can't say "not run".
     """
 
     reason: str
+    was_sent: bool = False
 
 
 @attrs.define(eq=False)
--- a/mulberrygate/entry/dispatch.py
+++ b/mulberrygate/entry/dispatch.py
@@ -13,7 +13,6 @@
 )
 from mulberrygate.entry.context import EntryParts, RequestContext, Result, TryElsewhere
 from mulberrygate.entry.record import record_result, report_try
-from mulberrygate.entry.retry import RetryBudget
 from mulberrygate.entry.service_call import PASSED_HEADERS, service_target
 from mulberrygate.entry.upstream import Broken, Connected, NotSent
 from mulberrygate.ledger.codes import SUPERSEDED, UNAVAILABLE, UNCERTAIN
@@ -37,7 +36,6 @@
 
     def __init__(self, parts: EntryParts):
         self.parts = parts
-        self.budget = RetryBudget()
 
     async def __call__(self, request: RequestContext, proceed):
         request.is_dispatching = True
@@ -47,7 +45,7 @@
 
     async def _run(self, request: RequestContext, proceed):
         parts = self.parts
-        self.budget.earn()
+        parts.retries.earn()
         if not self._is_open(request):
             return TryElsewhere("the endpoint takes no new work")
         if request.attempt is not None:
@@ -122,7 +120,7 @@
         if request.is_model:
             # The relay resumes the stream over a new connection.
             return await proceed()
-        if request.is_idempotent and self.budget.spend():
+        if request.is_idempotent and self.parts.retries.spend():
             return self._end_try(request, "cut", broken.reason)
         request.result.fault = "cut"
         await self.parts.background.finish(record_result(self.parts, request))
@@ -140,7 +138,7 @@
         request.result.fault = fault
         report_try(self.parts, request)
         request.result = Result()
-        return TryElsewhere(reason)
+        return TryElsewhere(reason, was_sent=fault != "refused")
 
     def _abandon(self, request: RequestContext) -> None:
         """Cancel the stream of a caller that went away before the answer began."""
--- a/mulberrygate/entry/relay.py
+++ b/mulberrygate/entry/relay.py
@@ -10,9 +10,7 @@
 
 from mulberrygate.core.outcome import Execution, Refusal
 from mulberrygate.entry.answers import problem_event
-from mulberrygate.entry.codes import (
-    ANSWER_TOO_LARGE,
-)
+from mulberrygate.entry.codes import ANSWER_TOO_LARGE
 from mulberrygate.entry.context import EntryParts, RequestContext, Result, TryElsewhere
 from mulberrygate.entry.follow import Failed, Follower
 from mulberrygate.entry.record import report_try
@@ -26,6 +24,9 @@
 SERVICE_SILENCE_S = 30.0
 # Events for a caller that doesn't read are held by flow control no longer than this.
 CALLER_STALL_S = 30.0
+# Bytes that wait for the caller from which on a write is bounded; a limit around each write would
+# cost more than the write.
+UNREAD_BYTES = 32 << 10
 SERVICE_HEADERS = ("Content-Type", "Content-Encoding", "Location", "ETag", "Last-Modified")
 
 
@@ -76,10 +77,11 @@
         result.is_complete = True
         result.fault = "error" if response.status >= 500 else ""
         result.answer = pack_service_answer(response.status, headers, body)
-        if request.is_idempotent and response.status in (502, 503, 504):
+        may_repeat = request.is_idempotent and response.status in (502, 503, 504)
+        if may_repeat and self.parts.retries.spend():
             report_try(self.parts, request)
             request.result = Result()
-            return TryElsewhere(f"the endpoint answered {response.status}")
+            return TryElsewhere(f"the endpoint answered {response.status}", was_sent=True)
         await self.parts.background.finish(proceed())
         headers.update(identity_headers(request))
         return web.Response(status=response.status, body=body, headers=headers)
@@ -97,10 +99,10 @@
 
     async def _service_failed(self, request: RequestContext, reason: str, proceed):
         request.result.fault = "cut"
-        if request.is_idempotent:
+        if request.is_idempotent and self.parts.retries.spend():
             report_try(self.parts, request)
             request.result = Result()
-            return TryElsewhere(reason)
+            return TryElsewhere(reason, was_sent=True)
         await self.parts.background.finish(proceed())
         return Refusal(UNCERTAIN, reason, Execution.UNKNOWN)
 
@@ -164,13 +166,24 @@
         try:
             if self.request.response is None:
                 self.request.response = await start_stream(self.request)
-            await self.request.response.write(raw)
-        except ConnectionError:
+            await self._write_bounded(raw)
+        except (TimeoutError, ConnectionError):
             self.has_caller = False
             self.request.result.is_cancelled = True
             if not self.request.outlives_caller:
                 raise asyncio.CancelledError from None
 
+    async def _write_bounded(self, raw: bytes) -> None:
+        """Write, with a time limit once the caller has stopped reading."""
+        transport = self.request.http.transport
+        if transport is None:
+            raise ConnectionResetError("the caller has gone")
+        write = self.request.response.write(raw)
+        if transport.get_write_buffer_size() < UNREAD_BYTES:
+            await write
+        else:
+            await asyncio.wait_for(write, CALLER_STALL_S)
+
     async def _complete(self) -> web.StreamResponse:
         request = self.request
         result = request.result
--- a/mulberrygate/entry/schedule.py
+++ b/mulberrygate/entry/schedule.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from mulberrygate.core.outcome import Refusal
+from dataclasses import replace
+
+from mulberrygate.core.outcome import Execution, Refusal
 from mulberrygate.entry.codes import NO_GRANT, TOO_MANY_WAITING
 from mulberrygate.entry.context import EntryParts, RequestContext, TryElsewhere
-from mulberrygate.schedule.messages import Ticket
+from mulberrygate.schedule.messages import Grant, Ticket
 
 # Tries of a request whose endpoints refused the connection, or of an idempotent call that failed.
 MAX_TRIES = 4
@@ -23,28 +25,34 @@
         self.parts = parts
 
     async def __call__(self, request: RequestContext, proceed):
-        parts = self.parts
-        if parts.desk.count_waiting(request.account_name) >= request.account.max_waiting:
+        desk = self.parts.desk
+        if desk.count_waiting(request.account_name) >= request.account.max_waiting:
             return Refusal(TOO_MANY_WAITING, retry_after_s=1.0)
+        was_sent = False
         for request.tries in range(MAX_TRIES):
-            grant = await parts.desk.acquire(self._ticket(request), request.deadline_at)
-            now = parts.timers.now()
+            grant = await desk.acquire(self._ticket(request), request.deadline_at)
             if isinstance(grant, Refusal):
-                parts.metrics.count(
-                    "shed_total", tier=str(request.tier), code=str(grant.code.number)
-                )
-                parts.events.add("entry.shed", str(grant.code), request=request.request_id)
-                return grant
-            parts.metrics.observe(
-                "queue_wait_seconds", now - request.received_at, tier=str(request.tier)
-            )
-            request.grant = grant
-            request.granted_at = now
+                self._note_shed(request, grant)
+                return _after_tries(grant, was_sent)
+            self._note_grant(request, grant)
             outcome = await proceed()
             if not isinstance(outcome, TryElsewhere):
-                return outcome
+                return _after_tries(outcome, was_sent)
+            was_sent |= outcome.was_sent
             request.avoid = (*request.avoid, grant.endpoint)
-        return Refusal(NO_GRANT, retry_after_s=1.0)
+        return _after_tries(Refusal(NO_GRANT, retry_after_s=1.0), was_sent)
+
+    def _note_shed(self, request: RequestContext, refusal: Refusal) -> None:
+        code = refusal.code
+        self.parts.metrics.count("shed_total", tier=str(request.tier), code=str(code.number))
+        self.parts.events.add("entry.shed", str(code), request=request.request_id)
+
+    def _note_grant(self, request: RequestContext, grant: Grant) -> None:
+        now = self.parts.timers.now()
+        waited = now - request.received_at
+        self.parts.metrics.observe("queue_wait_seconds", waited, tier=str(request.tier))
+        request.grant = grant
+        request.granted_at = now
 
     def _ticket(self, request: RequestContext) -> Ticket:
         # The suffix keeps a late answer to an earlier try apart from this one.
@@ -65,3 +73,10 @@
             attempt=request.tries,
             avoid=(*request.avoid, *self.parts.crashes.avoided_endpoints(request.fingerprint)),
         )
+
+
+def _after_tries(outcome, was_sent: bool):
+    """Return an outcome; a refusal does not say "not run" if an earlier try may have run."""
+    if was_sent and isinstance(outcome, Refusal) and outcome.execution is Execution.NOT_RUN:
+        return replace(outcome, execution=Execution.UNKNOWN)
+    return outcome
--- /dev/null
+++ b/mulberrygate/entry/tests/test_relay.py
@@ -0,0 +1,60 @@
+"""Tests of the delivery of events to a caller."""
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from mulberrygate.entry import relay
+from mulberrygate.entry.context import RequestContext, Result
+from mulberrygate.entry.relay import UNREAD_BYTES, Delivery
+
+
+class Transport:
+    """Connection of a caller that has not read some bytes."""
+
+    def __init__(self, unread: int):
+        self.unread = unread
+
+    def get_write_buffer_size(self) -> int:
+        return self.unread
+
+
+class Response:
+    """Answer whose writes never get through."""
+
+    async def write(self, _raw: bytes) -> None:
+        await asyncio.Event().wait()
+
+
+class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
+    """A caller that stopped reading."""
+
+    def delivery(self, unread: int) -> Delivery:
+        """Return a delivery of a request that outlives its caller."""
+        request = mock.create_autospec(RequestContext, instance=True)
+        request.http = SimpleNamespace(transport=Transport(unread))
+        request.response = Response()
+        request.result = Result()
+        request.outlives_caller = True
+        request.wants_stream = True
+        return Delivery(None, request, None)
+
+    async def test_caller_that_does_not_read_is_given_up(self):
+        """Guards against a stream that holds its engine for a caller that reads nothing."""
+        delivery = self.delivery(UNREAD_BYTES)
+        with mock.patch.object(relay, "CALLER_STALL_S", 0.01):
+            await delivery._write(b"event")
+        self.assertFalse(delivery.has_caller)
+        self.assertTrue(delivery.request.result.is_cancelled)
+
+    async def test_caller_without_connection_is_given_up(self):
+        """Guards against writes to a connection that is closed."""
+        delivery = self.delivery(0)
+        delivery.request.http.transport = None
+        await delivery._write(b"event")
+        self.assertFalse(delivery.has_caller)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/mulberrygate/standin/endpoint.py
+++ b/mulberrygate/standin/endpoint.py
@@ -28,6 +28,7 @@
     version: str = "v1"
     slots: int = 4
     fail_every: int = 0
+    fail_status: int = 500
 
 
 class Endpoint:
--- a/mulberrygate/standin/engine.py
+++ b/mulberrygate/standin/engine.py
@@ -100,7 +100,9 @@
             os._exit(70)
         every = self.options.fail_every
         if every and self.runs["total"] % every == 0:
-            return web.json_response({"error": "model worker failed"}, status=500)
+            return web.json_response(
+                {"error": "model worker failed"}, status=self.options.fail_status
+            )
         stream = self.streams[name] = Stream(name, body)
         while len(self.streams) > 1000:
             self.streams.popitem(last=False)
--- a/mulberrygate/standin/service.py
+++ b/mulberrygate/standin/service.py
@@ -43,7 +43,9 @@
             await asyncio.sleep(self.options.delay_s)
             every = self.options.fail_every
             if every and self.runs["total"] % every == 0:
-                return web.json_response({"error": "the call failed"}, status=500)
+                return web.json_response(
+                    {"error": "the call failed"}, status=self.options.fail_status
+                )
             if request.method == "POST":
                 self.bookings.append(
                     {"path": request.path, "target": request.raw_path, "body": body}
