--- a/mulberrygate/entry/relay.py
+++ b/mulberrygate/entry/relay.py
@@ -163,27 +163,23 @@
             self.kept.append(events.raw)
 
     async def _write(self, raw: bytes) -> None:
+        """Write to the caller, with a time limit once it has stopped reading."""
         try:
             if self.request.response is None:
                 self.request.response = await start_stream(self.request)
-            await self._write_bounded(raw)
+            transport = self.request.http.transport
+            if transport is None:
+                raise ConnectionResetError("the caller has gone")
+            if transport.get_write_buffer_size() < UNREAD_BYTES:
+                await self.request.response.write(raw)
+            else:
+                await asyncio.wait_for(self.request.response.write(raw), CALLER_STALL_S)
         except (TimeoutError, ConnectionError):
             self.has_caller = False
             self.request.result.is_cancelled = True
             if not self.request.outlives_caller:
                 raise asyncio.CancelledError from None
 
-    async def _write_bounded(self, raw: bytes) -> None:
-        """Write, with a time limit once the caller has stopped reading."""
-        transport = self.request.http.transport
-        if transport is None:
-            raise ConnectionResetError("the caller has gone")
-        write = self.request.response.write(raw)
-        if transport.get_write_buffer_size() < UNREAD_BYTES:
-            await write
-        else:
-            await asyncio.wait_for(write, CALLER_STALL_S)
-
     async def _complete(self) -> web.StreamResponse:
         request = self.request
         result = request.result
