--- a/mulberrygate/daemon/tests/test_control.py
+++ b/mulberrygate/daemon/tests/test_control.py
@@ -129,7 +129,7 @@
     async def test_restart_after_many_changes_is_current_before_it_is_ready(self):
         """Guards against a restarted entry that serves with an old table."""
         await self.system.kill("b2")
-        for version in range(2, 152):
+        for version in range(2, 502):
             status, answer = await self.system.apply("a1", self.table(version, version))
             self.assertEqual(status, 200, answer)
         self.system.start_daemon("b2")
@@ -138,7 +138,7 @@
             state = await self.state("b2")
             return state["tables"]["routes"]["version"] if state.get("ready") else 0
 
-        self.assertEqual(await wait_for(first_ready_version, "b2 is ready"), 151)
+        self.assertEqual(await wait_for(first_ready_version, "b2 is ready"), 501)
 
     async def test_lost_disk_and_a_second_loss_after_the_repair(self):
         """Guards against accepted changes that are lost with two voters, one after the other."""
