Hand back a grant that comes together with the end of its caller

Cause: read-through. Change: only an answer that was taken keeps the ticket from being withdrawn. Measured: the new test counts no withdrawal without the change and one with it.

--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -78,6 +78,18 @@
         """Wait for a grant."""
         return await self.desk.acquire(TICKET, self.timers.now() + seconds)
 
+    async def test_grant_for_a_caller_that_goes_away_is_handed_back(self):
+        """Guards against a slot held by a grant that came together with the caller's end."""
+        loop = asyncio.get_running_loop()
+        wait = asyncio.ensure_future(self.desk.acquire(TICKET, loop.time() + LIMIT_S))
+        while not self.peers.asked:
+            await asyncio.sleep(0)
+        self.grant("one")
+        wait.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await wait
+        self.assertEqual(self.peers.sent_to("one", Withdraw), 1)
+
     async def test_lost_grant_is_asked_for_again(self):
         """Guards against a request that waits for a grant which the network lost."""
         self.peers.on_ask = lambda owner, count: count >= 3 and self.grant(owner)
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -145,17 +145,24 @@
             return Refusal(DEADLINE_PASSED, retry_after_s=1.0)
         finally:
             self.waiting.pop(ticket.request, None)
-            self._withdraw(waiting)
+            self._withdraw(waiting, answer is not None)
         if isinstance(answer, Refuse):
             code = code_by_number(answer.code)
             return Refusal(code, retry_after_s=answer.retry_after_s)
         self.running[ticket.request] = Dispatched(ticket, answer, waiting.owner, waiting.owner)
         return answer
 
-    def _withdraw(self, waiting: Waiting) -> None:
-        """Withdraw the ticket everywhere but at the owner that has answered it."""
-        is_answered = waiting.answer.done() and not waiting.answer.cancelled()
-        holders = waiting.asked - ({waiting.owner} if is_answered else set())
+    def _withdraw(self, waiting: Waiting, is_taken: bool) -> None:
+        """Withdraw the ticket everywhere but at the owner whose answer was taken.
+
+        Explanation
+        ===========
+        An answer that came at the moment at which the caller went away is not taken; its grant
+        would hold a slot until it expires.
+        """
+        holders = waiting.asked | {waiting.owner}
+        if is_taken:
+            holders.discard(waiting.owner)
         for owner in holders:
             self.peers.send(owner, Withdraw(waiting.ticket.pool, waiting.ticket.request))
 
