--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -81,9 +81,10 @@
     async def test_grant_for_a_caller_that_goes_away_is_handed_back(self):
         """Guards against a slot held by a grant that came together with the caller's end."""
         loop = asyncio.get_running_loop()
+        was_asked = asyncio.Event()
+        self.peers.on_ask = lambda owner, count: was_asked.set()
         wait = asyncio.ensure_future(self.desk.acquire(TICKET, loop.time() + LIMIT_S))
-        while not self.peers.asked:
-            await asyncio.sleep(0)
+        await was_asked.wait()
         self.grant("one")
         wait.cancel()
         with self.assertRaises(asyncio.CancelledError):
