Pause between tries of a request that could not be sent

Cause: with 16 systems at once, 1 of 32 runs of the test of a leaving endpoint got 2102: the entry knew that the endpoint leaves, the pool's owner granted it again, and four tries were over in milliseconds. Change: pauses of 0.1, 0.2 and 0.4 s between tries; the test waits until the other domain's engine is known, and shows the answers.

--- a/mulberrygate/daemon/tests/test_requests.py
+++ b/mulberrygate/daemon/tests/test_requests.py
@@ -181,6 +181,7 @@
 
     async def test_leaving_endpoint_gets_no_new_work(self):
         """Guards against new work for an endpoint a few seconds after it said that it leaves."""
+        await self.wait_known_elsewhere()
         await self.adjust("engine-a", is_leaving=True)
 
         async def is_closed() -> bool:
@@ -195,9 +196,19 @@
         await wait_for(is_closed, "no entry sends work to the leaving endpoint")
         before = (await self.engine())["runs"].get("total", 0)
         answers = await asyncio.gather(*(self.complete(e, tokens=2) for e in ("a1", "a2", "b1")))
-        self.assertEqual([status for status, _ in answers], [200] * 3)
+        self.assertEqual([status for status, _ in answers], [200] * 3, answers)
         self.assertEqual((await self.engine())["runs"].get("total", 0), before)
 
+    async def wait_known_elsewhere(self) -> None:
+        """Wait until the pool's owner in domain a knows the engine of domain b."""
+
+        async def is_known() -> bool:
+            states = (await self.system.json("a1", "/admin/status"))["instances"]
+            seen = [e for n in ("a1", "a2") for e in states[n]["endpoints"] if e["accepts_work"]]
+            return any(e["endpoint"] == "engine-b" for e in seen)
+
+        await wait_for(is_known, "domain a knows the engine of domain b")
+
     async def test_disconnected_caller_cancels_its_stream(self):
         """Guards against an engine that goes on generating for a caller that has gone."""
         request = asyncio.ensure_future(self.complete("a1", tokens=4000))
--- a/mulberrygate/entry/schedule.py
+++ b/mulberrygate/entry/schedule.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 
 from mulberrygate.core.outcome import Execution, Refusal
@@ -11,6 +12,9 @@
 
 # Tries of a request whose endpoints refused the connection, or of an idempotent call that failed.
 MAX_TRIES = 4
+# Pause after the first try, doubled after each. For about a second the owner may grant an endpoint
+# that this entry already knows to be leaving; without a pause all tries fell into a few milliseconds.
+FIRST_PAUSE_S = 0.1
 
 
 class Schedule:
@@ -40,6 +44,7 @@
                 return _after_tries(outcome, was_sent)
             was_sent |= outcome.was_sent
             request.avoid = (*request.avoid, grant.endpoint)
+            await asyncio.sleep(FIRST_PAUSE_S * 2**request.tries)
         return _after_tries(Refusal(NO_GRANT, retry_after_s=1.0), was_sent)
 
     def _note_shed(self, request: RequestContext, refusal: Refusal) -> None:
