--- a/mulberrygate/entry/schedule.py
+++ b/mulberrygate/entry/schedule.py
@@ -13,7 +13,7 @@
 # Tries of a request whose endpoints refused the connection, or of an idempotent call that failed.
 MAX_TRIES = 4
 # Pause after the first try, doubled after each. For about a second the owner may grant an endpoint
-# that this entry already knows to be leaving; without a pause all tries fell into a few milliseconds.
+# that this entry already knows to be leaving; without a pause all tries took a few milliseconds.
 FIRST_PAUSE_S = 0.1
 
 
