Pass changed pool settings to a scheduler that runs

Cause: read-through for code that nothing calls. PoolScheduler.set_pool was never called, so a table that changed max_waiting, engine_queue or the move did not reach a scheduler before it had been idle for 10 minutes; during a move its time model also learned from the new version. Change: the host compares the settings at each refresh. Measured: the new test fails without the change and passes with it.

--- a/mulberrygate/daemon/poolhost.py
+++ b/mulberrygate/daemon/poolhost.py
@@ -158,6 +158,9 @@
         self.entries_seen = live
 
     def _refresh(self, pool: str, scheduler: PoolScheduler, now: float) -> None:
+        settings = self.in_force.pools[pool]
+        if settings != scheduler.pool:
+            self.run(pool, scheduler.set_pool(settings, now))
         views = self.directory.views(pool, now)
         if not self.is_owner(pool):
             views = [self._own_share(view) for view in views]
