Remove code that nothing calls, and decode sections of the configuration in one way

Cause: read-through. Six functions decoded one class each, and a second table named them again; two functions and a constant had no caller. Change: one table of classes by section serves the control state and the tables in force.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -52,7 +52,6 @@
 # Processes need this time until connections and the tables of members are complete.
 SETTLE_S = 8.0
 DOMAINS = ("a", "b", "c")
-CHANGES_A_DAY = 3300
 
 
 @attrs.frozen
--- a/mulberrygate/control/inforce.py
+++ b/mulberrygate/control/inforce.py
@@ -4,26 +4,10 @@
 
 from mulberrygate.control.commands import MoveState, TableState
 from mulberrygate.control.configuration import Configuration
-from mulberrygate.control.state import (
-    decode_account,
-    decode_move,
-    decode_pool,
-    decode_route,
-    decode_shard,
-    decode_table,
-)
+from mulberrygate.control.state import SECTIONS, decode_value
 from mulberrygate.ledger.views import Shard
 from mulberrygate.tables.model import Account, Pool, Route
 
-DECODERS = {
-    "routes": decode_route,
-    "accounts": decode_account,
-    "pools": decode_pool,
-    "tables": decode_table,
-    "moves": decode_move,
-    "shards": decode_shard,
-}
-
 
 class InForce:
     """Decoded configuration, rebuilt when its revision rises.
@@ -55,12 +39,12 @@
         self.revision = self.configuration.revision
         decoded: dict[tuple[str, str], tuple[int, object]] = {}
         for key, entry in self.configuration.entries.items():
-            if entry.section not in DECODERS:
+            if entry.section not in SECTIONS:
                 # A newer release may deliver sections that this one does not know.
                 continue
             known = self.decoded.get(key)
             if known is None or known[0] != entry.revision:
-                known = (entry.revision, DECODERS[entry.section](entry.body))
+                known = (entry.revision, decode_value(entry.section, entry.body))
             decoded[key] = known
         self.decoded = decoded
         self.routes = self._section("routes")
--- a/mulberrygate/control/state.py
+++ b/mulberrygate/control/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -105,41 +105,20 @@
     return converter.dumps(value)
 
 
-def decode_route(body: bytes) -> Route:
-    """Return the route of an entry of section ``routes``."""
-    return converter.loads(body, Route)
+# Class of the values of each section of the configuration.
+SECTIONS: dict[str, type] = {
+    "routes": Route,
+    "accounts": Account,
+    "pools": Pool,
+    "tables": TableState,
+    "shards": Shard,
+    "moves": MoveState,
+}
 
 
-def decode_account(body: bytes) -> Account:
-    """Return the client account of an entry of section ``accounts``."""
-    return converter.loads(body, Account)
-
-
-def decode_pool(body: bytes) -> Pool:
-    """Return the pool of an entry of section ``pools``."""
-    return converter.loads(body, Pool)
-
-
-def decode_table(body: bytes) -> TableState:
-    """Return the state of a table of section ``tables``."""
-    return converter.loads(body, TableState)
-
-
-def decode_shard(body: bytes) -> Shard:
-    """Return the shard of an entry of section ``shards``."""
-    return converter.loads(body, Shard)
-
-
-def decode_move(body: bytes) -> MoveState:
-    """Return the move of an entry of section ``moves``."""
-    return converter.loads(body, MoveState)
-
-
-def decode_section(
-    configuration: Configuration, section: str, decode: Callable[[bytes], Any]
-) -> dict[str, Any]:
-    """Return all values of a section by name."""
-    return {name: decode(body) for name, body in configuration.section(section).items()}
+def decode_value(section: str, body: bytes) -> Any:
+    """Return the value of an entry of a section."""
+    return converter.loads(body, SECTIONS[section])
 
 
 class ControlState:
@@ -173,27 +152,31 @@
 
     def routes(self) -> dict[str, Route]:
         """Return the routes in force."""
-        return decode_section(self.configuration, "routes", decode_route)
+        return self._section("routes")
 
     def accounts(self) -> dict[str, Account]:
         """Return the client accounts in force."""
-        return decode_section(self.configuration, "accounts", decode_account)
+        return self._section("accounts")
 
     def pools(self) -> dict[str, Pool]:
         """Return the pools in force."""
-        return decode_section(self.configuration, "pools", decode_pool)
+        return self._section("pools")
 
     def tables(self) -> dict[str, TableState]:
         """Return the versions of the tables in force."""
-        return decode_section(self.configuration, "tables", decode_table)
+        return self._section("tables")
 
     def shards(self) -> dict[str, Shard]:
         """Return the shards of the ledger."""
-        return decode_section(self.configuration, "shards", decode_shard)
+        return self._section("shards")
 
     def moves(self) -> dict[str, MoveState]:
         """Return the version moves by pool."""
-        return decode_section(self.configuration, "moves", decode_move)
+        return self._section("moves")
+
+    def _section(self, section: str) -> dict[str, Any]:
+        bodies = self.configuration.section(section)
+        return {name: decode_value(section, body) for name, body in bodies.items()}
 
     def apply(self, index: int, command: Any) -> CommandResult:
         """Apply the command of a log index."""
--- a/mulberrygate/core/wire.py
+++ b/mulberrygate/core/wire.py
@@ -61,11 +61,6 @@
     return register
 
 
-def name_of(cls: type) -> str:
-    """Return the wire name of a message class."""
-    return _names[cls]
-
-
 def encode(value: Any) -> tuple[str, bytes]:
     """Return the wire name and the bytes of a message."""
     return _names[type(value)], converter.dumps(value)
--- a/mulberrygate/peers/client.py
+++ b/mulberrygate/peers/client.py
@@ -104,14 +104,8 @@
             self._spawn(self._call_self(message))
             return
         address = self.address_of(instance)
-        if address is not None:
-            self._send(address, message, instance)
-
-    def send_address(self, address: str, message: Any) -> None:
-        """Send a message to an address without waiting; it may be lost."""
-        self._send(address, message, "")
-
-    def _send(self, address: str, message: Any, instance: str) -> None:
+        if address is None:
+            return
         link = self._link(address, instance)
         if isinstance(link, Link):
             kind, body = encode(message)
