Keep whether a request was sent in one place; separate accounts from keys by a space

Cause: read-through. The try and the request each said whether something was sent, and the request forgot it when a later try was refused a connection, so an internal error after that said 'not run'. The account 'lab' with key 'east:7' and the account 'lab:east' with key '7' gave one ledger key. Change: RequestContext.was_sent is kept over all tries; a space, which neither can hold, separates them.

--- a/mulberrygate/daemon/web.py
+++ b/mulberrygate/daemon/web.py
@@ -128,7 +128,7 @@
             raise
         except Exception as error:
             log.error("A request failed.", request=request.request_id, error=repr(error))
-            execution = Execution.UNKNOWN if request.has_begun else Execution.NOT_RUN
+            execution = Execution.UNKNOWN if request.was_sent else Execution.NOT_RUN
             outcome = Refusal(INTERNAL, execution=execution)
         finally:
             self.active -= 1
--- a/mulberrygate/entry/claim.py
+++ b/mulberrygate/entry/claim.py
@@ -79,7 +79,8 @@
         )
         request.ledger_key = request.key
         if not is_minted(request.key):
-            request.ledger_key = f"{request.account_name}:{request.key}"
+            # Neither names of accounts nor keys have a space, so no two pairs give one key.
+            request.ledger_key = f"{request.account_name} {request.key}"
 
     async def _claim(self, request: RequestContext):
         coordinator = self.parts.coordinator
@@ -106,7 +107,7 @@
         try:
             return await proceed()
         finally:
-            if not request.has_begun:
+            if not request.was_sent:
                 self.parts.background.spawn(self.parts.coordinator.release(request.attempt))
 
     async def _answer(self, request: RequestContext, record: Record):
--- a/mulberrygate/entry/context.py
+++ b/mulberrygate/entry/context.py
@@ -102,16 +102,12 @@
 class TryElsewhere:
     """Outcome of a try after which another endpoint may be tried.
 
-    Parameters
-    ==========
-    reason : str
-    was_sent : bool
-        Whether the endpoint may have got the call, which then may be repeated. A refusal after
-        such a try can't say "not run".
+    Explanation
+    ===========
+    Nothing was sent to the endpoint, or the call may be repeated.
     """
 
     reason: str
-    was_sent: bool = False
 
 
 @attrs.define(eq=False)
@@ -156,8 +152,9 @@
         Key in the ledger, apart for each client account, and its home failure domain.
     has_caller_key : bool
         Whether the caller gave the key and so may send the request again.
-    has_begun : bool
-        Whether bytes may have been sent to an endpoint under the claim.
+    was_sent : bool
+        Whether an endpoint may have got bytes of the request, in this try or an earlier one. After
+        that no refusal says "not run".
     is_dispatching : bool
         Whether the request has a grant and is being sent or followed.
     deadline_at : float
@@ -189,7 +186,7 @@
     home: str = ""
     claim_fingerprint: bytes = b""
     has_caller_key: bool = False
-    has_begun: bool = False
+    was_sent: bool = False
     is_dispatching: bool = False
     is_idempotent: bool = False
     attempt: OpenAttempt | None = None
--- a/mulberrygate/entry/dispatch.py
+++ b/mulberrygate/entry/dispatch.py
@@ -90,7 +90,7 @@
 
     async def _send(self, request: RequestContext, proceed):
         parts = self.parts
-        request.has_begun = True
+        was_sent, request.was_sent = request.was_sent, True
         request.dispatched_at = parts.timers.now()
         parts.events.add(
             "entry.dispatched", request=request.request_id, endpoint=request.grant.endpoint
@@ -106,7 +106,7 @@
             is_repeatable=request.is_idempotent,
         )
         if isinstance(opened, NotSent):
-            request.has_begun = False
+            request.was_sent = was_sent
             return self._end_try(request, "refused", opened.reason)
         if isinstance(opened, Connected):
             if request.is_model and opened.response.status != 200:
@@ -138,7 +138,7 @@
         request.result.fault = fault
         report_try(self.parts, request)
         request.result = Result()
-        return TryElsewhere(reason, was_sent=fault != "refused")
+        return TryElsewhere(reason)
 
     def _abandon(self, request: RequestContext) -> None:
         """Cancel the stream of a caller that went away before the answer began."""
--- a/mulberrygate/entry/relay.py
+++ b/mulberrygate/entry/relay.py
@@ -81,7 +81,7 @@
         if may_repeat and self.parts.retries.spend():
             report_try(self.parts, request)
             request.result = Result()
-            return TryElsewhere(f"the endpoint answered {response.status}", was_sent=True)
+            return TryElsewhere(f"the endpoint answered {response.status}")
         await self.parts.background.finish(proceed())
         headers.update(identity_headers(request))
         return web.Response(status=response.status, body=body, headers=headers)
@@ -102,7 +102,7 @@
         if request.is_idempotent and self.parts.retries.spend():
             report_try(self.parts, request)
             request.result = Result()
-            return TryElsewhere(reason, was_sent=True)
+            return TryElsewhere(reason)
         await self.parts.background.finish(proceed())
         return Refusal(UNCERTAIN, reason, Execution.UNKNOWN)
 
--- a/mulberrygate/entry/schedule.py
+++ b/mulberrygate/entry/schedule.py
@@ -32,20 +32,18 @@
         desk = self.parts.desk
         if desk.count_waiting(request.account_name) >= request.account.max_waiting:
             return Refusal(TOO_MANY_WAITING, retry_after_s=1.0)
-        was_sent = False
         for request.tries in range(MAX_TRIES):
             grant = await desk.acquire(self._ticket(request), request.deadline_at)
             if isinstance(grant, Refusal):
                 self._note_shed(request, grant)
-                return _after_tries(grant, was_sent)
+                return _after_tries(grant, request.was_sent)
             self._note_grant(request, grant)
             outcome = await proceed()
             if not isinstance(outcome, TryElsewhere):
-                return _after_tries(outcome, was_sent)
-            was_sent |= outcome.was_sent
+                return _after_tries(outcome, request.was_sent)
             request.avoid = (*request.avoid, grant.endpoint)
             await asyncio.sleep(FIRST_PAUSE_S * 2**request.tries)
-        return _after_tries(Refusal(NO_GRANT, retry_after_s=1.0), was_sent)
+        return _after_tries(Refusal(NO_GRANT, retry_after_s=1.0), request.was_sent)
 
     def _note_shed(self, request: RequestContext, refusal: Refusal) -> None:
         code = refusal.code
