--- a/mulberrygate/peers/link.py
+++ b/mulberrygate/peers/link.py
@@ -35,7 +35,8 @@
 
     Explanation
     ===========
-    One stream serves all messages, which costs a quarter of the processor time of a call for each.
+    One stream serves all messages, since a call for each cost more than twice the processor time
+    (`bench/agreement.py`, 5 voters: 35.3 against 16.0 ms a second at the leader).
     The link ends when its connection breaks, or when nothing came while a call or a probe waited
     for its full time; its owner then makes a new one.
 
