Use the usual names: SchedulerClient, OrderSender, CrashReport

Cause: read-through. Two classes were called desks, reports of contents 'on board' and counts 'charges'. Change: renamed, with the names on the wire; behaviour is the same.

--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -43,8 +43,8 @@
 from mulberrygate.endpoints.model import Announcement
 from mulberrygate.entry.chain import Chain
 from mulberrygate.entry.context import Background, EntryParts
-from mulberrygate.entry.crashes import Cleared, CrashTracker, OnBoard
-from mulberrygate.entry.tickets import TicketDesk
+from mulberrygate.entry.crashes import Cleared, CrashReport, CrashTracker
+from mulberrygate.entry.tickets import SchedulerClient
 from mulberrygate.entry.upstream import Upstream
 from mulberrygate.ledger import (
     Begin,
@@ -320,13 +320,15 @@
         """Make what the filters of requests use."""
         settings, timers = self.settings, self.timers
         self.upstream = Upstream()
-        desk = TicketDesk(settings.instance, settings.failure_domain, self.peers, self.view, timers)
+        scheduler = SchedulerClient(
+            settings.instance, settings.failure_domain, self.peers, self.view, timers
+        )
         self.parts = EntryParts(
             settings=settings,
             in_force=self.in_force,
             directory=self.directory,
             coordinator=self.coordinator,
-            desk=desk,
+            scheduler=scheduler,
             upstream=self.upstream,
             crashes=self.crashes,
             view=self.view,
@@ -352,7 +354,7 @@
     def _start_timers(self) -> None:
         peers, timers = self.peers, self.timers
         peers.on(EndpointsQuery, self._on_endpoints_query)
-        peers.on(OnBoard, lambda m, _sender: self.crashes.join(m, timers.now()))
+        peers.on(CrashReport, lambda m, _sender: self.crashes.join(m, timers.now()))
         peers.on(Cleared, self._on_cleared)
         self.directory.on_death(lambda name, *_: self.crashes.endpoint_died(name, timers.now()))
         ticks = [
--- a/mulberrygate/daemon/leader.py
+++ b/mulberrygate/daemon/leader.py
@@ -37,7 +37,7 @@
 from mulberrygate.core.codes import register_code
 from mulberrygate.core.timers import TimerService
 from mulberrygate.core.wire import decode, encode
-from mulberrygate.daemon.orderdesk import OrderDesk
+from mulberrygate.daemon.ordersender import OrderSender
 from mulberrygate.ledger.messages import CopyReport
 from mulberrygate.members.view import MembershipView
 from mulberrygate.observe.events import EventRing
@@ -143,7 +143,7 @@
         self.planned: tuple[Any, Any] = (None, None)
         self.planned_at = float("-inf")
         self.has_report = False
-        self.orders: OrderDesk | None = None
+        self.orders: OrderSender | None = None
 
     def start(self) -> None:
         """Read the data folder and join the group; a bad disk stops the voter only."""
@@ -170,7 +170,7 @@
         self.peers.on(FindLeader, self.on_find)
         self.peers.on(CopyReport, self.on_copy_report)
         self.peers.on(Evidence, self.on_evidence)
-        self.orders = OrderDesk(
+        self.orders = OrderSender(
             self.settings.instance,
             self.service,
             self.propose,
--- a/mulberrygate/daemon/orderdesk.py
+++ b/mulberrygate/daemon/ordersender.py
@@ -32,7 +32,7 @@
 Propose = Callable[[Any], Awaitable[Any]]
 
 
-class OrderDesk:
+class OrderSender:
     """Order endpoints to load versions, fenced by a number from the control log.
 
     Explanation
--- a/mulberrygate/entry/context.py
+++ b/mulberrygate/entry/context.py
@@ -24,7 +24,7 @@
     from mulberrygate.control.inforce import InForce
     from mulberrygate.endpoints.directory import Directory
     from mulberrygate.entry.crashes import CrashTracker
-    from mulberrygate.entry.tickets import TicketDesk
+    from mulberrygate.entry.tickets import SchedulerClient
     from mulberrygate.entry.upstream import Upstream
     from mulberrygate.ledger.coordinator import Coordinator
     from mulberrygate.ledger.outcomes import OpenAttempt
@@ -62,7 +62,7 @@
     in_force: InForce
     directory: Directory
     coordinator: Coordinator
-    desk: TicketDesk
+    scheduler: SchedulerClient
     upstream: Upstream
     crashes: CrashTracker
     view: Callable[[], MembershipView]
--- a/mulberrygate/entry/crashes.py
+++ b/mulberrygate/entry/crashes.py
@@ -7,12 +7,12 @@
 on the same endpoint must not be refused for it:
 
 - A content that completes anywhere is cleared.
-- If contents with earlier charges are on board, only those with the most charges are charged.
-- Contents with `APART` charges are kept apart: an entry runs no two of them on one endpoint. One
-  charge does not suffice for that, since the many requests of an endpoint that died of itself would
+- If contents with earlier crashes ran there, only those with the most crashes are blamed.
+- Contents with `ISOLATE_AT` crashes are kept apart: an entry runs no two of them on one endpoint.
+  One crash does not suffice, since the many requests of an endpoint that died of itself would
   then wait for each other.
 
-After `LIMIT` charges, one of them alone, the content is refused for `QUARANTINE_S`. Reports of all
+After `LIMIT` crashes, one of them alone, the content is refused for `QUARANTINE_S`. Reports of all
 entry instances of the failure domain about one death are joined before it is judged, so all come to
 the same verdict.
 """
@@ -26,7 +26,7 @@
 from mulberrygate.core.wire import message
 
 LIMIT = 3
-APART = 2
+ISOLATE_AT = 2
 QUARANTINE_S = 3600.0
 # A suspect that is not seen again is forgotten after this time.
 SUSPECT_S = 900.0
@@ -36,9 +36,9 @@
 FATAL = frozenset({"cut", "gone", "lost"})
 
 
-@message("entry.on_board")
+@message("entry.crash_report")
 @attrs.frozen
-class OnBoard:
+class CrashReport:
     """Contents that ran on an endpoint when it died, as one entry instance saw it."""
 
     endpoint: str
@@ -57,13 +57,13 @@
 class Suspect:
     """Content that ran on an endpoint that died."""
 
-    charges: int
+    crashes: int
     seen_at: float
     was_alone: bool = False
 
-    def is_guilty(self) -> bool:
+    def is_over_limit(self) -> bool:
         """Return whether the content is refused."""
-        return self.charges >= LIMIT and self.was_alone
+        return self.crashes >= LIMIT and self.was_alone
 
 
 class CrashTracker:
@@ -80,7 +80,7 @@
         self.suspects: collections.OrderedDict[str, Suspect] = collections.OrderedDict()
         self.open_deaths: dict[str, tuple[float, set[str]]] = {}
         self.judged: dict[str, float] = {}
-        self.reports: list[OnBoard] = []
+        self.reports: list[CrashReport] = []
         self.cleared: set[str] = set()
 
     def started(self, content: str, endpoint: str) -> None:
@@ -89,15 +89,15 @@
 
     def ended(self, content: str, endpoint: str, fault: str, is_complete: bool, now: float) -> None:
         """Note that a content does not run any more, and how it ended."""
-        aboard = self.running.get(endpoint)
-        if aboard is None or not aboard[content]:
+        running = self.running.get(endpoint)
+        if running is None or not running[content]:
             return
         if fault in FATAL:
             self.endpoint_died(endpoint, now)
-        aboard[content] -= 1
-        if not aboard[content]:
-            del aboard[content]
-        if not aboard:
+        running[content] -= 1
+        if not running[content]:
+            del running[content]
+        if not running:
             self.running.pop(endpoint, None)
         if is_complete and content in self.suspects:
             self.clear(content)
@@ -107,11 +107,11 @@
         """Note the death of an endpoint and report what runs on it."""
         contents = tuple(self.running.get(endpoint, ()))
         if contents and endpoint not in self.open_deaths and endpoint not in self.judged:
-            report = OnBoard(endpoint, contents)
+            report = CrashReport(endpoint, contents)
             self.reports.append(report)
             self.join(report, now)
 
-    def join(self, report: OnBoard, now: float) -> None:
+    def join(self, report: CrashReport, now: float) -> None:
         """Take a report, own or of another entry instance."""
         if self.judged.get(report.endpoint, -JOIN_S) + JOIN_S > now:
             return
@@ -133,18 +133,18 @@
             if now >= at + JOIN_S:
                 del self.judged[endpoint]
         for content, suspect in list(self.suspects.items()):
-            kept_s = QUARANTINE_S if suspect.is_guilty() else SUSPECT_S
+            kept_s = QUARANTINE_S if suspect.is_over_limit() else SUSPECT_S
             if now >= suspect.seen_at + kept_s:
                 del self.suspects[content]
 
     def _judge(self, contents: set[str], now: float) -> None:
-        charges = {content: self._charges(content) for content in sorted(contents)}
-        most = min(APART, max(charges.values(), default=0))
-        charged = [content for content, count in charges.items() if count >= most]
-        for content in charged:
+        crashes = {content: self._crashes(content) for content in sorted(contents)}
+        most = min(ISOLATE_AT, max(crashes.values(), default=0))
+        blamed = [content for content, count in crashes.items() if count >= most]
+        for content in blamed:
             suspect = self.suspects.setdefault(content, Suspect(0, now))
-            suspect.charges += 1
-            suspect.was_alone |= len(charged) == 1
+            suspect.crashes += 1
+            suspect.was_alone |= len(blamed) == 1
             suspect.seen_at = now
         while len(self.suspects) > MAX_CONTENTS:
             self.suspects.popitem(last=False)
@@ -152,26 +152,26 @@
     def is_quarantined(self, content: str, now: float) -> bool:
         """Return whether a content is refused."""
         suspect = self.suspects.get(content)
-        if suspect is None or not suspect.is_guilty():
+        if suspect is None or not suspect.is_over_limit():
             return False
         return now < suspect.seen_at + QUARANTINE_S
 
-    def _charges(self, content: str) -> int:
+    def _crashes(self, content: str) -> int:
         suspect = self.suspects.get(content)
-        return suspect.charges if suspect is not None else 0
+        return suspect.crashes if suspect is not None else 0
 
     def must_avoid(self, content: str, endpoint: str) -> bool:
         """Return whether an endpoint runs another content that has to be kept apart from this."""
-        if self._charges(content) < APART:
+        if self._crashes(content) < ISOLATE_AT:
             return False
-        aboard = self.running.get(endpoint, ())
-        return any(self._charges(other) >= APART for other in aboard if other != content)
+        running = self.running.get(endpoint, ())
+        return any(self._crashes(other) >= ISOLATE_AT for other in running if other != content)
 
     def avoided_endpoints(self, content: str) -> tuple[str, ...]:
         """Return the endpoints that must not get a content now."""
         return tuple(endpoint for endpoint in self.running if self.must_avoid(content, endpoint))
 
-    def take_reports(self) -> list[OnBoard]:
+    def take_reports(self) -> list[CrashReport]:
         """Return the reports to send."""
         reports, self.reports = self.reports, []
         return reports
--- a/mulberrygate/entry/dispatch.py
+++ b/mulberrygate/entry/dispatch.py
@@ -51,7 +51,7 @@
         if request.attempt is not None:
             refusal = await self._begin(request)
             if refusal is not None:
-                parts.desk.hand_back(request.grant.request)
+                parts.scheduler.hand_back(request.grant.request)
                 return refusal
             # The begin may have taken long enough for the endpoint to leave.
             if not self._is_open(request):
@@ -70,7 +70,7 @@
         is_open = parts.directory.accepts_work(grant.endpoint, parts.timers.now())
         if is_open and not parts.crashes.must_avoid(request.fingerprint, grant.endpoint):
             return True
-        parts.desk.hand_back(grant.request)
+        parts.scheduler.hand_back(grant.request)
         return False
 
     async def _begin(self, request: RequestContext) -> Refusal | None:
--- a/mulberrygate/entry/record.py
+++ b/mulberrygate/entry/record.py
@@ -40,7 +40,7 @@
     now = parts.timers.now()
     result.total_s = result.total_s or now - request.dispatched_at
     parts.crashes.ended(request.fingerprint, grant.endpoint, result.fault, result.is_complete, now)
-    parts.desk.done(
+    parts.scheduler.done(
         Done(
             pool=request.pool_name,
             request=grant.request,
--- a/mulberrygate/entry/relay.py
+++ b/mulberrygate/entry/relay.py
@@ -157,7 +157,7 @@
         result.output_tokens += events.count - (2 if events.is_end else 0)
         result.received_bytes += len(events.raw)
         if self.request.grant is not None:
-            self.parts.desk.note_emitted(self.request.grant.request, result.output_tokens)
+            self.parts.scheduler.note_emitted(self.request.grant.request, result.output_tokens)
         self.kept_bytes += len(events.raw)
         if self.kept_bytes <= KEPT_ANSWER_BYTES:
             self.kept.append(events.raw)
--- a/mulberrygate/entry/schedule.py
+++ b/mulberrygate/entry/schedule.py
@@ -22,18 +22,18 @@
 
     See Also
     ========
-    mulberrygate.entry.tickets.TicketDesk
+    mulberrygate.entry.tickets.SchedulerClient
     """
 
     def __init__(self, parts: EntryParts):
         self.parts = parts
 
     async def __call__(self, request: RequestContext, proceed):
-        desk = self.parts.desk
-        if desk.count_waiting(request.account_name) >= request.account.max_waiting:
+        scheduler = self.parts.scheduler
+        if scheduler.count_waiting(request.account_name) >= request.account.max_waiting:
             return Refusal(TOO_MANY_WAITING, retry_after_s=1.0)
         for request.tries in range(MAX_TRIES):
-            grant = await desk.acquire(self._ticket(request), request.deadline_at)
+            grant = await scheduler.acquire(self._ticket(request), request.deadline_at)
             if isinstance(grant, Refusal):
                 self._note_shed(request, grant)
                 return _after_tries(grant, request.was_sent)
--- a/mulberrygate/entry/tests/test_crashes.py
+++ b/mulberrygate/entry/tests/test_crashes.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from mulberrygate.entry.crashes import APART, JOIN_S, LIMIT, Cleared, CrashTracker
+from mulberrygate.entry.crashes import ISOLATE_AT, JOIN_S, LIMIT, Cleared, CrashTracker
 
 
 class CrashTrackerTest(unittest.TestCase):
@@ -13,7 +13,7 @@
         self.now = 0.0
 
     def die(self, *contents: str, endpoint: str = "e") -> None:
-        """Let an endpoint die with contents on board."""
+        """Let an endpoint die with contents running on it."""
         for content in contents:
             self.tracker.started(content, endpoint)
         for content in contents:
@@ -40,7 +40,7 @@
         self.die("bad")
         self.assertTrue(self.is_quarantined("bad"))
 
-    def test_ordinary_content_on_board_is_not_refused(self):
+    def test_ordinary_content_on_the_endpoint_is_not_refused(self):
         """Guards against ordinary requests that are refused for their neighbour's crashes."""
         for number in range(LIMIT + 2):
             self.die("bad", f"other-{number}")
@@ -48,7 +48,7 @@
         for number in range(LIMIT + 2):
             self.assertFalse(self.is_quarantined(f"other-{number}"))
 
-    def test_content_always_on_board_with_the_bad_one_is_kept_apart(self):
+    def test_content_always_on_the_endpoint_with_the_bad_one_is_kept_apart(self):
         """Guards against a pair that always runs together, where neither is ever alone."""
         for _ in range(LIMIT + 2):
             self.die("bad", "good")
@@ -61,11 +61,11 @@
         """Guards against the requests of a dead endpoint waiting for each other."""
         self.die("first", "second")
         self.tracker.started("first", "e")
-        self.assertLess(1, APART)
+        self.assertLess(1, ISOLATE_AT)
         self.assertFalse(self.tracker.must_avoid("second", "e"))
 
     def test_completion_clears_a_content_and_is_told_to_others(self):
-        """Guards against charges that add up over hours for a sound request."""
+        """Guards against crashes that add up over hours for a sound request."""
         self.die("good")
         self.complete("good")
         self.assertEqual(self.tracker.take_cleared(), Cleared(("good",)))
@@ -74,7 +74,7 @@
         self.assertFalse(self.is_quarantined("good"))
 
     def test_reports_of_two_entries_count_as_one_death(self):
-        """Guards against two charges for one death that two entries saw."""
+        """Guards against two crashes for one death that two entries saw."""
         other = CrashTracker()
         for tracker in (self.tracker, other):
             tracker.started("bad", "e")
@@ -82,7 +82,7 @@
         for report in other.take_reports():
             self.tracker.join(report, self.now + JOIN_S / 2)
         self.tracker.tick(self.now + JOIN_S)
-        self.assertEqual(self.tracker.suspects["bad"].charges, 1)
+        self.assertEqual(self.tracker.suspects["bad"].crashes, 1)
 
 
 if __name__ == "__main__":
--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -7,7 +7,7 @@
 from mulberrygate.core.wire import Ack
 from mulberrygate.entry import tickets
 from mulberrygate.entry.codes import DEADLINE_PASSED
-from mulberrygate.entry.tickets import TicketDesk
+from mulberrygate.entry.tickets import SchedulerClient
 from mulberrygate.peers.client import Unreachable
 from mulberrygate.schedule.codes import QUEUE_FULL
 from mulberrygate.schedule.messages import Done, Grant, Present, Refuse, Ticket, Withdraw
@@ -57,7 +57,7 @@
         return self.name
 
 
-class TicketDeskTest(unittest.IsolatedAsyncioTestCase):
+class SchedulerClientTest(unittest.IsolatedAsyncioTestCase):
     """Waiting requests."""
 
     async def asyncSetUp(self):
@@ -68,22 +68,22 @@
         self.errors = []
         self.timers = TimerService(lambda name, error: self.errors.append(error))
         self.addAsyncCleanup(self.timers.close)
-        self.desk = TicketDesk("me", "a", self.peers, lambda: self.view, self.timers)
+        self.client = SchedulerClient("me", "a", self.peers, lambda: self.view, self.timers)
 
     def grant(self, sender: str, endpoint: str = "e") -> None:
         """Deliver a grant."""
-        self.desk.on_grant(Grant("pool", "r", endpoint, "x:1", "v1", "west"), sender)
+        self.client.on_grant(Grant("pool", "r", endpoint, "x:1", "v1", "west"), sender)
 
     async def acquire(self, seconds: float = LIMIT_S) -> Grant | Refusal:
         """Wait for a grant."""
-        return await self.desk.acquire(TICKET, self.timers.now() + seconds)
+        return await self.client.acquire(TICKET, self.timers.now() + seconds)
 
     async def test_grant_for_a_caller_that_goes_away_is_handed_back(self):
         """Guards against a slot held by a grant that came together with the caller's end."""
         loop = asyncio.get_running_loop()
         was_asked = asyncio.Event()
         self.peers.on_ask = lambda owner, count: was_asked.set()
-        wait = asyncio.ensure_future(self.desk.acquire(TICKET, loop.time() + LIMIT_S))
+        wait = asyncio.ensure_future(self.client.acquire(TICKET, loop.time() + LIMIT_S))
         await was_asked.wait()
         self.grant("one")
         wait.cancel()
@@ -118,7 +118,7 @@
         self.peers.on_ask = lambda owner, count: self.grant(owner)
         self.assertEqual((await self.acquire()).endpoint, "e")
         self.assertEqual(self.peers.asked[:2], ["one", "me"])
-        self.assertEqual(self.desk.running["r"].granted_by, "me")
+        self.assertEqual(self.client.running["r"].granted_by, "me")
 
     async def test_late_grant_is_handed_back(self):
         """Guards against a slot that stays taken by a request which has given up."""
@@ -127,7 +127,7 @@
         withdrawn = self.peers.sent_to("one", Withdraw)
         self.grant("one")
         self.assertEqual(self.peers.sent_to("one", Withdraw), withdrawn + 1)
-        self.assertEqual((self.desk.waiting, self.desk.running), ({}, {}))
+        self.assertEqual((self.client.waiting, self.client.running), ({}, {}))
 
     async def test_same_grant_twice_is_kept(self):
         """Guards against a grant that is used and handed back at the same time."""
@@ -149,30 +149,30 @@
         def grant_and_change(owner, count):
             self.grant(owner)
             self.view.name = "two"
-            self.desk.repeat()
+            self.client.repeat()
 
         self.peers.on_ask = grant_and_change
         await self.acquire()
-        self.assertEqual(self.desk.running["r"].granted_by, "one")
+        self.assertEqual(self.client.running["r"].granted_by, "one")
         self.assertEqual(self.peers.sent_to("one", Withdraw), 0)
 
     async def test_end_is_told_to_both_owners(self):
         """Guards against an owner that counts a request for ever."""
         self.peers.on_ask = lambda owner, count: self.grant(owner)
         await self.acquire()
-        self.desk.repeat()
+        self.client.repeat()
         self.view.name = "two"
-        self.desk.repeat()
-        self.desk.done(Done("pool", "r", "e", "v1", "route", 1, 1, 1.0, 1.0, ""))
+        self.client.repeat()
+        self.client.done(Done("pool", "r", "e", "v1", "route", 1, 1, 1.0, 1.0, ""))
         self.assertEqual([self.peers.sent_to(o, Done) for o in ("one", "two")], [1, 1])
 
     async def test_refusal_of_an_earlier_owner_is_ignored(self):
         """Guards against a request that is refused by an instance which no longer decides."""
 
         def refuse(owner, count):
-            self.desk.on_refuse(Refuse("pool", "r", QUEUE_FULL.number, 2.0), "other")
+            self.client.on_refuse(Refuse("pool", "r", QUEUE_FULL.number, 2.0), "other")
             if count >= 2:
-                self.desk.on_refuse(Refuse("pool", "r", QUEUE_FULL.number, 2.0), owner)
+                self.client.on_refuse(Refuse("pool", "r", QUEUE_FULL.number, 2.0), owner)
 
         self.peers.on_ask = refuse
         answer = await self.acquire()
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -85,7 +85,7 @@
     reported: int = 0
 
 
-class TicketDesk:
+class SchedulerClient:
     """Wait for grants of the pools' owners.
 
     Explanation
