--- /dev/null
+++ b/mulberrygate/catalog/__init__.py
@@ -0,0 +1,23 @@
+"""Catalog of routes, pools and client accounts that a control group keeps as one document."""
+
+from mulberrygate.catalog.index import CatalogIndex
+from mulberrygate.catalog.model import (
+    BackendPool,
+    Catalog,
+    ClientAccount,
+    Repeat,
+    RequestLimits,
+    RouteRule,
+    WeightedPool,
+)
+
+__all__ = [
+    "BackendPool",
+    "Catalog",
+    "CatalogIndex",
+    "ClientAccount",
+    "Repeat",
+    "RequestLimits",
+    "RouteRule",
+    "WeightedPool",
+]
--- /dev/null
+++ b/mulberrygate/catalog/index.py
@@ -0,0 +1,71 @@
+"""Lookup of routes, pools and client accounts of a catalog."""
+
+from __future__ import annotations
+
+import zlib
+
+from mulberrygate.catalog.model import BackendPool, Catalog, ClientAccount, RouteRule
+
+
+class CatalogIndex:
+    """Answer the questions of the request path about one catalog.
+
+    Examples
+    ========
+    >>> from mulberrygate.catalog import Catalog, CatalogIndex, Repeat, RouteRule, WeightedPool
+    >>> pools = (WeightedPool("care", 1.0),)
+    >>> short = RouteRule("short", "a.example", "/notes/", Repeat.STREAM, pools, 5.0)
+    >>> long = RouteRule("long", "a.example", "/notes/wool/", Repeat.STREAM, pools, 5.0)
+    >>> index = CatalogIndex(Catalog(1, (short, long)))
+    >>> index.route("a.example", "/notes/wool/7?x=1").name
+    'long'
+    >>> index.route("a.example", "/other/") is None
+    True
+    """
+
+    def __init__(self, catalog: Catalog):
+        self.catalog = catalog
+        self.version = catalog.version
+        self.pools: dict[str, BackendPool] = {pool.name: pool for pool in catalog.pools}
+        self.accounts: dict[str, ClientAccount] = {a.name: a for a in catalog.accounts}
+        self.by_key: dict[str, ClientAccount] = {}
+        for account in catalog.accounts:
+            self.by_key.update(dict.fromkeys(account.keys, account))
+        self.by_host: dict[str, dict[str, RouteRule]] = {}
+        for route in catalog.routes:
+            self.by_host.setdefault(route.host, {})[route.path_prefix] = route
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether requests must carry the key of a client account."""
+        return bool(self.accounts)
+
+    def route(self, host: str, path: str) -> RouteRule | None:
+        """Return the route with the longest prefix of the path, ``None`` if there is none."""
+        prefixes = self.by_host.get(host.lower())
+        if not prefixes:
+            return None
+        end = len(path.partition("?")[0])
+        while end > 0:
+            end = path.rfind("/", 0, end)
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def account(self, key: str) -> ClientAccount | None:
+        """Return the client account that holds a key, ``None`` if there is none."""
+        return self.by_key.get(key)
+
+    def choose_pool(self, route: RouteRule, request: str) -> str:
+        """Return the pool of a request, the same one on every entry."""
+        pools = [item for item in route.pools if item.weight > 0]
+        if len(pools) == 1:
+            return pools[0].pool
+        total = sum(item.weight for item in pools)
+        point = zlib.crc32(request.encode()) / 2**32 * total
+        for item in pools:
+            point -= item.weight
+            if point < 0:
+                return item.pool
+        return pools[-1].pool
