--- a/mulberrygate/agreement/changes.py
+++ b/mulberrygate/agreement/changes.py
@@ -104,7 +104,9 @@
             m.disk in self.progress and self.is_answering(self.progress[m.disk], now)
             for m in former
         )
-        if former and not is_answering and self.can_change():
+        may_fill = self.settings.wanted_voters > 0 and len(self.members.members) < MOST_VOTERS
+        is_wanted = not is_answering if former else may_fill
+        if is_wanted and self.can_change():
             self.put_learner(request, now)
 
     def advance_members(self, now: float) -> None:
@@ -120,18 +122,37 @@
         for learner in self.members.learners():
             if not self.is_caught_up(learner, now):
                 continue
-            members = self.next_members(learner)
-            if self.has_live_majority(members, now):
+            members = self.next_members(learner, now)
+            if members != self.members and self.has_live_majority(members, now):
                 self.put_members(members, now)
                 return
 
-    def next_members(self, learner: Member) -> Members:
-        """Return the members after the next step for a learner."""
+    def next_members(self, learner: Member, now: float) -> Members:
+        """Return the members after the next step for a learner, the same ones if it has to wait."""
+        wanted = self.settings.wanted_voters
+        is_full = 0 < wanted <= len(self.members.voters())
         former = self.members.voter_named(learner.name)
+        if former is None and is_full:
+            former = self.lost_voter(now)
         if former is not None:
             return self.members.without(former.disk)
+        if is_full:
+            return self.members
         return self.members.plus(attrs.evolve(learner, is_voter=True))
 
+    def lost_voter(self, now: float) -> Member | None:
+        """Return the voter that has been silent for the longest time, if that is too long."""
+        silent = [
+            (self.progress[member.disk].heard_at, member.disk, member)
+            for member in self.members.voters()
+            if member.disk != self.disk
+        ]
+        limit = max(now - self.settings.lost_after_s, self.leader_since)
+        silent = [item for item in silent if item[0] < limit]
+        if not silent or now < self.leader_since + self.settings.lost_after_s:
+            return None
+        return min(silent)[2]
+
     def has_live_majority(self, members: Members, now: float) -> bool:
         """Return whether a majority of these voters answers.
 
--- a/mulberrygate/agreement/formation.py
+++ b/mulberrygate/agreement/formation.py
@@ -50,7 +50,9 @@
     @property
     def is_founder(self) -> bool:
         """Whether this voter may form the group."""
-        return bool(self.first_voters) and self.voter == min(self.first_voters)
+        if not self.settings.may_form or not self.first_voters:
+            return False
+        return self.voter == min(self.first_voters)
 
     def try_to_form(self, now: float) -> None:
         """Ask the other first voters, and form the group when all of them are empty."""
--- a/mulberrygate/agreement/settings.py
+++ b/mulberrygate/agreement/settings.py
@@ -29,6 +29,13 @@
         Entries kept before a snapshot for followers that are slightly behind.
     batch_bytes : int
         Bytes of commands, or of a snapshot, in one message.
+    wanted_voters : int
+        Voters that the group fills itself up to with instances that ask to join; a further one
+        stays a learner, and takes the place of a voter that is lost. 0 leaves both to operators.
+    lost_after_s : float
+        Seconds of silence after which a voter counts as lost if a learner can take its place.
+    may_form : bool
+        Whether this voter may form a new group.
     """
 
     election_timeout_s: float = 1.0
@@ -39,6 +46,9 @@
     snapshot_bytes: int = 8 << 20
     keep_entries: int = 64
     batch_bytes: int = 256 << 10
+    wanted_voters: int = 0
+    lost_after_s: float = 3.0
+    may_form: bool = True
 
     @property
     def lease_s(self) -> float:
--- /dev/null
+++ b/mulberrygate/control/catalogs.py
@@ -0,0 +1,172 @@
+"""State machine on the control log for catalogs, leaving endpoints and version moves.
+
+Explanation
+===========
+The document of a catalog is kept as the operator sent it, compressed, since a read returns it in
+full and entries decode it themselves. The machine knows its version only.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+import attrs
+import msgpack
+
+from mulberrygate.core.codes import register_code
+from mulberrygate.core.invariant import invariant
+
+# Endpoints that left are remembered, so that a late report can't undo an acknowledged leave.
+MOST_LEFT = 2048
+
+CATALOG_REVERTED = register_code(
+    9301, "catalog_reverted", "A catalog was replaced by one of a lower version."
+)
+
+RUNNING = "running"
+DONE = "done"
+ROLLED_BACK = "rolled_back"
+
+
+@attrs.frozen
+class PutCatalog:
+    """Put a document in force if its version is higher than the one in force."""
+
+    version: int
+    document: bytes
+
+
+@attrs.frozen
+class PutLeaving:
+    """Take note that an endpoint's incarnation takes no new work."""
+
+    endpoint: str
+    incarnation: int
+
+
+@attrs.frozen
+class PutMove:
+    """Begin a version move, or enter its verdict.
+
+    Parameters
+    ==========
+    state : str
+        `RUNNING`, `DONE` or `ROLLED_BACK`.
+    started_at, deadline_at : float
+        Unix time in seconds.
+    """
+
+    pool: str
+    target: str
+    state: str
+    started_at: float = 0.0
+    deadline_at: float = 0.0
+
+
+@attrs.frozen
+class Move:
+    """Version move as the log has it."""
+
+    target: str
+    state: str
+    started_at: float
+    deadline_at: float
+
+
+COMMANDS = {"catalog": PutCatalog, "leaving": PutLeaving, "move": PutMove}
+KINDS = {cls: kind for kind, cls in COMMANDS.items()}
+
+
+def encode_command(command: object) -> bytes:
+    """Return the log entry of a command."""
+    return msgpack.packb([KINDS[type(command)], list(attrs.astuple(command))])
+
+
+def decode_command(data: bytes) -> object:
+    """Return the command of a log entry."""
+    kind, values = msgpack.unpackb(data)
+    return COMMANDS[kind](*values)
+
+
+class CatalogMachine:
+    """Replicated state of a deployment.
+
+    Parameters
+    ==========
+    on_change : Callable[[], None]
+        Called after each change.
+    """
+
+    def __init__(self, on_change: Callable[[], None] = lambda: None):
+        self.on_change = on_change
+        self.version = -1
+        self.document = b""
+        self.leaving: dict[str, int] = {}
+        self.moves: dict[str, Move] = {}
+
+    def apply(self, index: int, command: bytes) -> object:
+        """Apply a committed command and return whether it changed the state."""
+        is_change = self._apply(decode_command(command))
+        if is_change:
+            self.on_change()
+        return is_change
+
+    def _apply(self, command: object) -> bool:
+        if isinstance(command, PutCatalog):
+            return self._put_catalog(command)
+        if isinstance(command, PutLeaving):
+            return self._put_leaving(command)
+        return self._put_move(command)
+
+    def _put_catalog(self, command: PutCatalog) -> bool:
+        if command.version <= self.version:
+            return False
+        invariant(command.version > self.version, CATALOG_REVERTED, f"{command.version}")
+        self.version = command.version
+        self.document = command.document
+        return True
+
+    def _put_leaving(self, command: PutLeaving) -> bool:
+        if self.leaving.get(command.endpoint, -1) >= command.incarnation:
+            return False
+        self.leaving.pop(command.endpoint, None)
+        self.leaving[command.endpoint] = command.incarnation
+        while len(self.leaving) > MOST_LEFT:
+            del self.leaving[next(iter(self.leaving))]
+        return True
+
+    def _put_move(self, command: PutMove) -> bool:
+        known = self.moves.get(command.pool)
+        is_known = known is not None and known.target == command.target
+        if command.state == RUNNING:
+            if is_known:
+                return False
+            self.moves[command.pool] = Move(
+                command.target, RUNNING, command.started_at, command.deadline_at
+            )
+            return True
+        if not is_known or known.state != RUNNING:
+            return False
+        self.moves[command.pool] = attrs.evolve(known, state=command.state)
+        return True
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        moves = {pool: list(attrs.astuple(move)) for pool, move in self.moves.items()}
+        return msgpack.packb([self.version, self.document, self.leaving, moves])
+
+    def moves_text(self) -> bytes:
+        """Return the moves as JSON, for reads that another process answers."""
+        moves = {pool: [move.state, move.target] for pool, move in self.moves.items()}
+        return json.dumps(moves).encode()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+        version, document, leaving, moves = msgpack.unpackb(data)
+        invariant(version >= self.version, CATALOG_REVERTED, f"{self.version} to {version}")
+        self.version = version
+        self.document = document
+        self.leaving = dict(leaving)
+        self.moves = {pool: Move(*values) for pool, values in moves.items()}
+        self.on_change()
--- /dev/null
+++ b/mulberrygate/daemon/control_node.py
@@ -0,0 +1,45 @@
+"""Control process with its HTTP interface."""
+
+from __future__ import annotations
+
+import asyncio
+
+from mulberrygate.daemon.controller import Controller
+from mulberrygate.daemon.http_site import HttpSite, split_address
+from mulberrygate.observe.jsonlines import JsonLines
+
+# Calls that have begun end within this time.
+CALLS_END_S = 1.0
+
+
+class ControlNode:
+    """Controller and the HTTP server of its interface.
+
+    Parameters
+    ==========
+    make_api : Callable[[Controller], Any]
+        Makes the interface, whose ``handle`` answers calls.
+    """
+
+    def __init__(self, site, lines: JsonLines, decode, make_api):
+        self.site = site
+        self.controller = Controller(site, lines, decode)
+        self.api = make_api(self.controller)
+        host, port = split_address(site.control_address)
+        self.http = HttpSite(self.api.handle, host, port)
+
+    async def start(self) -> None:
+        """Start the controller and listen."""
+        await self.controller.start()
+        await self.http.start()
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take the seeds of changed settings."""
+        self.controller.set_seeds(seeds)
+
+    async def stop(self) -> None:
+        """Stop listening, end what has begun and stop."""
+        await self.http.stop_listening()
+        await asyncio.sleep(CALLS_END_S)
+        await self.http.close()
+        await self.controller.stop()
--- /dev/null
+++ b/mulberrygate/daemon/controller.py
@@ -0,0 +1,542 @@
+"""Control process of a deployment: catalogs, roster of endpoints and shares of limits."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import time
+import zlib
+
+import attrs
+
+from mulberrygate.agreement import AgreementSettings
+from mulberrygate.agreement.effects import Role
+from mulberrygate.agreement.outcomes import Committed, NotLeader, ReadOk, VoterStopped
+from mulberrygate.agreement.service import AgreementService, open_service
+from mulberrygate.catalog import Catalog
+from mulberrygate.control.catalogs import (
+    DONE,
+    RUNNING,
+    CatalogMachine,
+    Move,
+    PutCatalog,
+    PutLeaving,
+    PutMove,
+    encode_command,
+)
+from mulberrygate.control.rollouts import RolloutJudge
+from mulberrygate.core.timers import TimerService
+from mulberrygate.daemon.site_peers import SitePeers
+from mulberrygate.endpoints.roster import Heard, Registration, Roster
+from mulberrygate.observe.jsonlines import JsonLines
+from mulberrygate.quota import RateAllocator
+from mulberrygate.sync.messages import (
+    AskRates,
+    CrashSeen,
+    Follow,
+    Latest,
+    MoveState,
+    Propose,
+    ProposeResult,
+    Rates,
+    ReadLatest,
+    Share,
+    ShareResult,
+    State,
+    VersionEvidence,
+)
+
+# Callers of control give up after a second without an answer.
+COMMIT_TIMEOUT_S = 0.85
+READ_TIMEOUT_S = 0.85
+RETRY_LEADER_S = 0.03
+# An entry's question is answered after this time at the latest, so that both ends know that the
+# connection works.
+FOLLOW_WAIT_S = 0.5
+SHARE_S = 0.4
+SHARE_TIMEOUT_S = 1.0
+DUTY_S = 0.1
+# Endpoints report every second or so, and a report may be late by seconds.
+SILENT_S = 4.5
+FORGET_S = 20.0
+# After this time the roster of a process that has just started is as complete as others'.
+SETTLED_S = 6.0
+# Without word from a leader for this time, others may know more than this process.
+BEHIND_S = 1.5
+ENTRY_GONE_S = 6.0
+CRASHES_TO_QUARANTINE = 3
+MOST_FINGERPRINTS = 4096
+
+
+def boot_time() -> float:
+    """Return seconds since the instance started, counting suspended time."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.define
+class Crashing:
+    """Endpoints that ended while they ran calls of one fingerprint."""
+
+    endpoints: set[tuple[str, int]] = attrs.field(factory=set)
+
+
+class Controller:
+    """All parts of a control process.
+
+    Parameters
+    ==========
+    site : Site
+        Settings of the process.
+    lines : JsonLines
+        Structured log.
+    decode : Callable[[bytes], Catalog]
+        Decoder of documents.
+    """
+
+    def __init__(self, site, lines: JsonLines, decode, seed: int | None = None):
+        self.site = site
+        self.lines = lines
+        self.decode = decode
+        self.rng = random.Random(seed)
+        self.timers = TimerService(self._on_timer_error)
+        self.peers = SitePeers(site)
+        self.incarnation = self.peers.incarnation
+        self.machine = CatalogMachine(self._on_machine)
+        self.roster = Roster()
+        self.service: AgreementService | None = None
+        self.seeds = site.seeds
+        self.news = asyncio.Event()
+        self.started_at = 0.0
+        self.catalog: Catalog | None = None
+        self.entries: dict[str, float] = {}
+        self.remote_entries: dict[str, tuple[float, tuple[str, ...]]] = {}
+        self.unshared: set[str] = set()
+        self.unshared_renewals: set[str] = set()
+        self.allocator: RateAllocator | None = None
+        self.judge = RolloutJudge(site.bounds.exposure_share, site.bounds.exposure_slack)
+        self.crashing: dict[str, Crashing] = {}
+        self.quarantined: dict[str, None] = {}
+        self.is_stopping = False
+
+    def _on_timer_error(self, name: str, error: BaseException) -> None:
+        self.lines.note("timer.failed", timer=name, error=repr(error))
+
+    # Start and stop
+
+    async def start(self) -> None:
+        """Start the peer server and the voter."""
+        self.started_at = self.timers.now()
+        on = self.peers.client.on
+        on(Follow, self._on_follow)
+        on(Share, self._on_share)
+        on(Propose, self._on_propose)
+        on(ReadLatest, self._on_read_latest)
+        on(AskRates, self._on_ask_rates)
+        on(VersionEvidence, self._on_evidence)
+        on(CrashSeen, self._on_crash)
+        await self._open_voter()
+        await self.peers.start()
+        self.timers.every(DUTY_S, self._do_duties, "duties")
+        self.timers.every(SHARE_S, self._share_renewals, "share")
+
+    async def _open_voter(self) -> None:
+        site = self.site
+        settings = AgreementSettings(
+            election_timeout_s=0.6,
+            heartbeat_s=0.15,
+            wanted_voters=site.voters,
+            may_form=site.is_first_start,
+        )
+        seeds = {name: site.address_of(name) for name in site.seeds}
+        service = await open_service(
+            os.path.join(site.data_folder, "voter"),
+            site.instance,
+            seeds,
+            self.peers.client,
+            self.timers,
+            self.machine,
+            self.rng,
+            settings,
+            site.peer_address,
+        )
+        if isinstance(service, VoterStopped):
+            self.lines.note("voter.stopped", reason=service.reason)
+            return
+        self.service = service
+        service.on_role.append(self._on_role)
+
+    async def stop(self) -> None:
+        """Hand over leadership and stop."""
+        self.is_stopping = True
+        self._announce()
+        if self.service is not None:
+            await self.service.close()
+        await self.timers.close()
+        await self.peers.close()
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take the seeds of changed settings."""
+        self.seeds = seeds
+
+    # Belief
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this process leads the control group, under a valid lease."""
+        return self.service is not None and self.service.role is Role.LEADER
+
+    @property
+    def leader(self) -> str:
+        """Instance that leads, empty if it is not known."""
+        return self.service.leader if self.service is not None else ""
+
+    @property
+    def is_current(self) -> bool:
+        """Whether this process hears from the majority."""
+        if self.is_stopping or self.service is None or self.service.failure:
+            return False
+        if self.is_leader:
+            return True
+        return self.timers.now() - self.service.node.heard_at < BEHIND_S
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the roster has had time to fill."""
+        return self.timers.now() - self.started_at >= SETTLED_S
+
+    def controls(self) -> tuple[str, ...]:
+        """Return the instances that serve control, as far as known."""
+        names = dict.fromkeys([self.site.instance])
+        if self.service is not None:
+            names.update(dict.fromkeys(m.name for m in self.service.node.members.members))
+        if len(names) == 1:
+            names.update(dict.fromkeys(self.seeds))
+        return tuple(names)
+
+    def _others(self) -> list[str]:
+        return [name for name in self.controls() if name != self.site.instance]
+
+    def _announce(self) -> None:
+        """Wake the entries that wait for news."""
+        news, self.news = self.news, asyncio.Event()
+        news.set()
+
+    def _on_machine(self) -> None:
+        """Follow a change of the replicated state."""
+        machine = self.machine
+        for name, incarnation in machine.leaving.items():
+            self.roster.leave(name, incarnation)
+        if machine.document and (self.catalog is None or machine.version > self.catalog.version):
+            self.catalog = self.decode(zlib.decompress(machine.document))
+            self.lines.note("catalog.in_force", version=machine.version)
+            self._set_limits()
+        self._announce()
+
+    def _on_role(self, role: Role, term: int) -> None:
+        self.lines.note("control.role", role=role.value, term=term)
+        if role is Role.LEADER:
+            is_first = not self.service.node.has_commands
+            self.allocator = RateAllocator(boot_time(), is_first)
+            self._set_limits()
+            self.judge.restart(self.timers.now())
+        else:
+            self.allocator = None
+        self._announce()
+
+    def _set_limits(self) -> None:
+        if self.allocator is not None and self.catalog is not None:
+            accounts = self.catalog.accounts
+            self.allocator.set_limits({a.name: a.rate for a in accounts if a.rate > 0})
+
+    # Commands and reads
+
+    async def commit(self, command: object) -> bool:
+        """Put a command into the log; return whether it is committed for certain."""
+        data = encode_command(command)
+        end = self.timers.now() + COMMIT_TIMEOUT_S
+        while (left := end - self.timers.now()) > 0:
+            if self.is_leader:
+                outcome = await self.service.propose(data, left)
+                if isinstance(outcome, Committed):
+                    return True
+                if not isinstance(outcome, NotLeader):
+                    return False
+            elif self.leader and self.leader != self.site.instance:
+                answer = await self.peers.client.call(self.leader, Propose(data), left)
+                if isinstance(answer, ProposeResult) and answer.is_committed:
+                    return True
+            await asyncio.sleep(RETRY_LEADER_S)
+        return False
+
+    async def _on_propose(self, message: Propose, _sender: str) -> ProposeResult:
+        if not self.is_leader:
+            return ProposeResult(False)
+        outcome = await self.service.propose(message.command, COMMIT_TIMEOUT_S)
+        return ProposeResult(isinstance(outcome, Committed))
+
+    async def put_catalog(self, catalog: Catalog, body: bytes) -> bool:
+        """Put a document in force; return whether it, or a higher version, is for certain."""
+        if catalog.version <= self.machine.version:
+            return True
+        document = zlib.compress(body, 1)
+        is_committed = await self.commit(PutCatalog(catalog.version, document))
+        self.lines.note("catalog.put", version=catalog.version, is_committed=is_committed)
+        return is_committed
+
+    async def read_latest(self) -> Latest:
+        """Return the newest catalog and moves, if this process can be certain of them."""
+        end = self.timers.now() + READ_TIMEOUT_S
+        while (left := end - self.timers.now()) > 0:
+            if self.is_leader:
+                latest = await self._read_own(left, -1)
+            elif self.leader and self.leader != self.site.instance:
+                latest = await self._read_leader(left)
+            else:
+                latest = Latest(False)
+            if latest.is_certain:
+                return latest
+            await asyncio.sleep(RETRY_LEADER_S)
+        return Latest(False)
+
+    async def _read_own(self, timeout_s: float, known_version: int) -> Latest:
+        outcome = await self.service.read_barrier(timeout_s)
+        if not isinstance(outcome, ReadOk):
+            return Latest(False)
+        machine = self.machine
+        document = b"" if machine.version == known_version else machine.document
+        return Latest(True, machine.version, document, machine.moves_text())
+
+    async def _read_leader(self, timeout_s: float) -> Latest:
+        # The document is kept now, because the state may move on while the leader answers.
+        version, document = self.machine.version, self.machine.document
+        latest = await self.peers.client.call(self.leader, ReadLatest(version), timeout_s)
+        if not isinstance(latest, Latest) or not latest.is_certain:
+            return Latest(False)
+        if latest.catalog_version == version:
+            return attrs.evolve(latest, catalog=document)
+        return latest
+
+    async def _on_read_latest(self, message: ReadLatest, _sender: str) -> Latest:
+        if not self.is_leader:
+            return Latest(False)
+        return await self._read_own(READ_TIMEOUT_S, message.catalog_version)
+
+    # Endpoints
+
+    async def hear(self, registration: Registration) -> bool:
+        """Take an endpoint's report; return whether it may be acknowledged."""
+        name = registration.endpoint
+        is_change = self.roster.hear(registration, self.timers.now())
+        if self.machine.leaving.get(name, -1) >= registration.incarnation:
+            self.roster.leave(name, registration.incarnation)
+        if is_change:
+            self.lines.note(
+                "endpoint.heard",
+                endpoint=name,
+                pool=registration.pool,
+                address=registration.address,
+                is_leaving=registration.is_leaving,
+                sequence=registration.sequence,
+            )
+            self.unshared.add(name)
+            self._share_changes()
+            self._announce()
+        self.unshared_renewals.add(name)
+        if registration.is_leaving:
+            return await self._commit_leaving(name, registration.incarnation)
+        return self.is_current
+
+    async def leave(self, name: str) -> bool:
+        """Take note that an endpoint ends; return whether that may be acknowledged."""
+        row = self.roster.rows.get(name)
+        if row is None:
+            return self.is_current
+        incarnation = row.registration.incarnation
+        if self.roster.end(name, incarnation):
+            self.lines.note("endpoint.left", endpoint=name)
+            self._announce()
+        return await self._commit_leaving(name, incarnation)
+
+    async def _commit_leaving(self, name: str, incarnation: int) -> bool:
+        if self.machine.leaving.get(name, -1) >= incarnation:
+            return True
+        return await self.commit(PutLeaving(name, incarnation))
+
+    def _heard(self, name: str) -> Heard:
+        row = self.roster.rows[name]
+        registration = attrs.evolve(row.registration, is_leaving=row.is_leaving)
+        return Heard(registration, max(0.0, self.timers.now() - row.heard_at))
+
+    def _share_changes(self) -> None:
+        """Tell the other control processes at once about new and changed endpoints."""
+        names, self.unshared = self.unshared, set()
+        heard = tuple(self._heard(name) for name in names if name in self.roster.rows)
+        if heard:
+            for other in self._others():
+                self.peers.client.send(other, Share(heard, entries=self._own_entries()))
+
+    def _share_renewals(self) -> None:
+        """Tell the other control processes which endpoints were heard here."""
+        names, self.unshared_renewals = self.unshared_renewals, set()
+        now = self.timers.now()
+        renewed = tuple(
+            (name, row.registration.incarnation, round(now - row.heard_at, 3))
+            for name in names
+            if (row := self.roster.rows.get(name)) is not None
+        )
+        share = Share(renewed=renewed, entries=self._own_entries())
+        for other in self._others():
+            self.timers.spawn(self._send_renewals(other, share))
+
+    async def _send_renewals(self, other: str, share: Share) -> None:
+        answer = await self.peers.client.call(other, share, SHARE_TIMEOUT_S)
+        if isinstance(answer, ShareResult) and answer.unknown:
+            heard = tuple(self._heard(n) for n in answer.unknown if n in self.roster.rows)
+            self.peers.client.send(other, Share(heard, entries=self._own_entries()))
+
+    def _on_share(self, message: Share, sender: str) -> ShareResult:
+        now = self.timers.now()
+        self.remote_entries[sender] = (now, message.entries)
+        is_change = False
+        for heard in message.heard:
+            is_change |= self.roster.hear(heard.registration, now - heard.age_s)
+        unknown = []
+        for name, incarnation, age_s in message.renewed:
+            if name in self.roster.rows:
+                self.roster.renew(name, incarnation, now - age_s)
+            elif incarnation > self.roster.ended.get(name, -1):
+                unknown.append(name)
+        if is_change:
+            self._announce()
+        return ShareResult(tuple(unknown))
+
+    # Entries
+
+    def _own_entries(self) -> tuple[str, ...]:
+        limit = self.timers.now() - ENTRY_GONE_S
+        return tuple(name for name, at in self.entries.items() if at > limit)
+
+    def count_entries(self) -> int:
+        """Return the number of entries that follow any control process."""
+        now = self.timers.now()
+        names = set(self._own_entries())
+        for at, entries in self.remote_entries.values():
+            if now - at < ENTRY_GONE_S:
+                names.update(entries)
+        return max(1, len(names))
+
+    async def _on_follow(self, message: Follow, _sender: str) -> State:
+        if message.instance not in self.entries:
+            self.lines.note("entry.follows", entry=message.instance)
+        self.entries[message.instance] = self.timers.now()
+        if not self._has_news(message):
+            try:
+                await asyncio.wait_for(self.news.wait(), FOLLOW_WAIT_S)
+            except TimeoutError:
+                pass
+        return self._state_for(message)
+
+    def _has_news(self, message: Follow) -> bool:
+        return (
+            message.control_incarnation != self.incarnation
+            or message.catalog_version < self.machine.version
+            or message.changes < self.roster.changes
+            or message.crashes != len(self.quarantined)
+        )
+
+    def _state_for(self, message: Follow) -> State:
+        roster, machine = self.roster, self.machine
+        is_full = message.control_incarnation != self.incarnation or message.changes < 0
+        names = list(roster.rows) if is_full else roster.changed_since(message.changes)
+        limit = self.timers.now() - SILENT_S
+        return State(
+            control_incarnation=self.incarnation,
+            changes=roster.changes,
+            is_full=is_full,
+            is_current=self.is_current,
+            is_settled=self.is_settled,
+            catalog_version=machine.version,
+            catalog=machine.document if machine.version > message.catalog_version else b"",
+            heard=tuple(self._heard(name) for name in names if name in roster.rows),
+            gone=tuple(name for name in names if name not in roster.rows),
+            silent=tuple(n for n, row in roster.rows.items() if row.heard_at < limit),
+            controls=self.controls(),
+            leader=self.leader,
+            entries=self.count_entries(),
+            moves=self._move_states(),
+            crashes=len(self.quarantined),
+            crashing=tuple(self.quarantined) if message.crashes != len(self.quarantined) else (),
+        )
+
+    # Shares of limits
+
+    def _on_ask_rates(self, message: AskRates, _sender: str) -> Rates:
+        if self.allocator is None or not self.is_leader:
+            return Rates(False)
+        rates = self.allocator.ask(
+            message.instance, message.incarnation, message.demand, message.held, boot_time()
+        )
+        return Rates(True, rates, self.allocator.lease_s)
+
+    # Calls that crash endpoints
+
+    def _on_crash(self, message: CrashSeen, _sender: str) -> None:
+        crashing = self.crashing.setdefault(message.fingerprint, Crashing())
+        crashing.endpoints.add((message.endpoint, message.incarnation))
+        while len(self.crashing) > MOST_FINGERPRINTS:
+            del self.crashing[next(iter(self.crashing))]
+        is_over = len(crashing.endpoints) >= CRASHES_TO_QUARANTINE
+        if is_over and message.fingerprint not in self.quarantined:
+            self.lines.note("call.quarantined", fingerprint=message.fingerprint)
+            self.quarantined[message.fingerprint] = None
+            self._announce()
+
+    # Version moves
+
+    def knows_pool(self, pool: str) -> bool:
+        """Return whether the catalog in force has a pool."""
+        return self.catalog is not None and any(p.name == pool for p in self.catalog.pools)
+
+    async def begin_move(self, pool: str, target: str, duration_s: float) -> bool:
+        """Begin a version move; return whether it is entered for certain."""
+        known = self.machine.moves.get(pool)
+        if known is not None and known.target == target:
+            return True
+        now = time.time()
+        return await self.commit(PutMove(pool, target, RUNNING, now, now + duration_s))
+
+    def _move_states(self) -> tuple[MoveState, ...]:
+        return tuple(self._move_state(pool, move) for pool, move in self.machine.moves.items())
+
+    def _move_state(self, pool: str, move: Move) -> MoveState:
+        if move.state == RUNNING:
+            return MoveState(pool, move.target, self.judge.early_share, False)
+        return MoveState(pool, move.target, 1.0 if move.state == DONE else 0.0, True)
+
+    def _on_evidence(self, message: VersionEvidence, _sender: str) -> None:
+        self.judge.observe(message)
+
+    def _judge_moves(self) -> None:
+        for pool, move in self.machine.moves.items():
+            if move.state != RUNNING:
+                continue
+            verdict = self.judge.verdict(pool, move, time.time())
+            if verdict:
+                self.lines.note("move.verdict", pool=pool, target=move.target, verdict=verdict)
+                self.timers.spawn(self.commit(PutMove(pool, move.target, verdict)))
+
+    def _do_duties(self) -> None:
+        """Do what is due without a message."""
+        now = self.timers.now()
+        if self.is_settled:
+            for name in self.roster.forget_silent(now, FORGET_S):
+                self.lines.note("endpoint.forgotten", endpoint=name)
+                self._announce()
+        limit = now - ENTRY_GONE_S
+        for name in [name for name, at in self.entries.items() if at < limit]:
+            del self.entries[name]
+            self.lines.note("entry.lost", entry=name)
+        if self.is_leader:
+            self._judge_moves()
+        self.lines.flush()
--- /dev/null
+++ b/mulberrygate/daemon/site.py
@@ -0,0 +1,142 @@
+"""Entry point of the programs on the users' platform, and their composition root.
+
+Explanation
+===========
+The platform's adapter is imported here and nowhere else outside its folder. Handlers of signals are
+set before the slow imports, because the platform may signal a process that has just started.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+# Periods in seconds.
+SETTINGS_CHECK_S = 1.0
+BAD_SETTINGS = 2
+COLLECT_AFTER = 20_000
+
+
+class Signals:
+    """Signals that came since the start."""
+
+    def __init__(self):
+        self.is_asked_to_stop = False
+        self.is_asked_to_reload = False
+        self.wake = lambda: None
+
+    def install(self) -> None:
+        """Set the handlers."""
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGINT, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
+
+    def _on_stop(self, _number: int, _frame: object) -> None:
+        self.is_asked_to_stop = True
+        self.wake()
+
+    def _on_reload(self, _number: int, _frame: object) -> None:
+        self.is_asked_to_reload = True
+        self.wake()
+
+    def take_over(self, loop: asyncio.AbstractEventLoop, wake) -> None:
+        """Let the event loop handle signals from now on."""
+        self.wake = wake
+        for number, handler in (
+            (signal.SIGTERM, self._on_stop),
+            (signal.SIGINT, self._on_stop),
+            (signal.SIGHUP, self._on_reload),
+        ):
+            loop.add_signal_handler(number, handler, number, None)
+
+
+class SettingsWatch:
+    """Notice changes of the settings file, with and without a signal."""
+
+    def __init__(self, path: str):
+        self.path = path
+        self.stamp = self._read_stamp()
+
+    def _read_stamp(self) -> tuple[int, int]:
+        try:
+            found = os.stat(self.path)
+        except OSError:
+            return 0, 0
+        return found.st_mtime_ns, found.st_size
+
+    def is_changed(self) -> bool:
+        """Return whether the file changed since the last call."""
+        before, self.stamp = self.stamp, self._read_stamp()
+        return self.stamp != before
+
+
+def compose(site, lines):
+    """Return the part that the settings ask for, wired to the platform's adapter."""
+    from mulberrygate.platform.documents import decode_document
+
+    if site.is_control:
+        from mulberrygate.daemon.control_node import ControlNode
+        from mulberrygate.platform.operator_api import OperatorApi
+
+        return ControlNode(site, lines, decode_document, OperatorApi)
+    from mulberrygate.daemon.gateway import Gateway
+    from mulberrygate.platform.headers import PlatformDialect
+
+    return Gateway(site, lines, PlatformDialect(), decode_document)
+
+
+async def serve(site, path: str, signals: Signals, lines) -> None:
+    """Run a process until it is asked to stop."""
+    from mulberrygate.core.outcome import Refusal
+    from mulberrygate.platform.settings import load_site
+
+    woken = asyncio.Event()
+    signals.take_over(asyncio.get_running_loop(), woken.set)
+    watch = SettingsWatch(path)
+    part = compose(site, lines)
+    await part.start()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER, 20, 50)
+    lines.note("process.started", instance=site.instance, is_control=site.is_control)
+    while not signals.is_asked_to_stop:
+        woken.clear()
+        try:
+            await asyncio.wait_for(woken.wait(), SETTINGS_CHECK_S)
+        except TimeoutError:
+            pass
+        if watch.is_changed() or signals.is_asked_to_reload:
+            signals.is_asked_to_reload = False
+            changed = load_site(path)
+            is_bad = isinstance(changed, Refusal)
+            lines.note("settings.reloaded", is_bad=is_bad)
+            if not is_bad:
+                part.set_seeds(changed.seeds)
+    lines.note("process.stopping")
+    await part.stop()
+
+
+def main() -> int:
+    """Run the process and return its exit code."""
+    signals = Signals()
+    signals.install()
+    from mulberrygate.core.outcome import Refusal
+    from mulberrygate.observe.jsonlines import JsonHandler, JsonLines
+    from mulberrygate.platform.settings import load_site, settings_path
+
+    path = settings_path()
+    site = load_site(path)
+    if isinstance(site, Refusal):
+        print(f"{site.code}: {site.detail}", file=sys.stderr)
+        return BAD_SETTINGS
+    lines = JsonLines(site.node)
+    JsonHandler(lines).push_application()
+    asyncio.run(serve(site, path, signals, lines))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/mulberrygate/endpoints/roster.py
@@ -0,0 +1,193 @@
+"""Roster of endpoints that report to control processes, without leases of their own.
+
+Explanation
+===========
+An endpoint reports to any control process, which passes on what it heard with its age. Every
+process keeps a `Roster` and merges reports in any order: a report counts only if its incarnation
+and sequence are higher than those known. An incarnation that said that it leaves, never returns.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.core.wire import message
+
+# Endpoints that ended are remembered, so that late reports don't bring them back.
+MOST_ENDED = 4096
+
+
+@message("endpoints.registration")
+@attrs.frozen
+class Registration:
+    """Report of an endpoint about itself.
+
+    Parameters
+    ==========
+    incarnation : int
+        Rises with each start of an endpoint of this name.
+    sequence : int
+        Rises with each report of one incarnation.
+    address : str
+        ``host:port`` of its HTTP server.
+    slots : int
+        Requests that it runs at a time.
+    warmup_s : float
+        Seconds for which it stays slow after its start.
+    """
+
+    endpoint: str
+    incarnation: int
+    sequence: int
+    pool: str
+    address: str
+    failure_domain: str
+    version: str = ""
+    slots: int = 1
+    is_leaving: bool = False
+    warmup_s: float = 0.0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Incarnation and sequence, by which reports of one endpoint are ordered."""
+        return self.incarnation, self.sequence
+
+
+@message("endpoints.heard")
+@attrs.frozen
+class Heard:
+    """A registration with the seconds since it was heard."""
+
+    registration: Registration
+    age_s: float
+
+
+@attrs.define
+class Row:
+    """Endpoint in the roster; ``heard_at`` is on the monotonic clock of this process."""
+
+    registration: Registration
+    heard_at: float
+    is_leaving: bool = False
+
+
+class Roster:
+    """Endpoints that are known to this process.
+
+    Examples
+    ========
+    >>> from mulberrygate.endpoints.roster import Registration, Roster
+    >>> roster = Roster()
+    >>> roster.hear(Registration("e1", 1, 4, "care", "10.0.0.1:80", "a"), heard_at=0.0)
+    True
+    >>> roster.hear(Registration("e1", 1, 3, "booking", "10.0.0.1:80", "a"), heard_at=1.0)
+    False
+    >>> roster.leave("e1", 1)
+    True
+    >>> roster.usable("care")
+    []
+    """
+
+    def __init__(self):
+        self.rows: dict[str, Row] = {}
+        self.ended: dict[str, int] = {}
+        # Rises with each change other than a renewal, so that copies know what they lack.
+        self.changes = 0
+        self.changed_at: dict[str, int] = {}
+
+    def hear(self, registration: Registration, heard_at: float) -> bool:
+        """Take a report and return whether it changed more than the time of the last one."""
+        name = registration.endpoint
+        if registration.incarnation <= self.ended.get(name, -1):
+            return False
+        row = self.rows.get(name)
+        if row is not None and registration.order <= row.registration.order:
+            if registration.order == row.registration.order:
+                row.heard_at = max(row.heard_at, heard_at)
+            return False
+        if self._is_superseded(registration, heard_at):
+            return False
+        is_leaving = registration.is_leaving
+        if row is not None and row.registration.incarnation == registration.incarnation:
+            is_leaving = is_leaving or row.is_leaving
+            heard_at = max(heard_at, row.heard_at)
+        self._remove_others_at(registration)
+        self.rows[name] = Row(registration, heard_at, is_leaving)
+        is_change = row is None or is_changed(row, self.rows[name])
+        if is_change:
+            self._note(name)
+        return is_change
+
+    def renew(self, name: str, incarnation: int, heard_at: float) -> None:
+        """Take note that another process heard an endpoint."""
+        row = self.rows.get(name)
+        if row is not None and row.registration.incarnation == incarnation:
+            row.heard_at = max(row.heard_at, heard_at)
+
+    def leave(self, name: str, incarnation: int) -> bool:
+        """Take note that an incarnation takes no new work; return whether that is new."""
+        row = self.rows.get(name)
+        if row is None or row.registration.incarnation > incarnation or row.is_leaving:
+            return False
+        row.is_leaving = True
+        self._note(name)
+        return True
+
+    def end(self, name: str, incarnation: int) -> bool:
+        """Take note that an incarnation has said its last word."""
+        is_new = self.leave(name, incarnation)
+        self.ended[name] = max(self.ended.get(name, -1), incarnation)
+        while len(self.ended) > MOST_ENDED:
+            del self.ended[next(iter(self.ended))]
+        return is_new
+
+    def forget_silent(self, now: float, limit_s: float) -> list[str]:
+        """Remove endpoints that were not heard for a time and return their names."""
+        silent = [name for name, row in self.rows.items() if now - row.heard_at > limit_s]
+        for name in silent:
+            del self.rows[name]
+            self._note(name)
+        return silent
+
+    def usable(self, pool: str) -> list[Row]:
+        """Return the endpoints of a pool that take new work."""
+        return [
+            row
+            for row in self.rows.values()
+            if row.registration.pool == pool and not row.is_leaving
+        ]
+
+    def changed_since(self, number: int) -> list[str]:
+        """Return the names of the endpoints that changed after a number of changes."""
+        return [name for name, at in self.changed_at.items() if at > number]
+
+    def _is_superseded(self, registration: Registration, heard_at: float) -> bool:
+        """Return whether a later start at the same address is known."""
+        for row in self.rows.values():
+            known = row.registration
+            if known.address == registration.address and known.endpoint != registration.endpoint:
+                if known.incarnation > registration.incarnation:
+                    return True
+                if known.incarnation == registration.incarnation and row.heard_at > heard_at:
+                    return True
+        return False
+
+    def _remove_others_at(self, registration: Registration) -> None:
+        """Remove earlier endpoints at the address of a new one."""
+        for name, row in list(self.rows.items()):
+            known = row.registration
+            if known.address == registration.address and name != registration.endpoint:
+                self.ended[name] = max(self.ended.get(name, -1), known.incarnation)
+                del self.rows[name]
+                self._note(name)
+
+    def _note(self, name: str) -> None:
+        self.changes += 1
+        self.changed_at[name] = self.changes
+
+
+def is_changed(before: Row, after: Row) -> bool:
+    """Return whether two rows differ in more than sequence and time."""
+    first = attrs.evolve(before.registration, sequence=0, warmup_s=0.0)
+    second = attrs.evolve(after.registration, sequence=0, warmup_s=0.0)
+    return first != second or before.is_leaving != after.is_leaving
--- /dev/null
+++ b/mulberrygate/forward/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests that routes select by host and path."""
--- /dev/null
+++ b/mulberrygate/forward/codes.py
@@ -0,0 +1,37 @@
+"""Result codes of the forwarding path."""
+
+from __future__ import annotations
+
+from mulberrygate.core.codes import code_by_number, register_code
+
+__all__ = ["code_by_number"]
+
+NO_CATALOG = register_code(1201, "no_catalog", "No catalog is in force here yet; not run.", 503)
+NO_ROUTE = register_code(1202, "no_route_for_path", "No route fits the host and path.", 404)
+UNKNOWN_KEY = register_code(1203, "unknown_key", "No client account holds this key.", 401)
+BODY_TOO_LARGE = register_code(1204, "body_over_limit", "The body is over the limit.", 413)
+BODY_BROKEN = register_code(1205, "body_broken", "The body can't be read in full.", 400)
+OVER_LIMIT = register_code(
+    1206, "over_account_limit", "The client account is over its limit; not run.", 429
+)
+NO_SHARE = register_code(
+    1207, "no_share_of_limit", "This entry holds no share of the account's limit; not run.", 503
+)
+CRASHES_ENDPOINTS = register_code(
+    1208, "crashes_endpoints", "The call crashes endpoints that run it; not run.", 503
+)
+NOT_SERVED = register_code(
+    2201, "not_served", "No endpoint took the call in the time it had; not run.", 503
+)
+TURNED_DOWN = register_code(
+    2202, "turned_down", "The endpoints that were asked turned the call down; not run.", 503
+)
+TIMED_OUT = register_code(
+    6201, "answer_timed_out", "The call was sent and got no answer in time; it may have run.", 504
+)
+ENDPOINT_FAILED = register_code(
+    6202, "endpoint_broke_off", "The endpoint broke off or sent no sound answer.", 502
+)
+PATH_FAILED = register_code(
+    9501, "forwarding_failed", "The forwarding path itself failed; the call may have run.", 502
+)
--- /dev/null
+++ b/mulberrygate/forward/delivery.py
@@ -0,0 +1,288 @@
+"""Delivery of one admitted request: place, send, relay, and again where that is allowed."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+from aiohttp import web
+from aiohttp.client_exceptions import ClientConnectionResetError
+
+from mulberrygate.forward import codes
+from mulberrygate.forward.attempts import Attempts, Fate
+from mulberrygate.forward.events import EventSplitter
+from mulberrygate.forward.exchange import Broken, Exchange, NotSent
+from mulberrygate.forward.request import AnswerHead, Call, Refused
+from mulberrygate.schedule.messages import Done, Grant, Refuse, Ticket
+
+# Seconds after which a turned down call is worth another try by its caller.
+TURNED_DOWN_RETRY_S = 0.4
+# Events between two reports of progress to the scheduler.
+PROGRESS_EVENTS = 8
+# Pause between sends that found no connection.
+PAUSE_S = 0.02
+
+
+@attrs.frozen
+class WholeAnswer:
+    """Answer of an endpoint that has arrived in full."""
+
+    head: AnswerHead
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class Send:
+    """One send of a call to one endpoint, with its times."""
+
+    def __init__(self, ticket: Ticket, grant: Grant, now: float):
+        self.ticket = ticket
+        self.grant = grant
+        self.sent_at = now
+        self.first_at = 0.0
+        self.tokens = 0
+        self.fault = ""
+        self.is_cancelled = False
+
+
+class Delivery:
+    """Deliver the answer of some endpoint to one caller.
+
+    Parameters
+    ==========
+    forwarder : Forwarder
+        Owner of what deliveries share.
+    """
+
+    def __init__(self, forwarder: Any, call: Call, request: web.BaseRequest):
+        self.forwarder = forwarder
+        self.call = call
+        self.request = request
+        self.attempts = Attempts(call.route)
+        self.avoid: list[str] = []
+        self.splitter = EventSplitter()
+        self.response: web.StreamResponse | None = None
+        self.failure: WholeAnswer | None = None
+        self.last_refusal: Refuse | None = None
+
+    def now(self) -> float:
+        """Return the monotonic time."""
+        return self.forwarder.timers.now()
+
+    async def run(self) -> web.StreamResponse | Refused:
+        """Return the final answer, or why there is none."""
+        try:
+            async with asyncio.timeout_at(self.call.ends_at):
+                answer = await self._try_endpoints()
+        except TimeoutError:
+            answer = self._timed_out()
+        except ClientConnectionResetError:
+            # The caller has gone; nobody reads an answer any more.
+            answer = self._abort("caller left")
+        return self._finish(answer)
+
+    def _finish(
+        self, answer: WholeAnswer | web.StreamResponse | Refused
+    ) -> web.StreamResponse | Refused:
+        if isinstance(answer, Refused):
+            return answer
+        if isinstance(answer, WholeAnswer):
+            self.forwarder.note_answer(self.call, answer.head.status)
+            return web.Response(status=answer.head.status, headers=answer.headers, body=answer.body)
+        return answer
+
+    def _timed_out(self) -> web.StreamResponse | WholeAnswer | Refused:
+        if self.response is not None:
+            return self._abort("deadline")
+        if self.failure is not None:
+            return self.failure
+        if self.attempts.may_have_run:
+            return Refused(codes.TIMED_OUT)
+        return Refused(codes.NOT_SERVED)
+
+    async def _try_endpoints(self) -> WholeAnswer | web.StreamResponse | Refused:
+        """Send the call until an answer is final."""
+        forwarder, call = self.forwarder, self.call
+        budget = forwarder.budget(call.pool.name)
+        while True:
+            ticket = forwarder.ticket(call, self.attempts.sends, tuple(self.avoid))
+            placed = await forwarder.place(call, ticket)
+            if isinstance(placed, Refuse):
+                return self._without_endpoint(placed)
+            if not self.attempts.arrivals:
+                budget.first_send()
+            elif not budget.take():
+                forwarder.placer.withdraw(call.pool, ticket.request)
+                return self._give_up()
+            answer = await self._send(Send(ticket, placed, self.now()))
+            if answer is not None:
+                return answer
+            self.avoid.append(placed.endpoint)
+            if not self.attempts.may_repeat():
+                return self._give_up()
+            if self.attempts.last is Fate.UNSENT:
+                await asyncio.sleep(PAUSE_S)
+
+    def _without_endpoint(self, refusal: Refuse) -> WholeAnswer | web.StreamResponse | Refused:
+        if self.attempts.sends:
+            return self._give_up()
+        code = codes.code_by_number(refusal.code)
+        return Refused(code, retry_after_s=refusal.retry_after_s)
+
+    def _give_up(self) -> WholeAnswer | web.StreamResponse | Refused:
+        """Return the best final answer after sends that all failed."""
+        if self.response is not None:
+            return self._abort("not resumed")
+        if self.failure is not None:
+            return self.failure
+        if self.attempts.may_have_run:
+            return Refused(codes.ENDPOINT_FAILED)
+        return Refused(codes.TURNED_DOWN, retry_after_s=TURNED_DOWN_RETRY_S)
+
+    async def _send(self, send: Send) -> WholeAnswer | web.StreamResponse | None:
+        """Send the call once; return its final answer, ``None`` to go on elsewhere."""
+        forwarder, call = self.forwarder, self.call
+        call.sends += 1
+        fate = Fate.UNKNOWN
+        exchange: Exchange | None = None
+        answer = None
+        # Until the fate is known, a cancellation counts as a call that may have run.
+        self.attempts.note(Fate.UNKNOWN)
+        try:
+            left_s = call.ends_at - self.now()
+            last_event = self.splitter.last_id or call.head.last_event
+            exchange = await forwarder.endpoints.send(
+                call, send.grant.endpoint, send.grant.address, left_s, last_event
+            )
+            fate, answer = await self._take(send, exchange)
+        except NotSent:
+            fate, send.fault = Fate.UNSENT, "refused"
+        except Broken as error:
+            fate, send.fault = Fate.UNKNOWN, "cut"
+            forwarder.lines.note(
+                "endpoint.broke",
+                id=call.head.request,
+                endpoint=send.grant.endpoint,
+                reason=str(error),
+                events=self.splitter.count,
+            )
+            forwarder.timers.spawn(self._look_for_crash(send))
+        except BaseException:
+            send.is_cancelled = True
+            raise
+        finally:
+            if exchange is not None:
+                exchange.close()
+            self._end(send)
+        self.attempts.correct(fate)
+        return answer
+
+    async def _take(
+        self, send: Send, exchange: Exchange
+    ) -> tuple[Fate, WholeAnswer | web.StreamResponse | None]:
+        """Take an answer whose head has arrived."""
+        head = exchange.head
+        self._note_first(send)
+        if head.load is not None:
+            self.forwarder.placer.report_load(send.grant.endpoint, head.load)
+        if not head.has_run:
+            send.fault = "refused"
+            return Fate.TURNED_DOWN, None
+        if not head.is_genuine:
+            raise Broken("the answer is not the endpoint's own")
+        if head.is_success and head.is_events:
+            return Fate.FAILED, await self._relay_events(send, exchange)
+        answer = WholeAnswer(
+            head, self.forwarder.dialect.answer_headers(exchange.response), await exchange.read()
+        )
+        if head.is_success:
+            self.forwarder.suspects.note_sound(self.call)
+        if self.response is not None:
+            raise Broken("a resumed stream was not continued")
+        if head.status < 500:
+            return Fate.FAILED, answer
+        send.fault = "error"
+        self.failure = answer
+        return Fate.FAILED, None
+
+    def _note_first(self, send: Send) -> None:
+        send.first_at = self.now()
+        if self.call.first_after_s < 0:
+            self.call.first_after_s = send.first_at - self.call.received_at
+
+    async def _relay_events(self, send: Send, exchange: Exchange) -> web.StreamResponse:
+        """Relay a stream, and return once it has ended whole."""
+        splitter, call = self.splitter, self.call
+        splitter.drop_rest()
+        stride = call.pool.tokens_per_event
+        before = splitter.count
+        reported = 0
+        while data := await exchange.read_some():
+            events = splitter.feed(data)
+            if not events:
+                continue
+            if self.response is None:
+                await self._begin(exchange)
+            if send.tokens == 0:
+                self._note_first(send)
+            await self.response.write(events)
+            send.tokens = (splitter.count - before) * stride
+            if send.tokens >= reported + PROGRESS_EVENTS * stride or not reported:
+                reported = send.tokens
+                self.forwarder.placer.progress(call.pool, send.ticket.request, reported)
+        if splitter.rest:
+            raise Broken("the stream ended inside an event")
+        if self.response is None:
+            await self._begin(exchange)
+        await self.response.write_eof()
+        self.forwarder.suspects.note_sound(call)
+        self.forwarder.note_answer(call, self.response.status)
+        return self.response
+
+    async def _begin(self, exchange: Exchange) -> None:
+        """Send the caller the head of a stream's answer."""
+        headers = self.forwarder.dialect.answer_headers(exchange.response)
+        response = web.StreamResponse(status=exchange.head.status, headers=headers)
+        if self.forwarder.is_closing:
+            response.force_close()
+        response.enable_chunked_encoding()
+        await response.prepare(self.request)
+        self.response = response
+
+    def _abort(self, reason: str) -> web.StreamResponse:
+        """Break off an answer that has begun, so that it doesn't look complete."""
+        self.forwarder.note_answer(self.call, 0, fault=f"broken off: {reason}")
+        transport = self.request.transport
+        if transport is not None:
+            transport.close()
+        return self.response or web.Response(status=502)
+
+    def _end(self, send: Send) -> None:
+        """Tell the scheduler that a send has ended."""
+        now = self.now()
+        call = self.call
+        first_s = (send.first_at or now) - send.sent_at
+        self.forwarder.placer.done(
+            Done(
+                pool=call.pool.name,
+                request=send.ticket.request,
+                endpoint=send.grant.endpoint,
+                version=send.grant.version,
+                route=call.route.name,
+                prompt_tokens=send.ticket.prompt_tokens,
+                output_tokens=max(1, send.tokens),
+                first_token_s=first_s,
+                total_s=now - send.sent_at,
+                fault=send.fault,
+                cancelled=send.is_cancelled,
+            )
+        )
+
+    async def _look_for_crash(self, send: Send) -> None:
+        """Report the call if the endpoint that broke off has gone."""
+        await asyncio.sleep(PAUSE_S)
+        if not await self.forwarder.endpoints.is_listening(send.grant.address):
+            row = self.forwarder.placer.roster.rows.get(send.grant.endpoint)
+            incarnation = row.registration.incarnation if row else 0
+            self.forwarder.suspects.note_crash(self.call, send.grant.endpoint, incarnation)
--- /dev/null
+++ b/mulberrygate/forward/events.py
@@ -0,0 +1,47 @@
+"""Splitting of event streams at event boundaries."""
+
+from __future__ import annotations
+
+import re
+
+ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+BOUNDARY = re.compile(rb"\r?\n\r?\n")
+
+
+class EventSplitter:
+    """Return whole events of a stream, so that a broken one can be taken up after the last.
+
+    Examples
+    ========
+    >>> from mulberrygate.forward.events import EventSplitter
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
+    b'id: 1\\ndata: a\\n\\n'
+    >>> splitter.last_id, splitter.count, splitter.rest
+    ('1', 1, b'id: 2\\nda')
+    """
+
+    def __init__(self):
+        self.rest = b""
+        self.last_id = ""
+        self.count = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes and return those that end with a whole event."""
+        buffer = self.rest + data if self.rest else data
+        end = 0
+        for boundary in BOUNDARY.finditer(buffer):
+            self._note(buffer[end : boundary.start()])
+            end = boundary.end()
+        self.rest = buffer[end:]
+        return buffer[:end]
+
+    def drop_rest(self) -> None:
+        """Forget an event that was cut off."""
+        self.rest = b""
+
+    def _note(self, event: bytes) -> None:
+        found = ID_LINE.search(event)
+        if found:
+            self.last_id = found[1].decode("ascii", "replace").strip()
+        self.count += 1
--- /dev/null
+++ b/mulberrygate/forward/service.py
@@ -0,0 +1,262 @@
+"""Path of one request: the steps in order, from its arrival to its final answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from mulberrygate.catalog import CatalogIndex
+from mulberrygate.core.timers import TimerService
+from mulberrygate.forward import codes
+from mulberrygate.forward.delivery import Delivery
+from mulberrygate.forward.exchange import EndpointClient
+from mulberrygate.forward.limits import AccountLimits
+from mulberrygate.forward.placing import Placer
+from mulberrygate.forward.request import Call, Dialect, Refused
+from mulberrygate.forward.suspects import Suspects
+from mulberrygate.observe.jsonlines import JsonLines
+from mulberrygate.observe.metrics import Metrics
+from mulberrygate.quota import RetryBudget
+from mulberrygate.schedule.messages import Grant, Refuse, Ticket
+from mulberrygate.tables.model import TIERS
+
+NO_CATALOG_RETRY_S = 0.5
+QUARANTINED_RETRY_S = 5.0
+
+
+class Forwarder:
+    """Answer callers' requests with the answers of endpoints.
+
+    Explanation
+    ===========
+    The steps are `identify`, `authenticate`, `read_body`, `check_suspects`, `take_units`, and
+    then `deliver`, which places, sends and relays, again where the kind of the request allows it.
+
+    Parameters
+    ==========
+    dialect : Dialect
+        Protocol of callers and endpoints.
+    """
+
+    def __init__(
+        self,
+        site,
+        dialect: Dialect,
+        placer: Placer,
+        limits: AccountLimits,
+        suspects: Suspects,
+        timers: TimerService,
+        lines: JsonLines,
+        metrics: Metrics,
+    ):
+        self.site = site
+        self.dialect = dialect
+        self.placer = placer
+        self.limits = limits
+        self.suspects = suspects
+        self.timers = timers
+        self.lines = lines
+        self.metrics = metrics
+        self.endpoints = EndpointClient(dialect)
+        self.index: CatalogIndex | None = None
+        self.budgets: dict[str, RetryBudget] = {}
+        self.entries = 1
+        self.is_closing = False
+        self.active = 0
+
+    def set_index(self, index: CatalogIndex) -> None:
+        """Put a catalog in force for the requests that come from now on."""
+        self.index = index
+        self.placer.set_pools(index.pools)
+
+    def set_entries(self, entries: int) -> None:
+        """Take note of the number of entries that share the retry budgets."""
+        self.entries = entries
+        for budget in self.budgets.values():
+            budget.set_entries(entries)
+
+    def budget(self, pool: str) -> RetryBudget:
+        """Return the retry budget of a pool."""
+        found = self.budgets.get(pool)
+        if found is None:
+            bounds = self.site.bounds
+            found = RetryBudget(bounds.retry_ratio, bounds.retry_slack, self.entries)
+            self.budgets[pool] = found
+        return found
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.active += 1
+        call = Call(self.dialect.call_head(request), request.headers, self.timers.now())
+        try:
+            response = await self._answer(call, request)
+        except asyncio.CancelledError:
+            self._note(call, "request.left", 0)
+            raise
+        except Exception as error:
+            self.lines.note("request.failed", id=call.head.request, error=repr(error))
+            response = self.refuse(call, Refused(codes.PATH_FAILED))
+        finally:
+            self.active -= 1
+        if self.is_closing:
+            response.force_close()
+        return response
+
+    async def _answer(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
+        refused = await self._admit(call, request)
+        if refused is not None:
+            return self.refuse(call, refused)
+        delivery = Delivery(self, call, request)
+        response = await delivery.run()
+        if isinstance(response, Refused):
+            if not delivery.attempts.may_have_run:
+                self.limits.give_back(call.account, call.units)
+            return self.refuse(call, response)
+        return response
+
+    async def _admit(self, call: Call, request: web.BaseRequest) -> Refused | None:
+        """Run the steps before a request is placed; return why it is refused."""
+        index = self.index
+        if index is None:
+            return Refused(codes.NO_CATALOG, retry_after_s=NO_CATALOG_RETRY_S)
+        refused = self.identify(call, index) or self.authenticate(call, index)
+        if refused is None:
+            refused = await self.read_body(call, request, index)
+        if refused is None:
+            refused = self.check_suspects(call)
+        if refused is None:
+            refused = self.take_units(call, index)
+        return refused
+
+    def identify(self, call: Call, index: CatalogIndex) -> Refused | None:
+        """Find the route and the pool."""
+        route = index.route(call.head.host, call.head.path)
+        if route is None:
+            return Refused(codes.NO_ROUTE, call.head.host)
+        call.route = route
+        call.pool = index.pools[index.choose_pool(route, call.head.request)]
+        call.tier = route.tier
+        patience_s = route.timeout_s
+        if call.head.patience_s is not None:
+            patience_s = min(patience_s, call.head.patience_s)
+        call.ends_at = call.received_at + patience_s
+        return None
+
+    def authenticate(self, call: Call, index: CatalogIndex) -> Refused | None:
+        """Find the client account."""
+        if not index.needs_keys:
+            return None
+        account = index.account(call.head.key) if call.head.key else None
+        if account is None:
+            return None if call.route.is_anonymous else Refused(codes.UNKNOWN_KEY)
+        call.account = account.name
+        if account.tier is not None:
+            call.tier = account.tier
+        return None
+
+    async def read_body(
+        self, call: Call, request: web.BaseRequest, index: CatalogIndex
+    ) -> Refused | None:
+        """Read the whole body, up to the limit."""
+        limit = index.catalog.limits.max_body_bytes
+        if (request.content_length or 0) > limit:
+            return Refused(codes.BODY_TOO_LARGE)
+        body = bytearray()
+        if request.can_read_body:
+            while chunk := await request.content.readany():
+                body += chunk
+                if len(body) > limit:
+                    return Refused(codes.BODY_TOO_LARGE)
+        call.body = bytes(body)
+        return None
+
+    def check_suspects(self, call: Call) -> Refused | None:
+        """Refuse calls that crash the endpoints that run them."""
+        if self.suspects.is_quarantined(call):
+            return Refused(codes.CRASHES_ENDPOINTS, retry_after_s=QUARANTINED_RETRY_S)
+        return None
+
+    def take_units(self, call: Call, index: CatalogIndex) -> Refused | None:
+        """Take the request from the limit of its client account."""
+        account = index.accounts.get(call.account)
+        if account is None or account.rate <= 0:
+            return None
+        tokens = call.head.prompt_tokens + call.head.output_tokens
+        call.units = (tokens or account.plain_tokens) if account.counts_tokens else 1.0
+        return self.limits.take(account, call.units)
+
+    def ticket(self, call: Call, number: int, avoid: tuple[str, ...]) -> Ticket:
+        """Return the ticket under which a request waits."""
+        head, pool = call.head, call.pool
+        output = head.expected_tokens or head.output_tokens
+        if pool.is_engine and head.output_tokens:
+            output = min(output, head.output_tokens)
+        return Ticket(
+            request=f"{head.request or id(call)}.{number}",
+            entry=self.site.instance,
+            pool=pool.name,
+            route=call.route.name,
+            account=call.account,
+            weight=1.0,
+            tier=min(call.tier, TIERS - 1),
+            prompt_tokens=max(1, head.prompt_tokens) if pool.is_engine else 1,
+            output_tokens=max(1, output) if pool.is_engine else 1,
+            prefixes=(),
+            deadline_s=max(0.001, call.ends_at - self.timers.now()),
+            idempotent=call.route.may_repeat,
+            attempt=number,
+            avoid=avoid,
+        )
+
+    async def place(self, call: Call, ticket: Ticket) -> Grant | Refuse:
+        """Wait for an endpoint."""
+        outcome = await self.placer.place(call.pool, ticket)
+        if isinstance(outcome, Grant):
+            call.endpoint = outcome.endpoint
+            if call.granted_after_s < 0:
+                call.granted_after_s = self.timers.now() - call.received_at
+        return outcome
+
+    def refuse(self, call: Call, refused: Refused) -> web.Response:
+        """Return the answer for a refusal."""
+        code = refused.code
+        self.metrics.count("forward_refused_total", code=str(code.number))
+        self._note(call, "request.refused", code.http_status, code=str(code))
+        headers = self.dialect.refusal_headers(call, refused)
+        return web.json_response(
+            {"code": code.number, "title": code.name, "detail": refused.detail or code.meaning},
+            status=code.http_status,
+            headers=headers,
+        )
+
+    def note_answer(self, call: Call, status: int, fault: str = "") -> None:
+        """Log the end of a request that got an endpoint's answer."""
+        self.metrics.count("forward_answers_total", route=call.route.name, status=str(status))
+        total_s = self.timers.now() - call.received_at
+        self.metrics.observe("forward_seconds", total_s, kind=call.route.repeat.value)
+        self._note(call, "request.answered", status, fault=fault)
+
+    def _note(self, call: Call, event: str, status: int, **fields: Any) -> None:
+        now = self.timers.now()
+        self.lines.note(
+            event,
+            id=call.head.request,
+            status=status,
+            route=call.route.name if call.route else "",
+            pool=call.pool.name if call.pool else "",
+            tier=call.tier,
+            account=call.account,
+            catalog=self.index.version if self.index else -1,
+            endpoint=call.endpoint,
+            sends=call.sends,
+            granted_s=round(call.granted_after_s, 4),
+            first_s=round(call.first_after_s, 4),
+            total_s=round(now - call.received_at, 4),
+            **fields,
+        )
+
+    async def close(self) -> None:
+        """Close the connections to endpoints."""
+        await self.endpoints.close()
--- /dev/null
+++ b/mulberrygate/observe/jsonlines.py
@@ -0,0 +1,132 @@
+"""Structured log: one JSON object a line on standard output, bounded and never blocking.
+
+Explanation
+===========
+A line is written at once if the pipe takes it whole. What it doesn't take waits in a bounded buffer;
+lines that don't fit are dropped and counted, and a summary line says how many. Each kind of line
+has a budget a second, so a storm of one kind leaves room for the others.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import select
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+
+BUFFER_BYTES = 256 << 10
+# Lines of one kind in a second, beyond which they are counted only.
+LINES_PER_SECOND = 100
+# A pipe takes writes up to this size whole or not at all.
+PIPE_BYTES = 4096
+
+
+class JsonLines:
+    """Writer of structured log lines.
+
+    Parameters
+    ==========
+    node : str
+        Name of the instance, in each line.
+    file : int
+        Descriptor to write to.
+    wall : Callable[[], float]
+        Unix time in seconds.
+    limit : int
+        Lines of one kind a second.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        file: int = 1,
+        wall: Callable[[], float] = time.time,
+        limit: int = LINES_PER_SECOND,
+    ):
+        self.node = node
+        self.file = file
+        self.wall = wall
+        self.limit = limit
+        self.buffer: deque[bytes] = deque()
+        self.buffered = 0
+        self.second = 0
+        self.counts: dict[str, int] = {}
+        self.dropped: dict[str, int] = {}
+        self.dropped_total = 0
+        self.poll = select.poll()
+        self.poll.register(file, select.POLLOUT)
+
+    def note(self, event: str, **fields: Any) -> None:
+        """Write a line on a decision or a change of what the process believes."""
+        now = self.wall()
+        if int(now) != self.second:
+            self._start_second(int(now), now)
+        count = self.counts.get(event, 0)
+        self.counts[event] = count + 1
+        if count >= self.limit:
+            self._drop(event)
+            return
+        self._write(event, self._line(now, event, fields))
+
+    def _line(self, now: float, event: str, fields: dict[str, Any]) -> bytes:
+        record = {"at": round(now, 4), "node": self.node, "event": event, **fields}
+        text = json.dumps(record, separators=(",", ":"), default=str)
+        return text.encode(errors="replace")[: PIPE_BYTES - 1] + b"\n"
+
+    def _start_second(self, second: int, now: float) -> None:
+        self.second = second
+        self.counts.clear()
+        if self.dropped:
+            dropped, self.dropped = self.dropped, {}
+            self._write("log.dropped", self._line(now, "log.dropped", {"lines": dropped}))
+
+    def _write(self, event: str, line: bytes) -> None:
+        if self.buffered + len(line) > BUFFER_BYTES:
+            self._drop(event)
+            return
+        self.buffer.append(line)
+        self.buffered += len(line)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the pipe takes without waiting."""
+        while self.buffer and self._is_writable():
+            line = self.buffer[0]
+            try:
+                written = os.write(self.file, line)
+            except OSError:
+                # Nobody reads any more; the lines go with the buffer.
+                self.buffer.clear()
+                self.buffered = 0
+                return
+            self.buffered -= written
+            if written < len(line):
+                self.buffer[0] = line[written:]
+                return
+            self.buffer.popleft()
+
+    def _is_writable(self) -> bool:
+        # A regular file or a terminal is always writable; a pipe is if it has a page of room, which
+        # is what `PIPE_BYTES` relies on.
+        return any(mask & select.POLLOUT for _, mask in self.poll.poll(0))
+
+    def _drop(self, event: str) -> None:
+        self.dropped[event] = self.dropped.get(event, 0) + 1
+        self.dropped_total += 1
+
+
+class JsonHandler(logbook.Handler):
+    """Handler that writes the records of the parts' loggers as structured lines."""
+
+    def __init__(self, lines: JsonLines, level: str = "INFO"):
+        super().__init__(level=level)
+        self.lines = lines
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write one record."""
+        self.lines.note(f"log.{record.level_name.lower()}", text=record.message)
--- /dev/null
+++ b/mulberrygate/platform/documents.py
@@ -0,0 +1,180 @@
+"""Configuration documents of the platform's operators."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any
+
+from mulberrygate.catalog import (
+    BackendPool,
+    Catalog,
+    ClientAccount,
+    Repeat,
+    RequestLimits,
+    RouteRule,
+    WeightedPool,
+)
+
+REPEATS = {
+    "idempotent": Repeat.IDEMPOTENT,
+    "non_idempotent": Repeat.ONCE,
+    "streaming": Repeat.STREAM,
+}
+
+
+class InvalidDocument(ValueError):
+    """A document can't be put in force; the text says why."""
+
+
+def decode_document(body: bytes) -> Catalog:
+    """Return the catalog that a document holds.
+
+    Raises
+    ======
+    InvalidDocument
+        The document can't be read in full, or its parts don't fit together.
+    """
+    try:
+        fields = json.loads(body)
+    except ValueError as error:
+        raise InvalidDocument(f"not readable: {error}") from error
+    try:
+        catalog = _decode(fields)
+    except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
+        raise InvalidDocument(f"{type(error).__name__}: {error}") from error
+    _check(catalog)
+    return catalog
+
+
+def _decode(fields: dict[str, Any]) -> Catalog:
+    version = fields["version"]
+    if type(version) is not int or version < 0:
+        raise InvalidDocument("the version is no whole number")
+    return Catalog(
+        version=version,
+        routes=tuple(_route(item) for item in _list(fields, "routes")),
+        pools=tuple(_pool(item) for item in _list(fields, "services")),
+        accounts=tuple(_account(item) for item in fields.get("tenants") or ()),
+        limits=_limits(fields.get("limits") or {}),
+    )
+
+
+def _list(fields: dict[str, Any], name: str) -> list[Any]:
+    value = fields[name]
+    if not isinstance(value, list):
+        raise InvalidDocument(f"{name} is no list")
+    return value
+
+
+def _number(fields: dict[str, Any], name: str, usual: float | None = None) -> float:
+    value = fields.get(name, usual)
+    if value is None and usual is not None:
+        value = usual
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise InvalidDocument(f"{name} is no number")
+    if value < 0:
+        raise InvalidDocument(f"{name} is negative")
+    return value
+
+
+def _text(fields: dict[str, Any], name: str) -> str:
+    value = fields[name]
+    if not isinstance(value, str) or not value:
+        raise InvalidDocument(f"{name} is no text")
+    return value
+
+
+def _route(fields: dict[str, Any]) -> RouteRule:
+    kind = _text(fields, "kind")
+    if kind not in REPEATS:
+        raise InvalidDocument(f"unknown kind {kind!r}")
+    prefix = _text(fields, "pathPrefix")
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise InvalidDocument(f"path prefix {prefix!r} does not begin and end with a slash")
+    timeout_ms = _number(fields, "timeoutMs")
+    if not timeout_ms:
+        raise InvalidDocument("a timeout is 0")
+    return RouteRule(
+        name=_text(fields, "name"),
+        host=_text(fields, "host").lower(),
+        path_prefix=prefix,
+        repeat=REPEATS[kind],
+        pools=_weighted_pools(fields),
+        timeout_s=timeout_ms / 1000,
+        most_attempts=max(1, int(_number(fields, "maxAttempts", 1))),
+        # The aim for an answer, or for the first event of a stream.
+        target_first_s=_number(fields, "targetLatencyMs", 1000) / 1000,
+        target_gap_s=_number(fields, "targetGapMs", 1000) / 1000,
+        tier=int(_number(fields, "priority", 2)),
+        is_anonymous=fields.get("anonymous") is True,
+        is_resumable=kind == "streaming" and fields.get("resumable") is True,
+    )
+
+
+def _weighted_pools(fields: dict[str, Any]) -> tuple[WeightedPool, ...]:
+    split = fields.get("trafficSplit")
+    if not split:
+        return (WeightedPool(_text(fields, "service"), 1.0),)
+    pools = tuple(WeightedPool(_text(item, "service"), _number(item, "weight")) for item in split)
+    if not sum(item.weight for item in pools) > 0:
+        raise InvalidDocument("the weights of a route add up to 0")
+    return pools
+
+
+def _pool(fields: dict[str, Any]) -> BackendPool:
+    engine = fields.get("engine") or {}
+    return BackendPool(
+        name=_text(fields, "name"),
+        max_connections=int(_number(fields, "maxConnections", 0)),
+        is_engine=bool(engine),
+        slots=int(_number(engine, "slots", 0)),
+        kv_tokens=int(_number(engine, "kvCapacityTokens", 0)),
+        # Tokens in one event of a stream.
+        tokens_per_event=max(1, int(_number(engine, "stride", 1))),
+    )
+
+
+def _account(fields: dict[str, Any]) -> ClientAccount:
+    keys = fields.get("apiKeys") or []
+    if not isinstance(keys, list) or not all(isinstance(key, str) for key in keys):
+        raise InvalidDocument("the keys of a tenant are no list of texts")
+    priority = fields.get("priority")
+    return ClientAccount(
+        name=_text(fields, "name"),
+        keys=tuple(keys),
+        tier=None if priority is None else int(_number(fields, "priority")),
+        rate=_number(fields, "ratePerS", 0),
+        burst=_number(fields, "burst", 0),
+        counts_tokens=fields.get("unit") == "tokens",
+        plain_tokens=int(_number(fields, "plainTokens", 1)),
+    )
+
+
+def _limits(fields: dict[str, Any]) -> RequestLimits:
+    usual = RequestLimits()
+    return RequestLimits(
+        max_header_bytes=int(_number(fields, "maxHeaderBytes", usual.max_header_bytes)),
+        max_body_bytes=int(_number(fields, "maxBodyBytes", usual.max_body_bytes)),
+        header_timeout_s=_number(fields, "headerTimeoutMs", usual.header_timeout_s * 1000) / 1000,
+        idle_timeout_s=_number(fields, "idleTimeoutMs", usual.idle_timeout_s * 1000) / 1000,
+    )
+
+
+def _check(catalog: Catalog) -> None:
+    """Check that the parts of a document fit together."""
+    pools = {pool.name for pool in catalog.pools}
+    places: set[tuple[str, str]] = set()
+    for route in catalog.routes:
+        for item in route.pools:
+            if item.pool not in pools:
+                raise InvalidDocument(f"route {route.name} names the unknown service {item.pool}")
+        place = (route.host, route.path_prefix)
+        if place in places:
+            raise InvalidDocument(f"two routes share {route.host}{route.path_prefix}")
+        places.add(place)
+    owners: dict[str, str] = {}
+    for account in catalog.accounts:
+        for key in account.keys:
+            if owners.setdefault(key, account.name) != account.name:
+                raise InvalidDocument("two tenants share a key")
--- /dev/null
+++ b/mulberrygate/platform/headers.py
@@ -0,0 +1,158 @@
+"""Header names of the platform's requests and answers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from aiohttp import hdrs
+
+from mulberrygate.forward.request import AnswerHead, Call, CallHead, Refused
+
+PREFIX = "X-Mulberrygate-"
+REQUEST_ID = PREFIX + "Request-Id"
+# Milliseconds for which the caller waits.
+DEADLINE = PREFIX + "Request-Deadline"
+# Prompt tokens and the largest number of output tokens.
+TOKEN_COUNT = PREFIX + "Token-Count"
+# Caller's estimate of the output tokens.
+LENGTH_HINT = PREFIX + "Length-Hint"
+# Parts of the prompt in order, as ID:TOKENS.
+PREFIX_HASH = PREFIX + "Prefix-Hash"
+EXPECT_INSTANCE = PREFIX + "Expect-Instance"
+# Name of the client account.
+TENANT = PREFIX + "Tenant-Id"
+SIGNATURE = PREFIX + "Server-Signature"
+NOT_EXECUTED = PREFIX + "Not-Executed"
+# Running and waiting requests, and slots.
+SERVER_LOAD = PREFIX + "Server-Load"
+LAST_EVENT = "Last-Event-Id"
+BEARER = "bearer "
+
+# Headers of one connection only.
+CONNECTION_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        hdrs.CONNECTION,
+        hdrs.KEEP_ALIVE,
+        hdrs.PROXY_AUTHENTICATE,
+        hdrs.PROXY_AUTHORIZATION,
+        "Proxy-Connection",
+        hdrs.TE,
+        hdrs.TRAILER,
+        hdrs.TRANSFER_ENCODING,
+        hdrs.UPGRADE,
+    )
+)
+# Headers that only the system sets.
+SYSTEM_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        DEADLINE,
+        EXPECT_INSTANCE,
+        TENANT,
+        hdrs.AUTHORIZATION,
+        hdrs.CONTENT_LENGTH,
+        hdrs.EXPECT,
+        LAST_EVENT,
+        PREFIX + "Expect-Version",
+        PREFIX + "Hold",
+        PREFIX + "Pin-Ms",
+        PREFIX + "Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+    )
+)
+DROPPED = CONNECTION_HEADERS | SYSTEM_HEADERS
+
+
+def _whole(text: str | None) -> int:
+    """Return a whole number, 0 for anything else."""
+    return int(text) if text and text.isascii() and text.isdigit() else 0
+
+
+def _parts(text: str | None) -> tuple[tuple[str, int], ...]:
+    parts = []
+    for item in (text or "").split(","):
+        name, _, tokens = item.strip().partition(":")
+        if name:
+            parts.append((name, _whole(tokens)))
+    return tuple(parts)
+
+
+def _named_by_connection(headers: Any) -> set[str]:
+    """Return the headers that a message's ``Connection`` header names."""
+    names: set[str] = set()
+    for value in headers.getall(hdrs.CONNECTION, ()):
+        names.update(name.strip().lower() for name in value.split(","))
+    return names
+
+
+class PlatformDialect:
+    """Names and formats between callers and endpoints on the platform."""
+
+    def call_head(self, request: Any) -> CallHead:
+        """Decode the head of a caller's request."""
+        headers = request.headers
+        prompt, _, output = headers.get(TOKEN_COUNT, "").partition(",")
+        authorization = headers.get(hdrs.AUTHORIZATION, "")
+        is_bearer = authorization[: len(BEARER)].lower() == BEARER
+        deadline = headers.get(DEADLINE)
+        return CallHead(
+            request=headers.get(REQUEST_ID, ""),
+            host=headers.get(hdrs.HOST, "").partition(":")[0],
+            method=request.method,
+            path=request.raw_path,
+            key=authorization[len(BEARER) :].strip() if is_bearer else "",
+            patience_s=_whole(deadline) / 1000 if deadline else None,
+            prompt_tokens=_whole(prompt.strip()),
+            output_tokens=_whole(output.strip()),
+            expected_tokens=_whole(headers.get(LENGTH_HINT)),
+            parts=_parts(headers.get(PREFIX_HASH)),
+            last_event=headers.get(LAST_EVENT, ""),
+        )
+
+    def endpoint_headers(
+        self, call: Call, endpoint: str, left_s: float, last_event: str
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a request to an endpoint."""
+        dropped = DROPPED | _named_by_connection(call.headers)
+        headers = [item for item in call.headers.items() if item[0].lower() not in dropped]
+        headers.append((DEADLINE, str(max(1, int(left_s * 1000)))))
+        headers.append((EXPECT_INSTANCE, endpoint))
+        if call.account:
+            headers.append((TENANT, call.account))
+        if last_event:
+            headers.append((LAST_EVENT, last_event))
+        return headers
+
+    def answer_head(self, call: Call, response: Any) -> AnswerHead:
+        """Decode the head of an endpoint's answer."""
+        headers = response.headers
+        is_other = headers.get(REQUEST_ID, call.head.request) != call.head.request
+        is_success = 200 <= response.status < 300
+        is_encoded = hdrs.CONTENT_ENCODING in headers
+        is_signed = SIGNATURE in headers
+        load = headers.get(SERVER_LOAD, "").split(",")
+        has_load = len(load) == 3
+        return AnswerHead(
+            status=response.status,
+            has_run=not (NOT_EXECUTED in headers or response.status == 421),
+            is_genuine=not is_other and not is_encoded and (is_signed or not is_success),
+            load=_whole(load[0].strip()) + _whole(load[1].strip()) if has_load else None,
+            is_events=headers.get(hdrs.CONTENT_TYPE, "").startswith("text/event-stream"),
+        )
+
+    def answer_headers(self, response: Any) -> list[tuple[str, str]]:
+        """Return the headers of an answer to the caller."""
+        dropped = CONNECTION_HEADERS | _named_by_connection(response.headers)
+        dropped |= {hdrs.CONTENT_LENGTH.lower()}
+        return [item for item in response.headers.items() if item[0].lower() not in dropped]
+
+    def refusal_headers(self, call: Call | None, refusal: Refused) -> list[tuple[str, str]]:
+        """Return the headers of a refusal."""
+        headers = []
+        if call is not None and call.head.request:
+            headers.append((REQUEST_ID, call.head.request))
+        if refusal.retry_after_s > 0:
+            headers.append((hdrs.RETRY_AFTER, f"{refusal.retry_after_s:.2f}"))
+        return headers
--- /dev/null
+++ b/mulberrygate/platform/settings.py
@@ -0,0 +1,179 @@
+"""Settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import json
+import os
+from typing import Any
+
+import attrs
+
+from mulberrygate.core.codes import register_code
+from mulberrygate.core.outcome import Refusal
+
+FILE_VARIABLE = "MULBERRYGATE_NODE_FILE"
+ENTRY = "frontend"
+CONTROL = "control"
+
+BAD_SITE = register_code(7101, "bad_site_settings", "The platform's settings file is not usable.")
+
+
+@attrs.frozen
+class Bounds:
+    """Bounds of a deployment that processes have to know.
+
+    Parameters
+    ==========
+    stop_s : float
+        Seconds between SIGTERM and SIGKILL.
+    retry_ratio, retry_slack : float
+        Sends beyond the first that all entries together may make to a pool in ``retry_window_s``
+        seconds: this share of its requests, plus the slack.
+    quota_slack : float
+        Units by which a client account may pass its limit in a window.
+    quota_overage : float
+        Share of its limit by which a client account may pass it besides.
+    drain_s : float
+        Seconds in which entries stop sending to an endpoint whose leaving was acknowledged.
+    exposure_share, exposure_slack : float
+        Requests that a bad version may get in a move: this share of all, plus the slack.
+    """
+
+    stop_s: float = 8.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 20.0
+    retry_window_s: float = 10.0
+    quota_slack: float = 0.0
+    quota_overage: float = 0.0
+    drain_s: float = 2.5
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
+
+
+@attrs.frozen
+class Site:
+    """Settings of one process.
+
+    Parameters
+    ==========
+    instance : str
+        IP address, which is what other processes know an instance by.
+    node : str
+        Name of the machine, for logs.
+    entry_address, ready_address, control_address : str
+        Where callers, the balancer, and endpoints and operators reach the process; empty if they
+        don't.
+    peer_port : int
+        Port for other processes of the system, the same on all instances.
+    seeds : tuple[str, ...]
+        Instances that serve control.
+    is_first_start : bool
+        Whether the whole system starts for the first time, with empty disks.
+    data_folder : str
+        Folder on the instance's disk, empty without one.
+    memory_mb : int
+        Memory over which the process is killed.
+    voters : int
+        Voters that are needed to bear the losses that the deployment names.
+    """
+
+    instance: str
+    node: str
+    failure_domain: str
+    region: str
+    regions: dict[str, str]
+    entry_address: str
+    ready_address: str
+    control_address: str
+    peer_port: int
+    seeds: tuple[str, ...]
+    is_first_start: bool
+    data_folder: str
+    memory_mb: int
+    voters: int
+    bounds: Bounds
+
+    @property
+    def is_entry(self) -> bool:
+        """Whether the process serves callers."""
+        return bool(self.entry_address)
+
+    @property
+    def is_control(self) -> bool:
+        """Whether the process serves endpoints and operators."""
+        return bool(self.control_address)
+
+    @property
+    def peer_address(self) -> str:
+        """Address for other processes of the system."""
+        return self.address_of(self.instance)
+
+    def address_of(self, instance: str) -> str:
+        """Return the peer address of an instance."""
+        return f"{instance}:{self.peer_port}"
+
+
+def settings_path() -> str:
+    """Return the path of the settings file."""
+    return os.environ.get(FILE_VARIABLE, "")
+
+
+def load_site(path: str) -> Site | Refusal:
+    """Read and check the settings file."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            return decode_site(json.load(file))
+    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+        return Refusal(BAD_SITE, f"{path or FILE_VARIABLE}: {type(error).__name__}: {error}")
+
+
+def decode_site(fields: dict[str, Any]) -> Site:
+    """Return the settings that the file's fields hold.
+
+    Raises
+    ======
+    KeyError, TypeError, ValueError
+        A field is missing or has another type.
+    """
+    listen = fields["listen"]
+    ports = fields["internalPorts"]
+    return Site(
+        instance=_text(fields, "ip"),
+        node=_text(fields, "node"),
+        failure_domain=_text(fields, "zone"),
+        region=_text(fields, "region"),
+        regions=dict(fields["zones"]),
+        entry_address=listen.get(ENTRY, ""),
+        ready_address=listen.get("readiness", ""),
+        control_address=listen.get(CONTROL, ""),
+        peer_port=int(ports[0]),
+        # Seeds are given by the address at which they serve control; ports are the same everywhere.
+        seeds=tuple(str(seed).rpartition(":")[0] for seed in fields["seeds"]),
+        is_first_start=fields.get("bootstrap") is True,
+        data_folder=fields.get("dataDir") or "",
+        memory_mb=int(fields.get("limits", {}).get("memoryMb", 256)),
+        voters=2 * int(fields.get("faultTolerance", {}).get("machines", 1)) + 1,
+        bounds=_decode_bounds(fields.get("bounds", {})),
+    )
+
+
+def _decode_bounds(fields: dict[str, Any]) -> Bounds:
+    usual = Bounds()
+    return Bounds(
+        stop_s=float(fields.get("graceS", usual.stop_s)),
+        retry_ratio=float(fields.get("retryBudgetRatio", usual.retry_ratio)),
+        retry_slack=float(fields.get("retryBudgetSlack", usual.retry_slack)),
+        retry_window_s=float(fields.get("budgetWindowS", usual.retry_window_s)),
+        quota_slack=float(fields.get("quotaSlack", usual.quota_slack)),
+        quota_overage=float(fields.get("quotaOverage", usual.quota_overage)),
+        drain_s=float(fields.get("drainMs", usual.drain_s * 1000)) / 1000,
+        exposure_share=float(fields.get("exposureShare", usual.exposure_share)),
+        exposure_slack=float(fields.get("exposureSlack", usual.exposure_slack)),
+    )
+
+
+def _text(fields: dict[str, Any], name: str) -> str:
+    value = fields[name]
+    if not isinstance(value, str):
+        raise TypeError(f"{name} is no text")
+    return value
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -22,6 +22,7 @@
 from mulberrygate.schedule.demand import Demand
 from mulberrygate.schedule.ended import Ended
 from mulberrygate.schedule.endpoint import (
+    HOP_S,
     LOCAL,
     OTHER_DOMAIN,
     OTHER_REGION,
@@ -91,11 +92,22 @@
         Settings of the pool.
     rng : random.Random
         Used to sample endpoints in large pools.
+    is_wide : bool
+        Whether endpoints of all failure domains are used on equal terms, with the hop counted into
+        the predicted finish. It fits pools whose endpoints differ more in speed than a hop costs.
     """
 
-    def __init__(self, failure_domain: str, region: str, pool: Pool, rng: random.Random):
+    def __init__(
+        self,
+        failure_domain: str,
+        region: str,
+        pool: Pool,
+        rng: random.Random,
+        is_wide: bool = False,
+    ):
         self.failure_domain = failure_domain
         self.region = region
+        self.is_wide = is_wide
         self.pool = pool
         self.queue = FairQueue()
         self.running: dict[str, Granted] = {}
@@ -591,7 +603,9 @@
         if generation is None:
             generation = GenerationSpeed(PRIORS.get(view.hardware, DEFAULT_PRIOR))
             self.generations[view.hardware] = generation
-        state = EndpointState(view, self._distance(view), generation)
+        distance = self._distance(view)
+        state = EndpointState(view, LOCAL if self.is_wide else distance, generation)
+        state.hop_s = HOP_S[distance]
         state.changed_at = now
         self.states[view.endpoint] = state
         return state
--- /dev/null
+++ b/mulberrygate/sync/__init__.py
@@ -0,0 +1,1 @@
+"""Messages by which entries follow the control processes."""
--- /dev/null
+++ b/mulberrygate/sync/follower.py
@@ -0,0 +1,203 @@
+"""Following of the control processes by an entry."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable
+
+from mulberrygate.catalog import Catalog, CatalogIndex
+from mulberrygate.core.timers import TimerService
+from mulberrygate.endpoints.roster import Roster
+from mulberrygate.observe.jsonlines import JsonLines
+from mulberrygate.sync.messages import AskRates, Follow, Rates, State
+
+# The control process answers within half a second, so a longer silence is a fault.
+FOLLOW_TIMEOUT_S = 1.0
+# Least time between two questions, so that a storm of changes comes in batches.
+FOLLOW_GAP_S = 0.02
+RETRY_S = 0.1
+# Full comparison of the roster with that of a control process.
+FULL_EVERY_S = 10.0
+RATES_EVERY_S = 0.25
+RATES_TIMEOUT_S = 0.8
+
+
+class Follower:
+    """Keep the catalog and the roster of an entry up to date.
+
+    Explanation
+    ===========
+    One control process at a time is followed, in the own failure domain if possible. Another one is
+    taken when it doesn't answer or has lost the majority of its group. A catalog is only ever
+    replaced by one of a higher version.
+
+    Parameters
+    ==========
+    on_catalog : Callable[[CatalogIndex], None]
+        Called with each catalog that comes into force.
+    on_state : Callable[[State], None]
+        Called with each answer.
+    """
+
+    def __init__(
+        self,
+        site,
+        peers,
+        roster: Roster,
+        timers: TimerService,
+        lines: JsonLines,
+        decode: Callable[[bytes], Catalog],
+        on_catalog: Callable[[CatalogIndex], None],
+        on_state: Callable[[State], None],
+        seed: int | None = None,
+    ):
+        self.site = site
+        self.peers = peers
+        self.roster = roster
+        self.timers = timers
+        self.lines = lines
+        self.decode = decode
+        self.on_catalog = on_catalog
+        self.on_state = on_state
+        self.rng = random.Random(seed)
+        self.index: CatalogIndex | None = None
+        self.controls: list[str] = list(site.seeds)
+        self.seeds = site.seeds
+        self.control = ""
+        self.control_incarnation = 0
+        self.changes = -1
+        self.crashes = 0
+        self.leader = ""
+        self.failed_at: dict[str, float] = {}
+        self.full_at = 0.0
+        self.current_at = float("-inf")
+        self.is_settled = False
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self.timers.spawn(self._follow_for_ever())
+
+    async def _follow_for_ever(self) -> None:
+        while True:
+            if not self.control:
+                self.control = self._choose()
+            await self._follow_once()
+            await asyncio.sleep(FOLLOW_GAP_S)
+
+    def _choose(self) -> str:
+        """Return the control process that failed least lately, the nearest of equal ones."""
+        names = list(dict.fromkeys([*self.controls, *self.seeds]))
+        prefix = self.site.instance.rsplit(".", 2)[0]
+        self.rng.shuffle(names)
+        return min(
+            names,
+            key=lambda name: (
+                self.failed_at.get(name, float("-inf")),
+                name.rsplit(".", 2)[0] != prefix,
+            ),
+        )
+
+    async def _follow_once(self) -> None:
+        now = self.timers.now()
+        if now - self.full_at > FULL_EVERY_S:
+            self.changes = -1
+        question = Follow(
+            self.site.instance,
+            self.peers.incarnation,
+            self.index.version if self.index else -1,
+            self.control_incarnation,
+            self.changes,
+            self.crashes,
+        )
+        answer = await self.peers.client.call(self.control, question, FOLLOW_TIMEOUT_S)
+        if not isinstance(answer, State):
+            self._leave(f"no answer: {getattr(answer, 'reason', '')}")
+            await asyncio.sleep(RETRY_S)
+            return
+        self._take(answer)
+        if not answer.is_current:
+            self._leave("it has lost its group")
+            await asyncio.sleep(RETRY_S)
+
+    def _leave(self, reason: str) -> None:
+        self.lines.note("control.left", control=self.control, reason=reason)
+        self.failed_at[self.control] = self.timers.now()
+        self.control = ""
+
+    def _take(self, state: State) -> None:
+        now = self.timers.now()
+        if state.control_incarnation != self.control_incarnation:
+            self.lines.note("control.followed", control=self.control)
+        self.control_incarnation = state.control_incarnation
+        self.changes = state.changes
+        self._take_roster(state, now)
+        if state.catalog and (self.index is None or state.catalog_version > self.index.version):
+            self.index = CatalogIndex(self.decode(zlib.decompress(state.catalog)))
+            self.lines.note("catalog.in_force", version=self.index.version, control=self.control)
+            self.on_catalog(self.index)
+        if state.is_current:
+            self.current_at = now
+            self.controls = list(state.controls) or self.controls
+            self.leader = state.leader
+        self.crashes = state.crashes
+        self.on_state(state)
+
+    def _take_roster(self, state: State, now: float) -> None:
+        roster = self.roster
+        for heard in state.heard:
+            known = heard.registration
+            if roster.hear(known, now - heard.age_s):
+                self.lines.note(
+                    "endpoint.known",
+                    endpoint=known.endpoint,
+                    pool=known.pool,
+                    address=known.address,
+                    is_leaving=known.is_leaving,
+                    age_s=round(heard.age_s, 3),
+                )
+            if known.is_leaving and roster.leave(known.endpoint, known.incarnation):
+                self.lines.note("endpoint.leaves", endpoint=known.endpoint)
+        for name in state.gone:
+            self._forget(name)
+        if state.is_full:
+            # A process that has just started may not know all endpoints yet.
+            self.full_at = now if state.is_settled else now - FULL_EVERY_S + 1.0
+            if state.is_settled and state.is_current:
+                named = {heard.registration.endpoint for heard in state.heard}
+                for name in [name for name in roster.rows if name not in named]:
+                    self._forget(name)
+
+    def _forget(self, name: str) -> None:
+        if self.roster.rows.pop(name, None) is not None:
+            self.lines.note("endpoint.forgotten", endpoint=name)
+
+
+class RateKeeper:
+    """Renew an entry's shares of client accounts' limits at the leader."""
+
+    def __init__(self, follower: Follower, limits, clock: Callable[[], float]):
+        self.follower = follower
+        self.limits = limits
+        self.clock = clock
+
+    def start(self) -> None:
+        """Begin to renew."""
+        self.follower.timers.every(RATES_EVERY_S, self.renew, "rates")
+
+    async def renew(self) -> None:
+        """Ask the leader once."""
+        follower = self.follower
+        index = follower.index
+        if not follower.leader or index is None:
+            return
+        if not any(account.rate > 0 for account in index.accounts.values()):
+            return
+        asked_at = self.clock()
+        question: AskRates = self.limits.question(
+            follower.site.instance, follower.peers.incarnation
+        )
+        answer = await follower.peers.client.call(follower.leader, question, RATES_TIMEOUT_S)
+        if isinstance(answer, Rates) and answer.is_leader:
+            self.limits.take_rates(answer, asked_at)
--- /dev/null
+++ b/mulberrygate/sync/messages.py
@@ -0,0 +1,219 @@
+"""Messages between entries and control processes, and among control processes."""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.core.wire import message
+from mulberrygate.endpoints.roster import Heard
+
+
+@attrs.frozen
+class MoveState:
+    """Version move of a pool, as entries have to follow it.
+
+    Parameters
+    ==========
+    share : float
+        Share of the pool's requests that may go to the target version.
+    is_over : bool
+        Whether the verdict is known.
+    """
+
+    pool: str
+    target: str
+    share: float
+    is_over: bool = False
+
+
+@message("sync.follow")
+@attrs.frozen
+class Follow:
+    """Entry to control: tell what is newer than this; the answer waits for a change.
+
+    Parameters
+    ==========
+    catalog_version : int
+        Version of the catalog in force at the entry, -1 for none.
+    incarnation, changes : int
+        Process and number of roster changes of the last answer.
+    """
+
+    instance: str
+    incarnation: int
+    catalog_version: int
+    control_incarnation: int
+    changes: int
+    crashes: int = 0
+
+
+@message("sync.state")
+@attrs.frozen
+class State:
+    """Control to entry: answer to `Follow`.
+
+    Parameters
+    ==========
+    is_full : bool
+        Whether ``heard`` names all endpoints and not only changed ones.
+    is_current : bool
+        Whether the control process hears from the majority of its group.
+    is_settled : bool
+        Whether it has run long enough to know all endpoints.
+    catalog : bytes
+        Compressed document, empty if the entry has it.
+    heard : tuple[Heard, ...]
+        Endpoints that changed, all of them in the first answer of a process.
+    gone : tuple[str, ...]
+        Names that were removed.
+    silent : tuple[str, ...]
+        Endpoints that were not heard lately.
+    controls : tuple[str, ...]
+        Instances that serve control.
+    leader : str
+        Instance that leads the control group, empty if it is not known.
+    entries : int
+        Entries that follow any control process.
+    crashing : tuple[str, ...]
+        Fingerprints of calls that crash endpoints.
+    """
+
+    control_incarnation: int
+    changes: int
+    catalog_version: int
+    is_full: bool = False
+    is_current: bool = False
+    is_settled: bool = False
+    catalog: bytes = b""
+    heard: tuple[Heard, ...] = ()
+    gone: tuple[str, ...] = ()
+    silent: tuple[str, ...] = ()
+    controls: tuple[str, ...] = ()
+    leader: str = ""
+    entries: int = 1
+    moves: tuple[MoveState, ...] = ()
+    crashes: int = 0
+    crashing: tuple[str, ...] = ()
+
+
+@message("sync.share")
+@attrs.frozen
+class Share:
+    """Control to control: what endpoints said, and which entries follow the sender.
+
+    Parameters
+    ==========
+    heard : tuple[Heard, ...]
+        New or changed registrations.
+    renewed : tuple[tuple[str, int, float], ...]
+        Name, incarnation and age in seconds of registrations without a change.
+    entries : tuple[str, ...]
+        Entries that follow the sender.
+    """
+
+    heard: tuple[Heard, ...] = ()
+    renewed: tuple[tuple[str, int, float], ...] = ()
+    entries: tuple[str, ...] = ()
+    crashing: tuple[str, ...] = ()
+
+
+@message("sync.share_result")
+@attrs.frozen
+class ShareResult:
+    """Answer to `Share`: names of renewed endpoints whose registration is not known."""
+
+    unknown: tuple[str, ...] = ()
+
+
+@message("sync.propose")
+@attrs.frozen
+class Propose:
+    """Control to leader: put a command into the log."""
+
+    command: bytes
+
+
+@message("sync.proposed")
+@attrs.frozen
+class ProposeResult:
+    """Leader to control: whether the command is committed for certain."""
+
+    is_committed: bool
+
+
+@message("sync.read_version")
+@attrs.frozen
+class ReadLatest:
+    """Control to leader: return the newest catalog, unless it has this version."""
+
+    catalog_version: int
+
+
+@message("sync.latest")
+@attrs.frozen
+class Latest:
+    """Leader to control: the newest catalog; ``is_certain`` only behind a read barrier."""
+
+    is_certain: bool
+    catalog_version: int = -1
+    catalog: bytes = b""
+    moves: bytes = b""
+
+
+@message("sync.ask_rates")
+@attrs.frozen
+class AskRates:
+    """Entry to leader: demand and held rates of client accounts, in units a second.
+
+    Parameters
+    ==========
+    held : dict[str, float]
+        Rates that the entry may still use.
+    """
+
+    instance: str
+    incarnation: int
+    demand: dict[str, float]
+    held: dict[str, float]
+
+
+@message("sync.rates")
+@attrs.frozen
+class Rates:
+    """Leader to entry: rates in units a second, for some seconds; refused by another process."""
+
+    is_leader: bool
+    rates: dict[str, float] = attrs.field(factory=dict)
+    valid_s: float = 0.0
+
+
+@message("sync.evidence")
+@attrs.frozen
+class VersionEvidence:
+    """Entry to leader: answers of a version since the last report.
+
+    Parameters
+    ==========
+    number : int
+        Rises with each report of an entry's incarnation.
+    total, bad : int
+        All answers, and those that were failures or took several times as long as predicted.
+    """
+
+    instance: str
+    incarnation: int
+    number: int
+    pool: str
+    version: str
+    total: int
+    bad: int
+
+
+@message("sync.crash")
+@attrs.frozen
+class CrashSeen:
+    """Entry to control: a call ended with the loss of its endpoint."""
+
+    fingerprint: str
+    endpoint: str
+    incarnation: int
