Give out units of client accounts from one leader

Each entry had an eighth of the rate and burst, and one request is as large as that. Ruled out: stale demand figures; the refusals came at constant load too.

--- a/mulberrygate/agreement/base.py
+++ b/mulberrygate/agreement/base.py
@@ -114,13 +114,6 @@
         member = self.members.by_disk(self.disk)
         return member is not None and member.is_voter
 
-    @property
-    def has_commands(self) -> bool:
-        """Whether any command was ever taken into the log, committed or not."""
-        if self.snapshot is not None:
-            return True
-        return any(entry.kind is EntryKind.COMMAND for entry in self.log.entries)
-
     def begin(self, now: float) -> None:
         """Start a step: collect its effects, and step down first if the lease has run out."""
         self.out = []
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -30,20 +30,20 @@
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.endpoints.roster import Heard, Registration, Roster
 from mulberrygate.observe.jsonlines import JsonLines
-from mulberrygate.quota import RateAllocator
+from mulberrygate.quota import CentralLimits, Limit
 from mulberrygate.sync.messages import (
-    AskRates,
+    AskUnits,
     CrashSeen,
     Follow,
     Latest,
     MoveState,
     Propose,
     ProposeResult,
-    Rates,
     ReadLatest,
     Share,
     ShareResult,
     State,
+    Units,
     VersionEvidence,
 )
 
@@ -113,7 +113,7 @@
         self.remote_entries: dict[str, tuple[float, tuple[str, ...]]] = {}
         self.unshared: set[str] = set()
         self.unshared_renewals: set[str] = set()
-        self.allocator: RateAllocator | None = None
+        self.limits: CentralLimits | None = None
         self.judge = RolloutJudge(site.bounds.exposure_share, site.bounds.exposure_slack)
         self.crashing: dict[str, Crashing] = {}
         self.quarantined: dict[str, None] = {}
@@ -132,7 +132,7 @@
         on(Share, self._on_share)
         on(Propose, self._on_propose)
         on(ReadLatest, self._on_read_latest)
-        on(AskRates, self._on_ask_rates)
+        on(AskUnits, self._on_ask_units)
         on(VersionEvidence, self._on_evidence)
         on(CrashSeen, self._on_crash)
         await self._open_voter()
@@ -236,18 +236,18 @@
     def _on_role(self, role: Role, term: int) -> None:
         self.lines.note("control.role", role=role.value, term=term)
         if role is Role.LEADER:
-            is_first = not self.service.node.has_commands
-            self.allocator = RateAllocator(boot_time(), is_first)
+            self.limits = CentralLimits()
             self._set_limits()
             self.judge.restart(self.timers.now())
         else:
-            self.allocator = None
+            self.limits = None
         self._announce()
 
     def _set_limits(self) -> None:
-        if self.allocator is not None and self.catalog is not None:
+        if self.limits is not None and self.catalog is not None:
             accounts = self.catalog.accounts
-            self.allocator.set_limits({a.name: a.rate for a in accounts if a.rate > 0})
+            limits = {a.name: Limit(a.rate, a.burst) for a in accounts if a.rate > 0}
+            self.limits.set_limits(limits, boot_time())
 
     # Commands and reads
 
@@ -469,15 +469,15 @@
             crashing=tuple(self.quarantined) if message.crashes != len(self.quarantined) else (),
         )
 
-    # Shares of limits
+    # Limits of client accounts
 
-    def _on_ask_rates(self, message: AskRates, _sender: str) -> Rates:
-        if self.allocator is None or not self.is_leader:
-            return Rates(False)
-        rates = self.allocator.ask(
-            message.instance, message.incarnation, message.demand, message.held, boot_time()
+    def _on_ask_units(self, message: AskUnits, _sender: str) -> Units:
+        if self.limits is None or not self.is_leader:
+            return Units(False)
+        granted = self.limits.ask(
+            message.instance, message.account, message.need, message.advance, boot_time()
         )
-        return Rates(True, rates, self.allocator.lease_s)
+        return Units(True, granted.units, granted.wait_s, granted.share)
 
     # Calls that crash endpoints
 
--- a/mulberrygate/daemon/gateway.py
+++ b/mulberrygate/daemon/gateway.py
@@ -19,7 +19,7 @@
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.schedule.effects import Observed
-from mulberrygate.sync.follower import Follower, RateKeeper
+from mulberrygate.sync.follower import Follower
 from mulberrygate.sync.messages import CrashSeen, State, VersionEvidence
 
 # The balancer asks once a second and takes an instance out after two misses.
@@ -59,7 +59,13 @@
         self.peers = SitePeers(site)
         self.roster = Roster()
         self.placer = Placer(site, self.roster, self.timers, self._on_observed, seed)
-        self.limits = AccountLimits(boot_time)
+        self.limits = AccountLimits(
+            site.instance,
+            self.peers,
+            lambda: self.follower.leader,
+            site.bounds.quota_slack,
+            boot_time,
+        )
         self.suspects = Suspects(self._report_crash)
         self.forwarder = Forwarder(
             site,
@@ -82,7 +88,6 @@
             self._on_state,
             seed,
         )
-        self.rates = RateKeeper(self.follower, self.limits, boot_time)
         self.evidence: dict[tuple[str, str], list[int]] = {}
         self.evidence_number = 0
         self.moving: frozenset[str] = frozenset()
@@ -97,7 +102,6 @@
         """Follow control and listen."""
         await self.peers.start()
         self.follower.start()
-        self.rates.start()
         self.placer.start()
         self.timers.every(EVIDENCE_S, self._send_evidence, "evidence")
         self.timers.every(FLUSH_S, self.lines.flush, "lines")
@@ -118,7 +122,6 @@
 
     def _on_catalog(self, index: CatalogIndex) -> None:
         self.forwarder.set_index(index)
-        self.limits.set_index(index)
         if self.http is not None:
             self.http.set_limits(index.catalog.limits)
 
@@ -127,6 +130,7 @@
         if state.is_current and state.is_settled:
             self.placer.silent = frozenset(state.silent)
         self.forwarder.set_entries(state.entries)
+        self.limits.entries = state.entries
         if state.crashing:
             self.suspects.set_quarantined(state.crashing)
         self.moving = frozenset(move.pool for move in state.moves)
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -2,9 +2,9 @@
 
 Explanation
 ===========
-A connection serves one exchange only. A kept one may hold a late second answer, the rest of a body
-that the endpoint has not read, or have gone silent; each of these would have to be told from a sound
-one before a call that may not be repeated is trusted to it.
+A connection serves one exchange only. A kept one may hold a late second answer or the rest of a
+body that the endpoint has not read, or may have gone silent; each of these would have to be told
+from a sound one before a call that may not be repeated is trusted to it.
 """
 
 from __future__ import annotations
--- a/mulberrygate/forward/limits.py
+++ b/mulberrygate/forward/limits.py
@@ -4,68 +4,88 @@
 
 from collections.abc import Callable
 
-from mulberrygate.catalog import CatalogIndex, ClientAccount
+from mulberrygate.catalog import ClientAccount
 from mulberrygate.forward import codes
 from mulberrygate.forward.request import Refused
-from mulberrygate.quota import AccountBuckets
-from mulberrygate.sync.messages import AskRates, Rates
+from mulberrygate.quota import LocalUnits
+from mulberrygate.sync.messages import AskUnits, Units
 
+ASK_TIMEOUT_S = 0.3
+# After a question without an answer the next requests don't wait for the leader.
+AVOID_LEADER_S = 0.5
 NO_SHARE_RETRY_S = 0.6
+# Part of the slack of a limit that entries may hold in advance, all together.
+ADVANCE_PART = 0.4
 
 
 class AccountLimits:
-    """Spend the shares of client accounts' limits that the control group leases.
+    """Spend the units of client accounts that the leader of the control group gives out.
 
     Parameters
     ==========
+    peers : SitePeers
+        Transport to the leader.
+    find_leader : Callable[[], str]
+        Returns the leader's instance, empty if it is not known.
+    slack : float
+        Units by which an account may pass its limit in a window.
     clock : Callable[[], float]
         Seconds on a clock that counts suspended time.
     """
 
-    def __init__(self, clock: Callable[[], float]):
+    def __init__(
+        self,
+        instance: str,
+        peers,
+        find_leader: Callable[[], str],
+        slack: float,
+        clock: Callable[[], float],
+    ):
+        self.instance = instance
+        self.peers = peers
+        self.find_leader = find_leader
         self.clock = clock
-        self.buckets = AccountBuckets()
-        self.index: CatalogIndex | None = None
+        self.units = LocalUnits()
+        self.slack = slack
+        self.entries = 1
+        self.avoid_until = float("-inf")
 
-    def set_index(self, index: CatalogIndex) -> None:
-        """Take the limits of a catalog."""
-        self.index = index
-        now = self.clock()
-        for name, bucket in self.buckets.buckets.items():
-            account = index.accounts.get(name)
-            if account is not None and 0 < account.rate < bucket.rate:
-                # A lower limit binds before the leader's next answer.
-                self.buckets.grant(
-                    name, account.rate, account.rate, account.burst, bucket.valid_until, now
-                )
+    @property
+    def most_held(self) -> float:
+        """Units that this entry may hold in advance of one account."""
+        return self.slack * ADVANCE_PART / max(self.entries, 1)
 
-    def take(self, account: ClientAccount, units: float) -> Refused | None:
+    async def take(self, account: ClientAccount, units: float) -> Refused | None:
         """Spend units of an account; return why that is refused."""
         now = self.clock()
-        if self.buckets.take(account.name, units, now):
+        if self.units.take(account.name, units, now):
+            return None
+        leader = self.find_leader()
+        if not leader or now < self.avoid_until:
+            return self._take_alone(account, units)
+        return await self._ask(leader, account, units)
+
+    async def _ask(self, leader: str, account: ClientAccount, units: float) -> Refused | None:
+        """Ask the leader for the units of a request."""
+        question = AskUnits(self.instance, account.name, units, self.most_held)
+        answer = await self.peers.client.call(leader, question, ASK_TIMEOUT_S)
+        now = self.clock()
+        if not isinstance(answer, Units) or not answer.is_leader:
+            if not isinstance(answer, Units):
+                self.avoid_until = now + AVOID_LEADER_S
+            return self._take_alone(account, units)
+        if answer.units < units:
+            return Refused(codes.OVER_LIMIT, account.name, answer.wait_s)
+        extra = answer.units - units
+        self.units.give(account.name, extra, answer.share, self.most_held, now)
+        return None
+
+    def _take_alone(self, account: ClientAccount, units: float) -> Refused | None:
+        if self.units.take_alone(account.name, units, account.rate, self.clock()):
             return None
-        if not self.buckets.is_valid(account.name, now):
-            return Refused(codes.NO_SHARE, account.name, NO_SHARE_RETRY_S)
-        retry_after_s = self.buckets.retry_after_s(account.name, now)
-        return Refused(codes.OVER_LIMIT, account.name, retry_after_s)
+        return Refused(codes.NO_SHARE, account.name, NO_SHARE_RETRY_S)
 
     def give_back(self, account: str, units: float) -> None:
         """Return the units of a request that did not run."""
         if units:
-            self.buckets.give_back(account, units)
-
-    def question(self, instance: str, incarnation: int) -> AskRates:
-        """Return the question to the leader."""
-        now = self.clock()
-        return AskRates(instance, incarnation, self.buckets.demand(now), self.buckets.held(now))
-
-    def take_rates(self, rates: Rates, asked_at: float) -> None:
-        """Take the leader's answer; the lease counts from before the question was sent."""
-        if self.index is None:
-            return
-        now = self.clock()
-        for name, rate in rates.rates.items():
-            account = self.index.accounts.get(name)
-            if account is not None and account.rate > 0:
-                until = asked_at + rates.valid_s
-                self.buckets.grant(name, rate, account.rate, account.burst, until, now)
+            self.units.give_back(account, units, self.most_held, self.clock())
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -127,7 +127,7 @@
         if refused is None:
             refused = self.check_suspects(call)
         if refused is None:
-            refused = self.take_units(call, index)
+            refused = await self.take_units(call, index)
         return refused
 
     def identify(self, call: Call, index: CatalogIndex) -> Refused | None:
@@ -178,14 +178,14 @@
             return Refused(codes.CRASHES_ENDPOINTS, retry_after_s=QUARANTINED_RETRY_S)
         return None
 
-    def take_units(self, call: Call, index: CatalogIndex) -> Refused | None:
+    async def take_units(self, call: Call, index: CatalogIndex) -> Refused | None:
         """Take the request from the limit of its client account."""
         account = index.accounts.get(call.account)
         if account is None or account.rate <= 0:
             return None
         tokens = call.head.prompt_tokens + call.head.output_tokens
         call.units = (tokens or account.plain_tokens) if account.counts_tokens else 1.0
-        return self.limits.take(account, call.units)
+        return await self.limits.take(account, call.units)
 
     def ticket(self, call: Call, number: int, avoid: tuple[str, ...]) -> Ticket:
         """Return the ticket under which a request waits."""
--- a/mulberrygate/observe/jsonlines.py
+++ b/mulberrygate/observe/jsonlines.py
@@ -2,9 +2,9 @@
 
 Explanation
 ===========
-A line is written at once if the pipe takes it whole. What it doesn't take waits in a bounded buffer;
-lines that don't fit are dropped and counted, and a summary line says how many. Each kind of line
-has a budget a second, so a storm of one kind leaves room for the others.
+A line is written at once if the pipe takes it whole. What it doesn't take waits in a bounded
+buffer; lines that don't fit are dropped and counted, and a summary line says how many. Each kind of
+line has a budget a second, so a storm of one kind leaves room for the others.
 """
 
 from __future__ import annotations
--- a/mulberrygate/quota/__init__.py
+++ b/mulberrygate/quota/__init__.py
@@ -1,7 +1,7 @@
-"""Limits that all entries share: rates of client accounts and retry budgets."""
+"""Limits that all entries share: units of client accounts and retry budgets."""
 
-from mulberrygate.quota.allocator import RateAllocator
-from mulberrygate.quota.bucket import AccountBuckets
+from mulberrygate.quota.central import CentralLimits, Limit
+from mulberrygate.quota.local import LocalUnits
 from mulberrygate.quota.retries import RetryBudget
 
-__all__ = ["AccountBuckets", "RateAllocator", "RetryBudget"]
+__all__ = ["CentralLimits", "Limit", "LocalUnits", "RetryBudget"]
--- /dev/null
+++ b/mulberrygate/quota/central.py
@@ -0,0 +1,136 @@
+"""Limits of client accounts at the leader of the control group."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+# Part of the burst that a new leader starts with; the one before may have given out the rest.
+FIRST_FILL = 0.5
+# Part of what is left that one entry gets in advance.
+ADVANCE_PART = 0.1
+# Time constant in seconds of each entry's part of an account's use.
+USE_S = 8.0
+SHORTEST_WAIT_S = 0.2
+LONGEST_WAIT_S = 5.0
+
+
+@attrs.frozen
+class Limit:
+    """Limit of one account: units a second, and units beyond that."""
+
+    rate: float
+    burst: float
+
+
+@attrs.frozen
+class Granted:
+    """Answer to one question.
+
+    Parameters
+    ==========
+    units : float
+        Units that the entry may spend.
+    wait_s : float
+        Seconds until the account has units again, 0 if it has.
+    share : float
+        The entry's part of the account's use in the last seconds.
+    """
+
+    units: float
+    wait_s: float
+    share: float
+
+
+@attrs.define
+class Account:
+    """Units left of one account, and what each entry used."""
+
+    limit: Limit
+    level: float
+    updated_at: float
+    used: dict[str, float] = attrs.field(factory=dict)
+    used_at: float = 0.0
+
+
+class CentralLimits:
+    """Give out the units of client accounts, never more in all than their limits.
+
+    Explanation
+    ===========
+    One token bucket for each account. A question is granted in full while the level is above 0 and
+    may take it below 0, since one request may be larger than the burst.
+
+    Examples
+    ========
+    >>> from mulberrygate.quota import CentralLimits, Limit
+    >>> limits = CentralLimits()
+    >>> limits.set_limits({"salons": Limit(rate=100.0, burst=200.0)}, now=0.0)
+    >>> limits.ask("entry-1", "salons", need=150.0, advance=0.0, now=0.0).units
+    150.0
+    >>> limits.ask("entry-2", "salons", need=10.0, advance=0.0, now=0.0)
+    Granted(units=0.0, wait_s=0.5, share=0.0)
+    """
+
+    def __init__(self):
+        self.accounts: dict[str, Account] = {}
+
+    def set_limits(self, limits: dict[str, Limit], now: float) -> None:
+        """Replace the limits; what is left is kept, up to the new burst."""
+        for name in [name for name in self.accounts if name not in limits]:
+            del self.accounts[name]
+        for name, limit in limits.items():
+            account = self.accounts.get(name)
+            if account is None:
+                self.accounts[name] = Account(limit, limit.burst * FIRST_FILL, now)
+                continue
+            self._refill(account, now)
+            account.limit = limit
+            account.level = min(account.level, limit.burst)
+
+    def ask(self, entry: str, name: str, need: float, advance: float, now: float) -> Granted:
+        """Grant units for a request that waits, and some in advance.
+
+        Parameters
+        ==========
+        need : float
+            Units of requests that wait at the entry.
+        advance : float
+            Units that the entry would like for its next requests.
+        """
+        account = self.accounts.get(name)
+        if account is None:
+            return Granted(0.0, LONGEST_WAIT_S, 0.0)
+        self._refill(account, now)
+        self._decay(account, now)
+        units = 0.0
+        if account.level > 0:
+            units = need
+            account.level -= need
+            extra = max(0.0, min(advance, account.level * ADVANCE_PART))
+            units += extra
+            account.level -= extra
+        account.used[entry] = account.used.get(entry, 0.0) + units
+        total = sum(account.used.values())
+        share = account.used[entry] / total if total > 0 else 0.0
+        return Granted(units, self._wait_s(account), share)
+
+    def _wait_s(self, account: Account) -> float:
+        if account.level > 0:
+            return 0.0
+        if account.limit.rate <= 0:
+            return LONGEST_WAIT_S
+        wait_s = -account.level / account.limit.rate
+        return min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, wait_s))
+
+    def _refill(self, account: Account, now: float) -> None:
+        seconds = max(0.0, now - account.updated_at)
+        limit = account.limit
+        account.level = min(limit.burst, account.level + limit.rate * seconds)
+        account.updated_at = now
+
+    def _decay(self, account: Account, now: float) -> None:
+        keep = math.exp(-max(0.0, now - account.used_at) / USE_S)
+        account.used = {name: units * keep for name, units in account.used.items() if units > 0.01}
+        account.used_at = now
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -11,7 +11,7 @@
 from mulberrygate.core.timers import TimerService
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.observe.jsonlines import JsonLines
-from mulberrygate.sync.messages import AskRates, Follow, Rates, State
+from mulberrygate.sync.messages import Follow, State
 
 # The control process answers within half a second, so a longer silence is a fault.
 FOLLOW_TIMEOUT_S = 1.0
@@ -20,8 +20,6 @@
 RETRY_S = 0.1
 # Full comparison of the roster with that of a control process.
 FULL_EVERY_S = 10.0
-RATES_EVERY_S = 0.25
-RATES_TIMEOUT_S = 0.8
 
 
 class Follower:
@@ -172,32 +170,3 @@
     def _forget(self, name: str) -> None:
         if self.roster.rows.pop(name, None) is not None:
             self.lines.note("endpoint.forgotten", endpoint=name)
-
-
-class RateKeeper:
-    """Renew an entry's shares of client accounts' limits at the leader."""
-
-    def __init__(self, follower: Follower, limits, clock: Callable[[], float]):
-        self.follower = follower
-        self.limits = limits
-        self.clock = clock
-
-    def start(self) -> None:
-        """Begin to renew."""
-        self.follower.timers.every(RATES_EVERY_S, self.renew, "rates")
-
-    async def renew(self) -> None:
-        """Ask the leader once."""
-        follower = self.follower
-        index = follower.index
-        if not follower.leader or index is None:
-            return
-        if not any(account.rate > 0 for account in index.accounts.values()):
-            return
-        asked_at = self.clock()
-        question: AskRates = self.limits.question(
-            follower.site.instance, follower.peers.incarnation
-        )
-        answer = await follower.peers.client.call(follower.leader, question, RATES_TIMEOUT_S)
-        if isinstance(answer, Rates) and answer.is_leader:
-            self.limits.take_rates(answer, asked_at)
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -160,31 +160,34 @@
     moves: bytes = b""
 
 
-@message("sync.ask_rates")
+@message("sync.ask_units")
 @attrs.frozen
-class AskRates:
-    """Entry to leader: demand and held rates of client accounts, in units a second.
+class AskUnits:
+    """Entry to leader: give units of a client account.
 
     Parameters
     ==========
-    held : dict[str, float]
-        Rates that the entry may still use.
+    need : float
+        Units of a request that waits.
+    advance : float
+        Units that the entry would like for its next requests.
     """
 
     instance: str
-    incarnation: int
-    demand: dict[str, float]
-    held: dict[str, float]
+    account: str
+    need: float
+    advance: float
 
 
-@message("sync.rates")
+@message("sync.units")
 @attrs.frozen
-class Rates:
-    """Leader to entry: rates in units a second, for some seconds; refused by another process."""
+class Units:
+    """Leader to entry: units that may be spent; see `mulberrygate.quota.central.Granted`."""
 
     is_leader: bool
-    rates: dict[str, float] = attrs.field(factory=dict)
-    valid_s: float = 0.0
+    units: float = 0.0
+    wait_s: float = 0.0
+    share: float = 0.0
 
 
 @message("sync.evidence")
