Order the requests of engines in one queue at the leader; close idle connections in a planned stop

Cause: (1) entries that each order their own requests see others' only in the loads of answers, which come about once a second for each endpoint when all slots are taken; (2) aiohttp's close() of a kept connection ends its task but leaves the connection open, so requests on it were never read. Ruled out for (2): late answers of endpoints; the requests never reached one.

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -29,8 +29,11 @@
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.endpoints.roster import Heard, Registration, Roster
+from mulberrygate.forward.placing import Placement, SiteView
 from mulberrygate.observe.jsonlines import JsonLines
+from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import CentralLimits, Limit
+from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.messages import (
     AskUnits,
     CrashSeen,
@@ -115,6 +118,8 @@
         self.unshared_renewals: set[str] = set()
         self.limits: CentralLimits | None = None
         self.judge = RolloutJudge(site.bounds.exposure_share, site.bounds.exposure_slack)
+        self.evidence = EvidenceReports(self.roster)
+        self.placement: Placement | None = None
         self.crashing: dict[str, Crashing] = {}
         self.quarantined: dict[str, None] = {}
         self.is_stopping = False
@@ -127,6 +132,16 @@
     async def start(self) -> None:
         """Start the peer server and the voter."""
         self.started_at = self.timers.now()
+        view = SiteView(self.site.instance, lambda: self.leader, self._list_entries)
+        self.placement = Placement(
+            self.site,
+            self.peers.client,
+            self.roster,
+            self.timers,
+            Metrics(),
+            view,
+            self.evidence,
+        )
         on = self.peers.client.on
         on(Follow, self._on_follow)
         on(Share, self._on_share)
@@ -231,6 +246,8 @@
             self.catalog = self.decode(zlib.decompress(machine.document))
             self.lines.note("catalog.in_force", version=machine.version)
             self._set_limits()
+            self.placement.set_pools({pool.name: pool for pool in self.catalog.pools})
+        self.evidence.set_moves(self._move_states())
         self._announce()
 
     def _on_role(self, role: Role, term: int) -> None:
@@ -417,14 +434,14 @@
         limit = self.timers.now() - ENTRY_GONE_S
         return tuple(name for name, at in self.entries.items() if at > limit)
 
-    def count_entries(self) -> int:
-        """Return the number of entries that follow any control process."""
+    def _list_entries(self) -> list[str]:
+        """Return the entries that follow any control process."""
         now = self.timers.now()
         names = set(self._own_entries())
         for at, entries in self.remote_entries.values():
             if now - at < ENTRY_GONE_S:
                 names.update(entries)
-        return max(1, len(names))
+        return sorted(names)
 
     async def _on_follow(self, message: Follow, _sender: str) -> State:
         if message.instance not in self.entries:
@@ -463,7 +480,7 @@
             silent=tuple(n for n, row in roster.rows.items() if row.heard_at < limit),
             controls=self.controls(),
             leader=self.leader,
-            entries=self.count_entries(),
+            entries=max(1, len(self._list_entries())),
             moves=self._move_states(),
             crashes=len(self.quarantined),
             crashing=tuple(self.quarantined) if message.crashes != len(self.quarantined) else (),
@@ -518,6 +535,8 @@
         self.judge.observe(message)
 
     def _judge_moves(self) -> None:
+        for report in self.evidence.take(self.site.instance, self.incarnation):
+            self.judge.observe(report)
         for pool, move in self.machine.moves.items():
             if move.state != RUNNING:
                 continue
@@ -530,6 +549,9 @@
         """Do what is due without a message."""
         now = self.timers.now()
         if self.is_settled:
+            limit = now - SILENT_S
+            rows = self.roster.rows.items()
+            self.placement.directory.silent = frozenset(n for n, r in rows if r.heard_at < limit)
             for name in self.roster.forget_silent(now, FORGET_S):
                 self.lines.note("endpoint.forgotten", endpoint=name)
                 self._announce()
--- a/mulberrygate/daemon/gateway.py
+++ b/mulberrygate/daemon/gateway.py
@@ -12,24 +12,26 @@
 from mulberrygate.daemon.http_site import HttpSite, split_address
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.endpoints.roster import Roster
+from mulberrygate.entry.tickets import SchedulerClient
 from mulberrygate.forward.limits import AccountLimits
-from mulberrygate.forward.placing import Placer
+from mulberrygate.forward.placing import Placement, SiteView
 from mulberrygate.forward.service import Forwarder
 from mulberrygate.forward.suspects import Suspects
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.observe.metrics import Metrics
-from mulberrygate.schedule.effects import Observed
+from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.follower import Follower
-from mulberrygate.sync.messages import CrashSeen, State, VersionEvidence
+from mulberrygate.sync.messages import CrashSeen, State
 
-# The balancer asks once a second and takes an instance out after two misses.
-BALANCER_LEAVES_S = 3.4
+# The balancer asks once a second and takes an instance out after two misses. What is taken later
+# than this might not end before the process has to.
+BALANCER_LEAVES_S = 2.6
 # Time kept for the end of the process itself.
 END_MARGIN_S = 0.9
-POLL_S = 0.05
 EVIDENCE_S = 0.3
-# An answer that takes this many times as long as predicted counts against its version.
-SLOW_RATIO = 3.0
+# An owner answers within a round trip between regions.
+ASK_TIMEOUT_S = 0.25
+PROGRESS_S = 0.4
 FLUSH_S = 0.1
 
 
@@ -58,7 +60,6 @@
         self.metrics = Metrics()
         self.peers = SitePeers(site)
         self.roster = Roster()
-        self.placer = Placer(site, self.roster, self.timers, self._on_observed, seed)
         self.limits = AccountLimits(
             site.instance,
             self.peers,
@@ -67,42 +68,65 @@
             boot_time,
         )
         self.suspects = Suspects(self._report_crash)
-        self.forwarder = Forwarder(
-            site,
-            dialect,
-            self.placer,
-            self.limits,
-            self.suspects,
-            self.timers,
-            lines,
-            self.metrics,
-        )
+        self.seed = seed
+        self.dialect = dialect
+        self.decode = decode
+        self.evidence = EvidenceReports(self.roster)
+        self.is_stopping = False
+        self.http: HttpSite | None = None
+        self.ready_http: HttpSite | None = None
+
+    def _make_parts(self) -> None:
+        """Make the parts that need a running event loop."""
+        site, peers = self.site, self.peers.client
         self.follower = Follower(
             site,
             self.peers,
             self.roster,
             self.timers,
-            lines,
-            decode,
+            self.lines,
+            self.decode,
             self._on_catalog,
             self._on_state,
-            seed,
+            self.seed,
+        )
+        view = SiteView(site.instance, lambda: self.follower.leader, self._list_entries)
+        self.placement = Placement(
+            site, peers, self.roster, self.timers, self.metrics, view, self.evidence, self.seed
+        )
+        scheduler = SchedulerClient(
+            site.instance,
+            site.failure_domain,
+            peers,
+            lambda: view,
+            self.timers,
+            ask_timeout_s=ASK_TIMEOUT_S,
+            progress_s=PROGRESS_S,
+        )
+        self.forwarder = Forwarder(
+            site,
+            self.dialect,
+            self.placement,
+            scheduler,
+            self.limits,
+            self.suspects,
+            self.timers,
+            self.lines,
+            self.metrics,
         )
-        self.evidence: dict[tuple[str, str], list[int]] = {}
-        self.evidence_number = 0
-        self.moving: frozenset[str] = frozenset()
-        self.is_stopping = False
-        self.http: HttpSite | None = None
-        self.ready_http: HttpSite | None = None
+
+    def _list_entries(self) -> list[str]:
+        # Only their number matters, for the share of the slots without an owner.
+        return [str(number) for number in range(self.forwarder.entries)]
 
     def _on_timer_error(self, name: str, error: BaseException) -> None:
         self.lines.note("timer.failed", timer=name, error=repr(error))
 
     async def start(self) -> None:
         """Follow control and listen."""
+        self._make_parts()
         await self.peers.start()
         self.follower.start()
-        self.placer.start()
         self.timers.every(EVIDENCE_S, self._send_evidence, "evidence")
         self.timers.every(FLUSH_S, self.lines.flush, "lines")
         host, port = split_address(self.site.ready_address)
@@ -128,60 +152,22 @@
     def _on_state(self, state: State) -> None:
         # A control process that lost its group may not have heard what others have.
         if state.is_current and state.is_settled:
-            self.placer.silent = frozenset(state.silent)
+            self.placement.directory.silent = frozenset(state.silent)
         self.forwarder.set_entries(state.entries)
         self.limits.entries = state.entries
         if state.crashing:
             self.suspects.set_quarantined(state.crashing)
-        self.moving = frozenset(move.pool for move in state.moves)
-        for move in state.moves:
-            self._follow_move(move)
+        self.evidence.set_moves(state.moves)
         if state.heard or state.gone:
-            self.placer.refresh()
-
-    def _follow_move(self, move) -> None:
-        versions = {row.registration.version for row in self.roster.usable(move.pool)}
-        others = versions - {move.target}
-        if move.is_over or not others or move.target not in versions:
-            wanted = {}
-            if others and move.target in versions and move.share in (0.0, 1.0):
-                wanted = {version: 1.0 - move.share for version in others}
-                wanted[move.target] = move.share
-        else:
-            wanted = dict.fromkeys(others, 1.0 - move.share)
-            wanted[move.target] = move.share
-        self.placer.set_shares(move.pool, wanted)
-
-    def _on_observed(self, observed: Observed) -> None:
-        endpoint = self.roster.rows.get(observed.endpoint)
-        if endpoint is None or observed.fault == "cancelled":
-            return
-        pool = endpoint.registration.pool
-        if pool not in self.moving:
-            return
-        counts = self.evidence.setdefault((pool, observed.version), [0, 0])
-        counts[0] += 1
-        is_slow = observed.total_s > SLOW_RATIO * max(observed.expected_s, 0.01)
-        if is_slow or observed.fault in ("error", "cut"):
-            counts[1] += 1
+            self.placement.refresh()
 
     def _send_evidence(self) -> None:
         """Report the answers of versions under a move to the leader."""
-        if not self.evidence or not self.follower.leader:
+        leader = self.follower.leader
+        if not leader:
             return
-        evidence, self.evidence = self.evidence, {}
-        for (pool, version), (total, bad) in evidence.items():
-            self.evidence_number += 1
-            report = VersionEvidence(
-                self.site.instance,
-                self.peers.incarnation,
-                self.evidence_number,
-                pool,
-                version,
-                total,
-                bad,
-            )
-            self.peers.client.send(self.follower.leader, report)
+        for report in self.evidence.take(self.site.instance, self.peers.incarnation):
+            self.peers.client.send(leader, report)
 
     def _report_crash(self, fingerprint: str, endpoint: str, incarnation: int) -> None:
         self.lines.note("call.crashed", fingerprint=fingerprint, endpoint=endpoint)
@@ -206,8 +192,7 @@
         self.forwarder.is_closing = True
         await asyncio.sleep(min(BALANCER_LEAVES_S, max(0.0, end - self.timers.now())))
         await self.http.stop_listening()
-        while self.forwarder.active and self.timers.now() < end:
-            await asyncio.sleep(POLL_S)
+        await self.forwarder.wait_idle(end - self.timers.now())
         self.lines.note("process.stops", active=self.forwarder.active)
         await self.http.close()
         await self.ready_http.close()
--- a/mulberrygate/daemon/http_site.py
+++ b/mulberrygate/daemon/http_site.py
@@ -30,10 +30,12 @@
     """
 
     def __init__(self, handler, host: str, port: int, cancels: bool = False):
+        self.handler = handler
         self.host = host
         self.port = port
+        self.busy: set = set()
         self.server = web.Server(
-            handler,
+            self._handle,
             handler_cancellation=cancels,
             access_log=None,
             keepalive_timeout=RequestLimits().idle_timeout_s,
@@ -42,6 +44,13 @@
         )
         self.listener: asyncio.Server | None = None
 
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.busy.add(request.protocol)
+        try:
+            return await self.handler(request)
+        finally:
+            self.busy.discard(request.protocol)
+
     async def start(self) -> None:
         """Listen."""
         loop = asyncio.get_running_loop()
@@ -54,8 +63,13 @@
         self.server._kwargs["keepalive_timeout"] = limits.idle_timeout_s
 
     async def stop_listening(self) -> None:
-        """Accept no further connections."""
+        """Accept no further connections, and close kept ones once they have no request."""
         self.listener.close()
+        for connection in list(self.server.connections):
+            if connection in self.busy:
+                connection.close()
+            else:
+                connection.force_close()
 
     async def close(self) -> None:
         """Close all connections."""
--- a/mulberrygate/daemon/poolhost.py
+++ b/mulberrygate/daemon/poolhost.py
@@ -54,6 +54,11 @@
     ===========
     The owner of a pool sees all slots of the endpoints. Another instance that is asked, because an
     entry could not reach the owner, schedules with its share of the slots only.
+
+    Parameters
+    ==========
+    is_wide : bool
+        As for `PoolScheduler`.
     """
 
     def __init__(
@@ -67,7 +72,9 @@
         metrics: Metrics,
         events: EventRing,
         rng: random.Random,
+        is_wide: bool = False,
     ):
+        self.is_wide = is_wide
         self.settings = settings
         self.peers = peers
         self.view = view
@@ -101,7 +108,11 @@
             if settings is None:
                 return None
             scheduler = PoolScheduler(
-                self.settings.failure_domain, self.settings.region, settings, self.rng
+                self.settings.failure_domain,
+                self.settings.region,
+                settings,
+                self.rng,
+                is_wide=self.is_wide,
             )
             hosted = self.hosted[pool] = Hosted(scheduler, now)
             self._refresh(pool, scheduler, now)
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -94,6 +94,13 @@
     weight. When it changes, all waiting and running requests are presented to the new one. An
     owner that does not answer is passed over for `OWN_SHARE_S`; meanwhile the instance schedules
     its own requests from a small share.
+
+    Parameters
+    ==========
+    ask_timeout_s : float
+        Seconds after which an owner counts as one that does not answer.
+    progress_s : float
+        Seconds between reports of the tokens received.
     """
 
     def __init__(
@@ -103,7 +110,10 @@
         peers: PeerClient,
         view: Callable[[], MembershipView],
         timers: TimerService,
+        ask_timeout_s: float = ASK_TIMEOUT_S,
+        progress_s: float = PROGRESS_S,
     ):
+        self.ask_timeout_s = ask_timeout_s
         self.instance = instance
         self.failure_domain = failure_domain
         self.peers = peers
@@ -116,7 +126,7 @@
         peers.on(Grant, self.on_grant)
         peers.on(Refuse, self.on_refuse)
         timers.every(REPEAT_S, self.repeat, "tickets.repeat")
-        timers.every(PROGRESS_S, self.report_progress, "tickets.progress")
+        timers.every(progress_s, self.report_progress, "tickets.progress")
 
     def owner(self, pool: str) -> str:
         """Return the instance that schedules a pool for this entry at the moment."""
@@ -174,7 +184,7 @@
 
     async def _ask_owner(self, waiting: Waiting, ticket: Ticket) -> None:
         owner = waiting.owner
-        answer = await self.peers.call(owner, Ask(ticket), ASK_TIMEOUT_S)
+        answer = await self.peers.call(owner, Ask(ticket), self.ask_timeout_s)
         if not isinstance(answer, Unreachable) or owner == self.instance:
             return
         self.passed_over[owner] = self.timers.now() + OWN_SHARE_S
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from mulberrygate.core.codes import code_by_number, register_code
-
-__all__ = ["code_by_number"]
+from mulberrygate.core.codes import register_code
 
 NO_CATALOG = register_code(1201, "no_catalog", "No catalog is in force here yet; not run.", 503)
 NO_ROUTE = register_code(1202, "no_route_for_path", "No route fits the host and path.", 404)
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -9,17 +9,16 @@
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
 
+from mulberrygate.core.outcome import Refusal
 from mulberrygate.forward import codes
 from mulberrygate.forward.attempts import Attempts, Fate
 from mulberrygate.forward.events import EventSplitter
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
 from mulberrygate.forward.request import AnswerHead, Call, Refused
-from mulberrygate.schedule.messages import Done, Grant, Refuse, Ticket
+from mulberrygate.schedule.messages import Done, Grant, Ticket
 
 # Seconds after which a turned down call is worth another try by its caller.
 TURNED_DOWN_RETRY_S = 0.4
-# Events between two reports of progress to the scheduler.
-PROGRESS_EVENTS = 8
 # Pause between sends that found no connection.
 PAUSE_S = 0.02
 
@@ -64,7 +63,6 @@
         self.splitter = EventSplitter()
         self.response: web.StreamResponse | None = None
         self.failure: WholeAnswer | None = None
-        self.last_refusal: Refuse | None = None
 
     def now(self) -> float:
         """Return the monotonic time."""
@@ -108,12 +106,12 @@
         while True:
             ticket = forwarder.ticket(call, self.attempts.sends, tuple(self.avoid))
             placed = await forwarder.place(call, ticket)
-            if isinstance(placed, Refuse):
+            if isinstance(placed, Refusal):
                 return self._without_endpoint(placed)
             if not self.attempts.arrivals:
                 budget.first_send()
             elif not budget.take():
-                forwarder.placer.withdraw(call.pool, ticket.request)
+                forwarder.scheduler.hand_back(ticket.request)
                 return self._give_up()
             answer = await self._send(Send(ticket, placed, self.now()))
             if answer is not None:
@@ -124,11 +122,10 @@
             if self.attempts.last is Fate.UNSENT:
                 await asyncio.sleep(PAUSE_S)
 
-    def _without_endpoint(self, refusal: Refuse) -> WholeAnswer | web.StreamResponse | Refused:
+    def _without_endpoint(self, refusal: Refusal) -> WholeAnswer | web.StreamResponse | Refused:
         if self.attempts.sends:
             return self._give_up()
-        code = codes.code_by_number(refusal.code)
-        return Refused(code, retry_after_s=refusal.retry_after_s)
+        return Refused(refusal.code, refusal.detail, refusal.retry_after_s)
 
     def _give_up(self) -> WholeAnswer | web.StreamResponse | Refused:
         """Return the best final answer after sends that all failed."""
@@ -185,7 +182,9 @@
         head = exchange.head
         self._note_first(send)
         if head.load is not None:
-            self.forwarder.placer.report_load(send.grant.endpoint, head.load)
+            self.forwarder.placement.directory.report_load(
+                send.grant.endpoint, head.load, self.now()
+            )
         if not head.has_run:
             send.fault = "refused"
             return Fate.TURNED_DOWN, None
@@ -217,7 +216,6 @@
         splitter.drop_rest()
         stride = call.pool.tokens_per_event
         before = splitter.count
-        reported = 0
         while data := await exchange.read_some():
             events = splitter.feed(data)
             if not events:
@@ -228,9 +226,7 @@
                 self._note_first(send)
             await self.response.write(events)
             send.tokens = (splitter.count - before) * stride
-            if send.tokens >= reported + PROGRESS_EVENTS * stride or not reported:
-                reported = send.tokens
-                self.forwarder.placer.progress(call.pool, send.ticket.request, reported)
+            self.forwarder.scheduler.note_emitted(send.ticket.request, send.tokens)
         if splitter.rest:
             raise Broken("the stream ended inside an event")
         if self.response is None:
@@ -263,7 +259,7 @@
         now = self.now()
         call = self.call
         first_s = (send.first_at or now) - send.sent_at
-        self.forwarder.placer.done(
+        self.forwarder.scheduler.done(
             Done(
                 pool=call.pool.name,
                 request=send.ticket.request,
@@ -283,6 +279,6 @@
         """Report the call if the endpoint that broke off has gone."""
         await asyncio.sleep(PAUSE_S)
         if not await self.forwarder.endpoints.is_listening(send.grant.address):
-            row = self.forwarder.placer.roster.rows.get(send.grant.endpoint)
+            row = self.forwarder.placement.directory.roster.rows.get(send.grant.endpoint)
             incarnation = row.registration.incarnation if row else 0
             self.forwarder.suspects.note_crash(self.call, send.grant.endpoint, incarnation)
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -8,18 +8,20 @@
 from aiohttp import web
 
 from mulberrygate.catalog import CatalogIndex
+from mulberrygate.core.outcome import Refusal
 from mulberrygate.core.timers import TimerService
+from mulberrygate.entry.tickets import SchedulerClient
 from mulberrygate.forward import codes
 from mulberrygate.forward.delivery import Delivery
 from mulberrygate.forward.exchange import EndpointClient
 from mulberrygate.forward.limits import AccountLimits
-from mulberrygate.forward.placing import Placer
+from mulberrygate.forward.placing import Placement
 from mulberrygate.forward.request import Call, Dialect, Refused
 from mulberrygate.forward.suspects import Suspects
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import RetryBudget
-from mulberrygate.schedule.messages import Grant, Refuse, Ticket
+from mulberrygate.schedule.messages import Grant, Ticket
 from mulberrygate.tables.model import TIERS
 
 NO_CATALOG_RETRY_S = 0.5
@@ -44,7 +46,8 @@
         self,
         site,
         dialect: Dialect,
-        placer: Placer,
+        placement: Placement,
+        scheduler: SchedulerClient,
         limits: AccountLimits,
         suspects: Suspects,
         timers: TimerService,
@@ -53,7 +56,8 @@
     ):
         self.site = site
         self.dialect = dialect
-        self.placer = placer
+        self.placement = placement
+        self.scheduler = scheduler
         self.limits = limits
         self.suspects = suspects
         self.timers = timers
@@ -65,11 +69,12 @@
         self.entries = 1
         self.is_closing = False
         self.active = 0
+        self.idle = asyncio.Event()
 
     def set_index(self, index: CatalogIndex) -> None:
         """Put a catalog in force for the requests that come from now on."""
         self.index = index
-        self.placer.set_pools(index.pools)
+        self.placement.set_pools(index.pools)
 
     def set_entries(self, entries: int) -> None:
         """Take note of the number of entries that share the retry budgets."""
@@ -100,6 +105,8 @@
             response = self.refuse(call, Refused(codes.PATH_FAILED))
         finally:
             self.active -= 1
+            if not self.active:
+                self.idle.set()
         if self.is_closing:
             response.force_close()
         return response
@@ -210,9 +217,9 @@
             avoid=avoid,
         )
 
-    async def place(self, call: Call, ticket: Ticket) -> Grant | Refuse:
+    async def place(self, call: Call, ticket: Ticket) -> Grant | Refusal:
         """Wait for an endpoint."""
-        outcome = await self.placer.place(call.pool, ticket)
+        outcome = await self.scheduler.acquire(ticket, call.ends_at)
         if isinstance(outcome, Grant):
             call.endpoint = outcome.endpoint
             if call.granted_after_s < 0:
@@ -257,6 +264,16 @@
             **fields,
         )
 
+    async def wait_idle(self, timeout_s: float) -> None:
+        """Wait until no request is being answered, for a time at most."""
+        try:
+            async with asyncio.timeout(max(0.0, timeout_s)):
+                while self.active:
+                    self.idle.clear()
+                    await self.idle.wait()
+        except TimeoutError:
+            self.lines.note("process.unfinished", active=self.active)
+
     async def close(self) -> None:
         """Close the connections to endpoints."""
         await self.endpoints.close()
