Let requests that can be on time go before late ones; reserve no slots in wide pools

Cause: in a burst the queue was in order of arrival within a client account, so all requests were late by the same time, and callers of streams left before their first event. Up to a quarter of the slots was reserved for upper tiers and stayed idle. Accounts of one tier hid the urgency of routes. Ruled out: slow engines; first events came 0.07 to 0.17 s after a grant throughout.

--- a/mulberrygate/catalog/index.py
+++ b/mulberrygate/catalog/index.py
@@ -5,6 +5,7 @@
 import zlib
 
 from mulberrygate.catalog.model import BackendPool, Catalog, ClientAccount, RouteRule
+from mulberrygate.tables.model import TIERS
 
 
 class CatalogIndex:
@@ -31,10 +32,36 @@
         self.by_key: dict[str, ClientAccount] = {}
         for account in catalog.accounts:
             self.by_key.update(dict.fromkeys(account.keys, account))
+        self.ranks = self._rank()
         self.by_host: dict[str, dict[str, RouteRule]] = {}
         for route in catalog.routes:
             self.by_host.setdefault(route.host, {})[route.path_prefix] = route
 
+    def _rank(self) -> list[tuple[int, int]]:
+        """Return the urgencies that occur, most urgent first."""
+        own = [account.tier for account in self.catalog.accounts if account.tier is not None]
+        has_other = not own or len(own) < len(self.catalog.accounts)
+        tiers = {route.tier for route in self.catalog.routes}
+        ranks = {(first, second) for first in own for second in tiers}
+        if has_other:
+            ranks |= {(tier, tier) for tier in tiers}
+        return sorted(ranks)
+
+    def tier(self, route: RouteRule, account: ClientAccount | None) -> int:
+        """Return the tier of a request: the account's before the route's.
+
+        Explanation
+        ===========
+        Requests whose accounts are of one tier differ by the tier of their routes. What occurs in
+        the catalog is spread over the scheduler's tiers.
+        """
+        own = account.tier if account is not None else None
+        rank = (route.tier if own is None else own, route.tier)
+        position = sum(known < rank for known in self.ranks)
+        if len(self.ranks) <= TIERS:
+            return min(position, TIERS - 1)
+        return min(position * TIERS // len(self.ranks), TIERS - 1)
+
     @property
     def needs_keys(self) -> bool:
         """Whether requests must carry the key of a client account."""
--- a/mulberrygate/catalog/model.py
+++ b/mulberrygate/catalog/model.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+# Callers leave a stream that pauses for this time, or for several times its targets.
+LEAST_PATIENCE_S = 2.0
+
 
 class Repeat(enum.Enum):
     """What may be repeated of a route's requests."""
@@ -60,6 +63,11 @@
     is_anonymous: bool = False
     is_resumable: bool = False
 
+    @property
+    def patience_s(self) -> float:
+        """Seconds for which a caller waits for the first event of a stream, or between events."""
+        return max(LEAST_PATIENCE_S, 4 * self.target_first_s, 8 * self.target_gap_s)
+
     @property
     def may_repeat(self) -> bool:
         """Whether a request may run at a second endpoint."""
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Any
 
 from aiohttp import web
 
-from mulberrygate.catalog import CatalogIndex
+from mulberrygate.catalog import CatalogIndex, Repeat
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.core.timers import TimerService
 from mulberrygate.entry.tickets import SchedulerClient
@@ -22,10 +23,13 @@
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import RetryBudget
 from mulberrygate.schedule.messages import Grant, Ticket
-from mulberrygate.tables.model import TIERS
 
 NO_CATALOG_RETRY_S = 0.5
 QUARANTINED_RETRY_S = 5.0
+# Parts of the target and of a caller's patience that a request may wait for an endpoint; the rest
+# is for the endpoint.
+ON_TIME_PART = 0.7
+PATIENCE_PART = 0.8
 
 
 class Forwarder:
@@ -144,7 +148,7 @@
             return Refused(codes.NO_ROUTE, call.head.host)
         call.route = route
         call.pool = index.pools[index.choose_pool(route, call.head.request)]
-        call.tier = route.tier
+        call.tier = index.tier(route, None)
         patience_s = route.timeout_s
         if call.head.patience_s is not None:
             patience_s = min(patience_s, call.head.patience_s)
@@ -159,8 +163,7 @@
         if account is None:
             return None if call.route.is_anonymous else Refused(codes.UNKNOWN_KEY)
         call.account = account.name
-        if account.tier is not None:
-            call.tier = account.tier
+        call.tier = index.tier(call.route, account)
         return None
 
     async def read_body(
@@ -196,7 +199,10 @@
 
     def ticket(self, call: Call, number: int, avoid: tuple[str, ...]) -> Ticket:
         """Return the ticket under which a request waits."""
-        head, pool = call.head, call.pool
+        head, pool, route = call.head, call.pool, call.route
+        waited_s = self.timers.now() - call.received_at
+        is_stream = route.repeat is Repeat.STREAM
+        patience_s = PATIENCE_PART * route.patience_s if is_stream else math.inf
         output = head.expected_tokens or head.output_tokens
         if pool.is_engine and head.output_tokens:
             output = min(output, head.output_tokens)
@@ -204,17 +210,19 @@
             request=f"{head.request or id(call)}.{number}",
             entry=self.site.instance,
             pool=pool.name,
-            route=call.route.name,
+            route=route.name,
             account=call.account,
             weight=1.0,
-            tier=min(call.tier, TIERS - 1),
+            tier=call.tier,
             prompt_tokens=max(1, head.prompt_tokens) if pool.is_engine else 1,
             output_tokens=max(1, output) if pool.is_engine else 1,
             prefixes=(),
             deadline_s=max(0.001, call.ends_at - self.timers.now()),
-            idempotent=call.route.may_repeat,
+            idempotent=route.may_repeat,
             attempt=number,
             avoid=avoid,
+            on_time_s=max(0.0, ON_TIME_PART * route.target_first_s - waited_s),
+            start_by_s=max(0.0, patience_s - waited_s),
         )
 
     async def place(self, call: Call, ticket: Ticket) -> Grant | Refusal:
--- a/mulberrygate/schedule/fair.py
+++ b/mulberrygate/schedule/fair.py
@@ -12,6 +12,8 @@
 # Seconds by which each expected output token puts a request behind others of its account. Under
 # overload some requests have to miss their deadline, and short ones cost less to serve.
 LENGTH_WEIGHT_S = 0.06
+# Puts a request behind all that can still be on time; more than any deadline.
+LATE_S = 100_000.0
 
 
 class Waiting:
@@ -39,6 +41,9 @@
         "cached",
         "cached_at",
         "passed",
+        "on_time_until",
+        "start_by",
+        "key",
     )
 
     def __init__(
@@ -57,14 +62,18 @@
         self.cached: dict[str, int] = {}
         self.cached_at = -math.inf
         self.passed = 0
+        self.on_time_until = now + ticket.on_time_s
+        self.start_by = now + ticket.start_by_s
+        # Position in its account's heap; an entry with another one is stale.
+        self.key = 0.0
 
     def __lt__(self, other: Waiting) -> bool:
         return self.order < other.order
 
 
-def due(waiting: Waiting) -> float:
-    """Return the time that orders an account's requests: the deadline, later for long ones."""
-    return waiting.deadline + LENGTH_WEIGHT_S * waiting.output
+def is_live(entry: tuple[float, int, Waiting]) -> bool:
+    """Return whether a heap's entry stands for a request that waits at this position."""
+    return not entry[2].is_gone and entry[0] == entry[2].key
 
 
 class AccountQueue:
@@ -89,7 +98,7 @@
 
     def first(self) -> Waiting | None:
         """Return the next request, or None when none waits."""
-        while self.heap and self.heap[0][2].is_gone:
+        while self.heap and not is_live(self.heap[0]):
             heapq.heappop(self.heap)
         return self.heap[0][2] if self.heap else None
 
@@ -102,7 +111,7 @@
         frontier = [(heap[0], 0)]
         while frontier and len(found) < limit:
             entry, index = heapq.heappop(frontier)
-            if not entry[2].is_gone:
+            if is_live(entry):
                 found.append(entry[2])
             for child in (2 * index + 1, 2 * index + 2):
                 if child < size:
@@ -122,7 +131,8 @@
     # Idle accounts are forgotten beyond this number; their virtual time is then the tier's.
     MAX_IDLE_ACCOUNTS = 4096
 
-    def __init__(self):
+    def __init__(self, length_weight_s: float = LENGTH_WEIGHT_S):
+        self.length_weight_s = length_weight_s
         self.accounts: dict[str, AccountQueue] = {}
         self.active: dict[str, AccountQueue] = {}
         self.order: list[tuple[float, str, AccountQueue]] = []
@@ -141,11 +151,22 @@
             account.served = max(account.served, self.virtual_time)
             self.active[account.name] = account
             self._list(account)
-        heapq.heappush(account.heap, (due(waiting), waiting.order, waiting))
+        waiting.key = self.due(waiting)
+        heapq.heappush(account.heap, (waiting.key, waiting.order, waiting))
         account.count += 1
         self.count += 1
         self.routes[ticket.route] = self.routes.get(ticket.route, 0) + 1
 
+    def due(self, waiting: Waiting) -> float:
+        """Return the time that orders an account's requests: the deadline, later for long ones."""
+        return waiting.deadline + self.length_weight_s * waiting.output
+
+    def put_behind(self, waiting: Waiting) -> None:
+        """Put a request that can't be on time any more behind the others of its account."""
+        account = self.accounts[waiting.ticket.account]
+        waiting.key += LATE_S
+        heapq.heappush(account.heap, (waiting.key, waiting.order, waiting))
+
     def remove(self, waiting: Waiting) -> None:
         """Remove a request that was granted, shed or withdrawn."""
         waiting.is_gone = True
@@ -161,7 +182,7 @@
             del self.active[account.name]
             self._forget_idle()
         elif len(account.heap) > 2 * account.count + 16:
-            account.heap = [entry for entry in account.heap if not entry[2].is_gone]
+            account.heap = [entry for entry in account.heap if is_live(entry)]
             heapq.heapify(account.heap)
 
     def _forget_idle(self) -> None:
@@ -218,7 +239,7 @@
         """Yield all waiting requests, in no particular order."""
         for account in self.active.values():
             for entry in account.heap:
-                if not entry[2].is_gone:
+                if is_live(entry):
                     yield entry[2]
 
     def last(self) -> Waiting:
@@ -231,18 +252,26 @@
         """
         account = max(self.active.values(), key=lambda item: (item.count / item.weight, item.name))
         for size in (16, len(account.heap)):
-            live = [entry for entry in account.heap[-size:] if not entry[2].is_gone]
+            live = [entry for entry in account.heap[-size:] if is_live(entry)]
             if live:
                 break
         return max(live)[2]
 
 
 class FairQueue:
-    """All waiting requests of a pool."""
+    """All waiting requests of a pool.
+
+    Parameters
+    ==========
+    length_weight_s : float
+        Seconds by which each expected output token puts a request behind others of its account.
+    """
 
-    def __init__(self):
-        self.tiers = tuple(TierQueue() for _ in range(TIERS))
+    def __init__(self, length_weight_s: float = LENGTH_WEIGHT_S):
+        self.tiers = tuple(TierQueue(length_weight_s) for _ in range(TIERS))
         self.by_request: dict[str, Waiting] = {}
+        # Requests by the last moment at which a grant leads to an answer on time.
+        self.on_time: list[tuple[float, int, Waiting]] = []
 
     def __len__(self) -> int:
         return len(self.by_request)
@@ -251,6 +280,21 @@
         """Add a request."""
         self.by_request[waiting.ticket.request] = waiting
         self.tiers[waiting.ticket.tier].add(waiting)
+        if waiting.on_time_until < math.inf:
+            heapq.heappush(self.on_time, (waiting.on_time_until, waiting.order, waiting))
+
+    def put_late_behind(self, now: float) -> None:
+        """Let requests that can be on time go before those that can't any more.
+
+        Explanation
+        ===========
+        In order of arrival a backlog makes every request late by the same time; in this order the
+        requests that come during an overload are still answered on time while others wait.
+        """
+        while self.on_time and self.on_time[0][0] < now:
+            waiting = heapq.heappop(self.on_time)[2]
+            if not waiting.is_gone:
+                self.tiers[waiting.ticket.tier].put_behind(waiting)
 
     def remove(self, waiting: Waiting) -> None:
         """Remove a request."""
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from mulberrygate.core.wire import message
@@ -39,6 +41,10 @@
         Number of earlier dispatches of the request; over 0 only for idempotent ones.
     avoid : tuple[str, ...]
         Endpoints that failed earlier dispatches.
+    on_time_s : float
+        Seconds from then on within which a grant still leads to an answer on time.
+    start_by_s : float
+        Seconds from then on after which the caller doesn't wait for the first token any more.
     """
 
     request: str
@@ -55,6 +61,8 @@
     idempotent: bool = False
     attempt: int = 0
     avoid: tuple[str, ...] = ()
+    on_time_s: float = math.inf
+    start_by_s: float = math.inf
 
 
 @attrs.frozen
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -29,7 +29,13 @@
     EndpointState,
     Granted,
 )
-from mulberrygate.schedule.fair import AccountQueue, FairQueue, TierQueue, Waiting
+from mulberrygate.schedule.fair import (
+    LENGTH_WEIGHT_S,
+    AccountQueue,
+    FairQueue,
+    TierQueue,
+    Waiting,
+)
 from mulberrygate.schedule.learn import learn, observed
 from mulberrygate.schedule.messages import (
     Done,
@@ -73,6 +79,11 @@
 EXPIRE_S = 3.0
 DEMAND_S = 0.05
 LONGEST_RETRY_AFTER_S = 30.0
+# Callers that are refused together should not come back together.
+RETRY_SPREAD = 0.5
+# Over many endpoints a slot becomes free every few hundredths of a second, so no slots are reserved
+# for upper tiers, and a long request needn't stand behind many short ones.
+WIDE_LENGTH_WEIGHT_S = 0.001
 
 
 class PoolScheduler:
@@ -109,7 +120,8 @@
         self.region = region
         self.is_wide = is_wide
         self.pool = pool
-        self.queue = FairQueue()
+        self.rng = rng
+        self.queue = FairQueue(WIDE_LENGTH_WEIGHT_S if is_wide else LENGTH_WEIGHT_S)
         self.running: dict[str, Granted] = {}
         self.ended = Ended()
         self.states: dict[str, EndpointState] = {}
@@ -292,6 +304,7 @@
         waiting = self.queue.by_request
         if not waiting:
             return []
+        self.queue.put_late_behind(now)
         effects = self._shed_late(now) if self.watch.is_due(now) else []
         if self.without_endpoint_since is not None and self._is_without_endpoint(now):
             return effects + self._shed_all(NO_ENDPOINT, now)
@@ -305,7 +318,8 @@
         self.demand_at = now
         waiting = (tier for tier in range(TIERS) if self.queue.tiers[tier].count)
         self.top_tier = min(self.demand.top_tier(now), next(waiting, TIERS))
-        self.reserved = self.demand.reserved(self.local_slots, now)
+        if not self.is_wide:
+            self.reserved = self.demand.reserved(self.local_slots, now)
         self.chooser.reach = (
             self.demand.reach(len(self.queue), self.local_slots)
             if self.local_slots
@@ -495,6 +509,7 @@
         ticket = waiting.ticket
         self.queue.remove(waiting)
         wait_s = self.demand.expected_wait_s(len(self.queue), self.local_slots)
+        wait_s *= 1.0 + RETRY_SPREAD * self.rng.random()
         retry_after_s = min(LONGEST_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
         refusal = Refuse(ticket.pool, ticket.request, code.number, retry_after_s)
         self.ended.add(ticket.request, refusal, now)
--- a/mulberrygate/schedule/shed.py
+++ b/mulberrygate/schedule/shed.py
@@ -111,7 +111,7 @@
 
     def latest_start(self, waiting: Waiting, cached: float) -> float:
         """Return the latest time at which the request can start."""
-        return waiting.deadline - self.least_run_s(waiting, cached)
+        return min(waiting.start_by, waiting.deadline - self.least_run_s(waiting, cached))
 
     def watch(self, waiting: Waiting, cached: float) -> None:
         """Watch a request."""
