Place long requests in order, learn unlike endpoints by themselves, refuse hopeless waits early

Cause: (1) endpoints that don't state their hardware shared one learned speed, so those three times as slow were judged faulty and got 3 of 15 slots; (2) the times of a ticket began anew when it was asked again, so callers left before they were refused; (3) the length weight put the largest requests behind everything that came in 4 s; (4) low tiers waited in vain for as long as their callers did.

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -60,6 +60,7 @@
 SHARE_S = 0.4
 SHARE_TIMEOUT_S = 1.0
 DUTY_S = 0.1
+POOLS_LOG_S = 1.0
 # Endpoints report every second or so, and a report may be late by seconds.
 SILENT_S = 4.5
 FORGET_S = 20.0
@@ -154,6 +155,7 @@
         await self.peers.start()
         self.timers.every(DUTY_S, self._do_duties, "duties")
         self.timers.every(SHARE_S, self._share_renewals, "share")
+        self.timers.every(POOLS_LOG_S, self._log_pools, "pools")
 
     async def _open_voter(self) -> None:
         site = self.site
@@ -545,6 +547,29 @@
                 self.lines.note("move.verdict", pool=pool, target=move.target, verdict=verdict)
                 self.timers.spawn(self.commit(PutMove(pool, move.target, verdict)))
 
+    def _log_pools(self) -> None:
+        """Log what the schedulers of the engines' pools believe, while this process owns them."""
+        if not self.is_leader:
+            return
+        for pool, hosted in self.placement.host.hosted.items():
+            scheduler = hosted.scheduler
+            self.lines.note(
+                "pool.state",
+                pool=pool,
+                waiting=[queue.count for queue in scheduler.queue.tiers],
+                endpoints={
+                    state.name: [
+                        state.used,
+                        state.slots,
+                        state.faults,
+                        int(state.detector.is_slow),
+                        round(state.speed.decode_factor, 2),
+                        round(state.token_s * 1000, 2),
+                    ]
+                    for state in scheduler.states.values()
+                },
+            )
+
     def _do_duties(self) -> None:
         """Do what is due without a message."""
         now = self.timers.now()
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -47,6 +47,8 @@
     ==========
     owner : str
         Instance that is asked now.
+    since : float
+        Monotonic time at which the wait began.
     asked : set[str]
         Instances that may hold the ticket. An owner ignores a ticket that was withdrawn from it, so
         none is withdrawn before the wait is over: the pool may come back to an earlier owner.
@@ -56,8 +58,19 @@
     deadline_at: float
     answer: asyncio.Future
     owner: str
+    since: float = 0.0
     asked: set[str] = attrs.field(factory=set)
 
+    def ticket_now(self, now: float) -> Ticket:
+        """Return the ticket with the times that are left."""
+        waited_s = now - self.since
+        return attrs.evolve(
+            self.ticket,
+            deadline_s=max(0.0, self.deadline_at - now),
+            on_time_s=max(0.0, self.ticket.on_time_s - waited_s),
+            start_by_s=max(0.0, self.ticket.start_by_s - waited_s),
+        )
+
     def is_granted(self, endpoint: str) -> bool:
         """Return whether the answer is a grant of an endpoint."""
         if not self.answer.done() or self.answer.cancelled():
@@ -142,7 +155,9 @@
     async def acquire(self, ticket: Ticket, deadline_at: float) -> Grant | Refusal:
         """Wait for a grant until the deadline."""
         loop = asyncio.get_running_loop()
-        waiting = Waiting(ticket, deadline_at, loop.create_future(), self.owner(ticket.pool))
+        owner = self.owner(ticket.pool)
+        now = self.timers.now()
+        waiting = Waiting(ticket, deadline_at, loop.create_future(), owner, now)
         self.waiting[ticket.request] = waiting
         # Without it, a change before the first `repeat` would not be seen as one.
         self.owners.setdefault(ticket.pool, waiting.owner)
@@ -178,8 +193,7 @@
 
     def _ask(self, waiting: Waiting) -> None:
         waiting.asked.add(waiting.owner)
-        left = max(0.0, waiting.deadline_at - self.timers.now())
-        ticket = attrs.evolve(waiting.ticket, deadline_s=left)
+        ticket = waiting.ticket_now(self.timers.now())
         self.timers.spawn(self._ask_owner(waiting, ticket))
 
     async def _ask_owner(self, waiting: Waiting, ticket: Ticket) -> None:
@@ -258,11 +272,7 @@
         for dispatched in running:
             dispatched.owner = owner
         now = self.timers.now()
-        waiting = tuple(
-            attrs.evolve(w.ticket, deadline_s=max(0.0, w.deadline_at - now))
-            for w in self._open_waits()
-            if w.ticket.pool == pool
-        )
+        waiting = tuple(w.ticket_now(now) for w in self._open_waits() if w.ticket.pool == pool)
         presented = tuple(
             Running(d.ticket, d.grant.endpoint, d.grant.version, d.emitted) for d in running
         )
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -125,6 +125,9 @@
     def _without_endpoint(self, refusal: Refusal) -> WholeAnswer | web.StreamResponse | Refused:
         if self.attempts.sends:
             return self._give_up()
+        if refusal.code.http_status != codes.NOT_SERVED.http_status:
+            # Nothing was sent, whatever kept the scheduler from answering.
+            return Refused(codes.NOT_SERVED, str(refusal.code), refusal.retry_after_s)
         return Refused(refusal.code, refusal.detail, refusal.retry_after_s)
 
     def _give_up(self) -> WholeAnswer | web.StreamResponse | Refused:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -30,6 +30,7 @@
 # is for the endpoint.
 ON_TIME_PART = 0.7
 PATIENCE_PART = 0.8
+LOST_REFUSAL_S = 0.1
 
 
 class Forwarder:
@@ -71,6 +72,7 @@
         self.index: CatalogIndex | None = None
         self.budgets: dict[str, RetryBudget] = {}
         self.entries = 1
+        self.usual_patience_s: dict[str, float] = {}
         self.is_closing = False
         self.active = 0
         self.idle = asyncio.Event()
@@ -221,13 +223,31 @@
             idempotent=route.may_repeat,
             attempt=number,
             avoid=avoid,
-            on_time_s=max(0.0, ON_TIME_PART * route.target_first_s - waited_s),
+            on_time_s=max(0.0, ON_TIME_PART * route.target_first_s - self.late_s(call) - waited_s),
             start_by_s=max(0.0, patience_s - waited_s),
         )
 
+    def late_s(self, call: Call) -> float:
+        """Return the seconds that a caller has waited before this attempt.
+
+        Explanation
+        ===========
+        A caller that was refused and comes back has less time left than callers of its route
+        usually have. It can't be served on time any more, so it goes behind those that can.
+        """
+        if call.head.patience_s is None:
+            return 0.0
+        name = call.route.name
+        usual_s = max(self.usual_patience_s.get(name, 0.0), call.head.patience_s)
+        self.usual_patience_s[name] = usual_s
+        return usual_s - call.head.patience_s
+
     async def place(self, call: Call, ticket: Ticket) -> Grant | Refusal:
         """Wait for an endpoint."""
-        outcome = await self.scheduler.acquire(ticket, call.ends_at)
+        # The owner refuses at the end of the caller's patience; this holds if its answer is lost.
+        patience_s = ticket.start_by_s + LOST_REFUSAL_S
+        until = min(call.ends_at, self.timers.now() + patience_s)
+        outcome = await self.scheduler.acquire(ticket, until)
         if isinstance(outcome, Grant):
             call.endpoint = outcome.endpoint
             if call.granted_after_s < 0:
--- a/mulberrygate/quota/local.py
+++ b/mulberrygate/quota/local.py
@@ -8,8 +8,8 @@
 
 # Units in advance are spent within this time or not at all.
 HELD_S = 2.0
-# Without an answer of the leader an entry goes on with a part of its former use: for a time in which
-# a leader is replaced, and less after it, since a new leader may give out the whole limit by then.
+# Without an answer of the leader an entry goes on with a part of its former use: more while a
+# leader is replaced, and less after it, since a new leader may give out the whole limit by then.
 ALONE_S = 4.0
 ALONE_PART = 0.6
 LONG_ALONE_PART = 0.2
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -51,6 +51,9 @@
     ==========
     reach : int
         Largest distance that the backlog justifies at present; set by the scheduler.
+    fast_token_s : float
+        Endpoints with at most these seconds per token get a request even if it is predicted to miss
+        its deadline there, since no other one would do better.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         self.rng = rng
         self.states: dict[str, EndpointState] = {}
         self.reach = LOCAL
+        self.fast_token_s = 0.0
 
     def is_avoided(self, waiting: Waiting, state: EndpointState) -> bool:
         """Return whether the endpoint failed the request before and there is another one."""
@@ -132,7 +136,7 @@
             uncached = prompt - hit if prompt > hit else 1.0
             # The same as `EndpointState.finish_s`; a call would double the time per endpoint.
             run_s = state.start_s + uncached * state.prefill_s + output * state.token_s
-            if run_s > limit:
+            if run_s > limit and state.token_s > self.fast_token_s:
                 continue
             # A version under a move gets the share it is due, or its evidence would depend on how
             # attractive its endpoints are.
--- a/mulberrygate/schedule/codes.py
+++ b/mulberrygate/schedule/codes.py
@@ -14,6 +14,9 @@
     2003, "evicted", "The request made room for one of a higher tier while it waited.", 503
 )
 NO_ENDPOINT = register_code(2004, "no_endpoint", "No endpoint of the pool accepts work.", 503)
+WAIT_TOO_LONG = register_code(
+    2005, "wait_too_long", "The expected wait is longer than the caller's patience; not run.", 503
+)
 
 SHED_BEFORE_LOWER_TIER = register_code(
     9400, "shed_before_lower_tier", "A request was shed while one of a lower tier was waiting."
--- a/mulberrygate/schedule/demand.py
+++ b/mulberrygate/schedule/demand.py
@@ -30,6 +30,11 @@
 class Demand:
     """Rates of asks by tier and of grants.
 
+    Parameters
+    ==========
+    memory_s : float
+        Time constant of the rates.
+
     Examples
     ========
     >>> from mulberrygate.schedule.demand import Demand
@@ -41,7 +46,8 @@
     [0, 6, 6, 6]
     """
 
-    def __init__(self):
+    def __init__(self, memory_s: float = MEMORY_S):
+        self.memory_s = memory_s
         self.last_ask = [-math.inf] * TIERS
         self.asks = [0.0] * TIERS
         self.grants = 0.0
@@ -63,7 +69,7 @@
     def _decay(self, now: float) -> None:
         if now - self.updated_at < 0.1:
             return
-        keep = math.exp(-(now - self.updated_at) / MEMORY_S)
+        keep = math.exp(-(now - self.updated_at) / self.memory_s)
         self.asks = [count * keep for count in self.asks]
         self.grants *= keep
         self.updated_at = now
@@ -104,7 +110,22 @@
         The rate of grants is low while there is little to grant, so it is at least the rate at
         which the local slots become free.
         """
-        rate = max(self.grants / MEMORY_S, slots / self.run_s)
+        rate = self.rate(slots)
+        return waiting / rate if rate > 0 else math.inf
+
+    def rate(self, slots: int) -> float:
+        """Return the requests a second that the slots can take."""
+        return max(self.grants / self.memory_s, slots / self.run_s)
+
+    def tier_wait_s(self, waiting: int, tier: int, slots: int) -> float:
+        """Return the seconds until a tier has been granted that many requests.
+
+        Explanation
+        ===========
+        What upper tiers go on asking for is not left for this one.
+        """
+        upper = sum(self.asks[:tier]) / self.memory_s
+        rate = self.rate(slots) - upper
         return waiting / rate if rate > 0 else math.inf
 
     def reach(self, waiting: int, slots: int) -> int:
--- a/mulberrygate/schedule/fair.py
+++ b/mulberrygate/schedule/fair.py
@@ -44,6 +44,7 @@
         "on_time_until",
         "start_by",
         "key",
+        "is_late",
     )
 
     def __init__(
@@ -66,6 +67,7 @@
         self.start_by = now + ticket.start_by_s
         # Position in its account's heap; an entry with another one is stale.
         self.key = 0.0
+        self.is_late = False
 
     def __lt__(self, other: Waiting) -> bool:
         return self.order < other.order
@@ -138,6 +140,8 @@
         self.order: list[tuple[float, str, AccountQueue]] = []
         self.virtual_time = 0.0
         self.count = 0
+        # Requests among them that can't be on time any more.
+        self.late = 0
         self.routes: dict[str, int] = {}
 
     def add(self, waiting: Waiting) -> None:
@@ -164,6 +168,8 @@
     def put_behind(self, waiting: Waiting) -> None:
         """Put a request that can't be on time any more behind the others of its account."""
         account = self.accounts[waiting.ticket.account]
+        self.late += 1
+        waiting.is_late = True
         waiting.key += LATE_S
         heapq.heappush(account.heap, (waiting.key, waiting.order, waiting))
 
@@ -173,6 +179,7 @@
         account = self.accounts[waiting.ticket.account]
         account.count -= 1
         self.count -= 1
+        self.late -= waiting.is_late
         route = waiting.ticket.route
         self.routes[route] -= 1
         if not self.routes[route]:
@@ -283,18 +290,26 @@
         if waiting.on_time_until < math.inf:
             heapq.heappush(self.on_time, (waiting.on_time_until, waiting.order, waiting))
 
-    def put_late_behind(self, now: float) -> None:
+    def put_late_behind(self, now: float) -> list[Waiting]:
         """Let requests that can be on time go before those that can't any more.
 
         Explanation
         ===========
         In order of arrival a backlog makes every request late by the same time; in this order the
         requests that come during an overload are still answered on time while others wait.
+
+        Returns
+        =======
+        list[Waiting]
+            Requests that were put behind.
         """
-        while self.on_time and self.on_time[0][0] < now:
+        late = []
+        while self.on_time and self.on_time[0][0] <= now:
             waiting = heapq.heappop(self.on_time)[2]
             if not waiting.is_gone:
                 self.tiers[waiting.ticket.tier].put_behind(waiting)
+                late.append(waiting)
+        return late
 
     def remove(self, waiting: Waiting) -> None:
         """Remove a request."""
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -18,8 +18,9 @@
     QUEUE_FULL,
     QUEUE_OVER_LIMIT,
     SLOTS_MISCOUNTED,
+    WAIT_TOO_LONG,
 )
-from mulberrygate.schedule.demand import Demand
+from mulberrygate.schedule.demand import MEMORY_S, Demand
 from mulberrygate.schedule.ended import Ended
 from mulberrygate.schedule.endpoint import (
     HOP_S,
@@ -73,7 +74,7 @@
 NO_ENDPOINT_WAIT_S = 2.5
 # A grant whose end is never reported is dropped this long after its deadline or expected end.
 LOST_DONE_S = 30.0
-RETRY_AFTER_S = 1.0
+RETRY_AFTER_S = 0.5
 # Periods of the work that isn't done for each message.
 CLEAN_S = 0.5
 EXPIRE_S = 3.0
@@ -82,8 +83,14 @@
 # Callers that are refused together should not come back together.
 RETRY_SPREAD = 0.5
 # Over many endpoints a slot becomes free every few hundredths of a second, so no slots are reserved
-# for upper tiers, and a long request needn't stand behind many short ones.
-WIDE_LENGTH_WEIGHT_S = 0.001
+# for upper tiers, and a long request doesn't stand behind short ones.
+WIDE_LENGTH_WEIGHT_S = 0.0
+# A request is told to come back if the expected wait is this many times its caller's patience.
+HOPELESS_RATIO = 2.5
+# Bursts last a few seconds.
+WIDE_MEMORY_S = 2.5
+# An endpoint counts as fast up to this ratio of the least seconds per token.
+FAST_RATIO = 1.5
 
 
 class PoolScheduler:
@@ -132,8 +139,8 @@
         self.shares = VersionShares()
         self.chooser = Chooser(self.room, self.prefixes, self.shares, rng)
         self.chooser.states = self.states
-        self.demand = Demand()
-        self.watch = DeadlineWatch()
+        self.demand = Demand(WIDE_MEMORY_S if is_wide else MEMORY_S)
+        self.watch = DeadlineWatch(predicts=not is_wide)
         self.log = GrantLog()
         self.order = 0
         self.reserved = [0] * TIERS
@@ -284,6 +291,9 @@
         elif self.without_endpoint_since is None:
             self.without_endpoint_since = now
         self.watch.measure(list(self.states.values()))
+        if self.is_wide:
+            usable = [state.token_s for state in self.states.values() if state.slots > 0]
+            self.chooser.fast_token_s = FAST_RATIO * min(usable, default=0.0)
         self.watch.compact(len(self.queue))
         self.ended.forget_old(now)
         self._update_demand(now)
@@ -304,8 +314,9 @@
         waiting = self.queue.by_request
         if not waiting:
             return []
-        self.queue.put_late_behind(now)
-        effects = self._shed_late(now) if self.watch.is_due(now) else []
+        late = self.queue.put_late_behind(now)
+        effects = self._shed_hopeless(late, now)
+        effects += self._shed_late(now) if self.watch.is_due(now) else []
         if self.without_endpoint_since is not None and self._is_without_endpoint(now):
             return effects + self._shed_all(NO_ENDPOINT, now)
         effects += self._dispatch(now)
@@ -480,6 +491,26 @@
             effects.append(self._refuse(waiting, DEADLINE_UNREACHABLE, now))
         return effects
 
+    def _shed_hopeless(self, late: list[Waiting], now: float) -> list[Effect]:
+        """Shed late requests whose callers will have left before their turn comes.
+
+        Explanation
+        ===========
+        It answers bursts beyond the pool's capacity: who can't be served is told at once when to
+        come back, instead of waiting in vain.
+        """
+        effects: list[Effect] = []
+        for waiting in reversed(late):
+            if waiting.is_gone or waiting.start_by == math.inf:
+                continue
+            tier = waiting.ticket.tier
+            ahead = sum(queue.count for queue in self.queue.tiers[: tier + 1])
+            wait_s = self.demand.tier_wait_s(ahead, tier, self.local_slots)
+            if wait_s > HOPELESS_RATIO * (waiting.start_by - now):
+                self.log.check_shed(waiting)
+                effects.append(self._refuse(waiting, WAIT_TOO_LONG, now))
+        return effects
+
     def _is_late(self, waiting: Waiting, cached: float, now: float) -> bool:
         return self.watch.latest_start(waiting, cached) <= now
 
@@ -614,10 +645,12 @@
         return OTHER_DOMAIN if view.region == self.region else OTHER_REGION
 
     def _add_endpoint(self, view: EndpointView, now: float) -> EndpointState:
-        generation = self.generations.get(view.hardware)
+        # Endpoints that don't tell their hardware are unlike, so each one is learned by itself.
+        kind = view.hardware or f"endpoint {view.endpoint}"
+        generation = self.generations.get(kind)
         if generation is None:
             generation = GenerationSpeed(PRIORS.get(view.hardware, DEFAULT_PRIOR))
-            self.generations[view.hardware] = generation
+            self.generations[kind] = generation
         distance = self._distance(view)
         state = EndpointState(view, LOCAL if self.is_wide else distance, generation)
         state.hop_s = HOP_S[distance]
@@ -632,6 +665,7 @@
             self.local_slots -= state.slots
         self.room.remove(state)
         self.prefixes.remove(state.name)
+        self.generations.pop(f"endpoint {state.name}", None)
         self.log.forget(state.name)
 
     def _update_limits(self, state: EndpointState, now: float) -> None:
--- a/mulberrygate/schedule/shed.py
+++ b/mulberrygate/schedule/shed.py
@@ -84,9 +84,13 @@
     ==========
     prefill_s, decode_s : float
         Least seconds per token of the endpoints in reach at their present load.
+    predicts : bool
+        Whether a request is shed as soon as its predicted run doesn't fit its deadline. Without it
+        a request is kept until its caller leaves, which fits callers that can't tell its length.
     """
 
-    def __init__(self):
+    def __init__(self, predicts: bool = True):
+        self.predicts = predicts
         self.heap: list[tuple[float, int, Waiting]] = []
         self.prefill_s = 0.0
         self.decode_s = 0.0
@@ -111,7 +115,8 @@
 
     def latest_start(self, waiting: Waiting, cached: float) -> float:
         """Return the latest time at which the request can start."""
-        return min(waiting.start_by, waiting.deadline - self.least_run_s(waiting, cached))
+        least_run_s = self.least_run_s(waiting, cached) if self.predicts else 0.0
+        return min(waiting.start_by, waiting.deadline - least_run_s)
 
     def watch(self, waiting: Waiting, cached: float) -> None:
         """Watch a request."""
