--- a/mulberrygate/catalog/tests/__init__.py
+++ b/mulberrygate/catalog/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `mulberrygate.catalog`."""
--- /dev/null
+++ b/mulberrygate/endpoints/tests/test_roster.py
@@ -0,0 +1,87 @@
+"""Tests of the roster of endpoints."""
+
+from __future__ import annotations
+
+import unittest
+
+from mulberrygate.endpoints.roster import Registration, Roster
+
+
+def report(name="e1", incarnation=1, sequence=1, pool="care", address="10.0.0.1:80", **more):
+    """Return an endpoint's report."""
+    return Registration(name, incarnation, sequence, pool, address, "a", **more)
+
+
+class TestRoster(unittest.TestCase):
+    """Order of reports, ends and reused addresses."""
+
+    def setUp(self):
+        self.roster = Roster()
+
+    def names(self, pool="care"):
+        """Return the names of the endpoints that take work."""
+        return [row.registration.endpoint for row in self.roster.usable(pool)]
+
+    def test_late_report_does_not_undo_leaving(self):
+        """A report that was sent before the endpoint began to leave brought it back."""
+        self.roster.hear(report(sequence=5), 0.0)
+        self.roster.hear(report(sequence=7, is_leaving=True), 1.0)
+        self.roster.hear(report(sequence=6), 2.0)
+        self.assertEqual(self.names(), [])
+        self.roster.hear(report(sequence=8), 3.0)
+        self.assertEqual(self.names(), [], "an incarnation that leaves never returns")
+
+    def test_new_incarnation_takes_work_again(self):
+        """An endpoint that started again under its name stayed out."""
+        self.roster.hear(report(sequence=9, is_leaving=True), 0.0)
+        self.roster.hear(report(incarnation=2, sequence=1), 1.0)
+        self.assertEqual(self.names(), ["e1"])
+
+    def test_ended_incarnation_stays_out(self):
+        """A report on its way while the endpoint ended brought it back."""
+        self.roster.hear(report(sequence=3), 0.0)
+        self.roster.end("e1", 1)
+        self.roster.rows.clear()
+        self.assertFalse(self.roster.hear(report(sequence=4), 1.0))
+        self.assertEqual(self.names(), [])
+
+    def test_reused_address(self):
+        """Requests for one pool went to an endpoint of another one at the same address."""
+        self.roster.hear(report("old", incarnation=5), 0.0)
+        self.roster.hear(report("new", incarnation=9, pool="booking"), 10.0)
+        self.assertEqual((self.names(), self.names("booking")), ([], ["new"]))
+        # A delayed report of the former owner of the address.
+        self.roster.hear(report("old", incarnation=5, sequence=50), 11.0)
+        self.assertEqual((self.names(), self.names("booking")), ([], ["new"]))
+
+    def test_older_start_at_an_address_changes_nothing(self):
+        """A report held up by a cut arrived after a new endpoint had the address."""
+        self.roster.hear(report("new", incarnation=9), 0.0)
+        self.assertFalse(self.roster.hear(report("old", incarnation=5), 1.0))
+        self.assertEqual(self.names(), ["new"])
+
+    def test_renewal_is_no_change(self):
+        """Each heartbeat woke all entries."""
+        self.assertTrue(self.roster.hear(report(sequence=1), 0.0))
+        changes = self.roster.changes
+        self.assertFalse(self.roster.hear(report(sequence=2), 1.0))
+        self.assertEqual((self.roster.changes, self.roster.rows["e1"].heard_at), (changes, 1.0))
+
+    def test_silent_endpoints_are_forgotten(self):
+        """Endpoints that crashed stayed in the roster for ever."""
+        self.roster.hear(report(), 0.0)
+        self.roster.hear(report("e2", address="10.0.0.2:80"), 15.0)
+        before = self.roster.changes
+        self.assertEqual(self.roster.forget_silent(21.0, 20.0), ["e1"])
+        self.assertEqual(self.roster.changed_since(before), ["e1"])
+
+    def test_renewal_by_others_never_makes_older(self):
+        """An old age passed on by another process made a live endpoint look silent."""
+        self.roster.hear(report(), 10.0)
+        self.roster.renew("e1", 1, 4.0)
+        self.roster.renew("e1", 2, 99.0)
+        self.assertEqual(self.roster.rows["e1"].heard_at, 10.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/forward/tests/support.py
@@ -0,0 +1,228 @@
+"""An entry's forwarding path on loopback, with endpoints that behave as told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import aiohttp
+from yarl import URL
+
+from mulberrygate.catalog import CatalogIndex
+from mulberrygate.core.timers import TimerService
+from mulberrygate.daemon.http_site import HttpSite
+from mulberrygate.endpoints.roster import Registration, Roster
+from mulberrygate.entry.tickets import SchedulerClient
+from mulberrygate.forward.limits import AccountLimits
+from mulberrygate.forward.placing import Placement, SiteView
+from mulberrygate.forward.service import Forwarder
+from mulberrygate.forward.suspects import Suspects
+from mulberrygate.observe.metrics import Metrics
+from mulberrygate.platform.documents import decode_document
+from mulberrygate.platform.headers import PlatformDialect
+from mulberrygate.platform.settings import Bounds, Site
+from mulberrygate.sync.evidence import EvidenceReports
+
+HOST = "127.0.0.1"
+REQUEST_ID = "X-Mulberrygate-Request-Id"
+SIGNATURE = "X-Mulberrygate-Server-Signature"
+
+
+class Lines:
+    """Structured log that keeps its lines."""
+
+    def __init__(self):
+        self.notes: list[tuple[str, dict]] = []
+
+    def note(self, event, **fields):
+        """Keep a line."""
+        self.notes.append((event, fields))
+
+    def of(self, event):
+        """Return the fields of the lines of one kind."""
+        return [fields for kind, fields in self.notes if kind == event]
+
+    def flush(self):
+        """Do nothing; lines are kept."""
+
+
+class LoopbackPeers:
+    """Messages of a process to itself only."""
+
+    def __init__(self):
+        self.handlers = {}
+
+    def on(self, cls, handler):
+        """Register a handler."""
+        self.handlers[cls] = handler
+
+    def send(self, _instance, message):
+        """Hand a message to its handler."""
+        self.handlers[type(message)](message, "entry")
+
+    async def call(self, _instance, message, _timeout_s):
+        """Hand a message to its handler and return its answer."""
+        return self.handlers[type(message)](message, "entry")
+
+
+def document(**route):
+    """Return a document with a plain and a model pool, whose routes are changed as named."""
+    routes = [
+        {"name": "plain", "pathPrefix": "/plain/", "kind": "non_idempotent", "service": "booking"},
+        {"name": "read", "pathPrefix": "/read/", "kind": "idempotent", "service": "booking"},
+        {"name": "stream", "pathPrefix": "/stream/", "kind": "streaming", "service": "care"},
+    ]
+    usual = {"host": "a.example", "timeoutMs": 4000, "maxAttempts": 2}
+    return {
+        "version": 1,
+        "routes": [{**usual, **fields, **route} for fields in routes],
+        "services": [{"name": "care", "engine": {"slots": 4, "stride": 2}}, {"name": "booking"}],
+        "limits": {"maxBodyBytes": 5000},
+    }
+
+
+class Endpoint:
+    """Endpoint whose answers are written by a function that gets the raw request."""
+
+    def __init__(self, name, answer):
+        self.name = name
+        self.answer = answer
+        self.requests: list[bytes] = []
+        self.asked = asyncio.Event()
+        self.left = asyncio.Event()
+
+    async def start(self):
+        """Listen on a port of the system's choice."""
+        self.server = await asyncio.start_server(self.serve, HOST, 0)
+        self.address = f"{HOST}:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def serve(self, reader, writer):
+        """Read one request and answer it."""
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = 0
+            for line in head.split(b"\r\n"):
+                if line.lower().startswith(b"content-length:"):
+                    length = int(line.split(b":")[1])
+            body = await reader.readexactly(length)
+            self.requests.append(head + body)
+            self.asked.set()
+            await self.answer(self, reader, writer, head)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    def registration(self, pool):
+        """Return the endpoint's report."""
+        return Registration(self.name, 1, 1, pool, self.address, "a", "v1", 4)
+
+    async def close(self):
+        """Stop listening."""
+        self.server.close()
+
+
+def identifier(head):
+    """Return the identifier line of a request's head."""
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"x-mulberrygate-request-id:"):
+            return line
+    return b"X-None: 1"
+
+
+def whole(status=200, body=b"done", *more):
+    """Return an answer function with a length."""
+
+    async def answer(_endpoint, _reader, writer, head):
+        lines = [b"HTTP/1.1 %d X" % status, identifier(head), SIGNATURE.encode() + b": s", *more]
+        lines.append(b"Content-Length: %d" % len(body))
+        writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+        await writer.drain()
+
+    return answer
+
+
+def stream(events, end=True, first=1, reset=False):
+    """Return an answer function with a chunked stream of events, whole or broken off."""
+
+    async def answer(_endpoint, _reader, writer, head):
+        lines = [b"HTTP/1.1 200 OK", identifier(head), SIGNATURE.encode() + b": s"]
+        lines += [b"Content-Type: text/event-stream", b"Transfer-Encoding: chunked"]
+        writer.write(b"\r\n".join(lines) + b"\r\n\r\n")
+        for number in range(first, first + events):
+            event = b"id: %d\ndata: x\n\n" % number
+            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+        if end:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.write(b"5\r\nid: 9\r\n")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if reset:
+            writer.transport.abort()
+
+    return answer
+
+
+class Entry:
+    """Forwarding path of one entry on loopback."""
+
+    def __init__(self, fields=None, bounds=None):
+        self.site = Site(
+            "entry", "entry-1", "a", "r", {"a": "r"}, "", "", "", 0, (), False, "", 100, 3,
+            bounds or Bounds(),
+        )  # fmt: skip
+        self.document = fields or document()
+        self.lines = Lines()
+        self.errors: list[str] = []
+
+    async def start(self, **endpoints):
+        """Start with a list of endpoints for each pool, and listen."""
+        self.timers = TimerService(lambda name, error: self.errors.append(f"{name}: {error!r}"))
+        self.roster = Roster()
+        peers = LoopbackPeers()
+        view = SiteView("entry", lambda: "", lambda: ["entry"])
+        view_metrics = Metrics()
+        self.placement = Placement(
+            self.site, peers, self.roster, self.timers, view_metrics, view,
+            EvidenceReports(self.roster), 1,
+        )  # fmt: skip
+        scheduler = SchedulerClient("entry", "a", peers, lambda: view, self.timers)
+        limits = AccountLimits("entry", None, lambda: "", 0.0, lambda: 0.0)
+        self.crashes = []
+        self.forwarder = Forwarder(
+            self.site, PlatformDialect(), self.placement, scheduler, limits,
+            Suspects(lambda *crash: self.crashes.append(crash)), self.timers, self.lines,
+            view_metrics,
+        )  # fmt: skip
+        self.http = HttpSite(self.forwarder.handle, HOST, 0, cancels=True)
+        await self.http.start()
+        self.port = self.http.listener.sockets[0].getsockname()[1]
+        for pool, members in endpoints.items():
+            for endpoint in members:
+                await endpoint.start()
+                self.roster.hear(endpoint.registration(pool), self.timers.now())
+        self.endpoints = [item for members in endpoints.values() for item in members]
+        self.put(self.document)
+        self.session = aiohttp.ClientSession()
+        return self
+
+    def put(self, fields):
+        """Put a document in force."""
+        self.forwarder.set_index(CatalogIndex(decode_document(json.dumps(fields).encode())))
+
+    def request(self, path, method="POST", identifier="id-1", **headers):
+        """Return the context of a request to the entry."""
+        values = {"Host": "a.example", REQUEST_ID: identifier, **headers}
+        url = URL(f"http://{HOST}:{self.port}{path}", encoded=True)
+        return self.session.request(method, url, headers=values)
+
+    async def close(self):
+        """Stop everything."""
+        await self.session.close()
+        await self.http.close()
+        await self.forwarder.close()
+        await self.timers.close()
+        for endpoint in self.endpoints:
+            await endpoint.close()
--- /dev/null
+++ b/mulberrygate/forward/tests/test_service.py
@@ -0,0 +1,282 @@
+"""Tests of the forwarding path against endpoints that misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import unittest
+
+import aiohttp
+
+from mulberrygate.forward.tests.support import (
+    SIGNATURE,
+    Endpoint,
+    Entry,
+    document,
+    stream,
+    whole,
+)
+
+EVENT = "id: {0}\ndata: x\n\n"
+
+
+def events(*numbers):
+    """Return the bytes of events."""
+    return "".join(EVENT.format(number) for number in numbers).encode()
+
+
+def break_off(writer):
+    """Reset a connection."""
+    # Without this the system ends the connection in order.
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+async def reset(_endpoint, _reader, writer, _head):
+    """Break the connection without an answer."""
+    break_off(writer)
+
+
+async def unframed_reset(_endpoint, _reader, writer, _head):
+    """Send a body without a length and break the connection."""
+    writer.write(b"HTTP/1.1 200 OK\r\n" + SIGNATURE.encode() + b": s\r\n\r\npart")
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    break_off(writer)
+
+
+async def unframed(_endpoint, _reader, writer, _head):
+    """Send a body without a length and end the connection."""
+    writer.write(b"HTTP/1.1 200 OK\r\n" + SIGNATURE.encode() + b": s\r\n\r\nwhole")
+    await writer.drain()
+
+
+async def until_left(endpoint, reader, _writer, _head):
+    """Answer nothing, and note that the connection was closed."""
+    await reader.read()
+    endpoint.left.set()
+
+
+class TestForwarder(unittest.IsolatedAsyncioTestCase):
+    """One entry on loopback."""
+
+    async def start(self, fields=None, **endpoints):
+        """Start an entry that is closed after the test."""
+        entry = await Entry(fields).start(**endpoints)
+        self.addAsyncCleanup(entry.close)
+        return entry
+
+    async def test_answer_is_passed_on_unchanged(self):
+        """Status, body or signature were changed on the way."""
+        entry = await self.start(booking=[Endpoint("e", whole(201, b"body"))])
+        async with entry.request("/plain/1?x=%2F", X_Own="1") as answer:
+            self.assertEqual((answer.status, await answer.read()), (201, b"body"))
+            self.assertEqual(answer.headers[SIGNATURE], "s")
+        head = entry.endpoints[0].requests[0]
+        self.assertTrue(head.startswith(b"POST /plain/1?x=%2F HTTP/1.1\r\n"))
+        self.assertEqual(len(entry.lines.of("request.answered")), 1)
+
+    async def test_failure_of_a_call_that_runs_once(self):
+        """A booking that had failed at one endpoint was sent to another."""
+        endpoints = [Endpoint("e1", whole(500)), Endpoint("e2", whole(500))]
+        entry = await self.start(booking=endpoints)
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 500)
+            self.assertIn(SIGNATURE, answer.headers)
+        self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 1)
+
+    async def test_lost_answer_of_a_call_that_runs_once(self):
+        """A booking whose answer was lost was refused as not run, or sent again."""
+        endpoints = [Endpoint("e1", reset), Endpoint("e2", reset)]
+        entry = await self.start(booking=endpoints)
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 502)
+        self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 1)
+
+    async def test_idempotent_call_goes_to_another_endpoint(self):
+        """A read that one endpoint failed was not tried at another one."""
+        entry = await self.start(booking=[Endpoint("e1", whole(500)), Endpoint("e2", whole(200))])
+        for number in range(4):
+            async with entry.request("/read/1", identifier=f"id-{number}") as answer:
+                self.assertEqual(answer.status, 200)
+
+    async def test_attempts_of_the_route_are_kept(self):
+        """A read ran at more endpoints than its route allows."""
+        endpoints = [Endpoint(f"e{n}", whole(500)) for n in range(4)]
+        entry = await self.start(booking=endpoints)
+        async with entry.request("/read/1") as answer:
+            self.assertEqual(answer.status, 500)
+        self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 2)
+
+    async def test_call_that_was_turned_down(self):
+        """A booking that one full endpoint turned down was lost although another had room."""
+        turned_down = whole(503, b"", b"X-Mulberrygate-Not-Executed: 1")
+        entry = await self.start(booking=[Endpoint("e1", turned_down), Endpoint("e2", whole(200))])
+        for number in range(3):
+            async with entry.request("/plain/1", identifier=f"id-{number}") as answer:
+                self.assertEqual(answer.status, 200)
+
+    async def test_endpoint_that_is_not_there(self):
+        """A booking was answered 502 although no byte of it had been sent."""
+        gone = await Endpoint("e1", whole()).start()
+        await gone.close()
+        entry = await self.start(booking=[Endpoint("e2", whole(200))])
+        entry.roster.hear(gone.registration("booking"), entry.timers.now())
+        entry.placement.refresh()
+        for number in range(4):
+            async with entry.request("/plain/1", identifier=f"id-{number}") as answer:
+                self.assertEqual(answer.status, 200)
+
+    async def test_body_that_ends_with_a_broken_connection(self):
+        """A body without a length whose connection was reset looked complete."""
+        entry = await self.start(booking=[Endpoint("e", unframed_reset)])
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 502)
+            self.assertNotIn(SIGNATURE, answer.headers)
+
+    async def test_body_that_ends_with_its_connection(self):
+        """A whole body without a length was refused."""
+        entry = await self.start(booking=[Endpoint("e", unframed)])
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual((answer.status, await answer.read()), (200, b"whole"))
+
+    async def test_body_shorter_than_its_length(self):
+        """A body that broke off before its length was passed on."""
+
+        async def short(_endpoint, _reader, writer, _head):
+            writer.write(b"HTTP/1.1 200 OK\r\n" + SIGNATURE.encode() + b": s\r\n")
+            writer.write(b"Content-Length: 10\r\n\r\npart")
+            await writer.drain()
+
+        entry = await self.start(booking=[Endpoint("e", short)])
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 502)
+
+    async def test_answer_to_another_request(self):
+        """A late answer to an earlier request was taken for this one's."""
+
+        async def other(_endpoint, _reader, writer, _head):
+            writer.write(b"HTTP/1.1 200 OK\r\nX-Mulberrygate-Request-Id: id-0\r\n")
+            writer.write(SIGNATURE.encode() + b": s\r\nContent-Length: 2\r\n\r\nno")
+            await writer.drain()
+
+        entry = await self.start(booking=[Endpoint("e", other)])
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 502)
+
+    async def test_stream(self):
+        """Events were lost, or the end of a stream was not told."""
+        entry = await self.start(care=[Endpoint("e", stream(3))])
+        async with entry.request("/stream/1") as answer:
+            self.assertEqual(await answer.read(), events(1, 2, 3))
+
+    async def test_broken_stream_does_not_look_complete(self):
+        """A stream that broke off was ended as if it were whole."""
+        entry = await self.start(care=[Endpoint("e", stream(2, end=False))])
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            async with entry.request("/stream/1") as answer:
+                await answer.read()
+
+    async def test_broken_stream_goes_on_elsewhere(self):
+        """A stream that may be resumed lost or repeated events, or part of one."""
+        endpoints = [Endpoint("e1", stream(2, end=False)), Endpoint("e2", stream(2, first=3))]
+        entry = await self.start(document(resumable=True), care=endpoints[:1])
+        await endpoints[1].start()
+        self.addAsyncCleanup(endpoints[1].close)
+        async with entry.request("/stream/1") as answer:
+            entry.roster.leave("e1", 1)
+            entry.roster.hear(endpoints[1].registration("care"), entry.timers.now())
+            entry.placement.refresh()
+            self.assertEqual(await answer.read(), events(1, 2, 3, 4))
+        self.assertIn(b"Last-Event-Id: 2\r\n", endpoints[1].requests[0])
+
+    async def test_caller_that_leaves(self):
+        """An endpoint went on with a call after its caller had left."""
+        endpoint = Endpoint("e", until_left)
+        entry = await self.start(care=[endpoint])
+        context = entry.request("/stream/1")
+        task = asyncio.ensure_future(context.__aenter__())
+        await asyncio.wait_for(endpoint.asked.wait(), 5)
+        task.cancel()
+        await asyncio.wait_for(endpoint.left.wait(), 5)
+        self.assertEqual(len(entry.lines.of("request.left")), 1)
+
+    async def test_timeout_after_the_call_was_sent(self):
+        """A call that may still run was refused as not run at its timeout."""
+        entry = await self.start(document(timeoutMs=200), booking=[Endpoint("e", until_left)])
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 504)
+
+    async def test_timeout_before_the_call_was_sent(self):
+        """A call that never reached an endpoint was answered as if it had."""
+        entry = await self.start(document(timeoutMs=200))
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 503)
+
+    async def test_refusals(self):
+        """A call that the catalog doesn't allow reached an endpoint."""
+        fields = document()
+        fields["tenants"] = [{"name": "hule", "apiKeys": ["k1"]}]
+        entry = await self.start(fields, booking=[Endpoint("e", whole())])
+        statuses = []
+        for path, key in (("/none/1", "k1"), ("/plain/1", "other"), ("/plain/1", "k1")):
+            async with entry.request(path, Authorization=f"Bearer {key}") as answer:
+                statuses.append(answer.status)
+        self.assertEqual(statuses, [404, 401, 200])
+        self.assertEqual(len(entry.endpoints[0].requests), 1)
+        self.assertNotIn(b"k1", entry.endpoints[0].requests[0])
+        self.assertIn(b"X-Mulberrygate-Tenant-Id: hule\r\n", entry.endpoints[0].requests[0])
+
+    async def test_no_catalog_yet(self):
+        """An entry that knows no catalog yet told callers that their route is unknown."""
+        entry = await self.start()
+        entry.forwarder.index = None
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(float(answer.headers["Retry-After"]), 0)
+
+    async def test_body_over_the_limit(self):
+        """A body over the limit reached an endpoint."""
+        entry = await self.start(booking=[Endpoint("e", whole())])
+        url = f"http://127.0.0.1:{entry.port}/plain/1"
+        headers = {"Host": "a.example"}
+        async with entry.session.post(url, data=b"x" * 6000, headers=headers) as answer:
+            self.assertEqual(answer.status, 413)
+        self.assertEqual(entry.endpoints[0].requests, [])
+
+    async def test_planned_stop_closes_idle_connections(self):
+        """An idle connection stayed open in a planned stop, and requests on it got no answer."""
+        entry = await self.start(booking=[Endpoint("e", whole())])
+        async with entry.request("/plain/1") as answer:
+            await answer.read()
+        connections = list(entry.http.server.connections)
+        await entry.http.stop_listening()
+        self.assertEqual([connection.transport for connection in connections], [None])
+        with self.assertRaises(aiohttp.ClientError):
+            async with entry.request("/plain/2"):
+                pass
+
+    async def test_planned_stop_lets_running_answers_end(self):
+        """A stream that ran when the stop began was cut off."""
+        release = asyncio.Event()
+
+        async def slow(endpoint, reader, writer, head):
+            await release.wait()
+            await stream(2)(endpoint, reader, writer, head)
+
+        entry = await self.start(care=[Endpoint("e", slow)])
+        task = asyncio.ensure_future(entry.request("/stream/1").__aenter__())
+        await asyncio.wait_for(entry.endpoints[0].asked.wait(), 5)
+        entry.forwarder.is_closing = True
+        await entry.http.stop_listening()
+        release.set()
+        answer = await task
+        self.assertEqual(await answer.read(), events(1, 2))
+        await entry.forwarder.wait_idle(5.0)
+        self.assertEqual(entry.forwarder.active, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/observe/tests/test_jsonlines.py
@@ -0,0 +1,77 @@
+"""Tests of the structured log."""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import os
+import unittest
+
+from mulberrygate.observe.jsonlines import BUFFER_BYTES, JsonLines
+
+
+class TestJsonLines(unittest.TestCase):
+    """A pipe that nobody reads, and storms of lines."""
+
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.now = 100.0
+        self.lines = JsonLines("entry-1", self.writer, lambda: self.now, limit=1_000_000)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+
+    def read(self):
+        """Return the lines in the pipe."""
+        os.set_blocking(self.reader, False)
+        data = b""
+        while True:
+            try:
+                chunk = os.read(self.reader, 1 << 20)
+            except BlockingIOError:
+                break
+            data += chunk
+            self.lines.flush()
+        self.assertTrue(data.endswith(b"\n"))
+        return [json.loads(line) for line in data.splitlines()]
+
+    def test_full_pipe_neither_blocks_nor_tears_lines(self):
+        """A pipe that nobody read stopped the process, or lines were cut in two."""
+        fcntl.fcntl(self.writer, 1031, 4096)  # F_SETPIPE_SZ
+        for number in range(5000):
+            self.lines.note("request.refused", id=f"id-{number}", text="x" * 100)
+        self.assertLessEqual(self.lines.buffered, BUFFER_BYTES)
+        self.assertGreater(self.lines.dropped_total, 0)
+        found = self.read()
+        numbers = [int(line["id"][3:]) for line in found if line["event"] == "request.refused"]
+        self.assertEqual(numbers, list(range(len(numbers))))
+
+    def test_drops_are_counted_in_a_line(self):
+        """Lines over the budget were lost without a word."""
+        self.lines.limit = 10
+        for _ in range(50):
+            self.lines.note("request.refused")
+        self.lines.note("process.started")
+        self.now += 1.0
+        self.lines.note("request.answered")
+        events = [line["event"] for line in self.read()]
+        self.assertEqual(events.count("request.refused"), 10)
+        self.assertIn("process.started", events)
+        self.now += 1.0
+        self.assertIn("log.dropped", events)
+
+    def test_reader_that_has_gone(self):
+        """The end of the reading process ended this one."""
+        reader, writer = os.pipe()
+        lines = JsonLines("entry-1", writer, lambda: 1.0)
+        os.close(reader)
+        lines.note("process.started")
+        os.close(writer)
+
+    def test_value_of_any_kind(self):
+        """A value that is no JSON ended the request that was logged."""
+        self.lines.note("odd", value=object(), text="a\nb")
+        self.assertEqual(self.read()[0]["text"], "a\nb")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/platform/tests/test_documents.py
@@ -0,0 +1,123 @@
+"""Tests of the decoding of configuration documents."""
+
+from __future__ import annotations
+
+import copy
+import json
+import unittest
+
+from mulberrygate.catalog import Repeat
+from mulberrygate.platform.documents import InvalidDocument, decode_document
+
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "Ficu95.example",
+            "pathPrefix": "/pufi/",
+            "kind": "streaming",
+            "timeoutMs": 15000,
+            "targetLatencyMs": 400,
+            "priority": 1,
+            "service": "care",
+            "maxAttempts": 2,
+            "resumable": True,
+            "targetGapMs": 300,
+        },
+        {
+            "name": "r2",
+            "host": "ficu95.example",
+            "pathPrefix": "/lohu/",
+            "kind": "non_idempotent",
+            "timeoutMs": 1000,
+            "trafficSplit": [
+                {"service": "care", "weight": 90},
+                {"service": "booking", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {"name": "care", "maxConnections": 300, "engine": {"slots": 14, "stride": 5}},
+        {"name": "booking", "maxConnections": 100},
+    ],
+    "tenants": [
+        {"name": "hule", "apiKeys": ["k1", "k2"], "unit": "tokens", "ratePerS": 10, "burst": 5}
+    ],
+    "limits": {"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
+}
+
+
+class TestDocuments(unittest.TestCase):
+    """Sound and invalid documents."""
+
+    def refused(self, change):
+        """Check that a changed document is refused."""
+        fields = copy.deepcopy(DOCUMENT)
+        change(fields)
+        with self.assertRaises(InvalidDocument):
+            decode_document(json.dumps(fields).encode())
+
+    def test_sound_document(self):
+        """A field was taken for another one, or in another unit."""
+        catalog = decode_document(json.dumps(DOCUMENT).encode())
+        route = catalog.routes[0]
+        self.assertEqual((catalog.version, route.host, route.timeout_s), (7, "ficu95.example", 15))
+        self.assertEqual((route.target_first_s, route.target_gap_s), (0.4, 0.3))
+        self.assertTrue(route.is_resumable and route.may_repeat)
+        self.assertIs(catalog.routes[1].repeat, Repeat.ONCE)
+        self.assertFalse(catalog.routes[1].may_repeat)
+        self.assertEqual(catalog.pools[0].tokens_per_event, 5)
+        self.assertTrue(catalog.accounts[0].counts_tokens)
+        self.assertEqual(catalog.limits.max_body_bytes, 1000)
+
+    def test_document_that_was_cut_short(self):
+        """The readable part of a cut document was put in force."""
+        body = json.dumps(DOCUMENT).encode()
+        for length in range(0, len(body) - 1, 37):
+            with self.assertRaises(InvalidDocument):
+                decode_document(body[:length])
+
+    def test_unknown_service(self):
+        """A route could name a service that the document doesn't have."""
+        self.refused(lambda d: d["routes"][0].update(service="none"))
+        self.refused(lambda d: d["routes"][1]["trafficSplit"][1].update(service="none"))
+
+    def test_two_routes_at_one_place(self):
+        """Of two routes with one host and prefix, the last one won."""
+        self.refused(lambda d: d["routes"][1].update(pathPrefix="/pufi/"))
+
+    def test_weights_that_add_up_to_nothing(self):
+        """A route whose weights are all 0 had nowhere to send to."""
+
+        def clear(fields):
+            for item in fields["routes"][1]["trafficSplit"]:
+                item["weight"] = 0
+
+        self.refused(clear)
+
+    def test_timeout_of_nothing(self):
+        """A timeout of 0 refused every request of the route."""
+        self.refused(lambda d: d["routes"][0].update(timeoutMs=0))
+
+    def test_shared_key(self):
+        """A key of two accounts belonged to the one that came last."""
+        self.refused(lambda d: d["tenants"].append({"name": "other", "apiKeys": ["k2"]}))
+
+    def test_wrong_types(self):
+        """A field of another type raised an error of the program itself."""
+        self.refused(lambda d: d.update(version="7"))
+        self.refused(lambda d: d.update(version=True))
+        self.refused(lambda d: d.update(routes={}))
+        self.refused(lambda d: d["routes"][0].update(timeoutMs="soon"))
+        self.refused(lambda d: d["routes"][0].update(kind="other"))
+        self.refused(lambda d: d["routes"][1].update(trafficSplit=[3]))
+        self.refused(lambda d: d["tenants"][0].update(apiKeys="k1"))
+        with self.assertRaises(InvalidDocument):
+            decode_document(b"[1, 2]")
+        with self.assertRaises(InvalidDocument):
+            decode_document(b"\xff\xfe")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/platform/tests/test_headers.py
@@ -0,0 +1,122 @@
+"""Tests of the headers between callers and endpoints."""
+
+from __future__ import annotations
+
+import types
+import unittest
+
+from multidict import CIMultiDict
+
+from mulberrygate.catalog import BackendPool, Repeat, RouteRule, WeightedPool
+from mulberrygate.forward import codes
+from mulberrygate.forward.request import Call, Refused
+from mulberrygate.platform.headers import PlatformDialect
+
+ROUTE = RouteRule("r", "a.example", "/n/", Repeat.STREAM, (WeightedPool("care", 1.0),), 5.0)
+
+
+def request(**headers):
+    """Return a caller's request with these headers."""
+    values = CIMultiDict(
+        {"Host": "a.example:80", "X-Mulberrygate-Request-Id": "id-1"}
+        | {name.replace("_", "-"): value for name, value in headers.items()}
+    )
+    return types.SimpleNamespace(headers=values, method="POST", raw_path="/n/7?x=1")
+
+
+def call_of(sent, account="hule"):
+    """Return the call of a request."""
+    call = Call(PlatformDialect().call_head(sent), sent.headers, 0.0, ROUTE, BackendPool("care"))
+    call.account = account
+    return call
+
+
+class TestRequests(unittest.TestCase):
+    """From callers to endpoints."""
+
+    def test_head(self):
+        """A number that isn't one ended the request with an error of the program."""
+        sent = request(
+            X_Mulberrygate_Token_Count="1460,80",
+            X_Mulberrygate_Length_Hint="many",
+            X_Mulberrygate_Prefix_Hash="5c1e:800,91bd:410",
+            X_Mulberrygate_Request_Deadline="1500",
+            Authorization="bearer k1",
+        )
+        head = PlatformDialect().call_head(sent)
+        self.assertEqual((head.prompt_tokens, head.output_tokens), (1460, 80))
+        self.assertEqual((head.expected_tokens, head.patience_s, head.key), (0, 1.5, "k1"))
+        self.assertEqual(head.parts, (("5c1e", 800), ("91bd", 410)))
+        self.assertEqual(head.host, "a.example")
+
+    def test_headers_of_the_system_are_not_the_callers(self):
+        """A caller could name its account, an endpoint's lease or another request's memory."""
+        names = ("Tenant-Id", "Expect-Instance", "Hold", "Pin-Ms", "Kv-Backup", "Expect-Version")
+        sent = request(Authorization="Bearer k1", Kv_From="10.0.0.1:1/h", Kv_Fetch="10.0.0.1:1")
+        for name in names:
+            sent.headers[f"x-mulberrygate-{name}"] = "forged"
+        headers = PlatformDialect().endpoint_headers(call_of(sent), "i-7", 1.2345, "")
+        found = {name.lower(): value for name, value in headers}
+        self.assertEqual(len(found), len(headers))
+        self.assertNotIn("forged", found.values())
+        self.assertNotIn("authorization", found)
+        self.assertNotIn("kv-from", found)
+        self.assertNotIn("kv-fetch", found)
+        self.assertEqual(found["x-mulberrygate-tenant-id"], "hule")
+        self.assertEqual(found["x-mulberrygate-expect-instance"], "i-7")
+        self.assertEqual(found["x-mulberrygate-request-deadline"], "1234")
+        self.assertEqual(found["x-mulberrygate-request-id"], "id-1")
+
+    def test_headers_of_the_connection_stay_on_it(self):
+        """A header that the caller named in ``Connection`` was forwarded."""
+        sent = request(Connection="close, X-Own", X_Own="1", X_Other="2", TE="trailers")
+        headers = dict(PlatformDialect().endpoint_headers(call_of(sent), "i-7", 1.0, ""))
+        self.assertNotIn("X-Own", headers)
+        self.assertNotIn("TE", headers)
+        self.assertNotIn("Connection", headers)
+        self.assertEqual(headers["X-Other"], "2")
+
+
+class TestAnswers(unittest.TestCase):
+    """From endpoints to callers."""
+
+    def head(self, status=200, **headers):
+        """Return the head of an answer to ``id-1``."""
+        values = CIMultiDict({name.replace("_", "-"): value for name, value in headers.items()})
+        response = types.SimpleNamespace(status=status, headers=values)
+        return PlatformDialect().answer_head(call_of(request()), response)
+
+    def test_success_needs_a_signature(self):
+        """A success without the endpoint's signature was passed on."""
+        self.assertFalse(self.head().is_genuine)
+        self.assertTrue(self.head(X_Mulberrygate_Server_Signature="s").is_genuine)
+        self.assertTrue(self.head(status=500).is_genuine)
+
+    def test_answer_to_another_request(self):
+        """A late answer to an earlier request was passed on."""
+        signed = {"X_Mulberrygate_Server_Signature": "s"}
+        self.assertFalse(self.head(X_Mulberrygate_Request_Id="id-0", **signed).is_genuine)
+        self.assertTrue(self.head(X_Mulberrygate_Request_Id="id-1", **signed).is_genuine)
+
+    def test_what_says_that_it_did_not_run(self):
+        """Only the endpoint's own statement means that a request didn't run."""
+        self.assertTrue(self.head(status=503).has_run)
+        self.assertFalse(self.head(status=503, X_Mulberrygate_Not_Executed="1").has_run)
+        self.assertFalse(self.head(status=421).has_run)
+
+    def test_load(self):
+        """A load of another form was taken for a number."""
+        self.assertEqual(self.head(X_Mulberrygate_Server_Load="3, 2, 8").load, 5)
+        self.assertIsNone(self.head(X_Mulberrygate_Server_Load="3").load)
+        self.assertIsNone(self.head().load)
+
+    def test_refusal_says_when_to_come_back(self):
+        """A refusal in fractions of a second was rounded to none."""
+        refused = Refused(codes.OVER_LIMIT, retry_after_s=0.4)
+        headers = dict(PlatformDialect().refusal_headers(call_of(request()), refused))
+        self.assertEqual(headers["Retry-After"], "0.40")
+        self.assertEqual(headers["X-Mulberrygate-Request-Id"], "id-1")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/platform/tests/test_registrations.py
@@ -0,0 +1,113 @@
+"""Tests of the decoding of endpoints' registrations and of the settings file."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+
+from mulberrygate.core.outcome import Refusal
+from mulberrygate.platform.registrations import InvalidRegistration, decode_registration
+from mulberrygate.platform.settings import load_site
+
+BEAT = {
+    "service": "care",
+    "address": "10.128.0.9:8080",
+    "zone": "idukki-a",
+    "version": "v1",
+    "slots": 15,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "sequence": 4,
+    "born": 1784461071000,
+}
+
+
+def decode(**changes):
+    """Return the registration of a changed beat; a change to ``None`` removes the field."""
+    fields = {**BEAT, **changes}
+    body = json.dumps({name: value for name, value in fields.items() if value is not None})
+    return decode_registration("i-1", body.encode())
+
+
+class TestRegistrations(unittest.TestCase):
+    """Sound and unusable beats."""
+
+    def test_sound_beat(self):
+        """A field was taken for another one, or in another unit."""
+        found = decode()
+        self.assertEqual((found.endpoint, found.pool, found.slots), ("i-1", "care", 15))
+        self.assertEqual((found.incarnation, found.sequence), (1784461071000, 4))
+        self.assertEqual(found.warmup_s, 1.5)
+        self.assertFalse(found.is_leaving)
+        self.assertTrue(decode(state="draining").is_leaving)
+
+    def test_beats_of_other_writers(self):
+        """A beat with a missing or strange field made an endpoint that nothing could reach."""
+        strange = [
+            {"state": "resting"},
+            {"state": None},
+            {"slots": "15"},
+            {"slots": True},
+            {"address": "10.128.0.9"},
+            {"address": 5},
+            {"sequence": None},
+            {"service": 3},
+            {"born": 1.5},
+        ]
+        for changes in strange:
+            with self.subTest(changes), self.assertRaises(InvalidRegistration):
+                decode(**changes)
+        for body in (b"", b"[]", b"\xff", b"{", b"[" * 100_000):
+            with self.assertRaises(InvalidRegistration):
+                decode_registration("i-1", body)
+
+
+class TestSettings(unittest.TestCase):
+    """Settings file of the platform."""
+
+    def load(self, **changes):
+        """Return the settings of a changed file."""
+        fields = {
+            "node": "core-a-1",
+            "ip": "10.1.0.28",
+            "zone": "a",
+            "region": "r",
+            "zones": {"a": "r"},
+            "listen": {"control": "10.1.0.28:8229"},
+            "internalPorts": [7600, 7615],
+            "seeds": ["10.1.0.28:8229", "10.2.0.20:8229"],
+            "bootstrap": True,
+            "dataDir": "/data/core",
+            "faultTolerance": {"machines": 2},
+            "bounds": {"graceS": 6, "drainMs": 1500},
+            "somethingNew": [1],
+            **changes,
+        }
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(fields, file)
+            file.flush()
+            return load_site(file.name)
+
+    def test_sound_file(self):
+        """Seeds name control addresses, and peers were called at those."""
+        site = self.load()
+        self.assertEqual(site.seeds, ("10.1.0.28", "10.2.0.20"))
+        self.assertEqual(site.peer_address, "10.1.0.28:7600")
+        self.assertTrue(site.is_control and not site.is_entry and site.is_first_start)
+        self.assertEqual((site.voters, site.bounds.stop_s, site.bounds.drain_s), (5, 6.0, 1.5))
+
+    def test_only_true_means_a_first_start(self):
+        """An empty disk after a loss formed a second group."""
+        self.assertFalse(self.load(bootstrap=False).is_first_start)
+        self.assertFalse(self.load(bootstrap=None).is_first_start)
+
+    def test_unusable_file(self):
+        """A missing field ended the process with a trace instead of a numbered error."""
+        self.assertIsInstance(self.load(ip=7), Refusal)
+        self.assertIsInstance(self.load(internalPorts=None), Refusal)
+        self.assertIsInstance(load_site("/nonexistent"), Refusal)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/schedule/tests/test_wide.py
@@ -0,0 +1,132 @@
+"""Tests of pools whose endpoints in all failure domains are used on equal terms.
+
+They play the load that the rules answer: bursts beyond the capacity of unlike engines.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from mulberrygate.schedule import PoolScheduler
+from mulberrygate.schedule.codes import DEADLINE_UNREACHABLE, WAIT_TOO_LONG
+from mulberrygate.schedule.tests.support import Bench, make_view
+from mulberrygate.tables.model import Pool
+
+
+class WideBench(Bench):
+    """A wide scheduler with its grants and refusals in order."""
+
+    def __init__(self, views, engine_queue=0):
+        super().__init__(views)
+        pool = Pool(engine_queue=engine_queue)
+        self.scheduler = PoolScheduler("d1", "r1", pool, random.Random(1), is_wide=True)
+        self.call("set_endpoints", views)
+
+    def advance(self, seconds):
+        """Let time pass."""
+        self.now += seconds
+        self.call("tick")
+
+
+class TestWidePools(unittest.TestCase):
+    """Order, shedding and unlike endpoints."""
+
+    def test_endpoints_of_other_regions_are_used_at_once(self):
+        """A free engine in another region stayed idle until the backlog was 2 s long."""
+        views = [make_view("a"), make_view("b", domain="d2", region="r2")]
+        bench = WideBench(views)
+        bench.ask("r1")
+        bench.ask("r2")
+        self.assertEqual({bench.endpoint_of("r1"), bench.endpoint_of("r2")}, {"a", "b"})
+
+    def test_slow_engine_without_stated_hardware_keeps_its_slots(self):
+        """An engine three times as slow as others was judged faulty and lost most of its slots."""
+        views = [make_view(n, hardware="", slots=2) for n in ("fast", "slow")]
+        bench = WideBench(views)
+        for number in range(120):
+            name = f"r{number}"
+            bench.ask(name)
+            speed = 3.0 if bench.endpoint_of(name) == "slow" else 1.0
+            bench.now += speed
+            bench.done(name, total_s=speed, first_s=0.1 * speed)
+        bench.call("set_endpoints", views)
+        self.assertEqual({s.slots for s in bench.scheduler.states.values()}, {2})
+
+    def test_request_that_can_be_on_time_goes_first(self):
+        """In a backlog all requests were late by the same time."""
+        bench = WideBench([make_view("a")])
+        bench.ask("running")
+        bench.ask("late", on_time_s=0.3)
+        bench.advance(0.5)
+        bench.ask("fresh", on_time_s=0.3)
+        bench.done("running")
+        self.assertIn("fresh", bench.grants)
+        self.assertNotIn("late", bench.grants)
+
+    def test_upper_tier_goes_first_even_when_late(self):
+        """A late write-up waited behind a lookup."""
+        bench = WideBench([make_view("a")])
+        bench.ask("running")
+        bench.ask("late", tier=0, on_time_s=0.3)
+        bench.advance(0.5)
+        bench.ask("fresh", tier=2, on_time_s=0.3)
+        bench.done("running")
+        self.assertIn("late", bench.grants)
+
+    def test_refused_when_the_caller_is_about_to_leave(self):
+        """A request waited until its caller left, and nobody was told anything."""
+        bench = WideBench([make_view("a")])
+        bench.ask("running")
+        bench.ask("waits", start_by_s=1.6)
+        bench.advance(1.5)
+        self.assertNotIn("waits", bench.refused)
+        bench.advance(0.2)
+        self.assertEqual(bench.refused["waits"], DEADLINE_UNREACHABLE.number)
+
+    def test_no_slot_stays_idle_for_upper_tiers(self):
+        """A quarter of the slots was kept free while requests waited."""
+        bench = WideBench([make_view("a", slots=8)])
+        bench.ask("upper", tier=0)
+        for number in range(7):
+            bench.ask(f"r{number}", tier=2)
+        self.assertEqual(len(bench.grants), 8)
+
+    def test_hopeless_wait_is_refused_when_it_becomes_late(self):
+        """In a burst of upper tiers, requests of the lowest one waited in vain."""
+        bench = WideBench([make_view("a")])
+        for number in range(200):
+            bench.ask(f"upper{number}", tier=0)
+            bench.now += 0.01
+        bench.ask("lowest", tier=2, on_time_s=0.2, start_by_s=2.0)
+        bench.advance(0.25)
+        self.assertEqual(bench.refused.get("lowest"), WAIT_TOO_LONG.number)
+
+    def test_short_backlog_is_no_reason_to_refuse(self):
+        """Requests that would have been served a little late were refused."""
+        bench = WideBench([make_view("a", slots=4)])
+        for number in range(6):
+            bench.ask(f"r{number}", on_time_s=0.2, start_by_s=2.0)
+        bench.advance(0.3)
+        self.assertEqual(bench.refused, {})
+
+    def test_largest_requests_are_not_starved(self):
+        """Requests of many tokens stood behind all shorter ones that came after them."""
+        bench = WideBench([make_view("a")])
+        bench.ask("running")
+        bench.ask("large", tokens=3000, deadline=15.0)
+        for number in range(20):
+            bench.ask(f"small{number}", tokens=20, deadline=15.0)
+        bench.done("running")
+        self.assertIn("large", bench.grants)
+
+    def test_request_that_no_endpoint_finishes_in_time_is_served(self):
+        """The first requests of a day were refused, because nothing was known of the engines."""
+        bench = WideBench([make_view("a", hardware="")])
+        bench.advance(0.6)
+        bench.ask("large", tokens=4000, deadline=15.0, start_by_s=4.0)
+        self.assertIn("large", bench.grants)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/sync/tests/test_follower.py
@@ -0,0 +1,122 @@
+"""Tests of following the control processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import types
+import unittest
+import zlib
+
+import attrs
+
+from mulberrygate.core.timers import TimerService
+from mulberrygate.endpoints.roster import Heard, Registration, Roster
+from mulberrygate.forward.tests.support import Lines, document
+from mulberrygate.peers.client import Unreachable
+from mulberrygate.platform.documents import decode_document
+from mulberrygate.sync.follower import Follower
+from mulberrygate.sync.messages import State
+
+
+def packed(version):
+    """Return a compressed document."""
+    return zlib.compress(json.dumps({**document(), "version": version}).encode())
+
+
+def heard(name, **more):
+    """Return an endpoint as a control process tells it."""
+    return Heard(Registration(name, 1, 1, "care", f"10.0.0.{name[1:]}:80", "a", **more), 0.5)
+
+
+class Peers:
+    """Control processes that answer as told."""
+
+    incarnation = 1
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.is_asked = {name: asyncio.Event() for name in answers}
+        self.client = self
+
+    async def call(self, instance, _message, _timeout_s):
+        """Answer a question."""
+        self.is_asked[instance].set()
+        return self.answers[instance]
+
+
+class TestFollower(unittest.IsolatedAsyncioTestCase):
+    """Catalogs and rosters of an entry."""
+
+    async def asyncSetUp(self):
+        self.timers = TimerService(lambda name, error: None)
+        self.addAsyncCleanup(self.timers.close)
+
+    def follower(self, **answers):
+        """Return a follower of control processes with these answers."""
+        site = types.SimpleNamespace(instance="10.1.0.9", seeds=tuple(answers))
+        self.peers = Peers(answers)
+        self.in_force = []
+        follower = Follower(
+            site, self.peers, Roster(), self.timers, Lines(), decode_document,
+            lambda index: self.in_force.append(index.version), lambda state: None, 1,
+        )  # fmt: skip
+        follower.control = next(iter(answers), "")
+        return follower
+
+    async def follow(self, follower, answer):
+        """Take one answer."""
+        self.peers.answers[follower.control] = answer
+        await follower._follow_once()
+
+    async def test_catalog_never_goes_back(self):
+        """An entry that turned to a process with an older catalog put that in force."""
+        follower = self.follower(c1=None)
+        state = State(1, 0, 5, is_current=True, catalog=packed(5))
+        await self.follow(follower, state)
+        await self.follow(follower, attrs.evolve(state, catalog_version=3, catalog=packed(3)))
+        await self.follow(follower, attrs.evolve(state, catalog_version=9, catalog=packed(9)))
+        self.assertEqual(self.in_force, [5, 9])
+
+    async def test_process_without_its_group_is_left(self):
+        """An entry went on following a process that was cut off from the others."""
+        follower = self.follower(c1=None, c2=None)
+        await self.follow(follower, State(1, 0, 5, is_current=False))
+        self.assertEqual(follower.control, "")
+        self.assertEqual(follower._choose(), "c2")
+
+    async def test_silent_process_is_left(self):
+        """An entry waited for a process that had ended."""
+        follower = self.follower(c1=None, c2=None)
+        await self.follow(follower, Unreachable("c1", "test"))
+        self.assertEqual(follower._choose(), "c2")
+
+    async def test_young_process_forgets_no_endpoints(self):
+        """After all control processes restarted, entries dropped every endpoint."""
+        follower = self.follower(c1=None)
+        full = State(1, 1, 5, is_full=True, is_current=True, is_settled=True, heard=(heard("e1"),))
+        await self.follow(follower, full)
+        young = State(2, 0, 5, is_full=True, is_current=True, is_settled=False)
+        await self.follow(follower, young)
+        self.assertEqual(list(follower.roster.rows), ["e1"])
+        await self.follow(follower, attrs.evolve(young, is_settled=True))
+        self.assertEqual(list(follower.roster.rows), [])
+
+    async def test_endpoint_that_leaves(self):
+        """An endpoint that leaves got new work."""
+        follower = self.follower(c1=None)
+        state = State(1, 1, 5, is_current=True, heard=(heard("e1"), heard("e2")))
+        await self.follow(follower, state)
+        await self.follow(follower, attrs.evolve(state, heard=(heard("e1", is_leaving=True),)))
+        names = [row.registration.endpoint for row in follower.roster.usable("care")]
+        self.assertEqual(names, ["e2"])
+
+    async def test_follows_by_itself(self):
+        """The loop ended with the first silent process."""
+        follower = self.follower(c1=Unreachable("c1", "test"), c2=State(1, 0, 5, is_current=True))
+        follower.start()
+        await asyncio.wait_for(self.peers.is_asked["c2"].wait(), 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
