Present requests to a new owner within 0.1 s; elect leaders sooner

Cause: requests that waited at a leader that died were presented to the next owner only with the next repetition, up to 1 s later, and the election took about a second.

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -59,6 +59,9 @@
 FOLLOW_WAIT_S = 0.5
 SHARE_S = 0.4
 SHARE_TIMEOUT_S = 1.0
+# The group's hops take some hundredths of a second, and a slow disk's sync a tenth.
+ELECTION_TIMEOUT_S = 0.45
+HEARTBEAT_S = 0.12
 DUTY_S = 0.1
 POOLS_LOG_S = 1.0
 # Endpoints report every second or so, and a report may be late by seconds.
@@ -160,8 +163,8 @@
     async def _open_voter(self) -> None:
         site = self.site
         settings = AgreementSettings(
-            election_timeout_s=0.6,
-            heartbeat_s=0.15,
+            election_timeout_s=ELECTION_TIMEOUT_S,
+            heartbeat_s=HEARTBEAT_S,
             wanted_voters=site.voters,
             may_form=site.is_first_start,
         )
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -31,6 +31,8 @@
 
 # A waiting request is presented again after this time, in case a message was lost.
 REPEAT_S = 1.0
+# A change of owner is noticed within this time; requests that wait at the former one wait in vain.
+OWNER_CHECK_S = 0.1
 ASK_TIMEOUT_S = 0.5
 # Tokens received are reported this often, so that the owner sees which requests advance.
 PROGRESS_S = 1.0
@@ -139,6 +141,7 @@
         peers.on(Grant, self.on_grant)
         peers.on(Refuse, self.on_refuse)
         timers.every(REPEAT_S, self.repeat, "tickets.repeat")
+        timers.every(OWNER_CHECK_S, self.check_owners, "tickets.owners")
         timers.every(progress_s, self.report_progress, "tickets.progress")
 
     def owner(self, pool: str) -> str:
@@ -249,18 +252,27 @@
         for owner in {dispatched.granted_by, dispatched.owner}:
             self.peers.send(owner, message)
 
-    def repeat(self) -> None:
-        """Ask again for requests that still wait, and present all to a new owner."""
+    def check_owners(self) -> None:
+        """Present all requests of a pool to its new owner, and ask that one from now on."""
         pools = {w.ticket.pool for w in self.waiting.values()}
         pools |= {d.ticket.pool for d in self.running.values()}
+        changed = set()
         for pool in pools:
             owner = self.owner(pool)
             if self.owners.get(pool, owner) != owner:
                 self._present(pool, owner)
+                changed.add(pool)
             self.owners[pool] = owner
         for waiting in self._open_waits():
-            owner = self.owners[waiting.ticket.pool]
-            waiting.owner = owner
+            if waiting.ticket.pool in changed:
+                waiting.owner = self.owners[waiting.ticket.pool]
+                self._ask(waiting)
+
+    def repeat(self) -> None:
+        """Ask again for requests that still wait."""
+        self.check_owners()
+        for waiting in self._open_waits():
+            waiting.owner = self.owners[waiting.ticket.pool]
             self._ask(waiting)
 
     def _open_waits(self) -> list[Waiting]:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -283,6 +283,7 @@
             pool=call.pool.name if call.pool else "",
             tier=call.tier,
             account=call.account,
+            units=call.units,
             catalog=self.index.version if self.index else -1,
             endpoint=call.endpoint,
             sends=call.sends,
