--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -127,6 +127,7 @@
         self.crashing: dict[str, Crashing] = {}
         self.quarantined: dict[str, None] = {}
         self.is_stopping = False
+        self.is_catalog_due = False
 
     def _on_timer_error(self, name: str, error: BaseException) -> None:
         self.lines.note("timer.failed", timer=name, error=repr(error))
@@ -247,13 +248,23 @@
         machine = self.machine
         for name, incarnation in machine.leaving.items():
             self.roster.leave(name, incarnation)
+        self.evidence.set_moves(self._move_states())
+        if not self.is_catalog_due:
+            # After a restart hundreds of versions are applied at once, of which only the last
+            # one has to be decoded.
+            self.is_catalog_due = True
+            self.timers.after(0.0, self._take_catalog, "catalog")
+        self._announce()
+
+    def _take_catalog(self) -> None:
+        """Decode the newest catalog for the parts of this process that use it."""
+        self.is_catalog_due = False
+        machine = self.machine
         if machine.document and (self.catalog is None or machine.version > self.catalog.version):
             self.catalog = self.decode(zlib.decompress(machine.document))
             self.lines.note("catalog.in_force", version=machine.version)
             self._set_limits()
             self.placement.set_pools({pool.name: pool for pool in self.catalog.pools})
-        self.evidence.set_moves(self._move_states())
-        self._announce()
 
     def _on_role(self, role: Role, term: int) -> None:
         self.lines.note("control.role", role=role.value, term=term)
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -24,6 +24,9 @@
 from mulberrygate.quota import RetryBudget
 from mulberrygate.schedule.messages import Grant, Ticket
 
+# Longest wait for the first catalog, and its part of a caller's patience.
+NO_CATALOG_WAIT_S = 1.5
+NO_CATALOG_PART = 0.5
 NO_CATALOG_RETRY_S = 0.5
 QUARANTINED_RETRY_S = 5.0
 # Parts of the target and of a caller's patience that a request may wait for an endpoint; the rest
@@ -70,6 +73,7 @@
         self.metrics = metrics
         self.endpoints = EndpointClient(dialect)
         self.index: CatalogIndex | None = None
+        self.has_index = asyncio.Event()
         self.budgets: dict[str, RetryBudget] = {}
         self.entries = 1
         self.usual_patience_s: dict[str, float] = {}
@@ -80,6 +84,7 @@
     def set_index(self, index: CatalogIndex) -> None:
         """Put a catalog in force for the requests that come from now on."""
         self.index = index
+        self.has_index.set()
         self.placement.set_pools(index.pools)
 
     def set_entries(self, entries: int) -> None:
@@ -131,7 +136,7 @@
 
     async def _admit(self, call: Call, request: web.BaseRequest) -> Refused | None:
         """Run the steps before a request is placed; return why it is refused."""
-        index = self.index
+        index = self.index or await self.wait_for_catalog(call)
         if index is None:
             return Refused(codes.NO_CATALOG, retry_after_s=NO_CATALOG_RETRY_S)
         refused = self.identify(call, index) or self.authenticate(call, index)
@@ -143,6 +148,22 @@
             refused = await self.take_units(call, index)
         return refused
 
+    async def wait_for_catalog(self, call: Call) -> CatalogIndex | None:
+        """Wait for the first catalog; return ``None`` if it doesn't come soon.
+
+        Explanation
+        ===========
+        It answers the restart of the whole system. The catalog comes within a second, and a caller
+        that is told to come back may not do so in time.
+        """
+        patience_s = call.head.patience_s or NO_CATALOG_WAIT_S
+        try:
+            async with asyncio.timeout(min(NO_CATALOG_WAIT_S, NO_CATALOG_PART * patience_s)):
+                await self.has_index.wait()
+        except TimeoutError:
+            return None
+        return self.index
+
     def identify(self, call: Call, index: CatalogIndex) -> Refused | None:
         """Find the route and the pool."""
         route = index.route(call.head.host, call.head.path)
--- a/mulberrygate/forward/tests/test_service.py
+++ b/mulberrygate/forward/tests/test_service.py
@@ -233,10 +233,22 @@
         """An entry that knows no catalog yet told callers that their route is unknown."""
         entry = await self.start()
         entry.forwarder.index = None
-        async with entry.request("/plain/1") as answer:
+        entry.forwarder.has_index.clear()
+        headers = {"X-Mulberrygate-Request-Deadline": "50"}
+        async with entry.request("/plain/1", **headers) as answer:
             self.assertEqual(answer.status, 503)
             self.assertGreater(float(answer.headers["Retry-After"]), 0)
 
+    async def test_first_catalog_is_waited_for(self):
+        """Callers that came just before the first catalog were sent away."""
+        entry = await self.start(booking=[Endpoint("e", whole())])
+        index = entry.forwarder.index
+        entry.forwarder.index = None
+        entry.forwarder.has_index.clear()
+        entry.timers.after(0.05, lambda: entry.forwarder.set_index(index), "catalog")
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 200)
+
     async def test_body_over_the_limit(self):
         """A body over the limit reached an endpoint."""
         entry = await self.start(booking=[Endpoint("e", whole())])
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -372,19 +372,29 @@
         room = self.room
         if room.free_slots[LOCAL] > self.reserved[tier]:
             return True
-        if tier <= self.top_tier and room.queues.items:
+        if self._may_queue(tier) and room.queues.items:
             return True
         reach = self.chooser.reach
         if reach == LOCAL:
             return False
         return any(room.free_slots[distance] for distance in range(OTHER_DOMAIN, reach + 1))
 
+    def _may_queue(self, tier: int) -> bool:
+        """Return whether a tier's requests may wait at an endpoint.
+
+        Explanation
+        ===========
+        In a wide pool a free slot would stay idle for two hops until the next grant arrives, which
+        is a quarter of a short request's time.
+        """
+        return self.is_wide or tier <= self.top_tier
+
     def _next(
         self, queue: TierQueue, tier: int, held: list[Waiting], now: float
     ) -> tuple[Waiting, Choice] | None:
         """Return the next request of a tier that has a place, and add those passed over."""
         may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
-        may_queue = tier <= self.top_tier
+        may_queue = self._may_queue(tier)
         has_shares = bool(self.shares.shares)
         for account in queue.by_share():
             for waiting in self._candidates(account, now):
@@ -404,7 +414,7 @@
     def _has_share(self, routes: Iterable[str], tier: int) -> bool:
         """Return whether the share of one of the routes allows a version that has room."""
         may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
-        versions = self.chooser.open_versions(may_use_slots, tier <= self.top_tier)
+        versions = self.chooser.open_versions(may_use_slots, self._may_queue(tier))
         allowed = self.shares.is_allowed
         return any(allowed(route, version) for route in routes for version in versions)
 
