Tell refused callers when their tier will have room

Cause: Retry-After came from the whole queue's length, so callers of a tier that upper tiers crowd out came back during the same burst and were refused again.

--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -74,7 +74,7 @@
 NO_ENDPOINT_WAIT_S = 2.5
 # A grant whose end is never reported is dropped this long after its deadline or expected end.
 LOST_DONE_S = 30.0
-RETRY_AFTER_S = 0.5
+RETRY_AFTER_S = 1.0
 # Periods of the work that isn't done for each message.
 CLEAN_S = 0.5
 EXPIRE_S = 3.0
@@ -89,6 +89,8 @@
 HOPELESS_RATIO = 2.5
 # Bursts last a few seconds.
 WIDE_MEMORY_S = 2.5
+WIDE_RETRY_AFTER_S = 0.5
+WIDE_LONGEST_RETRY_S = 4.0
 # An endpoint counts as fast up to this ratio of the least seconds per token.
 FAST_RATIO = 1.5
 
@@ -372,29 +374,19 @@
         room = self.room
         if room.free_slots[LOCAL] > self.reserved[tier]:
             return True
-        if self._may_queue(tier) and room.queues.items:
+        if tier <= self.top_tier and room.queues.items:
             return True
         reach = self.chooser.reach
         if reach == LOCAL:
             return False
         return any(room.free_slots[distance] for distance in range(OTHER_DOMAIN, reach + 1))
 
-    def _may_queue(self, tier: int) -> bool:
-        """Return whether a tier's requests may wait at an endpoint.
-
-        Explanation
-        ===========
-        In a wide pool a free slot would stay idle for two hops until the next grant arrives, which
-        is a quarter of a short request's time.
-        """
-        return self.is_wide or tier <= self.top_tier
-
     def _next(
         self, queue: TierQueue, tier: int, held: list[Waiting], now: float
     ) -> tuple[Waiting, Choice] | None:
         """Return the next request of a tier that has a place, and add those passed over."""
         may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
-        may_queue = self._may_queue(tier)
+        may_queue = tier <= self.top_tier
         has_shares = bool(self.shares.shares)
         for account in queue.by_share():
             for waiting in self._candidates(account, now):
@@ -414,7 +406,7 @@
     def _has_share(self, routes: Iterable[str], tier: int) -> bool:
         """Return whether the share of one of the routes allows a version that has room."""
         may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
-        versions = self.chooser.open_versions(may_use_slots, self._may_queue(tier))
+        versions = self.chooser.open_versions(may_use_slots, tier <= self.top_tier)
         allowed = self.shares.is_allowed
         return any(allowed(route, version) for route in routes for version in versions)
 
@@ -549,13 +541,21 @@
     def _refuse(self, waiting: Waiting, code: Code, now: float) -> Send:
         ticket = waiting.ticket
         self.queue.remove(waiting)
-        wait_s = self.demand.expected_wait_s(len(self.queue), self.local_slots)
-        wait_s *= 1.0 + RETRY_SPREAD * self.rng.random()
-        retry_after_s = min(LONGEST_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
+        retry_after_s = self._retry_after_s(ticket.tier)
         refusal = Refuse(ticket.pool, ticket.request, code.number, retry_after_s)
         self.ended.add(ticket.request, refusal, now)
         return Send(ticket.entry, refusal)
 
+    def _retry_after_s(self, tier: int) -> float:
+        """Return the seconds after which a refused request may find room."""
+        if not self.is_wide:
+            wait_s = self.demand.expected_wait_s(len(self.queue), self.local_slots)
+            return min(LONGEST_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
+        ahead = sum(queue.count for queue in self.queue.tiers[: tier + 1])
+        wait_s = self.demand.tier_wait_s(ahead, tier, self.local_slots)
+        wait_s = min(WIDE_LONGEST_RETRY_S, max(WIDE_RETRY_AFTER_S, wait_s))
+        return wait_s * (1.0 + RETRY_SPREAD * self.rng.random())
+
     # Bookkeeping
 
     def _enqueue(self, ticket: Ticket, now: float) -> None:
