Judge endpoints that fail requests by their share, against the others

Cause: two failed answers in a row blocked an endpoint for up to 8 s. Reads fail by themselves in one of seven cases, and resets came at a third of all calls, so all endpoints of a pool were blocked at once while its requests waited for their deadline.

--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -4,13 +4,14 @@
 
 from mulberrygate.endpoints.model import EndpointView
 from mulberrygate.schedule.detect import SlownessDetector
+from mulberrygate.schedule.failures import FailureShare
 from mulberrygate.schedule.messages import Ticket
 from mulberrygate.schedule.speed import EndpointSpeed, GenerationSpeed
 
 LOCAL, OTHER_DOMAIN, OTHER_REGION = range(3)
 # Round trips in seconds between entry and endpoint, by distance; the larger of the two users'.
 HOP_S = (0.001, 0.002, 0.02)
-# Share of its slots that an endpoint that is judged slow still gets, so that it is probed.
+# Share of its slots that an endpoint judged slow or failing still gets, so that it is probed.
 SLOW_SHARE = 0.25
 # An endpoint that fails this many requests in a row gets single probes at growing intervals,
 # since one that fails fast would otherwise look idle and attract all requests.
@@ -106,6 +107,9 @@
         self.area = 0.0
         self.changed_at = 0.0
         self.faults = 0
+        self.failures = FailureShare()
+        self.is_failing = False
+        self.longest_block_s = LONGEST_BLOCK_S
         self.blocked_until = 0.0
         self.slots = 0
         self.queue = 0
@@ -145,7 +149,7 @@
             return
         if self.faults >= FAULTS_TO_BLOCK:
             self.slots = 1
-        elif self.detector.is_slow:
+        elif self.detector.is_slow or self.is_failing:
             self.slots = max(1, int(view.slots * SLOW_SHARE))
         else:
             self.slots = view.slots
@@ -228,4 +232,4 @@
         self.faults += 1
         if self.faults >= FAULTS_TO_BLOCK:
             power = min(self.faults - FAULTS_TO_BLOCK, 10)
-            self.blocked_until = now + min(LONGEST_BLOCK_S, FIRST_BLOCK_S * 2**power)
+            self.blocked_until = now + min(self.longest_block_s, FIRST_BLOCK_S * 2**power)
--- /dev/null
+++ b/mulberrygate/schedule/failures.py
@@ -0,0 +1,44 @@
+"""Endpoints that fail a larger part of their requests than others of their pool."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+# Weight of one request in the share.
+GAIN = 0.12
+# Share of failed requests from which an endpoint gets fewer, and its ratio to that of the others:
+# what fails everywhere is the requests' own fault, and holding back all endpoints serves nobody.
+LEAST_SHARE = 0.25
+LEAST_RATIO = 2.0
+
+
+class FailureShare:
+    """Share of an endpoint's latest requests that failed.
+
+    Examples
+    ========
+    >>> from mulberrygate.schedule.failures import FailureShare, is_failing
+    >>> bad, good = FailureShare(), FailureShare()
+    >>> for number in range(20):
+    ...     bad.observe(number % 2 == 0)
+    ...     good.observe(number % 20 == 0)
+    >>> is_failing(bad, [good]), is_failing(good, [bad]), is_failing(bad, [bad, bad])
+    (True, False, False)
+    """
+
+    __slots__ = ("share",)
+
+    def __init__(self):
+        self.share = 0.0
+
+    def observe(self, has_failed: bool) -> None:
+        """Take note of the end of a request."""
+        self.share += GAIN * (has_failed - self.share)
+
+
+def is_failing(state: FailureShare, others: Iterable[FailureShare]) -> bool:
+    """Return whether an endpoint fails more of its requests than the others of its pool."""
+    shares = [other.share for other in others]
+    if state.share < LEAST_SHARE or not shares:
+        return False
+    return state.share > LEAST_RATIO * sum(shares) / len(shares)
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -30,6 +30,7 @@
     EndpointState,
     Granted,
 )
+from mulberrygate.schedule.failures import is_failing
 from mulberrygate.schedule.fair import (
     LENGTH_WEIGHT_S,
     AccountQueue,
@@ -91,6 +92,11 @@
 WIDE_MEMORY_S = 2.5
 WIDE_RETRY_AFTER_S = 0.5
 WIDE_LONGEST_RETRY_S = 4.0
+# Faults of endpoints that took a request; one that is up answers or breaks off, and says nothing of
+# the next request.
+RUN_FAULTS = ("error", "cut")
+# A new connection is all that it costs to find out whether an endpoint is back.
+WIDE_LONGEST_BLOCK_S = 1.0
 # An endpoint counts as fast up to this ratio of the least seconds per token.
 FAST_RATIO = 1.5
 
@@ -204,10 +210,13 @@
         actual = float(message.prompt_tokens + message.output_tokens)
         self.queue.charge(granted.ticket, actual - granted.cost)
         before = (state.faults, state.detector.is_slow)
-        if message.fault:
+        if self.is_wide and message.fault in RUN_FAULTS:
+            state.failures.observe(True)
+        elif message.fault:
             state.count_fault(now)
         elif not message.cancelled:
             state.faults = 0
+            state.failures.observe(False)
             learn(granted, message, evidence, self.lengths, self._is_reference(message.version))
         if (state.faults, state.detector.is_slow) != before:
             self._update_limits(state, now)
@@ -294,12 +303,23 @@
             self.without_endpoint_since = now
         self.watch.measure(list(self.states.values()))
         if self.is_wide:
+            self._judge_failures(now)
             usable = [state.token_s for state in self.states.values() if state.slots > 0]
             self.chooser.fast_token_s = FAST_RATIO * min(usable, default=0.0)
         self.watch.compact(len(self.queue))
         self.ended.forget_old(now)
         self._update_demand(now)
 
+    def _judge_failures(self, now: float) -> None:
+        """Find the endpoints that fail more of their requests than the others."""
+        states = list(self.states.values())
+        for state in states:
+            others = [other.failures for other in states if other is not state]
+            judged = is_failing(state.failures, others)
+            if judged != state.is_failing:
+                state.is_failing = judged
+                self._update_limits(state, now)
+
     def _expire(self, now: float) -> None:
         """Drop grants whose end was never reported."""
         self.expired_at = now
@@ -664,6 +684,8 @@
         distance = self._distance(view)
         state = EndpointState(view, LOCAL if self.is_wide else distance, generation)
         state.hop_s = HOP_S[distance]
+        if self.is_wide:
+            state.longest_block_s = WIDE_LONGEST_BLOCK_S
         state.changed_at = now
         self.states[view.endpoint] = state
         return state
--- a/mulberrygate/schedule/tests/test_wide.py
+++ b/mulberrygate/schedule/tests/test_wide.py
@@ -110,6 +110,40 @@
         bench.advance(0.3)
         self.assertEqual(bench.refused, {})
 
+    def test_endpoint_that_answers_with_errors_is_not_blocked(self):
+        """Two failed reads in a row kept all requests of an entry from an endpoint for seconds."""
+        bench = WideBench([make_view("a")])
+        for number in range(6):
+            bench.ask(f"r{number}")
+            bench.done(f"r{number}", fault="error")
+        bench.ask("next")
+        self.assertIn("next", bench.grants)
+
+    def test_endpoint_that_fails_more_than_others_gets_less(self):
+        """An endpoint that failed half of its requests got as many as the others."""
+        views = [make_view(name, slots=8) for name in ("bad", "good")]
+        bench = WideBench(views)
+        for number in range(200):
+            name = f"r{number}"
+            bench.ask(name)
+            is_bad = bench.endpoint_of(name) == "bad" and number % 2 == 0
+            bench.now += 0.05
+            bench.done(name, fault="error" if is_bad else "")
+        bench.advance(0.6)
+        slots = {state.name: state.slots for state in bench.scheduler.states.values()}
+        self.assertEqual(slots, {"bad": 2, "good": 8})
+
+    def test_endpoint_that_refuses_connections_is_tried_again_soon(self):
+        """An endpoint that was back got nothing for eight seconds."""
+        bench = WideBench([make_view("a")])
+        for number in range(12):
+            bench.ask(f"r{number}")
+            if f"r{number}" in bench.grants:
+                bench.done(f"r{number}", fault="refused")
+            bench.advance(1.1)
+        bench.ask("next")
+        self.assertIn("next", bench.grants)
+
     def test_largest_requests_are_not_starved(self):
         """Requests of many tokens stood behind all shorter ones that came after them."""
         bench = WideBench([make_view("a")])
