Tell the owner the deadline of a request, and keep the urgency of routes under each account's

Cause: the time at which an entry gives up waiting was sent as the deadline, so engines that take longer than a caller's patience for the whole answer were never used while requests waited. Two accounts' urgencies and three routes' did not fit into four tiers. Ruled out: wrong estimates of the output (median of actual over expected 0.98 to 1.0).

--- a/mulberrygate/catalog/index.py
+++ b/mulberrygate/catalog/index.py
@@ -5,7 +5,9 @@
 import zlib
 
 from mulberrygate.catalog.model import BackendPool, Catalog, ClientAccount, RouteRule
-from mulberrygate.tables.model import TIERS
+
+# Tiers that the scheduler of a wide pool knows.
+MOST_TIERS = 12
 
 
 class CatalogIndex:
@@ -58,9 +60,9 @@
         own = account.tier if account is not None else None
         rank = (route.tier if own is None else own, route.tier)
         position = sum(known < rank for known in self.ranks)
-        if len(self.ranks) <= TIERS:
-            return min(position, TIERS - 1)
-        return min(position * TIERS // len(self.ranks), TIERS - 1)
+        if len(self.ranks) <= MOST_TIERS:
+            return min(position, MOST_TIERS - 1)
+        return min(position * MOST_TIERS // len(self.ranks), MOST_TIERS - 1)
 
     @property
     def needs_keys(self) -> bool:
--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import attrs
+
 from mulberrygate.core import Refusal, TimerService
 from mulberrygate.core.wire import Ack
 from mulberrygate.entry import tickets
@@ -120,6 +122,18 @@
         self.assertEqual(self.peers.asked[:2], ["one", "me"])
         self.assertEqual(self.client.running["r"].granted_by, "me")
 
+    async def test_owner_is_told_the_deadline_and_not_the_patience(self):
+        """Guards against requests kept from endpoints that finish after the wait would end."""
+        now = self.timers.now()
+        ticket = attrs.evolve(TICKET, on_time_s=0.5, start_by_s=1.5)
+        wait = asyncio.ensure_future(self.client.acquire(ticket, now + LIMIT_S, now + 1.6))
+        await asyncio.sleep(0)
+        sent = self.client.waiting["r"].ticket_now(now + 1.0)
+        self.assertAlmostEqual(sent.deadline_s, LIMIT_S - 1.0, places=1)
+        self.assertAlmostEqual(sent.start_by_s, 0.5, places=1)
+        self.assertEqual(sent.on_time_s, 0.0)
+        wait.cancel()
+
     async def test_late_grant_is_handed_back(self):
         """Guards against a slot that stays taken by a request which has given up."""
         answer = await self.acquire(0.01)
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import attrs
@@ -155,8 +156,18 @@
         """Return how many requests of a client account wait here."""
         return sum(1 for waiting in self.waiting.values() if waiting.ticket.account == account)
 
-    async def acquire(self, ticket: Ticket, deadline_at: float) -> Grant | Refusal:
-        """Wait for a grant until the deadline."""
+    async def acquire(
+        self, ticket: Ticket, deadline_at: float, give_up_at: float = math.inf
+    ) -> Grant | Refusal:
+        """Wait for a grant until the deadline.
+
+        Parameters
+        ==========
+        deadline_at : float
+            Monotonic time after which an answer is of no more use.
+        give_up_at : float
+            Time at which the wait ends even if the owner has not answered.
+        """
         loop = asyncio.get_running_loop()
         owner = self.owner(ticket.pool)
         now = self.timers.now()
@@ -167,7 +178,7 @@
         answer: Grant | Refuse | None = None
         try:
             self._ask(waiting)
-            async with asyncio.timeout_at(deadline_at):
+            async with asyncio.timeout_at(min(deadline_at, give_up_at)):
                 answer = await waiting.answer
         except TimeoutError:
             return Refusal(DEADLINE_PASSED, retry_after_s=1.0)
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -229,6 +229,7 @@
                 self._note_first(send)
             await self.response.write(events)
             send.tokens = (splitter.count - before) * stride
+            call.tokens = send.tokens
             self.forwarder.scheduler.note_emitted(send.ticket.request, send.tokens)
         if splitter.rest:
             raise Broken("the stream ended inside an event")
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -56,6 +56,8 @@
         Monotonic time of its arrival, and of its last moment for a final answer.
     units : float
         What it takes from the limit of its client account.
+    expected_tokens, tokens : int
+        Output tokens that the scheduler was told, and that came.
     """
 
     head: CallHead
@@ -70,6 +72,8 @@
     units: float = 0.0
     attempts: int = 0
     sends: int = 0
+    expected_tokens: int = 0
+    tokens: int = 0
     endpoint: str = ""
     granted_after_s: float = -1.0
     first_after_s: float = -1.0
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -229,6 +229,7 @@
         output = head.expected_tokens or head.output_tokens
         if pool.is_engine and head.output_tokens:
             output = min(output, head.output_tokens)
+        call.expected_tokens = output
         return Ticket(
             request=f"{head.request or id(call)}.{number}",
             entry=self.site.instance,
@@ -266,9 +267,8 @@
     async def place(self, call: Call, ticket: Ticket) -> Grant | Refusal:
         """Wait for an endpoint."""
         # The owner refuses at the end of the caller's patience; this holds if its answer is lost.
-        patience_s = ticket.start_by_s + LOST_REFUSAL_S
-        until = min(call.ends_at, self.timers.now() + patience_s)
-        outcome = await self.scheduler.acquire(ticket, until)
+        give_up_at = self.timers.now() + ticket.start_by_s + LOST_REFUSAL_S
+        outcome = await self.scheduler.acquire(ticket, call.ends_at, give_up_at)
         if isinstance(outcome, Grant):
             call.endpoint = outcome.endpoint
             if call.granted_after_s < 0:
@@ -308,6 +308,8 @@
             catalog=self.index.version if self.index else -1,
             endpoint=call.endpoint,
             sends=call.sends,
+            expected_tokens=call.expected_tokens,
+            tokens=call.tokens,
             granted_s=round(call.granted_after_s, 4),
             first_s=round(call.first_after_s, 4),
             total_s=round(now - call.received_at, 4),
--- a/mulberrygate/schedule/demand.py
+++ b/mulberrygate/schedule/demand.py
@@ -34,6 +34,8 @@
     ==========
     memory_s : float
         Time constant of the rates.
+    tiers : int
+        Number of tiers.
 
     Examples
     ========
@@ -46,10 +48,11 @@
     [0, 6, 6, 6]
     """
 
-    def __init__(self, memory_s: float = MEMORY_S):
+    def __init__(self, memory_s: float = MEMORY_S, tiers: int = TIERS):
         self.memory_s = memory_s
-        self.last_ask = [-math.inf] * TIERS
-        self.asks = [0.0] * TIERS
+        self.tiers = tiers
+        self.last_ask = [-math.inf] * tiers
+        self.asks = [0.0] * tiers
         self.grants = 0.0
         self.run_s = FIRST_RUN_S
         self.updated_at = -math.inf
@@ -76,10 +79,10 @@
 
     def top_tier(self, now: float) -> int:
         """Return the most urgent tier that sent a request lately."""
-        for tier in range(TIERS):
+        for tier in range(self.tiers):
             if now - self.last_ask[tier] <= RECENT_S:
                 return tier
-        return TIERS - 1
+        return self.tiers - 1
 
     def reserved(self, slots: int, now: float) -> list[int]:
         """Return by tier how many free local slots it has to leave to the tiers above it.
@@ -91,7 +94,7 @@
         """
         most = int(slots * LARGEST_RESERVED_SHARE)
         reserved, upper, is_recent = [], 0.0, False
-        for tier in range(TIERS):
+        for tier in range(self.tiers):
             wanted = (
                 max(1, math.ceil(RESERVED_PER_SHARE * upper / max(self.grants, 1.0)))
                 if is_recent
--- a/mulberrygate/schedule/fair.py
+++ b/mulberrygate/schedule/fair.py
@@ -272,10 +272,12 @@
     ==========
     length_weight_s : float
         Seconds by which each expected output token puts a request behind others of its account.
+    tiers : int
+        Number of tiers.
     """
 
-    def __init__(self, length_weight_s: float = LENGTH_WEIGHT_S):
-        self.tiers = tuple(TierQueue(length_weight_s) for _ in range(TIERS))
+    def __init__(self, length_weight_s: float = LENGTH_WEIGHT_S, tiers: int = TIERS):
+        self.tiers = tuple(TierQueue(length_weight_s) for _ in range(tiers))
         self.by_request: dict[str, Waiting] = {}
         # Requests by the last moment at which a grant leads to an answer on time.
         self.on_time: list[tuple[float, int, Waiting]] = []
@@ -322,7 +324,7 @@
 
     def lowest_tier(self) -> int:
         """Return the least urgent tier with a waiting request; -1 when none waits."""
-        for tier in range(TIERS - 1, -1, -1):
+        for tier in range(len(self.tiers) - 1, -1, -1):
             if self.tiers[tier].count:
                 return tier
         return -1
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -88,6 +88,8 @@
 WIDE_LENGTH_WEIGHT_S = 0.0
 # A request is told to come back if the expected wait is this many times its caller's patience.
 HOPELESS_RATIO = 2.5
+# Urgencies of client accounts and, within each, of routes.
+WIDE_TIERS = 12
 # Bursts last a few seconds.
 WIDE_MEMORY_S = 2.5
 WIDE_RETRY_AFTER_S = 0.5
@@ -136,7 +138,9 @@
         self.is_wide = is_wide
         self.pool = pool
         self.rng = rng
-        self.queue = FairQueue(WIDE_LENGTH_WEIGHT_S if is_wide else LENGTH_WEIGHT_S)
+        self.tiers = WIDE_TIERS if is_wide else TIERS
+        weight_s = WIDE_LENGTH_WEIGHT_S if is_wide else LENGTH_WEIGHT_S
+        self.queue = FairQueue(weight_s, self.tiers)
         self.running: dict[str, Granted] = {}
         self.ended = Ended()
         self.states: dict[str, EndpointState] = {}
@@ -147,11 +151,11 @@
         self.shares = VersionShares()
         self.chooser = Chooser(self.room, self.prefixes, self.shares, rng)
         self.chooser.states = self.states
-        self.demand = Demand(WIDE_MEMORY_S if is_wide else MEMORY_S)
+        self.demand = Demand(WIDE_MEMORY_S if is_wide else MEMORY_S, self.tiers)
         self.watch = DeadlineWatch(predicts=not is_wide)
-        self.log = GrantLog()
+        self.log = GrantLog(self.tiers)
         self.order = 0
-        self.reserved = [0] * TIERS
+        self.reserved = [0] * self.tiers
         self.top_tier = self.newest_tier = 0
         self.local_slots = 0
         self.without_endpoint_since: float | None = None
@@ -349,8 +353,8 @@
 
     def _update_demand(self, now: float) -> None:
         self.demand_at = now
-        waiting = (tier for tier in range(TIERS) if self.queue.tiers[tier].count)
-        self.top_tier = min(self.demand.top_tier(now), next(waiting, TIERS))
+        waiting = (tier for tier in range(self.tiers) if self.queue.tiers[tier].count)
+        self.top_tier = min(self.demand.top_tier(now), next(waiting, self.tiers))
         if not self.is_wide:
             self.reserved = self.demand.reserved(self.local_slots, now)
         self.chooser.reach = (
@@ -365,7 +369,7 @@
         held: list[Waiting] = []
         tiers = self.queue.tiers
         tier = 0
-        while tier < TIERS:
+        while tier < self.tiers:
             queue = tiers[tier]
             if not queue.count:
                 tier += 1
--- a/mulberrygate/schedule/shed.py
+++ b/mulberrygate/schedule/shed.py
@@ -35,9 +35,10 @@
 class GrantLog:
     """Last grant by tier and endpoint, to check that no lower tier was preferred."""
 
-    def __init__(self):
-        self.last: list[dict[str, int]] = [{} for _ in range(TIERS)]
-        self.newest = [0] * TIERS
+    def __init__(self, tiers: int = TIERS):
+        self.tiers = tiers
+        self.last: list[dict[str, int]] = [{} for _ in range(tiers)]
+        self.newest = [0] * tiers
 
     def add(self, tier: int, endpoint: str, order: int) -> None:
         """Take note of a grant."""
@@ -61,7 +62,7 @@
     def check_shed(self, waiting: Waiting) -> None:
         """Check that no lower tier was granted an endpoint since the request asked."""
         excused = waiting.excused or {}
-        for tier in range(waiting.ticket.tier + 1, TIERS):
+        for tier in range(waiting.ticket.tier + 1, self.tiers):
             if self.newest[tier] < waiting.order:
                 continue
             for name, order in self.last[tier].items():
