Keep long prompts from engines that would be late; follow on after an error

Cause: a prompt of 37,000 tokens went to a free slow engine and waited 1.5 s for its first token. Both are mended: the check and the choice use one function, and an error in a listener is logged and does not end following. Ruled out: a control process that serves old catalogs; the others were in force within 0.2 s.

--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -125,13 +125,13 @@
     async def test_owner_is_told_the_deadline_and_not_the_patience(self):
         """Guards against requests kept from endpoints that finish after the wait would end."""
         now = self.timers.now()
-        ticket = attrs.evolve(TICKET, on_time_s=0.5, start_by_s=1.5)
+        ticket = attrs.evolve(TICKET, first_by_s=0.5, start_by_s=1.5)
         wait = asyncio.ensure_future(self.client.acquire(ticket, now + LIMIT_S, now + 1.6))
         await asyncio.sleep(0)
         sent = self.client.waiting["r"].ticket_now(now + 1.0)
         self.assertAlmostEqual(sent.deadline_s, LIMIT_S - 1.0, places=1)
         self.assertAlmostEqual(sent.start_by_s, 0.5, places=1)
-        self.assertEqual(sent.on_time_s, 0.0)
+        self.assertEqual(sent.first_by_s, 0.0)
         wait.cancel()
 
     async def test_late_grant_is_handed_back(self):
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -70,7 +70,7 @@
         return attrs.evolve(
             self.ticket,
             deadline_s=max(0.0, self.deadline_at - now),
-            on_time_s=max(0.0, self.ticket.on_time_s - waited_s),
+            first_by_s=max(0.0, self.ticket.first_by_s - waited_s),
             start_by_s=max(0.0, self.ticket.start_by_s - waited_s),
         )
 
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -29,9 +29,7 @@
 NO_CATALOG_PART = 0.5
 NO_CATALOG_RETRY_S = 0.5
 QUARANTINED_RETRY_S = 5.0
-# Parts of the target and of a caller's patience that a request may wait for an endpoint; the rest
-# is for the endpoint.
-ON_TIME_PART = 0.7
+# Part of a caller's patience that a request may wait for an endpoint; the rest is for the endpoint.
 PATIENCE_PART = 0.8
 LOST_REFUSAL_S = 0.1
 
@@ -245,7 +243,7 @@
             idempotent=route.may_repeat,
             attempt=number,
             avoid=avoid,
-            on_time_s=max(0.0, ON_TIME_PART * route.target_first_s - self.late_s(call) - waited_s),
+            first_by_s=max(0.0, route.target_first_s - self.late_s(call) - waited_s),
             start_by_s=max(0.0, patience_s - waited_s),
         )
 
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -97,9 +97,23 @@
         uncached = max(waiting.ticket.prompt_tokens - cached, 1.0)
         return Choice(state, cached, state.finish_s(uncached, waiting.output))
 
-    def meets_deadline(self, waiting: Waiting, choice: Choice, now: float) -> bool:
-        """Return whether the request is expected to end before its deadline."""
-        return choice.run_s <= (waiting.deadline - now) / OPTIMISM
+    def is_in_time(
+        self, waiting: Waiting, state: EndpointState, uncached: float, run_s: float, now: float
+    ) -> bool:
+        """Return whether the request may go to an endpoint as far as time is concerned.
+
+        Explanation
+        ===========
+        It has to end before its deadline. While a fast endpoint may still be on time with the first
+        token, a slow one that isn't is left alone.
+        """
+        if state.token_s <= self.fast_token_s:
+            return True
+        if run_s > (waiting.deadline - now) / OPTIMISM:
+            return False
+        if not self.fast_token_s or waiting.is_late:
+            return True
+        return state.start_s + uncached * state.prefill_s <= waiting.first_by - now
 
     def _examined(self, items: list[EndpointState], cached: dict) -> Iterable[EndpointState]:
         if len(items) <= MOST_EXAMINED:
@@ -125,7 +139,6 @@
         if is_limited:
             due = shares.due(ticket.route)
             allowed = [name for name in shares.shares if shares.is_allowed(ticket.route, name)]
-        limit = (waiting.deadline - now) / OPTIMISM
         best, best_rank, best_score = None, 2, 0.0
         for state in items:
             if is_limited and state.view.version not in allowed:
@@ -136,7 +149,7 @@
             uncached = prompt - hit if prompt > hit else 1.0
             # The same as `EndpointState.finish_s`; a call would double the time per endpoint.
             run_s = state.start_s + uncached * state.prefill_s + output * state.token_s
-            if run_s > limit and state.token_s > self.fast_token_s:
+            if not self.is_in_time(waiting, state, uncached, run_s, now):
                 continue
             # A version under a move gets the share it is due, or its evidence would depend on how
             # attractive its endpoints are.
@@ -195,4 +208,6 @@
         if state.distance > self.reach or not self.is_usable(waiting, state):
             return False
         cached = self.hits(waiting, now).get(state.name, 0)
-        return self.meets_deadline(waiting, self.predict(waiting, state, cached), now)
+        uncached = max(waiting.ticket.prompt_tokens - cached, 1.0)
+        run_s = self.predict(waiting, state, cached).run_s
+        return self.is_in_time(waiting, state, uncached, run_s, now)
--- a/mulberrygate/schedule/fair.py
+++ b/mulberrygate/schedule/fair.py
@@ -12,6 +12,8 @@
 # Seconds by which each expected output token puts a request behind others of its account. Under
 # overload some requests have to miss their deadline, and short ones cost less to serve.
 LENGTH_WEIGHT_S = 0.06
+# Part of the time to the first token that a request may wait; the rest is for the endpoint.
+ON_TIME_PART = 0.7
 # Puts a request behind all that can still be on time; more than any deadline.
 LATE_S = 100_000.0
 
@@ -41,6 +43,7 @@
         "cached",
         "cached_at",
         "passed",
+        "first_by",
         "on_time_until",
         "start_by",
         "key",
@@ -63,7 +66,8 @@
         self.cached: dict[str, int] = {}
         self.cached_at = -math.inf
         self.passed = 0
-        self.on_time_until = now + ticket.on_time_s
+        self.first_by = now + ticket.first_by_s
+        self.on_time_until = now + ON_TIME_PART * ticket.first_by_s
         self.start_by = now + ticket.start_by_s
         # Position in its account's heap; an entry with another one is stale.
         self.key = 0.0
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -41,8 +41,8 @@
         Number of earlier dispatches of the request; over 0 only for idempotent ones.
     avoid : tuple[str, ...]
         Endpoints that failed earlier dispatches.
-    on_time_s : float
-        Seconds from then on within which a grant still leads to an answer on time.
+    first_by_s : float
+        Seconds from then on within which the first token is on time.
     start_by_s : float
         Seconds from then on after which the caller doesn't wait for the first token any more.
     """
@@ -61,7 +61,7 @@
     idempotent: bool = False
     attempt: int = 0
     avoid: tuple[str, ...] = ()
-    on_time_s: float = math.inf
+    first_by_s: float = math.inf
     start_by_s: float = math.inf
 
 
--- a/mulberrygate/schedule/tests/test_wide.py
+++ b/mulberrygate/schedule/tests/test_wide.py
@@ -57,20 +57,61 @@
         """In a backlog all requests were late by the same time."""
         bench = WideBench([make_view("a")])
         bench.ask("running")
-        bench.ask("late", on_time_s=0.3)
+        bench.ask("late", first_by_s=0.4)
         bench.advance(0.5)
-        bench.ask("fresh", on_time_s=0.3)
+        bench.ask("fresh", first_by_s=0.4)
         bench.done("running")
         self.assertIn("fresh", bench.grants)
         self.assertNotIn("late", bench.grants)
 
+    def test_long_prompt_waits_for_an_engine_that_is_on_time(self):
+        """A long prompt went to a slow engine that was free, and its first token was late."""
+        views = [make_view("fast", hardware="x"), make_view("slow", hardware="y")]
+        bench = WideBench(views)
+        for number in range(60):
+            for _ in range(2):
+                bench.ask(f"r{number}", prompt=2000)
+            bench.ask(f"s{number}", prompt=2000)
+            bench.now += 1.0
+            for name in (f"r{number}", f"s{number}"):
+                factor = 5.0 if bench.endpoint_of(name) == "slow" else 1.0
+                bench.done(name, total_s=0.4 * factor, first_s=0.1 * factor, prompt=2000)
+        bench.advance(0.6)
+        bench.ask("running")
+        self.assertEqual(bench.endpoint_of("running"), "fast")
+        bench.ask("long", prompt=9000, first_by_s=1.0)
+        bench.ask("short", prompt=100, first_by_s=1.0)
+        self.assertNotIn("long", bench.grants)
+        self.assertEqual(bench.endpoint_of("short"), "slow")
+        bench.done("running", total_s=0.4)
+        self.assertEqual(bench.endpoint_of("long"), "fast")
+
+    def test_lower_tier_may_have_an_engine_that_is_too_slow_for_an_upper_one(self):
+        """The check of grants took a request for able to run where it was kept from."""
+        views = [make_view("fast", hardware="x"), make_view("slow", hardware="y")]
+        bench = WideBench(views)
+        for number in range(60):
+            bench.ask(f"r{number}", prompt=2000)
+            bench.ask(f"s{number}", prompt=2000)
+            bench.now += 1.0
+            for name in (f"r{number}", f"s{number}"):
+                factor = 5.0 if bench.endpoint_of(name) == "slow" else 1.0
+                bench.done(name, total_s=0.4 * factor, first_s=0.1 * factor, prompt=2000)
+        bench.advance(0.6)
+        bench.ask("running")
+        bench.ask("upper", tier=0, prompt=9000, first_by_s=1.0, start_by_s=1.6)
+        bench.ask("lower", tier=2, prompt=100, first_by_s=1.0, start_by_s=1.6)
+        self.assertEqual(bench.endpoint_of("lower"), "slow")
+        bench.advance(1.7)
+        self.assertIn("upper", bench.refused)
+
     def test_upper_tier_goes_first_even_when_late(self):
         """A late write-up waited behind a lookup."""
         bench = WideBench([make_view("a")])
         bench.ask("running")
-        bench.ask("late", tier=0, on_time_s=0.3)
+        bench.ask("late", tier=0, first_by_s=0.4)
         bench.advance(0.5)
-        bench.ask("fresh", tier=2, on_time_s=0.3)
+        bench.ask("fresh", tier=2, first_by_s=0.4)
         bench.done("running")
         self.assertIn("late", bench.grants)
 
@@ -98,7 +139,7 @@
         for number in range(200):
             bench.ask(f"upper{number}", tier=0)
             bench.now += 0.01
-        bench.ask("lowest", tier=2, on_time_s=0.2, start_by_s=2.0)
+        bench.ask("lowest", tier=2, first_by_s=0.3, start_by_s=2.0)
         bench.advance(0.25)
         self.assertEqual(bench.refused.get("lowest"), WAIT_TOO_LONG.number)
 
@@ -106,7 +147,7 @@
         """Requests that would have been served a little late were refused."""
         bench = WideBench([make_view("a", slots=4)])
         for number in range(6):
-            bench.ask(f"r{number}", on_time_s=0.2, start_by_s=2.0)
+            bench.ask(f"r{number}", first_by_s=0.3, start_by_s=2.0)
         bench.advance(0.3)
         self.assertEqual(bench.refused, {})
 
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -79,9 +79,13 @@
 
     async def _follow_for_ever(self) -> None:
         while True:
-            if not self.control:
-                self.control = self._choose()
-            await self._follow_once()
+            try:
+                await self._follow_once()
+            except Exception as error:
+                # Whoever listens to the news may fail; an entry that stopped to follow would stay
+                # on its catalog for ever.
+                self.lines.note("follow.failed", control=self.control, error=repr(error))
+                await asyncio.sleep(RETRY_S)
             await asyncio.sleep(FOLLOW_GAP_S)
 
     def _choose(self) -> str:
@@ -98,6 +102,8 @@
         )
 
     async def _follow_once(self) -> None:
+        if not self.control:
+            self.control = self._choose()
         now = self.timers.now()
         if now - self.full_at > FULL_EVERY_S:
             self.changes = -1
--- a/mulberrygate/sync/tests/test_follower.py
+++ b/mulberrygate/sync/tests/test_follower.py
@@ -111,6 +111,23 @@
         names = [row.registration.endpoint for row in follower.roster.usable("care")]
         self.assertEqual(names, ["e2"])
 
+    async def test_listener_that_fails_does_not_end_following(self):
+        """After an error in a listener an entry stayed on its catalog for the rest of the day."""
+        follower = self.follower(c1=State(1, 0, 5, is_current=True))
+        calls = []
+        is_called_again = asyncio.Event()
+
+        def fail(_state):
+            calls.append(1)
+            if len(calls) > 1:
+                is_called_again.set()
+            raise ValueError("test")
+
+        follower.on_state = fail
+        follower.start()
+        await asyncio.wait_for(is_called_again.wait(), 10)
+        self.assertTrue(follower.lines.of("follow.failed"))
+
     async def test_follows_by_itself(self):
         """The loop ended with the first silent process."""
         follower = self.follower(c1=Unreachable("c1", "test"), c2=State(1, 0, 5, is_current=True))
