--- /dev/null
+++ b/mulberrygate/cli/explain.py
@@ -0,0 +1,145 @@
+"""Subcommand `explain`: the story of one request, from the processes' structured logs."""
+
+from __future__ import annotations
+
+import argparse
+import datetime
+import json
+import sys
+from collections.abc import Iterable
+from typing import Any
+
+from mulberrygate.cli.codes import load_codes
+from mulberrygate.cli.command import OK, REFUSED, add_format_argument, command, print_json
+from mulberrygate.core.codes import Code
+
+Line = dict[str, Any]
+
+# Beliefs of a process that its decisions lean on.
+BELIEFS = (
+    "catalog.in_force",
+    "control.followed",
+    "control.left",
+    "endpoint.known",
+    "endpoint.leaves",
+    "endpoint.forgotten",
+    "process.started",
+    "process.stopping",
+    "process.unfinished",
+)
+# Beliefs this long before the request's end are shown.
+BELIEF_S = 20.0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of the subcommand."""
+    parser.add_argument("request", help="identifier of the caller's attempt")
+    parser.add_argument("files", nargs="*", help="log files; standard input without one")
+    add_format_argument(parser)
+
+
+def parse_lines(texts: Iterable[str]) -> list[Line]:
+    """Return the structured lines among others, in time order.
+
+    Explanation
+    ===========
+    Collectors put words before the object, and other programs write to the same files; what holds
+    no such object is passed over.
+    """
+    lines = []
+    for text in texts:
+        start = text.find('{"at"')
+        if start < 0:
+            continue
+        try:
+            line = json.loads(text[start:])
+        except ValueError:
+            continue
+        if isinstance(line, dict) and "event" in line and "node" in line:
+            lines.append(line)
+    return sorted(lines, key=lambda line: line["at"])
+
+
+def story(lines: list[Line], request: str) -> list[Line]:
+    """Return the lines of a request, and what its processes believed before its end."""
+    own = [line for line in lines if line.get("id") == request]
+    if not own:
+        return []
+    nodes = {line["node"] for line in own}
+    endpoints = {line.get("endpoint") for line in own} - {"", None}
+    end = own[-1]["at"]
+    beliefs = [
+        line
+        for line in lines
+        if line["event"] in BELIEFS
+        and line["node"] in nodes
+        and end - BELIEF_S <= line["at"] <= end
+        and ("endpoint" not in line or line["endpoint"] in endpoints)
+    ]
+    return sorted(own + beliefs, key=lambda line: line["at"])
+
+
+def cause(lines: list[Line], request: str, codes: dict[int, Code]) -> str:
+    """Return a sentence on what decided a request's outcome."""
+    own = [line for line in lines if line.get("id") == request]
+    ends = [line for line in own if line["event"].startswith("request.")]
+    broken = [line for line in own if line["event"] == "endpoint.broke"]
+    if not ends:
+        return "The logs hold no end of this request; its process may have ended before it."
+    last = ends[-1]
+    waited = last.get("granted_s", -1.0)
+    where = f" at {last['endpoint']}" if last.get("endpoint") else ""
+    if last["event"] == "request.left":
+        what = "waited for an endpoint" if waited < 0 else f"ran{where}"
+        return f"The caller left after {last['total_s']} s, while the request {what}."
+    if last["event"] == "request.refused":
+        number = str(last.get("code", "")).partition(" ")[0]
+        code = codes.get(int(number)) if number.isdigit() else None
+        meaning = code.meaning if code else "Refused for a reason that this release doesn't know."
+        tail = (
+            f" Before, {broken[-1]['endpoint']} broke off: {broken[-1]['reason']}."
+            if broken
+            else ""
+        )
+        return f"{meaning} Decided after {last['total_s']} s.{tail}"
+    if last.get("fault"):
+        reason = f": {broken[-1]['reason']}" if broken else ""
+        return f"The answer{where} was {last['fault']}{reason}."
+    if last.get("status", 0) >= 500:
+        return f"The endpoint{where} answered {last['status']} itself, after {last['sends']} sends."
+    return f"Answered {last['status']}{where} in {last['total_s']} s, after {waited} s of waiting."
+
+
+def describe(line: Line) -> str:
+    """Return one line of the story as text."""
+    time = datetime.datetime.fromtimestamp(line["at"], datetime.UTC).strftime("%H:%M:%S.%f")[:-3]
+    shown = {k: v for k, v in line.items() if k not in ("at", "node", "event", "id")}
+    fields = " ".join(f"{name}={value}" for name, value in shown.items() if value not in ("", -1))
+    return f"{time} {line['node']:<24} {line['event']:<20} {fields}"
+
+
+def read_texts(files: list[str]) -> Iterable[str]:
+    """Yield the lines of files, or of standard input."""
+    if not files:
+        yield from sys.stdin
+    for path in files:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            yield from file
+
+
+@command("explain", "Tell a request's story from log files.", add_arguments)
+def run(options: argparse.Namespace) -> int:
+    """Print what became of a request, and why."""
+    lines = parse_lines(read_texts(options.files))
+    found = story(lines, options.request)
+    if not found:
+        print(f"no line of {options.request} among {len(lines)} lines", file=sys.stderr)
+        return REFUSED
+    reason = cause(lines, options.request, {code.number: code for code in load_codes()})
+    if options.format == "json":
+        print_json({"request": options.request, "cause": reason, "lines": found})
+        return OK
+    for line in found:
+        print(describe(line))
+    print(reason)
+    return OK
--- /dev/null
+++ b/mulberrygate/cli/tests/test_explain.py
@@ -0,0 +1,88 @@
+"""Tests of the story of a request from structured logs."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+
+from mulberrygate.cli.explain import cause, parse_lines, story
+from mulberrygate.cli.main import main
+from mulberrygate.core.codes import all_codes
+from mulberrygate.forward import codes as forward_codes
+
+CODES = {code.number: code for code in all_codes()}
+
+
+def text(at, event, node="entry-1", **fields):
+    """Return a line as a collector writes it."""
+    line = json.dumps({"at": at, "node": node, "event": event, **fields}, separators=(",", ":"))
+    return f"  {at:.4f} {node} {line}\n"
+
+
+class TestExplain(unittest.TestCase):
+    """Stories of failed requests."""
+
+    def setUp(self):
+        self.texts = [
+            "Traceback of another program\n",
+            text(9.0, "request.answered", id="r1", status=200, endpoint="e1", total_s=0.2,
+                 granted_s=0.01, sends=1),
+            text(1.0, "catalog.in_force", version=7),
+            text(2.0, "catalog.in_force", node="entry-2", version=7),
+            text(3.0, "endpoint.known", endpoint="e1"),
+            text(3.5, "endpoint.known", endpoint="e2"),
+            '  5.0 entry-1 {"at":5.0,"node":"entry-1","event":"request.re',
+            text(4.0, "endpoint.broke", id="r2", endpoint="e1", reason="reset", events=3),
+            text(5.0, "request.answered", id="r2", status=0, endpoint="e1", total_s=1.0,
+                 granted_s=0.01, sends=1, fault="broken off: not resumed"),
+            text(6.0, "request.refused", id="r3", status=429, endpoint="", total_s=0.02,
+                 granted_s=-1, code=str(forward_codes.OVER_LIMIT)),
+            text(7.0, "request.left", id="r4", status=0, endpoint="", total_s=2.0, granted_s=-1),
+        ]  # fmt: skip
+        self.lines = parse_lines(self.texts)
+
+    def test_other_text_is_passed_over(self):
+        """A line that was cut in two ended the command."""
+        self.assertEqual(len(self.lines), 9)
+        self.assertEqual([line["at"] for line in self.lines], sorted(x["at"] for x in self.lines))
+
+    def test_story_holds_the_beliefs_of_the_process(self):
+        """The catalog on which a decision leaned was not shown, or another process's was."""
+        events = [(line["event"], line["node"]) for line in story(self.lines, "r2")]
+        self.assertEqual(
+            events,
+            [
+                ("catalog.in_force", "entry-1"),
+                ("endpoint.known", "entry-1"),
+                ("endpoint.broke", "entry-1"),
+                ("request.answered", "entry-1"),
+            ],
+        )
+
+    def test_causes(self):
+        """A cause named another step than the one that decided."""
+        self.assertIn("e1 was broken off: not resumed: reset", cause(self.lines, "r2", CODES))
+        self.assertIn(forward_codes.OVER_LIMIT.meaning, cause(self.lines, "r3", CODES))
+        self.assertIn("left after 2.0 s", cause(self.lines, "r4", CODES))
+        self.assertIn("Answered 200 at e1", cause(self.lines, "r1", CODES))
+        self.assertIn("no end", cause(self.lines, "r9", CODES))
+
+    def test_command(self):
+        """The command needed a running entry."""
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.writelines(self.texts)
+            file.flush()
+            output = io.StringIO()
+            with contextlib.redirect_stdout(output):
+                self.assertEqual(main(["explain", "r3", file.name]), 0)
+                self.assertEqual(main(["explain", "r3", file.name, "--format", "json"]), 0)
+            with contextlib.redirect_stderr(io.StringIO()):
+                self.assertEqual(main(["explain", "none", file.name]), 1)
+        self.assertIn("request.refused", output.getvalue())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/mulberrygate/control/catalogs.py
+++ b/mulberrygate/control/catalogs.py
@@ -21,7 +21,7 @@
 MOST_LEFT = 2048
 
 CATALOG_REVERTED = register_code(
-    9301, "catalog_reverted", "A catalog was replaced by one of a lower version."
+    9610, "catalog_reverted", "A catalog was replaced by one of a lower version."
 )
 
 RUNNING = "running"
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -31,5 +31,5 @@
     6202, "endpoint_broke_off", "The endpoint broke off or sent no sound answer.", 502
 )
 PATH_FAILED = register_code(
-    9501, "forwarding_failed", "The forwarding path itself failed; the call may have run.", 502
+    9611, "forwarding_failed", "The forwarding path itself failed; the call may have run.", 502
 )
