Judge no plain service by its times, forget loads of others sooner, learn by endpoint in wide pools only

Cause: (1) bookings waited a second at calm times: their endpoints were judged slow and got one call at a time, which others' load of up to 5 s ago took. Ruled out: grants that leak; the schedulers counted no running requests.

--- a/mulberrygate/agreement/tests/mutants.py
+++ b/mulberrygate/agreement/tests/mutants.py
@@ -65,7 +65,7 @@
 class SwapsVoters(AgreementNode):
     """Replaces a lost voter by its successor in one step."""
 
-    def next_members(self, learner):
+    def next_members(self, learner, now):
         former = self.members.voter_named(learner.name)
         members = self.members if former is None else self.members.without(former.disk)
         return members.plus(type(learner)(learner.name, learner.address, learner.disk, True))
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -159,7 +159,7 @@
         await self.peers.start()
         self.timers.every(DUTY_S, self._do_duties, "duties")
         self.timers.every(SHARE_S, self._share_renewals, "share")
-        self.timers.every(POOLS_LOG_S, self._log_pools, "pools")
+        self.timers.every(POOLS_LOG_S, lambda: self.placement.log_pools(self.lines), "pools")
 
     async def _open_voter(self) -> None:
         site = self.site
@@ -561,29 +561,6 @@
                 self.lines.note("move.verdict", pool=pool, target=move.target, verdict=verdict)
                 self.timers.spawn(self.commit(PutMove(pool, move.target, verdict)))
 
-    def _log_pools(self) -> None:
-        """Log what the schedulers of the engines' pools believe, while this process owns them."""
-        if not self.is_leader:
-            return
-        for pool, hosted in self.placement.host.hosted.items():
-            scheduler = hosted.scheduler
-            self.lines.note(
-                "pool.state",
-                pool=pool,
-                waiting=[queue.count for queue in scheduler.queue.tiers],
-                endpoints={
-                    state.name: [
-                        state.used,
-                        state.slots,
-                        state.faults,
-                        int(state.detector.is_slow),
-                        round(state.speed.decode_factor, 2),
-                        round(state.token_s * 1000, 2),
-                    ]
-                    for state in scheduler.states.values()
-                },
-            )
-
     def _do_duties(self) -> None:
         """Do what is due without a message."""
         now = self.timers.now()
--- a/mulberrygate/daemon/gateway.py
+++ b/mulberrygate/daemon/gateway.py
@@ -33,6 +33,7 @@
 ASK_TIMEOUT_S = 0.25
 PROGRESS_S = 0.4
 FLUSH_S = 0.1
+POOLS_LOG_S = 1.0
 
 
 def boot_time() -> float:
@@ -129,6 +130,7 @@
         self.follower.start()
         self.timers.every(EVIDENCE_S, self._send_evidence, "evidence")
         self.timers.every(FLUSH_S, self.lines.flush, "lines")
+        self.timers.every(POOLS_LOG_S, lambda: self.placement.log_pools(self.lines), "pools")
         host, port = split_address(self.site.ready_address)
         self.ready_http = HttpSite(self._answer_ready, host, port)
         await self.ready_http.start()
--- a/mulberrygate/forward/placing.py
+++ b/mulberrygate/forward/placing.py
@@ -152,6 +152,31 @@
         engines = [name for name, pool in pools.items() if pool.is_engine]
         self.view.engine_subjects = frozenset(pool_subject(name) for name in engines)
 
+    def log_pools(self, lines) -> None:
+        """Log what this process's schedulers believe, while requests wait or run there."""
+        for pool, hosted in self.host.hosted.items():
+            scheduler = hosted.scheduler
+            if not len(scheduler.queue) and not scheduler.running:
+                continue
+            lines.note(
+                "pool.state",
+                pool=pool,
+                waiting=[queue.count for queue in scheduler.queue.tiers],
+                endpoints={
+                    state.name: {
+                        "used": state.used,
+                        "others": state.others,
+                        "slots": state.slots,
+                        "faults": state.faults,
+                        "is_slow": state.detector.is_slow,
+                        "is_failing": state.is_failing,
+                        "token_ms": round(state.token_s * 1000, 2),
+                        "start_ms": round(state.start_s * 1000, 1),
+                    }
+                    for state in scheduler.states.values()
+                },
+            )
+
     def refresh(self) -> None:
         """Bring the schedulers up to date with the roster at once."""
         self.host.tick()
--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -110,6 +110,9 @@
         self.failures = FailureShare()
         self.is_failing = False
         self.longest_block_s = LONGEST_BLOCK_S
+        self.load_limit_s = LOAD_REPORT_LIMIT_S
+        # Times of plain services say nothing, since nothing tells how long a call should take.
+        self.judges_speed = True
         self.blocked_until = 0.0
         self.slots = 0
         self.queue = 0
@@ -149,8 +152,10 @@
             return
         if self.faults >= FAULTS_TO_BLOCK:
             self.slots = 1
-        elif self.detector.is_slow or self.is_failing:
-            self.slots = max(1, int(view.slots * SLOW_SHARE))
+        elif self.is_failing or (self.judges_speed and self.detector.is_slow):
+            # What others have there doesn't take the place of the own probes.
+            probes = max(1, int(view.slots * SLOW_SHARE))
+            self.slots = min(view.slots, self.others + probes)
         else:
             self.slots = view.slots
             self.queue = engine_queue if self.distance == LOCAL else 0
@@ -165,7 +170,7 @@
         """
         most = max(self.peak, self.previous_peak)
         self.previous_peak, self.peak = self.peak, len(self.running)
-        is_usable = self.view.load_age_s <= LOAD_REPORT_LIMIT_S
+        is_usable = self.view.load_age_s <= self.load_limit_s
         self.others = max(0, self.view.load - most) if is_usable else 0
         self.used = len(self.running) + self.others
         self._refresh()
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -58,7 +58,7 @@
     check_deadline_shed,
 )
 from mulberrygate.schedule.speed import DEFAULT_PRIOR, PRIORS, GenerationSpeed, LengthModel
-from mulberrygate.tables.model import TIERS, Pool
+from mulberrygate.tables.model import MODEL, TIERS, Pool
 
 # Requests of one account that are examined when its first one can't use the endpoints with room.
 LOOK_AHEAD = 8
@@ -99,6 +99,8 @@
 RUN_FAULTS = ("error", "cut")
 # A new connection is all that it costs to find out whether an endpoint is back.
 WIDE_LONGEST_BLOCK_S = 1.0
+# Calls of plain services take hundredths of a second, so an older load says nothing.
+WIDE_LOAD_REPORT_LIMIT_S = 0.5
 # An endpoint counts as fast up to this ratio of the least seconds per token.
 FAST_RATIO = 1.5
 
@@ -679,8 +681,10 @@
         return OTHER_DOMAIN if view.region == self.region else OTHER_REGION
 
     def _add_endpoint(self, view: EndpointView, now: float) -> EndpointState:
-        # Endpoints that don't tell their hardware are unlike, so each one is learned by itself.
-        kind = view.hardware or f"endpoint {view.endpoint}"
+        kind = view.hardware
+        if self.is_wide and not kind:
+            # Endpoints that don't tell their hardware are unlike, so each one is learned by itself.
+            kind = f"endpoint {view.endpoint}"
         generation = self.generations.get(kind)
         if generation is None:
             generation = GenerationSpeed(PRIORS.get(view.hardware, DEFAULT_PRIOR))
@@ -690,6 +694,8 @@
         state.hop_s = HOP_S[distance]
         if self.is_wide:
             state.longest_block_s = WIDE_LONGEST_BLOCK_S
+            state.load_limit_s = WIDE_LOAD_REPORT_LIMIT_S
+            state.judges_speed = self.pool.kind == MODEL
         state.changed_at = now
         self.states[view.endpoint] = state
         return state
--- a/mulberrygate/schedule/tests/test_wide.py
+++ b/mulberrygate/schedule/tests/test_wide.py
@@ -11,15 +11,15 @@
 from mulberrygate.schedule import PoolScheduler
 from mulberrygate.schedule.codes import DEADLINE_UNREACHABLE, WAIT_TOO_LONG
 from mulberrygate.schedule.tests.support import Bench, make_view
-from mulberrygate.tables.model import Pool
+from mulberrygate.tables.model import MODEL, SERVICE, Pool
 
 
 class WideBench(Bench):
     """A wide scheduler with its grants and refusals in order."""
 
-    def __init__(self, views, engine_queue=0):
+    def __init__(self, views, engine_queue=0, kind=MODEL):
         super().__init__(views)
-        pool = Pool(engine_queue=engine_queue)
+        pool = Pool(kind=kind, engine_queue=engine_queue)
         self.scheduler = PoolScheduler("d1", "r1", pool, random.Random(1), is_wide=True)
         self.call("set_endpoints", views)
 
@@ -174,6 +174,33 @@
         slots = {state.name: state.slots for state in bench.scheduler.states.values()}
         self.assertEqual(slots, {"bad": 2, "good": 8})
 
+    def test_plain_service_is_not_judged_by_its_times(self):
+        """A booking service whose calls took longer for a while got one call at a time."""
+        bench = WideBench([make_view("a", hardware="", slots=6)], kind=SERVICE)
+        for number in range(100):
+            bench.ask(f"r{number}", tokens=1)
+            seconds = 0.02 if number < 50 else 0.3
+            bench.now += seconds
+            bench.done(f"r{number}", total_s=seconds, first_s=seconds, tokens=1, prompt=1)
+        self.assertEqual(bench.scheduler.states["a"].slots, 6)
+
+    def test_old_load_of_others_keeps_no_request_waiting(self):
+        """After a burst of other entries a report of full slots counted for five seconds."""
+        bench = WideBench([make_view("a", slots=6, load=9, load_age_s=0.1)], kind=SERVICE)
+        bench.ask("waits")
+        self.assertNotIn("waits", bench.grants)
+        bench.call("set_endpoints", [make_view("a", slots=6, load=9, load_age_s=0.7)])
+        self.assertIn("waits", bench.grants)
+
+    def test_failing_endpoint_is_probed_beside_others(self):
+        """The load of others took the one place that a failing endpoint had left."""
+        views = [make_view("bad", slots=8, load=6, load_age_s=0.1), make_view("good")]
+        bench = WideBench(views)
+        state = bench.scheduler.states["bad"]
+        state.is_failing = True
+        bench.call("set_endpoints", views)
+        self.assertEqual((state.others, state.slots), (6, 8))
+
     def test_endpoint_that_refuses_connections_is_tried_again_soon(self):
         """An endpoint that was back got nothing for eight seconds."""
         bench = WideBench([make_view("a")])
