--- a/mulberrygate/daemon/site.py
+++ b/mulberrygate/daemon/site.py
@@ -17,6 +17,8 @@
 # Periods in seconds.
 SETTINGS_CHECK_S = 1.0
 BAD_SETTINGS = 2
+# Time before the platform kills a process that was asked to stop.
+KILL_MARGIN_S = 0.4
 COLLECT_AFTER = 20_000
 
 
@@ -116,7 +118,15 @@
             if not is_bad:
                 part.set_seeds(changed.seeds)
     lines.note("process.stopping")
-    await part.stop()
+    try:
+        async with asyncio.timeout(site.bounds.stop_s - KILL_MARGIN_S):
+            await part.stop()
+    except TimeoutError:
+        lines.note("process.stop_timed_out")
+    lines.note("process.stopped")
+    lines.flush()
+    # A thread that waits for a disk that hangs would keep the process until it is killed.
+    os._exit(0)
 
 
 def main() -> int:
