--- /dev/null
+++ b/mulberrygate/control/access.py
@@ -0,0 +1,117 @@
+"""Commands and certain reads of the control log, from any control process."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from mulberrygate.agreement.effects import Role
+from mulberrygate.agreement.outcomes import Committed, NotLeader, ReadOk
+from mulberrygate.agreement.service import AgreementService
+from mulberrygate.control.catalogs import CatalogMachine, encode_command
+from mulberrygate.core.timers import TimerService
+from mulberrygate.sync.messages import Latest, Propose, ProposeResult, ReadLatest
+
+# Callers of control give up after a second without an answer.
+COMMIT_TIMEOUT_S = 0.85
+READ_TIMEOUT_S = 0.85
+RETRY_LEADER_S = 0.03
+
+
+class LogAccess:
+    """Access to the replicated log, by way of its leader.
+
+    Parameters
+    ==========
+    machine : CatalogMachine
+        State of this process's copy of the log.
+    peers : PeerClient
+        Messages to other control processes.
+
+    Attributes
+    ==========
+    service : AgreementService or None
+        Voter of this process; ``None`` if its disk can't be used.
+    """
+
+    def __init__(self, instance: str, machine: CatalogMachine, peers, timers: TimerService):
+        self.instance = instance
+        self.machine = machine
+        self.peers = peers
+        self.timers = timers
+        self.service: AgreementService | None = None
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this process leads the control group, under a valid lease."""
+        return self.service is not None and self.service.role is Role.LEADER
+
+    @property
+    def leader(self) -> str:
+        """Instance that leads, empty if it is not known."""
+        return self.service.leader if self.service is not None else ""
+
+    async def commit(self, command: object) -> bool:
+        """Put a command into the log; return whether it is committed for certain."""
+        data = encode_command(command)
+        end = self.timers.now() + COMMIT_TIMEOUT_S
+        while (left := end - self.timers.now()) > 0:
+            if self.is_leader:
+                outcome = await self.service.propose(data, left)
+                if isinstance(outcome, Committed):
+                    return True
+                if not isinstance(outcome, NotLeader):
+                    return False
+            elif self.leader and self.leader != self.instance:
+                answer = await self.peers.call(self.leader, Propose(data), left)
+                if isinstance(answer, ProposeResult) and answer.is_committed:
+                    return True
+            await asyncio.sleep(RETRY_LEADER_S)
+        return False
+
+    async def on_propose(self, message: Propose, _sender: str) -> ProposeResult:
+        """Put another process's command into the log."""
+        if not self.is_leader:
+            return ProposeResult(False)
+        outcome = await self.service.propose(message.command, COMMIT_TIMEOUT_S)
+        return ProposeResult(isinstance(outcome, Committed))
+
+    async def read_latest(self) -> Latest:
+        """Return the newest catalog and moves, if this process can be certain of them."""
+        end = self.timers.now() + READ_TIMEOUT_S
+        while (left := end - self.timers.now()) > 0:
+            if self.is_leader:
+                latest = await self._read_own(left, -1)
+            elif self.leader and self.leader != self.instance:
+                latest = await self._read_leader(left)
+            else:
+                latest = Latest(False)
+            if latest.is_certain:
+                return latest
+            await asyncio.sleep(RETRY_LEADER_S)
+        return Latest(False)
+
+    async def _read_own(self, timeout_s: float, known_version: int) -> Latest:
+        outcome = await self.service.read_barrier(timeout_s)
+        if not isinstance(outcome, ReadOk):
+            return Latest(False)
+        machine = self.machine
+        document = b"" if machine.version == known_version else machine.document
+        return Latest(True, machine.version, document, machine.moves_text())
+
+    async def _read_leader(self, timeout_s: float) -> Latest:
+        # The document is kept now, because the state may move on while the leader answers.
+        version, document = self.machine.version, self.machine.document
+        latest = await self.peers.call(self.leader, ReadLatest(version), timeout_s)
+        if not isinstance(latest, Latest) or not latest.is_certain:
+            return Latest(False)
+        if latest.catalog_version == version:
+            return attrs.evolve(latest, catalog=document)
+        return latest
+
+    async def on_read_latest(self, message: ReadLatest, _sender: str) -> Latest:
+        """Read the newest state for another process."""
+        if not self.is_leader:
+            return Latest(False)
+        return await self._read_own(READ_TIMEOUT_S, message.catalog_version)
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -12,9 +12,10 @@
 
 from mulberrygate.agreement import AgreementSettings
 from mulberrygate.agreement.effects import Role
-from mulberrygate.agreement.outcomes import Committed, NotLeader, ReadOk, VoterStopped
-from mulberrygate.agreement.service import AgreementService, open_service
+from mulberrygate.agreement.outcomes import VoterStopped
+from mulberrygate.agreement.service import open_service
 from mulberrygate.catalog import Catalog
+from mulberrygate.control.access import LogAccess
 from mulberrygate.control.catalogs import (
     DONE,
     RUNNING,
@@ -23,7 +24,6 @@
     PutCatalog,
     PutLeaving,
     PutMove,
-    encode_command,
 )
 from mulberrygate.control.rollouts import RolloutJudge
 from mulberrygate.core.timers import TimerService
@@ -41,7 +41,6 @@
     Latest,
     MoveState,
     Propose,
-    ProposeResult,
     ReadLatest,
     Share,
     ShareResult,
@@ -50,10 +49,6 @@
     VersionEvidence,
 )
 
-# Callers of control give up after a second without an answer.
-COMMIT_TIMEOUT_S = 0.85
-READ_TIMEOUT_S = 0.85
-RETRY_LEADER_S = 0.03
 # An entry's question is answered after this time at the latest, so that both ends know that the
 # connection works.
 FOLLOW_WAIT_S = 0.5
@@ -111,7 +106,7 @@
         self.incarnation = self.peers.incarnation
         self.machine = CatalogMachine(self._on_machine)
         self.roster = Roster()
-        self.service: AgreementService | None = None
+        self.log = LogAccess(site.instance, self.machine, self.peers.client, self.timers)
         self.seeds = site.seeds
         self.news = asyncio.Event()
         self.started_at = 0.0
@@ -150,8 +145,8 @@
         on = self.peers.client.on
         on(Follow, self._on_follow)
         on(Share, self._on_share)
-        on(Propose, self._on_propose)
-        on(ReadLatest, self._on_read_latest)
+        on(Propose, self.log.on_propose)
+        on(ReadLatest, self.log.on_read_latest)
         on(AskUnits, self._on_ask_units)
         on(VersionEvidence, self._on_evidence)
         on(CrashSeen, self._on_crash)
@@ -184,15 +179,15 @@
         if isinstance(service, VoterStopped):
             self.lines.note("voter.stopped", reason=service.reason)
             return
-        self.service = service
+        self.log.service = service
         service.on_role.append(self._on_role)
 
     async def stop(self) -> None:
         """Hand over leadership and stop."""
         self.is_stopping = True
         self._announce()
-        if self.service is not None:
-            await self.service.close()
+        if self.log.service is not None:
+            await self.log.service.close()
         await self.timers.close()
         await self.peers.close()
 
@@ -205,21 +200,20 @@
     @property
     def is_leader(self) -> bool:
         """Whether this process leads the control group, under a valid lease."""
-        return self.service is not None and self.service.role is Role.LEADER
+        return self.log.is_leader
 
     @property
     def leader(self) -> str:
         """Instance that leads, empty if it is not known."""
-        return self.service.leader if self.service is not None else ""
+        return self.log.leader
 
     @property
     def is_current(self) -> bool:
         """Whether this process hears from the majority."""
-        if self.is_stopping or self.service is None or self.service.failure:
+        service = self.log.service
+        if self.is_stopping or service is None or service.failure:
             return False
-        if self.is_leader:
-            return True
-        return self.timers.now() - self.service.node.heard_at < BEHIND_S
+        return self.is_leader or self.timers.now() - service.node.heard_at < BEHIND_S
 
     @property
     def is_settled(self) -> bool:
@@ -229,8 +223,8 @@
     def controls(self) -> tuple[str, ...]:
         """Return the instances that serve control, as far as known."""
         names = dict.fromkeys([self.site.instance])
-        if self.service is not None:
-            names.update(dict.fromkeys(m.name for m in self.service.node.members.members))
+        if self.log.service is not None:
+            names.update(dict.fromkeys(m.name for m in self.log.service.node.members.members))
         if len(names) == 1:
             names.update(dict.fromkeys(self.seeds))
         return tuple(names)
@@ -284,76 +278,18 @@
 
     # Commands and reads
 
-    async def commit(self, command: object) -> bool:
-        """Put a command into the log; return whether it is committed for certain."""
-        data = encode_command(command)
-        end = self.timers.now() + COMMIT_TIMEOUT_S
-        while (left := end - self.timers.now()) > 0:
-            if self.is_leader:
-                outcome = await self.service.propose(data, left)
-                if isinstance(outcome, Committed):
-                    return True
-                if not isinstance(outcome, NotLeader):
-                    return False
-            elif self.leader and self.leader != self.site.instance:
-                answer = await self.peers.client.call(self.leader, Propose(data), left)
-                if isinstance(answer, ProposeResult) and answer.is_committed:
-                    return True
-            await asyncio.sleep(RETRY_LEADER_S)
-        return False
-
-    async def _on_propose(self, message: Propose, _sender: str) -> ProposeResult:
-        if not self.is_leader:
-            return ProposeResult(False)
-        outcome = await self.service.propose(message.command, COMMIT_TIMEOUT_S)
-        return ProposeResult(isinstance(outcome, Committed))
-
     async def put_catalog(self, catalog: Catalog, body: bytes) -> bool:
         """Put a document in force; return whether it, or a higher version, is for certain."""
         if catalog.version <= self.machine.version:
             return True
         document = zlib.compress(body, 1)
-        is_committed = await self.commit(PutCatalog(catalog.version, document))
+        is_committed = await self.log.commit(PutCatalog(catalog.version, document))
         self.lines.note("catalog.put", version=catalog.version, is_committed=is_committed)
         return is_committed
 
     async def read_latest(self) -> Latest:
         """Return the newest catalog and moves, if this process can be certain of them."""
-        end = self.timers.now() + READ_TIMEOUT_S
-        while (left := end - self.timers.now()) > 0:
-            if self.is_leader:
-                latest = await self._read_own(left, -1)
-            elif self.leader and self.leader != self.site.instance:
-                latest = await self._read_leader(left)
-            else:
-                latest = Latest(False)
-            if latest.is_certain:
-                return latest
-            await asyncio.sleep(RETRY_LEADER_S)
-        return Latest(False)
-
-    async def _read_own(self, timeout_s: float, known_version: int) -> Latest:
-        outcome = await self.service.read_barrier(timeout_s)
-        if not isinstance(outcome, ReadOk):
-            return Latest(False)
-        machine = self.machine
-        document = b"" if machine.version == known_version else machine.document
-        return Latest(True, machine.version, document, machine.moves_text())
-
-    async def _read_leader(self, timeout_s: float) -> Latest:
-        # The document is kept now, because the state may move on while the leader answers.
-        version, document = self.machine.version, self.machine.document
-        latest = await self.peers.client.call(self.leader, ReadLatest(version), timeout_s)
-        if not isinstance(latest, Latest) or not latest.is_certain:
-            return Latest(False)
-        if latest.catalog_version == version:
-            return attrs.evolve(latest, catalog=document)
-        return latest
-
-    async def _on_read_latest(self, message: ReadLatest, _sender: str) -> Latest:
-        if not self.is_leader:
-            return Latest(False)
-        return await self._read_own(READ_TIMEOUT_S, message.catalog_version)
+        return await self.log.read_latest()
 
     # Endpoints
 
@@ -394,7 +330,7 @@
     async def _commit_leaving(self, name: str, incarnation: int) -> bool:
         if self.machine.leaving.get(name, -1) >= incarnation:
             return True
-        return await self.commit(PutLeaving(name, incarnation))
+        return await self.log.commit(PutLeaving(name, incarnation))
 
     def _heard(self, name: str) -> Heard:
         row = self.roster.rows[name]
@@ -537,7 +473,7 @@
         if known is not None and known.target == target:
             return True
         now = time.time()
-        return await self.commit(PutMove(pool, target, RUNNING, now, now + duration_s))
+        return await self.log.commit(PutMove(pool, target, RUNNING, now, now + duration_s))
 
     def _move_states(self) -> tuple[MoveState, ...]:
         return tuple(self._move_state(pool, move) for pool, move in self.machine.moves.items())
@@ -559,7 +495,7 @@
             verdict = self.judge.verdict(pool, move, time.time())
             if verdict:
                 self.lines.note("move.verdict", pool=pool, target=move.target, verdict=verdict)
-                self.timers.spawn(self.commit(PutMove(pool, move.target, verdict)))
+                self.timers.spawn(self.log.commit(PutMove(pool, move.target, verdict)))
 
     def _do_duties(self) -> None:
         """Do what is due without a message."""
--- a/mulberrygate/daemon/status.py
+++ b/mulberrygate/daemon/status.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from mulberrygate.control.commands import MoveState, TableState
 
-if TYPE_CHECKING:
-    from mulberrygate.daemon.compose import Daemon
-
 TIER_FIGURES = {
     "goodput_total": "goodput",
     "shed_total": "shed",
@@ -17,7 +14,26 @@
 }
 
 
-def instance_status(daemon: Daemon) -> dict[str, Any]:
+class Instance(Protocol):
+    """Parts of a daemon that its status is read from."""
+
+    settings: Any
+    in_force: Any
+    voter: Any
+    holder: Any
+    web: Any
+    pool_host: Any
+    directory: Any
+    metrics: Any
+
+    def view(self) -> Any:
+        """Return the current view of the membership."""
+
+    def is_ready(self) -> bool:
+        """Return whether the instance takes new requests."""
+
+
+def instance_status(daemon: Instance) -> dict[str, Any]:
     """Return the state of a daemon as plain values."""
     view = daemon.view()
     in_force = daemon.in_force
@@ -49,7 +65,7 @@
     return {name: getattr(state, name) for name in names}
 
 
-def _endpoints(daemon: Daemon) -> list[dict[str, Any]]:
+def _endpoints(daemon: Instance) -> list[dict[str, Any]]:
     names = ("endpoint", "pool", "failure_domain", "version", "accepts_work")
     now = daemon.timers.now()
     return [
@@ -59,7 +75,7 @@
     ]
 
 
-def _shards(daemon: Daemon) -> dict[str, Any]:
+def _shards(daemon: Instance) -> dict[str, Any]:
     """Return how many ledger shards there are, and on which instances their replicas are."""
     shards = daemon.in_force.shards.values()
     replicas = [r for shard in shards if shard.active is not None for r in shard.active.replicas]
@@ -72,7 +88,7 @@
     }
 
 
-def _tiers(daemon: Daemon) -> dict[str, dict[str, float]]:
+def _tiers(daemon: Instance) -> dict[str, dict[str, float]]:
     figures: dict[str, dict[str, float]] = {}
     for (name, labels), value in daemon.metrics.counters.items():
         tier = dict(labels).get("tier")
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -4,21 +4,15 @@
 
 import math
 import random
-from collections.abc import Iterable, Iterator
 
-from mulberrygate.core.codes import Code
 from mulberrygate.core.effects import Effect, Send
 from mulberrygate.core.invariant import invariant
 from mulberrygate.endpoints.model import EndpointView
-from mulberrygate.schedule.choose import Choice, Chooser
+from mulberrygate.schedule.choose import Chooser
 from mulberrygate.schedule.codes import (
-    DEADLINE_UNREACHABLE,
-    EVICTED,
     NO_ENDPOINT,
-    QUEUE_FULL,
     QUEUE_OVER_LIMIT,
     SLOTS_MISCOUNTED,
-    WAIT_TOO_LONG,
 )
 from mulberrygate.schedule.demand import MEMORY_S, Demand
 from mulberrygate.schedule.ended import Ended
@@ -33,79 +27,47 @@
 from mulberrygate.schedule.failures import is_failing
 from mulberrygate.schedule.fair import (
     LENGTH_WEIGHT_S,
-    AccountQueue,
     FairQueue,
-    TierQueue,
     Waiting,
 )
 from mulberrygate.schedule.learn import learn, observed
 from mulberrygate.schedule.messages import (
     Done,
-    Grant,
     Present,
     Progress,
-    Refuse,
     Running,
     Ticket,
 )
 from mulberrygate.schedule.prefix import PrefixIndex
 from mulberrygate.schedule.room import Room
+from mulberrygate.schedule.selection import LOST_DONE_S, Selection
 from mulberrygate.schedule.shares import VersionShares
 from mulberrygate.schedule.shed import (
     DeadlineWatch,
     GrantLog,
-    check_capacity_shed,
-    check_deadline_shed,
 )
+from mulberrygate.schedule.shedding import Shedding
 from mulberrygate.schedule.speed import DEFAULT_PRIOR, PRIORS, GenerationSpeed, LengthModel
+from mulberrygate.schedule.wide import (
+    FAST_RATIO,
+    RUN_FAULTS,
+    WIDE_LENGTH_WEIGHT_S,
+    WIDE_LOAD_REPORT_LIMIT_S,
+    WIDE_LONGEST_BLOCK_S,
+    WIDE_MEMORY_S,
+    WIDE_TIERS,
+)
 from mulberrygate.tables.model import MODEL, TIERS, Pool
 
-# Requests of one account that are examined when its first one can't use the endpoints with room.
-LOOK_AHEAD = 8
-# Requests of one account among which one may be taken out of order for its cached prefix, how often
-# a request is passed over, and the time that it must have left to be.
-REORDERED = 16
-MOST_PASSED = 16
-PASS_SLACK_S = 0.0
-CACHED_AGE_S = 2.0
-# Requests that may be passed over in one dispatch; a lower tier is served only if all requests of
-# the upper tiers have been examined.
-MOST_HELD = 32
 # An owner that has just started knows no endpoints yet; announcements come every second.
 NO_ENDPOINT_WAIT_S = 2.5
-# A grant whose end is never reported is dropped this long after its deadline or expected end.
-LOST_DONE_S = 30.0
-RETRY_AFTER_S = 1.0
 # Periods of the work that isn't done for each message.
 CLEAN_S = 0.5
 EXPIRE_S = 3.0
 DEMAND_S = 0.05
-LONGEST_RETRY_AFTER_S = 30.0
-# Callers that are refused together should not come back together.
-RETRY_SPREAD = 0.5
-# Over many endpoints a slot becomes free every few hundredths of a second, so no slots are reserved
-# for upper tiers, and a long request doesn't stand behind short ones.
-WIDE_LENGTH_WEIGHT_S = 0.0
-# A request is told to come back if the expected wait is this many times its caller's patience.
-HOPELESS_RATIO = 2.5
-# Urgencies of client accounts and, within each, of routes.
-WIDE_TIERS = 12
-# Bursts last a few seconds.
-WIDE_MEMORY_S = 2.5
-WIDE_RETRY_AFTER_S = 0.5
-WIDE_LONGEST_RETRY_S = 4.0
-# Faults of endpoints that took a request; one that is up answers or breaks off, and says nothing of
-# the next request.
-RUN_FAULTS = ("error", "cut")
-# A new connection is all that it costs to find out whether an endpoint is back.
-WIDE_LONGEST_BLOCK_S = 1.0
-# Calls of plain services take hundredths of a second, so an older load says nothing.
-WIDE_LOAD_REPORT_LIMIT_S = 0.5
-# An endpoint counts as fast up to this ratio of the least seconds per token.
-FAST_RATIO = 1.5
-
-
-class PoolScheduler:
+
+
+class PoolScheduler(Selection, Shedding):
     """Order the requests of a pool and grant them endpoints.
 
     Explanation
@@ -365,223 +327,6 @@
             else OTHER_REGION
         )
 
-    def _dispatch(self, now: float) -> list[Effect]:
-        """Grant waiting requests in order until none has a place."""
-        effects: list[Effect] = []
-        held: list[Waiting] = []
-        tiers = self.queue.tiers
-        tier = 0
-        while tier < self.tiers:
-            queue = tiers[tier]
-            if not queue.count:
-                tier += 1
-                continue
-            if not self._has_room(tier):
-                break
-            # While a move's shares hold back all routes of a tier, lower tiers wait too; looking at
-            # each request would take milliseconds with a long queue.
-            if self.shares.shares and not self._has_share(queue.routes, tier):
-                break
-            found = self._next(queue, tier, held, now)
-            if found is not None:
-                effects.append(self._grant(*found, held, now))
-                if self.shares.shares:
-                    # The grant changed what the shares allow to the requests passed over.
-                    held.clear()
-                    tier = 0
-                continue
-            # A lower tier is served only after every request of this one was examined.
-            if sum(waiting.ticket.tier == tier for waiting in held) < queue.count:
-                break
-            tier += 1
-        return effects
-
-    def _has_room(self, tier: int) -> bool:
-        room = self.room
-        if room.free_slots[LOCAL] > self.reserved[tier]:
-            return True
-        if tier <= self.top_tier and room.queues.items:
-            return True
-        reach = self.chooser.reach
-        if reach == LOCAL:
-            return False
-        return any(room.free_slots[distance] for distance in range(OTHER_DOMAIN, reach + 1))
-
-    def _next(
-        self, queue: TierQueue, tier: int, held: list[Waiting], now: float
-    ) -> tuple[Waiting, Choice] | None:
-        """Return the next request of a tier that has a place, and add those passed over."""
-        may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
-        may_queue = tier <= self.top_tier
-        has_shares = bool(self.shares.shares)
-        for account in queue.by_share():
-            for waiting in self._candidates(account, now):
-                if waiting in held:
-                    continue
-                if len(held) >= MOST_HELD:
-                    return None
-                if has_shares and not self._has_share((waiting.ticket.route,), tier):
-                    held.append(waiting)
-                    continue
-                choice = self.chooser.choose(waiting, may_use_slots, may_queue, now)
-                if choice is not None:
-                    return waiting, choice
-                held.append(waiting)
-        return None
-
-    def _has_share(self, routes: Iterable[str], tier: int) -> bool:
-        """Return whether the share of one of the routes allows a version that has room."""
-        may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
-        versions = self.chooser.open_versions(may_use_slots, tier <= self.top_tier)
-        allowed = self.shares.is_allowed
-        return any(allowed(route, version) for route in routes for version in versions)
-
-    def _candidates(self, account: AccountQueue, now: float) -> Iterator[Waiting]:
-        """Yield an account's next requests, those first whose prefix the free endpoint has.
-
-        Explanation
-        ===========
-        While the pool is busy one endpoint at a time has room. Taking a request out of order that
-        finds its prefix there saves the prefill of both. A request is passed over a limited number
-        of times, and not when it has little time left.
-        """
-        first = account.first()
-        states = self.room.few()
-        is_ordered = not states or account.count == 1 or bool(self.shares.shares)
-        if is_ordered or not self._may_pass(first, now):
-            yield first
-        else:
-            found = account.in_order(REORDERED)
-            best = min(found, key=lambda item: self._loss(item, states, now))
-            if best is not first:
-                for item in found[: found.index(best)]:
-                    item.passed += 1
-            yield best
-        if account.count > 1:
-            yield from account.in_order(LOOK_AHEAD)
-
-    def _may_pass(self, waiting: Waiting, now: float) -> bool:
-        if waiting.passed >= MOST_PASSED:
-            return False
-        left = waiting.deadline - now - self.watch.least_run_s(waiting, 0.0)
-        return left > PASS_SLACK_S
-
-    def _loss(self, waiting: Waiting, states: list[EndpointState], now: float) -> float:
-        """Return the tokens to be computed again if the request went to one of the endpoints."""
-        cached = self.chooser.hits(waiting, now, CACHED_AGE_S)
-        if not cached:
-            return 0.0
-        return max(cached.values()) - 2 * max(cached.get(state.name, 0) for state in states)
-
-    def _grant(self, waiting: Waiting, choice: Choice, held: list[Waiting], now: float) -> Send:
-        ticket, state = waiting.ticket, choice.state
-        self.order += 1
-        if held:
-            upper = [item for item in held if item.ticket.tier < ticket.tier]
-            self.log.check_grant(upper, state, self.order, self.chooser, now)
-        self.log.add(ticket.tier, state.name, self.order)
-        self.queue.charge(ticket, waiting.cost)
-        self.queue.remove(waiting)
-        self.demand.grant(choice.run_s, now)
-        granted = Granted(
-            ticket, state, state.view.version, now, waiting.cost, waiting.output, choice.cached
-        )
-        if self.shares.shares:
-            self.shares.count(ticket.route, state.view.version)
-            granted.share_epoch = self.shares.epoch
-        granted.wait_s = state.wait_s + state.pending_prefill * state.prefill_s
-        granted.expected_end = now + choice.run_s
-        granted.expires = max(waiting.deadline, now + 4 * choice.run_s) + LOST_DONE_S
-        self._count(granted, now)
-        if ticket.prefixes:
-            self.prefixes.grant(state.name, ticket.prefixes, state.view.kv_tokens)
-        return self._grant_message(granted)
-
-    def _grant_message(self, granted: Granted) -> Send:
-        ticket, view = granted.ticket, granted.state.view
-        place = (view.endpoint, view.address, granted.version, view.region)
-        grant = Grant(ticket.pool, ticket.request, *place)
-        return Send(ticket.entry, grant)
-
-    def _shed_late(self, now: float) -> list[Effect]:
-        """Shed the requests that can't meet their deadline any more, lower tiers first."""
-        late = []
-        for waiting in self.watch.due(now):
-            cached = self._most_cached(waiting, now)
-            if self._is_late(waiting, cached, now):
-                late.append((waiting, cached))
-            else:
-                self.watch.watch(waiting, cached)
-        late.sort(key=lambda item: -item[0].ticket.tier)
-        effects: list[Effect] = []
-        for waiting, cached in late:
-            check_deadline_shed(self.watch, waiting, cached, self.log, now)
-            effects.append(self._refuse(waiting, DEADLINE_UNREACHABLE, now))
-        return effects
-
-    def _shed_hopeless(self, late: list[Waiting], now: float) -> list[Effect]:
-        """Shed late requests whose callers will have left before their turn comes.
-
-        Explanation
-        ===========
-        It answers bursts beyond the pool's capacity: who can't be served is told at once when to
-        come back, instead of waiting in vain.
-        """
-        effects: list[Effect] = []
-        for waiting in reversed(late):
-            if waiting.is_gone or waiting.start_by == math.inf:
-                continue
-            tier = waiting.ticket.tier
-            ahead = sum(queue.count for queue in self.queue.tiers[: tier + 1])
-            wait_s = self.demand.tier_wait_s(ahead, tier, self.local_slots)
-            if wait_s > HOPELESS_RATIO * (waiting.start_by - now):
-                self.log.check_shed(waiting)
-                effects.append(self._refuse(waiting, WAIT_TOO_LONG, now))
-        return effects
-
-    def _is_late(self, waiting: Waiting, cached: float, now: float) -> bool:
-        return self.watch.latest_start(waiting, cached) <= now
-
-    def _shed_excess(self, now: float) -> list[Effect]:
-        """Shed what exceeds the queue's limit, from the lowest waiting tier."""
-        effects: list[Effect] = []
-        while len(self.queue) > self.pool.max_waiting:
-            waiting = self._victim()
-            check_capacity_shed(self.queue, waiting, self.log)
-            is_for_upper = self.newest_tier < waiting.ticket.tier
-            effects.append(self._refuse(waiting, EVICTED if is_for_upper else QUEUE_FULL, now))
-        return effects
-
-    def _victim(self) -> Waiting:
-        return self.queue.tiers[self.queue.lowest_tier()].last()
-
-    def _shed_all(self, code: Code, now: float) -> list[Effect]:
-        """Shed all waiting requests, lowest tier first."""
-        effects: list[Effect] = []
-        for queue in reversed(self.queue.tiers):
-            for waiting in list(queue.all()):
-                check_capacity_shed(self.queue, waiting, self.log)
-                effects.append(self._refuse(waiting, code, now))
-        return effects
-
-    def _refuse(self, waiting: Waiting, code: Code, now: float) -> Send:
-        ticket = waiting.ticket
-        self.queue.remove(waiting)
-        retry_after_s = self._retry_after_s(ticket.tier)
-        refusal = Refuse(ticket.pool, ticket.request, code.number, retry_after_s)
-        self.ended.add(ticket.request, refusal, now)
-        return Send(ticket.entry, refusal)
-
-    def _retry_after_s(self, tier: int) -> float:
-        """Return the seconds after which a refused request may find room."""
-        if not self.is_wide:
-            wait_s = self.demand.expected_wait_s(len(self.queue), self.local_slots)
-            return min(LONGEST_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
-        ahead = sum(queue.count for queue in self.queue.tiers[: tier + 1])
-        wait_s = self.demand.tier_wait_s(ahead, tier, self.local_slots)
-        wait_s = min(WIDE_LONGEST_RETRY_S, max(WIDE_RETRY_AFTER_S, wait_s))
-        return wait_s * (1.0 + RETRY_SPREAD * self.rng.random())
-
     # Bookkeeping
 
     def _enqueue(self, ticket: Ticket, now: float) -> None:
--- /dev/null
+++ b/mulberrygate/schedule/selection.py
@@ -0,0 +1,167 @@
+"""Part of the pool scheduler that selects requests and grants them endpoints."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from mulberrygate.core.effects import Effect, Send
+from mulberrygate.schedule.choose import Choice
+from mulberrygate.schedule.endpoint import LOCAL, OTHER_DOMAIN, EndpointState, Granted
+from mulberrygate.schedule.fair import AccountQueue, TierQueue, Waiting
+from mulberrygate.schedule.messages import Grant
+
+# Requests of one account that are examined when its first one can't use the endpoints with room.
+LOOK_AHEAD = 8
+# Requests of one account among which one may be taken out of order for its cached prefix, how often
+# a request is passed over, and the time that it must have left to be.
+REORDERED = 16
+MOST_PASSED = 16
+PASS_SLACK_S = 0.0
+CACHED_AGE_S = 2.0
+# Requests that may be passed over in one dispatch; a lower tier is served only if all requests of
+# the upper tiers have been examined.
+MOST_HELD = 32
+# A grant whose end is never reported is dropped this long after its deadline or expected end.
+LOST_DONE_S = 30.0
+
+
+class Selection:
+    """Orders grants; see `mulberrygate.schedule.scheduler.PoolScheduler`."""
+
+    def _dispatch(self, now: float) -> list[Effect]:
+        """Grant waiting requests in order until none has a place."""
+        effects: list[Effect] = []
+        held: list[Waiting] = []
+        tiers = self.queue.tiers
+        tier = 0
+        while tier < self.tiers:
+            queue = tiers[tier]
+            if not queue.count:
+                tier += 1
+                continue
+            if not self._has_room(tier):
+                break
+            # While a move's shares hold back all routes of a tier, lower tiers wait too; looking at
+            # each request would take milliseconds with a long queue.
+            if self.shares.shares and not self._has_share(queue.routes, tier):
+                break
+            found = self._next(queue, tier, held, now)
+            if found is not None:
+                effects.append(self._grant(*found, held, now))
+                if self.shares.shares:
+                    # The grant changed what the shares allow to the requests passed over.
+                    held.clear()
+                    tier = 0
+                continue
+            # A lower tier is served only after every request of this one was examined.
+            if sum(waiting.ticket.tier == tier for waiting in held) < queue.count:
+                break
+            tier += 1
+        return effects
+
+    def _has_room(self, tier: int) -> bool:
+        room = self.room
+        if room.free_slots[LOCAL] > self.reserved[tier]:
+            return True
+        if tier <= self.top_tier and room.queues.items:
+            return True
+        reach = self.chooser.reach
+        if reach == LOCAL:
+            return False
+        return any(room.free_slots[distance] for distance in range(OTHER_DOMAIN, reach + 1))
+
+    def _next(
+        self, queue: TierQueue, tier: int, held: list[Waiting], now: float
+    ) -> tuple[Waiting, Choice] | None:
+        """Return the next request of a tier that has a place, and add those passed over."""
+        may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
+        may_queue = tier <= self.top_tier
+        has_shares = bool(self.shares.shares)
+        for account in queue.by_share():
+            for waiting in self._candidates(account, now):
+                if waiting in held:
+                    continue
+                if len(held) >= MOST_HELD:
+                    return None
+                if has_shares and not self._has_share((waiting.ticket.route,), tier):
+                    held.append(waiting)
+                    continue
+                choice = self.chooser.choose(waiting, may_use_slots, may_queue, now)
+                if choice is not None:
+                    return waiting, choice
+                held.append(waiting)
+        return None
+
+    def _has_share(self, routes: Iterable[str], tier: int) -> bool:
+        """Return whether the share of one of the routes allows a version that has room."""
+        may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
+        versions = self.chooser.open_versions(may_use_slots, tier <= self.top_tier)
+        allowed = self.shares.is_allowed
+        return any(allowed(route, version) for route in routes for version in versions)
+
+    def _candidates(self, account: AccountQueue, now: float) -> Iterator[Waiting]:
+        """Yield an account's next requests, those first whose prefix the free endpoint has.
+
+        Explanation
+        ===========
+        While the pool is busy one endpoint at a time has room. Taking a request out of order that
+        finds its prefix there saves the prefill of both. A request is passed over a limited number
+        of times, and not when it has little time left.
+        """
+        first = account.first()
+        states = self.room.few()
+        is_ordered = not states or account.count == 1 or bool(self.shares.shares)
+        if is_ordered or not self._may_pass(first, now):
+            yield first
+        else:
+            found = account.in_order(REORDERED)
+            best = min(found, key=lambda item: self._loss(item, states, now))
+            if best is not first:
+                for item in found[: found.index(best)]:
+                    item.passed += 1
+            yield best
+        if account.count > 1:
+            yield from account.in_order(LOOK_AHEAD)
+
+    def _may_pass(self, waiting: Waiting, now: float) -> bool:
+        if waiting.passed >= MOST_PASSED:
+            return False
+        left = waiting.deadline - now - self.watch.least_run_s(waiting, 0.0)
+        return left > PASS_SLACK_S
+
+    def _loss(self, waiting: Waiting, states: list[EndpointState], now: float) -> float:
+        """Return the tokens to be computed again if the request went to one of the endpoints."""
+        cached = self.chooser.hits(waiting, now, CACHED_AGE_S)
+        if not cached:
+            return 0.0
+        return max(cached.values()) - 2 * max(cached.get(state.name, 0) for state in states)
+
+    def _grant(self, waiting: Waiting, choice: Choice, held: list[Waiting], now: float) -> Send:
+        ticket, state = waiting.ticket, choice.state
+        self.order += 1
+        if held:
+            upper = [item for item in held if item.ticket.tier < ticket.tier]
+            self.log.check_grant(upper, state, self.order, self.chooser, now)
+        self.log.add(ticket.tier, state.name, self.order)
+        self.queue.charge(ticket, waiting.cost)
+        self.queue.remove(waiting)
+        self.demand.grant(choice.run_s, now)
+        granted = Granted(
+            ticket, state, state.view.version, now, waiting.cost, waiting.output, choice.cached
+        )
+        if self.shares.shares:
+            self.shares.count(ticket.route, state.view.version)
+            granted.share_epoch = self.shares.epoch
+        granted.wait_s = state.wait_s + state.pending_prefill * state.prefill_s
+        granted.expected_end = now + choice.run_s
+        granted.expires = max(waiting.deadline, now + 4 * choice.run_s) + LOST_DONE_S
+        self._count(granted, now)
+        if ticket.prefixes:
+            self.prefixes.grant(state.name, ticket.prefixes, state.view.kv_tokens)
+        return self._grant_message(granted)
+
+    def _grant_message(self, granted: Granted) -> Send:
+        ticket, view = granted.ticket, granted.state.view
+        place = (view.endpoint, view.address, granted.version, view.region)
+        grant = Grant(ticket.pool, ticket.request, *place)
+        return Send(ticket.entry, grant)
--- /dev/null
+++ b/mulberrygate/schedule/shedding.py
@@ -0,0 +1,106 @@
+"""Part of the pool scheduler that refuses requests."""
+
+from __future__ import annotations
+
+import math
+
+from mulberrygate.core.codes import Code
+from mulberrygate.core.effects import Effect, Send
+from mulberrygate.schedule.codes import (
+    DEADLINE_UNREACHABLE,
+    EVICTED,
+    QUEUE_FULL,
+    WAIT_TOO_LONG,
+)
+from mulberrygate.schedule.fair import Waiting
+from mulberrygate.schedule.messages import Refuse
+from mulberrygate.schedule.shed import check_capacity_shed, check_deadline_shed
+from mulberrygate.schedule.wide import HOPELESS_RATIO, WIDE_LONGEST_RETRY_S, WIDE_RETRY_AFTER_S
+
+RETRY_AFTER_S = 1.0
+LONGEST_RETRY_AFTER_S = 30.0
+# Callers that are refused together should not come back together.
+RETRY_SPREAD = 0.5
+
+
+class Shedding:
+    """Sheds what can't be served; see `mulberrygate.schedule.scheduler.PoolScheduler`."""
+
+    def _shed_late(self, now: float) -> list[Effect]:
+        """Shed the requests that can't meet their deadline any more, lower tiers first."""
+        late = []
+        for waiting in self.watch.due(now):
+            cached = self._most_cached(waiting, now)
+            if self._is_late(waiting, cached, now):
+                late.append((waiting, cached))
+            else:
+                self.watch.watch(waiting, cached)
+        late.sort(key=lambda item: -item[0].ticket.tier)
+        effects: list[Effect] = []
+        for waiting, cached in late:
+            check_deadline_shed(self.watch, waiting, cached, self.log, now)
+            effects.append(self._refuse(waiting, DEADLINE_UNREACHABLE, now))
+        return effects
+
+    def _shed_hopeless(self, late: list[Waiting], now: float) -> list[Effect]:
+        """Shed late requests whose callers will have left before their turn comes.
+
+        Explanation
+        ===========
+        It answers bursts beyond the pool's capacity: who can't be served is told at once when to
+        come back, instead of waiting in vain.
+        """
+        effects: list[Effect] = []
+        for waiting in reversed(late):
+            if waiting.is_gone or waiting.start_by == math.inf:
+                continue
+            tier = waiting.ticket.tier
+            ahead = sum(queue.count for queue in self.queue.tiers[: tier + 1])
+            wait_s = self.demand.tier_wait_s(ahead, tier, self.local_slots)
+            if wait_s > HOPELESS_RATIO * (waiting.start_by - now):
+                self.log.check_shed(waiting)
+                effects.append(self._refuse(waiting, WAIT_TOO_LONG, now))
+        return effects
+
+    def _is_late(self, waiting: Waiting, cached: float, now: float) -> bool:
+        return self.watch.latest_start(waiting, cached) <= now
+
+    def _shed_excess(self, now: float) -> list[Effect]:
+        """Shed what exceeds the queue's limit, from the lowest waiting tier."""
+        effects: list[Effect] = []
+        while len(self.queue) > self.pool.max_waiting:
+            waiting = self._victim()
+            check_capacity_shed(self.queue, waiting, self.log)
+            is_for_upper = self.newest_tier < waiting.ticket.tier
+            effects.append(self._refuse(waiting, EVICTED if is_for_upper else QUEUE_FULL, now))
+        return effects
+
+    def _victim(self) -> Waiting:
+        return self.queue.tiers[self.queue.lowest_tier()].last()
+
+    def _shed_all(self, code: Code, now: float) -> list[Effect]:
+        """Shed all waiting requests, lowest tier first."""
+        effects: list[Effect] = []
+        for queue in reversed(self.queue.tiers):
+            for waiting in list(queue.all()):
+                check_capacity_shed(self.queue, waiting, self.log)
+                effects.append(self._refuse(waiting, code, now))
+        return effects
+
+    def _refuse(self, waiting: Waiting, code: Code, now: float) -> Send:
+        ticket = waiting.ticket
+        self.queue.remove(waiting)
+        retry_after_s = self._retry_after_s(ticket.tier)
+        refusal = Refuse(ticket.pool, ticket.request, code.number, retry_after_s)
+        self.ended.add(ticket.request, refusal, now)
+        return Send(ticket.entry, refusal)
+
+    def _retry_after_s(self, tier: int) -> float:
+        """Return the seconds after which a refused request may find room."""
+        if not self.is_wide:
+            wait_s = self.demand.expected_wait_s(len(self.queue), self.local_slots)
+            return min(LONGEST_RETRY_AFTER_S, max(RETRY_AFTER_S, wait_s))
+        ahead = sum(queue.count for queue in self.queue.tiers[: tier + 1])
+        wait_s = self.demand.tier_wait_s(ahead, tier, self.local_slots)
+        wait_s = min(WIDE_LONGEST_RETRY_S, max(WIDE_RETRY_AFTER_S, wait_s))
+        return wait_s * (1.0 + RETRY_SPREAD * self.rng.random())
--- /dev/null
+++ b/mulberrygate/schedule/wide.py
@@ -0,0 +1,27 @@
+"""Rules of wide pools, whose endpoints in all failure domains are used on equal terms.
+
+They answer bursts beyond the capacity of engines that differ by a factor of four in speed.
+"""
+
+from __future__ import annotations
+
+# Over many endpoints a slot becomes free every few hundredths of a second, so no slots are reserved
+# for upper tiers, and a long request doesn't stand behind short ones.
+WIDE_LENGTH_WEIGHT_S = 0.0
+# A request is told to come back if the expected wait is this many times its caller's patience.
+HOPELESS_RATIO = 2.5
+# Urgencies of client accounts and, within each, of routes.
+WIDE_TIERS = 12
+# Bursts last a few seconds.
+WIDE_MEMORY_S = 2.5
+WIDE_RETRY_AFTER_S = 0.5
+WIDE_LONGEST_RETRY_S = 4.0
+# Faults of endpoints that took a request; one that is up answers or breaks off, and says nothing of
+# the next request.
+RUN_FAULTS = ("error", "cut")
+# A new connection is all that it costs to find out whether an endpoint is back.
+WIDE_LONGEST_BLOCK_S = 1.0
+# Calls of plain services take hundredths of a second, so an older load says nothing.
+WIDE_LOAD_REPORT_LIMIT_S = 0.5
+# An endpoint counts as fast up to this ratio of the least seconds per token.
+FAST_RATIO = 1.5
