Let requests wait a moment for units of their account

Cause: after a restart of everything all callers come at once, and requests of accounts within their limits were refused (164 to 239 answers 429 in the first two seconds).

--- a/mulberrygate/forward/limits.py
+++ b/mulberrygate/forward/limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from mulberrygate.catalog import ClientAccount
@@ -14,6 +15,7 @@
 # After a question without an answer the next requests don't wait for the leader.
 AVOID_LEADER_S = 0.5
 NO_SHARE_RETRY_S = 0.6
+LONGEST_SHAPING_S = 0.6
 # Part of the slack of a limit that entries may hold in advance, all together.
 ADVANCE_PART = 0.4
 
@@ -55,8 +57,31 @@
         """Units that this entry may hold in advance of one account."""
         return self.slack * ADVANCE_PART / max(self.entries, 1)
 
-    async def take(self, account: ClientAccount, units: float) -> Refused | None:
-        """Spend units of an account; return why that is refused."""
+    async def take(
+        self, account: ClientAccount, units: float, patience_s: float = 0.0
+    ) -> Refused | None:
+        """Spend units of an account; return why that is refused.
+
+        Explanation
+        ===========
+        After a restart, all callers of an account come at once. Who would be within the limit a
+        moment later waits for it, instead of being sent away.
+
+        Parameters
+        ==========
+        patience_s : float
+            Seconds for which the request may wait for its units.
+        """
+        end = self.clock() + min(patience_s, LONGEST_SHAPING_S)
+        while True:
+            refused = await self._take_now(account, units)
+            if refused is None or refused.code is not codes.OVER_LIMIT:
+                return refused
+            if self.clock() + refused.retry_after_s > end:
+                return refused
+            await asyncio.sleep(refused.retry_after_s)
+
+    async def _take_now(self, account: ClientAccount, units: float) -> Refused | None:
         now = self.clock()
         if self.units.take(account.name, units, now):
             return None
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -32,6 +32,8 @@
 # Part of a caller's patience that a request may wait for an endpoint; the rest is for the endpoint.
 PATIENCE_PART = 0.8
 LOST_REFUSAL_S = 0.1
+# Part of a caller's patience that a request may wait for units of its account.
+SHAPING_PART = 0.25
 
 
 class Forwarder:
@@ -216,7 +218,8 @@
             return None
         tokens = call.head.prompt_tokens + call.head.output_tokens
         call.units = (tokens or account.plain_tokens) if account.counts_tokens else 1.0
-        return await self.limits.take(account, call.units)
+        patience_s = SHAPING_PART * (call.ends_at - call.received_at)
+        return await self.limits.take(account, call.units, patience_s)
 
     def ticket(self, call: Call, number: int, avoid: tuple[str, ...]) -> Ticket:
         """Return the ticket under which a request waits."""
--- /dev/null
+++ b/mulberrygate/forward/tests/test_account_limits.py
@@ -0,0 +1,75 @@
+"""Tests of the limits of client accounts at an entry."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from mulberrygate.catalog import ClientAccount
+from mulberrygate.forward import codes
+from mulberrygate.forward.limits import AccountLimits
+from mulberrygate.peers.client import Unreachable
+from mulberrygate.quota import CentralLimits, Limit
+from mulberrygate.sync.messages import Units
+
+ACCOUNT = ClientAccount("x", ("k",), rate=100.0, burst=10.0)
+
+
+class Leader:
+    """Leader whose answers may be lost."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.limits = CentralLimits()
+        self.limits.set_limits({"x": Limit(ACCOUNT.rate, ACCOUNT.burst)}, clock())
+        self.is_reachable = True
+        self.asked = 0
+        self.client = self
+
+    async def call(self, _instance, message, _timeout_s):
+        """Answer a question."""
+        self.asked += 1
+        if not self.is_reachable:
+            return Unreachable("leader", "test")
+        granted = self.limits.ask("e", "x", message.need, message.advance, self.clock())
+        return Units(True, granted.units, granted.wait_s, granted.share)
+
+
+class TestAccountLimits(unittest.IsolatedAsyncioTestCase):
+    """Waiting for units, and the time without a leader."""
+
+    async def asyncSetUp(self):
+        clock = asyncio.get_running_loop().time
+        self.leader = Leader(clock)
+        self.limits = AccountLimits("e", self.leader, lambda: "leader", 0.0, clock)
+
+    async def test_request_waits_for_units_that_come_soon(self):
+        """After a restart all callers came at once, and many were refused."""
+        self.assertIsNone(await self.limits.take(ACCOUNT, 20.0))
+        self.assertIsNone(await self.limits.take(ACCOUNT, 20.0, patience_s=5.0))
+
+    async def test_request_without_patience_is_refused_at_once(self):
+        """A request was held although its caller had no time for it."""
+        self.assertIsNone(await self.limits.take(ACCOUNT, 20.0))
+        refused = await self.limits.take(ACCOUNT, 20.0, patience_s=0.01)
+        self.assertIs(refused.code, codes.OVER_LIMIT)
+        self.assertGreater(refused.retry_after_s, 0)
+
+    async def test_account_far_over_its_limit_is_refused(self):
+        """Requests of an account far beyond its limit were held for seconds."""
+        self.assertIsNone(await self.limits.take(ACCOUNT, 1000.0))
+        refused = await self.limits.take(ACCOUNT, 20.0, patience_s=60.0)
+        self.assertIs(refused.code, codes.OVER_LIMIT)
+        self.assertEqual(self.leader.asked, 2)
+
+    async def test_leader_that_does_not_answer_is_avoided(self):
+        """Each request waited for a leader that had ended."""
+        self.leader.is_reachable = False
+        for _ in range(3):
+            refused = await self.limits.take(ACCOUNT, 1.0)
+            self.assertIs(refused.code, codes.NO_SHARE)
+        self.assertEqual(self.leader.asked, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
