--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -463,9 +463,18 @@
 
     # Version moves
 
-    def knows_pool(self, pool: str) -> bool:
-        """Return whether the catalog in force has a pool."""
-        return self.catalog is not None and any(p.name == pool for p in self.catalog.pools)
+    async def has_pool(self, pool: str) -> bool | None:
+        """Return whether the newest catalog has a pool, ``None`` if that is not certain."""
+        if self.catalog is not None and any(p.name == pool for p in self.catalog.pools):
+            return True
+        # This process may not have the newest catalog yet.
+        latest = await self.read_latest()
+        if not latest.is_certain:
+            return None
+        if not latest.catalog:
+            return False
+        catalog = self.decode(zlib.decompress(latest.catalog))
+        return any(p.name == pool for p in catalog.pools)
 
     async def begin_move(self, pool: str, target: str, duration_s: float) -> bool:
         """Begin a version move; return whether it is entered for certain."""
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -102,7 +102,9 @@
             duration_s = float(fields["durationS"])
         except (ValueError, KeyError, TypeError) as error:
             return answer(400, {"error": f"{type(error).__name__}: {error}"})
-        is_known = self.controller.knows_pool(pool)
+        is_known = await self.controller.has_pool(pool)
+        if is_known is None:
+            return answer(503)
         if not is_known:
             return answer(404, {"error": f"unknown service {pool!r}"})
         is_accepted = await self.controller.begin_move(pool, target, duration_s)
