--- a/mulberrygate/control/rollouts.py
+++ b/mulberrygate/control/rollouts.py
@@ -35,17 +35,16 @@
 
     Parameters
     ==========
-    exposure_share, exposure_slack : float
-        Requests that a bad version may get in all: this share of the pool's, plus the slack.
+    exposure_share : float
+        Share of the pool's requests that a bad version may get.
     """
 
-    def __init__(self, exposure_share: float, exposure_slack: float):
+    def __init__(self, exposure_share: float):
         self.early_share = exposure_share * EARLY_PART
-        self.exposure_slack = exposure_slack
         self.counts: dict[str, dict[str, Counts]] = {}
         self.numbers: dict[tuple[str, int, str, str], int] = {}
 
-    def restart(self, now: float) -> None:
+    def restart(self) -> None:
         """Forget the evidence of an earlier leadership."""
         self.counts.clear()
         self.numbers.clear()
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -27,9 +27,9 @@
 )
 from mulberrygate.control.rollouts import RolloutJudge
 from mulberrygate.core.timers import TimerService
+from mulberrygate.daemon.placement import Placement, SiteView
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.endpoints.roster import Heard, Registration, Roster
-from mulberrygate.forward.placing import Placement, SiteView
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import CentralLimits, Limit
@@ -116,7 +116,7 @@
         self.unshared: set[str] = set()
         self.unshared_renewals: set[str] = set()
         self.limits: CentralLimits | None = None
-        self.judge = RolloutJudge(site.bounds.exposure_share, site.bounds.exposure_slack)
+        self.judge = RolloutJudge(site.bounds.exposure_share)
         self.evidence = EvidenceReports(self.roster)
         self.placement: Placement | None = None
         self.crashing: dict[str, Crashing] = {}
@@ -265,7 +265,7 @@
         if role is Role.LEADER:
             self.limits = CentralLimits()
             self._set_limits()
-            self.judge.restart(self.timers.now())
+            self.judge.restart()
         else:
             self.limits = None
         self._announce()
--- a/mulberrygate/daemon/gateway.py
+++ b/mulberrygate/daemon/gateway.py
@@ -10,11 +10,11 @@
 from mulberrygate.catalog import CatalogIndex
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.http_site import HttpSite, split_address
+from mulberrygate.daemon.placement import Placement, SiteView
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.entry.tickets import SchedulerClient
 from mulberrygate.forward.limits import AccountLimits
-from mulberrygate.forward.placing import Placement, SiteView
 from mulberrygate.forward.service import Forwarder
 from mulberrygate.forward.suspects import Suspects
 from mulberrygate.observe.jsonlines import JsonLines
--- a/mulberrygate/endpoints/tests/test_roster.py
+++ b/mulberrygate/endpoints/tests/test_roster.py
@@ -4,6 +4,10 @@
 
 import unittest
 
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from mulberrygate.endpoints.roster import Registration, Roster
 
 
@@ -83,5 +87,65 @@
         self.assertEqual(self.roster.rows["e1"].heard_at, 10.0)
 
 
+REPORTS = st.lists(
+    st.builds(
+        report,
+        name=st.sampled_from(["e1", "e2"]),
+        incarnation=st.integers(1, 3),
+        sequence=st.integers(1, 6),
+        is_leaving=st.booleans(),
+    ),
+    max_size=25,
+)
+
+
+def place(registration):
+    """Return a report with an address of the endpoint's own."""
+    return attrs.evolve(registration, address=f"10.0.0.{registration.endpoint[1:]}:80")
+
+
+class TestOrder(unittest.TestCase):
+    """Reports that come in any order, more than once, by way of several processes."""
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(REPORTS, st.randoms(use_true_random=False))
+    def test_copies_agree_on_the_newest_report(self, reports, rng):
+        """Two processes that had heard the same reports disagreed on an endpoint."""
+        reports = [place(registration) for registration in reports]
+        newest = {}
+        for registration in reports:
+            # A report is sent once, so of two with one order the first one counts.
+            newest.setdefault((registration.endpoint, registration.order), registration)
+        reports = list(newest.values())
+        copies = []
+        for _ in range(2):
+            rng.shuffle(reports)
+            roster = Roster()
+            for number, registration in enumerate(reports + reports[::2]):
+                roster.hear(registration, float(number))
+            copies.append({n: row.registration for n, row in roster.rows.items()})
+        self.assertEqual(copies[0], copies[1])
+        for name, registration in copies[0].items():
+            orders = [other.order for other in reports if other.endpoint == name]
+            self.assertEqual(registration.order, max(orders))
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(REPORTS, st.integers(0, 24))
+    def test_incarnation_that_leaves_takes_no_work_again(self, reports, at):
+        """A report that came after an endpoint's leaving brought it back."""
+        roster = Roster()
+        left = set()
+        for number, registration in enumerate(place(item) for item in reports):
+            if number == at:
+                for name, row in roster.rows.items():
+                    roster.end(name, row.registration.incarnation)
+                    left.add((name, row.registration.incarnation))
+            roster.hear(registration, float(number))
+            for row in roster.usable("care"):
+                known = row.registration
+                self.assertNotIn((known.endpoint, known.incarnation), left)
+                self.assertFalse(known.is_leaving)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
 
 import aiohttp
 from aiohttp import hdrs
@@ -153,9 +152,3 @@
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
-
-
-def has_length(response: Any) -> bool:
-    """Return whether an answer's head states where its body ends."""
-    headers = response.headers
-    return hdrs.CONTENT_LENGTH in headers or hdrs.TRANSFER_ENCODING in headers
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -27,8 +27,6 @@
         Size of a model request, 0 for others; the output is an upper limit.
     expected_tokens : int
         Caller's estimate of the output tokens, 0 for none.
-    parts : tuple[tuple[str, int], ...]
-        Identifier and tokens of each part of the prompt, in order.
     last_event : str
         Event after which a stream is to go on, empty for its start.
     """
@@ -42,7 +40,6 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     expected_tokens: int = 0
-    parts: tuple[tuple[str, int], ...] = ()
     last_event: str = ""
 
 
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -16,7 +16,6 @@
 from mulberrygate.forward.delivery import Delivery
 from mulberrygate.forward.exchange import EndpointClient
 from mulberrygate.forward.limits import AccountLimits
-from mulberrygate.forward.placing import Placement
 from mulberrygate.forward.request import Call, Dialect, Refused
 from mulberrygate.forward.suspects import Suspects
 from mulberrygate.observe.jsonlines import JsonLines
@@ -48,13 +47,15 @@
     ==========
     dialect : Dialect
         Protocol of callers and endpoints.
+    placement : Placement
+        Pools in force and the endpoints of the roster; see `mulberrygate.daemon.placement`.
     """
 
     def __init__(
         self,
         site,
         dialect: Dialect,
-        placement: Placement,
+        placement: Any,
         scheduler: SchedulerClient,
         limits: AccountLimits,
         suspects: Suspects,
--- a/mulberrygate/platform/documents.py
+++ b/mulberrygate/platform/documents.py
@@ -126,7 +126,6 @@
     engine = fields.get("engine") or {}
     return BackendPool(
         name=_text(fields, "name"),
-        max_connections=int(_number(fields, "maxConnections", 0)),
         is_engine=bool(engine),
         slots=int(_number(engine, "slots", 0)),
         kv_tokens=int(_number(engine, "kvCapacityTokens", 0)),
--- a/mulberrygate/platform/headers.py
+++ b/mulberrygate/platform/headers.py
@@ -16,8 +16,6 @@
 TOKEN_COUNT = PREFIX + "Token-Count"
 # Caller's estimate of the output tokens.
 LENGTH_HINT = PREFIX + "Length-Hint"
-# Parts of the prompt in order, as ID:TOKENS.
-PREFIX_HASH = PREFIX + "Prefix-Hash"
 EXPECT_INSTANCE = PREFIX + "Expect-Instance"
 # Name of the client account.
 TENANT = PREFIX + "Tenant-Id"
@@ -70,15 +68,6 @@
     return int(text) if text and text.isascii() and text.isdigit() else 0
 
 
-def _parts(text: str | None) -> tuple[tuple[str, int], ...]:
-    parts = []
-    for item in (text or "").split(","):
-        name, _, tokens = item.strip().partition(":")
-        if name:
-            parts.append((name, _whole(tokens)))
-    return tuple(parts)
-
-
 def _named_by_connection(headers: Any) -> set[str]:
     """Return the headers that a message's ``Connection`` header names."""
     names: set[str] = set()
@@ -107,7 +96,6 @@
             prompt_tokens=_whole(prompt.strip()),
             output_tokens=_whole(output.strip()),
             expected_tokens=_whole(headers.get(LENGTH_HINT)),
-            parts=_parts(headers.get(PREFIX_HASH)),
             last_event=headers.get(LAST_EVENT, ""),
         )
 
--- a/mulberrygate/platform/settings.py
+++ b/mulberrygate/platform/settings.py
@@ -27,27 +27,19 @@
     stop_s : float
         Seconds between SIGTERM and SIGKILL.
     retry_ratio, retry_slack : float
-        Sends beyond the first that all entries together may make to a pool in ``retry_window_s``
-        seconds: this share of its requests, plus the slack.
+        Sends beyond the first that all entries together may make to a pool in a window: this share
+        of its requests, plus the slack.
     quota_slack : float
         Units by which a client account may pass its limit in a window.
-    quota_overage : float
-        Share of its limit by which a client account may pass it besides.
-    drain_s : float
-        Seconds in which entries stop sending to an endpoint whose leaving was acknowledged.
-    exposure_share, exposure_slack : float
-        Requests that a bad version may get in a move: this share of all, plus the slack.
+    exposure_share : float
+        Share of a pool's requests that a bad version may get in a move.
     """
 
     stop_s: float = 8.0
     retry_ratio: float = 0.2
     retry_slack: float = 20.0
-    retry_window_s: float = 10.0
     quota_slack: float = 0.0
-    quota_overage: float = 0.0
-    drain_s: float = 2.5
     exposure_share: float = 0.1
-    exposure_slack: float = 50.0
 
 
 @attrs.frozen
@@ -71,8 +63,6 @@
         Whether the whole system starts for the first time, with empty disks.
     data_folder : str
         Folder on the instance's disk, empty without one.
-    memory_mb : int
-        Memory over which the process is killed.
     voters : int
         Voters that are needed to bear the losses that the deployment names.
     """
@@ -89,7 +79,6 @@
     seeds: tuple[str, ...]
     is_first_start: bool
     data_folder: str
-    memory_mb: int
     voters: int
     bounds: Bounds
 
@@ -151,7 +140,6 @@
         seeds=tuple(str(seed).rpartition(":")[0] for seed in fields["seeds"]),
         is_first_start=fields.get("bootstrap") is True,
         data_folder=fields.get("dataDir") or "",
-        memory_mb=int(fields.get("limits", {}).get("memoryMb", 256)),
         voters=2 * int(fields.get("faultTolerance", {}).get("machines", 1)) + 1,
         bounds=_decode_bounds(fields.get("bounds", {})),
     )
@@ -163,12 +151,8 @@
         stop_s=float(fields.get("graceS", usual.stop_s)),
         retry_ratio=float(fields.get("retryBudgetRatio", usual.retry_ratio)),
         retry_slack=float(fields.get("retryBudgetSlack", usual.retry_slack)),
-        retry_window_s=float(fields.get("budgetWindowS", usual.retry_window_s)),
         quota_slack=float(fields.get("quotaSlack", usual.quota_slack)),
-        quota_overage=float(fields.get("quotaOverage", usual.quota_overage)),
-        drain_s=float(fields.get("drainMs", usual.drain_s * 1000)) / 1000,
         exposure_share=float(fields.get("exposureShare", usual.exposure_share)),
-        exposure_slack=float(fields.get("exposureSlack", usual.exposure_slack)),
     )
 
 
