Close connections whose first request does not come

Cause: the HTTP library waits for ever for the first head of a connection. Test: a caller that sends half a head kept its connection; with the change it is closed after the idle time.

--- a/mulberrygate/daemon/gateway.py
+++ b/mulberrygate/daemon/gateway.py
@@ -34,6 +34,7 @@
 PROGRESS_S = 0.4
 FLUSH_S = 0.1
 POOLS_LOG_S = 1.0
+SILENT_CHECK_S = 1.0
 
 
 def boot_time() -> float:
@@ -137,6 +138,9 @@
         host, port = split_address(self.site.entry_address)
         self.http = HttpSite(self.forwarder.handle, host, port, cancels=True)
         await self.http.start()
+        self.timers.every(
+            SILENT_CHECK_S, lambda: self.http.close_silent(self.timers.now()), "http.silent"
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/mulberrygate/daemon/http_site.py
+++ b/mulberrygate/daemon/http_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from aiohttp import web
 
@@ -34,6 +35,10 @@
         self.host = host
         self.port = port
         self.busy: set = set()
+        self.limits = RequestLimits()
+        # Connections on which no request has come yet, with the time at which they were first seen.
+        self.silent: dict[Any, float] = {}
+        self.served: set = set()
         self.server = web.Server(
             self._handle,
             handler_cancellation=cancels,
@@ -46,6 +51,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.busy.add(request.protocol)
+        self.served.add(request.protocol)
         try:
             return await self.handler(request)
         finally:
@@ -60,8 +66,33 @@
 
     def set_limits(self, limits: RequestLimits) -> None:
         """Take the limits of a catalog for new connections."""
+        self.limits = limits
         self.server._kwargs["keepalive_timeout"] = limits.idle_timeout_s
 
+    def close_silent(self, now: float) -> None:
+        """Close connections whose first request does not come.
+
+        Explanation
+        ===========
+        The server itself closes kept connections that stay idle, but waits for ever for the first
+        head of a connection, so callers that send nothing or a byte a second could take all
+        descriptors.
+
+        Parameters
+        ==========
+        now : float
+            Monotonic time in seconds.
+        """
+        connections = self.server.connections
+        self.served.intersection_update(connections)
+        waiting = [item for item in connections if item not in self.served]
+        self.silent = {item: self.silent.get(item, now) for item in waiting}
+        limit_s = max(self.limits.header_timeout_s, self.limits.idle_timeout_s)
+        for connection, since in list(self.silent.items()):
+            if now - since > limit_s:
+                del self.silent[connection]
+                connection.force_close()
+
     async def stop_listening(self) -> None:
         """Accept no further connections, and close kept ones once they have no request."""
         self.listener.close()
--- a/mulberrygate/forward/tests/test_service.py
+++ b/mulberrygate/forward/tests/test_service.py
@@ -258,6 +258,36 @@
             self.assertEqual(answer.status, 413)
         self.assertEqual(entry.endpoints[0].requests, [])
 
+    async def test_connection_without_a_request_is_closed(self):
+        """Callers that sent half a head kept their connections for ever."""
+        entry = await self.start(booking=[Endpoint("e", whole())])
+        async with entry.request("/plain/1") as answer:
+            await answer.read()
+        reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+        writer.write(b"POST /plain/1 HTTP/1.1\r\nHost: a.ex")
+        await writer.drain()
+        async with asyncio.timeout(5):
+            while len(entry.http.server.connections) < 2:  # noqa: ASYNC110 (no event tells)
+                await asyncio.sleep(0)
+        limit_s = entry.http.limits.idle_timeout_s
+        entry.http.close_silent(100.0)
+        entry.http.close_silent(100.0 + limit_s)
+        self.assertEqual(len(entry.http.server.connections), 2)
+        entry.http.close_silent(100.1 + limit_s)
+        try:
+            self.assertEqual(await reader.read(), b"")
+        except ConnectionResetError:
+            pass
+        self.assertEqual(len(entry.http.server.connections), 1)
+        writer.close()
+
+    async def test_head_that_is_too_long(self):
+        """A head of any length was taken into memory."""
+        entry = await self.start(booking=[Endpoint("e", whole())])
+        async with entry.request("/plain/1", X_Long="x" * 40_000) as answer:
+            self.assertEqual(answer.status, 400)
+        self.assertEqual(entry.endpoints[0].requests, [])
+
     async def test_planned_stop_closes_idle_connections(self):
         """An idle connection stayed open in a planned stop, and requests on it got no answer."""
         entry = await self.start(booking=[Endpoint("e", whole())])
