Start a voter again whose disk was full

The next loss of a control process would have stopped the group. Test: test_full_disk of daemon.tests.test_site.

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -58,6 +58,7 @@
 ELECTION_TIMEOUT_S = 0.45
 HEARTBEAT_S = 0.12
 DUTY_S = 0.1
+VOTER_CHECK_S = 1.0
 POOLS_LOG_S = 1.0
 # Endpoints report every second or so, and a report may be late by seconds.
 SILENT_S = 4.5
@@ -153,6 +154,7 @@
         await self._open_voter()
         await self.peers.start()
         self.timers.every(DUTY_S, self._do_duties, "duties")
+        self.timers.every(VOTER_CHECK_S, self._reopen_voter, "voter")
         self.timers.every(SHARE_S, self._share_renewals, "share")
         self.timers.every(POOLS_LOG_S, lambda: self.placement.log_pools(self.lines), "pools")
 
@@ -182,6 +184,25 @@
         self.log.service = service
         service.on_role.append(self._on_role)
 
+    async def _reopen_voter(self) -> None:
+        """Start a voter again whose disk failed, as a restart of the process would.
+
+        Explanation
+        ===========
+        A full disk stops the voter. It is the same disk when it takes writes again, and without
+        this voter the group would not bear the next loss.
+        """
+        service = self.log.service
+        if self.is_stopping or (service is not None and not service.failure):
+            return
+        self.log.service = None
+        if service is not None:
+            await service.close()
+        self.machine = CatalogMachine(self._on_machine)
+        self.log.machine = self.machine
+        await self._open_voter()
+        self.lines.note("voter.reopened", is_open=self.log.service is not None)
+
     async def stop(self) -> None:
         """Hand over leadership and stop."""
         self.is_stopping = True
--- a/mulberrygate/daemon/tests/test_site.py
+++ b/mulberrygate/daemon/tests/test_site.py
@@ -248,6 +248,20 @@
         await self.site.put(2)
         self.assertEqual(await self.site.read(lost), 2)
 
+    async def test_full_disk(self):
+        """A voter whose disk was full for a while stayed out; the next loss was one too many."""
+        await self.site.put(1)
+        full = next(name for name in CONTROLS if name != self.site.leader())
+        controller = self.site.nodes[full].controller
+        controller.log.service.storage.failure = "no space left"
+        await self.site.put(2)
+        await self.site.until(lambda: controller.lines.of("voter.reopened"))
+        await self.site.until(lambda: controller.machine.version == 2)
+        other = next(n for n in CONTROLS if n not in (full, self.site.leader()))
+        await self.site.crash(other)
+        await self.site.put(3)
+        self.assertEqual(await self.site.read(full), 3)
+
     async def test_all_processes_killed_at_once(self):
         """After the end of all control processes the newest document was gone."""
         for version in range(1, 30):
