--- a/mulberrygate/daemon/gateway.py
+++ b/mulberrygate/daemon/gateway.py
@@ -32,6 +32,8 @@
 # An owner answers within a round trip between regions.
 ASK_TIMEOUT_S = 0.25
 PROGRESS_S = 0.4
+# Requests that wait at a former owner wait in vain.
+OWNER_CHECK_S = 0.1
 FLUSH_S = 0.1
 POOLS_LOG_S = 1.0
 SILENT_CHECK_S = 1.0
@@ -104,6 +106,7 @@
             self.timers,
             ask_timeout_s=ASK_TIMEOUT_S,
             progress_s=PROGRESS_S,
+            owner_check_s=OWNER_CHECK_S,
         )
         self.forwarder = Forwarder(
             site,
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -32,8 +32,6 @@
 
 # A waiting request is presented again after this time, in case a message was lost.
 REPEAT_S = 1.0
-# A change of owner is noticed within this time; requests that wait at the former one wait in vain.
-OWNER_CHECK_S = 0.1
 ASK_TIMEOUT_S = 0.5
 # Tokens received are reported this often, so that the owner sees which requests advance.
 PROGRESS_S = 1.0
@@ -117,6 +115,8 @@
         Seconds after which an owner counts as one that does not answer.
     progress_s : float
         Seconds between reports of the tokens received.
+    owner_check_s : float
+        Seconds within which a change of owner is noticed; 0 for the repetition of asks alone.
     """
 
     def __init__(
@@ -128,6 +128,7 @@
         timers: TimerService,
         ask_timeout_s: float = ASK_TIMEOUT_S,
         progress_s: float = PROGRESS_S,
+        owner_check_s: float = 0.0,
     ):
         self.ask_timeout_s = ask_timeout_s
         self.instance = instance
@@ -142,7 +143,8 @@
         peers.on(Grant, self.on_grant)
         peers.on(Refuse, self.on_refuse)
         timers.every(REPEAT_S, self.repeat, "tickets.repeat")
-        timers.every(OWNER_CHECK_S, self.check_owners, "tickets.owners")
+        if owner_check_s:
+            timers.every(owner_check_s, self.check_owners, "tickets.owners")
         timers.every(progress_s, self.report_progress, "tickets.progress")
 
     def owner(self, pool: str) -> str:
