--- /dev/null
+++ b/bench/class_floors.py
@@ -0,0 +1,78 @@
+"""Print what each kind of request earned on played days, beside the floor of its day.
+
+Run it with ``python -m bench.class_floors SITE_FILE ENTRY...``, where an entry is the identifier of
+a run, score or hunt in `journal/`, or a part of it. A hunt prints no floors; its entry in the
+journal has what each kind earned. Days without floors of their own are compared with the lowest
+floor of the site's days.
+"""
+
+from __future__ import annotations
+
+import argparse
+import glob
+import json
+import os
+import tomllib
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+# A day that just reaches its floor misses it with another seed.
+ROOM = 1.25
+
+
+def load_site(path: str) -> dict:
+    """Return the description of a deployment."""
+    with open(path, "rb") as file:
+        return tomllib.load(file)
+
+
+def load_entries(parts: list[str]) -> list[dict]:
+    """Return the journal's entries whose names contain one of the parts."""
+    entries = []
+    for path in sorted(glob.glob(os.path.join(ROOT, "journal", "*.json"))):
+        if any(part in os.path.basename(path) for part in parts):
+            with open(path, encoding="utf-8") as file:
+                entries.append(json.load(file))
+    return entries
+
+
+def floor_of(site: dict, name: str) -> tuple[float, str]:
+    """Return the floor of each kind of request on a day, and a mark if it isn't the day's own."""
+    floors = {day["name"]: day["floor_classes"][0] for day in site["day"] if "floor_classes" in day}
+    own = name.split(" --")[0]
+    if own in floors:
+        return floors[own], ""
+    return min(floors.values(), default=0.0), "*"
+
+
+def describe_day(site: dict, day: dict) -> str:
+    """Return one line on a day: each kind's part of its worth, the floor, and what was missed."""
+    floor, mark = floor_of(site, day["name"])
+    names = [item["name"] for item in site["classes"]]
+    cells = []
+    for name, worth in zip(names, day["by_class"], strict=False):
+        if worth is None:
+            continue
+        sign = "!!" if worth < floor else "!" if worth < ROOM * floor else ""
+        cells.append(f"{name} {worth:.3f}{sign}")
+    faults = [*sorted(day["rules"]), *day["short"]]
+    text = f"{day['name']:56} worth {day['G']:6.3f}  floor {floor:.2f}{mark:1}  {', '.join(cells)}"
+    return f"{text}  {'; '.join(faults)}" if faults else text
+
+
+def main() -> None:
+    """Print a line a day."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("site", help="file of the deployment")
+    parser.add_argument("entries", nargs="+", help="identifiers of journal entries")
+    options = parser.parse_args()
+    site = load_site(options.site)
+    for entry in load_entries(options.entries):
+        if entry["site"] != site["name"]:
+            continue
+        print(f"{entry['id']} on {entry['head'][:7]}: {entry['why']}")
+        for day in entry["days"]:
+            print("  " + describe_day(site, day))
+
+
+if __name__ == "__main__":
+    main()
