--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -164,12 +164,20 @@
             if not len(scheduler.queue) and not scheduler.running:
                 continue
             states = list(scheduler.states.values())
+            counts = scheduler.served.take_counts()
+            now = self.host.timers.now()
+            now = scheduler.settled_at
             lines.note(
                 "pool.state",
                 pool=pool,
                 is_owner=self.host.is_owner(pool),
                 waiting=[queue.count for queue in scheduler.queue.tiers],
                 late=[queue.late for queue in scheduler.queue.tiers],
+                asked=counts.asked,
+                granted=counts.granted,
+                granted_late=counts.late,
+                refused=counts.refused,
+                shares=[round(scheduler.served.share(t, now), 2) for t in range(scheduler.tiers)],
                 running=len(scheduler.running),
                 free=sum(max(0, state.slots - state.used) for state in states),
                 calls=work.calls,
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -55,6 +55,7 @@
     WIDE_MOST_HELD,
     Selection,
 )
+from mulberrygate.schedule.served import ServedShares
 from mulberrygate.schedule.shares import VersionShares
 from mulberrygate.schedule.shed import (
     DeadlineWatch,
@@ -157,6 +158,7 @@
         self.demand = Demand(WIDE_MEMORY_S if is_wide else MEMORY_S, self.tiers)
         self.watch = DeadlineWatch(predicts=not is_wide)
         self.log = GrantLog(self.tiers)
+        self.served = ServedShares(self.tiers)
         self.order = 0
         self.reserved = [0] * self.tiers
         self.top_tier = self.newest_tier = 0
@@ -403,6 +405,7 @@
         self.queue.add(waiting)
         self.newest_tier = ticket.tier
         self.demand.ask(ticket.tier, now)
+        self.served.ask(ticket.tier, now)
         if ticket.tier < self.top_tier:
             # Reserves have to follow at once when a more urgent tier appears.
             self.top_tier = ticket.tier
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -187,6 +187,7 @@
         self.queue.charge(ticket, waiting.cost)
         self.queue.remove(waiting)
         self.demand.grant(choice.run_s, now)
+        self.served.grant(ticket.tier, waiting.is_late, now)
         granted = Granted(
             ticket, state, state.view.version, now, waiting.cost, waiting.output, choice.cached
         )
--- /dev/null
+++ b/mulberrygate/schedule/served.py
@@ -0,0 +1,87 @@
+"""How many of each tier's requests were granted lately."""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.schedule.rate import Rate
+
+# Time constant of the shares. A burst lasts a few seconds, and what was served before it must not
+# count for long.
+SHARE_MEMORY_S = 10.0
+# Requests that count as served before any came, so that the first ones decide nothing.
+PRIOR_REQUESTS = 5.0
+
+
+@attrs.define
+class TierCounts:
+    """Requests of each tier since the last report.
+
+    Parameters
+    ==========
+    asked, granted, refused : list[int]
+    late : list[int]
+        Those granted when they could not be on time any more.
+    """
+
+    asked: list[int]
+    granted: list[int]
+    late: list[int]
+    refused: list[int]
+
+    @classmethod
+    def of_tiers(cls, tiers: int) -> TierCounts:
+        """Return counts of nothing."""
+        return cls([0] * tiers, [0] * tiers, [0] * tiers, [0] * tiers)
+
+
+class ServedShares:
+    """Share of each tier's requests that was granted lately, and counts for the log.
+
+    Explanation
+    ===========
+    A request counts as asked when it comes, so that what waits counts as not served.
+
+    Examples
+    ========
+    >>> from mulberrygate.schedule.served import ServedShares
+    >>> served = ServedShares(tiers=2)
+    >>> for number in range(15):
+    ...     served.ask(1, now=1.0)
+    >>> served.share(1, now=1.0)
+    0.25
+    >>> served.share(0, now=1.0)
+    1.0
+    """
+
+    def __init__(self, tiers: int):
+        self.tiers = tiers
+        self.asks = [Rate(SHARE_MEMORY_S) for _ in range(tiers)]
+        self.grants = [Rate(SHARE_MEMORY_S) for _ in range(tiers)]
+        self.counts = TierCounts.of_tiers(tiers)
+
+    def ask(self, tier: int, now: float) -> None:
+        """Count a request that came."""
+        self.asks[tier].add(now)
+        self.counts.asked[tier] += 1
+
+    def grant(self, tier: int, is_late: bool, now: float) -> None:
+        """Count a grant."""
+        self.grants[tier].add(now)
+        self.counts.granted[tier] += 1
+        self.counts.late[tier] += is_late
+
+    def refuse(self, tier: int) -> None:
+        """Count a refusal."""
+        self.counts.refused[tier] += 1
+
+    def share(self, tier: int, now: float) -> float:
+        """Return the share of a tier's requests that was granted."""
+        prior = PRIOR_REQUESTS / SHARE_MEMORY_S
+        granted = self.grants[tier].per_second(now) + prior
+        return min(1.0, granted / (self.asks[tier].per_second(now) + prior))
+
+    def take_counts(self) -> TierCounts:
+        """Return the counts since the last call."""
+        counts, self.counts = self.counts, TierCounts.of_tiers(self.tiers)
+        return counts
--- a/mulberrygate/schedule/shedding.py
+++ b/mulberrygate/schedule/shedding.py
@@ -92,6 +92,7 @@
     def _refuse(self, waiting: Waiting, code: Code, now: float, detail: str = "") -> Send:
         ticket = waiting.ticket
         self.queue.remove(waiting)
+        self.served.refuse(ticket.tier)
         retry_after_s = self._retry_after_s(ticket.tier)
         refusal = Refuse(ticket.pool, ticket.request, code.number, retry_after_s, detail)
         self.ended.add(ticket.request, refusal, now)
