--- a/mulberrygate/schedule/codes.py
+++ b/mulberrygate/schedule/codes.py
@@ -36,3 +36,13 @@
 DEADLINE_SHED_EARLY = register_code(
     9405, "deadline_shed_early", "A request was shed for its deadline while it could still meet it."
 )
+LATE_TIER_OVERTAKEN = register_code(
+    9406,
+    "late_tier_overtaken",
+    "A request went before a late one of an upper tier that had been served less often.",
+)
+TIER_NOT_STARVED = register_code(
+    9407,
+    "tier_not_starved",
+    "A request went before those of upper tiers although its tier was served as often as all.",
+)
--- a/mulberrygate/schedule/fair.py
+++ b/mulberrygate/schedule/fair.py
@@ -48,6 +48,7 @@
         "start_by",
         "key",
         "is_late",
+        "late_from",
         "passed_in",
     )
 
@@ -73,6 +74,8 @@
         # Position in its account's heap; an entry with another one is stale.
         self.key = 0.0
         self.is_late = False
+        # Order of the first grant after it became late.
+        self.late_from = math.inf
         # Number of the last dispatch that had no place for it.
         self.passed_in = -1
 
@@ -312,7 +315,7 @@
         if waiting.on_time_until < math.inf:
             heapq.heappush(self.on_time, (waiting.on_time_until, waiting.order, waiting))
 
-    def put_late_behind(self, now: float) -> list[Waiting]:
+    def put_late_behind(self, now: float, order: int) -> list[Waiting]:
         """Let requests that can be on time go before those that can't any more.
 
         Explanation
@@ -320,6 +323,11 @@
         In order of arrival a backlog makes every request late by the same time; in this order the
         requests that come during an overload are still answered on time while others wait.
 
+        Parameters
+        ==========
+        order : int
+            Position of the next grant.
+
         Returns
         =======
         list[Waiting]
@@ -330,6 +338,7 @@
             waiting = heapq.heappop(self.on_time)[2]
             if not waiting.is_gone:
                 self.tiers[waiting.ticket.tier].put_behind(waiting)
+                waiting.late_from = order
                 late.append(waiting)
         return late
 
--- /dev/null
+++ b/mulberrygate/schedule/precedence.py
@@ -0,0 +1,171 @@
+"""When requests of lower tiers go before those of upper tiers.
+
+Explanation
+===========
+It answers overloads in which the upper tiers alone could take all slots. Two rules, each with a
+bound kept from what the tiers were lately granted:
+
+- A late request takes as long to answer as a timely one and is worth a part of it. If all late
+  requests of upper tiers went first, a backlog of them would keep itself going after a burst, since
+  what comes meanwhile becomes late behind it. So timely requests of a tier go before late ones of
+  upper tiers, while it was granted less than `LEAST_RATIO` of the share of each of these.
+- In wide pools timely requests of a starved tier go before all others. A tier is starved that was
+  granted less than `STARVED_RATIO` of the share of all requests.
+
+With both, no upper tier is served less often than a lower one.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from mulberrygate.core.invariant import invariant
+from mulberrygate.schedule.codes import LATE_TIER_OVERTAKEN, TIER_NOT_STARVED
+from mulberrygate.schedule.fair import FairQueue, TierQueue, Waiting
+from mulberrygate.schedule.served import ServedShares
+
+# Share granted to a lower tier, as a part of the one granted to an upper tier, up to which its
+# timely requests go before late ones of the upper tier.
+LEAST_RATIO = 0.75
+# The users' rules allow no kind of request to be served less than a quarter as often as all.
+STARVED_RATIO = 1 / 3
+
+
+class Overtakes(enum.Enum):
+    """Requests of upper tiers before which a line goes."""
+
+    NONE = 0
+    LATE = 1
+    ALL = 2
+
+
+@attrs.frozen
+class Line:
+    """Requests of one tier that are examined together.
+
+    Parameters
+    ==========
+    is_late : bool or None
+        Only the late ones, only the timely ones, or both, the timely ones first.
+    """
+
+    tier: int
+    is_late: bool | None = None
+    overtakes: Overtakes = Overtakes.NONE
+
+    def count(self, queue: TierQueue) -> int:
+        """Return the number of requests in the line.
+
+        Parameters
+        ==========
+        queue : TierQueue
+            Requests of the line's tier.
+        """
+        if self.is_late is None:
+            return queue.count
+        return queue.late if self.is_late else queue.count - queue.late
+
+    def holds(self, waiting: Waiting) -> bool:
+        """Return whether a request is in the line."""
+        return waiting.ticket.tier == self.tier and self.is_late in (None, waiting.is_late)
+
+
+@attrs.frozen
+class Precedence:
+    """Tiers that go before requests of upper tiers.
+
+    Parameters
+    ==========
+    starved : tuple[int, ...]
+        Those whose timely requests go before all others.
+    last_ahead : int
+        Lowest tier whose timely requests go before late ones of upper tiers, with those of all
+        tiers above it; -1 for none.
+    """
+
+    starved: tuple[int, ...] = ()
+    last_ahead: int = -1
+
+    def lines(self, queue: FairQueue) -> list[Line]:
+        """Return the lines in the order in which they are examined."""
+        ahead = range(self.last_ahead + 1)
+        lines = [Line(tier, False, Overtakes.ALL) for tier in self.starved]
+        lines += [Line(tier, False, Overtakes.LATE) for tier in ahead]
+        lines += [Line(tier, True) for tier in ahead]
+        lines += [Line(tier) for tier in range(self.last_ahead + 1, len(queue.tiers))]
+        return [line for line in lines if line.count(queue.tiers[line.tier])]
+
+
+STRICT = Precedence()
+
+
+def find_precedence(
+    queue: FairQueue, served: ServedShares, has_starved: bool, now: float
+) -> Precedence:
+    """Return which tiers go before requests of upper tiers.
+
+    Parameters
+    ==========
+    has_starved : bool
+        Whether starved tiers go before all others.
+    """
+    starved = _starved(queue, served, now) if has_starved else ()
+    return Precedence(starved, _last_ahead(queue, served, now))
+
+
+def _starved(queue: FairQueue, served: ServedShares, now: float) -> tuple[int, ...]:
+    """Return `Precedence.starved`; none of them was granted more than a tier above it."""
+    least = STARVED_RATIO * served.share_of_all(now)
+    starved = []
+    for tier, waiting in enumerate(queue.tiers):
+        share = served.share(tier, now)
+        if share < least and waiting.count > waiting.late:
+            starved.append(tier)
+        least = min(least, share)
+    return tuple(starved)
+
+
+def _last_ahead(queue: FairQueue, served: ServedShares, now: float) -> int:
+    """Return `Precedence.last_ahead`.
+
+    Explanation
+    ===========
+    The timely requests of a tier in between go along, or a lower tier would overtake them; it ends
+    at the first tier that was granted as large a share as one above it with late requests.
+    """
+    last = -1
+    least_upper = 0.0
+    has_late = False
+    for tier, waiting in enumerate(queue.tiers):
+        if not waiting.count:
+            continue
+        share = served.share(tier, now)
+        if has_late and waiting.count > waiting.late:
+            if share >= least_upper:
+                break
+            if share < LEAST_RATIO * least_upper:
+                last = tier
+        if waiting.late:
+            least_upper = min(least_upper, share) if has_late else share
+            has_late = True
+    return last
+
+
+def check_precedence(line: Line, queue: FairQueue, served: ServedShares, now: float) -> None:
+    """Check at a grant that its line may overtake requests of upper tiers."""
+    if line.overtakes is Overtakes.NONE:
+        return
+    share = served.share(line.tier, now)
+    if line.overtakes is Overtakes.ALL:
+        all_share = served.share_of_all(now)
+        invariant(share < all_share, TIER_NOT_STARVED, f"tier {line.tier} is granted {share:.3f}")
+        return
+    for upper in range(line.tier):
+        if queue.tiers[upper].late:
+            invariant(
+                share < served.share(upper, now),
+                LATE_TIER_OVERTAKEN,
+                f"tier {line.tier} before late requests of tier {upper}",
+            )
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -44,6 +44,7 @@
     Running,
     Ticket,
 )
+from mulberrygate.schedule.precedence import STRICT
 from mulberrygate.schedule.prefix import PrefixIndex
 from mulberrygate.schedule.rate import Rate
 from mulberrygate.schedule.room import Room
@@ -159,6 +160,7 @@
         self.watch = DeadlineWatch(predicts=not is_wide)
         self.log = GrantLog(self.tiers)
         self.served = ServedShares(self.tiers)
+        self.precedence = STRICT
         self.order = 0
         self.reserved = [0] * self.tiers
         self.top_tier = self.newest_tier = 0
@@ -372,7 +374,7 @@
         waiting = self.queue.by_request
         if not waiting:
             return []
-        late = self.queue.put_late_behind(now)
+        late = self.queue.put_late_behind(now, self.order + 1)
         effects = self._shed_hopeless(late, now)
         effects += self._shed_late(now) if self.watch.is_due(now) else []
         if self.without_endpoint_since is not None and self._is_without_endpoint(now):
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -10,6 +10,13 @@
 from mulberrygate.schedule.endpoint import LOCAL, OTHER_DOMAIN, EndpointState, Granted
 from mulberrygate.schedule.fair import AccountQueue, TierQueue, Waiting
 from mulberrygate.schedule.messages import Grant
+from mulberrygate.schedule.precedence import (
+    STRICT,
+    Line,
+    Overtakes,
+    check_precedence,
+    find_precedence,
+)
 
 # Requests of one account that are examined when its first one can't use the endpoints with room.
 LOOK_AHEAD = 8
@@ -35,75 +42,96 @@
         """Grant waiting requests in order until none has a place."""
         effects: list[Effect] = []
         held: list[Waiting] = []
-        tiers = self.queue.tiers
-        tier = 0
-        self._begin_dispatch(now)
-        while tier < self.tiers:
-            queue = tiers[tier]
-            if not queue.count:
-                tier += 1
+        lines = self._begin_dispatch(now)
+        position = 0
+        while position < len(lines) and len(held) < self.most_held:
+            line = lines[position]
+            queue = self.queue.tiers[line.tier]
+            if not line.count(queue) or not self._has_room(line):
+                position += 1
                 continue
-            if not self._has_room(tier):
-                break
             # While a move's shares hold back all routes of a tier, lower tiers wait too; looking at
             # each request would take milliseconds with a long queue.
-            if self.shares.shares and not self._has_share(queue.routes, tier):
+            if self.shares.shares and not self._has_share(queue.routes, line):
                 break
-            found = self._next(queue, tier, held, now)
+            found = self._next(line, held, now)
             if found is not None:
-                effects.append(self._grant(*found, held, now))
+                effects.append(self._grant(line, *found, held, now))
                 if self.shares.shares:
                     # The grant changed what the shares allow to the requests passed over.
                     held.clear()
-                    self._begin_dispatch(now)
-                    tier = 0
+                    lines, position = self._begin_dispatch(now), 0
+                elif self.precedence != STRICT and self._find_precedence(now):
+                    lines, position = self.precedence.lines(self.queue), 0
                 continue
             # A lower tier is served only after every request of this one was examined.
-            if sum(waiting.ticket.tier == tier for waiting in held) < queue.count:
+            if sum(line.holds(waiting) for waiting in held) < line.count(queue):
                 break
-            tier += 1
+            position += 1
         self.passed_over = len(held)
         return effects
 
-    def _begin_dispatch(self, now: float) -> None:
-        """Measure once what holds for all requests of a dispatch."""
+    def _find_precedence(self, now: float) -> bool:
+        """Find the tiers that go before upper ones; return whether they have changed."""
+        before = self.precedence
+        self.precedence = find_precedence(self.queue, self.served, self.is_wide, now)
+        return self.precedence != before
+
+    def _begin_dispatch(self, now: float) -> list[Line]:
+        """Measure once what holds for all requests of a dispatch, and return their order."""
         self.dispatch += 1
-        if not self.is_wide:
-            return
+        self._find_precedence(now)
+        if self.is_wide:
+            self._measure_fast_waits(now)
+        return self.precedence.lines(self.queue)
+
+    def _measure_fast_waits(self, now: float) -> None:
+        """Measure how long fast endpoints need for what waits on time, by tier."""
         rate = self.fast_ends.per_second(now)
         on_time = 0
         for tier, queue in enumerate(self.queue.tiers):
             on_time += queue.count - queue.late
             self.fast_wait_s[tier] = on_time / rate if rate > 0 else math.inf
 
-    def _has_room(self, tier: int) -> bool:
+    def _may_queue(self, line: Line) -> bool:
+        """Return whether a line's requests may use queue positions of endpoints.
+
+        Explanation
+        ===========
+        While an urgent tier sends, only it may, since a request there delays those that come after
+        it. A tier that overtakes it needs them too, or it would never find a free slot.
+        """
+        if line.overtakes is Overtakes.ALL:
+            return True
+        return line.tier <= self.top_tier and not line.is_late
+
+    def _has_room(self, line: Line) -> bool:
         room = self.room
-        if room.free_slots[LOCAL] > self.reserved[tier]:
+        if room.free_slots[LOCAL] > self.reserved[line.tier]:
             return True
-        if tier <= self.top_tier and room.queues.items:
+        if room.queues.items and self._may_queue(line):
             return True
         reach = self.chooser.reach
         if reach == LOCAL:
             return False
         return any(room.free_slots[distance] for distance in range(OTHER_DOMAIN, reach + 1))
 
-    def _next(
-        self, queue: TierQueue, tier: int, held: list[Waiting], now: float
-    ) -> tuple[Waiting, Choice] | None:
-        """Return the next request of a tier that has a place, and add those passed over."""
+    def _next(self, line: Line, held: list[Waiting], now: float) -> tuple[Waiting, Choice] | None:
+        """Return the next request of a line that has a place, and add those passed over."""
+        tier, queue = line.tier, self.queue.tiers[line.tier]
         may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
-        may_queue = tier <= self.top_tier
+        may_queue = self._may_queue(line)
         has_shares = bool(self.shares.shares)
         chooser = self.chooser
         has_fast_room = chooser.has_fast_room(may_use_slots, may_queue)
         for waiting in self._in_order(queue, now):
-            if waiting.passed_in == self.dispatch:
+            if waiting.passed_in == self.dispatch or not line.holds(waiting):
                 continue
             if len(held) >= self.most_held:
                 return None
             waiting.passed_in = self.dispatch
             held.append(waiting)
-            if has_shares and not self._has_share((waiting.ticket.route,), tier):
+            if has_shares and not self._has_share((waiting.ticket.route,), line):
                 continue
             if not (has_shares or has_fast_room) and chooser.waits_for_fast(waiting, now):
                 continue
@@ -133,10 +161,10 @@
             late += (item for item in candidates if item.is_late)
         yield from late
 
-    def _has_share(self, routes: Iterable[str], tier: int) -> bool:
+    def _has_share(self, routes: Iterable[str], line: Line) -> bool:
         """Return whether the share of one of the routes allows a version that has room."""
-        may_use_slots = self.room.free_slots[LOCAL] > self.reserved[tier]
-        versions = self.chooser.open_versions(may_use_slots, tier <= self.top_tier)
+        may_use_slots = self.room.free_slots[LOCAL] > self.reserved[line.tier]
+        versions = self.chooser.open_versions(may_use_slots, self._may_queue(line))
         allowed = self.shares.is_allowed
         return any(allowed(route, version) for route in routes for version in versions)
 
@@ -177,13 +205,16 @@
             return 0.0
         return max(cached.values()) - 2 * max(cached.get(state.name, 0) for state in states)
 
-    def _grant(self, waiting: Waiting, choice: Choice, held: list[Waiting], now: float) -> Send:
+    def _grant(
+        self, line: Line, waiting: Waiting, choice: Choice, held: list[Waiting], now: float
+    ) -> Send:
         ticket, state = waiting.ticket, choice.state
         self.order += 1
-        if held:
+        if held and line.overtakes is not Overtakes.ALL:
             upper = [item for item in held if item.ticket.tier < ticket.tier]
             self.log.check_grant(upper, state, self.order, self.chooser, now)
-        self.log.add(ticket.tier, state.name, self.order)
+        check_precedence(line, self.queue, self.served, now)
+        self.log.add(ticket.tier, state.name, self.order, line.overtakes)
         self.queue.charge(ticket, waiting.cost)
         self.queue.remove(waiting)
         self.demand.grant(choice.run_s, now)
--- a/mulberrygate/schedule/served.py
+++ b/mulberrygate/schedule/served.py
@@ -81,6 +81,12 @@
         granted = self.grants[tier].per_second(now) + prior
         return min(1.0, granted / (self.asks[tier].per_second(now) + prior))
 
+    def share_of_all(self, now: float) -> float:
+        """Return the share of all requests that was granted."""
+        prior = PRIOR_REQUESTS / SHARE_MEMORY_S
+        granted = sum(rate.per_second(now) for rate in self.grants) + prior
+        return min(1.0, granted / (sum(rate.per_second(now) for rate in self.asks) + prior))
+
     def take_counts(self) -> TierCounts:
         """Return the counts since the last call."""
         counts, self.counts = self.counts, TierCounts.of_tiers(self.tiers)
--- a/mulberrygate/schedule/shed.py
+++ b/mulberrygate/schedule/shed.py
@@ -29,20 +29,31 @@
 )
 from mulberrygate.schedule.endpoint import LOCAL, EndpointState
 from mulberrygate.schedule.fair import FairQueue, Waiting
+from mulberrygate.schedule.precedence import Overtakes
 from mulberrygate.tables.model import TIERS
 
 
 class GrantLog:
-    """Last grant by tier and endpoint, to check that no lower tier was preferred."""
+    """Last grant by tier and endpoint, to check that no lower tier was preferred.
+
+    Explanation
+    ===========
+    Grants that went before late requests of upper tiers are kept apart, since they are no fault
+    towards requests that were late then. Those of starved tiers went before all others.
+    """
 
     def __init__(self, tiers: int = TIERS):
         self.tiers = tiers
         self.last: list[dict[str, int]] = [{} for _ in range(tiers)]
+        self.ahead: list[dict[str, int]] = [{} for _ in range(tiers)]
         self.newest = [0] * tiers
 
-    def add(self, tier: int, endpoint: str, order: int) -> None:
+    def add(self, tier: int, endpoint: str, order: int, overtakes: Overtakes) -> None:
         """Take note of a grant."""
-        self.last[tier][endpoint] = order
+        if overtakes is Overtakes.ALL:
+            return
+        grants = self.ahead if overtakes is Overtakes.LATE else self.last
+        grants[tier][endpoint] = order
         self.newest[tier] = order
 
     def check_grant(
@@ -65,7 +76,9 @@
         for tier in range(waiting.ticket.tier + 1, self.tiers):
             if self.newest[tier] < waiting.order:
                 continue
-            for name, order in self.last[tier].items():
+            ahead = self.ahead[tier].items()
+            grants = [*self.last[tier].items(), *(g for g in ahead if g[1] < waiting.late_from)]
+            for name, order in grants:
                 invariant(
                     order < waiting.order or excused.get(name, -1) >= order,
                     LOWER_TIER_ADMITTED,
@@ -74,7 +87,7 @@
 
     def forget(self, endpoint: str) -> None:
         """Forget an endpoint that is gone."""
-        for grants in self.last:
+        for grants in (*self.last, *self.ahead):
             grants.pop(endpoint, None)
 
 
--- /dev/null
+++ b/mulberrygate/schedule/tests/test_precedence.py
@@ -0,0 +1,152 @@
+"""Tests of the order between tiers while upper ones could take all slots."""
+
+from __future__ import annotations
+
+import unittest
+
+from mulberrygate.schedule.fair import FairQueue, Waiting
+from mulberrygate.schedule.precedence import STRICT, Line, Overtakes, find_precedence
+from mulberrygate.schedule.served import ServedShares
+from mulberrygate.schedule.tests.support import make_ticket, make_view
+from mulberrygate.schedule.tests.test_burst import KINDS, Burst
+from mulberrygate.schedule.tests.test_wide import WideBench
+
+TIERS = 4
+
+
+class Tiers:
+    """Waiting requests and granted shares by tier."""
+
+    def __init__(self):
+        self.queue = FairQueue(tiers=TIERS)
+        self.served = ServedShares(TIERS)
+        self.number = 0
+
+    def grant(self, tier, granted, asked=1000):
+        """Let a part of a tier's requests have been granted."""
+        for _ in range(asked):
+            self.served.ask(tier, 0.0)
+        for _ in range(granted):
+            self.served.grant(tier, False, 0.0)
+
+    def wait(self, tier, is_late=False):
+        """Add a waiting request."""
+        self.number += 1
+        ticket = make_ticket(f"r{self.number}", tier=tier, first_by_s=0.0 if is_late else 9.0)
+        self.queue.add(Waiting(ticket, 1.0, 9.0, self.number, 0.0, 1.0))
+        self.queue.put_late_behind(0.0, self.number)
+
+    def precedence(self, has_starved=False):
+        """Return the precedence of the tiers."""
+        return find_precedence(self.queue, self.served, has_starved, 0.0)
+
+
+class TestPrecedence(unittest.TestCase):
+    """Bounds within which requests of lower tiers go before those of upper tiers."""
+
+    def setUp(self):
+        self.tiers = Tiers()
+
+    def test_order_is_strict_while_nothing_is_late(self):
+        """Guards against a lower tier that overtakes timely requests of an upper one."""
+        self.tiers.grant(0, 900)
+        self.tiers.grant(1, 100)
+        self.tiers.wait(0)
+        self.tiers.wait(1)
+        self.assertEqual(self.tiers.precedence(), STRICT)
+
+    def test_timely_request_goes_before_late_one_of_an_upper_tier(self):
+        """Late requests of an upper tier kept a lower one out as long as one of them waited."""
+        self.tiers.grant(0, 900)
+        self.tiers.grant(1, 100)
+        self.tiers.wait(0, is_late=True)
+        self.tiers.wait(1)
+        lines = self.tiers.precedence().lines(self.tiers.queue)
+        self.assertEqual(lines, [Line(1, False, Overtakes.LATE), Line(0, True)])
+
+    def test_upper_tier_is_served_more_often_than_the_one_that_overtakes_it(self):
+        """Guards against a lower tier that is lifted by starving an upper one."""
+        self.tiers.grant(0, 500)
+        self.tiers.grant(1, 400)
+        self.tiers.wait(0, is_late=True)
+        self.tiers.wait(1)
+        self.assertEqual(self.tiers.precedence(), STRICT)
+
+    def test_tier_in_between_goes_along(self):
+        """Guards against a tier that overtakes a timely request of the one above it."""
+        self.tiers.grant(0, 900)
+        self.tiers.grant(1, 800)
+        self.tiers.grant(2, 100)
+        self.tiers.wait(0, is_late=True)
+        self.tiers.wait(1)
+        self.tiers.wait(2)
+        self.assertEqual(self.tiers.precedence().last_ahead, 2)
+
+    def test_tier_in_between_that_was_served_as_often_ends_the_order(self):
+        """Guards against a tier that goes along beyond the share of the one it overtakes."""
+        self.tiers.grant(0, 700)
+        self.tiers.grant(1, 800)
+        self.tiers.grant(2, 100)
+        self.tiers.wait(0, is_late=True)
+        self.tiers.wait(1)
+        self.tiers.wait(2)
+        self.assertEqual(self.tiers.precedence().last_ahead, -1)
+
+    def test_starved_tier_goes_first(self):
+        """Timely requests of upper tiers filled all slots, and the lowest tier got nothing."""
+        self.tiers.grant(0, 900)
+        self.tiers.grant(1, 100)
+        self.tiers.wait(0)
+        self.tiers.wait(1)
+        found = self.tiers.precedence(has_starved=True)
+        self.assertEqual(found.starved, (1,))
+        self.assertEqual(found.lines(self.tiers.queue)[0], Line(1, False, Overtakes.ALL))
+
+    def test_starved_tier_waits_while_one_above_it_is_served_less(self):
+        """Guards against a lower tier that is served more often than an upper one."""
+        self.tiers.grant(0, 900)
+        self.tiers.grant(1, 100)
+        self.tiers.grant(2, 110)
+        self.tiers.wait(1, is_late=True)
+        self.tiers.wait(2)
+        self.assertEqual(self.tiers.precedence(has_starved=True).starved, ())
+
+
+class TestAfterBurst(unittest.TestCase):
+    """Two seconds of a burst, and then traffic just beyond what the engines can take."""
+
+    def test_late_requests_of_an_upper_tier_do_not_keep_a_lower_one_out(self):
+        """A backlog of late requests kept itself going, and no timely tag was served for long."""
+        burst = Burst(engines=6, slots=15, rate=300.0, upper=0.0)
+        burst.play(4.0)
+        before = len(burst.kinds)
+        burst.rate = 170.0
+        burst.play(12.0)
+        names = list(burst.kinds)[before:]
+        shares = {}
+        for kind in (*KINDS, None):
+            asked = [name for name in names if kind in (burst.kinds[name], None)]
+            shares[kind] = sum(name in burst.grants for name in asked) / len(asked)
+        long_note, short_note, tag = (shares[kind] for kind in KINDS)
+        self.assertGreaterEqual(tag, 0.25 * shares[None])
+        self.assertGreaterEqual(short_note, tag)
+        self.assertGreaterEqual(long_note, short_note)
+
+    def test_late_request_that_was_overtaken_is_refused_when_its_time_is_over(self):
+        """Guards against a check that takes the allowed overtaking for a fault."""
+        bench = WideBench([make_view("a")])
+        bench.ask("running", tier=0)
+        for number in range(40):
+            bench.ask(f"lost{number}", tier=1, first_by_s=9.0)
+            bench.call("withdraw", f"lost{number}")
+        bench.ask("late", tier=0, first_by_s=0.2, start_by_s=3.0)
+        bench.advance(0.5)
+        bench.ask("fresh", tier=1, first_by_s=9.0)
+        bench.done("running")
+        self.assertIn("fresh", bench.grants)
+        bench.advance(4.0)
+        self.assertIn("late", bench.refused)
+
+
+if __name__ == "__main__":
+    unittest.main()
