--- a/mulberrygate/control/evidence.py
+++ b/mulberrygate/control/evidence.py
@@ -94,6 +94,13 @@
         """Return the number of requests that have a time."""
         return self.count - self.errors
 
+    def variance(self) -> float:
+        """Return the variance of the logarithm of normalised time; 0 for fewer than two times."""
+        timed = self.timed()
+        if timed < 2:
+            return 0.0
+        return max(0.0, self.square - self.total**2 / timed) / (timed - 1.0)
+
     def add(self, other: Sums) -> None:
         """Add other sums."""
         self.count += other.count
--- a/mulberrygate/control/rollouts.py
+++ b/mulberrygate/control/rollouts.py
@@ -36,6 +36,9 @@
 # test for a fault takes longer where only a part of the answers is slow.
 FAULT_ODDS = 50.0
 LEAST_ANSWERS = 20
+# Smallest ratio of the variances of times of a version of which a part of the answers is slow. One
+# that is slow in two of ten answers by a factor of six has three times the variance or more.
+LEAST_SPREAD = 2.5
 # Odds for a fault on one route from which the version doesn't take over.
 ROUTE_ODDS = 10.0
 # Bound of the probability with which a good version is called faulty. It is larger than for moves
@@ -65,6 +68,24 @@
     return "; ".join(texts)
 
 
+def spread_evidence(test: guard.StratumTest) -> float:
+    """Return the evidence in nats that a version's times vary no more than the former one's.
+
+    Explanation
+    ===========
+    A part of the answers that is slow moves the mean of the logarithms little and their variance
+    much. Engines that are unlike by themselves vary as much in both versions.
+    """
+    former, new = test.previous, test.new
+    if former.timed() < guard.MIN_BASELINE or new.timed() < 1:
+        return 0.0
+    variance = max(former.variance(), guard.MIN_VARIANCE) * guard.VARIANCE_MARGIN
+    sizes = new.timed() - 1.0
+    squares = new.variance() * sizes
+    excess = squares / (2.0 * variance) * (1.0 - 1.0 / LEAST_SPREAD)
+    return sizes / 2.0 * math.log(LEAST_SPREAD) - excess
+
+
 class RolloutJudge:
     """Judge version moves of pools from evidence of entries.
 
@@ -137,7 +158,8 @@
     def evidence_for(self, track: Track) -> float:
         """Return the evidence for a version in nats, negative if one of its routes has a fault."""
         start = guard.Acceptance()
-        whole = track.test.pooled().acceptance().since(start)
+        pooled = track.test.pooled()
+        whole = min(pooled.acceptance().since(start), spread_evidence(pooled))
         routes = track.test.routes().values()
         least = min((test.acceptance().since(start) for test in routes), default=0.0)
         return min(whole, least) if least < -math.log(ROUTE_ODDS) else whole
