--- a/bench/moves.py
+++ b/bench/moves.py
@@ -23,10 +23,12 @@
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 from mulberrygate.control.commands import AdvanceMove, ApplyTable, MoveState
-from mulberrygate.control.evidence import Evidence, EvidenceLedger, load_bucket, sums_of
-from mulberrygate.control.guard import LEADER_BUDGET, VersionGuard, VersionTest
+from mulberrygate.control.evidence import Evidence, EvidenceLedger, load_bucket
+from mulberrygate.control.guard import LEADER_BUDGET, VersionGuard
 from mulberrygate.control.moves import MoveController
 from mulberrygate.control.state import DONE, LATE, WITHDRAWN, ControlState
+from mulberrygate.control.versiontest import VersionTest
+from mulberrygate.core.sums import sums_of
 from mulberrygate.tables import Move, parse_table
 
 GOOD = ("none", "none_burst")
--- a/mulberrygate/control/evidence.py
+++ b/mulberrygate/control/evidence.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Sequence
 
 import attrs
 
+from mulberrygate.core.sums import Sums
 from mulberrygate.core.wire import message
 
 # Load fractions (running requests divided by slots of the endpoint) at which a bucket starts.
 LOAD_BUCKETS = (0.0, 0.5, 0.85)
-# Logarithms of normalised time are cut here (a factor of 20), so that one extreme request can't
-# decide a test.
-MAX_LOG_TIME = 3.0
 # Sums travel as integers of thousandths, which take 2 to 5 bytes in place of 9.
 SCALE = 1000
 # Bound of the cells' part of a message; cells that don't fit go with the next message.
@@ -73,49 +70,6 @@
     runs: tuple[tuple[int, ...], ...] = ()
 
 
-@attrs.define
-class Sums:
-    """Sums of requests.
-
-    Parameters
-    ==========
-    count, errors : float
-        Requests, and those of them that failed.
-    total, square : float
-        Sum and sum of squares of the logarithm of normalised time of the others.
-    """
-
-    count: float = 0.0
-    errors: float = 0.0
-    total: float = 0.0
-    square: float = 0.0
-
-    def timed(self) -> float:
-        """Return the number of requests that have a time."""
-        return self.count - self.errors
-
-    def variance(self) -> float:
-        """Return the variance of the logarithm of normalised time; 0 for fewer than two times."""
-        timed = self.timed()
-        if timed < 2:
-            return 0.0
-        return max(0.0, self.square - self.total**2 / timed) / (timed - 1.0)
-
-    def add(self, other: Sums) -> None:
-        """Add other sums."""
-        self.count += other.count
-        self.errors += other.errors
-        self.total += other.total
-        self.square += other.square
-
-    def decay(self, factor: float) -> None:
-        """Multiply all sums."""
-        self.count *= factor
-        self.errors *= factor
-        self.total *= factor
-        self.square *= factor
-
-
 def load_bucket(load_fraction: float) -> int:
     """Return the number of the load bucket of a load fraction.
 
@@ -128,15 +82,6 @@
     return sum(load_fraction >= start for start in LOAD_BUCKETS[1:])
 
 
-def sums_of(expected_s: float, total_s: float, is_error: bool) -> Sums:
-    """Return the sums of one request."""
-    if is_error:
-        return Sums(1.0, 1.0)
-    ratio = math.log(max(total_s, 1e-6) / max(expected_s, 1e-6))
-    value = min(max(ratio, -MAX_LOG_TIME), MAX_LOG_TIME)
-    return Sums(1.0, 0.0, value, value * value)
-
-
 class EvidenceCollector:
     """Adds up requests of the two versions of a move and makes messages of the sums."""
 
--- a/mulberrygate/control/moves.py
+++ b/mulberrygate/control/moves.py
@@ -29,9 +29,12 @@
 import attrs
 
 from mulberrygate.control.commands import AdvanceMove, MoveState
-from mulberrygate.control.evidence import Cell, Evidence, EvidenceLedger, Sums, runs_of
-from mulberrygate.control.guard import LEADER_BUDGET, Acceptance, VersionTest
+from mulberrygate.control.evidence import Cell, Evidence, EvidenceLedger, runs_of
+from mulberrygate.control.guard import LEADER_BUDGET
 from mulberrygate.control.state import DONE, EARLY_STAGES, LAST_STAGE, LATE, WATCH_SHARE, WITHDRAWN
+from mulberrygate.control.stratum import Acceptance
+from mulberrygate.control.versiontest import VersionTest
+from mulberrygate.core.sums import Sums
 from mulberrygate.tables.model import Move, Pool
 
 
--- a/mulberrygate/control/rollouts.py
+++ b/mulberrygate/control/rollouts.py
@@ -2,7 +2,7 @@
 
 Explanation
 ===========
-The sequential test is the one of `mulberrygate.control.guard`, which weighs the answers of both
+The sequential test is the one of `mulberrygate.control.stratum`, which weighs the answers of both
 versions over the same period. A version takes over only on evidence for it: without answers, or
 with answers as likely under a fault as without one, it is withdrawn before the deadline.
 """
@@ -13,9 +13,10 @@
 
 import attrs
 
-from mulberrygate.control import guard
+from mulberrygate.control import stratum
 from mulberrygate.control.catalogs import DONE, ROLLED_BACK, Move
-from mulberrygate.control.evidence import Sums
+from mulberrygate.control.versiontest import VersionTest
+from mulberrygate.core.sums import Sums
 from mulberrygate.sync.messages import VersionEvidence
 from mulberrygate.tables import model
 
@@ -55,11 +56,11 @@
 class Track:
     """Evidence on one move."""
 
-    test: guard.VersionTest
+    test: VersionTest
     fault: str = ""
 
 
-def describe(test: guard.StratumTest) -> str:
+def describe(test: stratum.StratumTest) -> str:
     """Return what both versions did, for the log."""
     texts = []
     for name, sums in (("former", test.previous), ("new", test.new)):
@@ -68,7 +69,7 @@
     return "; ".join(texts)
 
 
-def spread_evidence(test: guard.StratumTest) -> float:
+def spread_evidence(test: stratum.StratumTest) -> float:
     """Return the evidence in nats that a version's times vary no more than the former one's.
 
     Explanation
@@ -77,9 +78,9 @@
     much. Engines that are unlike by themselves vary as much in both versions.
     """
     former, new = test.previous, test.new
-    if former.timed() < guard.MIN_BASELINE or new.timed() < 1:
+    if former.timed() < stratum.MIN_BASELINE or new.timed() < 1:
         return 0.0
-    variance = max(former.variance(), guard.MIN_VARIANCE) * guard.VARIANCE_MARGIN
+    variance = max(former.variance(), stratum.MIN_VARIANCE) * stratum.VARIANCE_MARGIN
     sizes = new.timed() - 1.0
     squares = new.variance() * sizes
     excess = squares / (2.0 * variance) * (1.0 - 1.0 / LEAST_SPREAD)
@@ -108,7 +109,7 @@
     def _track(self, pool: str, target: str) -> Track:
         track = self.tracks.get((pool, target))
         if track is None:
-            test = guard.VersionTest(SMALLEST_FAULT, FALSE_ALARM)
+            test = VersionTest(SMALLEST_FAULT, FALSE_ALARM)
             track = self.tracks[pool, target] = Track(test)
         return track
 
@@ -157,7 +158,7 @@
 
     def evidence_for(self, track: Track) -> float:
         """Return the evidence for a version in nats, negative if one of its routes has a fault."""
-        start = guard.Acceptance()
+        start = stratum.Acceptance()
         pooled = track.test.pooled()
         whole = min(pooled.acceptance().since(start), spread_evidence(pooled))
         routes = track.test.routes().values()
--- /dev/null
+++ b/mulberrygate/control/stratum.py
@@ -0,0 +1,260 @@
+"""Sequential test of a new version against the previous one, in one stratum of requests.
+
+Explanation
+===========
+The test compares increments of sums, so that the guard feeds it single requests and the leader's
+controller feeds it the sums of a message. For each stratum (all requests, a route, a load bucket, a
+route in a load bucket) and each of a few sizes of fault it adds up the logarithm of a likelihood
+ratio of "this fault" against "half of the smallest fault". The null hypothesis lies between the
+previous version and the smallest fault, so that a version that is worse by less than half of the
+smallest fault is not withdrawn by any amount of data.
+
+A sum that falls below `RESTART` starts again at 0, since a fault that begins late would otherwise
+have to outweigh all the good evidence before it. Under the null hypothesis the exponential of each
+such run is a supermartingale that starts at 1, so that it ever reaches ``1 / a`` with a
+probability of at most ``a`` (Ville's inequality). Run number ``r`` gets the part
+``1 / (2.11 (r+1) ln²(r+1))`` of its stratum's budget; these parts add up to at most 1. The previous
+version's error rate and mean are estimates; their own error is allowed for by a margin (rates) and
+a larger variance (times), which makes the bound approximate. ``bench/moves.py`` measures what it is
+worth.
+"""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from mulberrygate.core.sums import Sums
+from mulberrygate.tables.model import Move
+
+RESTART = -2.0
+RUN_WEIGHT_SUM = 2.11
+# Requests of the new version are weighed in batches against those of the previous version in the
+# same period, of which there are at least this many, so that a slowdown or an outage that hits both
+# versions is not held against the new one.
+MIN_BATCH = 5.0
+# Largest step of one batch towards a fault: three batches at least must agree, since a few requests
+# of the previous version may have escaped an outage by chance.
+MAX_STEP = 6.0
+# Recent requests of the previous version count like this many of the batch in its mean time. A
+# larger number makes the test faster and more prone to take a common slowdown for a fault.
+DRIFT_COUNT = 4.0
+# Half-life of the previous version's recent sums.
+HALF_LIFE_S = 40.0
+DECAY_STEP_S = 0.5
+# Requests of long-run figures that are mixed into the recent error rate of a thin stratum.
+BLEND_COUNT = 60.0
+# Prior for a stratum with few requests of the previous version: 1% errors with the weight of 10
+# requests, and a standard deviation of 0.5 in the logarithm of time.
+PRIOR_COUNT = 10.0
+PRIOR_ERRORS = 0.1
+PRIOR_VARIANCE = 0.25
+MIN_VARIANCE = 0.01
+# Times have heavier tails than the normal distribution of the test.
+VARIANCE_MARGIN = 1.3
+# Sizes of fault that are tested for, as multiples of the smallest excess of errors (with one fixed
+# rate) and of the logarithm of the smallest slowdown.
+ERROR_SIZES = (1.5, 5.0)
+ERROR_RATE = 0.5
+TIME_SIZES = (1.25, 3.0)
+LOG_RUNS = math.log(len(ERROR_SIZES) + 1 + len(TIME_SIZES))
+# A stratum without this many requests of the previous version has nothing to compare with.
+MIN_BASELINE = 20.0
+# Excess of errors of versions that count as good, as parts of the smallest fault.
+# The version without excess is the likeliest: equal weights would cost it ln(1.8) nats, which are
+# about 30 requests without error at an excess of 2%.
+GOOD_SIZES = (0.0, 0.25, 0.5)
+GOOD_WEIGHTS = (0.6, 0.2, 0.2)
+# Floor of the sums that speak for the new version, so that one bad spell can be outweighed.
+ACCEPT_FLOOR = -5.0
+
+
+@attrs.frozen
+class Baseline:
+    """What the previous version leads to expect in a stratum."""
+
+    error_rate: float
+    rate_error: float
+    mean: float
+    variance: float
+
+
+@attrs.frozen
+class Acceptance:
+    """Logarithms of likelihood ratios of a good version against one with the smallest fault.
+
+    Parameters
+    ==========
+    errors : tuple[float, ...]
+        One for each of `GOOD_SIZES`.
+    time : float
+    """
+
+    errors: tuple[float, ...] = (0.0,) * len(GOOD_SIZES)
+    time: float = 0.0
+
+    def since(self, start: Acceptance) -> float:
+        """Return the weaker of both kinds of evidence since an earlier moment, in nats.
+
+        Explanation
+        ===========
+        The weighted mean over `GOOD_SIZES` is a likelihood ratio too. Against the previous
+        version's error rate alone, two chance errors more than expected would cost hundreds of
+        requests.
+        """
+        gains = [now - then for now, then in zip(self.errors, start.errors, strict=True)]
+        most = max(gains)
+        terms = (w * math.exp(g - most) for w, g in zip(GOOD_WEIGHTS, gains, strict=True))
+        return min(most + math.log(sum(terms)), self.time - start.time)
+
+
+@attrs.define
+class Run:
+    """Sum of logarithms of a likelihood ratio since its last restart."""
+
+    value: float = 0.0
+    number: int = 1
+
+    def add(self, increment: float) -> None:
+        """Add an increment and start again if the sum is low."""
+        self.value += increment
+        if self.value < RESTART:
+            self.value = 0.0
+            self.number += 1
+
+    def penalty(self) -> float:
+        """Return what the run's number adds to the threshold."""
+        position = self.number + 1
+        return math.log(RUN_WEIGHT_SUM * position) + 2 * math.log(math.log(position))
+
+
+class StratumTest:
+    """Sequential test of one stratum.
+
+    Parameters
+    ==========
+    move : Move
+        Definition of a fault.
+    """
+
+    def __init__(self, move: Move):
+        self.excess = move.max_error_excess
+        self.slowdown = math.log(move.max_slowdown)
+        self.previous = Sums()
+        self.previous_recent = Sums()
+        self.previous_batch = Sums()
+        self.new = Sums()
+        self.new_batch = Sums()
+        self.decayed_at: float | None = None
+        self.error_runs = [Run() for _ in (*ERROR_SIZES, ERROR_RATE)]
+        self.time_runs = [Run() for _ in TIME_SIZES]
+        self.accept_errors = [0.0 for _ in GOOD_SIZES]
+        self.accept_time = 0.0
+
+    def add_previous(self, sums: Sums, now: float) -> bool:
+        """Add requests of the previous version; return whether a batch was weighed."""
+        self._decay(now)
+        self.previous.add(sums)
+        self.previous_batch.add(sums)
+        return self._weigh()
+
+    def add_new(self, sums: Sums, now: float) -> bool:
+        """Add requests of the new version; return whether a batch was weighed."""
+        self._decay(now)
+        self.new.add(sums)
+        self.new_batch.add(sums)
+        return self._weigh()
+
+    def add_history(self, sums: Sums, is_new: bool) -> None:
+        """Add requests of an unknown earlier period, which can't be weighed."""
+        (self.new if is_new else self.previous).add(sums)
+
+    def _weigh(self) -> bool:
+        """Weigh the requests of both versions since the last time against each other."""
+        old, new = self.previous_batch, self.new_batch
+        if old.count < MIN_BATCH or new.count == 0:
+            return False
+        if self.previous.count >= MIN_BASELINE:
+            baseline = self.baseline()
+            self._add_errors(new, baseline)
+            if new.timed() > 0:
+                self._add_times(new, baseline)
+        self.previous_recent.add(old)
+        self.previous_batch, self.new_batch = Sums(), Sums()
+        return True
+
+    def baseline(self) -> Baseline:
+        """Return what the previous version leads to expect in the batch that is weighed."""
+        recent, whole, batch = self.previous_recent, self.previous, self.previous_batch
+        long_rate = (whole.errors + PRIOR_ERRORS) / (whole.count + PRIOR_COUNT)
+        weight = recent.count + batch.count + BLEND_COUNT
+        rate = (recent.errors + batch.errors + BLEND_COUNT * long_rate) / weight
+        rate_error = math.sqrt(rate * (1 - rate) / weight)
+        timed = max(whole.timed(), 1.0)
+        long_mean = whole.total / timed
+        spread = max(whole.square - timed * long_mean * long_mean, 0.0)
+        variance = (spread + PRIOR_COUNT * PRIOR_VARIANCE) / (timed + PRIOR_COUNT)
+        recent_mean = (recent.total + long_mean) / (recent.timed() + 1.0)
+        mean = (batch.total + DRIFT_COUNT * recent_mean) / (batch.timed() + DRIFT_COUNT)
+        noise = 1 + self.new_batch.timed() / (batch.timed() + DRIFT_COUNT)
+        return Baseline(
+            max(rate, batch.errors / batch.count),
+            rate_error,
+            mean,
+            max(variance, MIN_VARIANCE) * VARIANCE_MARGIN * noise,
+        )
+
+    def _decay(self, now: float) -> None:
+        if self.decayed_at is None:
+            self.decayed_at = now
+        elif now >= self.decayed_at + DECAY_STEP_S:
+            self.previous_recent.decay(0.5 ** ((now - self.decayed_at) / HALF_LIFE_S))
+            self.decayed_at = now
+
+    def _add_errors(self, sums: Sums, baseline: Baseline) -> None:
+        rate = baseline.error_rate
+        null = min(rate + self.excess / 2 + baseline.rate_error, 0.8)
+        sizes = [rate + size * self.excess for size in ERROR_SIZES] + [ERROR_RATE]
+        for run, size in zip(self.error_runs, sizes, strict=True):
+            if size > null * 1.1:
+                run.add(min(_error_ratio(sums, min(size, 0.95), null), MAX_STEP))
+        fault = min(rate + self.excess, 0.99)
+        for number, size in enumerate(GOOD_SIZES):
+            good = min(max(rate + size * self.excess, 1e-4), 0.98)
+            value = self.accept_errors[number] + _error_ratio(sums, good, fault)
+            self.accept_errors[number] = max(value, ACCEPT_FLOOR)
+
+    def _add_times(self, sums: Sums, baseline: Baseline) -> None:
+        null = baseline.mean + self.slowdown / 2
+        for run, size in zip(self.time_runs, TIME_SIZES, strict=True):
+            fault = baseline.mean + size * self.slowdown
+            run.add(min(_time_ratio(sums, fault, null, baseline.variance), MAX_STEP))
+        slow = baseline.mean + self.slowdown
+        ratio = _time_ratio(sums, baseline.mean, slow, baseline.variance)
+        self.accept_time = max(self.accept_time + ratio, ACCEPT_FLOOR)
+
+    def acceptance(self) -> Acceptance:
+        """Return the sums that speak for the new version."""
+        return Acceptance(tuple(self.accept_errors), self.accept_time)
+
+    def runs(self) -> list[Run]:
+        """Return all runs, those of errors first."""
+        return self.error_runs + self.time_runs
+
+    def strength(self, threshold: float) -> tuple[float, str]:
+        """Return the strongest run as a part of its threshold, and its kind; 1 shows a fault."""
+        limit = threshold + LOG_RUNS
+        error = max(run.value / (limit + run.penalty()) for run in self.error_runs)
+        time = max(run.value / (limit + run.penalty()) for run in self.time_runs)
+        return max((error, "errors"), (time, "time"))
+
+
+def _error_ratio(sums: Sums, rate: float, against: float) -> float:
+    return sums.errors * math.log(rate / against) + sums.timed() * math.log(
+        (1 - rate) / (1 - against)
+    )
+
+
+def _time_ratio(sums: Sums, mean: float, against: float, variance: float) -> float:
+    return (mean - against) / variance * (sums.total - sums.timed() * (mean + against) / 2)
--- a/mulberrygate/control/tests/test_catalogs.py
+++ b/mulberrygate/control/tests/test_catalogs.py
@@ -17,9 +17,9 @@
     PutMove,
     encode_command,
 )
-from mulberrygate.control.evidence import Sums, sums_of
 from mulberrygate.control.rollouts import RolloutJudge
 from mulberrygate.core.invariant import InvariantError
+from mulberrygate.core.sums import Sums, sums_of
 from mulberrygate.sync.messages import VersionEvidence
 
 
--- a/mulberrygate/control/tests/test_evidence.py
+++ b/mulberrygate/control/tests/test_evidence.py
@@ -5,10 +5,9 @@
 from mulberrygate.control.evidence import (
     EvidenceCollector,
     EvidenceLedger,
-    Sums,
     runs_of,
-    sums_of,
 )
+from mulberrygate.core.sums import Sums, sums_of
 from mulberrygate.core.wire import decode, encode
 
 
--- a/mulberrygate/control/tests/test_guard.py
+++ b/mulberrygate/control/tests/test_guard.py
@@ -6,8 +6,9 @@
 import attrs
 
 from mulberrygate.control.commands import MoveState
-from mulberrygate.control.evidence import sums_of
-from mulberrygate.control.guard import LEADER_BUDGET, VersionGuard, VersionTest
+from mulberrygate.control.guard import LEADER_BUDGET, VersionGuard
+from mulberrygate.control.versiontest import VersionTest
+from mulberrygate.core.sums import sums_of
 from mulberrygate.tables import Move
 
 MOVE = Move(previous="a")
--- a/mulberrygate/control/tests/test_moves.py
+++ b/mulberrygate/control/tests/test_moves.py
@@ -5,8 +5,9 @@
 import attrs
 
 from mulberrygate.control.commands import AdvanceMove, MoveState
-from mulberrygate.control.evidence import EvidenceCollector, Sums
+from mulberrygate.control.evidence import EvidenceCollector
 from mulberrygate.control.moves import MoveController
+from mulberrygate.core.sums import Sums
 from mulberrygate.tables import Move, Pool
 
 MOVE = Move(previous="a", deadline_s=600, watch_s=100)
--- a/mulberrygate/sync/evidence.py
+++ b/mulberrygate/sync/evidence.py
@@ -5,8 +5,8 @@
 import math
 from collections.abc import Callable
 
-from mulberrygate.control.evidence import Sums, sums_of
 from mulberrygate.core.effects import Effect
+from mulberrygate.core.sums import Sums, sums_of
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.schedule.effects import Observed
 from mulberrygate.sync.messages import MoveState, VersionEvidence
