--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -39,7 +39,11 @@
     output : float
         Expected output tokens.
     wait_s : float
-        Predicted wait in the endpoint's queue.
+        Predicted wait in the endpoint's queue, for a slot and for the prompts ahead.
+    ahead : float
+        Prompt tokens of requests ahead that had not been computed, as far as known.
+    waited_for_slot : bool
+        Whether all slots were taken at the grant.
     area : float
         The endpoint's load integral at the grant.
     first_s : float
@@ -59,6 +63,8 @@
         "output",
         "emitted",
         "wait_s",
+        "ahead",
+        "waited_for_slot",
         "area",
         "expected_end",
         "first_s",
@@ -86,7 +92,8 @@
         self.cached = cached
         self.uncached = ticket.prompt_tokens - cached if ticket.prompt_tokens > cached else 1.0
         self.emitted = 0
-        self.wait_s = self.area = self.first_s = 0.0
+        self.wait_s = self.ahead = self.area = self.first_s = 0.0
+        self.waited_for_slot = False
         self.is_presented = False
         # Epoch of the version shares that counted the grant; -1 if none did.
         self.share_epoch = -1
--- a/mulberrygate/schedule/learn.py
+++ b/mulberrygate/schedule/learn.py
@@ -7,7 +7,6 @@
 from mulberrygate.schedule.messages import Done, Running
 from mulberrygate.schedule.speed import (
     MIN_DECODE_TOKENS,
-    MIN_PREFILL_TOKENS,
     GenerationSpeed,
     LengthModel,
 )
@@ -75,8 +74,9 @@
     if later_tokens >= MIN_DECODE_TOKENS - 1:
         per_token = max(done.total_s - done.first_token_s, 1e-6) / later_tokens
         reference.learn_decode(per_token, beside, FULL_TRUST)
-    if not granted.was_queued and not granted.cached:
-        reference.learn_prefill(done.first_token_s, max(done.prompt_tokens, 1), FULL_TRUST)
+    if not granted.waited_for_slot and not granted.cached:
+        tokens = granted.ahead + max(done.prompt_tokens, 1)
+        reference.learn_prefill(done.first_token_s, tokens, FULL_TRUST)
 
 
 def learn_presented(state: EndpointState, running: Running) -> None:
@@ -124,13 +124,11 @@
         speed.learn_decode(ratio)
         if learns_generation:
             generation.learn_decode(per_token, beside, trust)
-    if not granted.was_queued and not granted.cached:
-        uncached = max(done.prompt_tokens, 1)
-        expected = generation.overhead_s + uncached * generation.prefill_s
-        if uncached >= MIN_PREFILL_TOKENS:
-            speed.learn_prefill(done.first_token_s / expected)
+    if not granted.waited_for_slot and not granted.cached:
+        tokens = granted.ahead + max(done.prompt_tokens, 1)
+        speed.learn_prefill(done.first_token_s / generation.first_token_s(tokens))
         if learns_generation:
-            generation.learn_prefill(done.first_token_s, uncached, trust)
+            generation.learn_prefill(done.first_token_s, tokens, trust)
     if not granted.was_queued:
         ratio = done.total_s / max(evidence.expected_s, 1e-6)
     if ratio:
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -226,6 +226,8 @@
             self.shares.count(ticket.route, state.view.version)
             granted.share_epoch = self.shares.epoch
         granted.wait_s = state.wait_s + state.pending_prefill * state.prefill_s
+        granted.ahead = state.pending_prefill
+        granted.waited_for_slot = state.wait_s > 0
         granted.first_s = state.start_s + granted.uncached * state.prefill_s
         granted.expected_end = now + choice.run_s
         granted.expires = max(waiting.deadline, now + 4 * choice.run_s) + LOST_DONE_S
--- a/mulberrygate/schedule/speed.py
+++ b/mulberrygate/schedule/speed.py
@@ -33,7 +33,8 @@
 
 # Fewer output tokens than this say little about decode speed.
 MIN_DECODE_TOKENS = 8
-MIN_PREFILL_TOKENS = 64
+# Least of any time that is learned.
+LEAST_TIME_S = 1e-6
 
 
 # A generation's speed is learned from its first completions, and then from a part of them, since
@@ -48,14 +49,85 @@
 REFERENCE_SLOPE = 0.25
 
 
+class ForgettingLine:
+    """Line through observations by weighted least squares, with exponential forgetting.
+
+    Explanation
+    ===========
+    Observations far from the line get less weight, so that single stalls and slow endpoints hardly
+    move it; the first ones replace the assumed line at full weight.
+
+    Parameters
+    ==========
+    intercept, slope : float
+        Assumed line.
+    far : float
+        Largest position of the observations that stand for the assumed line.
+    weight : float
+        Weight of these observations.
+
+    Examples
+    ========
+    >>> from mulberrygate.schedule.speed import ForgettingLine
+    >>> line = ForgettingLine(intercept=0.0, slope=1.0, far=10.0, weight=1e-6)
+    >>> for x in range(5):
+    ...     line.learn(x, 3.0 + 2.0 * x, trust=1.0)
+    >>> round(line.intercept, 3), round(line.slope, 3)
+    (3.0, 2.0)
+    """
+
+    MEMORY = 300.0
+    # Relative deviation from which an observation's weight falls.
+    TRUSTED = 0.3
+
+    def __init__(self, intercept: float, slope: float, far: float, weight: float):
+        self.intercept = intercept
+        self.slope = slope
+        self.assumed_weight = weight
+        self.weight = self.x = self.x2 = self.y = self.xy = 0.0
+        for x in (0.0, far):
+            self._add(x, intercept + x * slope, weight / 2)
+
+    def _add(self, x: float, y: float, weight: float) -> None:
+        keep = 1.0 - 1.0 / self.MEMORY
+        self.weight = self.weight * keep + weight
+        self.x = self.x * keep + weight * x
+        self.x2 = self.x2 * keep + weight * x * x
+        self.y = self.y * keep + weight * y
+        self.xy = self.xy * keep + weight * x * y
+
+    def at(self, x: float) -> float:
+        """Return the line's value at a position."""
+        return self.intercept + self.slope * x
+
+    def learn(self, x: float, y: float, trust: float, most_slope: float = 1.0) -> None:
+        """Learn from an observation.
+
+        Parameters
+        ==========
+        trust : float
+            Weight of the observation, between 0 and 1.
+        most_slope : float
+            Largest part of the mean value that the slope may explain.
+        """
+        deviation = abs(y / max(self.at(x), LEAST_TIME_S) - 1.0)
+        is_young = self.weight < 3 * self.assumed_weight
+        known = 1.0 if is_young else min(1.0, self.TRUSTED / max(deviation, 1e-9))
+        self._add(x, y, trust * known)
+        mean_x, mean_y = self.x / self.weight, self.y / self.weight
+        spread = self.x2 / self.weight - mean_x**2
+        slope = (self.xy / self.weight - mean_x * mean_y) / spread if spread > 1e-6 else 0.0
+        self.slope = min(max(slope, 0.0), mean_y / max(mean_x, 1.0) * most_slope)
+        self.intercept = max(mean_y - self.slope * mean_x, LEAST_TIME_S)
+
+
 class GenerationSpeed:
     """Speed of one hardware generation, learned over all its endpoints.
 
     Explanation
     ===========
-    Time per output token is a line in the batch size, fitted by least squares with exponential
-    forgetting. Observations far from the line get less weight, so that single stalls and slow
-    endpoints hardly move it.
+    Time per output token is a line in the batch size. Time to the first token is a line in the
+    prompt tokens that have to be computed up to it.
 
     Parameters
     ==========
@@ -63,39 +135,41 @@
         Largest part of the mean time per token that the batch may explain.
     """
 
-    MEMORY = 300.0
     PRIOR_WEIGHT = 4.0
-    # Relative deviation from which an observation's weight falls.
-    TRUSTED = 0.3
+    PREFILL_PRIOR_WEIGHT = 1.0
+    # Batch size and prompt tokens up to which the assumed lines stand for observations.
+    FAR_LOAD = 16.0
+    FAR_TOKENS = 2000.0
 
     def __init__(self, prior: Prior = DEFAULT_PRIOR, most_slope: float = MOST_SLOPE):
         self.most_slope = most_slope
-        self.prefill_s = prior.prefill_s
-        self.decode_s = prior.decode_s
-        self.slope_s = prior.slope_s
-        self.overhead_s = prior.overhead_s
-        self.weight = self.load = self.load2 = self.time = self.load_time = 0.0
-        for load in (0.0, 16.0):
-            self._add(load, prior.decode_s + load * prior.slope_s, self.PRIOR_WEIGHT / 2)
-        self.prefill_weight = 2.0
+        self.decode = ForgettingLine(
+            prior.decode_s, prior.slope_s, self.FAR_LOAD, self.PRIOR_WEIGHT
+        )
+        self.prefill = ForgettingLine(
+            prior.overhead_s, prior.prefill_s, self.FAR_TOKENS, self.PREFILL_PRIOR_WEIGHT
+        )
         self.completions = 0
 
-    def _add(self, load: float, seconds: float, weight: float) -> None:
-        keep = 1.0 - 1.0 / self.MEMORY
-        self.weight = self.weight * keep + weight
-        self.load = self.load * keep + weight * load
-        self.load2 = self.load2 * keep + weight * load * load
-        self.time = self.time * keep + weight * seconds
-        self.load_time = self.load_time * keep + weight * load * seconds
-
-    def _fit(self) -> None:
-        mean_load, mean_time = self.load / self.weight, self.time / self.weight
-        spread = self.load2 / self.weight - mean_load**2
-        slope = 0.0
-        if spread > 1e-6:
-            slope = (self.load_time / self.weight - mean_load * mean_time) / spread
-        self.slope_s = min(max(slope, 0.0), mean_time / max(mean_load, 1.0) * self.most_slope)
-        self.decode_s = max(mean_time - self.slope_s * mean_load, 1e-6)
+    @property
+    def decode_s(self) -> float:
+        """Seconds per output token of a request that runs alone."""
+        return self.decode.intercept
+
+    @property
+    def slope_s(self) -> float:
+        """Additional seconds per output token for each other request in the batch."""
+        return self.decode.slope
+
+    @property
+    def prefill_s(self) -> float:
+        """Seconds per prompt token."""
+        return self.prefill.slope
+
+    @property
+    def overhead_s(self) -> float:
+        """Seconds to the first token that do not depend on the prompt."""
+        return self.prefill.intercept
 
     def is_sampled(self) -> bool:
         """Count a completion and return whether to learn from it; when many are known, from few."""
@@ -104,36 +178,29 @@
 
     def per_token_s(self, load: float) -> float:
         """Return seconds per output token beside ``load`` other requests."""
-        return self.decode_s + self.slope_s * load
+        return self.decode.at(load)
+
+    def first_token_s(self, tokens: float) -> float:
+        """Return the predicted seconds to the first token, for the prompt tokens up to it."""
+        return self.prefill.at(tokens)
 
     def expected_s(self, prompt_tokens: float, output_tokens: float, load: float) -> float:
         """Return the predicted seconds of a request that doesn't wait at the endpoint."""
-        return (
-            self.overhead_s
-            + prompt_tokens * self.prefill_s
-            + output_tokens * self.per_token_s(load)
-        )
+        return self.first_token_s(prompt_tokens) + output_tokens * self.per_token_s(load)
 
     def learn_decode(self, seconds: float, load: float, trust: float) -> None:
         """Learn from the observed seconds per output token."""
-        deviation = abs(seconds / self.per_token_s(load) - 1.0)
-        # The first observations replace the prior at full weight.
-        young = self.weight < 3 * self.PRIOR_WEIGHT
-        weight = trust * (1.0 if young else min(1.0, self.TRUSTED / max(deviation, 1e-9)))
-        self._add(load, seconds, weight)
-        self._fit()
+        self.decode.learn(load, seconds, trust, self.most_slope)
 
     def learn_prefill(self, seconds: float, tokens: float, trust: float) -> None:
-        """Learn from the observed seconds to the first token."""
-        if tokens < MIN_PREFILL_TOKENS:
-            gain = 0.05 * trust
-            limit = 4 * self.overhead_s + 0.01
-            self.overhead_s += gain * (min(max(seconds, 1e-4), limit) - self.overhead_s)
-            return
-        per_token = max(seconds - self.overhead_s, 1e-6) / tokens
-        self.prefill_weight = min(100.0, self.prefill_weight + trust)
-        step = math.log(per_token / self.prefill_s) * trust / self.prefill_weight
-        self.prefill_s *= math.exp(max(-0.3, min(0.3, step)))
+        """Learn from the observed seconds to the first token.
+
+        Parameters
+        ==========
+        tokens : float
+            Prompt tokens that had to be computed up to it, those of requests ahead included.
+        """
+        self.prefill.learn(tokens, seconds, trust)
 
 
 class EndpointSpeed:
--- a/mulberrygate/schedule/tests/test_wide.py
+++ b/mulberrygate/schedule/tests/test_wide.py
@@ -244,6 +244,25 @@
         bench.advance(1.7)
         self.assertIn("upper", bench.refused)
 
+    def test_first_token_behind_long_prompts_is_predicted(self):
+        """Waits were predicted many times too long, and timely requests left slow engines alone."""
+        overhead_s, token_s = 0.03, 4e-6
+        bench = WideBench([make_view("a", hardware="", slots=8)])
+        for number in range(100):
+            computed = 0
+            for prompt in (600, 6600):
+                bench.ask(f"r{number}-{prompt}", prompt=prompt)
+            for prompt in (600, 6600):
+                computed += prompt
+                first_s = overhead_s + computed * token_s
+                bench.done(f"r{number}-{prompt}", first_s=first_s, prompt=prompt)
+            bench.now += 1.0
+        for number in range(3):
+            bench.ask(f"ahead{number}", prompt=6600)
+        expected_s = overhead_s + 3 * 6600 * token_s
+        predicted_s = bench.scheduler.states["a"].start_s
+        self.assertLess(abs(predicted_s / expected_s - 1.0), 0.25)
+
     def test_upper_tier_goes_first_even_when_late(self):
         """A late write-up waited behind a lookup."""
         bench = WideBench([make_view("a")])
