--- a/mulberrygate/schedule/learn.py
+++ b/mulberrygate/schedule/learn.py
@@ -99,7 +99,12 @@
 
 
 def learn(
-    granted: Granted, done: Done, evidence: Observed, lengths: LengthModel, learns_generation: bool
+    granted: Granted,
+    done: Done,
+    evidence: Observed,
+    lengths: LengthModel,
+    learns_generation: bool,
+    learns_behind: bool,
 ) -> None:
     """Learn lengths and speeds from a request that ended without a fault.
 
@@ -107,6 +112,9 @@
     ==========
     learns_generation : bool
         False for the version under a move, which must not shift what it is compared with.
+    learns_behind : bool
+        Whether the time to the first token is learned from requests behind other prompts too. An
+        endpoint that is learned by itself has no others while it is loaded.
     """
     state = granted.state
     if granted.is_presented or done.total_s <= 0:
@@ -124,7 +132,8 @@
         speed.learn_decode(ratio)
         if learns_generation:
             generation.learn_decode(per_token, beside, trust)
-    if not granted.waited_for_slot and not granted.cached:
+    has_waited = granted.waited_for_slot if learns_behind else granted.was_queued
+    if not has_waited and not granted.cached:
         tokens = granted.ahead + max(done.prompt_tokens, 1)
         speed.learn_prefill(done.first_token_s / generation.first_token_s(tokens))
         if learns_generation:
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -235,7 +235,8 @@
             state.faults = 0
             state.failures.observe(False)
             is_reference = self._is_reference(message.version)
-            learn(granted, message, evidence, self.lengths, is_reference or self.is_wide)
+            learns_generation = is_reference or self.is_wide
+            learn(granted, message, evidence, self.lengths, learns_generation, self.is_wide)
             if is_reference and self.reference is not None:
                 learn_reference(self.reference, granted, message, load)
         if (state.faults, state.detector.is_slow) != before:
