--- a/mulberrygate/schedule/precedence.py
+++ b/mulberrygate/schedule/precedence.py
@@ -8,7 +8,7 @@
 - A late request takes as long to answer as a timely one and is worth a part of it. If all late
   requests of upper tiers went first, a backlog of them would keep itself going after a burst, since
   what comes meanwhile becomes late behind it. So timely requests of a tier go before late ones of
-  upper tiers, while it was granted less than `LEAST_RATIO` of the share of each of these.
+  upper tiers, while it was granted a smaller share of its requests than each of these.
 - In wide pools timely requests of a starved tier go before all others. A tier is starved that was
   granted less than `STARVED_RATIO` of the share of all requests.
 
@@ -26,9 +26,6 @@
 from mulberrygate.schedule.fair import FairQueue, TierQueue, Waiting
 from mulberrygate.schedule.served import ServedShares
 
-# Share granted to a lower tier, as a part of the one granted to an upper tier, up to which its
-# timely requests go before late ones of the upper tier.
-LEAST_RATIO = 0.75
 # The users' rules allow no kind of request to be served less than a quarter as often as all.
 STARVED_RATIO = 1 / 3
 
@@ -132,8 +129,8 @@
 
     Explanation
     ===========
-    The timely requests of a tier in between go along, or a lower tier would overtake them; it ends
-    at the first tier that was granted as large a share as one above it with late requests.
+    It ends at the first tier that was granted as large a share as one above it with late requests,
+    or a lower tier would overtake the timely requests of that tier.
     """
     last = -1
     least_upper = 0.0
@@ -145,8 +142,7 @@
         if has_late and waiting.count > waiting.late:
             if share >= least_upper:
                 break
-            if share < LEAST_RATIO * least_upper:
-                last = tier
+            last = tier
         if waiting.late:
             least_upper = min(least_upper, share) if has_late else share
             has_late = True
