--- a/mulberrygate/control/rollouts.py
+++ b/mulberrygate/control/rollouts.py
@@ -81,10 +81,10 @@
     if former.timed() < stratum.MIN_BASELINE or new.timed() < 1:
         return 0.0
     variance = max(former.variance(), stratum.MIN_VARIANCE) * stratum.VARIANCE_MARGIN
-    sizes = new.timed() - 1.0
-    squares = new.variance() * sizes
+    freedom = new.timed() - 1.0
+    squares = new.variance() * freedom
     excess = squares / (2.0 * variance) * (1.0 - 1.0 / LEAST_SPREAD)
-    return sizes / 2.0 * math.log(LEAST_SPREAD) - excess
+    return freedom / 2.0 * math.log(LEAST_SPREAD) - excess
 
 
 class RolloutJudge:
--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -166,7 +166,6 @@
             states = list(scheduler.states.values())
             counts = scheduler.served.take_counts()
             now = self.host.timers.now()
-            now = scheduler.settled_at
             lines.note(
                 "pool.state",
                 pool=pool,
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -57,12 +57,9 @@
             found = self._next(line, held, now)
             if found is not None:
                 effects.append(self._grant(line, *found, held, now))
-                if self.shares.shares:
-                    # The grant changed what the shares allow to the requests passed over.
-                    held.clear()
-                    lines, position = self._begin_dispatch(now), 0
-                elif self.precedence != STRICT and self._find_precedence(now):
-                    lines, position = self.precedence.lines(self.queue), 0
+                changed = self._lines_after_grant(held, now)
+                if changed:
+                    lines, position = changed, 0
                 continue
             # A lower tier is served only after every request of this one was examined.
             if sum(line.holds(waiting) for waiting in held) < line.count(queue):
@@ -71,6 +68,16 @@
         self.passed_over = len(held)
         return effects
 
+    def _lines_after_grant(self, held: list[Waiting], now: float) -> list[Line]:
+        """Return the order to start again with if a grant has changed it, else nothing."""
+        if self.shares.shares:
+            # The grant changed what the shares allow to the requests passed over.
+            held.clear()
+            return self._begin_dispatch(now)
+        if self.precedence != STRICT and self._find_precedence(now):
+            return self.precedence.lines(self.queue)
+        return []
+
     def _find_precedence(self, now: float) -> bool:
         """Find the tiers that go before upper ones; return whether they have changed."""
         before = self.precedence
