Log how old the configuration of a process may be, and how a crash of an endpoint was judged

An entry that obeys an old configuration could not be told from one whose control process had lost its group: no line said how old either's state was. A voter now reports when everything that was committed has reached its state machine (effect CaughtUp, carried out in order behind the syncs and applies that it depends on). The answer to an entry carries that age, and control.followed, catalog.in_force, the three request lines, control.behind and control.caught_up show it. endpoint.looked_for and call.crash_heard tell whether a lost endpoint was recognised and what each control process counted.

--- a/mulberrygate/agreement/effects.py
+++ b/mulberrygate/agreement/effects.py
@@ -50,6 +50,13 @@
     command: bytes
 
 
+@attrs.frozen
+class CaughtUp(Effect):
+    """What the effects before this one applied is everything that was committed at a time."""
+
+    at: float
+
+
 @attrs.frozen
 class Passed(Effect):
     """The committed entry at this index holds no command."""
--- a/mulberrygate/agreement/replication.py
+++ b/mulberrygate/agreement/replication.py
@@ -4,7 +4,7 @@
 
 from mulberrygate.agreement import codes
 from mulberrygate.agreement.base import NodeBase, Progress, Read
-from mulberrygate.agreement.effects import JoinRecord, Role
+from mulberrygate.agreement.effects import CaughtUp, JoinRecord, Role
 from mulberrygate.agreement.messages import Append, AppendReply, Entry, EntryKind, Member
 from mulberrygate.agreement.outcomes import NotProposed, Proposed, ReadStarted
 from mulberrygate.core.effects import Persist, Reply, Send
@@ -106,6 +106,19 @@
         match = message.prev_index + len(message.entries)
         self.reply_append(message, True, match)
         self.set_commit(max(self.commit, self.known_commit(message, match)))
+        self.note_caught_up(message, now)
+
+    def note_caught_up(self, message: Append, now: float) -> None:
+        """Report that this log holds everything that is committed, if it does.
+
+        Explanation
+        ===========
+        A new leader may not know yet what its predecessor committed. It does once an entry of its
+        own term is committed.
+        """
+        is_leader_settled = self.log.term_at(message.commit) == message.term
+        if self.commit >= message.commit and is_leader_settled:
+            self.out.append(CaughtUp(now))
 
     def known_commit(self, message: Append, match: int) -> int:
         """Return the last entry that is committed and known to equal the leader's."""
--- a/mulberrygate/agreement/service.py
+++ b/mulberrygate/agreement/service.py
@@ -12,6 +12,7 @@
 
 from mulberrygate.agreement.effects import (
     Apply,
+    CaughtUp,
     InstallSnapshot,
     Passed,
     ReadFailed,
@@ -126,6 +127,9 @@
     ==========
     on_role : list[Callable[[Role, int], None]]
         Called with role and term after each change.
+    caught_up_at : float
+        Monotonic time at which everything that was committed by then had reached this voter; the
+        state machine holds it. Minus infinity before the first time.
     """
 
     def __init__(
@@ -143,6 +147,7 @@
         self.machine = machine
         self.on_role: list[Callable[[Role, int], None]] = []
         self.failure = ""
+        self.caught_up_at = float("-inf")
         self.is_closed = False
         self.queue: deque[tuple[list[Effect], asyncio.Future | None]] = deque()
         self.has_work = asyncio.Event()
@@ -340,6 +345,8 @@
             self.resolve(effect.index, effect.term, result)
         elif isinstance(effect, Passed):
             self.resolve(effect.index, effect.term, None)
+        elif isinstance(effect, CaughtUp):
+            self.caught_up_at = effect.at
         elif isinstance(effect, TakeSnapshot):
             data = self.machine.snapshot()
             self.submit(self.node.snapshot_taken(effect.index, data))
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import random
 import time
@@ -70,6 +71,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def rounded(age_s: float) -> float:
+    """Return an age for the log, -1 for an infinite one."""
+    return round(age_s, 3) if math.isfinite(age_s) else -1
+
+
 @attrs.define
 class Crashing:
     """Endpoints that ended while they ran calls of one fingerprint."""
@@ -134,6 +140,7 @@
         self.quarantined: dict[str, None] = {}
         self.is_stopping = False
         self.is_catalog_due = False
+        self.is_behind = True
 
     def _on_timer_error(self, name: str, error: BaseException) -> None:
         self.lines.note("timer.failed", timer=name, error=repr(error))
@@ -247,6 +254,14 @@
             return False
         return self.is_leader or self.timers.now() - service.node.heard_at < BEHIND_S
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since this process held everything that its group had committed."""
+        service = self.log.service
+        if service is None or service.failure:
+            return math.inf
+        return max(0.0, self.timers.now() - service.caught_up_at)
+
     @property
     def is_settled(self) -> bool:
         """Whether the roster has had time to fill."""
@@ -308,6 +323,15 @@
             limits = {a.name: Limit(a.rate, a.burst) for a in accounts if a.rate > 0}
             self.limits.set_limits(limits, boot_time())
 
+    def _note_age(self) -> None:
+        """Log when this process falls behind its group, and when it has caught up."""
+        age_s = self.age_s
+        is_behind = age_s > BEHIND_S
+        if is_behind is not self.is_behind:
+            self.is_behind = is_behind
+            event = "control.behind" if is_behind else "control.caught_up"
+            self.lines.note(event, version=self.machine.version, age_s=rounded(age_s))
+
     # Commands and reads
 
     async def put_catalog(self, catalog: Catalog, body: bytes) -> bool:
@@ -468,6 +492,7 @@
             moves=self.moves.states(),
             crashes=len(self.quarantined),
             crashing=tuple(self.quarantined) if message.crashes != len(self.quarantined) else (),
+            age_s=self.age_s,
         )
 
     # Limits of client accounts
@@ -485,6 +510,13 @@
     def _on_crash(self, message: CrashSeen, _sender: str) -> None:
         crashing = self.crashing.setdefault(message.fingerprint, Crashing())
         crashing.endpoints.add((message.endpoint, message.incarnation))
+        self.lines.note(
+            "call.crash_heard",
+            fingerprint=message.fingerprint,
+            endpoint=message.endpoint,
+            incarnation=message.incarnation,
+            crashes=len(crashing.endpoints),
+        )
         while len(self.crashing) > MOST_FINGERPRINTS:
             del self.crashing[next(iter(self.crashing))]
         is_over = len(crashing.endpoints) >= CRASHES_TO_QUARANTINE
@@ -522,6 +554,7 @@
             for name in self.roster.forget_silent(now, FORGET_S):
                 self.lines.note("endpoint.forgotten", endpoint=name)
                 self._announce()
+        self._note_age()
         limit = now - ENTRY_GONE_S
         for name in [name for name, at in self.entries.items() if at < limit]:
             del self.entries[name]
--- a/mulberrygate/daemon/gateway.py
+++ b/mulberrygate/daemon/gateway.py
@@ -170,6 +170,7 @@
         # A control process that lost its group may not have heard what others have.
         if state.is_current and state.is_settled:
             self.placement.directory.silent = frozenset(state.silent)
+        self.forwarder.catalog_current_at = self.follower.current_at
         self.forwarder.set_entries(state.entries)
         self.limits.entries = state.entries
         if state.crashing:
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -306,7 +306,15 @@
     async def _look_for_crash(self, send: Send) -> None:
         """Report the call if the endpoint that broke off has gone."""
         await asyncio.sleep(PAUSE_S)
-        if not await self.forwarder.endpoints.is_listening(send.grant.address):
+        is_listening = await self.forwarder.endpoints.is_listening(send.grant.address)
+        self.forwarder.lines.note(
+            "endpoint.looked_for",
+            id=self.call.head.request,
+            fingerprint=self.call.fingerprint,
+            endpoint=send.grant.endpoint,
+            is_listening=is_listening,
+        )
+        if not is_listening:
             row = self.forwarder.placement.directory.roster.rows.get(send.grant.endpoint)
             incarnation = row.registration.incarnation if row else 0
             self.forwarder.suspects.note_crash(self.call, send.grant.endpoint, incarnation)
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -50,6 +50,11 @@
         Protocol of callers and endpoints.
     placement : Placement
         Pools in force and the endpoints of the roster; see `mulberrygate.daemon.placement`.
+
+    Attributes
+    ==========
+    catalog_current_at : float
+        As ``current_at`` of `mulberrygate.sync.follower.Follower`.
     """
 
     def __init__(
@@ -79,6 +84,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.entries = 1
         self.patience = UsualPatience()
+        self.catalog_current_at = -math.inf
         self.is_closing = False
         self.active = 0
         self.idle = asyncio.Event()
@@ -301,6 +307,7 @@
             units=call.units,
             patience_s=call.head.patience_s,
             catalog=self.index.version if self.index else -1,
+            catalog_age_s=self._catalog_age_s(now),
             endpoint=call.endpoint,
             granted_by=call.granted_by,
             sends=call.sends,
@@ -312,6 +319,12 @@
             **fields,
         )
 
+    def _catalog_age_s(self, now: float) -> float:
+        """Return seconds since the catalog was known to be the newest, -1 if it never was."""
+        if math.isinf(self.catalog_current_at):
+            return -1
+        return round(now - self.catalog_current_at, 3)
+
     async def wait_idle(self, timeout_s: float) -> None:
         """Wait until no request is being answered, for a time at most."""
         try:
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import zlib
 from collections.abc import Callable
@@ -41,6 +42,12 @@
         Called with each catalog that comes into force.
     on_state : Callable[[State], None]
         Called with each answer.
+
+    Attributes
+    ==========
+    current_at : float
+        Monotonic time up to which the catalog is known to be the newest one, minus infinity if it
+        never was.
     """
 
     def __init__(
@@ -144,16 +151,23 @@
     def _take(self, state: State) -> None:
         now = self.timers.now()
         if state.control_incarnation != self.control_incarnation:
-            self.lines.note("control.followed", control=self.control)
+            age_s = round(state.age_s, 3) if math.isfinite(state.age_s) else -1
+            self.lines.note("control.followed", control=self.control, age_s=age_s)
         self.control_incarnation = state.control_incarnation
         self.changes = state.changes
         self._take_roster(state, now)
         if state.catalog and (self.index is None or state.catalog_version > self.index.version):
             self.index = CatalogIndex(self.decode(zlib.decompress(state.catalog)))
-            self.lines.note("catalog.in_force", version=self.index.version, control=self.control)
+            self.lines.note(
+                "catalog.in_force",
+                version=self.index.version,
+                control=self.control,
+                size=len(state.catalog),
+                known_s=round(now - self.current_at, 3) if self.current_at >= 0 else -1,
+            )
             self.on_catalog(self.index)
+        self.current_at = max(self.current_at, now - state.age_s)
         if state.is_current:
-            self.current_at = now
             self.controls = list(state.controls) or self.controls
             self.leader = state.leader
         self.crashes = state.crashes
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from mulberrygate.core.wire import message
@@ -83,6 +85,9 @@
         Entries that follow any control process.
     crashing : tuple[str, ...]
         Fingerprints of calls that crash endpoints.
+    age_s : float
+        Seconds since the control process held everything that its group had committed, infinite if
+        it never did.
     """
 
     control_incarnation: int
@@ -101,6 +106,7 @@
     moves: tuple[MoveState, ...] = ()
     crashes: int = 0
     crashing: tuple[str, ...] = ()
+    age_s: float = math.inf
 
 
 @message("sync.share")
