Tests that fail: an entry behind a stalled disk, and crashing calls after a restart of control

The first waits for 60 s for an entry whose control process has a disk that hangs, while a newer document is acknowledged by the others; the entry stays on the old one. The second crashes three endpoints with one call, restarts all control processes, and waits for 60 s for a new entry to learn that the call is refused.

--- a/mulberrygate/daemon/tests/test_site.py
+++ b/mulberrygate/daemon/tests/test_site.py
@@ -3,17 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import shutil
 import socket
 import tempfile
+import threading
 import unittest
 
 import aiohttp
 
 from mulberrygate.daemon.control_node import ControlNode
 from mulberrygate.daemon.gateway import Gateway
-from mulberrygate.forward.tests.support import REQUEST_ID, Endpoint, Lines, document, stream, whole
+from mulberrygate.forward.tests.support import (
+    REQUEST_ID,
+    Endpoint,
+    Lines,
+    crash,
+    document,
+    stream,
+    whole,
+)
 from mulberrygate.platform.documents import decode_document
 from mulberrygate.platform.headers import PlatformDialect
 from mulberrygate.platform.operator_api import OperatorApi
@@ -23,6 +33,7 @@
 LIMIT_S = 60.0
 CONTROLS = ("127.0.0.11", "127.0.0.12", "127.0.0.13")
 ENTRY = "127.0.0.21"
+OTHER_ENTRY = "127.0.0.22"
 BOUNDS = Bounds(stop_s=1.2)
 
 
@@ -45,11 +56,12 @@
         self.folders = {name: tempfile.mkdtemp() for name in CONTROLS}
         self.nodes: dict[str, ControlNode] = {}
         self.gateway: Gateway | None = None
+        self.gateways: list[Gateway] = []
         self.seeds = CONTROLS
 
     def site(self, instance, is_first=True):
         """Return the settings of an instance."""
-        is_control = instance != ENTRY
+        is_control = instance in CONTROLS
         return Site(
             instance=instance,
             node=instance,
@@ -78,10 +90,16 @@
         self.session = aiohttp.ClientSession()
         for name in CONTROLS:
             await self.start_control(name)
-        self.gateway = Gateway(self.site(ENTRY), Lines(), PlatformDialect(), decode_document)
-        await self.gateway.start()
+        self.gateway = await self.start_entry(ENTRY)
         return self
 
+    async def start_entry(self, name):
+        """Start an entry."""
+        gateway = Gateway(self.site(name), Lines(), PlatformDialect(), decode_document)
+        self.gateways.append(gateway)
+        await gateway.start()
+        return gateway
+
     async def crash(self, name):
         """End a control process without any notice to the others."""
         node = self.nodes.pop(name)
@@ -159,9 +177,9 @@
             **changes,
         }
 
-    async def ask(self, path, **headers):
-        """Send a caller's request to the entry and return status and body."""
-        url = f"http://{ENTRY}:{self.entry_port}{path}"
+    async def ask(self, path, entry=ENTRY, **headers):
+        """Send a caller's request to an entry and return status and body."""
+        url = f"http://{entry}:{self.entry_port}{path}"
         values = {"Host": "a.example", REQUEST_ID: "id-1", **headers}
         async with self.session.post(url, headers=values) as answer:
             return answer.status, await answer.read()
@@ -169,8 +187,9 @@
     async def close(self):
         """Stop everything."""
         await self.session.close()
-        if self.gateway is not None and not self.gateway.is_stopping:
-            await self.gateway.stop()
+        for gateway in self.gateways:
+            if not gateway.is_stopping:
+                await gateway.stop()
         await asyncio.gather(*(node.stop() for node in self.nodes.values()))
         for folder in self.folders.values():
             shutil.rmtree(folder, ignore_errors=True)
@@ -200,6 +219,16 @@
                     return
                 await asyncio.sleep(0.05)
 
+    async def ask_until_asked(self, endpoint):
+        """Send the same call until it has reached an endpoint."""
+        async with asyncio.timeout(LIMIT_S):
+            for number in itertools.count():
+                attempt = f"{endpoint.name}-{number}"
+                await self.site.ask("/plain/1", **{REQUEST_ID: attempt})
+                if endpoint.asked.is_set():
+                    return
+                await asyncio.sleep(0.05)
+
     async def test_request_is_served(self):
         """Some part between operator, endpoint and caller did not fit to the others."""
         await self.site.put(1)
@@ -294,6 +323,44 @@
         machines = [node.controller.machine for node in self.site.nodes.values()]
         await self.site.until(lambda: all(m.leaving.get("e1") == 1000 for m in machines))
 
+    async def test_entry_behind_a_stalled_disk_obeys_the_newest_document(self):
+        """An entry stayed on an old document while the disk of its control process hung."""
+        await self.site.put(1)
+        leader = await self.site.find_leader()
+        stalled = next(name for name in CONTROLS if name != leader)
+        follower = self.site.gateway.follower
+        follower.control = stalled
+        controller = self.site.nodes[stalled].controller
+        await self.site.until(lambda: follower.control_incarnation == controller.incarnation)
+        storage = controller.log.service.storage
+        persist = storage.persist
+        is_released = threading.Event()
+        self.addCleanup(is_released.set)
+        storage.persist = lambda records: is_released.wait() and persist(records)
+        await self.site.put(2, name=leader)
+        await self.site.until(lambda: follower.index.version == 2)
+        self.assertEqual(controller.machine.version, 1)
+        is_released.set()
+
+    async def test_crashing_call_is_refused_after_a_restart_of_all_control_processes(self):
+        """A restart forgot which calls crash endpoints, and new entries sent them again."""
+        await self.site.put(1)
+        suspects = self.site.gateway.suspects
+        for number in range(1, 4):
+            endpoint = await self.endpoint(answer=crash(), name=f"e{number}")
+            await self.ask_until_asked(endpoint)
+        await self.site.until(lambda: suspects.quarantined)
+        for name in CONTROLS:
+            await self.site.crash(name)
+        for name in CONTROLS:
+            await self.site.start_control(name, is_first=False)
+        other = await self.site.start_entry(OTHER_ENTRY)
+        await self.site.until(lambda: other.suspects.quarantined)
+        sound = await self.endpoint(name="e4")
+        await self.site.until(lambda: "e4" in other.roster.rows)
+        self.assertEqual((await self.site.ask("/plain/1", OTHER_ENTRY))[0], 503)
+        self.assertEqual(sound.requests, [])
+
     async def test_minority_answers_no_read(self):
         """A process that was alone answered a read with what it had."""
         await self.site.put(1)
--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -143,6 +143,16 @@
     return answer
 
 
+def crash():
+    """Return an answer function that ends its endpoint."""
+
+    async def answer(endpoint, _reader, writer, _head):
+        endpoint.server.close()
+        writer.transport.abort()
+
+    return answer
+
+
 def stream(events, end=True, first=1, reset=False):
     """Return an answer function with a chunked stream of events, whole or broken off."""
 
