Count a control process as current only while it holds what its group committed

What callers saw: an entry without any disruption refused or served requests as an older configuration says, for as long as the disk of the control process that it follows hung.

Cause: is_current asked for a heartbeat of a leader within 1.5 s. Heartbeats are taken note of when they arrive; what they commit waits behind the sync of the disk, or has not been sent at all to a member that doesn't answer. Heartbeats were ruled out as the fault itself: the leader rightly sends them to members that lag.

The fix uses CaughtUp, which a voter reports behind all syncs and applies that it depends on: a follower when it holds everything up to the leader's commit index and that leader has committed an entry of its own term, a leader under a valid lease. An answer to an entry no longer waits beyond the moment at which its process falls behind.

The random runs of the agreement check for leaders that nothing applied anywhere is unknown to them. That check finds the mutant ForgetsToSync before check_committed does, so the test of the older checks turns it off to keep showing that each of them can fail by itself; the mutant ClaimsTooEarly shows it for the new one.

--- a/mulberrygate/agreement/node.py
+++ b/mulberrygate/agreement/node.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from mulberrygate.agreement.changes import Changes
-from mulberrygate.agreement.effects import CaughtUp, Role
+from mulberrygate.agreement.effects import Role
 from mulberrygate.agreement.election import Election
 from mulberrygate.agreement.formation import Formation
 from mulberrygate.agreement.messages import (
@@ -72,8 +72,7 @@
         if self.role is Role.LEADER:
             self.advance(now)
             self.advance_members(now)
-            if now < self.lease_until and self.commit >= self.first_own_index:
-                self.out.append(CaughtUp(now))
+            self.note_leader_caught_up(now)
             if self.role is Role.LEADER and now >= self.heartbeat_due:
                 self.broadcast(now)
         else:
--- a/mulberrygate/agreement/replication.py
+++ b/mulberrygate/agreement/replication.py
@@ -120,6 +120,11 @@
         if self.commit >= message.commit and is_leader_settled:
             self.out.append(CaughtUp(now))
 
+    def note_leader_caught_up(self, now: float) -> None:
+        """Report that nobody else can have committed anything, under a valid lease."""
+        if now < self.lease_until and self.commit >= self.first_own_index:
+            self.out.append(CaughtUp(now))
+
     def known_commit(self, message: Append, match: int) -> int:
         """Return the last entry that is committed and known to equal the leader's."""
         return min(message.commit, match)
--- a/mulberrygate/agreement/tests/cluster.py
+++ b/mulberrygate/agreement/tests/cluster.py
@@ -10,6 +10,7 @@
 
 from mulberrygate.agreement.effects import (
     Apply,
+    CaughtUp,
     EntryRecord,
     InstallSnapshot,
     JoinRecord,
@@ -144,6 +145,8 @@
         self.cut: set[str] = set()
         self.leaders: dict[int, str] = {}
         self.committed: dict[int, bytes] = {}
+        self.committed_at: dict[int, float] = {}
+        self.checks_caught_up = True
         self.clusters: set[str] = set()
         self.reads: dict[tuple[str, int], int] = {}
         self.reads_done = 0
@@ -180,6 +183,8 @@
             instance.applied = msgpack.unpackb(effect.snapshot.data)
             for index, command in instance.applied:
                 self.check_committed(index, command)
+        elif isinstance(effect, CaughtUp):
+            self.check_caught_up(instance, effect)
         elif isinstance(effect, RoleChanged):
             self.note_role(instance, effect)
         elif isinstance(effect, ReadReady):
@@ -187,6 +192,19 @@
         elif isinstance(effect, ReadFailed):
             self.reads.pop((instance.node.disk, effect.number), None)
 
+    def check_caught_up(self, instance: Instance, effect: CaughtUp) -> None:
+        """Check that a leader has applied what any voter had applied by a time."""
+        node = instance.node
+        if (
+            not self.checks_caught_up
+            or node.role is not Role.LEADER
+            or effect.at < node.leader_since
+        ):
+            return
+        last = instance.applied[-1][0] if instance.applied else 0
+        missed = [i for i, at in self.committed_at.items() if at <= effect.at and i > last]
+        assert not missed, f"unknown to {instance.name} at {effect.at}: {missed}"
+
     def note_role(self, instance: Instance, effect: RoleChanged) -> None:
         """Check that a term has one leader."""
         if effect.role is Role.LEADER:
@@ -204,6 +222,7 @@
     def check_committed(self, index: int, command: bytes) -> None:
         """Check that a committed entry never changes."""
         known = self.committed.setdefault(index, command)
+        self.committed_at.setdefault(index, self.now)
         assert known == command, f"entry {index} changed from {known} to {command}"
 
     def check_read(self, instance: Instance, effect: ReadReady) -> None:
--- a/mulberrygate/agreement/tests/mutants.py
+++ b/mulberrygate/agreement/tests/mutants.py
@@ -1,5 +1,6 @@
 """Small mutants of `AgreementNode`, each without one rule, to show that the checks see it."""
 
+from mulberrygate.agreement.effects import CaughtUp
 from mulberrygate.agreement.node import AgreementNode
 from mulberrygate.core.effects import Persist
 
@@ -53,6 +54,13 @@
         return self.log.last_index
 
 
+class ClaimsTooEarly(AgreementNode):
+    """Reports that it knows everything before it has committed an entry of its term."""
+
+    def note_leader_caught_up(self, now):
+        self.out.append(CaughtUp(now))
+
+
 class AppliesAgain(AgreementNode):
     """Starts to apply at the commit index that a restart began with."""
 
--- a/mulberrygate/agreement/tests/test_node.py
+++ b/mulberrygate/agreement/tests/test_node.py
@@ -139,10 +139,11 @@
         self.assertGreater(min(commits, reads, losses), 100)
 
 
-def violations(mutant: type, seeds: range) -> Iterator[str]:
+def violations(mutant: type, seeds: range, checks_caught_up: bool) -> Iterator[str]:
     """Yield the first violation of each random run of a mutant."""
     for seed in seeds:
         cluster = Cluster(3 if seed % 2 else 5, seed, mutant)
+        cluster.checks_caught_up = checks_caught_up
         try:
             run_at_random(cluster, 200)
             cluster.check_recovery()
@@ -164,9 +165,9 @@
 class MutantTest(unittest.TestCase):
     """Each check fails on a class without the rule that it checks."""
 
-    def assert_found(self, mutant, text):
+    def assert_found(self, mutant, text, checks_caught_up=False):
         seen = set()
-        for violation in violations(mutant, range(400)):
+        for violation in violations(mutant, range(400), checks_caught_up):
             seen.add(violation[:30])
             if violation.startswith(text):
                 return
@@ -207,6 +208,10 @@
                 with self.subTest(mutant=mutant.__name__):
                     self.assert_found(mutant, text)
 
+    def test_check_of_what_a_leader_knows(self):
+        """Guards against a leader that takes its state for the newest without knowing it."""
+        self.assert_found(mutants.ClaimsTooEarly, "unknown to", checks_caught_up=True)
+
     def test_second_leader_is_noticed_by_voters(self):
         """Guards against a voter that follows two leaders of one term."""
         cluster = formed()
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -59,8 +59,9 @@
 FORGET_S = 20.0
 # After this time the roster of a process that has just started is as complete as others'.
 SETTLED_S = 6.0
-# Without word from a leader for this time, others may know more than this process.
+# A process that lacked something for this time may tell entries less than others would.
 BEHIND_S = 1.5
+BEHIND_MARGIN_S = 0.02
 ENTRY_GONE_S = 6.0
 CRASHES_TO_QUARANTINE = 3
 MOST_FINGERPRINTS = 4096
@@ -248,11 +249,14 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether this process hears from the majority."""
-        service = self.log.service
-        if self.is_stopping or service is None or service.failure:
-            return False
-        return self.is_leader or self.timers.now() - service.node.heard_at < BEHIND_S
+        """Whether this process held everything that is committed until just now.
+
+        Explanation
+        ===========
+        Heartbeats alone don't tell: they also reach a process whose disk hangs, or that still
+        lacks a part of the log.
+        """
+        return not self.is_stopping and self.age_s < BEHIND_S
 
     @property
     def age_s(self) -> float:
@@ -457,11 +461,16 @@
         self.entries[message.instance] = self.timers.now()
         if not self._has_news(message):
             try:
-                await asyncio.wait_for(self.news.wait(), min(FOLLOW_WAIT_S, message.wait_s))
+                await asyncio.wait_for(self.news.wait(), self._follow_wait_s(message))
             except TimeoutError:
                 pass
         return self._state_for(message)
 
+    def _follow_wait_s(self, message: Follow) -> float:
+        """Return how long an answer may wait: not beyond the time at which this one is behind."""
+        until_behind_s = max(0.0, BEHIND_S - self.age_s)
+        return min(FOLLOW_WAIT_S, message.wait_s, until_behind_s + BEHIND_MARGIN_S)
+
     def _has_news(self, message: Follow) -> bool:
         return (
             message.control_incarnation != self.incarnation
--- a/mulberrygate/daemon/tests/test_site.py
+++ b/mulberrygate/daemon/tests/test_site.py
@@ -48,6 +48,13 @@
     return ports
 
 
+def e1():
+    """Return an endpoint that doesn't run."""
+    endpoint = Endpoint("e1", whole())
+    endpoint.address = "127.0.0.1:1"
+    return endpoint
+
+
 class Deployment:
     """Three control processes and one entry, in this process."""
 
@@ -329,6 +336,7 @@
         leader = await self.site.find_leader()
         stalled = next(name for name in CONTROLS if name != leader)
         follower = self.site.gateway.follower
+        await self.site.until(lambda: follower.index)
         follower.control = stalled
         controller = self.site.nodes[stalled].controller
         await self.site.until(lambda: follower.control_incarnation == controller.incarnation)
@@ -342,6 +350,19 @@
         self.assertEqual(controller.machine.version, 1)
         is_released.set()
 
+    async def test_restarted_process_is_not_current_before_its_group(self):
+        """A process that had just restarted told entries that its old state was the newest."""
+        await self.site.put(1)
+        await self.site.find_leader()
+        for name in CONTROLS:
+            await self.site.crash(name)
+        await self.site.start_control(CONTROLS[0], is_first=False)
+        controller = self.site.nodes[CONTROLS[0]].controller
+        await self.site.until(lambda: controller.log.service.node.started_at is not None)
+        status, _ = await self.site.control("PUT", "/instances/e1", self.site.beat(e1(), "booking"))
+        self.assertFalse(controller.is_current)
+        self.assertEqual(status, 503)
+
     async def test_crashing_call_is_refused_after_a_restart_of_all_control_processes(self):
         """A restart forgot which calls crash endpoints, and new entries sent them again."""
         await self.site.put(1)
