Look for a current control process by asking all of them at once

What callers saw: refusals by an older configuration for longer than a change may take, once the control process that an entry follows is lost or behind and others are lost as well.

Cause: an entry found out one process at a time. A silent one cost 1.1 s, so two silent ones after the 1.5 s until a process admits that it is behind add up to 3.7 s, over the 2.5 to 3 s that the deployments allow.

Now all known processes are asked at once whether they are current, which costs one small message each, and the nearest current one is followed. An answer that is later than 0.7 s starts the same search beside it, so that no full time limit is waited for while another process is current. Calls to silent processes run on, because their end is what closes a connection that went silent.

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -33,6 +33,7 @@
 from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.messages import (
     FOLLOW_WAIT_S,
+    AskStanding,
     AskUnits,
     CrashSeen,
     Follow,
@@ -41,6 +42,7 @@
     ReadLatest,
     Share,
     ShareResult,
+    Standing,
     State,
     Units,
     VersionEvidence,
@@ -163,6 +165,7 @@
         )
         on = self.peers.client.on
         on(Follow, self._on_follow)
+        on(AskStanding, self._on_ask_standing)
         on(Share, self._on_share)
         on(Propose, self.log.on_propose)
         on(ReadLatest, self.log.on_read_latest)
@@ -466,6 +469,9 @@
                 pass
         return self._state_for(message)
 
+    def _on_ask_standing(self, _message: AskStanding, _sender: str) -> Standing:
+        return Standing(self.is_current, self.age_s, self.machine.version)
+
     def _follow_wait_s(self, message: Follow) -> float:
         """Return how long an answer may wait: not beyond the time at which this one is behind."""
         until_behind_s = max(0.0, BEHIND_S - self.age_s)
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -12,10 +12,14 @@
 from mulberrygate.core.timers import TimerService
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.observe.jsonlines import JsonLines
+from mulberrygate.peers.link import Unreachable
 from mulberrygate.sync.messages import FOLLOW_WAIT_S, Follow, State
+from mulberrygate.sync.search import ControlSearch
 
 # The control process answers within half a second, so a longer silence is a fault.
 FOLLOW_TIMEOUT_S = 1.0
+# After this time without an answer another process is looked for.
+LATE_S = 0.7
 # Least time between two questions, so that a storm of changes comes in batches.
 FOLLOW_GAP_S = 0.02
 RETRY_S = 0.1
@@ -33,8 +37,8 @@
     Explanation
     ===========
     One control process at a time is followed, in the own failure domain if possible. Another one is
-    taken when it doesn't answer or has lost the majority of its group. A catalog is only ever
-    replaced by one of a higher version.
+    taken when it doesn't answer or lacks something that its group has committed. A catalog is only
+    ever replaced by one of a higher version.
 
     Parameters
     ==========
@@ -70,7 +74,7 @@
         self.decode = decode
         self.on_catalog = on_catalog
         self.on_state = on_state
-        self.rng = random.Random(seed)
+        self.search = ControlSearch(site.instance, peers.client, timers, random.Random(seed))
         self.index: CatalogIndex | None = None
         self.controls: list[str] = list(site.seeds)
         self.seeds = site.seeds
@@ -79,7 +83,6 @@
         self.changes = -1
         self.crashes = 0
         self.leader = ""
-        self.failed_at: dict[str, float] = {}
         self.full_at = 0.0
         self.answers_without_catalog = 0
         self.current_at = float("-inf")
@@ -100,22 +103,30 @@
                 await asyncio.sleep(RETRY_S)
             await asyncio.sleep(FOLLOW_GAP_S)
 
-    def _choose(self) -> str:
-        """Return the control process that failed least lately, the nearest of equal ones."""
-        names = list(dict.fromkeys([*self.controls, *self.seeds]))
-        prefix = self.site.instance.rsplit(".", 2)[0]
-        self.rng.shuffle(names)
-        return min(
-            names,
-            key=lambda name: (
-                self.failed_at.get(name, float("-inf")),
-                name.rsplit(".", 2)[0] != prefix,
-            ),
+    def _names(self) -> list[str]:
+        return [*self.controls, *self.seeds]
+
+    async def _find(self) -> str:
+        """Return the control process to follow next."""
+        names = self._names()
+        return await self.search.find(names) or self.search.least_failed(names)
+
+    async def _ask(self, question: Follow) -> State | Unreachable:
+        """Ask the process that is followed, and look for another one if it is late."""
+        call = asyncio.ensure_future(
+            self.peers.client.call(self.control, question, FOLLOW_TIMEOUT_S)
         )
+        await asyncio.wait({call}, timeout=LATE_S)
+        if not call.done():
+            others = [name for name in self._names() if name != self.control]
+            if await self.search.find(others) and not call.done():
+                self.search.keep(call)
+                return Unreachable(self.control, "it is late, and another one is current")
+        return await call
 
     async def _follow_once(self) -> None:
         if not self.control:
-            self.control = self._choose()
+            self.control = await self._find()
         now = self.timers.now()
         if now - self.full_at > FULL_EVERY_S:
             self.changes = -1
@@ -128,7 +139,7 @@
             self.crashes,
             FOLLOW_WAIT_S if self.index else FIRST_CATALOG_WAIT_S,
         )
-        answer = await self.peers.client.call(self.control, question, FOLLOW_TIMEOUT_S)
+        answer = await self._ask(question)
         if not isinstance(answer, State):
             self._leave(f"no answer: {getattr(answer, 'reason', '')}")
             await asyncio.sleep(RETRY_S)
@@ -144,7 +155,7 @@
 
     def _leave(self, reason: str) -> None:
         self.lines.note("control.left", control=self.control, reason=reason)
-        self.failed_at[self.control] = self.timers.now()
+        self.search.note_failure(self.control)
         self.control = ""
         self.answers_without_catalog = 0
 
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -109,6 +109,22 @@
     age_s: float = math.inf
 
 
+@message("sync.ask_standing")
+@attrs.frozen
+class AskStanding:
+    """Entry to control: tell at once whether you are current."""
+
+
+@message("sync.standing")
+@attrs.frozen
+class Standing:
+    """Control to entry: answer to `AskStanding`, with fields as in `State`."""
+
+    is_current: bool
+    age_s: float = math.inf
+    catalog_version: int = -1
+
+
 @message("sync.share")
 @attrs.frozen
 class Share:
--- /dev/null
+++ b/mulberrygate/sync/search.py
@@ -0,0 +1,105 @@
+"""Search for the control process that an entry follows."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+
+from mulberrygate.core.timers import TimerService
+from mulberrygate.sync.messages import AskStanding, Standing
+
+# A process that is up and reachable answers within some hops between regions.
+SEARCH_S = 0.3
+# Calls run on for this time, so that connections that went silent are noticed and closed.
+STANDING_TIMEOUT_S = 0.6
+# A process that failed within this time is taken only if no other one is current.
+FAILED_S = 3.0
+
+
+class ControlSearch:
+    """Ask all control processes at once which of them are current.
+
+    Explanation
+    ===========
+    Asked one after the other, each lost process costs its whole time limit, and two of them cost an
+    entry more than a change may take to be in force.
+
+    Parameters
+    ==========
+    instance : str
+        Address of the entry, whose first two parts name its failure domain.
+    client : PeerClient
+        Messages to control processes.
+    """
+
+    def __init__(self, instance: str, client, timers: TimerService, rng: random.Random):
+        self.domain = instance.rsplit(".", 2)[0]
+        self.client = client
+        self.timers = timers
+        self.rng = rng
+        self.failed_at: dict[str, float] = {}
+        self.calls: set[asyncio.Future] = set()
+
+    def note_failure(self, name: str) -> None:
+        """Take note that a process didn't answer or was behind."""
+        self.failed_at[name] = self.timers.now()
+
+    def is_far(self, name: str) -> bool:
+        """Return whether a process is in another failure domain."""
+        return name.rsplit(".", 2)[0] != self.domain
+
+    def least_failed(self, names: Iterable[str]) -> str:
+        """Return the process that failed least lately, the nearest of equal ones."""
+        shuffled = self._shuffled(names)
+        return min(
+            shuffled,
+            key=lambda name: (self.failed_at.get(name, float("-inf")), self.is_far(name)),
+        )
+
+    async def find(self, names: Iterable[str]) -> str:
+        """Return the nearest process that is current, empty if none is found in time."""
+        asked = {self._ask(name): name for name in self._shuffled(names)}
+        waiting = set(asked)
+        found: list[str] = []
+        end = self.timers.now() + SEARCH_S
+        while waiting and not any(self._is_best(name) for name in found):
+            left_s = max(0.0, end - self.timers.now())
+            done, waiting = await asyncio.wait(
+                waiting, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not done:
+                break
+            found += [asked[call] for call in done if is_current(call)]
+        return min(found, key=self._rank) if found else ""
+
+    def keep(self, call: asyncio.Future) -> None:
+        """Let a call run to its end without anybody who waits for it."""
+        self.calls.add(call)
+        call.add_done_callback(self.calls.discard)
+
+    def _ask(self, name: str) -> asyncio.Future:
+        question = self.client.call(name, AskStanding(), STANDING_TIMEOUT_S)
+        call = asyncio.ensure_future(question)
+        self.keep(call)
+        return call
+
+    def _shuffled(self, names: Iterable[str]) -> list[str]:
+        shuffled = list(dict.fromkeys(names))
+        self.rng.shuffle(shuffled)
+        return shuffled
+
+    def _rank(self, name: str) -> tuple[bool, bool]:
+        failed_at = self.failed_at.get(name, float("-inf"))
+        return self.timers.now() - failed_at < FAILED_S, self.is_far(name)
+
+    def _is_best(self, name: str) -> bool:
+        return not any(self._rank(name))
+
+
+def is_current(call: asyncio.Future) -> bool:
+    """Return whether the answer of a finished call says that its process is current."""
+    if call.cancelled() or call.exception() is not None:
+        return False
+    standing = call.result()
+    return isinstance(standing, Standing) and standing.is_current
--- a/mulberrygate/sync/tests/test_follower.py
+++ b/mulberrygate/sync/tests/test_follower.py
@@ -16,7 +16,10 @@
 from mulberrygate.peers.client import Unreachable
 from mulberrygate.platform.documents import decode_document
 from mulberrygate.sync.follower import Follower
-from mulberrygate.sync.messages import State
+from mulberrygate.sync.messages import AskStanding, Standing, State
+
+# Answer of a process that is lost: none, and no end of the connection either.
+SILENT = object()
 
 
 def packed(version):
@@ -39,10 +42,15 @@
         self.is_asked = {name: asyncio.Event() for name in answers}
         self.client = self
 
-    async def call(self, instance, _message, _timeout_s):
+    async def call(self, instance, message, _timeout_s):
         """Answer a question."""
         self.is_asked[instance].set()
-        return self.answers[instance]
+        answer = self.answers[instance]
+        if answer is SILENT:
+            await asyncio.Event().wait()
+        if isinstance(message, AskStanding) and isinstance(answer, State):
+            return Standing(answer.is_current)
+        return answer
 
 
 class TestFollower(unittest.IsolatedAsyncioTestCase):
@@ -83,7 +91,7 @@
         follower = self.follower(c1=None, c2=None)
         await self.follow(follower, State(1, 0, 5, is_current=False))
         self.assertEqual(follower.control, "")
-        self.assertEqual(follower._choose(), "c2")
+        self.assertEqual(follower.search.least_failed(follower.controls), "c2")
 
     async def test_process_without_a_catalog_is_left(self):
         """After all lost power, entries waited for the one process that had lost its disk."""
@@ -104,7 +112,26 @@
         """An entry waited for a process that had ended."""
         follower = self.follower(c1=None, c2=None)
         await self.follow(follower, Unreachable("c1", "test"))
-        self.assertEqual(follower._choose(), "c2")
+        self.assertEqual(follower.search.least_failed(follower.controls), "c2")
+
+    async def test_silent_processes_are_not_waited_for_one_after_the_other(self):
+        """Two lost processes together kept an entry on an old catalog for longer than allowed."""
+        newest = State(1, 0, 9, is_current=True, catalog=packed(9))
+        follower = self.follower(c1=SILENT, c2=SILENT, c3=newest)
+        async with asyncio.timeout(10):
+            while not self.in_force:
+                await follower._follow_once()
+        self.assertEqual(self.in_force, [9])
+
+    async def test_process_that_is_behind_is_not_chosen(self):
+        """An entry turned from one process that was behind to the next one."""
+        newest = State(1, 0, 9, is_current=True, catalog=packed(9))
+        behind = State(1, 0, 5, is_current=False)
+        lost = {f"c{number}": behind for number in range(1, 6)}
+        follower = self.follower(**lost, c6=newest)
+        await follower._follow_once()
+        await follower._follow_once()
+        self.assertEqual(self.in_force, [9])
 
     async def test_young_process_forgets_no_endpoints(self):
         """After all control processes restarted, entries dropped every endpoint."""
