Keep the quarantine of crashing calls in the control log, and repeat reports until it has them

What callers and endpoints saw: a call that had crashed three endpoints was sent on after control processes had restarted, or by entries that were told less than others.

Cause: crash counts and quarantines lived in the memory of each control process by itself. Reports went out once, as messages that may be lost. An entry and its control process compared the number of quarantined calls, so that two different sets of one size were taken for the same and a set of another size replaced what the entry knew. An entry never again reported a call that it had seen answered once. All of these are one class: a decision of several processes that none of the means for shared decisions carries.

An entry keeps a crash until a control process says that it is committed, and refuses by itself what it could not report three times. A sound answer clears a suspect, in place of the memory of calls answered earlier. Records are forgotten after 15 minutes, quarantines after an hour, as on the product's own path.

A voter of an earlier release can't read the new command, so all control processes have to be replaced together.

--- a/mulberrygate/control/catalogs.py
+++ b/mulberrygate/control/catalogs.py
@@ -1,4 +1,4 @@
-"""State machine on the control log for catalogs, leaving endpoints and version moves.
+"""State machine on the control log for catalogs, leaving endpoints, version moves and quarantine.
 
 Explanation
 ===========
@@ -14,6 +14,7 @@
 import attrs
 import msgpack
 
+from mulberrygate.control.quarantine import Quarantine
 from mulberrygate.core.codes import register_code
 from mulberrygate.core.invariant import invariant
 
@@ -74,7 +75,31 @@
     deadline_at: float
 
 
-COMMANDS = {"catalog": PutCatalog, "leaving": PutLeaving, "move": PutMove}
+@attrs.frozen
+class PutCrashes:
+    """Count endpoints that ended under calls, and clear calls that were answered.
+
+    Parameters
+    ==========
+    crashes : tuple[tuple[str, str, int], ...]
+        Fingerprint of the call, endpoint and incarnation.
+    cleared : tuple[str, ...]
+        Fingerprints.
+    at : float
+        Unix time in seconds.
+    """
+
+    crashes: tuple[tuple[str, str, int], ...]
+    cleared: tuple[str, ...]
+    at: float
+
+
+COMMANDS = {
+    "catalog": PutCatalog,
+    "leaving": PutLeaving,
+    "move": PutMove,
+    "crashes": PutCrashes,
+}
 KINDS = {cls: kind for kind, cls in COMMANDS.items()}
 
 
@@ -104,6 +129,7 @@
         self.document = b""
         self.leaving: dict[str, int] = {}
         self.moves: dict[str, Move] = {}
+        self.quarantine = Quarantine()
 
     def apply(self, index: int, command: bytes) -> object:
         """Apply a committed command and return whether it changed the state."""
@@ -117,6 +143,8 @@
             return self._put_catalog(command)
         if isinstance(command, PutLeaving):
             return self._put_leaving(command)
+        if isinstance(command, PutCrashes):
+            return self.quarantine.put(command.crashes, command.cleared, command.at)
         return self._put_move(command)
 
     def _put_catalog(self, command: PutCatalog) -> bool:
@@ -154,7 +182,8 @@
     def snapshot(self) -> bytes:
         """Return the whole state."""
         moves = {pool: list(attrs.astuple(move)) for pool, move in self.moves.items()}
-        return msgpack.packb([self.version, self.document, self.leaving, moves])
+        state = [self.version, self.document, self.leaving, moves, self.quarantine.dump()]
+        return msgpack.packb(state)
 
     def moves_text(self) -> bytes:
         """Return the moves as JSON, for reads that another process answers."""
@@ -163,10 +192,13 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state."""
-        version, document, leaving, moves = msgpack.unpackb(data)
+        # Snapshots of earlier releases hold no quarantine.
+        version, document, leaving, moves, *quarantine = msgpack.unpackb(data)
         invariant(version >= self.version, CATALOG_REVERTED, f"{self.version} to {version}")
         self.version = version
         self.document = document
         self.leaving = dict(leaving)
         self.moves = {pool: Move(*values) for pool, values in moves.items()}
+        if quarantine:
+            self.quarantine.load(quarantine[0])
         self.on_change()
--- /dev/null
+++ b/mulberrygate/control/quarantine.py
@@ -0,0 +1,158 @@
+"""Replicated record of calls under which endpoints ended.
+
+Explanation
+===========
+A call that crashes each endpoint that runs it is refused after some crashes. Entries report what
+they saw; the reports go through the control log, so that every control process counts the same
+crashes, also after restarts and across cuts. An ordinary call that ran beside a crashing one is
+cleared by the first sound answer to it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+CRASHES_TO_QUARANTINE = 3
+# One crash makes no suspect, since a lost endpoint may have run many calls.
+CRASHES_TO_SUSPECT = 2
+SUSPECT_S = 900.0
+QUARANTINE_S = 3600.0
+MOST_CALLS = 4096
+
+
+@attrs.define
+class CrashRecord:
+    """Endpoints that ended under one call.
+
+    Parameters
+    ==========
+    ends : set[tuple[str, int]]
+        Endpoint and incarnation of each.
+    seen_at : float
+        Unix time in seconds of the last report.
+    """
+
+    ends: set[tuple[str, int]] = attrs.field(factory=set)
+    seen_at: float = 0.0
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether no endpoint may run the call."""
+        return len(self.ends) >= CRASHES_TO_QUARANTINE
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a further crash would put the call into quarantine."""
+        return CRASHES_TO_SUSPECT <= len(self.ends) < CRASHES_TO_QUARANTINE
+
+    @property
+    def ends_at(self) -> float:
+        """Unix time at which the record is forgotten."""
+        return self.seen_at + (QUARANTINE_S if self.is_quarantined else SUSPECT_S)
+
+
+class Quarantine:
+    """Calls that crash endpoints, as the control log has them.
+
+    Attributes
+    ==========
+    number : int
+        Rises with each change of the next two; the same in all control processes.
+    quarantined : tuple[str, ...]
+        Fingerprints of calls that no endpoint may run.
+    suspects : tuple[str, ...]
+        Fingerprints of calls that are one crash short of that.
+
+    Examples
+    ========
+    >>> from mulberrygate.control.quarantine import Quarantine
+    >>> quarantine = Quarantine()
+    >>> for endpoint in ("e1", "e2", "e3"):
+    ...     _ = quarantine.put([("call", endpoint, 1)], [], at=0.0)
+    >>> quarantine.quarantined
+    ('call',)
+    """
+
+    def __init__(self):
+        self.number = 0
+        self.records: dict[str, CrashRecord] = {}
+        self.quarantined: tuple[str, ...] = ()
+        self.suspects: tuple[str, ...] = ()
+
+    def put(
+        self, crashes: Iterable[tuple[str, str, int]], cleared: Iterable[str], at: float
+    ) -> bool:
+        """Take reports and return whether anything changed.
+
+        Parameters
+        ==========
+        crashes : Iterable[tuple[str, str, int]]
+            Fingerprint, endpoint and incarnation.
+        cleared : Iterable[str]
+            Fingerprints of calls that an endpoint has answered.
+        at : float
+            Unix time in seconds of the process that proposes the reports.
+        """
+        is_change = self._forget_old(at)
+        for call in cleared:
+            is_change |= self.records.pop(call, None) is not None
+        for call, endpoint, incarnation in crashes:
+            is_change |= self._count(call, (endpoint, incarnation), at)
+        while len(self.records) > MOST_CALLS:
+            del self.records[next(iter(self.records))]
+        before = self.quarantined, self.suspects
+        self._list()
+        if before != (self.quarantined, self.suspects):
+            self.number += 1
+        return is_change
+
+    def _list(self) -> None:
+        rows = self.records.items()
+        self.quarantined = tuple(call for call, record in rows if record.is_quarantined)
+        self.suspects = tuple(call for call, record in rows if record.is_suspect)
+
+    def _count(self, call: str, end: tuple[str, int], at: float) -> bool:
+        record = self.records.setdefault(call, CrashRecord())
+        if end in record.ends:
+            return False
+        record.ends.add(end)
+        record.seen_at = max(record.seen_at, at)
+        return True
+
+    def _forget_old(self, at: float) -> bool:
+        old = [call for call, record in self.records.items() if record.ends_at <= at]
+        for call in old:
+            del self.records[call]
+        return bool(old)
+
+    def has_old(self, at: float) -> bool:
+        """Return whether a record's time is over."""
+        return any(record.ends_at <= at for record in self.records.values())
+
+    def is_known(self, crashes: Iterable[tuple[str, str, int]], cleared: Iterable[str]) -> bool:
+        """Return whether reports would change nothing."""
+        if any(call in self.records for call in cleared):
+            return False
+        return all(
+            call in self.records and (endpoint, incarnation) in self.records[call].ends
+            for call, endpoint, incarnation in crashes
+        )
+
+    def dump(self) -> list:
+        """Return the whole record as plain values."""
+        rows = [
+            [call, sorted([*end] for end in record.ends), record.seen_at]
+            for call, record in self.records.items()
+        ]
+        return [self.number, rows]
+
+    def load(self, values: list) -> None:
+        """Replace the whole record by dumped values."""
+        self.number, rows = values
+        self.records = {
+            call: CrashRecord({(endpoint, incarnation) for endpoint, incarnation in ends}, seen_at)
+            for call, ends, seen_at in rows
+        }
+        self._list()
--- /dev/null
+++ b/mulberrygate/control/tests/test_quarantine.py
@@ -0,0 +1,109 @@
+"""Tests of the replicated record of calls that crash endpoints."""
+
+import random
+import unittest
+
+import msgpack
+
+from mulberrygate.control.catalogs import CatalogMachine, PutCrashes, encode_command
+from mulberrygate.control.quarantine import MOST_CALLS, QUARANTINE_S, SUSPECT_S, Quarantine
+
+
+def crashes(call, *endpoints):
+    """Return reports of one call."""
+    return [(call, endpoint, 1) for endpoint in endpoints]
+
+
+class TestQuarantine(unittest.TestCase):
+    """Counting, clearing and forgetting."""
+
+    def setUp(self):
+        self.quarantine = Quarantine()
+
+    def test_third_endpoint_puts_a_call_into_quarantine(self):
+        """A call that crashed three endpoints was not refused, or an ordinary one was."""
+        self.quarantine.put(crashes("a", "e1", "e2") + crashes("b", "e1"), [], 0.0)
+        self.assertEqual((self.quarantine.quarantined, self.quarantine.suspects), ((), ("a",)))
+        self.quarantine.put(crashes("a", "e3"), [], 0.0)
+        self.assertEqual((self.quarantine.quarantined, self.quarantine.suspects), (("a",), ()))
+
+    def test_repeated_report_counts_once(self):
+        """A report that was sent again counted as a further crash."""
+        for _ in range(3):
+            self.quarantine.put(crashes("a", "e1"), [], 0.0)
+        self.assertEqual((self.quarantine.quarantined, self.quarantine.number), ((), 0))
+
+    def test_restarts_of_one_endpoint_count(self):
+        """A call that crashed the same endpoint after each of its restarts was sent on."""
+        self.quarantine.put([("a", "e1", born) for born in (1, 2, 3)], [], 0.0)
+        self.assertEqual(self.quarantine.quarantined, ("a",))
+
+    def test_answered_call_is_cleared(self):
+        """An ordinary call that ran beside crashing ones was refused for an hour."""
+        self.quarantine.put(crashes("a", "e1", "e2"), [], 0.0)
+        self.quarantine.put([], ["a"], 0.0)
+        self.quarantine.put(crashes("a", "e3"), [], 0.0)
+        self.assertEqual((self.quarantine.quarantined, self.quarantine.suspects), ((), ()))
+
+    def test_number_rises_with_each_change_of_the_same_size(self):
+        """A list that had changed to another one of the same size was taken for the same."""
+        self.quarantine.put(crashes("a", "e1", "e2", "e3"), [], 0.0)
+        before = self.quarantine.number
+        self.quarantine.put(crashes("b", "e1", "e2", "e3"), ["a"], 0.0)
+        self.assertEqual(self.quarantine.quarantined, ("b",))
+        self.assertGreater(self.quarantine.number, before)
+
+    def test_old_records_are_forgotten(self):
+        """A call was refused for ever, or a suspect was never let off."""
+        self.quarantine.put(crashes("a", "e1", "e2", "e3") + crashes("b", "e1", "e2"), [], 0.0)
+        self.assertFalse(self.quarantine.has_old(SUSPECT_S - 1))
+        self.assertTrue(self.quarantine.has_old(SUSPECT_S))
+        self.quarantine.put([], [], SUSPECT_S)
+        self.assertEqual((self.quarantine.quarantined, self.quarantine.suspects), (("a",), ()))
+        self.quarantine.put([], [], QUARANTINE_S)
+        self.assertEqual(self.quarantine.quarantined, ())
+
+    def test_records_are_bounded(self):
+        """Crashes of ever new calls filled the memory of control processes."""
+        calls = [f"c{number}" for number in range(MOST_CALLS + 10)]
+        self.quarantine.put([(call, "e1", 1) for call in calls], [], 0.0)
+        self.assertEqual(len(self.quarantine.records), MOST_CALLS)
+
+
+class TestReplicas(unittest.TestCase):
+    """Copies of the log's state."""
+
+    def test_copies_agree_whenever_they_were_restored(self):
+        """A process that had restarted counted other crashes than the others."""
+        for seed in range(20):
+            rng = random.Random(seed)
+            commands = [encode_command(random_command(rng)) for _ in range(60)]
+            whole, restored = CatalogMachine(), CatalogMachine()
+            for index, command in enumerate(commands):
+                whole.apply(index, command)
+                restored.apply(index, command)
+                if rng.random() < 0.2:
+                    copy = CatalogMachine()
+                    copy.restore(restored.snapshot())
+                    restored = copy
+                pair = whole.quarantine, restored.quarantine
+                self.assertEqual(pair[0].dump(), pair[1].dump(), seed)
+                self.assertEqual(pair[0].quarantined, pair[1].quarantined, seed)
+                self.assertEqual(pair[0].suspects, pair[1].suspects, seed)
+
+    def test_snapshot_of_an_earlier_release(self):
+        """A voter did not start on a snapshot that an earlier release had written."""
+        machine = CatalogMachine()
+        machine.restore(msgpack.packb([3, b"text", {}, {}]))
+        self.assertEqual((machine.version, machine.quarantine.number), (3, 0))
+
+
+def random_command(rng):
+    """Return a report about a few calls."""
+    reports = [(f"c{rng.randrange(4)}", f"e{rng.randrange(5)}", rng.randrange(2)) for _ in range(2)]
+    cleared = (f"c{rng.randrange(4)}",) if rng.random() < 0.2 else ()
+    return PutCrashes(tuple(reports), cleared, rng.choice((0.0, 500.0, 1500.0)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -20,6 +20,7 @@
 from mulberrygate.control.catalogs import (
     CatalogMachine,
     PutCatalog,
+    PutCrashes,
     PutLeaving,
 )
 from mulberrygate.core.timers import TimerService
@@ -35,7 +36,8 @@
     FOLLOW_WAIT_S,
     AskStanding,
     AskUnits,
-    CrashSeen,
+    CrashReport,
+    CrashReportResult,
     Follow,
     Latest,
     Propose,
@@ -65,8 +67,7 @@
 BEHIND_S = 1.5
 BEHIND_MARGIN_S = 0.02
 ENTRY_GONE_S = 6.0
-CRASHES_TO_QUARANTINE = 3
-MOST_FINGERPRINTS = 4096
+FORGET_CRASHES_S = 30.0
 
 
 def boot_time() -> float:
@@ -79,13 +80,6 @@
     return round(age_s, 3) if math.isfinite(age_s) else -1
 
 
-@attrs.define
-class Crashing:
-    """Endpoints that ended while they ran calls of one fingerprint."""
-
-    endpoints: set[tuple[str, int]] = attrs.field(factory=set)
-
-
 class Controller:
     """All parts of a control process.
 
@@ -139,8 +133,8 @@
             lines,
         )
         self.placement: Placement | None = None
-        self.crashing: dict[str, Crashing] = {}
-        self.quarantined: dict[str, None] = {}
+        self.quarantined: frozenset[str] = frozenset()
+        self.quarantine_number = 0
         self.is_stopping = False
         self.is_catalog_due = False
         self.is_behind = True
@@ -171,11 +165,12 @@
         on(ReadLatest, self.log.on_read_latest)
         on(AskUnits, self._on_ask_units)
         on(VersionEvidence, self.moves.on_evidence)
-        on(CrashSeen, self._on_crash)
+        on(CrashReport, self._on_crash_report)
         await self._open_voter(self.process_started_at)
         await self.peers.start()
         self.timers.every(DUTY_S, self._do_duties, "duties")
         self.timers.every(VOTER_CHECK_S, self._reopen_voter, "voter")
+        self.timers.every(FORGET_CRASHES_S, self._forget_crashes, "crashes")
         self.timers.every(SHARE_S, self._share_renewals, "share")
         self.timers.every(POOLS_LOG_S, lambda: self.placement.log_pools(self.lines), "pools")
 
@@ -297,6 +292,7 @@
         for name, incarnation in machine.leaving.items():
             self.roster.leave(name, incarnation)
         self.moves.follow()
+        self._note_quarantine()
         if not self.is_catalog_due:
             # After a restart hundreds of versions are applied at once, of which only the last
             # one has to be decoded.
@@ -482,7 +478,7 @@
             message.control_incarnation != self.incarnation
             or message.catalog_version < self.machine.version
             or message.changes < self.roster.changes
-            or message.crashes != len(self.quarantined)
+            or message.quarantine < self.machine.quarantine.number
         )
 
     def _state_for(self, message: Follow) -> State:
@@ -490,6 +486,8 @@
         is_full = message.control_incarnation != self.incarnation or message.changes < 0
         names = list(roster.rows) if is_full else roster.changed_since(message.changes)
         limit = self.timers.now() - SILENT_S
+        quarantine = machine.quarantine
+        is_quarantine_due = message.quarantine < quarantine.number
         return State(
             control_incarnation=self.incarnation,
             changes=roster.changes,
@@ -505,8 +503,9 @@
             leader=self.leader,
             entries=max(1, len(self._list_entries())),
             moves=self.moves.states(),
-            crashes=len(self.quarantined),
-            crashing=tuple(self.quarantined) if message.crashes != len(self.quarantined) else (),
+            quarantine=quarantine.number,
+            quarantined=quarantine.quarantined if is_quarantine_due else (),
+            suspected=quarantine.suspects if is_quarantine_due else (),
             age_s=self.age_s,
         )
 
@@ -522,23 +521,39 @@
 
     # Calls that crash endpoints
 
-    def _on_crash(self, message: CrashSeen, _sender: str) -> None:
-        crashing = self.crashing.setdefault(message.fingerprint, Crashing())
-        crashing.endpoints.add((message.endpoint, message.incarnation))
-        self.lines.note(
-            "call.crash_heard",
-            fingerprint=message.fingerprint,
-            endpoint=message.endpoint,
-            incarnation=message.incarnation,
-            crashes=len(crashing.endpoints),
-        )
-        while len(self.crashing) > MOST_FINGERPRINTS:
-            del self.crashing[next(iter(self.crashing))]
-        is_over = len(crashing.endpoints) >= CRASHES_TO_QUARANTINE
-        if is_over and message.fingerprint not in self.quarantined:
-            self.lines.note("call.quarantined", fingerprint=message.fingerprint)
-            self.quarantined[message.fingerprint] = None
-            self._announce()
+    async def _on_crash_report(self, report: CrashReport, sender: str) -> CrashReportResult:
+        """Put an entry's report into the log."""
+        crashes = tuple((c.call, c.endpoint, c.incarnation) for c in report.crashes)
+        for call, endpoint, incarnation in crashes:
+            self.lines.note(
+                "call.crash_heard",
+                fingerprint=call,
+                endpoint=endpoint,
+                incarnation=incarnation,
+                entry=sender,
+            )
+        if self.is_current and self.machine.quarantine.is_known(crashes, report.cleared):
+            return CrashReportResult(True)
+        command = PutCrashes(crashes, report.cleared, time.time())
+        return CrashReportResult(await self.log.commit(command))
+
+    def _note_quarantine(self) -> None:
+        """Log the calls that came into quarantine and those that left it."""
+        if self.machine.quarantine.number <= self.quarantine_number:
+            return
+        self.quarantine_number = self.machine.quarantine.number
+        quarantined = frozenset(self.machine.quarantine.quarantined)
+        for call in quarantined - self.quarantined:
+            self.lines.note("call.quarantined", fingerprint=call)
+        for call in self.quarantined - quarantined:
+            self.lines.note("call.released", fingerprint=call)
+        self.quarantined = quarantined
+
+    def _forget_crashes(self) -> None:
+        """Let the log forget records whose time is over."""
+        now = time.time()
+        if self.is_leader and self.machine.quarantine.has_old(now):
+            self.timers.spawn(self.log.commit(PutCrashes((), (), now)))
 
     # Version moves
 
--- a/mulberrygate/daemon/gateway.py
+++ b/mulberrygate/daemon/gateway.py
@@ -20,9 +20,10 @@
 from mulberrygate.forward.suspects import Suspects
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.observe.metrics import Metrics
+from mulberrygate.sync.crash_reports import CrashReporter
 from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.follower import Follower
-from mulberrygate.sync.messages import CrashSeen, State
+from mulberrygate.sync.messages import Crash, State
 
 # The balancer asks once a second and takes an instance out after two misses. What is taken later
 # than this might not end before the process has to.
@@ -77,7 +78,10 @@
             site.bounds.quota_slack,
             boot_time,
         )
-        self.suspects = Suspects(self._report_crash)
+        self.suspects = Suspects(self._note_crash, lambda: self.reporter.wake())
+        self.reporter = CrashReporter(
+            self.peers.client, self.suspects, self.timers, self._list_controls
+        )
         self.seed = seed
         self.dialect = dialect
         self.decode = decode
@@ -173,8 +177,7 @@
         self.forwarder.catalog_current_at = self.follower.current_at
         self.forwarder.set_entries(state.entries)
         self.limits.entries = state.entries
-        if state.crashing:
-            self.suspects.set_quarantined(state.crashing)
+        self.suspects.set_known(state.quarantine, state.quarantined, state.suspected)
         self.evidence.set_moves(state.moves)
         if state.heard or state.gone:
             self.placement.refresh()
@@ -187,10 +190,19 @@
         for report in self.evidence.take(self.site.instance, self.peers.incarnation):
             self.peers.client.send(leader, report)
 
-    def _report_crash(self, fingerprint: str, endpoint: str, incarnation: int) -> None:
-        self.lines.note("call.crashed", fingerprint=fingerprint, endpoint=endpoint)
-        for control in self.follower.controls:
-            self.peers.client.send(control, CrashSeen(fingerprint, endpoint, incarnation))
+    def _note_crash(self, crash: Crash) -> None:
+        self.lines.note(
+            "call.crashed",
+            fingerprint=crash.call,
+            endpoint=crash.endpoint,
+            incarnation=crash.incarnation,
+        )
+
+    def _list_controls(self) -> list[str]:
+        """Return the control processes, the leader first and then the one that is followed."""
+        follower = self.follower
+        first = [name for name in (follower.leader, follower.control) if name]
+        return list(dict.fromkeys([*first, *follower.controls]))
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Take the seeds of changed settings."""
--- a/mulberrygate/forward/suspects.py
+++ b/mulberrygate/forward/suspects.py
@@ -4,9 +4,19 @@
 
 from collections.abc import Callable
 
+from mulberrygate.control.quarantine import CRASHES_TO_QUARANTINE
 from mulberrygate.forward.request import Call
+from mulberrygate.sync.messages import Crash, CrashReport
 
-MOST_SOUND = 4096
+MOST_CALLS = 1024
+# Reports that fit into one message.
+MOST_REPORTED = 256
+
+
+def keep_newest(items: dict) -> None:
+    """Drop the oldest items beyond the bound."""
+    while len(items) > MOST_CALLS:
+        del items[next(iter(items))]
 
 
 class Suspects:
@@ -14,36 +24,84 @@
 
     Explanation
     ===========
-    A call is the same if its path, client account and body are. One that any endpoint has answered
-    is not reported, since it ran beside the call that crashed the endpoint.
+    A call is the same if its path, client account and body are. Crashes that are not in the control
+    log yet stay here and are reported again; enough of them let this entry refuse the call by
+    itself.
 
     Parameters
     ==========
-    report : Callable[[str, str, int], None]
-        Called with fingerprint, endpoint and incarnation of a call whose endpoint crashed.
+    on_crash : Callable[[Crash], None]
+        Called with each crash that was not known.
+    on_report : Callable[[], None]
+        Called when there is something to report.
+
+    Attributes
+    ==========
+    number : int
+        Number of the quarantine that the entry has, as the control processes count it.
     """
 
-    def __init__(self, report: Callable[[str, str, int], None]):
-        self.report = report
+    def __init__(self, on_crash: Callable[[Crash], None], on_report: Callable[[], None]):
+        self.on_crash = on_crash
+        self.on_report = on_report
+        self.number = 0
         self.quarantined: frozenset[str] = frozenset()
-        self.sound: dict[str, None] = {}
+        self.suspected: frozenset[str] = frozenset()
+        self.unreported: dict[Crash, None] = {}
+        self.reported: dict[str, None] = {}
+        self.uncleared: dict[str, None] = {}
 
-    def set_quarantined(self, fingerprints: tuple[str, ...]) -> None:
-        """Replace the fingerprints that no endpoint may run."""
-        self.quarantined = frozenset(fingerprints)
+    def set_known(
+        self, number: int, quarantined: tuple[str, ...], suspected: tuple[str, ...]
+    ) -> None:
+        """Take the quarantine of a control process, unless it is older than the one known."""
+        if number <= self.number:
+            return
+        self.number = number
+        self.quarantined = frozenset(quarantined)
+        self.suspected = frozenset(suspected)
 
     def is_quarantined(self, call: Call) -> bool:
         """Return whether a call may not be sent to any endpoint."""
-        return bool(self.quarantined) and call.fingerprint in self.quarantined
+        if not self.quarantined and not self.unreported:
+            return False
+        fingerprint = call.fingerprint
+        unreported = sum(crash.call == fingerprint for crash in self.unreported)
+        return fingerprint in self.quarantined or unreported >= CRASHES_TO_QUARANTINE
 
     def note_sound(self, call: Call) -> None:
         """Take note that an endpoint answered a call."""
-        self.sound[call.fingerprint] = None
-        while len(self.sound) > MOST_SOUND:
-            del self.sound[next(iter(self.sound))]
+        if not (self.unreported or self.reported or self.suspected or self.quarantined):
+            return
+        fingerprint = call.fingerprint
+        own = [crash for crash in self.unreported if crash.call == fingerprint]
+        for crash in own:
+            del self.unreported[crash]
+        is_reported = fingerprint in self.reported
+        self.reported.pop(fingerprint, None)
+        if is_reported or fingerprint in self.suspected or fingerprint in self.quarantined:
+            self.uncleared[fingerprint] = None
+            self.on_report()
 
     def note_crash(self, call: Call, endpoint: str, incarnation: int) -> None:
         """Take note that an endpoint was lost while it ran a call."""
-        fingerprint = call.fingerprint
-        if fingerprint not in self.sound:
-            self.report(fingerprint, endpoint, incarnation)
+        crash = Crash(call.fingerprint, endpoint, incarnation)
+        self.unreported[crash] = None
+        keep_newest(self.unreported)
+        self.on_crash(crash)
+        self.on_report()
+
+    def next_report(self) -> CrashReport | None:
+        """Return what no control process has taken yet, ``None`` if there is nothing."""
+        crashes = tuple(self.unreported)[:MOST_REPORTED]
+        cleared = tuple(self.uncleared)[:MOST_REPORTED]
+        return CrashReport(crashes, cleared) if crashes or cleared else None
+
+    def note_reported(self, report: CrashReport) -> None:
+        """Take note that a report is in the control log."""
+        for crash in report.crashes:
+            self.unreported.pop(crash, None)
+            self.reported[crash.call] = None
+        keep_newest(self.reported)
+        for fingerprint in report.cleared:
+            self.uncleared.pop(fingerprint, None)
--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -203,7 +203,7 @@
         self.crashes = []
         self.forwarder = Forwarder(
             self.site, PlatformDialect(), self.placement, scheduler, limits,
-            Suspects(lambda *crash: self.crashes.append(crash)), self.timers, self.lines,
+            Suspects(self.crashes.append, lambda: None), self.timers, self.lines,
             view_metrics,
         )  # fmt: skip
         self.http = HttpSite(self.forwarder.handle, HOST, 0, cancels=True)
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -81,7 +81,7 @@
         self.control = ""
         self.control_incarnation = 0
         self.changes = -1
-        self.crashes = 0
+        self.quarantine = 0
         self.leader = ""
         self.full_at = 0.0
         self.answers_without_catalog = 0
@@ -136,7 +136,7 @@
             self.index.version if self.index else -1,
             self.control_incarnation,
             self.changes,
-            self.crashes,
+            self.quarantine,
             FOLLOW_WAIT_S if self.index else FIRST_CATALOG_WAIT_S,
         )
         answer = await self._ask(question)
@@ -181,7 +181,7 @@
         if state.is_current:
             self.controls = list(state.controls) or self.controls
             self.leader = state.leader
-        self.crashes = state.crashes
+        self.quarantine = max(self.quarantine, state.quarantine)
         self.on_state(state)
 
     def _take_roster(self, state: State, now: float) -> None:
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -43,6 +43,8 @@
         Version of the catalog in force at the entry, -1 for none.
     incarnation, changes : int
         Process and number of roster changes of the last answer.
+    quarantine : int
+        Number of the quarantine that the entry has.
     wait_s : float
         Longest time in seconds for which the answer may wait for a change.
     """
@@ -52,7 +54,7 @@
     catalog_version: int
     control_incarnation: int
     changes: int
-    crashes: int = 0
+    quarantine: int = 0
     wait_s: float = FOLLOW_WAIT_S
 
 
@@ -83,8 +85,11 @@
         Instance that leads the control group, empty if it is not known.
     entries : int
         Entries that follow any control process.
-    crashing : tuple[str, ...]
-        Fingerprints of calls that crash endpoints.
+    quarantine : int
+        Number of the control process's quarantine; see `mulberrygate.control.quarantine`.
+    quarantined, suspected : tuple[str, ...]
+        Fingerprints of calls that crash endpoints, and of those that may; empty unless the number
+        is higher than that of the entry.
     age_s : float
         Seconds since the control process held everything that its group had committed, infinite if
         it never did.
@@ -104,8 +109,9 @@
     leader: str = ""
     entries: int = 1
     moves: tuple[MoveState, ...] = ()
-    crashes: int = 0
-    crashing: tuple[str, ...] = ()
+    quarantine: int = 0
+    quarantined: tuple[str, ...] = ()
+    suspected: tuple[str, ...] = ()
     age_s: float = math.inf
 
 
@@ -143,7 +149,6 @@
     heard: tuple[Heard, ...] = ()
     renewed: tuple[tuple[str, int, float], ...] = ()
     entries: tuple[str, ...] = ()
-    crashing: tuple[str, ...] = ()
 
 
 @message("sync.share_result")
@@ -245,9 +250,32 @@
 
 @message("sync.crash")
 @attrs.frozen
-class CrashSeen:
-    """Entry to control: a call ended with the loss of its endpoint."""
+class Crash:
+    """A call ended with the loss of its endpoint.
 
-    fingerprint: str
+    Parameters
+    ==========
+    call : str
+        Fingerprint of the call.
+    """
+
+    call: str
     endpoint: str
     incarnation: int
+
+
+@message("sync.crash_report")
+@attrs.frozen
+class CrashReport:
+    """Entry to control: crashes, and fingerprints of suspected calls that were answered."""
+
+    crashes: tuple[Crash, ...] = ()
+    cleared: tuple[str, ...] = ()
+
+
+@message("sync.crash_report_result")
+@attrs.frozen
+class CrashReportResult:
+    """Answer to `CrashReport`: whether it is in the control log for certain."""
+
+    is_committed: bool
--- /dev/null
+++ b/mulberrygate/sync/tests/test_crash_reports.py
@@ -0,0 +1,51 @@
+"""Tests of the way of crash reports to the control log."""
+
+import asyncio
+import unittest
+
+from mulberrygate.core.timers import TimerService
+from mulberrygate.forward.suspects import Suspects
+from mulberrygate.forward.tests.test_suspects import call
+from mulberrygate.peers.client import Unreachable
+from mulberrygate.sync.crash_reports import CrashReporter
+from mulberrygate.sync.messages import CrashReportResult
+
+
+class Client:
+    """Control processes that give these answers, one after the other."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+        self.is_done = asyncio.Event()
+
+    async def call(self, instance, message, _timeout_s):
+        """Answer a report."""
+        self.asked.append((instance, message))
+        answer = self.answers.pop(0)
+        if not self.answers:
+            self.is_done.set()
+        return answer
+
+
+class TestCrashReporter(unittest.IsolatedAsyncioTestCase):
+    """Reports of one entry."""
+
+    async def test_report_is_repeated_until_a_process_has_it_in_the_log(self):
+        """A report that was lost, or taken by a process without its group, was gone."""
+        client = Client(
+            Unreachable("c1", "test"), CrashReportResult(False), CrashReportResult(True)
+        )
+        timers = TimerService(lambda name, error: None)
+        self.addAsyncCleanup(timers.close)
+        suspects = Suspects(lambda crash: None, lambda: reporter.wake())
+        reporter = CrashReporter(client, suspects, timers, lambda: ["c1", "c2"])
+        suspects.note_crash(call(), "e1", 1)
+        suspects.note_crash(call(path="/plain/2"), "e1", 1)
+        await asyncio.wait_for(client.is_done.wait(), 10)
+        self.assertEqual([instance for instance, _ in client.asked], ["c1", "c2", "c1"])
+        self.assertEqual([len(message.crashes) for _, message in client.asked], [2, 2, 2])
+
+
+if __name__ == "__main__":
+    unittest.main()
