Look before each send whether a call crashes endpoints

What endpoints saw: a call that had waited for a place, or was tried again, reached them after it had been put into quarantine.

Cause: the check was made once, when the body had been read. A call may wait for most of its caller's patience after that, and idempotent ones and resumable streams are sent again.

Now a grant is handed back when the call is in quarantine by then. A call that was never sent is refused as not run; one that was sent gets what it would get if its last send had failed.

Both tests failed before (a 200 for the call that waited, two sends of the one that ran), and pass.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -111,6 +111,11 @@
             placed = await forwarder.place(call, ticket)
             if isinstance(placed, Refusal):
                 return self._without_endpoint(placed)
+            # The call may have been quarantined while it waited or ran.
+            crashing = forwarder.check_suspects(call)
+            if crashing is not None:
+                forwarder.scheduler.hand_back(ticket.request)
+                return self._give_up() if self.attempts.sends else crashing
             if not self.attempts.arrivals:
                 budget.first_send()
             elif not budget.take():
--- a/mulberrygate/forward/tests/test_service.py
+++ b/mulberrygate/forward/tests/test_service.py
@@ -232,6 +232,39 @@
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
 
+    async def test_call_that_was_quarantined_while_it_waited_is_not_sent(self):
+        """A call that waited was sent though it had become known that it crashes endpoints."""
+        entry = await self.start()
+        asked = asyncio.ensure_future(entry.request("/plain/1").__aenter__())
+        async with asyncio.timeout(10):
+            while not entry.forwarder.scheduler.waiting:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        entry.forwarder.suspects.is_quarantined = lambda call: True
+        endpoint = await Endpoint("e", whole()).start()
+        entry.endpoints.append(endpoint)
+        entry.roster.hear(endpoint.registration("booking"), entry.timers.now())
+        entry.placement.refresh()
+        answer = await asked
+        self.assertEqual((answer.status, (await answer.json())["code"]), (503, 1208))
+        self.assertEqual(endpoint.requests, [])
+
+    async def test_call_that_was_quarantined_while_it_ran_is_not_sent_again(self):
+        """An idempotent call went to a second endpoint though it was known to crash them."""
+        entry = await self.start()
+
+        async def break_and_quarantine(endpoint, reader, writer, head):
+            entry.forwarder.suspects.is_quarantined = lambda call: True
+            await reset(endpoint, reader, writer, head)
+
+        endpoints = [await Endpoint(f"e{n}", break_and_quarantine).start() for n in range(2)]
+        entry.endpoints += endpoints
+        for endpoint in endpoints:
+            entry.roster.hear(endpoint.registration("booking"), entry.timers.now())
+        entry.placement.refresh()
+        async with entry.request("/read/1") as answer:
+            self.assertEqual(answer.status, 502)
+        self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 1)
+
     async def test_refusals(self):
         """A call that the catalog doesn't allow reached an endpoint."""
         fields = document()
