Recognise the end of an endpoint that is back already, or whose machine is gone

What endpoints saw: a call that crashed them was not counted, and so sent on.

Cause: 20 ms after an exchange broke the entry asked once whether the address still listens, and only a refused connection counted. An endpoint that was back by then, under its old name or a new one, or an entry that came late to its look, counted as an endpoint that lives on; so did one whose machine was gone, because no answer was no proof. The incarnation was read after the crash, when the roster may hold the next one or none.

Now the incarnation is taken with the send. An endpoint has ended if it refuses connections, can't be reached twice half a second apart, or if a later incarnation at its address or of its name reports within 3.5 s. The end of an endpoint that had said that it leaves is no crash by the last sign.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -12,6 +12,7 @@
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.forward import codes
 from mulberrygate.forward.attempts import Attempts, Fate
+from mulberrygate.forward.crashwatch import BrokenExchange
 from mulberrygate.forward.events import EventSplitter, EventTooLong
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
 from mulberrygate.forward.request import AnswerHead, Call, Refused
@@ -37,9 +38,10 @@
 class Send:
     """One send of a call to one endpoint, with its times."""
 
-    def __init__(self, ticket: Ticket, grant: Grant, now: float):
+    def __init__(self, ticket: Ticket, grant: Grant, incarnation: int, now: float):
         self.ticket = ticket
         self.grant = grant
+        self.incarnation = incarnation
         self.sent_at = now
         self.first_at = 0.0
         self.tokens = 0
@@ -121,7 +123,8 @@
             elif not budget.take():
                 forwarder.scheduler.hand_back(ticket.request)
                 return self._give_up()
-            answer = await self._send(Send(ticket, placed, self.now()))
+            incarnation = forwarder.crashes.incarnation(placed.endpoint)
+            answer = await self._send(Send(ticket, placed, incarnation, self.now()))
             if answer is not None:
                 return answer
             self.avoid.append(placed.endpoint)
@@ -175,7 +178,8 @@
                 reason=str(error),
                 events=self.splitter.count,
             )
-            forwarder.timers.spawn(self._look_for_crash(send))
+            broken = BrokenExchange(call, send.grant.endpoint, send.incarnation, send.grant.address)
+            forwarder.timers.spawn(forwarder.crashes.look(broken))
         except BaseException:
             send.is_cancelled = True
             raise
@@ -307,19 +311,3 @@
                 first_tokens=send.first_tokens,
             )
         )
-
-    async def _look_for_crash(self, send: Send) -> None:
-        """Report the call if the endpoint that broke off has gone."""
-        await asyncio.sleep(PAUSE_S)
-        is_listening = await self.forwarder.endpoints.is_listening(send.grant.address)
-        self.forwarder.lines.note(
-            "endpoint.looked_for",
-            id=self.call.head.request,
-            fingerprint=self.call.fingerprint,
-            endpoint=send.grant.endpoint,
-            is_listening=is_listening,
-        )
-        if not is_listening:
-            row = self.forwarder.placement.directory.roster.rows.get(send.grant.endpoint)
-            incarnation = row.registration.incarnation if row else 0
-            self.forwarder.suspects.note_crash(self.call, send.grant.endpoint, incarnation)
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import functools
 
 import aiohttp
@@ -34,6 +35,14 @@
 OWN_HEADERS = (hdrs.USER_AGENT, hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.CONTENT_TYPE)
 
 
+class Reach(enum.Enum):
+    """What came of a connection to an address."""
+
+    LISTENS = "listens"
+    REFUSES = "refuses"
+    SILENT = "silent"
+
+
 class NotSent(Exception):
     """No connection was made, so no byte of the call reached the endpoint."""
 
@@ -199,19 +208,21 @@
             raise Broken(f"{type(error).__name__}: {error}") from error
         return Exchange(response, self.dialect.answer_head(call, response), self.buffered)
 
-    async def is_listening(self, address: str) -> bool:
+    async def probe(self, address: str) -> Reach:
         """Return whether something accepts connections at an address."""
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(host, int(port))
         except ConnectionRefusedError:
-            return False
-        except (OSError, TimeoutError):
-            # No answer is no proof of a crash.
-            return True
+            return Reach.REFUSES
+        except TimeoutError:
+            return Reach.SILENT
+        except OSError:
+            # A reset is an answer of something that listens.
+            return Reach.LISTENS
         writer.close()
-        return True
+        return Reach.LISTENS
 
     async def close(self) -> None:
         """Close all connections."""
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -13,6 +13,7 @@
 from mulberrygate.core.timers import TimerService
 from mulberrygate.entry.tickets import SchedulerClient
 from mulberrygate.forward import codes
+from mulberrygate.forward.crashwatch import CrashWatch
 from mulberrygate.forward.delivery import Delivery
 from mulberrygate.forward.exchange import EndpointClient
 from mulberrygate.forward.limits import AccountLimits
@@ -79,6 +80,7 @@
         self.lines = lines
         self.metrics = metrics
         self.endpoints = EndpointClient(dialect)
+        self.crashes = CrashWatch(placement.directory.roster, self.endpoints, suspects, lines)
         self.index: CatalogIndex | None = None
         self.has_index = asyncio.Event()
         self.budgets: dict[str, RetryBudget] = {}
