Never let an entry go back to an older state of a version move

What endpoints would see: calls to a version that had been withdrawn, by an entry that turned to a control process that was behind.

An entry replaced its version moves by those of any answer, while catalogs had a version that kept the newer one.

An answer now names the log index of the last change of the replicated state, and an entry takes the moves only of a state that is at least as new as the newest it was told of.

--- a/mulberrygate/control/catalogs.py
+++ b/mulberrygate/control/catalogs.py
@@ -121,10 +121,16 @@
     ==========
     on_change : Callable[[], None]
         Called after each change.
+
+    Attributes
+    ==========
+    revision : int
+        Log index of the last change; 0 until the first one after a snapshot of an earlier release.
     """
 
     def __init__(self, on_change: Callable[[], None] = lambda: None):
         self.on_change = on_change
+        self.revision = 0
         self.version = -1
         self.document = b""
         self.leaving: dict[str, int] = {}
@@ -135,6 +141,7 @@
         """Apply a committed command and return whether it changed the state."""
         is_change = self._apply(decode_command(command))
         if is_change:
+            self.revision = index
             self.on_change()
         return is_change
 
@@ -182,8 +189,8 @@
     def snapshot(self) -> bytes:
         """Return the whole state."""
         moves = {pool: list(attrs.astuple(move)) for pool, move in self.moves.items()}
-        state = [self.version, self.document, self.leaving, moves, self.quarantine.dump()]
-        return msgpack.packb(state)
+        state = [self.version, self.document, self.leaving, moves]
+        return msgpack.packb([*state, self.quarantine.dump(), self.revision])
 
     def moves_text(self) -> bytes:
         """Return the moves as JSON, for reads that another process answers."""
@@ -192,13 +199,14 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state."""
-        # Snapshots of earlier releases hold no quarantine.
-        version, document, leaving, moves, *quarantine = msgpack.unpackb(data)
+        # Snapshots of earlier releases end with the moves.
+        version, document, leaving, moves, *later = msgpack.unpackb(data)
         invariant(version >= self.version, CATALOG_REVERTED, f"{self.version} to {version}")
         self.version = version
         self.document = document
         self.leaving = dict(leaving)
         self.moves = {pool: Move(*values) for pool, values in moves.items()}
-        if quarantine:
-            self.quarantine.load(quarantine[0])
+        if later:
+            quarantine, self.revision = later
+            self.quarantine.load(quarantine)
         self.on_change()
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -503,6 +503,7 @@
             leader=self.leader,
             entries=max(1, len(self._list_entries())),
             moves=self.moves.states(),
+            revision=machine.revision,
             quarantine=quarantine.number,
             quarantined=quarantine.quarantined if is_quarantine_due else (),
             suspected=quarantine.suspects if is_quarantine_due else (),
--- a/mulberrygate/daemon/gateway.py
+++ b/mulberrygate/daemon/gateway.py
@@ -178,7 +178,7 @@
         self.forwarder.set_entries(state.entries)
         self.limits.entries = state.entries
         self.suspects.set_known(state.quarantine, state.quarantined, state.suspected)
-        self.evidence.set_moves(state.moves)
+        self.evidence.set_moves(self.follower.moves)
         if state.heard or state.gone:
             self.placement.refresh()
 
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -13,7 +13,7 @@
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.peers.link import Unreachable
-from mulberrygate.sync.messages import FOLLOW_WAIT_S, Follow, State
+from mulberrygate.sync.messages import FOLLOW_WAIT_S, Follow, MoveState, State
 from mulberrygate.sync.search import ControlSearch
 
 # The control process answers within half a second, so a longer silence is a fault.
@@ -37,8 +37,8 @@
     Explanation
     ===========
     One control process at a time is followed, in the own failure domain if possible. Another one is
-    taken when it doesn't answer or lacks something that its group has committed. A catalog is only
-    ever replaced by one of a higher version.
+    taken when it doesn't answer or lacks something that its group has committed. Catalogs and
+    version moves are only ever replaced by newer ones.
 
     Parameters
     ==========
@@ -49,6 +49,8 @@
 
     Attributes
     ==========
+    moves : tuple[MoveState, ...]
+        Version moves of the newest replicated state that any answer told of.
     current_at : float
         Monotonic time up to which the catalog is known to be the newest one, minus infinity if it
         never was.
@@ -82,6 +84,8 @@
         self.control_incarnation = 0
         self.changes = -1
         self.quarantine = 0
+        self.revision = 0
+        self.moves: tuple[MoveState, ...] = ()
         self.leader = ""
         self.full_at = 0.0
         self.answers_without_catalog = 0
@@ -181,6 +185,9 @@
         if state.is_current:
             self.controls = list(state.controls) or self.controls
             self.leader = state.leader
+        if state.revision >= self.revision:
+            self.revision = state.revision
+            self.moves = state.moves
         self.quarantine = max(self.quarantine, state.quarantine)
         self.on_state(state)
 
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -90,6 +90,8 @@
     quarantined, suspected : tuple[str, ...]
         Fingerprints of calls that crash endpoints, and of those that may; empty unless the number
         is higher than that of the entry.
+    revision : int
+        Log index of the last change of the replicated state at the control process.
     age_s : float
         Seconds since the control process held everything that its group had committed, infinite if
         it never did.
@@ -112,6 +114,7 @@
     quarantine: int = 0
     quarantined: tuple[str, ...] = ()
     suspected: tuple[str, ...] = ()
+    revision: int = 0
     age_s: float = math.inf
 
 
--- a/mulberrygate/sync/tests/test_follower.py
+++ b/mulberrygate/sync/tests/test_follower.py
@@ -16,7 +16,7 @@
 from mulberrygate.peers.client import Unreachable
 from mulberrygate.platform.documents import decode_document
 from mulberrygate.sync.follower import Follower
-from mulberrygate.sync.messages import AskStanding, Standing, State
+from mulberrygate.sync.messages import AskStanding, MoveState, Standing, State
 
 # Answer of a process that is lost: none, and no end of the connection either.
 SILENT = object()
@@ -86,6 +86,16 @@
         await self.follow(follower, attrs.evolve(state, catalog_version=9, catalog=packed(9)))
         self.assertEqual(self.in_force, [5, 9])
 
+    async def test_verdict_on_a_version_never_goes_back(self):
+        """An entry that turned to a process that was behind sent calls to a withdrawn version."""
+        follower = self.follower(c1=None)
+        running = (MoveState("care", "v2", 0.1, False),)
+        withdrawn = (MoveState("care", "v2", 0.0, True),)
+        state = State(1, 0, 5, is_current=True, catalog=packed(5))
+        await self.follow(follower, attrs.evolve(state, revision=7, moves=withdrawn))
+        await self.follow(follower, attrs.evolve(state, revision=6, moves=running))
+        self.assertEqual(follower.moves, withdrawn)
+
     async def test_process_without_its_group_is_left(self):
         """An entry went on following a process that was cut off from the others."""
         follower = self.follower(c1=None, c2=None)
