Tell owners of queues what an entry holds, so that the slot of an ended request is given back

The end of a request is one message without an answer. A reset ends the exchanges with endpoints and the connection to the owner at the same moment, so the ends of exactly these requests were lost, and their slots stayed taken until 30 s after the callers' deadlines.

Each entry now tells an owner every 0.4 s which requests of the pool it holds, until 10 s after the last one there, and the owner takes back grants older than 1.5 s that their entry doesn't hold. An entry's list has its waiting requests too, so that a grant on its way is never taken back.

The tests for the list and for the owner fail without the change (no list was sent). bin/test schedule.tests.test_order entry.tests.test_tickets schedule.tests.test_state: 48 passed.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -347,7 +347,7 @@
             for name, job in engine.decoding.items():
                 if name in self.requests:
                     emitted[name] = engine.emitted(job)
-        self._call("progress", Progress("care", emitted))
+        self._call("progress", Progress("care", emitted), "entry")
         if self.now < self.shape.length_s + DRAIN_S:
             self.at(self.now + PROGRESS_S, self._progress)
 
--- a/mulberrygate/daemon/poolhost.py
+++ b/mulberrygate/daemon/poolhost.py
@@ -170,9 +170,9 @@
         request = message.request
         self._handle(message.pool, lambda scheduler, now: scheduler.withdraw(request, now))
 
-    def on_progress(self, message: Progress, _sender: str) -> None:
-        """Note the progress of running requests."""
-        self._handle(message.pool, lambda scheduler, now: scheduler.progress(message, now))
+    def on_progress(self, message: Progress, sender: str) -> None:
+        """Note the progress of running requests, and which ones have ended."""
+        self._handle(message.pool, lambda scheduler, now: scheduler.progress(message, sender, now))
 
     def on_done(self, message: Done, _sender: str) -> None:
         """Note the end of a granted request."""
--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -13,7 +13,7 @@
 from mulberrygate.entry.tickets import SchedulerClient
 from mulberrygate.peers.client import Unreachable
 from mulberrygate.schedule.codes import QUEUE_FULL
-from mulberrygate.schedule.messages import Done, Grant, Present, Refuse, Ticket, Withdraw
+from mulberrygate.schedule.messages import Done, Grant, Present, Progress, Refuse, Ticket, Withdraw
 
 TICKET = Ticket("r", "me", "pool", "route", "account", 1.0, 0, 10, 10, (), 5.0)
 LIMIT_S = 60.0
@@ -77,10 +77,38 @@
         """Deliver a grant."""
         self.client.on_grant(Grant("pool", "r", endpoint, "x:1", "v1", "west"), sender)
 
+    def reports(self, owner: str = "one") -> list[Progress]:
+        """Return what an owner was told of the entry's requests."""
+        return [m for to, m in self.peers.sent if to == owner and isinstance(m, Progress)]
+
     async def acquire(self, seconds: float = LIMIT_S) -> Grant | Refusal:
         """Wait for a grant."""
         return await self.client.acquire(TICKET, self.timers.now() + seconds)
 
+    async def test_end_that_was_lost_is_told_by_the_next_report(self):
+        """A slot stayed taken for half a minute, since the end of its request was told once."""
+        waiting = asyncio.ensure_future(self.acquire())
+        await asyncio.sleep(0)
+        self.client.report_progress()
+        self.grant("one")
+        await waiting
+        self.client.report_progress()
+        self.assertEqual([report.held for report in self.reports()], [("r",)])
+        self.client.done(Done("pool", "r", "e", "v1", "route", 1, 1, 0.1, 0.2))
+        self.client.report_progress()
+        self.assertEqual(self.reports()[-1].held, ())
+        self.assertTrue(self.reports()[-1].is_whole)
+
+    async def test_waiting_request_is_held(self):
+        """A grant that was under way was taken back at its owner."""
+        self.client.used_at["one", "pool"] = self.timers.now()
+        waiting = asyncio.ensure_future(self.acquire())
+        await asyncio.sleep(0)
+        self.client.report_progress()
+        self.assertEqual(self.reports()[-1].held, ("r",))
+        self.grant("one")
+        await waiting
+
     async def test_grant_for_a_caller_that_goes_away_is_handed_back(self):
         """Guards against a slot held by a grant that came together with the caller's end."""
         loop = asyncio.get_running_loop()
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -38,6 +38,8 @@
 # After an owner did not answer, the entry serves from its own share for this time before it asks
 # again; membership names another owner within a few seconds.
 OWN_SHARE_S = 2.0
+# An owner is told what an entry holds for this time after its last request there.
+REPORTED_S = 10.0
 
 
 @attrs.define(eq=False)
@@ -160,6 +162,8 @@
         self.running: dict[str, Dispatched] = {}
         self.owners: dict[str, str] = {}
         self.passed_over: dict[str, float] = {}
+        # Owner and pool of requests that ran lately, with the time of the last sign of one.
+        self.used_at: dict[tuple[str, str], float] = {}
         peers.on(Grant, self.on_grant)
         peers.on(Refuse, self.on_refuse)
         timers.every(REPEAT_S, self.repeat, "tickets.repeat")
@@ -333,12 +337,32 @@
         self.peers.send(owner, Present(pool, waiting, presented))
 
     def report_progress(self) -> None:
-        """Report the tokens received since the last report, one message for each owner and pool."""
-        reports: dict[tuple[str, str], dict[str, int]] = {}
-        for request, dispatched in self.running.items():
-            if dispatched.emitted != dispatched.reported:
+        """Report tokens received and what is held, one message for each owner and pool.
+
+        Explanation
+        ===========
+        The end of a request is told once. Where that message was lost, the owner learns from the
+        list that the slot is free, so owners are told until some time after the last request.
+        """
+        now = self.timers.now()
+        for dispatched in self.running.values():
+            for owner in {dispatched.granted_by, dispatched.owner}:
+                self.used_at[owner, dispatched.ticket.pool] = now
+        for key in [key for key, at in self.used_at.items() if now - at > REPORTED_S]:
+            del self.used_at[key]
+        for owner, pool in self.used_at:
+            self.peers.send(owner, self._progress(owner, pool))
+
+    def _progress(self, owner: str, pool: str) -> Progress:
+        running = {
+            request: dispatched
+            for request, dispatched in self.running.items()
+            if dispatched.ticket.pool == pool and owner in (dispatched.owner, dispatched.granted_by)
+        }
+        emitted = {}
+        for request, dispatched in running.items():
+            if dispatched.owner == owner and dispatched.emitted != dispatched.reported:
                 dispatched.reported = dispatched.emitted
-                key = (dispatched.owner, dispatched.ticket.pool)
-                reports.setdefault(key, {})[request] = dispatched.emitted
-        for (owner, pool), emitted in reports.items():
-            self.peers.send(owner, Progress(pool, emitted))
+                emitted[request] = dispatched.emitted
+        waiting = [r for r, waiting in self.waiting.items() if waiting.ticket.pool == pool]
+        return Progress(pool, emitted, (*running, *waiting), True)
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -106,10 +106,18 @@
 @message("schedule.progress")
 @attrs.frozen
 class Progress:
-    """Entry to owner: tokens received so far of running requests."""
+    """Entry to owner: tokens received so far of running requests, and what the entry holds.
+
+    Parameters
+    ==========
+    held : tuple[str, ...]
+        All requests of the pool that wait or run at the entry, if ``is_whole``.
+    """
 
     pool: str
     emitted: dict[str, int]
+    held: tuple[str, ...] = ()
+    is_whole: bool = False
 
 
 @message("schedule.done")
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -86,6 +86,8 @@
 
 # An owner that has just started knows no endpoints yet; announcements come every second.
 NO_ENDPOINT_WAIT_S = 2.5
+# An entry has a grant within this time, or asks again.
+GRANT_S = 1.5
 # Periods of the work that isn't done for each message.
 CLEAN_S = 0.5
 EXPIRE_S = 3.0
@@ -134,6 +136,7 @@
         most_overtaken_s = WIDE_MOST_OVERTAKEN_S if is_wide else math.inf
         self.queue = FairQueue(weight_s, self.tiers, most_overtaken_s)
         self.running: dict[str, Granted] = {}
+        self.by_entry: dict[str, dict[str, Granted]] = {}
         self.ended = Ended()
         self.states: dict[str, EndpointState] = {}
         self.generations: dict[str, GenerationSpeed] = {}
@@ -199,16 +202,30 @@
         self.queue.charge(granted.ticket, -granted.cost)
         return self._settle(now)
 
-    def progress(self, message: Progress, now: float) -> list[Effect]:
-        """Take note of tokens received by running requests."""
+    def progress(self, message: Progress, sender: str, now: float) -> list[Effect]:
+        """Take note of tokens received by running requests, and of those that have ended."""
         for request, emitted in message.emitted.items():
             granted = self.running.get(request)
             if granted is not None:
                 granted.state.progress(granted, emitted)
                 granted.state.heard_at = now
                 granted.expires = max(granted.expires, now + LOST_DONE_S)
+        if message.is_whole and self._drop_ended(sender, frozenset(message.held), now):
+            return self._settle(now)
         return []
 
+    def _drop_ended(self, entry: str, held: frozenset[str], now: float) -> bool:
+        """Release the grants that their entry holds no longer; return whether there were any."""
+        ended = [
+            granted
+            for request, granted in self.by_entry.get(entry, {}).items()
+            if request not in held and now - granted.granted_at > GRANT_S
+        ]
+        for granted in ended:
+            self._release(granted, now)
+            self.ended.add(granted.ticket.request, None, now)
+        return bool(ended)
+
     def done(self, message: Done, now: float) -> list[Effect]:
         """Take note of the end of a granted request, and grant what its end allows."""
         granted = self.running.get(message.request)
@@ -477,12 +494,14 @@
 
     def _count(self, granted: Granted, now: float) -> None:
         self.running[granted.ticket.request] = granted
+        self.by_entry.setdefault(granted.ticket.entry, {})[granted.ticket.request] = granted
         granted.state.add(granted, now)
         self.room.update(granted.state)
 
     def _release(self, granted: Granted, now: float) -> None:
         state = granted.state
         del self.running[granted.ticket.request]
+        self._forget_of_entry(granted)
         state.remove(granted, now)
         invariant(
             state.used == len(state.running) + state.others and state.pending_output > -1.0,
@@ -492,6 +511,12 @@
         if self.states.get(state.name) is state:
             self.room.update(state)
 
+    def _forget_of_entry(self, granted: Granted) -> None:
+        entry = granted.ticket.entry
+        del self.by_entry[entry][granted.ticket.request]
+        if not self.by_entry[entry]:
+            del self.by_entry[entry]
+
     def _is_reference(self, version: str) -> bool:
         if self.is_wide:
             return version not in self.shares.limited
--- a/mulberrygate/schedule/tests/machine.py
+++ b/mulberrygate/schedule/tests/machine.py
@@ -153,7 +153,7 @@
     @rule(data=st.data())
     def progress(self, data):
         emitted = {name: data.draw(st.integers(0, 200)) for name in list(self.grants)[:3]}
-        self.take(self.scheduler.progress(Progress("care", emitted), self.now))
+        self.take(self.scheduler.progress(Progress("care", emitted), "entry", self.now))
 
     @rule(name=st.sampled_from(NAMES), load=st.integers(0, 9), is_up=st.booleans())
     def endpoint_changes(self, name, load, is_up):
--- a/mulberrygate/schedule/tests/test_order.py
+++ b/mulberrygate/schedule/tests/test_order.py
@@ -5,6 +5,8 @@
 import unittest
 
 from mulberrygate.schedule import Present, Running, codes
+from mulberrygate.schedule.messages import Progress
+from mulberrygate.schedule.scheduler import GRANT_S
 from mulberrygate.schedule.tests.support import Bench, make_ticket, make_view
 from mulberrygate.tables.model import Pool
 
@@ -199,5 +201,44 @@
         self.assertEqual(bench.ask("r"), [])
 
 
+class LostEndTest(unittest.TestCase):
+    """Ends of requests of which the owner was not told."""
+
+    def setUp(self):
+        self.bench = Bench([make_view(slots=1)], Pool(engine_queue=0))
+        for name in ("first", "second"):
+            self.bench.ask(name)
+        self.assertEqual(list(self.bench.grants), ["first"])
+        self.entry = self.bench.scheduler.running["first"].ticket.entry
+
+    def report(self, *held, entry=None):
+        """Let an entry report what it holds."""
+        message = Progress("care", {}, held, True)
+        self.bench.call("progress", message, entry or self.entry)
+
+    def test_slot_of_a_request_that_its_entry_does_not_hold_is_free(self):
+        """The slots of requests whose ends were told to a broken connection stayed taken."""
+        self.bench.now += GRANT_S + 0.1
+        self.report("second")
+        self.assertEqual(list(self.bench.grants), ["first", "second"])
+
+    def test_slot_of_a_request_that_runs_is_kept(self):
+        """A report without news took a running request's slot away."""
+        self.bench.now += GRANT_S + 0.1
+        self.report("first", "second")
+        self.assertEqual(list(self.bench.grants), ["first"])
+
+    def test_grant_that_is_under_way_is_kept(self):
+        """A report that had been sent before the grant arrived took it back."""
+        self.report("second")
+        self.assertEqual(list(self.bench.grants), ["first"])
+
+    def test_report_of_another_entry_changes_nothing(self):
+        """An entry's report took the slots of another one's requests away."""
+        self.bench.now += GRANT_S + 0.1
+        self.report(entry="other")
+        self.assertEqual(list(self.bench.grants), ["first"])
+
+
 if __name__ == "__main__":
     unittest.main()
