Learn of other control processes from one that is behind

What callers would see: an entry that starts while the control processes that its settings name are cut off or lost serves by the old catalog of one of them until that one is back.

Cause: the list of control processes was taken only from answers of a current process. Where none that the settings name is current, the others were never asked, although the answers named them.

test_process_that_is_behind_names_the_others fails before (the entry stays on version 5) and passes.

--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -79,6 +79,7 @@
         self.search = ControlSearch(site.instance, peers.client, timers, random.Random(seed))
         self.index: CatalogIndex | None = None
         self.controls: list[str] = list(site.seeds)
+        self.other_controls: list[str] = []
         self.seeds = site.seeds
         self.control = ""
         self.control_incarnation = 0
@@ -108,7 +109,8 @@
             await asyncio.sleep(FOLLOW_GAP_S)
 
     def _names(self) -> list[str]:
-        return [*self.controls, *self.seeds]
+        """Return all instances that may serve control, as any answer or the settings named them."""
+        return list(dict.fromkeys([*self.controls, *self.seeds, *self.other_controls]))
 
     async def _find(self) -> str:
         """Return the control process to follow next."""
@@ -185,6 +187,9 @@
         if state.is_current:
             self.controls = list(state.controls) or self.controls
             self.leader = state.leader
+        else:
+            # It may be the only one that the settings name, and the others serve elsewhere.
+            self.other_controls = list(state.controls)
         if state.revision >= self.revision:
             self.revision = state.revision
             self.moves = state.moves
--- a/mulberrygate/sync/tests/test_follower.py
+++ b/mulberrygate/sync/tests/test_follower.py
@@ -143,6 +143,16 @@
         await follower._follow_once()
         self.assertEqual(self.in_force, [9])
 
+    async def test_process_that_is_behind_names_the_others(self):
+        """An entry whose settings named only processes that were cut off found no other one."""
+        newest = State(1, 0, 9, is_current=True, catalog=packed(9))
+        behind = State(1, 0, 5, is_current=False, catalog=packed(5), controls=("c1", "c2"))
+        follower = self.follower(c1=behind, c2=newest)
+        follower.controls = follower.seeds = ["c1"]
+        await follower._follow_once()
+        await follower._follow_once()
+        self.assertEqual(self.in_force, [5, 9])
+
     async def test_young_process_forgets_no_endpoints(self):
         """After all control processes restarted, entries dropped every endpoint."""
         follower = self.follower(c1=None)
