Refuse nothing for good by a configuration that may be old

What callers saw: 401 and 404 by an older configuration, for a route or key that a newer one has. Callers don't come back after these.

Cause: an entry never knew how old its configuration may be, and refused with full confidence by whatever it had: behind a stalled disk, while it looked for another control process, or after a start on the state of a process that was cut off.

When that was more than 1.5 s ago, a route or key that it doesn't know is answered with 503 and Retry-After (1209 catalog_uncertain, not run). What the catalog has is served as before.

test_entry_that_may_be_behind_refuses_nothing_for_good failed before (404 and 401). The support of the other tests now says that its document is the newest one; what they expect is unchanged.

--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -18,6 +18,9 @@
 CRASHES_ENDPOINTS = register_code(
     1208, "crashes_endpoints", "The call crashes endpoints that run it; not run.", 503
 )
+CATALOG_UNCERTAIN = register_code(
+    1209, "catalog_uncertain", "A newer catalog may allow the call; not run.", 503
+)
 NOT_SERVED = register_code(
     2201, "not_served", "No endpoint took the call in the time it had; not run.", 503
 )
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from mulberrygate.catalog import CatalogIndex, Repeat
+from mulberrygate.core.codes import Code
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.core.timers import TimerService
 from mulberrygate.entry.tickets import SchedulerClient
@@ -30,6 +31,9 @@
 NO_CATALOG_PART = 0.5
 NO_CATALOG_RETRY_S = 0.5
 QUARANTINED_RETRY_S = 5.0
+# A control process is asked twice a second, and hears of its leader eight times.
+CERTAIN_S = 1.5
+UNCERTAIN_RETRY_S = 0.5
 # Part of a caller's patience that a request may wait for an endpoint; the rest is for the endpoint.
 PATIENCE_PART = 0.8
 LOST_REFUSAL_S = 0.1
@@ -178,7 +182,7 @@
         """Find the route and the pool."""
         route = index.route(call.head.host, call.head.path)
         if route is None:
-            return Refused(codes.NO_ROUTE, call.head.host)
+            return self.unknown(codes.NO_ROUTE, call.head.host)
         call.route = route
         call.pool = index.pools[index.choose_pool(route, call.head.request)]
         call.tier = index.tier(route, None)
@@ -194,11 +198,23 @@
             return None
         account = index.account(call.head.key) if call.head.key else None
         if account is None:
-            return None if call.route.is_anonymous else Refused(codes.UNKNOWN_KEY)
+            return None if call.route.is_anonymous else self.unknown(codes.UNKNOWN_KEY)
         call.account = account.name
         call.tier = index.tier(call.route, account)
         return None
 
+    def unknown(self, code: Code, detail: str = "") -> Refused:
+        """Return the refusal of what the catalog in force doesn't have.
+
+        Explanation
+        ===========
+        Callers don't come back after such a refusal, so it has to be true. An entry that was not
+        told lately that its catalog is the newest sends them elsewhere instead.
+        """
+        if self.timers.now() - self.catalog_current_at > CERTAIN_S:
+            return Refused(codes.CATALOG_UNCERTAIN, str(code), UNCERTAIN_RETRY_S)
+        return Refused(code, detail)
+
     async def read_body(
         self, call: Call, request: web.BaseRequest, index: CatalogIndex
     ) -> Refused | None:
--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 
 import aiohttp
 from yarl import URL
@@ -219,7 +220,8 @@
         return self
 
     def put(self, fields):
-        """Put a document in force."""
+        """Put a document in force that stays the newest."""
+        self.forwarder.catalog_current_at = math.inf
         self.forwarder.set_index(CatalogIndex(decode_document(json.dumps(fields).encode())))
 
     def request(self, path, method="POST", identifier="id-1", **headers):
--- a/mulberrygate/forward/tests/test_service.py
+++ b/mulberrygate/forward/tests/test_service.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from mulberrygate.forward.service import CERTAIN_S
 from mulberrygate.forward.tests.support import (
     SIGNATURE,
     Endpoint,
@@ -282,6 +283,18 @@
         self.assertNotIn(b"k1", entry.endpoints[0].requests[0])
         self.assertIn(b"X-Mulberrygate-Tenant-Id: hule\r\n", entry.endpoints[0].requests[0])
 
+    async def test_entry_that_may_be_behind_refuses_nothing_for_good(self):
+        """A caller got a final refusal by an old catalog, which a newer one no longer asked for."""
+        fields = document()
+        fields["tenants"] = [{"name": "hule", "apiKeys": ["k1"]}]
+        entry = await self.start(fields, booking=[Endpoint("e", whole())])
+        entry.forwarder.catalog_current_at = entry.timers.now() - CERTAIN_S - 0.1
+        answers = []
+        for path, key in (("/none/1", "k1"), ("/plain/1", "other"), ("/plain/1", "k1")):
+            async with entry.request(path, Authorization=f"Bearer {key}") as answer:
+                answers.append((answer.status, "Retry-After" in answer.headers))
+        self.assertEqual(answers, [(503, True), (503, True), (200, False)])
+
     async def test_no_catalog_yet(self):
         """An entry that knows no catalog yet told callers that their route is unknown."""
         entry = await self.start()
