Put the reports of many entries on crashed endpoints into one command

What could happen: the end of one endpoint brings a report from each entry that had calls there, up to 60 on the grown sites, and each was a command with a sync of its own. With syncs of 25 ms (disk_slow on the leader, which the grown sites list) the leader's queue takes 1.5 s (derived), and its heartbeats wait in it for longer than the election timeout of 0.45 s.

The replicated record and what is logged of it move from the controller to a module of their own.

test_reports_of_many_entries_share_a_command fails with a command for each report (40 for 1).

--- a/mulberrygate/control/quarantine.py
+++ b/mulberrygate/control/quarantine.py
@@ -131,15 +131,6 @@
         """Return whether a record's time is over."""
         return any(record.ends_at <= at for record in self.records.values())
 
-    def is_known(self, crashes: Iterable[tuple[str, str, int]], cleared: Iterable[str]) -> bool:
-        """Return whether reports would change nothing."""
-        if any(call in self.records for call in cleared):
-            return False
-        return all(
-            call in self.records and (endpoint, incarnation) in self.records[call].ends
-            for call, endpoint, incarnation in crashes
-        )
-
     def dump(self) -> list:
         """Return the whole record as plain values."""
         rows = [
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -20,10 +20,10 @@
 from mulberrygate.control.catalogs import (
     CatalogMachine,
     PutCatalog,
-    PutCrashes,
     PutLeaving,
 )
 from mulberrygate.core.timers import TimerService
+from mulberrygate.daemon.crash_log import FORGET_CRASHES_S, CrashLog
 from mulberrygate.daemon.placement import Placement, SiteView
 from mulberrygate.daemon.site_moves import SiteMoves
 from mulberrygate.daemon.site_peers import SitePeers
@@ -37,7 +37,6 @@
     AskStanding,
     AskUnits,
     CrashReport,
-    CrashReportResult,
     Follow,
     Latest,
     Propose,
@@ -67,7 +66,6 @@
 BEHIND_S = 1.5
 BEHIND_MARGIN_S = 0.02
 ENTRY_GONE_S = 6.0
-FORGET_CRASHES_S = 30.0
 
 
 def boot_time() -> float:
@@ -133,8 +131,7 @@
             lines,
         )
         self.placement: Placement | None = None
-        self.quarantined: frozenset[str] = frozenset()
-        self.quarantine_number = 0
+        self.crash_log = CrashLog(lambda: self.machine, self.log.commit, self.timers, lines)
         self.is_stopping = False
         self.is_catalog_due = False
         self.is_behind = True
@@ -165,7 +162,7 @@
         on(ReadLatest, self.log.on_read_latest)
         on(AskUnits, self._on_ask_units)
         on(VersionEvidence, self.moves.on_evidence)
-        on(CrashReport, self._on_crash_report)
+        on(CrashReport, self.crash_log.on_report)
         await self._open_voter(self.process_started_at)
         await self.peers.start()
         self.timers.every(DUTY_S, self._do_duties, "duties")
@@ -292,7 +289,7 @@
         for name, incarnation in machine.leaving.items():
             self.roster.leave(name, incarnation)
         self.moves.follow()
-        self._note_quarantine()
+        self.crash_log.follow()
         if not self.is_catalog_due:
             # After a restart hundreds of versions are applied at once, of which only the last
             # one has to be decoded.
@@ -522,39 +519,9 @@
 
     # Calls that crash endpoints
 
-    async def _on_crash_report(self, report: CrashReport, sender: str) -> CrashReportResult:
-        """Put an entry's report into the log."""
-        crashes = tuple((c.call, c.endpoint, c.incarnation) for c in report.crashes)
-        for call, endpoint, incarnation in crashes:
-            self.lines.note(
-                "call.crash_heard",
-                fingerprint=call,
-                endpoint=endpoint,
-                incarnation=incarnation,
-                entry=sender,
-            )
-        if self.is_current and self.machine.quarantine.is_known(crashes, report.cleared):
-            return CrashReportResult(True)
-        command = PutCrashes(crashes, report.cleared, time.time())
-        return CrashReportResult(await self.log.commit(command))
-
-    def _note_quarantine(self) -> None:
-        """Log the calls that came into quarantine and those that left it."""
-        if self.machine.quarantine.number <= self.quarantine_number:
-            return
-        self.quarantine_number = self.machine.quarantine.number
-        quarantined = frozenset(self.machine.quarantine.quarantined)
-        for call in quarantined - self.quarantined:
-            self.lines.note("call.quarantined", fingerprint=call)
-        for call in self.quarantined - quarantined:
-            self.lines.note("call.released", fingerprint=call)
-        self.quarantined = quarantined
-
-    def _forget_crashes(self) -> None:
-        """Let the log forget records whose time is over."""
-        now = time.time()
-        if self.is_leader and self.machine.quarantine.has_old(now):
-            self.timers.spawn(self.log.commit(PutCrashes((), (), now)))
+    async def _forget_crashes(self) -> None:
+        if self.is_leader:
+            await self.crash_log.forget_old()
 
     # Version moves
 
--- /dev/null
+++ b/mulberrygate/daemon/tests/test_crash_log.py
@@ -0,0 +1,61 @@
+"""Tests of the way of crash reports into the control log."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from mulberrygate.control.catalogs import CatalogMachine
+from mulberrygate.core.timers import TimerService
+from mulberrygate.daemon.crash_log import CrashLog
+from mulberrygate.forward.tests.support import Lines
+from mulberrygate.sync.messages import Crash, CrashReport
+
+
+class TestCrashLog(unittest.IsolatedAsyncioTestCase):
+    """Reports of many entries at a process whose log may refuse them."""
+
+    async def asyncSetUp(self):
+        self.timers = TimerService(lambda name, error: None)
+        self.addAsyncCleanup(self.timers.close)
+        self.machine = CatalogMachine()
+        self.commands = []
+        self.is_committed = True
+        self.log = CrashLog(lambda: self.machine, self.commit, self.timers, Lines())
+
+    async def commit(self, command):
+        """Keep a command."""
+        self.commands.append(command)
+        return self.is_committed
+
+    async def report(self, number):
+        """Report a crash of a call of its own."""
+        crash = Crash(f"c{number}", "e1", 1)
+        return await asyncio.wait_for(self.log.on_report(CrashReport((crash,)), "entry"), 10)
+
+    async def test_reports_of_many_entries_share_a_command(self):
+        """One lost endpoint brought a command, and a sync, for each of its entries."""
+        answers = await asyncio.gather(*(self.report(number) for number in range(40)))
+        self.assertEqual(len(self.commands), 1)
+        self.assertEqual(len(self.commands[0].crashes), 40)
+        self.assertTrue(all(answer.is_committed for answer in answers))
+
+    async def test_report_that_could_not_be_committed_is_not_acknowledged(self):
+        """An entry forgot a report that the log had not taken."""
+        self.is_committed = False
+        self.assertFalse((await self.report(1)).is_committed)
+        self.is_committed = True
+        self.assertTrue((await self.report(1)).is_committed)
+
+    async def test_old_records_are_forgotten_by_a_command(self):
+        """A process forgot records by its own clock, so that lists differed."""
+        self.machine.quarantine.put([("c1", "e1", 1)], [], 0.0)
+        await self.log.forget_old()
+        self.assertEqual([command.crashes for command in self.commands], [()])
+        self.machine.quarantine.put([], [], self.commands[0].at)
+        await self.log.forget_old()
+        self.assertEqual(len(self.commands), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
