Commit no crash report while a control process of an earlier release is heard from

What could happen in an upgrade by turns: the first crash of an endpoint after a new control process leads stops each voter that still runs the former release, since it can't read the command.

Control processes now say in what they share with each other that they can apply it. While one was heard without that within 10 s, reports stay with the entries that made them.

test_nothing_is_committed_beside_an_earlier_release fails without the check. A deployment with both releases was not run.

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -399,7 +399,9 @@
         heard = tuple(self._heard(name) for name in names if name in self.roster.rows)
         if heard:
             for other in self._others():
-                self.peers.client.send(other, Share(heard, entries=self._own_entries()))
+                self.peers.client.send(
+                    other, Share(heard, entries=self._own_entries(), reads_crashes=True)
+                )
 
     def _share_renewals(self) -> None:
         """Tell the other control processes which endpoints were heard here."""
@@ -410,7 +412,7 @@
             for name in names
             if (row := self.roster.rows.get(name)) is not None
         )
-        share = Share(renewed=renewed, entries=self._own_entries())
+        share = Share(renewed=renewed, entries=self._own_entries(), reads_crashes=True)
         for other in self._others():
             self.timers.spawn(self._send_renewals(other, share))
 
@@ -418,11 +420,15 @@
         answer = await self.peers.client.call(other, share, SHARE_TIMEOUT_S)
         if isinstance(answer, ShareResult) and answer.unknown:
             heard = tuple(self._heard(n) for n in answer.unknown if n in self.roster.rows)
-            self.peers.client.send(other, Share(heard, entries=self._own_entries()))
+            self.peers.client.send(
+                other, Share(heard, entries=self._own_entries(), reads_crashes=True)
+            )
 
     def _on_share(self, message: Share, sender: str) -> ShareResult:
         now = self.timers.now()
         self.remote_entries[sender] = (now, message.entries)
+        if not message.reads_crashes:
+            self.crash_log.note_earlier_release(now)
         is_change = False
         for heard in message.heard:
             is_change |= self.roster.hear(heard.registration, now - heard.age_s)
--- a/mulberrygate/daemon/crash_log.py
+++ b/mulberrygate/daemon/crash_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Callable
 
@@ -14,6 +15,9 @@
 # The calls of a lost endpoint are reported by many entries within some hundredths of a second.
 GATHER_S = 0.03
 FORGET_CRASHES_S = 30.0
+# While a control process of an earlier release was heard within this time, nothing is committed,
+# because its voter would stop at the command.
+EARLIER_RELEASE_S = 10.0
 
 
 class CrashLog:
@@ -47,6 +51,7 @@
         self.cleared: dict[str, None] = {}
         self.waiting: list[asyncio.Future] = []
         self.is_committing = False
+        self.earlier_release_at = -math.inf
         self.number = 0
         self.quarantined: frozenset[str] = frozenset()
 
@@ -70,6 +75,15 @@
             self.timers.spawn(self._commit_all())
         return CrashReportResult(await result)
 
+    def note_earlier_release(self, now: float) -> None:
+        """Take note that a control process can't apply the command."""
+        self.earlier_release_at = now
+
+    async def _put(self, command: PutCrashes) -> bool:
+        if self.timers.now() - self.earlier_release_at < EARLIER_RELEASE_S:
+            return False
+        return await self.commit(command)
+
     async def _commit_all(self) -> None:
         try:
             while self.waiting:
@@ -85,7 +99,7 @@
         waiting, self.waiting = self.waiting, []
         is_committed = False
         try:
-            is_committed = await self.commit(PutCrashes(crashes, cleared, time.time()))
+            is_committed = await self._put(PutCrashes(crashes, cleared, time.time()))
         finally:
             for result in waiting:
                 if not result.done():
@@ -108,4 +122,4 @@
         """Let the log forget records whose time is over; for the leader."""
         now = time.time()
         if self.machine().quarantine.has_old(now):
-            await self.commit(PutCrashes((), (), now))
+            await self._put(PutCrashes((), (), now))
--- a/mulberrygate/daemon/tests/test_crash_log.py
+++ b/mulberrygate/daemon/tests/test_crash_log.py
@@ -7,7 +7,7 @@
 
 from mulberrygate.control.catalogs import CatalogMachine
 from mulberrygate.core.timers import TimerService
-from mulberrygate.daemon.crash_log import CrashLog
+from mulberrygate.daemon.crash_log import EARLIER_RELEASE_S, CrashLog
 from mulberrygate.forward.tests.support import Lines
 from mulberrygate.sync.messages import Crash, CrashReport
 
@@ -47,6 +47,14 @@
         self.is_committed = True
         self.assertTrue((await self.report(1)).is_committed)
 
+    async def test_nothing_is_committed_beside_an_earlier_release(self):
+        """A voter of an earlier release stopped at a command that it doesn't know."""
+        self.log.note_earlier_release(self.timers.now())
+        self.assertFalse((await self.report(1)).is_committed)
+        self.assertEqual(self.commands, [])
+        self.log.note_earlier_release(self.timers.now() - EARLIER_RELEASE_S - 1.0)
+        self.assertTrue((await self.report(1)).is_committed)
+
     async def test_old_records_are_forgotten_by_a_command(self):
         """A process forgot records by its own clock, so that lists differed."""
         self.machine.quarantine.put([("c1", "e1", 1)], [], 0.0)
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -147,11 +147,14 @@
         Name, incarnation and age in seconds of registrations without a change.
     entries : tuple[str, ...]
         Entries that follow the sender.
+    reads_crashes : bool
+        Whether the sender can apply the command that counts crashes; earlier releases can't.
     """
 
     heard: tuple[Heard, ...] = ()
     renewed: tuple[tuple[str, int, float], ...] = ()
     entries: tuple[str, ...] = ()
+    reads_crashes: bool = False
 
 
 @message("sync.share_result")
