Ask for the quarantine until the entry has taken it

Cause: the follower and the list of crashing calls each kept the number of the quarantine, and the follower's rose first. After an error in a listener between the two, an entry never asked for that list again, and sent on what the others refused. Found by reading the change; no run showed it.

The number is kept in one place now, beside the list. The new test failed before (0 and 3 asked for in place of 0 and 0).

--- a/mulberrygate/daemon/gateway.py
+++ b/mulberrygate/daemon/gateway.py
@@ -104,6 +104,7 @@
             self._on_state,
             self.seed,
         )
+        self.follower.quarantine_number = lambda: self.suspects.number
         view = SiteView(site.instance, lambda: self.follower.leader, self._list_entries)
         self.placement = Placement(
             site, peers, self.roster, self.timers, self.metrics, view, self.evidence, self.seed
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -49,6 +49,8 @@
 
     Attributes
     ==========
+    quarantine_number : Callable[[], int]
+        Returns the number of the quarantine that the entry has.
     moves : tuple[MoveState, ...]
         Version moves of the newest replicated state that any answer told of.
     current_at : float
@@ -84,7 +86,7 @@
         self.control = ""
         self.control_incarnation = 0
         self.changes = -1
-        self.quarantine = 0
+        self.quarantine_number: Callable[[], int] = lambda: 0
         self.revision = 0
         self.moves: tuple[MoveState, ...] = ()
         self.leader = ""
@@ -142,7 +144,7 @@
             self.index.version if self.index else -1,
             self.control_incarnation,
             self.changes,
-            self.quarantine,
+            self.quarantine_number(),
             FOLLOW_WAIT_S if self.index else FIRST_CATALOG_WAIT_S,
         )
         answer = await self._ask(question)
@@ -193,7 +195,6 @@
         if state.revision >= self.revision:
             self.revision = state.revision
             self.moves = state.moves
-        self.quarantine = max(self.quarantine, state.quarantine)
         self.on_state(state)
 
     def _take_roster(self, state: State, now: float) -> None:
--- a/mulberrygate/sync/tests/test_follower.py
+++ b/mulberrygate/sync/tests/test_follower.py
@@ -16,7 +16,7 @@
 from mulberrygate.peers.client import Unreachable
 from mulberrygate.platform.documents import decode_document
 from mulberrygate.sync.follower import Follower
-from mulberrygate.sync.messages import AskStanding, MoveState, Standing, State
+from mulberrygate.sync.messages import AskStanding, Follow, MoveState, Standing, State
 
 # Answer of a process that is lost: none, and no end of the connection either.
 SILENT = object()
@@ -40,11 +40,13 @@
     def __init__(self, answers):
         self.answers = answers
         self.is_asked = {name: asyncio.Event() for name in answers}
+        self.messages = []
         self.client = self
 
     async def call(self, instance, message, _timeout_s):
         """Answer a question."""
         self.is_asked[instance].set()
+        self.messages.append(message)
         answer = self.answers[instance]
         if answer is SILENT:
             await asyncio.Event().wait()
@@ -72,6 +74,10 @@
         follower.control = next(iter(answers), "")
         return follower
 
+    def asked(self):
+        """Return the questions that were asked of the process that is followed."""
+        return [message for message in self.peers.messages if isinstance(message, Follow)]
+
     async def follow(self, follower, answer):
         """Take one answer."""
         self.peers.answers[follower.control] = answer
@@ -190,6 +196,18 @@
         await asyncio.wait_for(is_called_again.wait(), 10)
         self.assertTrue(follower.lines.of("follow.failed"))
 
+    async def test_list_that_was_not_taken_is_asked_for_again(self):
+        """After an error in a listener an entry never learned which calls crash endpoints."""
+        follower = self.follower(c1=State(1, 0, 5, is_current=True, quarantine=3))
+        known = 0
+        follower.quarantine_number = lambda: known
+        await follower._follow_once()
+        await follower._follow_once()
+        self.assertEqual([question.quarantine for question in self.asked()], [0, 0])
+        known = 3
+        await follower._follow_once()
+        self.assertEqual(self.asked()[-1].quarantine, 3)
+
     async def test_follows_by_itself(self):
         """The loop ended with the first silent process."""
         follower = self.follower(c1=Unreachable("c1", "test"), c2=State(1, 0, 5, is_current=True))
