Write ages for the log, shares and standings in one place each, and drop fields that nobody reads

Found by reading the change: the age of an unknown time was rounded to -1 in three places, three calls made the same Share, Standing had two fields that no entry used, and Follower.is_settled was never read.

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -28,7 +28,7 @@
 from mulberrygate.daemon.site_moves import SiteMoves
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.endpoints.roster import Heard, Registration, Roster
-from mulberrygate.observe.jsonlines import JsonLines
+from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import CentralLimits, Limit
 from mulberrygate.sync.evidence import EvidenceReports
@@ -73,11 +73,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def rounded(age_s: float) -> float:
-    """Return an age for the log, -1 for an infinite one."""
-    return round(age_s, 3) if math.isfinite(age_s) else -1
-
-
 class Controller:
     """All parts of a control process.
 
@@ -330,7 +325,7 @@
         if is_behind is not self.is_behind:
             self.is_behind = is_behind
             event = "control.behind" if is_behind else "control.caught_up"
-            self.lines.note(event, version=self.machine.version, age_s=rounded(age_s))
+            self.lines.note(event, version=self.machine.version, age_s=rounded_age(age_s))
 
     # Commands and reads
 
@@ -393,15 +388,16 @@
         registration = attrs.evolve(row.registration, is_leaving=row.is_leaving)
         return Heard(registration, max(0.0, self.timers.now() - row.heard_at))
 
+    def _share(self, **news: tuple) -> Share:
+        return Share(entries=self._own_entries(), reads_crashes=True, **news)
+
     def _share_changes(self) -> None:
         """Tell the other control processes at once about new and changed endpoints."""
         names, self.unshared = self.unshared, set()
         heard = tuple(self._heard(name) for name in names if name in self.roster.rows)
         if heard:
             for other in self._others():
-                self.peers.client.send(
-                    other, Share(heard, entries=self._own_entries(), reads_crashes=True)
-                )
+                self.peers.client.send(other, self._share(heard=heard))
 
     def _share_renewals(self) -> None:
         """Tell the other control processes which endpoints were heard here."""
@@ -412,7 +408,7 @@
             for name in names
             if (row := self.roster.rows.get(name)) is not None
         )
-        share = Share(renewed=renewed, entries=self._own_entries(), reads_crashes=True)
+        share = self._share(renewed=renewed)
         for other in self._others():
             self.timers.spawn(self._send_renewals(other, share))
 
@@ -420,9 +416,7 @@
         answer = await self.peers.client.call(other, share, SHARE_TIMEOUT_S)
         if isinstance(answer, ShareResult) and answer.unknown:
             heard = tuple(self._heard(n) for n in answer.unknown if n in self.roster.rows)
-            self.peers.client.send(
-                other, Share(heard, entries=self._own_entries(), reads_crashes=True)
-            )
+            self.peers.client.send(other, self._share(heard=heard))
 
     def _on_share(self, message: Share, sender: str) -> ShareResult:
         now = self.timers.now()
@@ -469,7 +463,7 @@
         return self._state_for(message)
 
     def _on_ask_standing(self, _message: AskStanding, _sender: str) -> Standing:
-        return Standing(self.is_current, self.age_s, self.machine.version)
+        return Standing(self.is_current)
 
     def _follow_wait_s(self, message: Follow) -> float:
         """Return how long an answer may wait: not beyond the time at which this one is behind."""
--- a/mulberrygate/daemon/tests/test_site.py
+++ b/mulberrygate/daemon/tests/test_site.py
@@ -48,7 +48,7 @@
     return ports
 
 
-def e1():
+def absent_endpoint():
     """Return an endpoint that doesn't run."""
     endpoint = Endpoint("e1", whole())
     endpoint.address = "127.0.0.1:1"
@@ -359,7 +359,9 @@
         await self.site.start_control(CONTROLS[0], is_first=False)
         controller = self.site.nodes[CONTROLS[0]].controller
         await self.site.until(lambda: controller.log.service.node.started_at is not None)
-        status, _ = await self.site.control("PUT", "/instances/e1", self.site.beat(e1(), "booking"))
+        status, _ = await self.site.control(
+            "PUT", "/instances/e1", self.site.beat(absent_endpoint(), "booking")
+        )
         self.assertFalse(controller.is_current)
         self.assertEqual(status, 503)
 
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -21,7 +21,7 @@
 from mulberrygate.forward.patience import UsualPatience
 from mulberrygate.forward.request import Call, Dialect, Refused
 from mulberrygate.forward.suspects import Suspects
-from mulberrygate.observe.jsonlines import JsonLines
+from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import RetryBudget
 from mulberrygate.schedule.messages import Grant, Ticket
@@ -325,7 +325,7 @@
             units=call.units,
             patience_s=call.head.patience_s,
             catalog=self.index.version if self.index else -1,
-            catalog_age_s=self._catalog_age_s(now),
+            catalog_age_s=rounded_age(now - self.catalog_current_at),
             endpoint=call.endpoint,
             granted_by=call.granted_by,
             sends=call.sends,
@@ -337,12 +337,6 @@
             **fields,
         )
 
-    def _catalog_age_s(self, now: float) -> float:
-        """Return seconds since the catalog was known to be the newest, -1 if it never was."""
-        if math.isinf(self.catalog_current_at):
-            return -1
-        return round(now - self.catalog_current_at, 3)
-
     async def wait_idle(self, timeout_s: float) -> None:
         """Wait until no request is being answered, for a time at most."""
         try:
--- a/mulberrygate/observe/jsonlines.py
+++ b/mulberrygate/observe/jsonlines.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import select
 import time
@@ -26,6 +27,11 @@
 PIPE_BYTES = 4096
 
 
+def rounded_age(seconds: float) -> float:
+    """Return an age for a line, -1 for an infinite one."""
+    return round(seconds, 3) if math.isfinite(seconds) else -1
+
+
 def encode(record: dict[str, Any]) -> bytes:
     """Return a record as a line of JSON."""
     text = json.dumps(record, separators=(",", ":"), default=str)
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 import zlib
 from collections.abc import Callable
@@ -11,7 +10,7 @@
 from mulberrygate.catalog import Catalog, CatalogIndex
 from mulberrygate.core.timers import TimerService
 from mulberrygate.endpoints.roster import Roster
-from mulberrygate.observe.jsonlines import JsonLines
+from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.peers.link import Unreachable
 from mulberrygate.sync.messages import FOLLOW_WAIT_S, Follow, MoveState, State
 from mulberrygate.sync.search import ControlSearch
@@ -93,7 +92,6 @@
         self.full_at = 0.0
         self.answers_without_catalog = 0
         self.current_at = float("-inf")
-        self.is_settled = False
 
     def start(self) -> None:
         """Begin to follow."""
@@ -170,7 +168,7 @@
     def _take(self, state: State) -> None:
         now = self.timers.now()
         if state.control_incarnation != self.control_incarnation:
-            age_s = round(state.age_s, 3) if math.isfinite(state.age_s) else -1
+            age_s = rounded_age(state.age_s)
             self.lines.note("control.followed", control=self.control, age_s=age_s)
         self.control_incarnation = state.control_incarnation
         self.changes = state.changes
@@ -182,7 +180,7 @@
                 version=self.index.version,
                 control=self.control,
                 size=len(state.catalog),
-                known_s=round(now - self.current_at, 3) if self.current_at >= 0 else -1,
+                known_s=rounded_age(now - self.current_at),
             )
             self.on_catalog(self.index)
         self.current_at = max(self.current_at, now - state.age_s)
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -127,11 +127,9 @@
 @message("sync.standing")
 @attrs.frozen
 class Standing:
-    """Control to entry: answer to `AskStanding`, with fields as in `State`."""
+    """Control to entry: answer to `AskStanding`, with the field of `State`."""
 
     is_current: bool
-    age_s: float = math.inf
-    catalog_version: int = -1
 
 
 @message("sync.share")
