Play ends of requests that get lost at random, and show that the checks find them

The random runs of the scheduler played no report of what an entry holds. They do in a machine of their own: in the common one the further rules left too few steps for the mutant of late tiers to be found. All of them now also check that grants by entry and all grants are the same.

--- a/mulberrygate/schedule/tests/machine.py
+++ b/mulberrygate/schedule/tests/machine.py
@@ -12,6 +12,7 @@
 from mulberrygate.endpoints import EndpointView
 from mulberrygate.schedule import Done, Grant, PoolScheduler, Present, Progress, Refuse, Running
 from mulberrygate.schedule.messages import Ticket
+from mulberrygate.schedule.scheduler import GRANT_S
 from mulberrygate.tables.model import Move, Pool
 
 ROUTES = ("note", "quick")
@@ -222,6 +223,8 @@
         assert len(scheduler.queue) == sum(tier.count for tier in scheduler.queue.tiers)
         for waiting in scheduler.queue.by_request.values():
             assert waiting.ticket.request not in scheduler.running
+        by_entry = [granted for own in scheduler.by_entry.values() for granted in own.values()]
+        assert sorted(map(id, by_entry)) == sorted(map(id, scheduler.running.values()))
 
     def teardown(self):
         """Check that every waiting request is answered by its deadline."""
@@ -229,3 +232,21 @@
             self.now += 1.0
             self.take(self.scheduler.tick(self.now))
         assert not len(self.scheduler.queue)
+
+
+class ReportingMachine(SchedulerMachine):
+    """Entries that also report what they hold, and whose ends of requests get lost."""
+
+    @precondition(lambda self: self.running())
+    @rule(data=st.data())
+    def end_is_not_told(self, data):
+        self.ended.add(data.draw(st.sampled_from(sorted(self.running()))))
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def entry_reports(self, entry):
+        own = [name for name, ticket in self.tickets.items() if ticket.entry == entry]
+        held = tuple(name for name in own if name not in self.ended)
+        self.take(self.scheduler.progress(Progress("care", {}, held, True), entry, self.now))
+        for granted in self.scheduler.running.values():
+            if granted.ticket.entry == entry and granted.ticket.request not in held:
+                assert self.now - granted.granted_at <= GRANT_S
--- a/mulberrygate/schedule/tests/test_stateful.py
+++ b/mulberrygate/schedule/tests/test_stateful.py
@@ -15,7 +15,7 @@
 from mulberrygate.schedule.precedence import Precedence
 from mulberrygate.schedule.shares import VersionShares
 from mulberrygate.schedule.shed import DeadlineWatch
-from mulberrygate.schedule.tests.machine import SchedulerMachine
+from mulberrygate.schedule.tests.machine import ReportingMachine, SchedulerMachine
 
 SETTINGS = settings(
     derandomize=True,
@@ -86,6 +86,20 @@
         return False
 
 
+class KeepsUntoldEnds(PoolScheduler):
+    """Mutant: waits for the end of a request that its entry no longer holds."""
+
+    def _drop_ended(self, entry, held, now):
+        return False
+
+
+class ForgetsEntries(PoolScheduler):
+    """Mutant: counts a released grant as one that its entry may still hold."""
+
+    def _forget_of_entry(self, granted):
+        pass
+
+
 class WideMachine(SchedulerMachine):
     is_wide = True
 
@@ -93,14 +107,18 @@
 class StatefulTest(unittest.TestCase):
     def expect(self, code, scheduler_class=PoolScheduler, machine=SchedulerMachine):
         """Run a mutant and expect that the invariant finds it."""
+        with self.assertRaises(InvariantError) as raised:
+            self.run_mutant(scheduler_class, machine)
+        self.assertEqual(raised.exception.code, code)
+
+    def run_mutant(self, scheduler_class, machine):
+        """Run a mutant at random."""
 
         class Mutant(machine):
             pass
 
         Mutant.scheduler_class = scheduler_class
-        with self.assertRaises(InvariantError) as raised:
-            run_state_machine_as_test(Mutant, settings=MUTANT_SETTINGS)
-        self.assertEqual(raised.exception.code, code)
+        run_state_machine_as_test(Mutant, settings=MUTANT_SETTINGS)
 
     def test_random_runs_hold_the_invariants(self):
         """Guards against any order of messages that breaks a guarantee or a count."""
@@ -110,6 +128,16 @@
         """Guards against an order of late requests that breaks a guarantee or a count."""
         run_state_machine_as_test(WideMachine, settings=SETTINGS)
 
+    def test_random_reports_hold_the_invariants(self):
+        """Guards against slots that stay taken, or are miscounted, after ends that got lost."""
+        run_state_machine_as_test(ReportingMachine, settings=SETTINGS)
+
+    def test_finds_ends_that_are_never_noticed(self):
+        """Guards against a check of reports that accepts slots of ended requests."""
+        for mutant in (KeepsUntoldEnds, ForgetsEntries):
+            with self.subTest(mutant=mutant.__name__), self.assertRaises(AssertionError):
+                self.run_mutant(mutant, ReportingMachine)
+
     def test_finds_late_tier_overtaken(self):
         """Guards against a lower tier that goes before an upper one served less often."""
         self.expect(codes.LATE_TIER_OVERTAKEN, LateOvertaken, WideMachine)
