Drop records of crashing calls last when the record is full

What endpoints would see: after the loss of many endpoints at once, calls that crash them came again, since the oldest records were dropped whatever they held. Found by reading the change; no run showed it.

test_many_lost_calls_release_no_crashing_one failed before and passes.

--- a/mulberrygate/control/quarantine.py
+++ b/mulberrygate/control/quarantine.py
@@ -100,8 +100,7 @@
             is_change |= self.records.pop(call, None) is not None
         for call, endpoint, incarnation in crashes:
             is_change |= self._count(call, (endpoint, incarnation), at)
-        while len(self.records) > MOST_CALLS:
-            del self.records[next(iter(self.records))]
+        self._drop_oldest(len(self.records) - MOST_CALLS)
         before = self.quarantined, self.suspects
         self._list()
         if before != (self.quarantined, self.suspects):
@@ -121,6 +120,14 @@
         record.seen_at = max(record.seen_at, at)
         return True
 
+    def _drop_oldest(self, count: int) -> None:
+        """Drop the oldest records, those of calls in quarantine last."""
+        if count <= 0:
+            return
+        oldest = sorted(self.records, key=lambda call: self.records[call].is_quarantined)
+        for call in oldest[:count]:
+            del self.records[call]
+
     def _forget_old(self, at: float) -> bool:
         old = [call for call, record in self.records.items() if record.ends_at <= at]
         for call in old:
--- a/mulberrygate/control/tests/test_quarantine.py
+++ b/mulberrygate/control/tests/test_quarantine.py
@@ -63,6 +63,13 @@
         self.quarantine.put([], [], QUARANTINE_S)
         self.assertEqual(self.quarantine.quarantined, ())
 
+    def test_many_lost_calls_release_no_crashing_one(self):
+        """The loss of many endpoints pushed a crashing call out of the record."""
+        self.quarantine.put(crashes("a", "e1", "e2", "e3"), [], 0.0)
+        calls = [f"c{number}" for number in range(MOST_CALLS)]
+        self.quarantine.put([(call, "e4", 1) for call in calls], [], 0.0)
+        self.assertEqual(self.quarantine.quarantined, ("a",))
+
     def test_records_are_bounded(self):
         """Crashes of ever new calls filled the memory of control processes."""
         calls = [f"c{number}" for number in range(MOST_CALLS + 10)]
