--- /dev/null
+++ b/bench/site_messages.py
@@ -0,0 +1,74 @@
+"""Measure the messages by which owners of queues and control processes are kept informed.
+
+Run it with ``python -m bench.site_messages``. It prints size and processor time of each message,
+and what a command of crash reports costs on a full record.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from mulberrygate.control.catalogs import CatalogMachine, PutCrashes, encode_command
+from mulberrygate.core.wire import decode, encode
+from mulberrygate.schedule.messages import Progress
+from mulberrygate.sync.messages import AskStanding, Standing
+
+REPEATS = 3000
+RUNNING = 13
+WAITING = 7
+CALLS_PER_CRASH = 14
+CRASHES = 600
+
+
+def measure_us(action: Callable[[], object]) -> float:
+    """Return the processor time of an action in microseconds."""
+    started = time.process_time()
+    for _ in range(REPEATS):
+        action()
+    return (time.process_time() - started) / REPEATS * 1e6
+
+
+def print_message(name: str, message: object) -> None:
+    """Print size and times of one message."""
+    kind, body = encode(message)
+    encode_us = measure_us(lambda: encode(message))
+    decode_us = measure_us(lambda: decode(kind, body))
+    print(f"{name:34} {len(body):5} B  encode {encode_us:5.1f} us  decode {decode_us:5.1f} us")
+
+
+def print_messages() -> None:
+    """Print the figures of the messages."""
+    held = tuple(f"{number:016x}.0" for number in range(RUNNING + WAITING))
+    emitted = dict.fromkeys(held[:RUNNING], 100)
+    print_message("Progress without what is held", Progress("pool", emitted))
+    print_message("Progress", Progress("pool", emitted, held, True))
+    print_message("AskStanding", AskStanding())
+    print_message("Standing", Standing(True))
+
+
+def crash_command(number: int, calls: int) -> PutCrashes:
+    """Return the report of one lost endpoint."""
+    crashes = tuple((f"{number:012x}{call:012x}", f"i-{number:010x}", 1) for call in range(calls))
+    return PutCrashes(crashes, (), 0.0)
+
+
+def print_commands() -> None:
+    """Print what crash reports cost the replicated state."""
+    machine = CatalogMachine()
+    commands = [encode_command(crash_command(n, CALLS_PER_CRASH)) for n in range(CRASHES)]
+    for index, command in enumerate(commands[:-100], start=1):
+        machine.apply(index, command)
+    started = time.process_time()
+    for index, command in enumerate(commands[-100:], start=CRASHES):
+        machine.apply(index, command)
+    apply_ms = (time.process_time() - started) / 100 * 1e3
+    one = encode_command(crash_command(0, 1))
+    print(f"PutCrashes of 1 and {CALLS_PER_CRASH} calls: {len(one)} and {len(commands[0])} B")
+    print(f"to apply it on {len(machine.quarantine.records)} records: {apply_ms:.2f} ms")
+    print(f"snapshot: {len(machine.snapshot()) / 1000:.0f} KB")
+
+
+if __name__ == "__main__":
+    print_messages()
+    print_commands()
