Let the test of strange calls wait until the process that it asks is current

Cause: a process acknowledges only while it is current, and since it isn't before it holds what its group has committed; before, its own first step counted as a heartbeat. Right after the first document is acknowledged it may lack that for some milliseconds. Callers repeat a 503 elsewhere, and a process that doesn't know its group's state can't tell whether an endpoint is unknown, so the product is right and the test asked too early.

--- a/mulberrygate/daemon/tests/test_site.py
+++ b/mulberrygate/daemon/tests/test_site.py
@@ -399,6 +399,9 @@
     async def test_strange_calls(self):
         """A call of another form ended in an error of the program."""
         await self.site.put(1)
+        # A process refuses with 503 until it holds what its group has committed.
+        controller = self.site.nodes[CONTROLS[0]].controller
+        await self.site.until(lambda: controller.is_current)
         calls = [
             ("GET", "/none", None, 404),
             ("PUT", "/instances/e9", b"{", 400),
