Add failing tests of crashes that are not counted

Callers of other requests lose their endpoints again and again to one call: ends of its sends by a deadline, a caller that leaves or a silent connection are not counted as crashes, several ends of one endpoint count once while its restart is unknown, and crashes in the control log don't add up with those an entry has yet to report.

--- /dev/null
+++ b/mulberrygate/forward/tests/test_crashing_calls.py
@@ -0,0 +1,157 @@
+"""Tests of calls that crash the endpoints that run them, by the way in which their sends end."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from mulberrygate.endpoints.roster import Registration
+from mulberrygate.forward.tests.support import HOST, Endpoint, Entry, crash, document
+
+STEP_TIMEOUT_S = 10.0
+
+
+async def stop_silently(endpoint, reader, _writer, _head):
+    """End the endpoint while the connection stays open and silent."""
+    endpoint.server.close()
+    await reader.read()
+
+
+async def stay_silent(_endpoint, reader, _writer, _head):
+    """Go on running without an answer until the connection is closed."""
+    await reader.read()
+
+
+class RestartingEndpoint(Endpoint):
+    """Endpoint that ends with each call and is back at the same address, under the same name."""
+
+    async def start(self):
+        """Listen on a port that the system chooses, or on that of the earlier start."""
+        port = int(self.address.rpartition(":")[2]) if hasattr(self, "address") else 0
+        self.server = await asyncio.start_server(self.serve, HOST, port)
+        self.address = f"{HOST}:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+
+class CrashTestCase(unittest.IsolatedAsyncioTestCase):
+    """One entry with scripted endpoints."""
+
+    async def start(self, fields=None, **endpoints):
+        """Start an entry with the given endpoints."""
+        entry = await Entry(fields).start(**endpoints)
+        self.addAsyncCleanup(entry.close)
+        return entry
+
+    async def until(self, condition):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    async def leave(self, entry, path, endpoint):
+        """Send a request and disconnect once the endpoint has it."""
+        asked = asyncio.ensure_future(entry.request(path).__aenter__())
+        await asyncio.wait_for(endpoint.asked.wait(), STEP_TIMEOUT_S)
+        asked.cancel()
+
+
+class TestCrashingCalls(CrashTestCase):
+    """Endpoints that end while they run a call."""
+
+    async def test_silent_connection_until_the_deadline(self):
+        """Guards against missing a crash when the open connection goes silent."""
+        entry = await self.start(document(timeoutMs=300), booking=[Endpoint("e", stop_silently)])
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 504)
+        await self.until(lambda: entry.crashes)
+        self.assertEqual(entry.crashes[0].endpoint, "e")
+
+    async def test_plain_call_whose_caller_has_left(self):
+        """Guards against missing a crash when the caller leaves before it is seen."""
+        endpoint = Endpoint("e", stop_silently)
+        entry = await self.start(booking=[endpoint])
+        await self.leave(entry, "/plain/1", endpoint)
+        await self.until(lambda: entry.crashes)
+
+    async def test_stream_whose_caller_has_left(self):
+        """Guards against missing a crash when the caller of a stream leaves before it is seen."""
+        endpoint = Endpoint("e", stop_silently)
+        entry = await self.start(care=[endpoint])
+        await self.leave(entry, "/stream/1", endpoint)
+        await self.until(lambda: entry.crashes)
+
+    async def test_endpoint_that_is_back_before_its_registration(self):
+        """Guards against counting crashes of one endpoint once while its restart is unknown."""
+        endpoint = RestartingEndpoint("e", crash())
+        entry = await self.start(booking=[endpoint])
+        for number in range(1, 4):
+            async with entry.request("/plain/1", identifier=f"id-{number}") as answer:
+                self.assertEqual(answer.status, 502)
+            await self.until(lambda count=number: len(entry.crashes) == count)
+            await endpoint.start()
+        async with entry.request("/plain/1", identifier="id-4") as answer:
+            self.assertEqual(answer.status, 503)
+        self.assertEqual(len(endpoint.requests), 3)
+
+    async def test_crashes_in_the_log_and_at_the_entry_add_up(self):
+        """Guards against sending a call whose third crash waits for its commit."""
+        endpoints = [Endpoint("e1", crash()), Endpoint("e2", crash())]
+        entry = await self.start(booking=endpoints)
+        suspects = entry.forwarder.suspects
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 502)
+        await self.until(lambda: entry.crashes)
+        suspects.update_quarantine(1, (), (entry.crashes[0].call,))
+        async with entry.request("/plain/1", identifier="id-2") as answer:
+            self.assertEqual(answer.status, 503)
+        self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 1)
+
+
+class TestOtherEnds(CrashTestCase):
+    """Ends of calls at endpoints that go on running."""
+
+    async def check_not_counted(self, entry):
+        """Check that the endpoint is found running."""
+        await self.until(lambda: entry.lines.of("endpoint.looked_for"))
+        self.assertEqual(entry.lines.of("endpoint.looked_for")[0]["ended"], "")
+        self.assertEqual(entry.crashes, [])
+
+    async def test_deadline_at_a_slow_endpoint(self):
+        """Guards against taking a slow endpoint for one that has ended."""
+        entry = await self.start(document(timeoutMs=300), booking=[Endpoint("e", stay_silent)])
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 504)
+        await self.check_not_counted(entry)
+
+    async def test_caller_that_leaves_a_slow_endpoint(self):
+        """Guards against taking an endpoint that its caller left for one that has ended."""
+        endpoint = Endpoint("e", stay_silent)
+        entry = await self.start(booking=[endpoint])
+        await self.leave(entry, "/plain/1", endpoint)
+        await self.check_not_counted(entry)
+
+    async def test_late_registration_of_a_known_restart(self):
+        """Guards against counting a broken call of a live endpoint once its restart is known."""
+        endpoint = RestartingEndpoint("e", crash())
+        entry = await self.start(booking=[endpoint])
+        async with entry.request("/plain/1") as answer:
+            self.assertEqual(answer.status, 502)
+        await self.until(lambda: entry.crashes)
+        endpoint.answer = self.abort
+        await endpoint.start()
+        async with entry.request("/plain/2", identifier="id-2") as answer:
+            self.assertEqual(answer.status, 502)
+        entry.roster.record_report(
+            Registration("e", 2, 1, "booking", endpoint.address, "a", "v1", 4), entry.timers.now()
+        )
+        await self.until(lambda: len(entry.lines.of("endpoint.looked_for")) == 2)
+        self.assertEqual(len(entry.crashes), 1)
+
+    @staticmethod
+    async def abort(_endpoint, _reader, writer, _head):
+        """Close the connection without an answer and go on listening."""
+        writer.transport.abort()
+
+
+if __name__ == "__main__":
+    unittest.main()
