Add up crashes in the control log and at the entry

A call with two crashes in the log and an unreported one is refused, also while the entry can't tell whether the three are different.

--- a/mulberrygate/forward/suspects.py
+++ b/mulberrygate/forward/suspects.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from mulberrygate.control.quarantine import CRASHES_TO_QUARANTINE
+from mulberrygate.control.quarantine import CRASHES_TO_QUARANTINE, CRASHES_TO_SUSPECT
 from mulberrygate.forward.request import Call
 from mulberrygate.sync.messages import Crash, CrashReport
 
@@ -73,8 +73,12 @@
         if not self.quarantined and not self.unreported:
             return False
         fingerprint = call.fingerprint
-        unreported = sum(crash.call == fingerprint for crash in self.unreported)
-        return fingerprint in self.quarantined or unreported >= CRASHES_TO_QUARANTINE
+        crashes = sum(crash.call == fingerprint for crash in self.unreported)
+        # An unreported crash may be one that is in the log; until its report is committed, the
+        # entry can't tell and refuses the call.
+        if crashes and fingerprint in self.suspected:
+            crashes += CRASHES_TO_SUSPECT
+        return fingerprint in self.quarantined or crashes >= CRASHES_TO_QUARANTINE
 
     def record_answered(self, call: Call) -> None:
         """Record that an endpoint answered a call, which clears it of suspicion."""
