Check the endpoint of every send that ends without an answer

Each send without a complete answer is checked now. Sends that end together share a probe, and a stream that had just sent bytes is not checked. An endpoint that accepts one connection after a broken one is probed a second time, since its listening socket may close last.

--- a/mulberrygate/forward/crash_detection.py
+++ b/mulberrygate/forward/crash_detection.py
@@ -4,36 +4,28 @@
 
 import asyncio
 
-import attrs
-
+from mulberrygate.core.timers import TimerService
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.forward.exchange import EndpointClient, ProbeResult
-from mulberrygate.forward.request import Call
+from mulberrygate.forward.probes import SharedProbes
 from mulberrygate.forward.suspects import Suspects
+from mulberrygate.forward.unanswered import UnansweredSend
 
 # A process that ends closes its sockets one by one, and the listening socket may be the last.
-FIRST_CHECK_DELAY_S = 0.02
+BROKEN_CHECK_DELAY_S = 0.02
+# Callers that leave at about the same time share a probe.
+CANCELLED_CHECK_DELAY_S = 0.25
 CHECK_INTERVAL_S = 0.5
 # By the last check, an endpoint that restarted has registered its new incarnation.
 MAX_CHECKS = 7
 # A single unanswered connection may only have lost a packet.
 UNANSWERED_PROBES = 2
-
-
-@attrs.frozen
-class BrokenExchange:
-    """Exchange whose connection broke before the answer was complete.
-
-    Parameters
-    ==========
-    incarnation : int
-        Incarnation of the endpoint at the time of the send, 0 if it was unknown.
-    """
-
-    call: Call
-    endpoint: str
-    incarnation: int
-    address: str
+# The first accepted connection after a broken one may be the last of a process that ends.
+BROKEN_ACCEPTED_PROBES = 2
+# An endpoint that has sent bytes this shortly before its caller left is not checked.
+SIGN_OF_LIFE_S = 0.5
+# Checks that run at the same time; sends beyond them are not checked.
+MAX_RUNNING_CHECKS = 1024
 
 
 class CrashDetector:
@@ -41,62 +33,87 @@
 
     Explanation
     ===========
-    After a broken exchange, the endpoint is taken to have ended if it refuses connections, if
-    `UNANSWERED_PROBES` connections time out, or if it registers as a new incarnation within a few
-    seconds.
+    A crash may show as a broken connection, as silence until the call's deadline, or not at all if
+    the caller leaves first. So every send without a complete answer is checked. The endpoint is
+    taken to have ended if it refuses connections, if `UNANSWERED_PROBES` connections time out, or
+    if it registers as a new incarnation within a few seconds.
     """
 
-    def __init__(self, roster: Roster, endpoints: EndpointClient, suspects: Suspects, lines):
+    def __init__(
+        self,
+        roster: Roster,
+        endpoints: EndpointClient,
+        suspects: Suspects,
+        timers: TimerService,
+        lines,
+    ):
         self.roster = roster
-        self.endpoints = endpoints
         self.suspects = suspects
+        self.timers = timers
         self.lines = lines
+        self.probes = SharedProbes(endpoints, timers)
+        self.running = 0
 
     def incarnation(self, endpoint: str) -> int:
         """Return the registered incarnation of an endpoint, 0 if there is none."""
         row = self.roster.rows.get(endpoint)
         return row.registration.incarnation if row is not None else 0
 
-    async def check(self, broken: BrokenExchange) -> None:
+    def start_check(self, send: UnansweredSend) -> None:
+        """Check in the background whether the endpoint of a send has ended."""
+        if self.running >= MAX_RUNNING_CHECKS:
+            self.lines.log("endpoint.not_checked", id=send.request, endpoint=send.endpoint)
+            return
+        self.timers.spawn(self.check(send))
+
+    async def check(self, send: UnansweredSend) -> None:
         """Check whether the endpoint ended, and record a crash of the call if it did."""
-        row = self.roster.rows.get(broken.endpoint)
+        row = self.roster.rows.get(send.endpoint)
         is_leaving = row is not None and row.is_leaving
-        reason = await self._detect_end(broken, is_leaving)
+        self.running += 1
+        try:
+            reason = await self._detect_end(send, is_leaving)
+        finally:
+            self.running -= 1
         self.lines.log(
             "endpoint.looked_for",
-            id=broken.call.head.request,
-            fingerprint=broken.call.fingerprint,
-            endpoint=broken.endpoint,
+            id=send.request,
+            fingerprint=send.call,
+            endpoint=send.endpoint,
+            incarnation=send.incarnation,
+            is_broken=send.is_broken,
             ended=reason,
         )
         if reason:
-            self.suspects.record_crash(broken.call, broken.endpoint, broken.incarnation)
+            self.suspects.record_crash(send.call, send.endpoint, send.incarnation)
 
-    async def _detect_end(self, broken: BrokenExchange, is_leaving: bool) -> str:
+    async def _detect_end(self, send: UnansweredSend, is_leaving: bool) -> str:
         """Return the sign by which the end was detected, empty if there was none."""
-        await asyncio.sleep(FIRST_CHECK_DELAY_S)
-        unreachable = 0
-        result: ProbeResult | None = None
+        await asyncio.sleep(BROKEN_CHECK_DELAY_S if send.is_broken else CANCELLED_CHECK_DELAY_S)
+        unanswered = accepted = 0
+        since = send.ended_at
         for _ in range(MAX_CHECKS):
-            if result is not ProbeResult.LISTENS:
-                result = await self.endpoints.probe(broken.address)
-            if result is ProbeResult.REFUSES:
-                return "refused"
-            unreachable += result is ProbeResult.SILENT
-            if unreachable >= UNANSWERED_PROBES:
+            if accepted < (BROKEN_ACCEPTED_PROBES if send.is_broken else 1):
+                result = await self.probes.probe(send.address, since)
+                if result is ProbeResult.REFUSES:
+                    return "refused"
+                unanswered += result is ProbeResult.SILENT
+                accepted += result is ProbeResult.LISTENS
+            if unanswered >= UNANSWERED_PROBES:
                 return "unreachable"
-            if self.has_restarted(broken) and not is_leaving:
+            if self.has_restarted(send) and not is_leaving:
                 return "restarted"
+            since = self.timers.now()
             await asyncio.sleep(CHECK_INTERVAL_S)
         return ""
 
-    def has_restarted(self, broken: BrokenExchange) -> bool:
-        """Return whether a later incarnation is registered under this name or at this address."""
-        if not broken.incarnation:
+    def has_restarted(self, send: UnansweredSend) -> bool:
+        """Return whether a later process is registered under this name or at this address."""
+        if not send.incarnation:
             return False
         registrations = [row.registration for row in self.roster.rows.values()]
         return any(
-            known.incarnation > broken.incarnation
-            and (known.endpoint == broken.endpoint or known.address == broken.address)
+            known.incarnation > send.incarnation
+            and (known.endpoint == send.endpoint or known.address == send.address)
             for known in registrations
         )
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Any
 
 import attrs
@@ -12,10 +13,11 @@
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.forward import codes
 from mulberrygate.forward.attempts import Attempts, SendOutcome
-from mulberrygate.forward.crash_detection import BrokenExchange
+from mulberrygate.forward.crash_detection import SIGN_OF_LIFE_S
 from mulberrygate.forward.events import EventSplitter, EventTooLong
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
 from mulberrygate.forward.request import AnswerHead, Call, Refused
+from mulberrygate.forward.unanswered import UnansweredSend
 from mulberrygate.schedule.messages import Done, Grant, Ticket
 
 # Retry-After for a call that all endpoints turned down.
@@ -49,6 +51,8 @@
         Monotonic time of the first token, or of the answer's head; 0 before.
     first_tokens : int
         Number of tokens that arrived together first.
+    heard_at : float
+        Monotonic time of the last bytes of the answer, minus infinity before.
     fault : str
         Kind of fault to report to the scheduler, empty for none.
     """
@@ -61,6 +65,7 @@
         self.first_at = 0.0
         self.tokens = 0
         self.first_tokens = 1
+        self.heard_at = -math.inf
         self.fault = ""
         self.is_cancelled = False
 
@@ -203,10 +208,12 @@
                 reason=str(error),
                 events=self.splitter.count,
             )
-            broken = BrokenExchange(call, send.grant.endpoint, send.incarnation, send.grant.address)
-            forwarder.timers.spawn(forwarder.crash_detector.check(broken))
+            self._check_endpoint(send, is_broken=True)
         except BaseException:
+            # The call's deadline, a caller that left, or the end of this process.
             send.is_cancelled = True
+            if self.now() - send.heard_at > SIGN_OF_LIFE_S:
+                self._check_endpoint(send, is_broken=False)
             raise
         finally:
             if exchange is not None:
@@ -215,11 +222,26 @@
         self.attempts.replace_last(outcome)
         return answer
 
+    def _check_endpoint(self, send: Send, is_broken: bool) -> None:
+        """Start a check whether the endpoint of an unanswered send has ended."""
+        unanswered = UnansweredSend(
+            call=self.call.fingerprint,
+            request=self.call.head.request,
+            endpoint=send.grant.endpoint,
+            incarnation=send.incarnation,
+            address=send.grant.address,
+            sent_at=send.sent_at,
+            ended_at=self.now(),
+            is_broken=is_broken,
+        )
+        self.forwarder.crash_detector.start_check(unanswered)
+
     async def _receive(
         self, send: Send, exchange: Exchange
     ) -> tuple[SendOutcome, WholeAnswer | web.StreamResponse | None]:
         """Process an answer whose head has arrived; return the outcome and the final answer."""
         head = exchange.head
+        send.heard_at = self.now()
         self._record_first_byte(send)
         if head.load is not None:
             self.forwarder.placement.directory.report_load(
@@ -264,6 +286,7 @@
         stride = call.pool.tokens_per_event
         before = splitter.count
         while data := await exchange.read_some():
+            send.heard_at = self.now()
             events = self._split(data, before)
             if not events:
                 continue
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -91,7 +91,7 @@
         self.metrics = metrics
         self.endpoints = EndpointClient(dialect)
         self.crash_detector = CrashDetector(
-            placement.directory.roster, self.endpoints, suspects, lines
+            placement.directory.roster, self.endpoints, suspects, timers, lines
         )
         self.index: CatalogIndex | None = None
         self.has_index = asyncio.Event()
--- a/mulberrygate/forward/suspects.py
+++ b/mulberrygate/forward/suspects.py
@@ -94,9 +94,9 @@
             self.uncleared[fingerprint] = None
             self.on_report()
 
-    def record_crash(self, call: Call, endpoint: str, incarnation: int) -> None:
-        """Record that an endpoint crashed while it ran a call."""
-        crash = Crash(call.fingerprint, endpoint, incarnation)
+    def record_crash(self, call: str, endpoint: str, incarnation: int) -> None:
+        """Record that an endpoint crashed while it ran the call with a fingerprint."""
+        crash = Crash(call, endpoint, incarnation)
         self.unreported[crash] = None
         drop_oldest(self.unreported)
         self.on_crash(crash)
--- a/mulberrygate/forward/tests/test_crash_detection.py
+++ b/mulberrygate/forward/tests/test_crash_detection.py
@@ -5,12 +5,14 @@
 import unittest
 from unittest import mock
 
+from mulberrygate.core.timers import TimerService
 from mulberrygate.endpoints.roster import Registration, Roster
-from mulberrygate.forward.crash_detection import BrokenExchange, CrashDetector
+from mulberrygate.forward.crash_detection import CrashDetector
 from mulberrygate.forward.exchange import ProbeResult
 from mulberrygate.forward.suspects import Suspects
 from mulberrygate.forward.tests.support import Lines
 from mulberrygate.forward.tests.test_suspects import call
+from mulberrygate.forward.unanswered import UnansweredSend
 
 ADDRESS = "10.0.0.1:80"
 
@@ -40,7 +42,7 @@
         self.roster = Roster()
         self.roster.record_report(registration(), 0.0)
         self.crashes = []
-        for name in ("FIRST_CHECK_DELAY_S", "CHECK_INTERVAL_S"):
+        for name in ("BROKEN_CHECK_DELAY_S", "CHECK_INTERVAL_S"):
             patch = mock.patch(f"mulberrygate.forward.crash_detection.{name}", 0.0)
             patch.start()
             self.addCleanup(patch.stop)
@@ -49,9 +51,14 @@
         """Run the detector and return the reported crashes."""
         endpoints = Endpoints(*results, on_probe=on_probe)
         suspects = Suspects(self.crashes.append, lambda: None)
-        detector = CrashDetector(self.roster, endpoints, suspects, Lines())
-        broken = BrokenExchange(call(), "e1", detector.incarnation("e1"), ADDRESS)
-        await detector.check(broken)
+        timers = TimerService(lambda name, error: None)
+        self.addAsyncCleanup(timers.close)
+        detector = CrashDetector(self.roster, endpoints, suspects, timers, Lines())
+        now = timers.now()
+        send = UnansweredSend(
+            call().fingerprint, "id-1", "e1", detector.incarnation("e1"), ADDRESS, now, now, True
+        )
+        await detector.check(send)
         return [(crash.endpoint, crash.incarnation) for crash in self.crashes]
 
     async def test_refused_connection(self):
@@ -78,6 +85,11 @@
         )
         self.assertEqual(crashes, [("e1", 1)])
 
+    async def test_endpoint_whose_listening_socket_closes_last(self):
+        """Guards against missing a crash when one more connection is accepted after it."""
+        crashes = await self.check(ProbeResult.LISTENS, ProbeResult.REFUSES)
+        self.assertEqual(crashes, [("e1", 1)])
+
     async def test_restart_of_a_leaving_endpoint(self):
         """Guards against taking the planned stop of an endpoint for a crash."""
         self.roster.mark_leaving("e1", 1)
--- a/mulberrygate/forward/tests/test_suspects.py
+++ b/mulberrygate/forward/tests/test_suspects.py
@@ -21,7 +21,7 @@
 
     def test_report_stays_until_it_is_in_the_log(self):
         """Guards against a lost report that is never repeated, so that the call is sent on."""
-        self.suspects.record_crash(call(), "e1", 1)
+        self.suspects.record_crash(call().fingerprint, "e1", 1)
         report = self.suspects.next_report()
         self.assertEqual(self.suspects.next_report(), report)
         self.suspects.record_reported(report)
@@ -30,14 +30,14 @@
     def test_call_that_was_answered_before_is_reported(self):
         """Guards against a call that is never reported after it was answered once."""
         self.suspects.record_answered(call())
-        self.suspects.record_crash(call(request="id-2"), "e1", 1)
+        self.suspects.record_crash(call(request="id-2").fingerprint, "e1", 1)
         self.assertEqual(len(self.suspects.next_report().crashes), 1)
 
     def test_entry_alone_refuses_what_it_could_not_report(self):
         """Guards against an entry without control processes that crashes many endpoints."""
         for endpoint in ("e1", "e2", "e3"):
             self.assertFalse(self.suspects.is_quarantined(call()))
-            self.suspects.record_crash(call(), endpoint, 1)
+            self.suspects.record_crash(call().fingerprint, endpoint, 1)
         self.assertTrue(self.suspects.is_quarantined(call(request="id-9")))
         self.assertFalse(self.suspects.is_quarantined(call(path="/plain/2")))
         self.assertFalse(self.suspects.is_quarantined(call(account="b")))
@@ -59,7 +59,7 @@
 
     def test_own_report_is_cleared_by_an_answer(self):
         """Guards against a reported crash that still counts after the call was answered."""
-        self.suspects.record_crash(call(), "e1", 1)
+        self.suspects.record_crash(call().fingerprint, "e1", 1)
         self.suspects.record_reported(self.suspects.next_report())
         self.suspects.record_answered(call())
         self.assertEqual(self.suspects.next_report().cleared, (call().fingerprint,))
