Count each end of an endpoint whose restart is not yet known here

The entry numbers the ends that it observes: a send that began after an observed end went to a later process, whose incarnation is higher than the one known. In return, the registration of that process is no sign of another restart, which counted broken calls of a live endpoint as crashes.

test_endpoint_that_is_back_before_its_registration (the fourth call was sent) and test_late_registration_of_a_known_restart (2 crashes instead of 1) failed before and pass now.

--- a/mulberrygate/forward/crash_detection.py
+++ b/mulberrygate/forward/crash_detection.py
@@ -7,6 +7,7 @@
 from mulberrygate.core.timers import TimerService
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.forward.exchange import EndpointClient, ProbeResult
+from mulberrygate.forward.observed_ends import ObservedEnds
 from mulberrygate.forward.probes import SharedProbes
 from mulberrygate.forward.suspects import Suspects
 from mulberrygate.forward.unanswered import UnansweredSend
@@ -52,6 +53,7 @@
         self.timers = timers
         self.lines = lines
         self.probes = SharedProbes(endpoints, timers)
+        self.ends = ObservedEnds()
         self.running = 0
 
     def incarnation(self, endpoint: str) -> int:
@@ -75,17 +77,18 @@
             reason = await self._detect_end(send, is_leaving)
         finally:
             self.running -= 1
+        incarnation = self.ends.add(send) if reason else send.incarnation
         self.lines.log(
             "endpoint.looked_for",
             id=send.request,
             fingerprint=send.call,
             endpoint=send.endpoint,
-            incarnation=send.incarnation,
+            incarnation=incarnation,
             is_broken=send.is_broken,
             ended=reason,
         )
         if reason:
-            self.suspects.record_crash(send.call, send.endpoint, send.incarnation)
+            self.suspects.record_crash(send.call, send.endpoint, incarnation)
 
     async def _detect_end(self, send: UnansweredSend, is_leaving: bool) -> str:
         """Return the sign by which the end was detected, empty if there was none."""
@@ -109,7 +112,7 @@
 
     def has_restarted(self, send: UnansweredSend) -> bool:
         """Return whether a later process is registered under this name or at this address."""
-        if not send.incarnation:
+        if not send.incarnation or self.ends.is_to_unknown_process(send):
             return False
         registrations = [row.registration for row in self.roster.rows.values()]
         return any(
