Keep crash reports while no control process is known

It tries again now. test_report_waits_until_a_control_process_is_known failed before (TimeoutError).

--- a/mulberrygate/sync/crash_reports.py
+++ b/mulberrygate/sync/crash_reports.py
@@ -57,6 +57,8 @@
     async def _send(self, report: CrashReport, attempt: int) -> bool:
         """Send one report; return whether it is committed."""
         controls = self.list_controls()
+        if not controls:
+            return False
         control = controls[attempt % len(controls)]
         answer = await self.client.call(control, report, REPORT_TIMEOUT_S)
         is_committed = isinstance(answer, CrashReportResult) and answer.is_committed
--- a/mulberrygate/sync/tests/test_crash_reports.py
+++ b/mulberrygate/sync/tests/test_crash_reports.py
@@ -46,6 +46,19 @@
         self.assertEqual([instance for instance, _ in client.asked], ["c1", "c2", "c1"])
         self.assertEqual([len(message.crashes) for _, message in client.asked], [2, 2, 2])
 
+    async def test_report_waits_until_a_control_process_is_known(self):
+        """Guards against a report that is dropped while no control process is known."""
+        client = Client(CrashReportResult(True))
+        errors = []
+        timers = TimerService(lambda name, error: errors.append(error))
+        self.addAsyncCleanup(timers.close)
+        suspects = Suspects(lambda crash: None, lambda: reporter.wake())
+        known = iter([[], []])
+        reporter = CrashReporter(client, suspects, timers, lambda: next(known, ["c1"]))
+        suspects.record_crash(call().fingerprint, "e1", 1)
+        await asyncio.wait_for(client.is_done.wait(), 10)
+        self.assertEqual((len(client.asked), errors), (1, []))
+
 
 if __name__ == "__main__":
     unittest.main()
