Drop an unreported clearance when its call crashes an endpoint

A clearance is repeated until it is committed. One that waited for a leader was committed beside or after crashes that the entry saw later, and could erase them, so that the call was sent on. The entry drops it when it sees another crash of the call. test_clearance_that_waits_does_not_erase_a_later_crash failed before.

--- a/mulberrygate/forward/suspects.py
+++ b/mulberrygate/forward/suspects.py
@@ -99,6 +99,8 @@
         crash = Crash(call, endpoint, incarnation)
         self.unreported[crash] = None
         drop_oldest(self.unreported)
+        # A clearance that is committed late must not erase this crash.
+        self.uncleared.pop(call, None)
         self.on_crash(crash)
         self.on_report()
 
--- a/mulberrygate/forward/tests/test_suspects.py
+++ b/mulberrygate/forward/tests/test_suspects.py
@@ -64,6 +64,14 @@
         self.suspects.record_answered(call())
         self.assertEqual(self.suspects.next_report().cleared, (call().fingerprint,))
 
+    def test_clearance_that_waits_does_not_erase_a_later_crash(self):
+        """Guards against a late clearance that erases crashes seen after the answer."""
+        self.suspects.update_quarantine(1, (), (call().fingerprint,))
+        self.suspects.record_answered(call())
+        self.suspects.record_crash(call(request="id-2").fingerprint, "e1", 1)
+        report = self.suspects.next_report()
+        self.assertEqual((len(report.crashes), report.cleared), (1, ()))
+
 
 if __name__ == "__main__":
     unittest.main()
