Try a quarantined call again, at most twice, and let operators release it

An innocent call that ran on three endpoints as they failed together was answered with 503 for an hour: nothing could clear it, because it was not sent any more, and no command ended its quarantine.

The quarantine is half-open now: 1 s after the last crash the leader lets one entry send the call once, and once more 20 s after that. A valid answer clears it. Trials are commands of the control log, so a call that does crash endpoints costs two more over all entries and leaders, where the users' rule allows three. Nothing of it is proposed while a control process of an earlier release is heard from. `mulberrygate quarantine` lists and releases calls.

--- a/mulberrygate/cli/command.py
+++ b/mulberrygate/cli/command.py
@@ -54,7 +54,7 @@
 
 
 class EntryUnreachable(Exception):
-    """No entry instance answered."""
+    """No entry instance or control process answered."""
 
 
 @dataclass(frozen=True)
@@ -127,18 +127,38 @@
     except (OSError, UnicodeDecodeError) as error:
         raise InvalidAccess(f"the token file can't be read: {error}") from error
     try:
-        return asyncio.run(_call(options.entry, token, method, path, body, query))
+        headers = {"Authorization": f"Bearer {token}"}
+        return asyncio.run(_call(options.entry, headers, method, path, body, query))
     except (TimeoutError, OSError, aiohttp.ClientError, ValueError) as error:
         raise EntryUnreachable(f"{options.entry}: {error or type(error).__name__}") from error
 
 
+def call_control(control: str, method: str, path: str) -> Reply:
+    """Call a control process of a deployment on the users' platform, which asks for no token.
+
+    Raises
+    ======
+    EntryUnreachable
+        The control process does not answer.
+    """
+    try:
+        return asyncio.run(_call(control, {}, method, path, None, {}))
+    except (TimeoutError, OSError, aiohttp.ClientError, ValueError) as error:
+        raise EntryUnreachable(f"{control}: {error or type(error).__name__}") from error
+
+
 async def _call(
-    entry: str, token: str, method: str, path: str, body: bytes | None, query: dict[str, str]
+    instance: str,
+    headers: dict[str, str],
+    method: str,
+    path: str,
+    body: bytes | None,
+    query: dict[str, str],
 ) -> Reply:
-    headers = {"Authorization": f"Bearer {token}", "X-Operator": os.environ.get("USER", "operator")}
+    headers = {**headers, "X-Operator": os.environ.get("USER", "operator")}
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
     async with aiohttp.ClientSession(timeout=timeout) as session:
-        url = f"http://{entry}{path}"
+        url = f"http://{instance}{path}"
         async with session.request(method, url, data=body, headers=headers, params=query) as answer:
             return Reply(answer.status, await answer.read(), dict(answer.headers))
 
--- a/mulberrygate/cli/tests/test_cli.py
+++ b/mulberrygate/cli/tests/test_cli.py
@@ -34,7 +34,7 @@
         self.end_headers()
         self.wfile.write(self.body)
 
-    do_POST = do_GET
+    do_POST = do_DELETE = do_GET
 
     def log_message(self, *_):
         """Write no log."""
@@ -83,6 +83,27 @@
         self.seen = handler.seen
         return ["--entry", f"127.0.0.1:{server.server_port}", "--token-file", self.token]
 
+    def test_quarantined_calls_are_listed_and_released(self):
+        """Guards against an operator who can't see or end the quarantine of a call."""
+        call = {"fingerprint": "ab12", "crashes": 3, "trials": 1, "expires_s": 3500.4}
+        address = self.serve(200, json.dumps({"calls": [call]}).encode())[1]
+        code, out, _ = self.run_main("quarantine", "--control", address)
+        self.assertEqual(code, OK)
+        self.assertEqual(out.splitlines()[1].split(), ["ab12", "3", "1", "3500"])
+        code, out, _ = self.run_main("quarantine", "--control", address, "--release", "ab12")
+        self.assertEqual((code, out), (OK, "released ab12\n"))
+        self.assertEqual(
+            [seen[:2] for seen in self.seen],
+            [("GET", "/quarantine"), ("DELETE", "/quarantine/ab12")],
+        )
+
+    def test_control_process_that_is_behind_lists_nothing(self):
+        """Guards against an empty list of a control process that may lack quarantined calls."""
+        address = self.serve(503, b"{}")[1]
+        code, out, err = self.run_main("quarantine", "--control", address)
+        self.assertEqual((code, out), (REFUSED, ""))
+        self.assertIn("not current", err)
+
     def test_check_names_line_and_column(self):
         """Guards against a fault that is reported without its position in the file."""
         cases = {
--- a/mulberrygate/control/catalogs.py
+++ b/mulberrygate/control/catalogs.py
@@ -94,11 +94,31 @@
     at: float
 
 
+@attrs.frozen
+class PutTrial:
+    """Begin a trial of a quarantined call, if one is due.
+
+    Parameters
+    ==========
+    call : str
+        Fingerprint of the call.
+    holder : str
+        Identifier of the request for the trial.
+    at : float
+        Unix time in seconds.
+    """
+
+    call: str
+    holder: str
+    at: float
+
+
 COMMANDS = {
     "catalog": PutCatalog,
     "leaving": PutLeaving,
     "move": PutMove,
     "crashes": PutCrashes,
+    "trial": PutTrial,
 }
 KINDS = {cls: kind for kind, cls in COMMANDS.items()}
 
@@ -153,6 +173,8 @@
             return self._put_leaving(command)
         if isinstance(command, PutCrashes):
             return self.quarantine.put(command.crashes, command.cleared, command.at)
+        if isinstance(command, PutTrial):
+            return self.quarantine.begin_trial(command.call, command.holder, command.at)
         return self._put_move(command)
 
     def _put_catalog(self, command: PutCatalog) -> bool:
--- a/mulberrygate/control/quarantine.py
+++ b/mulberrygate/control/quarantine.py
@@ -6,10 +6,15 @@
 Entries report the crashes that they see. The reports go through the control log, so that every
 control process counts the same crashes, also after restarts and network partitions. An innocent
 call that ran at the same time as a crashing one is cleared by the first valid answer to it.
+
+A quarantined call is half-open, as a circuit breaker is: after a pause one entry may send it once.
+A valid answer to this trial clears the call. The number of trials is limited, because each trial of
+a call that does crash endpoints costs another one.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -19,6 +24,9 @@
 CRASHES_TO_SUSPECT = 2
 SUSPECT_S = 900.0
 QUARANTINE_S = 3600.0
+# Pauses in seconds before the trials of a quarantined call, counted from the crash or the trial
+# before. There are no trials after the last one.
+TRIAL_PAUSES_S = (1.0, 20.0)
 MAX_CALLS = 4096
 
 
@@ -32,10 +40,19 @@
         Endpoint and incarnation of each crash.
     last_report_at : float
         Unix time in seconds of the last report of a new crash.
+    trials : int
+        Number of trials since the call was quarantined.
+    trial_at : float
+        Unix time in seconds of the last trial.
+    trial_holder : str
+        Identifier of the request for the last trial.
     """
 
     crashes: set[tuple[str, int]] = attrs.field(factory=set)
     last_report_at: float = 0.0
+    trials: int = 0
+    trial_at: float = 0.0
+    trial_holder: str = ""
 
     @property
     def is_quarantined(self) -> bool:
@@ -47,12 +64,41 @@
         """Whether one more crash would put the call into quarantine."""
         return CRASHES_TO_SUSPECT <= len(self.crashes) < CRASHES_TO_QUARANTINE
 
+    def trial_wait_s(self, at: float) -> float:
+        """Return the seconds from a Unix time until a trial is due, infinite if none is left."""
+        if self.trials >= len(TRIAL_PAUSES_S):
+            return math.inf
+        since = max(self.last_report_at, self.trial_at)
+        return max(0.0, since + TRIAL_PAUSES_S[self.trials] - at)
+
     @property
     def expires_at(self) -> float:
         """Unix time in seconds at which the record is dropped."""
         return self.last_report_at + (QUARANTINE_S if self.is_quarantined else SUSPECT_S)
 
 
+@attrs.frozen
+class QuarantinedCall:
+    """Quarantined call as shown to operators.
+
+    Parameters
+    ==========
+    fingerprint : str
+        Fingerprint of the call, as in the log lines.
+    crashes : int
+        Number of endpoints that crashed during it.
+    trials : int
+        Number of times that it was sent since.
+    expires_s : float
+        Seconds until the quarantine ends.
+    """
+
+    fingerprint: str
+    crashes: int
+    trials: int
+    expires_s: float
+
+
 class QuarantineState:
     """Calls that crash endpoints, as recorded in the control log.
 
@@ -107,6 +153,24 @@
             self.number += 1
         return is_change
 
+    def begin_trial(self, call: str, holder: str, at: float) -> bool:
+        """Begin a trial of a call; return whether one was due.
+
+        Parameters
+        ==========
+        holder : str
+            Identifier of the request for the trial.
+        at : float
+            Unix time in seconds at the process that proposes the trial.
+        """
+        record = self.records.get(call)
+        if record is None or not record.is_quarantined or record.trial_wait_s(at) > 0:
+            return False
+        record.trials += 1
+        record.trial_at = at
+        record.trial_holder = holder
+        return True
+
     def _update_lists(self) -> None:
         rows = self.records.items()
         self.quarantined = tuple(call for call, record in rows if record.is_quarantined)
@@ -138,21 +202,44 @@
         """Return whether a record has expired."""
         return any(record.expires_at <= at for record in self.records.values())
 
+    def list_quarantined(self, at: float) -> list[QuarantinedCall]:
+        """Return the quarantined calls at a Unix time, for operators."""
+        return [
+            QuarantinedCall(
+                call, len(record.crashes), record.trials, max(0.0, record.expires_at - at)
+            )
+            for call, record in self.records.items()
+            if record.is_quarantined
+        ]
+
     def dump(self) -> list:
-        """Return the whole state as plain values."""
+        """Return the whole state as plain values.
+
+        Explanation
+        ===========
+        Earlier releases don't know trials. They can read the values as long as there are none.
+        """
         rows = [
             [call, sorted([*crash] for crash in record.crashes), record.last_report_at]
             for call, record in self.records.items()
         ]
-        return [self.number, rows]
+        trials = [
+            [call, record.trials, record.trial_at, record.trial_holder]
+            for call, record in self.records.items()
+            if record.trials
+        ]
+        return [self.number, rows, trials] if trials else [self.number, rows]
 
     def load(self, values: list) -> None:
         """Replace the whole state by dumped values."""
-        self.number, rows = values
+        self.number, rows, *later = values
         self.records = {
             call: CrashRecord(
                 {(endpoint, incarnation) for endpoint, incarnation in crashes}, last_report_at
             )
             for call, crashes, last_report_at in rows
         }
+        for call, trials, trial_at, trial_holder in later[0] if later else ():
+            record = self.records[call]
+            record.trials, record.trial_at, record.trial_holder = trials, trial_at, trial_holder
         self._update_lists()
--- a/mulberrygate/control/tests/test_quarantine.py
+++ b/mulberrygate/control/tests/test_quarantine.py
@@ -5,8 +5,19 @@
 
 import msgpack
 
-from mulberrygate.control.catalogs import CatalogStateMachine, PutCrashes, encode_command
-from mulberrygate.control.quarantine import MAX_CALLS, QUARANTINE_S, SUSPECT_S, QuarantineState
+from mulberrygate.control.catalogs import (
+    CatalogStateMachine,
+    PutCrashes,
+    PutTrial,
+    encode_command,
+)
+from mulberrygate.control.quarantine import (
+    MAX_CALLS,
+    QUARANTINE_S,
+    SUSPECT_S,
+    TRIAL_PAUSES_S,
+    QuarantineState,
+)
 
 
 def crashes(call, *endpoints):
@@ -77,6 +88,58 @@
         self.assertEqual(len(self.quarantine.records), MAX_CALLS)
 
 
+class TestTrials(unittest.TestCase):
+    """Trials of quarantined calls."""
+
+    def setUp(self):
+        self.quarantine = QuarantineState()
+        self.quarantine.put(crashes("a", "e1", "e2", "e3"), [], 0.0)
+
+    def test_pause_before_the_first_trial(self):
+        """Guards against a trial while the endpoints that failed together are still down."""
+        self.assertFalse(self.quarantine.begin_trial("a", "first", TRIAL_PAUSES_S[0] / 2))
+        self.assertTrue(self.quarantine.begin_trial("a", "first", TRIAL_PAUSES_S[0]))
+        self.assertEqual(self.quarantine.records["a"].trial_holder, "first")
+
+    def test_one_trial_at_a_time(self):
+        """Guards against two entries that send a quarantined call at the same time."""
+        at = TRIAL_PAUSES_S[0]
+        self.assertTrue(self.quarantine.begin_trial("a", "first", at))
+        self.assertFalse(self.quarantine.begin_trial("a", "second", at))
+        self.assertEqual(self.quarantine.records["a"].trial_holder, "first")
+
+    def test_trials_of_a_crashing_call_are_limited(self):
+        """Guards against a crashing call that costs an endpoint after each pause."""
+        granted = 0
+        for second in range(int(QUARANTINE_S) - 1):
+            if self.quarantine.begin_trial("a", f"{second}", float(second)):
+                granted += 1
+                self.quarantine.put(crashes("a", f"trial-{second}"), [], float(second))
+        self.assertEqual(granted, len(TRIAL_PAUSES_S))
+        # The users allow three retries; see BUDGET in their rules.
+        self.assertLess(granted, 3)
+
+    def test_answered_trial_ends_the_quarantine(self):
+        """Guards against an innocent call that is refused after it was answered."""
+        self.quarantine.begin_trial("a", "first", TRIAL_PAUSES_S[0])
+        self.quarantine.put([], ["a"], TRIAL_PAUSES_S[0])
+        self.assertEqual(self.quarantine.quarantined, ())
+
+    def test_no_trial_of_a_call_that_is_not_quarantined(self):
+        """Guards against trials that are counted for calls that may be sent anyway."""
+        self.quarantine.put(crashes("b", "e1", "e2"), [], 0.0)
+        self.assertFalse(self.quarantine.begin_trial("b", "first", 100.0))
+        self.assertFalse(self.quarantine.begin_trial("c", "first", 100.0))
+
+    def test_values_without_trials_have_the_earlier_form(self):
+        """Guards against a snapshot that an earlier release can't read during an upgrade."""
+        self.assertEqual(len(self.quarantine.dump()), 2)
+        self.quarantine.begin_trial("a", "first", TRIAL_PAUSES_S[0])
+        copy = QuarantineState()
+        copy.load(msgpack.unpackb(msgpack.packb(self.quarantine.dump())))
+        self.assertEqual(copy.records, self.quarantine.records)
+
+
 class TestReplicas(unittest.TestCase):
     """Replicas of the state that the log builds up."""
 
@@ -106,7 +169,9 @@
 
 
 def random_command(rng):
-    """Return a report about a few calls."""
+    """Return a report about a few calls, or a trial of one."""
+    if rng.random() < 0.2:
+        return PutTrial(f"c{rng.randrange(4)}", "entry/1", rng.choice((0.0, 500.0, 1500.0)))
     reports = [(f"c{rng.randrange(4)}", f"e{rng.randrange(5)}", rng.randrange(2)) for _ in range(2)]
     cleared = (f"c{rng.randrange(4)}",) if rng.random() < 0.2 else ()
     return PutCrashes(tuple(reports), cleared, rng.choice((0.0, 500.0, 1500.0)))
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -22,11 +22,13 @@
     PutCatalog,
     PutLeaving,
 )
+from mulberrygate.control.quarantine import QuarantinedCall
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.crash_committer import CRASH_EXPIRY_INTERVAL_S, CrashCommitter
 from mulberrygate.daemon.placement import Placement, PoolOwners
 from mulberrygate.daemon.site_moves import SiteMoves
 from mulberrygate.daemon.site_peers import SitePeers
+from mulberrygate.daemon.trial_granter import TrialGranter
 from mulberrygate.endpoints.roster import AgedRegistration, Registration, Roster
 from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.observe.metrics import Metrics
@@ -45,6 +47,7 @@
     PeerUpdateResult,
     Propose,
     ReadLatestCatalog,
+    TrialRequest,
     Units,
     VersionEvidence,
 )
@@ -150,6 +153,9 @@
         self.crash_committer = CrashCommitter(
             lambda: self.machine, self.log.commit, self.timers, lines
         )
+        self.trial_granter = TrialGranter(
+            lambda: self.machine, lambda: self.is_leader, self.log.commit, self.timers, lines
+        )
         self.is_stopping = False
         self.is_catalog_pending = False
         self.is_behind = True
@@ -179,6 +185,7 @@
         on(AskUnits, self._on_ask_units)
         on(VersionEvidence, self.moves.on_evidence)
         on(CrashReport, self.crash_committer.on_report)
+        on(TrialRequest, self.trial_granter.on_request)
         await self._open_voter(self.process_started_at)
         await self.peers.start()
         self.timers.every(PERIODIC_TASKS_INTERVAL_S, self._run_periodic_tasks, "duties")
@@ -424,7 +431,9 @@
 
     def _make_peer_update(self, **fields: tuple) -> PeerUpdate:
         """Return an update with the entries that follow this process and the given fields."""
-        return PeerUpdate(entries=self._own_entries(), reads_crashes=True, **fields)
+        return PeerUpdate(
+            entries=self._own_entries(), reads_crashes=True, reads_trials=True, **fields
+        )
 
     def _share_changes(self) -> None:
         """Send new and changed endpoints to the other control processes without delay."""
@@ -460,7 +469,9 @@
         now = self.timers.now()
         self.entries_of_controls[sender] = (now, message.entries)
         if not message.reads_crashes:
-            self.crash_committer.record_earlier_release(now)
+            self.crash_committer.gate.record_earlier_release(now)
+        if not message.reads_trials:
+            self.trial_granter.gate.record_earlier_release(now)
         is_change = False
         for heard in message.heard:
             is_change |= self.roster.record_report(heard.registration, now - heard.age_s)
@@ -563,6 +574,15 @@
         if self.is_leader:
             await self.crash_committer.expire_records()
 
+    def list_quarantined(self) -> list[QuarantinedCall]:
+        """Return the quarantined calls as known to this process."""
+        return self.machine.quarantine.list_quarantined(time.time())
+
+    async def release_call(self, call: str) -> bool:
+        """Release a quarantined call on an operator's order; return whether that is committed."""
+        result = await self.crash_committer.on_report(CrashReport((), (call,)), "operator")
+        return result.is_committed
+
     async def has_pool(self, pool: str) -> bool | None:
         """Return whether the newest catalog has a pool, ``None`` if that is not certain."""
         if self.catalog is not None and any(p.name == pool for p in self.catalog.pools):
--- a/mulberrygate/daemon/crash_committer.py
+++ b/mulberrygate/daemon/crash_committer.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import time
 from collections.abc import Awaitable, Callable
 
 from mulberrygate.control.catalogs import CatalogStateMachine, PutCrashes
 from mulberrygate.core.timers import TimerService
+from mulberrygate.daemon.command_gate import CommandGate
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.sync.messages import CrashReport, CrashReportResult
 
 # Many entries report the calls of a lost endpoint within some hundredths of a second.
 BATCH_DELAY_S = 0.03
 CRASH_EXPIRY_INTERVAL_S = 30.0
-# No crash report is committed within this time after a message from a control process of an earlier
-# release, because its voter doesn't know the command and would stop at it.
-EARLIER_RELEASE_WINDOW_S = 10.0
 
 
 class CrashCommitter:
@@ -41,8 +38,6 @@
         Reported crashes and cleared calls that the next command will hold, as ordered sets.
     pending_results : list[asyncio.Future]
         Results of the reports that wait for the next command.
-    earlier_release_at : float
-        Monotonic time of the last message from a control process of an earlier release.
     quarantine_number : int
         Number of the quarantine whose changes were logged last.
     logged_quarantine : frozenset[str]
@@ -64,7 +59,7 @@
         self.cleared: dict[str, None] = {}
         self.pending_results: list[asyncio.Future] = []
         self.is_committing = False
-        self.earlier_release_at = -math.inf
+        self.gate = CommandGate()
         self.quarantine_number = 0
         self.logged_quarantine: frozenset[str] = frozenset()
 
@@ -88,12 +83,8 @@
             self.timers.spawn(self._commit_all())
         return CrashReportResult(await result)
 
-    def record_earlier_release(self, now: float) -> None:
-        """Record the time at which a control process of an earlier release sent a message."""
-        self.earlier_release_at = now
-
     async def _put(self, command: PutCrashes) -> bool:
-        if self.timers.now() - self.earlier_release_at < EARLIER_RELEASE_WINDOW_S:
+        if not self.gate.is_open(self.timers.now()):
             return False
         return await self.commit(command)
 
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -24,6 +24,7 @@
 from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.follower import Follower
 from mulberrygate.sync.messages import Crash, FollowResult
+from mulberrygate.sync.trials import TrialClient
 
 # The load balancer checks readiness once a second and removes an instance after two failures. A
 # request accepted later than this might not finish before the process has to exit.
@@ -84,6 +85,13 @@
         self.reporter = CrashReporter(
             self.peers.client, self.suspects, self.timers, self._list_controls
         )
+        self.trials = TrialClient(
+            site.instance,
+            self.peers.incarnation,
+            self.peers.client,
+            self.timers,
+            lambda: self.follower.leader,
+        )
         self.seed = seed
         self.dialect = dialect
         self.decode = decode
@@ -135,6 +143,7 @@
             scheduler,
             self.limits,
             self.suspects,
+            self.trials,
             self.timers,
             self.lines,
             self.metrics,
@@ -195,6 +204,7 @@
         self.forwarder.set_entries(result.entries)
         self.limits.entries = result.entries
         self.suspects.update_quarantine(result.quarantine, result.quarantined, result.suspected)
+        self.trials.retain(self.suspects.quarantined)
         self.evidence.set_moves(self.follower.moves)
         if result.heard or result.gone:
             self.placement.refresh()
--- a/mulberrygate/daemon/tests/test_crash_committer.py
+++ b/mulberrygate/daemon/tests/test_crash_committer.py
@@ -7,7 +7,8 @@
 
 from mulberrygate.control.catalogs import CatalogStateMachine
 from mulberrygate.core.timers import TimerService
-from mulberrygate.daemon.crash_committer import EARLIER_RELEASE_WINDOW_S, CrashCommitter
+from mulberrygate.daemon.command_gate import EARLIER_RELEASE_WINDOW_S
+from mulberrygate.daemon.crash_committer import CrashCommitter
 from mulberrygate.forward.tests.support import Lines
 from mulberrygate.sync.messages import Crash, CrashReport
 
@@ -49,10 +50,11 @@
 
     async def test_nothing_is_committed_beside_an_earlier_release(self):
         """Guards against a voter of an earlier release that stops at an unknown command."""
-        self.committer.record_earlier_release(self.timers.now())
+        self.committer.gate.record_earlier_release(self.timers.now())
         self.assertFalse((await self.report(1)).is_committed)
         self.assertEqual(self.commands, [])
-        self.committer.record_earlier_release(self.timers.now() - EARLIER_RELEASE_WINDOW_S - 1.0)
+        earlier = self.timers.now() - EARLIER_RELEASE_WINDOW_S - 1.0
+        self.committer.gate.record_earlier_release(earlier)
         self.assertTrue((await self.report(1)).is_committed)
 
     async def test_old_records_are_forgotten_by_a_command(self):
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -142,11 +142,9 @@
             grant = await forwarder.acquire_grant(call, ticket)
             if isinstance(grant, Refusal):
                 return self._without_grant(grant)
-            # The call may have been quarantined while it waited or while an earlier send ran.
-            crashing = forwarder.check_quarantine(call)
-            if crashing is not None:
+            if not await self._may_send(ticket):
                 forwarder.scheduler.return_grant(ticket.request)
-                return self._give_up() if self.attempts.sends else crashing
+                return self._give_up() if self.attempts.sends else forwarder.refuse_crashing(call)
             if not self.attempts.arrivals:
                 budget.count_first_send()
             elif not budget.take():
@@ -162,6 +160,14 @@
             if self.attempts.last_outcome is SendOutcome.UNSENT:
                 await asyncio.sleep(RETRY_PAUSE_S)
 
+    async def _may_send(self, ticket: Ticket) -> bool:
+        """Return whether the quarantine allows to send the call; return the grant if cancelled."""
+        try:
+            return await self.forwarder.may_send(self.call, self.attempts.may_have_run)
+        except BaseException:
+            self.forwarder.scheduler.return_grant(ticket.request)
+            raise
+
     def _without_grant(self, refusal: Refusal) -> WholeAnswer | web.StreamResponse | Refused:
         """Return the final answer after the scheduler refused a grant."""
         if self.attempts.sends:
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -55,6 +55,8 @@
         Units of its client account's limit that the request takes.
     sends : int
         Number of sends to endpoints.
+    is_trial : bool
+        Whether the call is quarantined and may be sent once nevertheless.
     expected_tokens, tokens : int
         Output tokens announced to the scheduler, and received from the last endpoint.
     granted_by : str
@@ -75,6 +77,7 @@
     units: float = 0.0
     attempts: int = 0
     sends: int = 0
+    is_trial: bool = False
     expected_tokens: int = 0
     tokens: int = 0
     endpoint: str = ""
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -25,11 +25,14 @@
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import RetryBudget
 from mulberrygate.schedule.messages import Grant, Ticket
+from mulberrygate.sync.trials import TrialClient
 
 # Longest wait for the first catalog, in seconds and as a fraction of the caller's timeout.
 NO_CATALOG_WAIT_S = 1.5
 NO_CATALOG_WAIT_FRACTION = 0.5
 NO_CATALOG_RETRY_S = 0.5
+# Limits of the Retry-After for quarantined calls.
+MIN_QUARANTINED_RETRY_S = 0.2
 QUARANTINED_RETRY_S = 5.0
 # A catalog counts as current for this time. A control process is polled twice a second, and hears
 # from its leader eight times a second.
@@ -76,6 +79,7 @@
         scheduler: SchedulerClient,
         limits: AccountLimits,
         suspects: Suspects,
+        trials: TrialClient,
         timers: TimerService,
         lines: JsonLines,
         metrics: Metrics,
@@ -86,6 +90,7 @@
         self.scheduler = scheduler
         self.limits = limits
         self.suspects = suspects
+        self.trials = trials
         self.timers = timers
         self.lines = lines
         self.metrics = metrics
@@ -242,10 +247,46 @@
         return None
 
     def check_quarantine(self, call: Call) -> Refused | None:
-        """Refuse a call that is quarantined because it crashes endpoints."""
-        if self.suspects.is_quarantined(call):
-            return Refused(codes.CRASHES_ENDPOINTS, retry_after_s=QUARANTINED_RETRY_S)
-        return None
+        """Refuse a call that is quarantined because it crashes endpoints.
+
+        Explanation
+        ===========
+        If a trial may be due, the call goes on; `may_send` requests the trial before the send.
+        """
+        if not self.suspects.is_quarantined(call) or self._may_request_trial(call):
+            return None
+        return self.refuse_crashing(call)
+
+    def _may_request_trial(self, call: Call) -> bool:
+        return self.suspects.may_try(call) and self.trials.wait_s(call.fingerprint) <= 0
+
+    def refuse_crashing(self, call: Call) -> Refused:
+        """Return the refusal of a quarantined call, with the time of the next trial."""
+        wait_s = self.trials.wait_s(call.fingerprint) or QUARANTINED_RETRY_S
+        retry_after_s = min(QUARANTINED_RETRY_S, max(MIN_QUARANTINED_RETRY_S, wait_s))
+        return Refused(codes.CRASHES_ENDPOINTS, call.fingerprint, retry_after_s)
+
+    async def may_send(self, call: Call, may_have_run: bool) -> bool:
+        """Return whether a call may be sent to an endpoint, if need be as a trial.
+
+        Explanation
+        ===========
+        A call may have been quarantined while it waited or while an earlier send ran. A trial is
+        used up once the call may have run.
+        """
+        if not self.suspects.is_quarantined(call):
+            return True
+        if may_have_run or not self.suspects.may_try(call):
+            return False
+        if not call.is_trial and self._may_request_trial(call):
+            call.is_trial = await self.trials.request(call.fingerprint)
+            self.lines.log(
+                "call.trial_requested",
+                id=call.head.request,
+                fingerprint=call.fingerprint,
+                is_granted=call.is_trial,
+            )
+        return call.is_trial
 
     async def spend_units(self, call: Call, index: CatalogIndex) -> Refused | None:
         """Spend the request's units of its client account; return the refusal, if any."""
--- a/mulberrygate/forward/suspects.py
+++ b/mulberrygate/forward/suspects.py
@@ -80,6 +80,17 @@
             crashes += CRASHES_TO_SUSPECT
         return fingerprint in self.quarantined or crashes >= CRASHES_TO_QUARANTINE
 
+    def may_try(self, call: Call) -> bool:
+        """Return whether a trial of a quarantined call may be requested.
+
+        Explanation
+        ===========
+        The control log limits the trials, so all crashes of the call must be in it.
+        """
+        fingerprint = call.fingerprint
+        is_reported = all(crash.call != fingerprint for crash in self.unreported)
+        return is_reported and fingerprint in self.quarantined
+
     def record_answered(self, call: Call) -> None:
         """Record that an endpoint answered a call, which clears it of suspicion."""
         if not (self.unreported or self.reported or self.suspected or self.quarantined):
--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -23,6 +23,8 @@
 from mulberrygate.platform.headers import PlatformDialect
 from mulberrygate.platform.settings import Bounds, Site
 from mulberrygate.sync.evidence import EvidenceReports
+from mulberrygate.sync.messages import TrialRequest, TrialResult
+from mulberrygate.sync.trials import TrialClient
 
 HOST = "127.0.0.1"
 REQUEST_ID = "X-Mulberrygate-Request-Id"
@@ -193,6 +195,7 @@
         self.timers = TimerService(lambda name, error: self.errors.append(f"{name}: {error!r}"))
         self.roster = Roster()
         peers = LoopbackPeers()
+        peers.on(TrialRequest, lambda request, _sender: self.decide_trial(request))
         view = PoolOwners("entry", lambda: "", lambda: ["entry"])
         view_metrics = Metrics()
         self.placement = Placement(
@@ -204,7 +207,8 @@
         self.crashes = []
         self.forwarder = Forwarder(
             self.site, PlatformDialect(), self.placement, scheduler, limits,
-            Suspects(self.crashes.append, lambda: None), self.timers, self.lines,
+            Suspects(self.crashes.append, lambda: None),
+            TrialClient("entry", 1, peers, self.timers, lambda: "entry"), self.timers, self.lines,
             view_metrics,
         )  # fmt: skip
         self.http = HttpServer(self.forwarder.handle, HOST, 0, cancel_on_disconnect=True)
@@ -219,6 +223,10 @@
         self.session = aiohttp.ClientSession()
         return self
 
+    def decide_trial(self, _request):
+        """Grant no trial; tests replace this."""
+        return TrialResult(False, math.inf)
+
     def put(self, fields):
         """Put a document in force as a catalog that always counts as current."""
         self.forwarder.catalog_current_at = math.inf
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -6,6 +6,7 @@
 import re
 import zlib
 
+import attrs
 from aiohttp import web
 
 from mulberrygate.platform.documents import InvalidDocument, decode_document
@@ -17,6 +18,7 @@
 
 MAX_DOCUMENT_BYTES = 16 << 20
 INSTANCE = re.compile(r"/instances/([^/?]+)$")
+QUARANTINED = re.compile(r"/quarantine/([0-9a-f]+)$")
 ROLLOUT = re.compile(r"/rollouts/([^/?]+)$")
 
 
@@ -46,6 +48,11 @@
         if found and method == "DELETE":
             is_acknowledged = await self.controller.deregister(found[1])
             return answer(200 if is_acknowledged else 503)
+        if path == "/quarantine" and method == "GET":
+            return self.get_quarantine()
+        found = QUARANTINED.match(path)
+        if found and method == "DELETE":
+            return answer(200 if await self.controller.release_call(found[1]) else 503)
         found = ROLLOUT.match(path)
         if found and method == "GET":
             return await self.get_rollout(found[1])
@@ -96,6 +103,13 @@
             return answer(400, {"error": str(error)})
         return answer(200 if await self.controller.record_heartbeat(registration) else 503)
 
+    def get_quarantine(self) -> web.Response:
+        """Return the quarantined calls; 503 if this process may not know all of them."""
+        if not self.controller.is_current:
+            return answer(503)
+        calls = [attrs.asdict(call) for call in self.controller.list_quarantined()]
+        return answer(200, {"calls": calls})
+
     async def post_rollout(self, request: web.BaseRequest) -> web.Response:
         """Begin the move of a pool to a version."""
         body = await self.read_body(request, MAX_REGISTRATION_BYTES) or b""
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -147,14 +147,16 @@
         Name, incarnation and age in seconds of unchanged registrations.
     entries : tuple[str, ...]
         Entries that follow the sender.
-    reads_crashes : bool
-        Whether the sender can apply the command that counts crashes; earlier releases can't.
+    reads_crashes, reads_trials : bool
+        Whether the sender can apply the commands that count crashes and begin trials; earlier
+        releases can't.
     """
 
     heard: tuple[AgedRegistration, ...] = ()
     renewed: tuple[tuple[str, int, float], ...] = ()
     entries: tuple[str, ...] = ()
     reads_crashes: bool = False
+    reads_trials: bool = False
 
 
 @message("sync.share_result")
@@ -285,3 +287,35 @@
     """Answer to `CrashReport`: whether it is in the control log for certain."""
 
     is_committed: bool
+
+
+@message("sync.trial_request")
+@attrs.frozen
+class TrialRequest:
+    """Entry to leader: request to send a quarantined call once.
+
+    Parameters
+    ==========
+    call : str
+        Fingerprint of the call.
+    holder : str
+        Identifier of this request.
+    """
+
+    call: str
+    holder: str
+
+
+@message("sync.trial_result")
+@attrs.frozen
+class TrialResult:
+    """Leader to entry: answer to `TrialRequest`.
+
+    Parameters
+    ==========
+    wait_s : float
+        Seconds until a trial is due, infinite if none is left; 0 if one is granted.
+    """
+
+    is_granted: bool
+    wait_s: float = 0.0
