--- a/mulberrygate/control/client.py
+++ b/mulberrygate/control/client.py
@@ -27,6 +27,9 @@
 CALL_TIMEOUT_S = 8.0
 FIND_TIMEOUT_S = 1.0
 LEADER_CACHE_S = 1.0
+# Longest wait for a leader. An election usually ends within a second, a contested one takes more.
+LEADER_WAIT_S = 3.0
+RETRY_S = 0.1
 
 
 class ControlClient:
@@ -80,7 +83,7 @@
         return ""
 
     async def request(self, message: Any) -> Any | Unreachable:
-        """Send a request to the leader.
+        """Send a request to the leader, and wait for the end of an election if there is none.
 
         Returns
         =======
@@ -88,16 +91,25 @@
             ``Unreachable`` with an empty instance means that no leader was found and nothing was
             sent; with the leader's name, that the leader's answer was lost.
         """
-        for _ in range(2):
-            leader = await self.find_leader()
-            if not leader:
-                return Unreachable("", "no voter knows a leader")
-            answer = await self.peers.call(leader, message, CALL_TIMEOUT_S)
-            if isinstance(answer, Unreachable):
-                self.leader = ""
-                return Unreachable(leader, answer.reason)
-            if answer.is_leader:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LEADER_WAIT_S
+        while True:
+            answer = await self._request_once(message)
+            # Only a request that no leader has got may be sent again here.
+            if not isinstance(answer, Unreachable) or answer.instance or loop.time() >= end:
                 return answer
-            self.leader = answer.leader
-            self.confirmed_at = float("-inf")
+            await asyncio.sleep(RETRY_S)
+
+    async def _request_once(self, message: Any) -> Any | Unreachable:
+        leader = await self.find_leader()
+        if not leader:
+            return Unreachable("", "no voter knows a leader")
+        answer = await self.peers.call(leader, message, CALL_TIMEOUT_S)
+        if isinstance(answer, Unreachable):
+            self.leader = ""
+            return Unreachable(leader, answer.reason)
+        if answer.is_leader:
+            return answer
+        self.leader = answer.leader
+        self.confirmed_at = float("-inf")
         return Unreachable("", "the leader changed")
