Check the link to an instance that connects again

An instance that opens a stream has lost its connections, so the link in the other direction is probed at once now.

test_silent_link_is_found_when_the_other_instance_connects_again failed before.

--- a/mulberrygate/peers/client.py
+++ b/mulberrygate/peers/client.py
@@ -49,6 +49,7 @@
         self.server = server
         self.address_of = address_of
         self.on_sent = server.on_sent = on_sent
+        server.on_connected = self.check_link
         self.links: dict[str, Link] = {}
         self.failed_at: dict[str, float] = {}
         self.tasks: set[asyncio.Task] = set()
@@ -112,6 +113,18 @@
             self.on_sent(kind, len(body))
             link.send(kind, body)
 
+    def check_link(self, instance: str) -> None:
+        """Check the link to an instance that has just connected to this one.
+
+        Explanation
+        ===========
+        An instance connects again when its own link has failed, and then the one in the other
+        direction may have gone silent as well. One-way messages on it would be lost.
+        """
+        link = self.links.get(self.address_of(instance) or "")
+        if link is not None:
+            link.probe()
+
     def _spawn(self, work: Coroutine) -> None:
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
--- a/mulberrygate/peers/link.py
+++ b/mulberrygate/peers/link.py
@@ -114,10 +114,16 @@
         now = asyncio.get_running_loop().time()
         self.last_sent_at = now
         self.outbox.add(Frame(kind=kind, body=body))
-        if now - self.received_at > PROBE_AFTER_S and not self.is_probing:
-            self.is_probing = True
-            probe = asyncio.ensure_future(self.call(PROBE_KIND, b"\x80", PROBE_TIMEOUT_S))
-            probe.add_done_callback(self._on_probe_done)
+        if now - self.received_at > PROBE_AFTER_S:
+            self.probe()
+
+    def probe(self) -> None:
+        """Check whether the other instance answers, unless a check is under way."""
+        if self.is_probing:
+            return
+        self.is_probing = True
+        probe = asyncio.ensure_future(self.call(PROBE_KIND, b"\x80", PROBE_TIMEOUT_S))
+        probe.add_done_callback(self._on_probe_done)
 
     def _on_probe_done(self, probe: asyncio.Task) -> None:
         self.is_probing = False
--- a/mulberrygate/peers/server.py
+++ b/mulberrygate/peers/server.py
@@ -43,6 +43,11 @@
         Secret that all processes of the system share, which clients must present.
     clock : HybridClock
         Clock that received timestamps advance.
+
+    Attributes
+    ==========
+    on_connected : Callable[[str], None]
+        Called with the name of an instance that has opened a stream.
     """
 
     def __init__(self, instance: str, incarnation: int, token: str, clock: HybridClock):
@@ -54,6 +59,7 @@
         self.blocked: set[str] = set()
         self.received_bytes = 0
         self.on_sent: Callable[[str, int], None] = lambda kind, size: None
+        self.on_connected: Callable[[str], None] = lambda sender: None
         self.server: Server | None = None
         self.tasks: set[asyncio.Task] = set()
 
@@ -88,11 +94,15 @@
             raise GRPCError(Status.UNAUTHENTICATED, "the shared token is missing or wrong")
         outbox = Outbox(self.instance, self.incarnation, self.clock)
         writer = asyncio.ensure_future(outbox.write_to(stream))
+        is_new = True
         try:
             async for batch in stream:
                 # A blocked sender gets no answer, as in a network partition that drops packets.
                 if batch.sender in self.blocked:
                     continue
+                if is_new:
+                    is_new = False
+                    self.on_connected(batch.sender)
                 self.clock.receive(Stamp(batch.stamp_wall_ms, batch.stamp_count))
                 for frame in batch.frames:
                     self.received_bytes += len(frame.body)
--- a/mulberrygate/peers/tests/test_peers.py
+++ b/mulberrygate/peers/tests/test_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -92,6 +93,27 @@
             await asyncio.sleep(0.05)
         self.assertEqual(answer, Question("second"))
 
+    async def test_silent_link_is_found_when_the_other_instance_connects_again(self):
+        """Guards against one-way messages on a silent link after the other end has reconnected.
+
+        Its end of the silent connections has failed then, but a link that only sends doesn't see
+        that for seconds.
+        """
+        back_port = free_port()
+        back_server = self.client.server
+        await back_server.start("127.0.0.1", back_port)
+        self.addAsyncCleanup(back_server.close)
+        back = PeerClient(self.server, lambda _: f"127.0.0.1:{back_port}")
+        self.addAsyncCleanup(back.close)
+        back_server.on(Question, lambda m, sender: m)
+        await back.call("a", Question("opens the link"), 5.0)
+        back_server.blocked.add("b")
+        with mock.patch("mulberrygate.peers.link.PROBE_TIMEOUT_S", 0.1):
+            self.client.send("b", Question("opens the other link"))
+            async with asyncio.timeout(5.0):
+                while back.links:  # noqa: ASYNC110
+                    await asyncio.sleep(0.02)
+
     async def test_many_calls_get_their_own_answers(self):
         """Guards against answers on one stream that are matched to the wrong calls."""
         calls = [self.client.call("b", Question(str(n)), 5.0) for n in range(200)]
