Look for the end of endpoints whose connections are silent

A crash behind a silent connection was counted only when its send had ended: at the call's deadline, up to 5 s for plain calls and 15 s for streams, or when its caller left. The endpoint of a send that is silent for a second is probed now, once for all its sends, and again every two seconds.

test_silent_connection_long_before_the_deadline failed before (no attribute to wait on, and no crash before the deadline of 60 s), and test_slow_endpoint_before_the_deadline shows the other side.

--- a/mulberrygate/forward/crash_detection.py
+++ b/mulberrygate/forward/crash_detection.py
@@ -9,8 +9,9 @@
 from mulberrygate.forward.exchange import EndpointClient, ProbeResult
 from mulberrygate.forward.observed_ends import ObservedEnds
 from mulberrygate.forward.probes import SharedProbes
+from mulberrygate.forward.silence import UNANSWERED_PROBES, SilenceMonitor
 from mulberrygate.forward.suspects import Suspects
-from mulberrygate.forward.unanswered import UnansweredSend
+from mulberrygate.forward.unanswered import RunningSend, UnansweredSend
 
 # A process that ends closes its sockets one by one, and the listening socket may be the last.
 BROKEN_CHECK_DELAY_S = 0.02
@@ -19,8 +20,6 @@
 CHECK_INTERVAL_S = 0.5
 # By the last check, an endpoint that restarted has registered its new incarnation.
 MAX_CHECKS = 7
-# A single unanswered connection may only have lost a packet.
-UNANSWERED_PROBES = 2
 # The first accepted connection after a broken one may be the last of a process that ends.
 BROKEN_ACCEPTED_PROBES = 2
 # An endpoint that has sent bytes this shortly before its caller left is not checked.
@@ -35,9 +34,10 @@
     Explanation
     ===========
     A crash may show as a broken connection, as silence until the call's deadline, or not at all if
-    the caller leaves first. So every send without a complete answer is checked. The endpoint is
-    taken to have ended if it refuses connections, if `UNANSWERED_PROBES` connections time out, or
-    if it registers as a new incarnation within a few seconds.
+    the caller leaves first. So every send without a complete answer is checked, and those that are
+    silent for long are checked while they run. The endpoint is taken to have ended if it refuses
+    connections, if `UNANSWERED_PROBES` connections time out, or if it registers as a new
+    incarnation within a few seconds.
     """
 
     def __init__(
@@ -54,6 +54,9 @@
         self.lines = lines
         self.probes = SharedProbes(endpoints, timers)
         self.ends = ObservedEnds()
+        self.monitor = SilenceMonitor(
+            self.probes, timers, self._has_restarted_unplanned, self._count_running
+        )
         self.running = 0
 
     def incarnation(self, endpoint: str) -> int:
@@ -77,6 +80,17 @@
             reason = await self._detect_end(send, is_leaving)
         finally:
             self.running -= 1
+        self._record(send, reason)
+
+    def _has_restarted_unplanned(self, send: RunningSend) -> bool:
+        row = self.roster.rows.get(send.endpoint)
+        return (row is None or not row.is_leaving) and self.has_restarted(send)
+
+    def _count_running(self, send: RunningSend, reason: str) -> None:
+        self._record(send.end(self.timers.now(), is_broken=False), reason)
+
+    def _record(self, send: UnansweredSend, reason: str) -> None:
+        """Log the result of a check, and record a crash if there is a sign of one."""
         incarnation = self.ends.add(send) if reason else send.incarnation
         self.lines.log(
             "endpoint.looked_for",
@@ -110,7 +124,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
         return ""
 
-    def has_restarted(self, send: UnansweredSend) -> bool:
+    def has_restarted(self, send: UnansweredSend | RunningSend) -> bool:
         """Return whether a later process is registered under this name or at this address."""
         if not send.incarnation or self.ends.is_to_unknown_process(send):
             return False
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from typing import Any
 
 import attrs
@@ -17,7 +16,7 @@
 from mulberrygate.forward.events import EventSplitter, EventTooLong
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
 from mulberrygate.forward.request import AnswerHead, Call, Refused
-from mulberrygate.forward.unanswered import UnansweredSend
+from mulberrygate.forward.unanswered import RunningSend
 from mulberrygate.schedule.messages import Done, Grant, Ticket
 
 # Retry-After for a call that all endpoints turned down.
@@ -42,8 +41,8 @@
 
     Parameters
     ==========
-    incarnation : int
-        Incarnation of the endpoint at the time of the send, 0 if it was unknown.
+    running : RunningSend
+        Description of this send for the detection of crashes.
 
     Attributes
     ==========
@@ -51,21 +50,18 @@
         Monotonic time of the first token, or of the answer's head; 0 before.
     first_tokens : int
         Number of tokens that arrived together first.
-    heard_at : float
-        Monotonic time of the last bytes of the answer, minus infinity before.
     fault : str
         Kind of fault to report to the scheduler, empty for none.
     """
 
-    def __init__(self, ticket: Ticket, grant: Grant, incarnation: int, now: float):
+    def __init__(self, ticket: Ticket, grant: Grant, running: RunningSend):
         self.ticket = ticket
         self.grant = grant
-        self.incarnation = incarnation
-        self.sent_at = now
+        self.running = running
+        self.sent_at = running.sent_at
         self.first_at = 0.0
         self.tokens = 0
         self.first_tokens = 1
-        self.heard_at = -math.inf
         self.fault = ""
         self.is_cancelled = False
 
@@ -150,8 +146,7 @@
             elif not budget.take():
                 forwarder.scheduler.return_grant(ticket.request)
                 return self._give_up()
-            incarnation = forwarder.crash_detector.incarnation(grant.endpoint)
-            answer = await self._send(Send(ticket, grant, incarnation, self.now()))
+            answer = await self._send(Send(ticket, grant, self._describe_send(grant)))
             if answer is not None:
                 return answer
             self.avoid.append(grant.endpoint)
@@ -168,6 +163,16 @@
             self.forwarder.scheduler.return_grant(ticket.request)
             raise
 
+    def _describe_send(self, grant: Grant) -> RunningSend:
+        """Return the description of a send for the detection of crashes."""
+        return RunningSend(
+            call=self.call,
+            endpoint=grant.endpoint,
+            incarnation=self.forwarder.crash_detector.incarnation(grant.endpoint),
+            address=grant.address,
+            sent_at=self.now(),
+        )
+
     def _without_grant(self, refusal: Refusal) -> WholeAnswer | web.StreamResponse | Refused:
         """Return the final answer after the scheduler refused a grant."""
         if self.attempts.sends:
@@ -196,6 +201,7 @@
         answer = None
         # If the send is cancelled before its outcome is known, the call may have run.
         self.attempts.record(SendOutcome.UNKNOWN)
+        forwarder.crash_detector.monitor.sends.add(send.running)
         try:
             left_s = call.deadline_at - self.now()
             last_event_id = self.splitter.last_id or call.head.last_event_id
@@ -218,10 +224,11 @@
         except BaseException:
             # The call's deadline, a caller that left, or the end of this process.
             send.is_cancelled = True
-            if self.now() - send.heard_at > SIGN_OF_LIFE_S:
+            if self.now() - send.running.heard_at > SIGN_OF_LIFE_S:
                 self._check_endpoint(send, is_broken=False)
             raise
         finally:
+            forwarder.crash_detector.monitor.sends.discard(send.running)
             if exchange is not None:
                 exchange.close()
             self._report_done(send)
@@ -230,24 +237,15 @@
 
     def _check_endpoint(self, send: Send, is_broken: bool) -> None:
         """Start a check whether the endpoint of an unanswered send has ended."""
-        unanswered = UnansweredSend(
-            call=self.call.fingerprint,
-            request=self.call.head.request,
-            endpoint=send.grant.endpoint,
-            incarnation=send.incarnation,
-            address=send.grant.address,
-            sent_at=send.sent_at,
-            ended_at=self.now(),
-            is_broken=is_broken,
-        )
-        self.forwarder.crash_detector.start_check(unanswered)
+        if not send.running.is_counted:
+            self.forwarder.crash_detector.start_check(send.running.end(self.now(), is_broken))
 
     async def _receive(
         self, send: Send, exchange: Exchange
     ) -> tuple[SendOutcome, WholeAnswer | web.StreamResponse | None]:
         """Process an answer whose head has arrived; return the outcome and the final answer."""
         head = exchange.head
-        send.heard_at = self.now()
+        send.running.heard_at = self.now()
         self._record_first_byte(send)
         if head.load is not None:
             self.forwarder.placement.directory.report_load(
@@ -292,7 +290,7 @@
         stride = call.pool.tokens_per_event
         before = splitter.count
         while data := await exchange.read_some():
-            send.heard_at = self.now()
+            send.running.heard_at = self.now()
             events = self._split(data, before)
             if not events:
                 continue
--- a/mulberrygate/forward/observed_ends.py
+++ b/mulberrygate/forward/observed_ends.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from mulberrygate.forward.unanswered import UnansweredSend
+from mulberrygate.forward.unanswered import RunningSend, UnansweredSend
 
 # Remembered ends of one endpoint, and endpoints with remembered ends.
 MAX_ENDS = 8
@@ -61,7 +61,7 @@
         ends.append(ObservedEnd(send.ended_at, incarnation))
         return incarnation
 
-    def is_to_unknown_process(self, send: UnansweredSend) -> bool:
+    def is_to_unknown_process(self, send: UnansweredSend | RunningSend) -> bool:
         """Return whether the process known at the send had ended before it."""
         ends = self.ends.get(send.endpoint, ())
         return any(end.at < send.sent_at and end.incarnation >= send.incarnation for end in ends)
--- a/mulberrygate/forward/tests/test_crashing_calls.py
+++ b/mulberrygate/forward/tests/test_crashing_calls.py
@@ -66,6 +66,17 @@
         await self.until(lambda: entry.crashes)
         self.assertEqual(entry.crashes[0].endpoint, "e")
 
+    async def test_silent_connection_long_before_the_deadline(self):
+        """Guards against counting a crash so late that the call has reached many endpoints."""
+        endpoint = Endpoint("e", stop_silently)
+        entry = await self.start(document(timeoutMs=60_000), booking=[endpoint])
+        asked = asyncio.ensure_future(entry.request("/plain/1").__aenter__())
+        await self.until(lambda: entry.crashes)
+        self.assertFalse(asked.done())
+        asked.cancel()
+        await self.until(lambda: not entry.forwarder.crash_detector.monitor.sends)
+        self.assertEqual(len(entry.crashes), 1)
+
     async def test_plain_call_whose_caller_has_left(self):
         """Guards against missing a crash when the caller leaves before it is seen."""
         endpoint = Endpoint("e", stop_silently)
@@ -130,6 +141,17 @@
         await self.leave(entry, "/plain/1", endpoint)
         await self.check_not_counted(entry)
 
+    async def test_slow_endpoint_before_the_deadline(self):
+        """Guards against taking an endpoint that is silent for a while for one that has ended."""
+        endpoint = Endpoint("e", stay_silent)
+        entry = await self.start(document(timeoutMs=60_000), booking=[endpoint])
+        asked = asyncio.ensure_future(entry.request("/plain/1").__aenter__())
+        await self.until(lambda: entry.forwarder.crash_detector.probes.latest)
+        probe = entry.forwarder.crash_detector.probes.latest[endpoint.address]
+        await probe.task
+        self.assertEqual((entry.crashes, asked.done()), ([], False))
+        asked.cancel()
+
     async def test_late_registration_of_a_known_restart(self):
         """Guards against counting a broken call of a live endpoint once its restart is known."""
         endpoint = RestartingEndpoint("e", crash())
