--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -263,8 +263,8 @@
     def _is_in_burst(self, request: Request) -> bool:
         return self.shape.burst_from <= request.at < self.shape.burst_to
 
-    def _call_scheduler(self, name: str, argument) -> None:
-        self._apply_effects(getattr(self.scheduler, name)(argument, self.now))
+    def _call_scheduler(self, name: str, *arguments) -> None:
+        self._apply_effects(getattr(self.scheduler, name)(*arguments, self.now))
 
     def _apply_effects(self, effects) -> None:
         for effect in effects:
