--- a/mulberrygate/settings/load.py
+++ b/mulberrygate/settings/load.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
 from typing import Any, TypeVar, get_origin
 
 import attrs
@@ -63,13 +62,6 @@
 _converter.register_structure_hook_func(lambda cls: get_origin(cls) is tuple, _structure_list)
 
 
-@dataclass(frozen=True)
-class Loaded:
-    """Value that was read from a file."""
-
-    value: Any
-
-
 def structure(values: Any, cls: type[Class]) -> Class:
     """Return an ``attrs`` object from plain values without implicit conversions.
 
