Move the exchange of registrations out of the controller

What control processes tell each other about endpoints is a part of its own now, without a change of behaviour, and the clock that both kinds of processes use for limits stands once, in core.boot_time.

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -9,8 +9,6 @@
 import time
 import zlib
 
-import attrs
-
 from mulberrygate.agreement import AgreementSettings
 from mulberrygate.agreement.effects import Role
 from mulberrygate.agreement.outcomes import VoterStopped
@@ -23,13 +21,15 @@
     PutLeaving,
 )
 from mulberrygate.control.quarantine import QuarantinedCall
+from mulberrygate.core.boot_time import seconds_since_boot
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.crash_committer import CRASH_EXPIRY_INTERVAL_S, CrashCommitter
 from mulberrygate.daemon.placement import Placement, PoolOwners
+from mulberrygate.daemon.roster_sharing import RosterSharing
 from mulberrygate.daemon.site_moves import SiteMoves
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.daemon.trial_granter import TrialGranter
-from mulberrygate.endpoints.roster import AgedRegistration, Registration, Roster
+from mulberrygate.endpoints.roster import Registration, Roster
 from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import CentralLimits, Limit
@@ -53,7 +53,6 @@
 )
 
 PEER_UPDATE_INTERVAL_S = 0.4
-PEER_UPDATE_TIMEOUT_S = 1.0
 # A message between group members takes some hundredths of a second, a sync of a slow disk a tenth.
 ELECTION_TIMEOUT_S = 0.45
 HEARTBEAT_S = 0.12
@@ -72,11 +71,6 @@
 ENTRY_LOST_AFTER_S = 6.0
 
 
-def seconds_since_boot() -> float:
-    """Return seconds since the machine booted, including the time it was suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Controller:
     """Control process: registers endpoints, agrees on the catalog and informs entries.
 
@@ -105,9 +99,6 @@
         Monotonic time of the last request of each entry that follows this process.
     entries_of_controls : dict[str, tuple[float, tuple[str, ...]]]
         Time of the last `PeerUpdate` of each other control process, and the entries that follow it.
-    changes_to_share, renewals_to_share : set[str]
-        Endpoints whose changes, or whose heartbeats, are still to be sent to the other control
-        processes.
     limits : CentralLimits or None
         Limits of the client accounts; only at the leader.
     """
@@ -137,8 +128,6 @@
         self.catalog: Catalog | None = None
         self.entry_seen_at: dict[str, float] = {}
         self.entries_of_controls: dict[str, tuple[float, tuple[str, ...]]] = {}
-        self.changes_to_share: set[str] = set()
-        self.renewals_to_share: set[str] = set()
         self.limits: CentralLimits | None = None
         self.moves = SiteMoves(
             site,
@@ -149,6 +138,9 @@
             self.timers,
             lines,
         )
+        self.sharing = RosterSharing(
+            self.roster, self.peers.client, self.timers, self._other_controls, self._own_entries
+        )
         self.placement: Placement | None = None
         self.crash_committer = CrashCommitter(
             lambda: self.machine, self.log.commit, self.timers, lines
@@ -191,7 +183,7 @@
         self.timers.every(PERIODIC_TASKS_INTERVAL_S, self._run_periodic_tasks, "duties")
         self.timers.every(VOTER_CHECK_INTERVAL_S, self._reopen_voter, "voter")
         self.timers.every(CRASH_EXPIRY_INTERVAL_S, self._expire_crashes, "crashes")
-        self.timers.every(PEER_UPDATE_INTERVAL_S, self._share_renewals, "share")
+        self.timers.every(PEER_UPDATE_INTERVAL_S, self.sharing.share_renewals, "share")
         self.timers.every(
             POOLS_LOG_INTERVAL_S, lambda: self.placement.log_pools(self.lines), "pools"
         )
@@ -399,10 +391,9 @@
                 is_leaving=registration.is_leaving,
                 sequence=registration.sequence,
             )
-            self.changes_to_share.add(name)
-            self._share_changes()
+            self.sharing.share_change(name)
             self._wake_followers()
-        self.renewals_to_share.add(name)
+        self.sharing.renewed.add(name)
         if registration.is_leaving:
             return await self._commit_leaving(name, registration.incarnation)
         return self.is_current
@@ -423,47 +414,6 @@
             return True
         return await self.log.commit(PutLeaving(name, incarnation))
 
-    def _aged_registration(self, name: str) -> AgedRegistration:
-        """Return an endpoint's registration and the age of its last heartbeat."""
-        row = self.roster.rows[name]
-        registration = attrs.evolve(row.registration, is_leaving=row.is_leaving)
-        return AgedRegistration(registration, max(0.0, self.timers.now() - row.heard_at))
-
-    def _make_peer_update(self, **fields: tuple) -> PeerUpdate:
-        """Return an update with the entries that follow this process and the given fields."""
-        return PeerUpdate(
-            entries=self._own_entries(), reads_crashes=True, reads_trials=True, **fields
-        )
-
-    def _share_changes(self) -> None:
-        """Send new and changed endpoints to the other control processes without delay."""
-        names, self.changes_to_share = self.changes_to_share, set()
-        heard = tuple(self._aged_registration(name) for name in names if name in self.roster.rows)
-        if heard:
-            for other in self._other_controls():
-                self.peers.client.send(other, self._make_peer_update(heard=heard))
-
-    def _share_renewals(self) -> None:
-        """Send the ages of the heartbeats received here to the other control processes."""
-        names, self.renewals_to_share = self.renewals_to_share, set()
-        now = self.timers.now()
-        renewed = tuple(
-            (name, row.registration.incarnation, round(now - row.heard_at, 3))
-            for name in names
-            if (row := self.roster.rows.get(name)) is not None
-        )
-        update = self._make_peer_update(renewed=renewed)
-        for other in self._other_controls():
-            self.timers.spawn(self._send_renewals(other, update))
-
-    async def _send_renewals(self, other: str, update: PeerUpdate) -> None:
-        answer = await self.peers.client.call(other, update, PEER_UPDATE_TIMEOUT_S)
-        if isinstance(answer, PeerUpdateResult) and answer.unknown:
-            heard = tuple(
-                self._aged_registration(n) for n in answer.unknown if n in self.roster.rows
-            )
-            self.peers.client.send(other, self._make_peer_update(heard=heard))
-
     def _on_peer_update(self, message: PeerUpdate, sender: str) -> PeerUpdateResult:
         """Merge an update into the roster; return the renewed endpoints that are unknown here."""
         now = self.timers.now()
@@ -472,18 +422,10 @@
             self.crash_committer.gate.record_earlier_release(now)
         if not message.reads_trials:
             self.trial_granter.gate.record_earlier_release(now)
-        is_change = False
-        for heard in message.heard:
-            is_change |= self.roster.record_report(heard.registration, now - heard.age_s)
-        unknown = []
-        for name, incarnation, age_s in message.renewed:
-            if name in self.roster.rows:
-                self.roster.renew(name, incarnation, now - age_s)
-            elif incarnation > self.roster.ended.get(name, -1):
-                unknown.append(name)
+        is_change, result = self.sharing.merge(message, now)
         if is_change:
             self._wake_followers()
-        return PeerUpdateResult(tuple(unknown))
+        return result
 
     def _own_entries(self) -> tuple[str, ...]:
         limit = self.timers.now() - ENTRY_LOST_AFTER_S
@@ -547,7 +489,9 @@
             is_settled=self.is_roster_filled,
             catalog_version=machine.version,
             catalog=machine.document if machine.version > message.catalog_version else b"",
-            heard=tuple(self._aged_registration(name) for name in names if name in roster.rows),
+            heard=tuple(
+                self.sharing.aged_registration(name) for name in names if name in roster.rows
+            ),
             gone=tuple(name for name in names if name not in roster.rows),
             silent=tuple(n for n, row in roster.rows.items() if row.heard_at < limit),
             controls=self.list_controls(),
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from aiohttp import web
 
 from mulberrygate.catalog import CatalogIndex
+from mulberrygate.core.boot_time import seconds_since_boot
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.http_server import HttpServer
 from mulberrygate.daemon.placement import Placement, PoolOwners
@@ -42,11 +42,6 @@
 SILENT_CHECK_INTERVAL_S = 1.0
 
 
-def seconds_since_boot() -> float:
-    """Return seconds since the machine booted, including the time it was suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class EntryNode:
     """Entry process: follows a control process and forwards callers' requests to endpoints.
 
--- /dev/null
+++ b/mulberrygate/daemon/roster_sharing.py
@@ -0,0 +1,108 @@
+"""Exchange of endpoint registrations among control processes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from mulberrygate.core.timers import TimerService
+from mulberrygate.endpoints.roster import AgedRegistration, Roster
+from mulberrygate.peers import PeerClient
+from mulberrygate.sync.messages import PeerUpdate, PeerUpdateResult
+
+PEER_UPDATE_TIMEOUT_S = 1.0
+
+
+class RosterSharing:
+    """Sends what endpoints report here to the other control processes, and merges what they send.
+
+    Parameters
+    ==========
+    list_others : Callable[[], list[str]]
+        Returns the other control processes.
+    own_entries : Callable[[], tuple[str, ...]]
+        Returns the entries that follow this process, which each update names.
+
+    Attributes
+    ==========
+    changed, renewed : set[str]
+        Endpoints whose changes, or whose heartbeats, are still to be sent.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        client: PeerClient,
+        timers: TimerService,
+        list_others: Callable[[], list[str]],
+        own_entries: Callable[[], tuple[str, ...]],
+    ):
+        self.roster = roster
+        self.client = client
+        self.timers = timers
+        self.list_others = list_others
+        self.own_entries = own_entries
+        self.changed: set[str] = set()
+        self.renewed: set[str] = set()
+
+    def aged_registration(self, name: str) -> AgedRegistration:
+        """Return an endpoint's registration and the age of its last heartbeat."""
+        row = self.roster.rows[name]
+        registration = attrs.evolve(row.registration, is_leaving=row.is_leaving)
+        return AgedRegistration(registration, max(0.0, self.timers.now() - row.heard_at))
+
+    def share_change(self, name: str) -> None:
+        """Send a new or changed endpoint to the other control processes without delay."""
+        self.changed.add(name)
+        names, self.changed = self.changed, set()
+        heard = tuple(self.aged_registration(name) for name in names if name in self.roster.rows)
+        if heard:
+            for other in self.list_others():
+                self.client.send(other, self._make_update(heard=heard))
+
+    def share_renewals(self) -> None:
+        """Send the ages of the heartbeats received here to the other control processes."""
+        names, self.renewed = self.renewed, set()
+        now = self.timers.now()
+        renewed = tuple(
+            (name, row.registration.incarnation, round(now - row.heard_at, 3))
+            for name in names
+            if (row := self.roster.rows.get(name)) is not None
+        )
+        update = self._make_update(renewed=renewed)
+        for other in self.list_others():
+            self.timers.spawn(self._send_renewals(other, update))
+
+    async def _send_renewals(self, other: str, update: PeerUpdate) -> None:
+        answer = await self.client.call(other, update, PEER_UPDATE_TIMEOUT_S)
+        if isinstance(answer, PeerUpdateResult) and answer.unknown:
+            heard = tuple(
+                self.aged_registration(n) for n in answer.unknown if n in self.roster.rows
+            )
+            self.client.send(other, self._make_update(heard=heard))
+
+    def _make_update(self, **fields: tuple) -> PeerUpdate:
+        """Return an update with the given fields and what this release can apply."""
+        return PeerUpdate(
+            entries=self.own_entries(), reads_crashes=True, reads_trials=True, **fields
+        )
+
+    def merge(self, update: PeerUpdate, now: float) -> tuple[bool, PeerUpdateResult]:
+        """Merge an update into the roster.
+
+        Returns
+        =======
+        tuple[bool, PeerUpdateResult]
+            Whether the roster changed, and the renewed endpoints that are unknown here.
+        """
+        is_change = False
+        for heard in update.heard:
+            is_change |= self.roster.record_report(heard.registration, now - heard.age_s)
+        unknown = []
+        for name, incarnation, age_s in update.renewed:
+            if name in self.roster.rows:
+                self.roster.renew(name, incarnation, now - age_s)
+            elif incarnation > self.roster.ended.get(name, -1):
+                unknown.append(name)
+        return is_change, PeerUpdateResult(tuple(unknown))
