--- a/mulberrygate/daemon/tests/test_crash_soak.py
+++ b/mulberrygate/daemon/tests/test_crash_soak.py
@@ -124,6 +124,8 @@
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.route = self.rng.choice(ROUTES)
+        # Share of the ends after which connections stay open and silent.
+        self.silent_share = self.rng.choice((0.0, 0.5, 1.0, 1.0))
         self.pool = "care" if self.route == "stream" else "booking"
         self.ended_at: list[float] = []
         self.tasks: set[asyncio.Task] = set()
@@ -142,7 +144,7 @@
         self.ended_at.append(time.monotonic())
         endpoint.server.close()
         writers, endpoint.writers = endpoint.writers, []
-        if self.rng.random() < 0.5:
+        if self.rng.random() >= self.silent_share:
             for writer in writers:
                 writer.transport.abort()
         self.spawn(endpoint.restart(self.rng))
