Count deaths of endpoints for requests whose caller left first

On the product's own path a content was blamed for an endpoint's death only while one of its requests ran there. Requests without an answer count for 6 s after their end now, unless the endpoint has completed another request since.

test_content_whose_caller_leaves_before_the_death_is_known failed before; two tests show requests that must not be blamed.

--- a/mulberrygate/entry/crashes.py
+++ b/mulberrygate/entry/crashes.py
@@ -32,8 +32,13 @@
 SUSPECT_EXPIRY_S = 900.0
 # Reports of one endpoint's death are collected for this time.
 REPORT_WINDOW_S = 0.5
+# A request without an answer counts as running for this time after its end, since the death of an
+# endpoint is known only when its lease has expired.
+UNANSWERED_S = 6.0
 MAX_CONTENTS = 10_000
 FATAL_FAULTS = frozenset({"cut", "gone", "lost"})
+# Fault of an endpoint that did not run the request.
+REFUSED = "refused"
 
 
 @message("entry.crash_report")
@@ -86,6 +91,8 @@
     ==========
     running : dict
         Contents that run on each endpoint, with their counts.
+    unanswered : dict
+        Time of the end of requests without an answer, by endpoint and content.
     pending_deaths : dict
         Time of the first report and the reported contents, for each death not yet evaluated.
     evaluated : dict
@@ -94,6 +101,7 @@
 
     def __init__(self):
         self.running: dict[str, collections.Counter[str]] = {}
+        self.unanswered: dict[str, dict[str, float]] = {}
         self.suspects: collections.OrderedDict[str, Suspect] = collections.OrderedDict()
         self.pending_deaths: dict[str, tuple[float, set[str]]] = {}
         self.evaluated: dict[str, float] = {}
@@ -118,13 +126,20 @@
             del running[content]
         if not running:
             self.running.pop(endpoint, None)
+        if is_complete:
+            # The endpoint was alive after the earlier requests had ended.
+            self.unanswered.pop(endpoint, None)
+        elif fault not in FATAL_FAULTS and fault != REFUSED:
+            self.unanswered.setdefault(endpoint, {})[content] = now
         if is_complete and content in self.suspects:
             self.clear(content)
             self.cleared.add(content)
 
     def record_death(self, endpoint: str, now: float) -> None:
         """Record the death of an endpoint and report the contents that run on it."""
-        contents = tuple(self.running.get(endpoint, ()))
+        unanswered = self.unanswered.pop(endpoint, {})
+        recent = [content for content, at in unanswered.items() if now < at + UNANSWERED_S]
+        contents = tuple(dict.fromkeys([*self.running.get(endpoint, ()), *recent]))
         if contents and endpoint not in self.pending_deaths and endpoint not in self.evaluated:
             report = CrashReport(endpoint, contents)
             self.reports.append(report)
@@ -151,6 +166,12 @@
         for endpoint, at in list(self.evaluated.items()):
             if now >= at + REPORT_WINDOW_S:
                 del self.evaluated[endpoint]
+        for endpoint, contents in list(self.unanswered.items()):
+            kept = {content: at for content, at in contents.items() if now < at + UNANSWERED_S}
+            if kept:
+                self.unanswered[endpoint] = kept
+            else:
+                del self.unanswered[endpoint]
         for content, suspect in list(self.suspects.items()):
             kept_s = QUARANTINE_S if suspect.is_over_limit() else SUSPECT_EXPIRY_S
             if now >= suspect.seen_at + kept_s:
--- a/mulberrygate/entry/tests/test_crashes.py
+++ b/mulberrygate/entry/tests/test_crashes.py
@@ -6,6 +6,7 @@
     ISOLATION_CRASHES,
     QUARANTINE_CRASHES,
     REPORT_WINDOW_S,
+    UNANSWERED_S,
     Cleared,
     CrashTracker,
 )
@@ -46,6 +47,43 @@
         self.crash("bad")
         self.assertTrue(self.is_quarantined("bad"))
 
+    def abandon(self, content: str, endpoint: str) -> None:
+        """Simulate a request whose caller leaves before it is answered."""
+        self.tracker.record_start(content, endpoint)
+        self.tracker.record_end(content, endpoint, "", False, self.now)
+
+    def test_content_whose_caller_leaves_before_the_death_is_known(self):
+        """Guards against a crash that is not counted because its caller left first."""
+        for number in range(QUARANTINE_CRASHES):
+            self.abandon("bad", f"e{number}")
+            self.now += 1.0
+            self.tracker.record_death(f"e{number}", self.now)
+            self.now += 2 * REPORT_WINDOW_S
+            self.tracker.tick(self.now)
+        self.assertTrue(self.is_quarantined("bad"))
+
+    def test_endpoint_that_has_answered_since(self):
+        """Guards against blaming an abandoned content for a later death of its endpoint."""
+        for number in range(QUARANTINE_CRASHES):
+            self.abandon("good", f"e{number}")
+            self.tracker.record_start("other", f"e{number}")
+            self.tracker.record_end("other", f"e{number}", "", True, self.now)
+            self.tracker.record_death(f"e{number}", self.now)
+            self.now += 2 * REPORT_WINDOW_S
+            self.tracker.tick(self.now)
+        self.assertFalse(self.is_quarantined("good"))
+
+    def test_content_that_was_abandoned_long_before_the_death(self):
+        """Guards against blaming a content for a death long after its request has ended."""
+        for number in range(QUARANTINE_CRASHES):
+            self.abandon("good", f"e{number}")
+            self.now += 2 * UNANSWERED_S
+            self.tracker.tick(self.now)
+            self.tracker.record_death(f"e{number}", self.now)
+            self.now += 2 * REPORT_WINDOW_S
+            self.tracker.tick(self.now)
+        self.assertFalse(self.is_quarantined("good"))
+
     def test_ordinary_content_on_the_endpoint_is_not_refused(self):
         """Guards against refusing ordinary requests for crashes that another one caused."""
         for number in range(QUARANTINE_CRASHES + 2):
