Measure the messages of trials, and take the ports of site tests below the ephemeral range

Two functions found free ports. The one of the site tests took ephemeral ports, which an outgoing connection of another test may take before a process of the deployment listens on them.

--- a/bench/site_messages.py
+++ b/bench/site_messages.py
@@ -9,16 +9,23 @@
 import time
 from collections.abc import Callable
 
-from mulberrygate.control.catalogs import CatalogStateMachine, PutCrashes, encode_command
+from mulberrygate.control.catalogs import (
+    CatalogStateMachine,
+    PutCrashes,
+    PutTrial,
+    encode_command,
+)
 from mulberrygate.core.wire import decode, encode
 from mulberrygate.schedule.messages import Progress
-from mulberrygate.sync.messages import CheckCurrent, CheckCurrentResult
+from mulberrygate.sync.messages import CheckCurrent, CheckCurrentResult, TrialRequest, TrialResult
 
 REPEATS = 3000
 RUNNING = 13
 WAITING = 7
 CALLS_PER_CRASH = 14
 CRASHES = 600
+FINGERPRINT = f"{0:024x}"
+HOLDER = "10.1.0.25/1787771334520/1"
 
 
 def measure_us(action: Callable[[], object]) -> float:
@@ -45,6 +52,8 @@
     print_message("Progress", Progress("pool", emitted, held, True))
     print_message("CheckCurrent", CheckCurrent())
     print_message("CheckCurrentResult", CheckCurrentResult(True))
+    print_message("TrialRequest", TrialRequest(FINGERPRINT, HOLDER))
+    print_message("TrialResult", TrialResult(False, 19.5))
 
 
 def make_crash_command(number: int, calls: int) -> PutCrashes:
@@ -65,6 +74,7 @@
     apply_ms = (time.process_time() - started) / 100 * 1e3
     one = encode_command(make_crash_command(0, 1))
     print(f"PutCrashes of 1 and {CALLS_PER_CRASH} calls: {len(one)} and {len(commands[0])} B")
+    print(f"PutTrial: {len(encode_command(PutTrial(FINGERPRINT, HOLDER, 0.0)))} B")
     print(f"to apply it on {len(machine.quarantine.records)} records: {apply_ms:.2f} ms")
     print(f"snapshot: {len(machine.snapshot()) / 1000:.0f} KB")
 
--- a/mulberrygate/daemon/tests/site_support.py
+++ b/mulberrygate/daemon/tests/site_support.py
@@ -6,7 +6,6 @@
 import itertools
 import json
 import shutil
-import socket
 import tempfile
 import unittest
 
@@ -25,6 +24,7 @@
 from mulberrygate.platform.headers import PlatformDialect
 from mulberrygate.platform.operator_api import OperatorApi
 from mulberrygate.platform.settings import Bounds, Site
+from mulberrygate.standin.local import free_ports
 
 # Ends a test that would otherwise wait for a condition for ever.
 STEP_TIMEOUT_S = 60.0
@@ -34,17 +34,6 @@
 BOUNDS = Bounds(kill_after_s=1.2)
 
 
-def free_ports(count):
-    """Return ports that are free on all local addresses."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("0.0.0.0", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
-
-
 def unreachable_endpoint():
     """Return an endpoint at an address on which nothing listens."""
     endpoint = Endpoint("e1", whole())
