--- a/mulberrygate/daemon/tests/test_crash_soak.py
+++ b/mulberrygate/daemon/tests/test_crash_soak.py
@@ -21,7 +21,8 @@
 from mulberrygate.daemon.tests.site_support import ENTRY, OTHER_ENTRY, Deployment
 from mulberrygate.forward.tests.support import HOST, REQUEST_ID, Endpoint, stream, whole
 
-CI_SEEDS = range(3)
+# Seeds that failed when a crash behind a silent connection was not counted.
+CI_SEEDS = (0, 4, 9)
 CI_SECONDS = 10.0
 # Bounds of the users' rule BUDGET: retries after this time are counted, and this many are allowed.
 CONTACT_S = 3.0
@@ -131,6 +132,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.endpoints: list[FragileEndpoint] = []
         self.numbers = itertools.count()
+        self.is_over = False
 
     def spawn(self, work):
         """Run a coroutine until the end of the run."""
@@ -140,6 +142,8 @@
 
     def end(self, endpoint):
         """End an endpoint in one of several ways, and let it start again."""
+        if self.is_over:
+            return
         endpoint.is_up = False
         self.ended_at.append(time.monotonic())
         endpoint.server.close()
@@ -165,6 +169,7 @@
             unserved_s = await self.wait_served(f"/{self.route}/popular")
             return self.report(unserved_s)
         finally:
+            self.is_over = True
             for task in list(self.tasks):
                 task.cancel()
             await asyncio.gather(*self.tasks, return_exceptions=True)
