Decode the shared parts of prompts, and log them with each unanswered send

The parts were passed on to endpoints and never read, so no line of the log named one. endpoint.looked_for also tells whether the head of an answer had arrived and how many events, which separates a call that may have ended its endpoint from those that ran beside it.

--- a/mulberrygate/forward/crash_detection.py
+++ b/mulberrygate/forward/crash_detection.py
@@ -99,6 +99,9 @@
             endpoint=send.endpoint,
             incarnation=incarnation,
             is_broken=send.is_broken,
+            parts=",".join(send.parts),
+            has_head=send.has_head,
+            events=send.events,
             ended=reason,
         )
         if reason:
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -246,6 +246,7 @@
         """Process an answer whose head has arrived; return the outcome and the final answer."""
         head = exchange.head
         send.running.heard_at = self.now()
+        send.running.has_head = True
         self._record_first_byte(send)
         if head.load is not None:
             self.forwarder.placement.directory.report_load(
@@ -294,6 +295,7 @@
             events = self._split(data, before)
             if not events:
                 continue
+            send.running.events = splitter.count - before
             if self.response is None:
                 await self._begin_response(exchange)
             is_first = send.tokens == 0
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -29,6 +29,8 @@
         Caller's estimate of the output tokens, 0 for none.
     last_event_id : str
         Identifier of the event after which a stream is to be resumed, empty for its start.
+    shared_parts : tuple[str, ...]
+        Identifiers of the parts of the prompt that other calls may share, in order.
     """
 
     request: str
@@ -41,6 +43,7 @@
     output_tokens: int = 0
     expected_tokens: int = 0
     last_event_id: str = ""
+    shared_parts: tuple[str, ...] = ()
 
 
 @attrs.define
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -382,6 +382,7 @@
             pool=call.pool.name if call.pool else "",
             tier=call.tier,
             account=call.account,
+            parts=",".join(call.head.shared_parts),
             units=call.units,
             patience_s=call.head.timeout_s,
             catalog=self.index.version if self.index else -1,
--- a/mulberrygate/forward/unanswered.py
+++ b/mulberrygate/forward/unanswered.py
@@ -25,6 +25,12 @@
         Monotonic times.
     is_broken : bool
         Whether the connection broke, as opposed to a deadline or a caller that left.
+    parts : tuple[str, ...]
+        Shared parts of the call's prompt.
+    has_head : bool
+        Whether the head of an answer had arrived.
+    events : int
+        Events of a stream that had arrived.
     """
 
     call: str
@@ -35,6 +41,9 @@
     sent_at: float
     ended_at: float
     is_broken: bool
+    parts: tuple[str, ...] = ()
+    has_head: bool = False
+    events: int = 0
 
 
 @attrs.define(eq=False)
@@ -51,6 +60,8 @@
         Monotonic time of the last bytes of the answer, minus infinity before.
     is_counted : bool
         Whether its endpoint has been found to have ended.
+    has_head, events
+        As in `UnansweredSend`, up to now.
     """
 
     call: Call
@@ -60,6 +71,8 @@
     sent_at: float
     heard_at: float = -math.inf
     is_counted: bool = False
+    has_head: bool = False
+    events: int = 0
 
     @property
     def silent_since(self) -> float:
@@ -77,4 +90,7 @@
             self.sent_at,
             at,
             is_broken,
+            self.call.head.shared_parts,
+            self.has_head,
+            self.events,
         )
--- a/mulberrygate/platform/headers.py
+++ b/mulberrygate/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 from aiohttp import hdrs
@@ -14,6 +15,8 @@
 DEADLINE = PREFIX + "Request-Deadline"
 # Number of prompt tokens and largest number of output tokens, separated by a comma.
 TOKEN_COUNT = PREFIX + "Token-Count"
+# Parts of the prompt in order, as comma-separated ``id:tokens`` entries with hexadecimal ids.
+PROMPT_PARTS = PREFIX + "Prefix-Hash"
 # Caller's estimate of the output tokens.
 LENGTH_HINT = PREFIX + "Length-Hint"
 EXPECT_INSTANCE = PREFIX + "Expect-Instance"
@@ -25,6 +28,8 @@
 SERVER_LOAD = PREFIX + "Server-Load"
 LAST_EVENT = "Last-Event-Id"
 BEARER = "bearer "
+MAX_PARTS = 16
+PART_ID = re.compile(r"[0-9a-f]{1,64}")
 
 # Hop-by-hop headers, which apply to one connection and are not forwarded.
 CONNECTION_HEADERS = frozenset(
@@ -68,6 +73,19 @@
     return int(text) if text and text.isascii() and text.isdigit() else 0
 
 
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the identifiers of a prompt's parts without the last, which no other prompt shares.
+
+    Explanation
+    ===========
+    An entry that can't be read names no part. Only the first `MAX_PARTS` are kept, which bounds
+    what is remembered of one call.
+    """
+    entries = text.lower().split(",")[:-1][:MAX_PARTS]
+    found = (PART_ID.fullmatch(entry.partition(":")[0].strip()) for entry in entries)
+    return tuple(dict.fromkeys(match[0] for match in found if match))
+
+
 def _named_by_connection(headers: Any) -> set[str]:
     """Return the names in a message's ``Connection`` header, in lower case."""
     names: set[str] = set()
@@ -97,6 +115,7 @@
             output_tokens=_parse_count(output.strip()),
             expected_tokens=_parse_count(headers.get(LENGTH_HINT)),
             last_event_id=headers.get(LAST_EVENT, ""),
+            shared_parts=_parse_shared_parts(headers.get(PROMPT_PARTS, "")),
         )
 
     def endpoint_headers(
--- a/mulberrygate/platform/tests/test_headers.py
+++ b/mulberrygate/platform/tests/test_headers.py
@@ -10,7 +10,7 @@
 from mulberrygate.catalog import BackendPool, RetryPolicy, RouteRule, WeightedPool
 from mulberrygate.forward import codes
 from mulberrygate.forward.request import Call, Refused
-from mulberrygate.platform.headers import PlatformDialect
+from mulberrygate.platform.headers import MAX_PARTS, PlatformDialect
 
 ROUTE = RouteRule("r", "a.example", "/n/", RetryPolicy.STREAM, (WeightedPool("care", 1.0),), 5.0)
 
@@ -47,6 +47,16 @@
         self.assertEqual((head.expected_tokens, head.timeout_s, head.key), (0, 1.5, "k1"))
         self.assertEqual(head.host, "a.example")
 
+    def test_shared_parts(self):
+        """Guards against blaming a prompt's own last part, or an entry that can't be read."""
+        text = "5C1E07a2:800, 91bd3f06:410,nonsense:3,,5c1e07a2:1,e4402b7d:250"
+        head = PlatformDialect().call_head(request(X_Mulberrygate_Prefix_Hash=text))
+        self.assertEqual(head.shared_parts, ("5c1e07a2", "91bd3f06"))
+        self.assertEqual(PlatformDialect().call_head(request()).shared_parts, ())
+        many = ",".join(f"{number:x}:1" for number in range(100))
+        head = PlatformDialect().call_head(request(X_Mulberrygate_Prefix_Hash=many))
+        self.assertEqual(len(head.shared_parts), MAX_PARTS)
+
     def test_callers_cannot_set_system_headers(self):
         """Guards against a caller that sets its account, a lease or another request's cache."""
         names = ("Tenant-Id", "Expect-Instance", "Hold", "Pin-Ms", "Kv-Backup", "Expect-Version")
