--- a/mulberrygate/forward/tests/test_crashing_calls.py
+++ b/mulberrygate/forward/tests/test_crashing_calls.py
@@ -5,8 +5,10 @@
 import asyncio
 import unittest
 
+import aiohttp
+
 from mulberrygate.endpoints.roster import Registration
-from mulberrygate.forward.tests.support import HOST, Endpoint, Entry, crash, document
+from mulberrygate.forward.tests.support import HOST, Endpoint, Entry, crash, document, stream
 
 STEP_TIMEOUT_S = 10.0
 
@@ -22,6 +24,17 @@
     await reader.read()
 
 
+def crash_within_stream(events):
+    """Return an answer function that sends events of a stream, then ends its endpoint."""
+
+    async def answer(endpoint, reader, writer, head):
+        await stream(events, end=False)(endpoint, reader, writer, head)
+        endpoint.server.close()
+        writer.transport.abort()
+
+    return answer
+
+
 class RestartingEndpoint(Endpoint):
     """Endpoint that ends with each call and is back at the same address, under the same name."""
 
@@ -104,6 +117,21 @@
             self.assertEqual(answer.status, 503)
         self.assertEqual(len(endpoint.requests), 3)
 
+    async def test_stream_that_had_begun_is_not_blamed(self):
+        """Guards against refusing a call that ran beside calls that crash endpoints."""
+        endpoint = RestartingEndpoint("e", crash_within_stream(3))
+        entry = await self.start(care=[endpoint])
+        for number in range(1, 5):
+            async with entry.request("/stream/1", identifier=f"id-{number}") as answer:
+                self.assertEqual(answer.status, 200)
+                with self.assertRaises(aiohttp.ClientError):
+                    await answer.read()
+            await self.until(
+                lambda count=number: len(entry.lines.of("endpoint.looked_for")) == count
+            )
+            await endpoint.start()
+        self.assertEqual(entry.crashes, [])
+
     async def test_crashes_in_the_log_and_at_the_entry_add_up(self):
         """Guards against sending a call whose third crash waits for its commit."""
         endpoints = [Endpoint("e1", crash()), Endpoint("e2", crash())]
