--- a/mulberrygate/cli/quarantine.py
+++ b/mulberrygate/cli/quarantine.py
@@ -1,4 +1,4 @@
-"""Subcommand `quarantine`: list the calls that crash endpoints, or release one of them."""
+"""Subcommand `quarantine`: list the calls and prompt parts that crash endpoints, or release one."""
 
 from __future__ import annotations
 
@@ -16,31 +16,33 @@
 )
 
 OK_STATUS = 200
-COLUMNS = ("fingerprint", "crashes", "trials", "expires_s")
+COLUMNS = ("identity", "kind", "crashes", "trials", "expires_s")
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the arguments of the subcommand."""
     parser.add_argument("--control", required=True, help="host:port of a control process")
-    parser.add_argument("--release", metavar="FINGERPRINT", help="release this call")
+    parser.add_argument("--release", metavar="IDENTITY", help="release this call or part")
     add_format_argument(parser)
 
 
 @command(
-    "quarantine", "List the calls that crash endpoints, or release one of them.", add_arguments
+    "quarantine",
+    "List the calls and prompt parts that crash endpoints, or release one of them.",
+    add_arguments,
 )
 def run(options: argparse.Namespace) -> int:
-    """List the quarantined calls, or release one."""
+    """List the quarantined calls and parts, or release one."""
     if options.release:
         return release(options)
     reply = call_control(options.control, "GET", "/quarantine")
     if reply.status != OK_STATUS:
         return report_failure(reply.status)
-    calls = reply.json()["calls"]
+    found = reply.json()["quarantined"]
     if options.format == "json":
-        print_json(calls)
+        print_json(found)
         return OK
-    print_rows(COLUMNS, [tuple(format_value(call[name]) for name in COLUMNS) for call in calls])
+    print_rows(COLUMNS, [tuple(format_value(row[name]) for name in COLUMNS) for row in found])
     return OK
 
 
@@ -50,7 +52,7 @@
 
 
 def release(options: argparse.Namespace) -> int:
-    """Release one call and return the exit code."""
+    """Release one call or part and return the exit code."""
     reply = call_control(options.control, "DELETE", f"/quarantine/{options.release}")
     if reply.status != OK_STATUS:
         return report_failure(reply.status)
--- a/mulberrygate/cli/tests/test_cli.py
+++ b/mulberrygate/cli/tests/test_cli.py
@@ -85,16 +85,17 @@
 
     def test_quarantined_calls_are_listed_and_released(self):
         """Guards against an operator who can't see or end the quarantine of a call."""
-        call = {"fingerprint": "ab12", "crashes": 3, "trials": 1, "expires_s": 3500.4}
-        address = self.serve(200, json.dumps({"calls": [call]}).encode())[1]
+        part = {"identity": "part-ab12", "kind": "part", "crashes": 3, "trials": 1}
+        row = {**part, "expires_s": 3500.4}
+        address = self.serve(200, json.dumps({"quarantined": [row]}).encode())[1]
         code, out, _ = self.run_main("quarantine", "--control", address)
         self.assertEqual(code, OK)
-        self.assertEqual(out.splitlines()[1].split(), ["ab12", "3", "1", "3500"])
-        code, out, _ = self.run_main("quarantine", "--control", address, "--release", "ab12")
-        self.assertEqual((code, out), (OK, "released ab12\n"))
+        self.assertEqual(out.splitlines()[1].split(), ["part-ab12", "part", "3", "1", "3500"])
+        code, out, _ = self.run_main("quarantine", "--control", address, "--release", "part-ab12")
+        self.assertEqual((code, out), (OK, "released part-ab12\n"))
         self.assertEqual(
             [seen[:2] for seen in self.seen],
-            [("GET", "/quarantine"), ("DELETE", "/quarantine/ab12")],
+            [("GET", "/quarantine"), ("DELETE", "/quarantine/part-ab12")],
         )
 
     def test_control_process_that_is_behind_lists_nothing(self):
--- a/mulberrygate/control/catalogs.py
+++ b/mulberrygate/control/catalogs.py
@@ -14,7 +14,8 @@
 import attrs
 import msgpack
 
-from mulberrygate.control.quarantine import QuarantineState
+from mulberrygate.control.blame import Candidate
+from mulberrygate.control.quarantine import AnswerEvidence, CrashEvidence, QuarantineState
 from mulberrygate.core.codes import register_code
 from mulberrygate.core.invariant import invariant
 
@@ -75,9 +76,50 @@
     deadline_at: float
 
 
+@attrs.frozen
+class PutEvidence:
+    """Record crashes of endpoints, answers, and the releases of operators.
+
+    Parameters
+    ==========
+    crashes : tuple[tuple[str, tuple[str, ...], bool, str, int, float, float], ...]
+        For each call that had yielded nothing at a crash: its fingerprint, the identities of its
+        shared parts, whether the head of an answer had arrived, endpoint, incarnation, age in
+        seconds, and seconds from the send to the crash.
+    answers : tuple[tuple[str, float], ...]
+        Identities that were answered, and the ages of the answers in seconds.
+    released : tuple[str, ...]
+        Identities that an operator releases.
+    at : float
+        Unix time in seconds.
+    """
+
+    crashes: tuple[tuple[str, tuple[str, ...], bool, str, int, float, float], ...]
+    answers: tuple[tuple[str, float], ...]
+    released: tuple[str, ...]
+    at: float
+
+
+@attrs.frozen
+class PutTrials:
+    """Begin a trial of a call with suspected or quarantined identities, if one is due.
+
+    Parameters
+    ==========
+    holder : str
+        Identifier of the request for the trial.
+    at : float
+        Unix time in seconds.
+    """
+
+    identities: tuple[str, ...]
+    holder: str
+    at: float
+
+
 @attrs.frozen
 class PutCrashes:
-    """Record endpoints that crashed during calls, and clear calls that were answered.
+    """Command of earlier releases: `PutEvidence` for whole calls.
 
     Parameters
     ==========
@@ -96,7 +138,7 @@
 
 @attrs.frozen
 class PutTrial:
-    """Begin a trial of a quarantined call, if one is due.
+    """Command of earlier releases: `PutTrials` for one whole call.
 
     Parameters
     ==========
@@ -119,6 +161,8 @@
     "move": PutMove,
     "crashes": PutCrashes,
     "trial": PutTrial,
+    "evidence": PutEvidence,
+    "trials": PutTrials,
 }
 KINDS = {cls: kind for kind, cls in COMMANDS.items()}
 
@@ -171,12 +215,32 @@
             return self._put_catalog(command)
         if isinstance(command, PutLeaving):
             return self._put_leaving(command)
+        if isinstance(command, PutEvidence):
+            return self._put_evidence(command)
         if isinstance(command, PutCrashes):
-            return self.quarantine.put(command.crashes, command.cleared, command.at)
+            return self._put_crashes(command)
+        if isinstance(command, PutTrials):
+            return self.quarantine.begin_trial(command.identities, command.holder, command.at)
         if isinstance(command, PutTrial):
-            return self.quarantine.begin_trial(command.call, command.holder, command.at)
+            return self.quarantine.begin_trial((command.call,), command.holder, command.at)
         return self._put_move(command)
 
+    def _put_evidence(self, command: PutEvidence) -> bool:
+        crashes = [
+            CrashEvidence(Candidate(call, tuple(parts), has_head), *crash)
+            for call, parts, has_head, *crash in command.crashes
+        ]
+        answers = [AnswerEvidence(identity, age_s) for identity, age_s in command.answers]
+        return self.quarantine.put(crashes, answers, command.released, command.at)
+
+    def _put_crashes(self, command: PutCrashes) -> bool:
+        crashes = [
+            CrashEvidence(Candidate(call), endpoint, incarnation)
+            for call, endpoint, incarnation in command.crashes
+        ]
+        answers = [AnswerEvidence(call) for call in command.cleared]
+        return self.quarantine.put(crashes, answers, (), command.at)
+
     def _put_catalog(self, command: PutCatalog) -> bool:
         if command.version <= self.version:
             return False
--- a/mulberrygate/control/quarantine.py
+++ b/mulberrygate/control/quarantine.py
@@ -1,15 +1,15 @@
-"""Replicated record of calls during which endpoints crashed.
+"""Replicated record of crashes of endpoints, and the quarantine of what causes them.
 
 Explanation
 ===========
-A call that crashes every endpoint that runs it is refused after `CRASHES_TO_QUARANTINE` crashes.
-Entries report the crashes that they see. The reports go through the control log, so that every
-control process counts the same crashes, also after restarts and network partitions. An innocent
-call that ran at the same time as a crashing one is cleared by the first valid answer to it.
-
-A quarantined call is half-open, as a circuit breaker is: after a pause one entry may send it once.
-A valid answer to this trial clears the call. The number of trials is limited, because each trial of
-a call that does crash endpoints costs another one.
+Entries report the crashes that they see and the answers to what is suspected. The reports go
+through the control log, so that every control process comes to the same verdicts, also after
+restarts and network partitions. `mulberrygate.control.blame` decides who is guilty; its identities
+are whole calls and shared parts of prompts.
+
+Calls with a suspected identity are sent one at a time over all entries. Those with a quarantined
+one are refused, except for a few trials, as a half-open circuit breaker allows them. An answer ends
+suspicion and quarantine.
 """
 
 from __future__ import annotations
@@ -19,142 +19,309 @@
 
 import attrs
 
-CRASHES_TO_QUARANTINE = 3
-# A single crash doesn't make a call suspect, since a lost endpoint may have run many calls.
-CRASHES_TO_SUSPECT = 2
-SUSPECT_S = 900.0
+from mulberrygate.control.blame import Candidate, Case, EndpointCrash, Verdicts, is_part, judge
+
+# Time for which a crash counts.
+EVIDENCE_S = 900.0
 QUARANTINE_S = 3600.0
-# Pauses in seconds before the trials of a quarantined call, counted from the crash or the trial
-# before. There are no trials after the last one.
+# Pauses in seconds before the trials of a quarantined identity, counted from the crash or the trial
+# before; there are no trials after the last one. A part has had its trials as a suspect.
 TRIAL_PAUSES_S = (1.0, 20.0)
-MAX_CALLS = 4096
+PART_TRIAL_PAUSES_S = (20.0, 120.0)
+# Pause before a suspected call is sent again.
+SUSPECT_CALL_PAUSE_S = 5.0
+# Pause before a call with a suspected part is sent: calls that were on their way at the crash have
+# been answered by then, or have ended their endpoints.
+SUSPECT_PART_PAUSE_S = 1.0
+# The same for a call with several suspected parts. An answer to a call with one of them comes first
+# and tells them apart.
+SUSPECT_PARTS_PAUSE_S = 3.0
+# Time after which a trial of a suspect without an outcome counts as lost.
+TRIAL_TIMEOUT_S = 3.0
+# Many entries report the answers to one identity; more of them tell nothing until it is listed.
+ANSWER_RENEWAL_S = 5.0
+MAX_CRASHES = 128
+MAX_ANSWERS = 4096
+MAX_QUARANTINED = 1024
+# Fields of a dump after the records; dumps of earlier releases have fewer.
+LATER_FIELDS = 5
+# Crashes at which earlier releases quarantine a call.
+EARLIER_CRASHES_TO_QUARANTINE = 3
+
+
+@attrs.frozen
+class CrashEvidence:
+    """Report that a call had yielded nothing when its endpoint crashed.
+
+    Parameters
+    ==========
+    age_s : float
+        Seconds from the crash to the report.
+    ran_s : float
+        Seconds from the send to the crash.
+    """
+
+    candidate: Candidate
+    endpoint: str
+    incarnation: int
+    age_s: float = 0.0
+    ran_s: float = math.inf
+
+
+@attrs.frozen
+class AnswerEvidence:
+    """Report that an endpoint has answered a call with an identity, ``age_s`` seconds ago."""
+
+    identity: str
+    age_s: float = 0.0
 
 
 @attrs.define
-class CrashRecord:
-    """Endpoints that crashed during one call.
+class Trials:
+    """Calls with one identity that were sent although it is suspected or quarantined.
 
     Parameters
     ==========
-    crashes : set[tuple[str, int]]
-        Endpoint and incarnation of each crash.
-    last_report_at : float
-        Unix time in seconds of the last report of a new crash.
-    trials : int
-        Number of trials since the call was quarantined.
-    trial_at : float
-        Unix time in seconds of the last trial.
-    trial_holder : str
+    count : int
+        Number of trials in the present state, suspected or quarantined.
+    at : float
+        Time of the last trial.
+    holder : str
         Identifier of the request for the last trial.
     """
 
-    crashes: set[tuple[str, int]] = attrs.field(factory=set)
-    last_report_at: float = 0.0
-    trials: int = 0
-    trial_at: float = 0.0
-    trial_holder: str = ""
+    count: int = 0
+    at: float = -math.inf
+    holder: str = ""
 
-    @property
-    def is_quarantined(self) -> bool:
-        """Whether no endpoint may run the call."""
-        return len(self.crashes) >= CRASHES_TO_QUARANTINE
 
-    @property
-    def is_suspect(self) -> bool:
-        """Whether one more crash would put the call into quarantine."""
-        return CRASHES_TO_SUSPECT <= len(self.crashes) < CRASHES_TO_QUARANTINE
+@attrs.define
+class QuarantineRecord:
+    """Identity in quarantine.
+
+    Parameters
+    ==========
+    crashes : set[tuple[str, int]]
+        Endpoint and incarnation of the crashes that are known for it.
+    last_crash_at : float
+        Time of the last of them.
+    """
 
-    def trial_wait_s(self, at: float) -> float:
-        """Return the seconds from a Unix time until a trial is due, infinite if none is left."""
-        if self.trials >= len(TRIAL_PAUSES_S):
-            return math.inf
-        since = max(self.last_report_at, self.trial_at)
-        return max(0.0, since + TRIAL_PAUSES_S[self.trials] - at)
+    crashes: set[tuple[str, int]]
+    last_crash_at: float
 
     @property
     def expires_at(self) -> float:
-        """Unix time in seconds at which the record is dropped."""
-        return self.last_report_at + (QUARANTINE_S if self.is_quarantined else SUSPECT_S)
+        """Time at which the quarantine ends."""
+        return self.last_crash_at + QUARANTINE_S
 
 
 @attrs.frozen
-class QuarantinedCall:
-    """Quarantined call as shown to operators.
+class QuarantinedIdentity:
+    """Identity in quarantine as shown to operators.
 
     Parameters
     ==========
-    fingerprint : str
-        Fingerprint of the call, as in the log lines.
+    identity : str
+        Fingerprint of a call, or a part, as in the log lines.
+    kind : str
+        ``call`` or ``part``.
     crashes : int
-        Number of endpoints that crashed during it.
+        Number of endpoints that crashed.
     trials : int
-        Number of times that it was sent since.
+        Number of times that a call with it was sent since.
     expires_s : float
         Seconds until the quarantine ends.
     """
 
-    fingerprint: str
+    identity: str
+    kind: str
     crashes: int
     trials: int
     expires_s: float
 
 
 class QuarantineState:
-    """Calls that crash endpoints, as recorded in the control log.
+    """Crashes and verdicts as recorded in the control log.
+
+    Explanation
+    ===========
+    Times are those of the processes that propose the reports, but never go back, since a clock may
+    be set.
 
     Attributes
     ==========
     number : int
         Rises with each change of `quarantined` or `suspects`; the same in all control processes.
-    quarantined : tuple[str, ...]
-        Fingerprints of calls that no endpoint may run.
-    suspects : tuple[str, ...]
-        Fingerprints of calls that one more crash would put into quarantine.
+    quarantined, suspects : tuple[str, ...]
+        Identities whose calls may not be sent, and those whose calls are sent one at a time.
+    verdicts : Verdicts
+        Evidence against the identities that were found guilty last, and against the suspects.
 
     Examples
     ========
-    >>> from mulberrygate.control.quarantine import QuarantineState
+    >>> from mulberrygate.control.blame import Candidate
+    >>> from mulberrygate.control.quarantine import CrashEvidence, QuarantineState
     >>> quarantine = QuarantineState()
-    >>> for endpoint in ("e1", "e2", "e3"):
-    ...     _ = quarantine.put([("call", endpoint, 1)], [], at=0.0)
+    >>> for number in range(2):
+    ...     candidate = Candidate(f"call-{number}", ("part-5c1e",), has_head=True)
+    ...     _ = quarantine.put([CrashEvidence(candidate, f"e{number}", 1)], at=10.0 * number)
     >>> quarantine.quarantined
-    ('call',)
+    ('part-5c1e',)
     """
 
     def __init__(self):
         self.number = 0
-        self.records: dict[str, CrashRecord] = {}
+        self.clock = -math.inf
+        self.crashes: dict[tuple[str, int], EndpointCrash] = {}
+        self.answered_at: dict[str, float] = {}
+        self.records: dict[str, QuarantineRecord] = {}
+        self.trials: dict[str, Trials] = {}
+        self.verdicts = Verdicts({}, {})
         self.quarantined: tuple[str, ...] = ()
         self.suspects: tuple[str, ...] = ()
 
     def put(
-        self, crashes: Iterable[tuple[str, str, int]], cleared: Iterable[str], at: float
+        self,
+        crashes: Iterable[CrashEvidence] = (),
+        answers: Iterable[AnswerEvidence] = (),
+        released: Iterable[str] = (),
+        at: float = 0.0,
     ) -> bool:
         """Apply reports; return whether anything changed.
 
         Parameters
         ==========
-        crashes : Iterable[tuple[str, str, int]]
-            Fingerprint, endpoint and incarnation.
-        cleared : Iterable[str]
-            Fingerprints of calls that an endpoint has answered.
+        released : Iterable[str]
+            Identities that an operator releases.
         at : float
             Unix time in seconds at the process that proposes the reports.
         """
-        is_change = self._drop_expired(at)
-        for call in cleared:
-            is_change |= self.records.pop(call, None) is not None
-        for call, endpoint, incarnation in crashes:
-            is_change |= self._add_crash(call, (endpoint, incarnation), at)
-        self._drop_oldest(len(self.records) - MAX_CALLS)
+        self.clock = max(self.clock, at)
+        is_change = self._drop_expired()
+        for answer in answers:
+            is_change |= self._add_answer(answer.identity, self.clock - answer.age_s)
+        for identity in released:
+            is_change |= self._add_answer(identity, self.clock)
+        for crash in crashes:
+            is_change |= self._add_crash(crash)
+        if is_change:
+            self._judge()
+        return is_change
+
+    def _add_answer(self, identity: str, at: float) -> bool:
+        renewal_s = 0.0 if self.is_listed(identity) else ANSWER_RENEWAL_S
+        if at <= self.answered_at.get(identity, -math.inf) + renewal_s:
+            return False
+        self.answered_at.pop(identity, None)
+        self.answered_at[identity] = at
+        while len(self.answered_at) > MAX_ANSWERS:
+            del self.answered_at[next(iter(self.answered_at))]
+        record = self.records.get(identity)
+        if record is not None and record.last_crash_at <= at:
+            del self.records[identity]
+        return True
+
+    def _add_crash(self, evidence: CrashEvidence) -> bool:
+        key = (evidence.endpoint, evidence.incarnation)
+        at = self.clock - evidence.age_s
+        crash = self.crashes.setdefault(key, EndpointCrash(at))
+        is_change = crash.add(attrs.evolve(evidence.candidate, sent_at=at - evidence.ran_s))
+        while len(self.crashes) > MAX_CRASHES:
+            oldest = min(self.crashes, key=lambda other: self.crashes[other].at)
+            del self.crashes[oldest]
+        for identity in evidence.candidate.identities:
+            record = self.records.get(identity)
+            if record is not None and at > self.answered_at.get(identity, -math.inf):
+                record.crashes.add(key)
+                record.last_crash_at = max(record.last_crash_at, crash.at)
+        return is_change
+
+    def _judge(self) -> None:
+        """Update the verdicts, and the lists if these change."""
+        self.verdicts = judge(self.crashes.values(), self.answered_at, self.records)
+        for identity, case in self.verdicts.guilty.items():
+            if identity not in self.records:
+                self.records[identity] = QuarantineRecord(
+                    set(self.crash_keys(case)), case.crashes[-1].at
+                )
+                self.trials.pop(identity, None)
+        self._drop_oldest_records()
         before = self.quarantined, self.suspects
-        self._update_lists()
+        self.quarantined = tuple(self.records)
+        self.suspects = tuple(name for name in self.verdicts.suspects if name not in self.records)
+        listed = {*self.quarantined, *self.suspects}
+        self.trials = {name: trials for name, trials in self.trials.items() if name in listed}
         if before != (self.quarantined, self.suspects):
             self.number += 1
-        return is_change
 
-    def begin_trial(self, call: str, holder: str, at: float) -> bool:
-        """Begin a trial of a call; return whether one was due.
+    def _drop_oldest_records(self) -> None:
+        while len(self.records) > MAX_QUARANTINED:
+            del self.records[min(self.records, key=lambda name: self.records[name].last_crash_at)]
+
+    def _drop_expired(self) -> bool:
+        old_crashes = [
+            key for key, crash in self.crashes.items() if crash.at + EVIDENCE_S <= self.clock
+        ]
+        old_records = [
+            name for name, record in self.records.items() if record.expires_at <= self.clock
+        ]
+        for key in old_crashes:
+            del self.crashes[key]
+        for name in old_records:
+            del self.records[name]
+        return bool(old_crashes or old_records)
+
+    def has_expired(self, at: float) -> bool:
+        """Return whether a crash or a quarantine has expired at a Unix time."""
+        return any(crash.at + EVIDENCE_S <= at for crash in self.crashes.values()) or any(
+            record.expires_at <= at for record in self.records.values()
+        )
+
+    def is_listed(self, identity: str) -> bool:
+        """Return whether an identity is suspected or quarantined."""
+        return identity in self.records or identity in self.verdicts.suspects
+
+    def listed(self, identities: Iterable[str]) -> tuple[str, ...]:
+        """Return those of some identities that are suspected or quarantined."""
+        return tuple(identity for identity in identities if self.is_listed(identity))
+
+    def trial_wait_s(self, identities: Iterable[str], at: float) -> float:
+        """Return the seconds from a Unix time until a trial of a call is due.
+
+        Parameters
+        ==========
+        identities : Iterable[str]
+            All identities of the call.
+
+        Returns
+        =======
+        float
+            Infinite if no trial is left.
+        """
+        listed = self.listed(identities)
+        suspected = [name for name in listed if name not in self.records and is_part(name)]
+        part_pause_s = SUSPECT_PARTS_PAUSE_S if len(suspected) > 1 else SUSPECT_PART_PAUSE_S
+        due_at = max((self._trial_due_at(name, part_pause_s) for name in listed), default=0.0)
+        return max(0.0, due_at - max(self.clock, at))
+
+    def _trial_due_at(self, identity: str, part_pause_s: float) -> float:
+        """Return the time at which a trial of a call with a listed identity is due."""
+        trials = self.trials.get(identity, Trials())
+        record = self.records.get(identity)
+        if record is not None:
+            pauses = PART_TRIAL_PAUSES_S if is_part(identity) else TRIAL_PAUSES_S
+            if trials.count >= len(pauses):
+                return math.inf
+            return max(record.last_crash_at, trials.at) + pauses[trials.count]
+        crashed_at = self.verdicts.suspects[identity].crashes[-1].at
+        due_at = crashed_at + (part_pause_s if is_part(identity) else SUSPECT_CALL_PAUSE_S)
+        # A crash after the trial is its outcome.
+        is_running = crashed_at <= trials.at
+        return max(due_at, trials.at + TRIAL_TIMEOUT_S) if is_running else due_at
+
+    def begin_trial(self, identities: Iterable[str], holder: str, at: float) -> bool:
+        """Begin a trial of a call; return whether one was due for all its listed identities.
 
         Parameters
         ==========
@@ -163,83 +330,102 @@
         at : float
             Unix time in seconds at the process that proposes the trial.
         """
-        record = self.records.get(call)
-        if record is None or not record.is_quarantined or record.trial_wait_s(at) > 0:
-            return False
-        record.trials += 1
-        record.trial_at = at
-        record.trial_holder = holder
-        return True
-
-    def _update_lists(self) -> None:
-        rows = self.records.items()
-        self.quarantined = tuple(call for call, record in rows if record.is_quarantined)
-        self.suspects = tuple(call for call, record in rows if record.is_suspect)
-
-    def _add_crash(self, call: str, crash: tuple[str, int], at: float) -> bool:
-        record = self.records.setdefault(call, CrashRecord())
-        if crash in record.crashes:
+        listed = self.listed(identities)
+        if not listed or self.trial_wait_s(listed, at) > 0:
             return False
-        record.crashes.add(crash)
-        record.last_report_at = max(record.last_report_at, at)
+        self.clock = max(self.clock, at)
+        for identity in listed:
+            trials = self.trials.setdefault(identity, Trials())
+            trials.count += 1
+            trials.at = self.clock
+            trials.holder = holder
         return True
 
-    def _drop_oldest(self, count: int) -> None:
-        """Drop the oldest records, those of calls in quarantine last."""
-        if count <= 0:
-            return
-        oldest = sorted(self.records, key=lambda call: self.records[call].is_quarantined)
-        for call in oldest[:count]:
-            del self.records[call]
-
-    def _drop_expired(self, at: float) -> bool:
-        expired = [call for call, record in self.records.items() if record.expires_at <= at]
-        for call in expired:
-            del self.records[call]
-        return bool(expired)
-
-    def has_expired(self, at: float) -> bool:
-        """Return whether a record has expired."""
-        return any(record.expires_at <= at for record in self.records.values())
-
-    def list_quarantined(self, at: float) -> list[QuarantinedCall]:
-        """Return the quarantined calls at a Unix time, for operators."""
+    def list_quarantined(self, at: float) -> list[QuarantinedIdentity]:
+        """Return the quarantined identities at a Unix time, for operators."""
         return [
-            QuarantinedCall(
-                call, len(record.crashes), record.trials, max(0.0, record.expires_at - at)
+            QuarantinedIdentity(
+                identity,
+                "part" if is_part(identity) else "call",
+                len(record.crashes),
+                self.trials.get(identity, Trials()).count,
+                max(0.0, record.expires_at - at),
             )
-            for call, record in self.records.items()
-            if record.is_quarantined
+            for identity, record in self.records.items()
         ]
 
-    def dump(self) -> list:
-        """Return the whole state as plain values.
+    def crash_keys(self, case: Case) -> list[tuple[str, int]]:
+        """Return endpoint and incarnation of the crashes of a case."""
+        found = {id(crash) for crash in case.crashes}
+        return [key for key, crash in self.crashes.items() if id(crash) in found]
+
+    def eliminated(self, case: Case) -> list[str]:
+        """Return the other identities of a case's candidates that were answered."""
+        found = {
+            identity
+            for crash in case.crashes
+            for candidate in crash.candidates.values()
+            for identity in candidate.identities
+            if identity != case.identity and identity in self.answered_at
+        }
+        return sorted(found)
 
-        Explanation
-        ===========
-        Earlier releases don't know trials. They can read the values as long as there are none.
-        """
-        rows = [
-            [call, sorted([*crash] for crash in record.crashes), record.last_report_at]
-            for call, record in self.records.items()
+    def dump(self) -> list:
+        """Return the whole state as plain values."""
+        crashes = [
+            [*key, crash.at, [attrs.astuple(item) for item in crash.candidates.values()]]
+            for key, crash in self.crashes.items()
         ]
-        trials = [
-            [call, record.trials, record.trial_at, record.trial_holder]
-            for call, record in self.records.items()
-            if record.trials
+        records = [
+            [identity, sorted([*crash] for crash in record.crashes), record.last_crash_at]
+            for identity, record in self.records.items()
         ]
-        return [self.number, rows, trials] if trials else [self.number, rows]
+        trials = [[identity, *attrs.astuple(trials)] for identity, trials in self.trials.items()]
+        # Earlier releases read the first three fields, and expect a record for each trial.
+        of_records = [row for row in trials if row[0] in self.records]
+        of_suspects = [row for row in trials if row[0] not in self.records]
+        answers = list(self.answered_at.items())
+        return [self.number, records, of_records, of_suspects, self.clock, crashes, answers]
 
     def load(self, values: list) -> None:
         """Replace the whole state by dumped values."""
-        self.number, rows, *later = values
+        self.number, records, *later = values
+        if len(later) < LATER_FIELDS:
+            self._load_earlier(records, later[0] if later else ())
+            return
+        of_records, of_suspects, self.clock, crashes, answers = later
         self.records = {
-            call: CrashRecord(
-                {(endpoint, incarnation) for endpoint, incarnation in crashes}, last_report_at
+            identity: QuarantineRecord({(name, number) for name, number in keys}, last_crash_at)
+            for identity, keys, last_crash_at in records
+        }
+        self.trials = {
+            identity: Trials(*fields) for identity, *fields in (*of_records, *of_suspects)
+        }
+        self.crashes = {
+            (endpoint, incarnation): EndpointCrash(
+                at,
+                {
+                    call: Candidate(call, tuple(parts), has_head, sent_at)
+                    for call, parts, has_head, sent_at in candidates
+                },
             )
-            for call, crashes, last_report_at in rows
+            for endpoint, incarnation, at, candidates in crashes
         }
-        for call, trials, trial_at, trial_holder in later[0] if later else ():
-            record = self.records[call]
-            record.trials, record.trial_at, record.trial_holder = trials, trial_at, trial_holder
-        self._update_lists()
+        self.answered_at = dict((identity, at) for identity, at in answers)
+        self._restore_verdicts()
+
+    def _load_earlier(self, records: list, trials: Iterable) -> None:
+        """Load the state of an earlier release, which counts the crashes of whole calls."""
+        self.clock = max((last_at for _, _, last_at in records), default=-math.inf)
+        self.crashes, self.answered_at, self.records = {}, {}, {}
+        for call, keys, last_at in records:
+            crashes = {(endpoint, incarnation) for endpoint, incarnation in keys}
+            if len(crashes) >= EARLIER_CRASHES_TO_QUARANTINE:
+                self.records[call] = QuarantineRecord(crashes, last_at)
+        self.trials = {call: Trials(*fields) for call, *fields in trials if call in self.records}
+        self._restore_verdicts()
+
+    def _restore_verdicts(self) -> None:
+        self.verdicts = judge(self.crashes.values(), self.answered_at, self.records)
+        self.quarantined = tuple(self.records)
+        self.suspects = tuple(name for name in self.verdicts.suspects if name not in self.records)
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -6,7 +6,6 @@
 import math
 import os
 import random
-import time
 import zlib
 
 from mulberrygate.agreement import AgreementSettings
@@ -20,10 +19,11 @@
     PutCatalog,
     PutLeaving,
 )
-from mulberrygate.control.quarantine import QuarantinedCall
+from mulberrygate.control.quarantine import QuarantinedIdentity
 from mulberrygate.core.boot_time import seconds_since_boot
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.crash_committer import CRASH_EXPIRY_INTERVAL_S, CrashCommitter
+from mulberrygate.daemon.log_clock import LogClock
 from mulberrygate.daemon.placement import Placement, PoolOwners
 from mulberrygate.daemon.roster_sharing import RosterSharing
 from mulberrygate.daemon.site_moves import SiteMoves
@@ -142,11 +142,17 @@
             self.roster, self.peers.client, self.timers, self._other_controls, self._own_entries
         )
         self.placement: Placement | None = None
+        self.log_clock = LogClock(lambda: self.machine.quarantine.clock)
         self.crash_committer = CrashCommitter(
-            lambda: self.machine, self.log.commit, self.timers, lines
+            lambda: self.machine, self.log.commit, self.log_clock, self.timers, lines
         )
         self.trial_granter = TrialGranter(
-            lambda: self.machine, lambda: self.is_leader, self.log.commit, self.timers, lines
+            lambda: self.machine,
+            lambda: self.is_leader,
+            self.log.commit,
+            self.log_clock,
+            self.timers,
+            lines,
         )
         self.is_stopping = False
         self.is_catalog_pending = False
@@ -418,9 +424,8 @@
         """Merge an update into the roster; return the renewed endpoints that are unknown here."""
         now = self.timers.now()
         self.entries_of_controls[sender] = (now, message.entries)
-        if not message.reads_crashes:
+        if not message.reads_evidence:
             self.crash_committer.gate.record_earlier_release(now)
-        if not message.reads_trials:
             self.trial_granter.gate.record_earlier_release(now)
         is_change, result = self.sharing.merge(message, now)
         if is_change:
@@ -480,7 +485,7 @@
         names = list(roster.rows) if is_full else roster.changed_since(message.changes)
         limit = self.timers.now() - SILENT_AFTER_S
         quarantine = machine.quarantine
-        is_quarantine_due = message.quarantine < quarantine.number
+        is_quarantine_due = message.quarantine != quarantine.number
         return FollowResult(
             control_incarnation=self.incarnation,
             changes=roster.changes,
@@ -518,14 +523,13 @@
         if self.is_leader:
             await self.crash_committer.expire_records()
 
-    def list_quarantined(self) -> list[QuarantinedCall]:
-        """Return the quarantined calls as known to this process."""
-        return self.machine.quarantine.list_quarantined(time.time())
+    def list_quarantined(self) -> list[QuarantinedIdentity]:
+        """Return the quarantined calls and parts as known to this process."""
+        return self.machine.quarantine.list_quarantined(self.log_clock.now())
 
-    async def release_call(self, call: str) -> bool:
-        """Release a quarantined call on an operator's order; return whether that is committed."""
-        result = await self.crash_committer.on_report(CrashReport((), (call,)), "operator")
-        return result.is_committed
+    async def release_identity(self, identity: str) -> bool:
+        """Release a quarantined call or part for an operator; return whether that is committed."""
+        return await self.crash_committer.release(identity)
 
     async def has_pool(self, pool: str) -> bool | None:
         """Return whether the newest catalog has a pool, ``None`` if that is not certain."""
--- a/mulberrygate/daemon/crash_committer.py
+++ b/mulberrygate/daemon/crash_committer.py
@@ -3,22 +3,43 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 
-from mulberrygate.control.catalogs import CatalogStateMachine, PutCrashes
+import attrs
+
+from mulberrygate.control.blame import Case
+from mulberrygate.control.catalogs import CatalogStateMachine, PutEvidence
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.command_gate import CommandGate
+from mulberrygate.daemon.log_clock import LogClock
 from mulberrygate.observe.jsonlines import JsonLines
-from mulberrygate.sync.messages import CrashReport, CrashReportResult
+from mulberrygate.sync.messages import Crash, CrashReport, CrashReportResult
 
 # Many entries report the calls of a lost endpoint within some hundredths of a second.
 BATCH_DELAY_S = 0.03
 CRASH_EXPIRY_INTERVAL_S = 30.0
+# Crashes, and eliminated identities, in one log line.
+MAX_LOGGED = 8
+
+
+@attrs.frozen
+class PendingCrash:
+    """Reported crash that the next command will hold.
+
+    Parameters
+    ==========
+    crash : Crash
+        Without its age.
+    at : float
+        Time on the log clock.
+    """
+
+    crash: Crash
+    at: float
 
 
 class CrashCommitter:
-    """Commits entries' crash reports in batches, one command at a time.
+    """Commits entries' reports in batches, one command at a time.
 
     Explanation
     ===========
@@ -29,61 +50,89 @@
     ==========
     machine : Callable[[], CatalogStateMachine]
         Returns the current state machine; reopening the voter replaces it.
-    commit : Callable[[PutCrashes], Awaitable[bool]]
+    commit : Callable[[PutEvidence], Awaitable[bool]]
         Proposes a command; returns whether it is certainly committed.
+    clock : LogClock
+        Clock of the times in commands.
 
     Attributes
     ==========
-    crashes, cleared : dict
-        Reported crashes and cleared calls that the next command will hold, as ordered sets.
+    crashes : dict[Crash, PendingCrash]
+        Crashes that the next command will hold, without their ages.
+    answers : dict[str, float]
+        Time of the latest answer of each identity that the next command will hold.
+    released : dict[str, None]
+        Identities that an operator releases, as an ordered set.
     pending_results : list[asyncio.Future]
         Results of the reports that wait for the next command.
     quarantine_number : int
         Number of the quarantine whose changes were logged last.
-    logged_quarantine : frozenset[str]
-        Quarantined calls as logged last.
+    logged_quarantine, logged_suspects : frozenset[str]
+        Identities as logged last.
     """
 
     def __init__(
         self,
         machine: Callable[[], CatalogStateMachine],
-        commit: Callable[[PutCrashes], Awaitable[bool]],
+        commit: Callable[[PutEvidence], Awaitable[bool]],
+        clock: LogClock,
         timers: TimerService,
         lines: JsonLines,
     ):
         self.machine = machine
         self.commit = commit
+        self.clock = clock
         self.timers = timers
         self.lines = lines
-        self.crashes: dict[tuple[str, str, int], None] = {}
-        self.cleared: dict[str, None] = {}
+        self.crashes: dict[Crash, PendingCrash] = {}
+        self.answers: dict[str, float] = {}
+        self.released: dict[str, None] = {}
         self.pending_results: list[asyncio.Future] = []
         self.is_committing = False
         self.gate = CommandGate()
         self.quarantine_number = 0
         self.logged_quarantine: frozenset[str] = frozenset()
+        self.logged_suspects: frozenset[str] = frozenset()
 
     async def on_report(self, report: CrashReport, sender: str) -> CrashReportResult:
         """Queue an entry's report; answer when its command is committed or has failed."""
-        crashes = [(crash.call, crash.endpoint, crash.incarnation) for crash in report.crashes]
-        for call, endpoint, incarnation in crashes:
+        now = self.clock.now()
+        for crash in report.crashes:
             self.lines.log(
                 "call.crash_heard",
-                fingerprint=call,
-                endpoint=endpoint,
-                incarnation=incarnation,
+                fingerprint=crash.call,
+                parts=",".join(crash.parts),
+                has_head=crash.has_head,
+                endpoint=crash.endpoint,
+                incarnation=crash.incarnation,
                 entry=sender,
+                age_s=round(crash.age_s, 3),
             )
-        self.crashes.update(dict.fromkeys(crashes))
-        self.cleared.update(dict.fromkeys(report.cleared))
+            known = attrs.evolve(crash, age_s=0.0)
+            self.crashes.setdefault(known, PendingCrash(known, now - crash.age_s))
+        answers = [(answer.identity, now - answer.age_s) for answer in report.answers]
+        answers += [(call, now) for call in report.cleared]
+        for identity, at in answers:
+            self.answers[identity] = max(at, self.answers.get(identity, at))
+        is_committed = await self._commit_next()
+        number = self.machine().quarantine.number if is_committed else 0
+        return CrashReportResult(is_committed, number)
+
+    async def release(self, identity: str) -> bool:
+        """Release an identity on an operator's order; return whether that is committed."""
+        self.released[identity] = None
+        return await self._commit_next()
+
+    async def _commit_next(self) -> bool:
+        """Wait for the next command; return whether it is certainly committed."""
         result = asyncio.get_running_loop().create_future()
         self.pending_results.append(result)
         if not self.is_committing:
             self.is_committing = True
             self.timers.spawn(self._commit_all())
-        return CrashReportResult(await result)
+        return await result
 
-    async def _put(self, command: PutCrashes) -> bool:
+    async def _put(self, command: PutEvidence) -> bool:
         if not self.gate.is_open(self.timers.now()):
             return False
         return await self.commit(command)
@@ -98,29 +147,84 @@
 
     async def _commit_batch(self) -> None:
         """Commit the queued reports in one command."""
-        crashes, self.crashes = tuple(self.crashes), {}
-        cleared, self.cleared = tuple(self.cleared), {}
+        command = self._take_command()
         results, self.pending_results = self.pending_results, []
         is_committed = False
         try:
-            is_committed = await self._put(PutCrashes(crashes, cleared, time.time()))
+            is_committed = await self._put(command)
         finally:
             for result in results:
                 if not result.done():
                     result.set_result(is_committed)
 
+    def _take_command(self) -> PutEvidence:
+        """Return the command with all that is queued, and empty the queues."""
+        now = self.clock.now()
+        crashes = tuple(
+            (
+                pending.crash.call,
+                pending.crash.parts,
+                pending.crash.has_head,
+                pending.crash.endpoint,
+                pending.crash.incarnation,
+                round(now - pending.at, 3),
+                pending.crash.ran_s,
+            )
+            for pending in self.crashes.values()
+        )
+        answers = tuple((identity, round(now - at, 3)) for identity, at in self.answers.items())
+        released = tuple(self.released)
+        self.crashes, self.answers, self.released = {}, {}, {}
+        return PutEvidence(crashes, answers, released, now)
+
     def log_quarantine_changes(self) -> None:
-        """Log the calls that were added to the quarantine and those that were released."""
+        """Log which identities were suspected, quarantined and released, and why."""
         quarantine = self.machine().quarantine
         if quarantine.number <= self.quarantine_number:
             return
         self.quarantine_number = quarantine.number
         quarantined = frozenset(quarantine.quarantined)
-        for call in quarantined - self.logged_quarantine:
-            self.lines.log("call.quarantined", fingerprint=call)
-        for call in self.logged_quarantine - quarantined:
-            self.lines.log("call.released", fingerprint=call)
+        suspects = frozenset(quarantine.suspects)
+        for identity in sorted(suspects - self.logged_suspects):
+            self._log_case("quarantine.suspected", quarantine.verdicts.suspects[identity])
+        for identity in sorted(quarantined - self.logged_quarantine):
+            case = quarantine.verdicts.guilty.get(identity)
+            if case is not None:
+                self._log_case("quarantine.added", case)
+            else:
+                self.lines.log("quarantine.known", identity=identity)
+        for identity in sorted(self.logged_suspects - suspects - quarantined):
+            answered_at = quarantine.answered_at.get(identity)
+            self.lines.log(
+                "quarantine.cleared", identity=identity, answer_age_s=self._age_s(answered_at)
+            )
+        for identity in sorted(self.logged_quarantine - quarantined):
+            answered_at = quarantine.answered_at.get(identity)
+            self.lines.log(
+                "quarantine.released", identity=identity, answer_age_s=self._age_s(answered_at)
+            )
         self.logged_quarantine = quarantined
+        self.logged_suspects = suspects
+
+    def _log_case(self, event: str, case: Case) -> None:
+        """Log a verdict with the crashes that decided it and what was eliminated."""
+        quarantine = self.machine().quarantine
+        keys = quarantine.crash_keys(case)[-MAX_LOGGED:]
+        self.lines.log(
+            event,
+            identity=case.identity,
+            endpoints=",".join(endpoint for endpoint, _ in keys),
+            ages_s=[self._age_s(quarantine.crashes[key].at) for key in keys],
+            calls=len(case.calls),
+            episodes=case.episodes,
+            heads=case.heads,
+            is_trusted=case.is_trusted,
+            eliminated=",".join(quarantine.eliminated(case)[:MAX_LOGGED]),
+        )
+
+    def _age_s(self, at: float | None) -> float:
+        """Return the age of a time on the log clock in seconds, -1 for no time."""
+        return -1.0 if at is None else round(max(0.0, self.clock.now() - at), 3)
 
     async def expire_records(self) -> None:
         """Commit an empty command if crash records have expired; only called at the leader.
@@ -129,6 +233,6 @@
         ===========
         The command's time removes the records, so that all control processes drop the same ones.
         """
-        now = time.time()
+        now = self.clock.now()
         if self.machine().quarantine.has_expired(now):
-            await self._put(PutCrashes((), (), now))
+            await self._put(PutEvidence((), (), (), now))
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from aiohttp import web
 
 from mulberrygate.catalog import CatalogIndex
+from mulberrygate.control.blame import is_part
 from mulberrygate.core.boot_time import seconds_since_boot
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.http_server import HttpServer
@@ -40,6 +42,9 @@
 LOG_FLUSH_INTERVAL_S = 0.1
 POOLS_LOG_INTERVAL_S = 1.0
 SILENT_CHECK_INTERVAL_S = 1.0
+# A new entry that hears only from control processes that may lack the newest state waits for this
+# time for one that has it. Without a majority of the group there is none.
+CURRENT_STATE_WAIT_S = 3.0
 
 
 class EntryNode:
@@ -57,6 +62,14 @@
         Sockets that already listen.
     seed : int or None
         Seed of the random choices.
+
+    Attributes
+    ==========
+    is_informed : bool
+        Whether the catalog and the quarantine are known from a process that had the newest state,
+        or none was found in time.
+    first_result_at : float
+        Monotonic time of the first answer of any control process, infinite before.
     """
 
     def __init__(
@@ -77,6 +90,7 @@
             seconds_since_boot,
         )
         self.suspects = Suspects(self._log_crash, lambda: self.reporter.wake())
+        self._add_quarantine_gauges()
         self.reporter = CrashReporter(
             self.peers.client, self.suspects, self.timers, self._list_controls
         )
@@ -92,9 +106,20 @@
         self.decode = decode
         self.evidence = EvidenceReports(self.roster, self.timers.now)
         self.is_stopping = False
+        self.is_informed = False
+        self.first_result_at = math.inf
         self.http: HttpServer | None = None
         self.readiness_http: HttpServer | None = None
 
+    def _add_quarantine_gauges(self) -> None:
+        """Add the numbers of suspected and quarantined calls and parts to the metrics."""
+        suspects = self.suspects
+        gauge = self.metrics.gauge
+        gauge("quarantined_parts", lambda: sum(map(is_part, suspects.quarantined)))
+        gauge("quarantined_calls", lambda: sum(not is_part(n) for n in suspects.quarantined))
+        gauge("suspected_parts", lambda: sum(map(is_part, suspects.suspected)))
+        gauge("suspected_calls", lambda: sum(not is_part(n) for n in suspects.suspected))
+
     def _create_components(self) -> None:
         """Create the components that need a running event loop."""
         site, peers = self.site, self.peers.client
@@ -180,12 +205,17 @@
     @property
     def is_ready(self) -> bool:
         """Whether the entry can serve new callers."""
-        return not self.is_stopping and self.follower.index is not None
+        return not self.is_stopping and self.forwarder.index is not None
 
     async def _handle_readiness(self, request: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.is_ready else 503)
 
     def _on_catalog(self, index: CatalogIndex) -> None:
+        """Put a catalog in force; the first one when the quarantine is known as well."""
+        if self.is_informed:
+            self._put_in_force(index)
+
+    def _put_in_force(self, index: CatalogIndex) -> None:
         self.forwarder.set_index(index)
         if self.http is not None:
             self.http.set_limits(index.catalog.limits)
@@ -198,12 +228,39 @@
         self.forwarder.catalog_current_at = self.follower.current_at
         self.forwarder.set_entries(result.entries)
         self.limits.entries = result.entries
-        self.suspects.update_quarantine(result.quarantine, result.quarantined, result.suspected)
-        self.trials.retain(self.suspects.quarantined)
+        self._update_quarantine(result)
+        self._check_informed(result)
         self.evidence.set_moves(self.follower.moves)
         if result.heard or result.gone:
             self.placement.refresh()
 
+    def _update_quarantine(self, result: FollowResult) -> None:
+        """Take over the quarantine of a control process, and cancel what it forbids."""
+        suspects = self.suspects
+        before = suspects.quarantine_number
+        if result.is_current or result.quarantine > before:
+            suspects.update_quarantine(result.quarantine, result.quarantined, result.suspected)
+        if suspects.quarantine_number != before:
+            self.trials.retain({*suspects.quarantined, *suspects.suspected})
+            self.forwarder.cancel_quarantined()
+
+    def _check_informed(self, result: FollowResult) -> None:
+        """Begin to serve once the state of the control group is known.
+
+        Explanation
+        ===========
+        A control process that was restored from its disk has an older quarantine until it has
+        caught up. An entry that started with that would send calls that crash endpoints.
+        """
+        if self.is_informed:
+            return
+        now = self.timers.now()
+        self.first_result_at = min(self.first_result_at, now)
+        if result.is_current or now >= self.first_result_at + CURRENT_STATE_WAIT_S:
+            self.is_informed = True
+            if self.follower.index is not None:
+                self._put_in_force(self.follower.index)
+
     def _send_evidence(self) -> None:
         """Send the results of requests to pools under a version move to the leader."""
         leader = self.follower.leader
@@ -216,6 +273,8 @@
         self.lines.log(
             "call.crashed",
             fingerprint=crash.call,
+            parts=",".join(crash.parts),
+            has_head=crash.has_head,
             endpoint=crash.endpoint,
             incarnation=crash.incarnation,
         )
--- a/mulberrygate/daemon/roster_sharing.py
+++ b/mulberrygate/daemon/roster_sharing.py
@@ -85,7 +85,11 @@
     def _make_update(self, **fields: tuple) -> PeerUpdate:
         """Return an update with the given fields and what this release can apply."""
         return PeerUpdate(
-            entries=self.own_entries(), reads_crashes=True, reads_trials=True, **fields
+            entries=self.own_entries(),
+            reads_crashes=True,
+            reads_trials=True,
+            reads_evidence=True,
+            **fields,
         )
 
     def merge(self, update: PeerUpdate, now: float) -> tuple[bool, PeerUpdateResult]:
--- a/mulberrygate/daemon/tests/test_site_quarantine.py
+++ b/mulberrygate/daemon/tests/test_site_quarantine.py
@@ -79,9 +79,11 @@
         await self.start_endpoint(name="e4")
         self.assertEqual((await self.deployment.send_request("/plain/1"))[0], 503)
         _, fields = await self.deployment.call_control("GET", "/quarantine")
-        calls = fields["calls"]
-        self.assertEqual([(call["crashes"], call["trials"]) for call in calls], [(3, 0)])
-        path = f"/quarantine/{calls[0]['fingerprint']}"
+        found = fields["quarantined"]
+        self.assertEqual(
+            [(row["kind"], row["crashes"], row["trials"]) for row in found], [("call", 3, 0)]
+        )
+        path = f"/quarantine/{found[0]['identity']}"
         self.assertEqual((await self.deployment.call_control("DELETE", path))[0], 200)
         await self.send_until_served()
 
--- a/mulberrygate/daemon/tests/test_trial_granter.py
+++ b/mulberrygate/daemon/tests/test_trial_granter.py
@@ -7,8 +7,11 @@
 import time
 import unittest
 
+from mulberrygate.control.blame import Candidate
 from mulberrygate.control.catalogs import CatalogStateMachine, encode_command
+from mulberrygate.control.quarantine import CrashEvidence
 from mulberrygate.core.timers import TimerService
+from mulberrygate.daemon.log_clock import LogClock
 from mulberrygate.daemon.trial_granter import TrialGranter
 from mulberrygate.forward.tests.support import Lines
 from mulberrygate.sync.messages import TrialRequest
@@ -24,10 +27,16 @@
         self.is_leader = True
         self.commands = []
         self.granter = TrialGranter(
-            lambda: self.machine, lambda: self.is_leader, self.commit, self.timers, Lines()
+            lambda: self.machine,
+            lambda: self.is_leader,
+            self.commit,
+            LogClock(lambda: self.machine.quarantine.clock),
+            self.timers,
+            Lines(),
         )
-        crashes = [("a", f"e{number}", 1) for number in range(3)]
-        self.machine.quarantine.put(crashes, [], time.time() - 10.0)
+        for number in range(3):
+            evidence = CrashEvidence(Candidate("a"), f"e{number}", 1)
+            self.machine.quarantine.put([evidence], at=time.time() - 10.0 + number)
 
     async def commit(self, command):
         """Apply a command as if it were committed, after other tasks have run."""
@@ -49,7 +58,7 @@
         """Guards against entries that ask again and again before a trial is due."""
         await self.request("first")
         self.assertGreater((await self.request("second")).wait_s, 0.0)
-        self.machine.quarantine.records["a"].trials = 100
+        self.machine.quarantine.trials["a"].count = 100
         self.assertEqual((await self.request("third")).wait_s, math.inf)
         self.assertEqual(len(self.commands), 1)
 
--- a/mulberrygate/daemon/trial_granter.py
+++ b/mulberrygate/daemon/trial_granter.py
@@ -1,13 +1,13 @@
-"""Grants of trials, by which a quarantined call may be sent once."""
+"""Grants of trials, by which a suspected or quarantined call may be sent once."""
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 
-from mulberrygate.control.catalogs import CatalogStateMachine, PutTrial
+from mulberrygate.control.catalogs import CatalogStateMachine, PutTrials
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.command_gate import CommandGate
+from mulberrygate.daemon.log_clock import LogClock
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.sync.messages import TrialRequest, TrialResult
 
@@ -16,7 +16,7 @@
 
 
 class TrialGranter:
-    """Grants trials of quarantined calls to entries, at the leader only.
+    """Grants trials of suspected and quarantined calls to entries, at the leader only.
 
     Explanation
     ===========
@@ -29,21 +29,25 @@
         Returns the current state machine; reopening the voter replaces it.
     is_leader : Callable[[], bool]
         Returns whether this process leads the control group.
-    commit : Callable[[PutTrial], Awaitable[bool]]
+    commit : Callable[[PutTrials], Awaitable[bool]]
         Proposes a command; returns whether it is certainly committed.
+    clock : LogClock
+        Clock of the times in commands.
     """
 
     def __init__(
         self,
         machine: Callable[[], CatalogStateMachine],
         is_leader: Callable[[], bool],
-        commit: Callable[[PutTrial], Awaitable[bool]],
+        commit: Callable[[PutTrials], Awaitable[bool]],
+        clock: LogClock,
         timers: TimerService,
         lines: JsonLines,
     ):
         self.machine = machine
         self.is_leader = is_leader
         self.commit = commit
+        self.clock = clock
         self.timers = timers
         self.lines = lines
         self.gate = CommandGate()
@@ -52,20 +56,25 @@
         """Grant a trial if one is due, or return how long the entry has to wait."""
         if not self.is_leader() or not self.gate.is_open(self.timers.now()):
             return TrialResult(False, UNDECIDED_WAIT_S)
-        record = self.machine().quarantine.records.get(request.call)
-        if record is None or not record.is_quarantined:
+        quarantine = self.machine().quarantine
+        listed = quarantine.listed((request.call, *request.parts))
+        if not listed:
             return TrialResult(False, UNDECIDED_WAIT_S)
-        wait_s = record.trial_wait_s(time.time())
+        wait_s = quarantine.trial_wait_s(listed, self.clock.now())
         if wait_s > 0:
             return TrialResult(False, wait_s)
-        is_committed = await self.commit(PutTrial(request.call, request.holder, time.time()))
-        record = self.machine().quarantine.records.get(request.call)
-        is_granted = is_committed and record is not None and record.trial_holder == request.holder
+        is_committed = await self.commit(PutTrials(listed, request.holder, self.clock.now()))
+        is_granted = is_committed and self._is_holder(listed, request.holder)
         self.lines.log(
             "call.trial",
             fingerprint=request.call,
+            identities=",".join(listed),
             entry=sender,
-            number=record.trials if record is not None else 0,
             is_granted=is_granted,
         )
         return TrialResult(is_granted, 0.0 if is_granted else UNDECIDED_WAIT_S)
+
+    def _is_holder(self, identities: tuple[str, ...], holder: str) -> bool:
+        """Return whether a request holds the last trial of all identities."""
+        trials = self.machine().quarantine.trials
+        return all(name in trials and trials[name].holder == holder for name in identities)
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -16,11 +16,14 @@
     1207, "no_share_of_limit", "This entry holds no share of the account's limit; not run.", 503
 )
 CRASHES_ENDPOINTS = register_code(
-    1208, "crashes_endpoints", "The call crashes endpoints that run it; not run.", 503
+    1208, "crashes_endpoints", "Such calls crash endpoints that run them; not run.", 503
 )
 CATALOG_UNCERTAIN = register_code(
     1209, "catalog_uncertain", "A newer catalog may allow the call; not run.", 503
 )
+MAY_CRASH_ENDPOINTS = register_code(
+    1210, "may_crash_endpoints", "Such a call may have crashed an endpoint; not run.", 503
+)
 NOT_SERVED = register_code(
     2201, "not_served", "No endpoint took the call in the time it had; not run.", 503
 )
@@ -33,6 +36,9 @@
 ENDPOINT_FAILED = register_code(
     6202, "endpoint_broke_off", "The endpoint broke off or sent no sound answer.", 502
 )
+CANCELLED = register_code(
+    6203, "cancelled_as_crashing", "Such calls crash endpoints; this one may have run.", 502
+)
 PATH_FAILED = register_code(
     9611, "forwarding_failed", "The forwarding path itself failed; the call may have run.", 502
 )
--- a/mulberrygate/forward/crash_detection.py
+++ b/mulberrygate/forward/crash_detection.py
@@ -37,7 +37,7 @@
     the caller leaves first. So every send without a complete answer is checked, and those that are
     silent for long are checked while they run. The endpoint is taken to have ended if it refuses
     connections, if `UNANSWERED_PROBES` connections time out, or if it registers as a new
-    incarnation within a few seconds.
+    incarnation within a few seconds. Only calls that had yielded no event can have caused the end.
     """
 
     def __init__(
@@ -64,12 +64,18 @@
         row = self.roster.rows.get(endpoint)
         return row.registration.incarnation if row is not None else 0
 
-    def start_check(self, send: UnansweredSend) -> None:
-        """Check in the background whether the endpoint of a send has ended."""
+    def start_check(self, send: UnansweredSend) -> asyncio.Task | None:
+        """Check in the background whether the endpoint of a send has ended.
+
+        Returns
+        =======
+        asyncio.Task or None
+            The check, ``None`` if too many are running.
+        """
         if self.running >= MAX_RUNNING_CHECKS:
             self.lines.log("endpoint.not_checked", id=send.request, endpoint=send.endpoint)
-            return
-        self.timers.spawn(self.check(send))
+            return None
+        return self.timers.spawn(self.check(send))
 
     async def check(self, send: UnansweredSend) -> None:
         """Check whether the endpoint ended, and record a crash of the call if it did."""
@@ -104,8 +110,10 @@
             events=send.events,
             ended=reason,
         )
-        if reason:
-            self.suspects.record_crash(send.call, send.endpoint, incarnation)
+        # A call that has yielded events ran beside the cause.
+        if reason and not send.events:
+            age_s = max(0.0, self.timers.now() - send.ended_at)
+            self.suspects.record_crash(send, incarnation, age_s)
 
     async def _detect_end(self, send: UnansweredSend, is_leaving: bool) -> str:
         """Return the sign by which the end was detected, empty if there was none."""
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -25,6 +25,9 @@
 MAX_TOKENLESS_EVENTS = 16
 # Pause after a send that got no connection.
 RETRY_PAUSE_S = 0.02
+# Longest wait for the check whether an endpoint has ended that broke off before its first event.
+# It refuses connections some hundredths of a second after it has ended.
+CRASH_CHECK_WAIT_S = 0.15
 
 
 @attrs.frozen
@@ -93,6 +96,8 @@
         self.splitter = EventSplitter()
         self.response: web.StreamResponse | None = None
         self.last_failure: WholeAnswer | None = None
+        self.tickets = 0
+        self.crash_check: asyncio.Task | None = None
 
     def now(self) -> float:
         """Return the monotonic time."""
@@ -134,13 +139,21 @@
         forwarder, call = self.forwarder, self.call
         budget = forwarder.retry_budget(call.pool.name)
         while True:
-            ticket = forwarder.make_ticket(call, self.attempts.sends, tuple(self.avoid))
+            self.tickets += 1
+            ticket = forwarder.make_ticket(
+                call, self.tickets, self.attempts.sends, tuple(self.avoid)
+            )
             grant = await forwarder.acquire_grant(call, ticket)
             if isinstance(grant, Refusal):
                 return self._without_grant(grant)
             if not await self._may_send(ticket):
                 forwarder.scheduler.return_grant(ticket.request)
-                return self._give_up() if self.attempts.sends else forwarder.refuse_crashing(call)
+                if self.attempts.sends:
+                    return self._give_up()
+                refused = await forwarder.check_quarantine(call)
+                if refused is not None:
+                    return refused
+                continue
             if not self.attempts.arrivals:
                 budget.count_first_send()
             elif not budget.take():
@@ -154,6 +167,8 @@
                 return self._give_up()
             if self.attempts.last_outcome is SendOutcome.UNSENT:
                 await asyncio.sleep(RETRY_PAUSE_S)
+            elif self.crash_check is not None:
+                await asyncio.wait({self.crash_check}, timeout=CRASH_CHECK_WAIT_S)
 
     async def _may_send(self, ticket: Ticket) -> bool:
         """Return whether the quarantine allows to send the call; return the grant if cancelled."""
@@ -192,7 +207,7 @@
             return Refused(codes.ENDPOINT_FAILED)
         return Refused(codes.TURNED_DOWN, retry_after_s=TURNED_DOWN_RETRY_S)
 
-    async def _send(self, send: Send) -> WholeAnswer | web.StreamResponse | None:
+    async def _send(self, send: Send) -> WholeAnswer | web.StreamResponse | Refused | None:
         """Send the call once; return the final answer, or ``None`` if it may be sent elsewhere."""
         forwarder, call = self.forwarder, self.call
         call.sends += 1
@@ -202,13 +217,15 @@
         # If the send is cancelled before its outcome is known, the call may have run.
         self.attempts.record(SendOutcome.UNKNOWN)
         forwarder.crash_detector.monitor.sends.add(send.running)
+        limit = send.running.limit = asyncio.timeout(None)
         try:
-            left_s = call.deadline_at - self.now()
-            last_event_id = self.splitter.last_id or call.head.last_event_id
-            exchange = await forwarder.endpoints.send(
-                call, send.grant.endpoint, send.grant.address, left_s, last_event_id
-            )
-            outcome, answer = await self._receive(send, exchange)
+            async with limit:
+                left_s = call.deadline_at - self.now()
+                last_event_id = self.splitter.last_id or call.head.last_event_id
+                exchange = await forwarder.endpoints.send(
+                    call, send.grant.endpoint, send.grant.address, left_s, last_event_id
+                )
+                outcome, answer = await self._receive(send, exchange)
         except NotSent:
             outcome, send.fault = SendOutcome.UNSENT, "refused"
         except Broken as error:
@@ -221,7 +238,10 @@
                 events=self.splitter.count,
             )
             self._check_endpoint(send, is_broken=True)
-        except BaseException:
+        except BaseException as error:
+            if isinstance(error, TimeoutError) and limit.expired():
+                send.is_cancelled = True
+                return self._cancelled_as_quarantined()
             # The call's deadline, a caller that left, or the end of this process.
             send.is_cancelled = True
             if self.now() - send.running.heard_at > SIGN_OF_LIFE_S:
@@ -237,8 +257,18 @@
 
     def _check_endpoint(self, send: Send, is_broken: bool) -> None:
         """Start a check whether the endpoint of an unanswered send has ended."""
-        if not send.running.is_counted:
-            self.forwarder.crash_detector.start_check(send.running.end(self.now(), is_broken))
+        if send.running.is_counted:
+            return
+        ended = send.running.end(self.now(), is_broken)
+        check = self.forwarder.crash_detector.start_check(ended)
+        may_be_cause = ended.has_head and not ended.events
+        self.crash_check = check if may_be_cause else None
+
+    def _cancelled_as_quarantined(self) -> Refused | web.StreamResponse:
+        """Return the final answer to a call that was quarantined while it ran."""
+        if self.response is not None:
+            return self._abort("quarantined")
+        return Refused(codes.CANCELLED, ",".join(self.call.parts))
 
     async def _receive(
         self, send: Send, exchange: Exchange
@@ -301,6 +331,7 @@
             is_first = send.tokens == 0
             if is_first:
                 self._record_first_byte(send)
+                self.forwarder.suspects.record_answered(call)
             await self.response.write(events)
             send.tokens = (splitter.count - before) * stride
             if is_first:
@@ -312,7 +343,6 @@
         if self.response is None:
             await self._begin_response(exchange)
         await self.response.write_eof()
-        self.forwarder.suspects.record_answered(call)
         self.forwarder.record_answer(call, self.response.status)
         return self.response
 
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -8,6 +8,7 @@
 import attrs
 
 from mulberrygate.catalog import BackendPool, RouteRule
+from mulberrygate.control.blame import part_identity
 from mulberrygate.core.codes import Code
 
 
@@ -87,12 +88,29 @@
     granted_by: str = ""
     granted_after_s: float = -1.0
     first_after_s: float = -1.0
+    known_fingerprint: str = ""
 
     @property
     def fingerprint(self) -> str:
-        """Digest of method, host, path, client account and body; equal requests have equal ones."""
-        text = f"{self.head.method} {self.head.host} {self.head.path} {self.account} ".encode()
-        return hashlib.blake2b(text + self.body, digest_size=12).hexdigest()
+        """Digest of method, host, path, client account and body; equal requests have equal ones.
+
+        It is computed once, when the body has been read.
+        """
+        if not self.known_fingerprint:
+            text = f"{self.head.method} {self.head.host} {self.head.path} {self.account} ".encode()
+            digest = hashlib.blake2b(text + self.body, digest_size=12)
+            self.known_fingerprint = digest.hexdigest()
+        return self.known_fingerprint
+
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Identities of the shared parts of the prompt; see `mulberrygate.control.blame`."""
+        return tuple(part_identity(part) for part in self.head.shared_parts)
+
+    @property
+    def identities(self) -> tuple[str, ...]:
+        """What may be blamed for a crash: the whole call and the shared parts of its prompt."""
+        return (self.fingerprint, *self.parts)
 
 
 @attrs.frozen
--- a/mulberrygate/forward/tests/test_service.py
+++ b/mulberrygate/forward/tests/test_service.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from mulberrygate.forward.service import CATALOG_CURRENT_S
+from mulberrygate.forward.suspects import Finding, Standing
 from mulberrygate.forward.tests.support import (
     SIGNATURE,
     Endpoint,
@@ -62,6 +63,11 @@
     endpoint.left.set()
 
 
+def quarantine(suspects):
+    """Let any call count as quarantined."""
+    suspects.find = lambda call: Finding(Standing.QUARANTINED, (call.fingerprint,))
+
+
 class TestForwarder(unittest.IsolatedAsyncioTestCase):
     """One entry on loopback."""
 
@@ -245,7 +251,7 @@
         async with asyncio.timeout(10):
             while not entry.forwarder.scheduler.waiting:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
-        entry.forwarder.suspects.is_quarantined = lambda call: True
+        quarantine(entry.forwarder.suspects)
         endpoint = await Endpoint("e", whole()).start()
         entry.endpoints.append(endpoint)
         entry.roster.record_report(endpoint.registration("booking"), entry.timers.now())
@@ -259,7 +265,7 @@
         entry = await self.start()
 
         async def break_and_quarantine(endpoint, reader, writer, head):
-            entry.forwarder.suspects.is_quarantined = lambda call: True
+            quarantine(entry.forwarder.suspects)
             await reset(endpoint, reader, writer, head)
 
         endpoints = [await Endpoint(f"e{n}", break_and_quarantine).start() for n in range(2)]
--- a/mulberrygate/forward/unanswered.py
+++ b/mulberrygate/forward/unanswered.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 
 import attrs
@@ -26,7 +27,7 @@
     is_broken : bool
         Whether the connection broke, as opposed to a deadline or a caller that left.
     parts : tuple[str, ...]
-        Shared parts of the call's prompt.
+        Identities of the shared parts of the call's prompt.
     has_head : bool
         Whether the head of an answer had arrived.
     events : int
@@ -62,6 +63,8 @@
         Whether its endpoint has been found to have ended.
     has_head, events
         As in `UnansweredSend`, up to now.
+    limit : asyncio.Timeout or None
+        Context of the send, through which it can be cancelled.
     """
 
     call: Call
@@ -73,6 +76,12 @@
     is_counted: bool = False
     has_head: bool = False
     events: int = 0
+    limit: asyncio.Timeout | None = None
+
+    def cancel(self) -> None:
+        """Cancel the send, which closes its connection."""
+        if self.limit is not None:
+            self.limit.reschedule(asyncio.get_running_loop().time())
 
     @property
     def silent_since(self) -> float:
@@ -90,7 +99,7 @@
             self.sent_at,
             at,
             is_broken,
-            self.call.head.shared_parts,
+            self.call.parts,
             self.has_head,
             self.events,
         )
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -18,7 +18,7 @@
 
 MAX_DOCUMENT_BYTES = 16 << 20
 INSTANCE = re.compile(r"/instances/([^/?]+)$")
-QUARANTINED = re.compile(r"/quarantine/([0-9a-f]+)$")
+QUARANTINED = re.compile(r"/quarantine/((?:part-)?[0-9a-f]+)$")
 ROLLOUT = re.compile(r"/rollouts/([^/?]+)$")
 
 
@@ -52,7 +52,7 @@
             return self.get_quarantine()
         found = QUARANTINED.match(path)
         if found and method == "DELETE":
-            return answer(200 if await self.controller.release_call(found[1]) else 503)
+            return answer(200 if await self.controller.release_identity(found[1]) else 503)
         found = ROLLOUT.match(path)
         if found and method == "GET":
             return await self.get_rollout(found[1])
@@ -104,11 +104,11 @@
         return answer(200 if await self.controller.record_heartbeat(registration) else 503)
 
     def get_quarantine(self) -> web.Response:
-        """Return the quarantined calls; 503 if this process may not know all of them."""
+        """Return what is quarantined; 503 if this process may not know all of it."""
         if not self.controller.is_current:
             return answer(503)
-        calls = [attrs.asdict(call) for call in self.controller.list_quarantined()]
-        return answer(200, {"calls": calls})
+        found = [attrs.asdict(item) for item in self.controller.list_quarantined()]
+        return answer(200, {"quarantined": found})
 
     async def post_rollout(self, request: web.BaseRequest) -> web.Response:
         """Begin the move of a pool to a version."""
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -220,6 +220,8 @@
             score = run_s + RECOMPUTE_S * (most_cached - hit)
             if rank == 0 and self.spreads_canaries:
                 score = float(state.grant_count)
+            if ticket.is_isolated:
+                score = float(state.used)
             if state.is_failing and not self.may_probe(waiting, state, now):
                 rank += FAILING_RANK_OFFSET
             if rank < best_rank or (rank == best_rank and score < best_score):
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -47,6 +47,8 @@
         Seconds from the moment the message is sent within which the first token is on time.
     start_by_s : float
         Seconds from the same moment after which the caller stops waiting for the first token.
+    is_isolated : bool
+        Whether it may crash its endpoint, and so goes where the fewest others run.
     """
 
     request: str
@@ -65,6 +67,7 @@
     avoid: tuple[str, ...] = ()
     first_by_s: float = math.inf
     start_by_s: float = math.inf
+    is_isolated: bool = False
 
 
 @attrs.frozen
--- a/mulberrygate/sync/crash_reports.py
+++ b/mulberrygate/sync/crash_reports.py
@@ -63,5 +63,5 @@
         answer = await self.client.call(control, report, REPORT_TIMEOUT_S)
         is_committed = isinstance(answer, CrashReportResult) and answer.is_committed
         if is_committed:
-            self.suspects.record_reported(report)
+            self.suspects.record_reported(report, answer.quarantine)
         return is_committed
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -90,8 +90,8 @@
     quarantine : int
         Number of the control process's quarantine list; see `mulberrygate.control.quarantine`.
     quarantined, suspected : tuple[str, ...]
-        Fingerprints of calls that crash endpoints, and of those that may; empty unless the number
-        is higher than that of the entry.
+        Identities of calls that crash endpoints, and of those that may; empty if the entry has the
+        list of this number.
     revision : int
         Log index of the last change of the replicated state at the control process.
     age_s : float
@@ -147,9 +147,9 @@
         Name, incarnation and age in seconds of unchanged registrations.
     entries : tuple[str, ...]
         Entries that follow the sender.
-    reads_crashes, reads_trials : bool
-        Whether the sender can apply the commands that count crashes and begin trials; earlier
-        releases can't.
+    reads_crashes, reads_trials, reads_evidence : bool
+        Whether the sender can apply the commands that count crashes, begin trials of calls, and
+        that count evidence and begin trials of any identity; earlier releases can't.
     """
 
     heard: tuple[AgedRegistration, ...] = ()
@@ -157,6 +157,7 @@
     entries: tuple[str, ...] = ()
     reads_crashes: bool = False
     reads_trials: bool = False
+    reads_evidence: bool = False
 
 
 @message("sync.share_result")
@@ -259,40 +260,74 @@
 @message("sync.crash")
 @attrs.frozen
 class Crash:
-    """A call ended with the loss of its endpoint.
+    """A call that had yielded nothing ended with the loss of its endpoint.
 
     Parameters
     ==========
     call : str
         Fingerprint of the call.
+    parts : tuple[str, ...]
+        Identities of the shared parts of its prompt.
+    has_head : bool
+        Whether the head of an answer had arrived.
+    age_s : float
+        Seconds from the crash to this message.
+    ran_s : float
+        Seconds from the send to the crash.
     """
 
     call: str
     endpoint: str
     incarnation: int
+    parts: tuple[str, ...] = ()
+    has_head: bool = False
+    age_s: float = 0.0
+    ran_s: float = math.inf
+
+
+@attrs.frozen
+class Answered:
+    """An endpoint has answered a call with a suspected identity, ``age_s`` seconds ago."""
+
+    identity: str
+    age_s: float
 
 
 @message("sync.crash_report")
 @attrs.frozen
 class CrashReport:
-    """Entry to control: crashes, and fingerprints of suspected calls that were answered."""
+    """Entry to control: crashes, and answers to what is suspected.
+
+    Parameters
+    ==========
+    cleared : tuple[str, ...]
+        Fingerprints of answered calls, from entries of earlier releases.
+    """
 
     crashes: tuple[Crash, ...] = ()
     cleared: tuple[str, ...] = ()
+    answers: tuple[Answered, ...] = ()
 
 
 @message("sync.crash_report_result")
 @attrs.frozen
 class CrashReportResult:
-    """Answer to `CrashReport`: whether it is in the control log for certain."""
+    """Answer to `CrashReport`: whether it is in the control log for certain.
+
+    Parameters
+    ==========
+    quarantine : int
+        Number of the quarantine list that takes the report into account, 0 if it is not known.
+    """
 
     is_committed: bool
+    quarantine: int = 0
 
 
 @message("sync.trial_request")
 @attrs.frozen
 class TrialRequest:
-    """Entry to leader: request to send a quarantined call once.
+    """Entry to leader: request to send a call with listed identities once.
 
     Parameters
     ==========
@@ -300,10 +335,13 @@
         Fingerprint of the call.
     holder : str
         Identifier of this request.
+    parts : tuple[str, ...]
+        Identities of the shared parts of its prompt.
     """
 
     call: str
     holder: str
+    parts: tuple[str, ...] = ()
 
 
 @message("sync.trial_result")
--- a/mulberrygate/sync/tests/test_crash_reports.py
+++ b/mulberrygate/sync/tests/test_crash_reports.py
@@ -5,7 +5,7 @@
 
 from mulberrygate.core.timers import TimerService
 from mulberrygate.forward.suspects import Suspects
-from mulberrygate.forward.tests.test_suspects import call
+from mulberrygate.forward.tests.test_suspects import call, ended
 from mulberrygate.peers.client import Unreachable
 from mulberrygate.sync.crash_reports import CrashReporter
 from mulberrygate.sync.messages import CrashReportResult
@@ -34,28 +34,28 @@
     async def test_report_is_repeated_until_a_process_has_it_in_the_log(self):
         """Guards against losing a report that was not answered or could not be committed."""
         client = Client(
-            Unreachable("c1", "test"), CrashReportResult(False), CrashReportResult(True)
+            Unreachable("c1", "test"), CrashReportResult(False), CrashReportResult(True, 1)
         )
         timers = TimerService(lambda name, error: None)
         self.addAsyncCleanup(timers.close)
         suspects = Suspects(lambda crash: None, lambda: reporter.wake())
         reporter = CrashReporter(client, suspects, timers, lambda: ["c1", "c2"])
-        suspects.record_crash(call().fingerprint, "e1", 1)
-        suspects.record_crash(call(path="/plain/2").fingerprint, "e1", 1)
+        suspects.record_crash(ended(call()), 1)
+        suspects.record_crash(ended(call(path="/plain/2")), 1)
         await asyncio.wait_for(client.is_done.wait(), 10)
         self.assertEqual([instance for instance, _ in client.asked], ["c1", "c2", "c1"])
         self.assertEqual([len(message.crashes) for _, message in client.asked], [2, 2, 2])
 
     async def test_report_waits_until_a_control_process_is_known(self):
         """Guards against a report that is dropped while no control process is known."""
-        client = Client(CrashReportResult(True))
+        client = Client(CrashReportResult(True, 1))
         errors = []
         timers = TimerService(lambda name, error: errors.append(error))
         self.addAsyncCleanup(timers.close)
         suspects = Suspects(lambda crash: None, lambda: reporter.wake())
         known = iter([[], []])
         reporter = CrashReporter(client, suspects, timers, lambda: next(known, ["c1"]))
-        suspects.record_crash(call().fingerprint, "e1", 1)
+        suspects.record_crash(ended(call()), 1)
         await asyncio.wait_for(client.is_done.wait(), 10)
         self.assertEqual((len(client.asked), errors), (1, []))
 
--- a/mulberrygate/sync/trials.py
+++ b/mulberrygate/sync/trials.py
@@ -1,4 +1,4 @@
-"""Requests of an entry for trials of quarantined calls."""
+"""Requests of an entry for trials of suspected and quarantined calls."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class TrialClient:
-    """Asks the leader of the control group whether a quarantined call may be sent once.
+    """Asks the leader of the control group whether a listed call may be sent once.
 
     Parameters
     ==========
@@ -29,8 +29,8 @@
 
     Attributes
     ==========
-    next_at : dict[str, float]
-        Monotonic time before which no trial of a call is requested, by fingerprint.
+    next_at : dict[tuple[str, ...], float]
+        Monotonic time before which no trial is requested, by the listed identities of a call.
     """
 
     def __init__(
@@ -47,27 +47,38 @@
         self.timers = timers
         self.leader = leader
         self.number = 0
-        self.next_at: dict[str, float] = {}
+        self.next_at: dict[tuple[str, ...], float] = {}
 
-    def wait_s(self, call: str) -> float:
-        """Return the seconds until a trial of a call may be requested."""
-        return max(0.0, self.next_at.get(call, 0.0) - self.timers.now())
+    def wait_s(self, listed: tuple[str, ...]) -> float:
+        """Return the seconds until a trial of a call with these listed identities may be asked."""
+        return max(0.0, self.next_at.get(listed, 0.0) - self.timers.now())
 
-    def retain(self, quarantined: Collection[str]) -> None:
-        """Forget the times of calls that are no longer quarantined."""
-        self.next_at = {call: at for call, at in self.next_at.items() if call in quarantined}
+    def retain(self, listed: Collection[str]) -> None:
+        """Forget the times of calls with identities that are no longer listed."""
+        self.next_at = {
+            names: at for names, at in self.next_at.items() if all(name in listed for name in names)
+        }
 
-    async def request(self, call: str) -> bool:
-        """Request a trial of a call; return whether this entry may send it once."""
-        self.next_at[call] = self.timers.now() + RETRY_S
+    async def request(
+        self, fingerprint: str, parts: tuple[str, ...], listed: tuple[str, ...]
+    ) -> bool:
+        """Request a trial of a call; return whether this entry may send it once.
+
+        Parameters
+        ==========
+        listed : tuple[str, ...]
+            Identities of the call that are suspected or quarantined.
+        """
+        self.next_at[listed] = self.timers.now() + RETRY_S
         leader = self.leader()
         if not leader:
             return False
         self.number += 1
         holder = f"{self.instance}/{self.incarnation}/{self.number}"
-        result = await self.client.call(leader, TrialRequest(call, holder), REQUEST_TIMEOUT_S)
+        request = TrialRequest(fingerprint, holder, parts)
+        result = await self.client.call(leader, request, REQUEST_TIMEOUT_S)
         if not isinstance(result, TrialResult):
             return False
         if not result.is_granted:
-            self.next_at[call] = self.timers.now() + result.wait_s
+            self.next_at[listed] = self.timers.now() + result.wait_s
         return result.is_granted
