Judge the crashes of the product's own path with the shared quarantine

entry.crashes was a second implementation with other rules. It keeps what runs where and the exchange of reports; the verdicts are those of control.quarantine. Calls that always run together are suspected instead of both refused: they are sent one at a time, so one more crash tells them apart. A call is suspected after two crashes without the head of an answer, as before in the product's own path.

Two tests that sent a call three times to crashing endpoints see it held back after the second crash now; they check that count instead.

--- a/mulberrygate/control/blame.py
+++ b/mulberrygate/control/blame.py
@@ -28,6 +28,8 @@
 CRASHES_AFTER_HEAD = 2
 CRASHES_WITHOUT_HEAD = 3
 CRASHES_AFTER_ANSWER = 4
+# Crashes after which an identity is suspected, if no head of an answer had arrived.
+CRASHES_TO_SUSPECT = 2
 # Time for which an answer speaks for an identity.
 TRUST_S = 60.0
 EPISODE_S = 0.25
@@ -180,7 +182,9 @@
     @property
     def is_suspect(self) -> bool:
         """Whether its calls should be sent one at a time until it is answered."""
-        return self.heads >= (CRASHES_AFTER_HEAD if self.is_trusted else 1)
+        if self.is_trusted:
+            return self.heads >= CRASHES_AFTER_HEAD or self.episodes > CRASHES_TO_SUSPECT
+        return self.heads >= 1 or self.episodes >= CRASHES_TO_SUSPECT
 
     def covers(self, other: Case) -> bool:
         """Return whether another identity is in the same crashes and no less suspicious."""
@@ -215,30 +219,31 @@
     return cases
 
 
-def _find_guilty_parts(
-    crashes: list[EndpointCrash], answered_at: Mapping[str, float]
+def _find_guilty(
+    crashes: list[EndpointCrash], answered_at: Mapping[str, float], parts: bool
 ) -> dict[str, Case]:
-    """Return the parts that explain most crashes, each after those that explain more.
+    """Return the parts, or the calls, that explain most crashes, one after the other.
 
     Explanation
     ===========
-    Parts that are in the same crashes can't be told apart. They wait for one more crash, or for an
-    answer to one of them.
+    Identities that are in the same crashes can't be told apart. Calls are, once they are sent one
+    at a time. Parts that always stand in the same prompts never are, so one more crash decides.
     """
     guilty: dict[str, Case] = {}
     undecided: set[str] = set()
     while True:
         open_crashes = [crash for crash in crashes if not crash.is_explained(guilty)]
-        cases = collect_cases(open_crashes, answered_at, parts=True)
+        cases = collect_cases(open_crashes, answered_at, parts)
         found = [c for name, c in cases.items() if c.excess >= 0 and name not in undecided]
         if not found:
             return guilty
         best = max(found, key=lambda case: (case.episodes, -case.answered_at))
         equal = [case for case in found if best.covers(case)]
-        if len(equal) > 1 and best.excess == 0:
-            undecided.update(case.identity for case in equal)
-        else:
+        is_decided = len(equal) == 1 or (parts and best.excess > 0)
+        if is_decided:
             guilty.update((case.identity, case) for case in equal)
+        else:
+            undecided.update(case.identity for case in equal)
 
 
 def judge(
@@ -255,14 +260,18 @@
     known_guilty : Collection[str]
         Identities that were found guilty earlier.
     """
-    known_parts = [identity for identity in known_guilty if is_part(identity)]
     in_order = sorted(crashes, key=lambda crash: crash.at)
+    # A known call explains its crashes to other calls only: one of its parts may be the cause.
+    known_parts = {identity for identity in known_guilty if is_part(identity)}
     in_order = [crash for crash in in_order if not crash.is_explained(known_parts)]
-    guilty = _find_guilty_parts(in_order, answered_at)
+    guilty = _find_guilty(in_order, answered_at, parts=True)
     in_order = [crash for crash in in_order if not crash.is_explained(guilty)]
     parts = collect_cases(in_order, answered_at, parts=True)
-    calls = collect_cases(in_order, answered_at, parts=False)
-    guilty.update((name, case) for name, case in calls.items() if case.excess >= 0)
+    known_calls = set(known_guilty) - known_parts
+    of_calls = [crash for crash in in_order if not crash.is_explained(known_calls)]
+    guilty.update(_find_guilty(of_calls, answered_at, parts=False))
+    of_calls = [crash for crash in of_calls if not crash.is_explained(guilty)]
+    calls = collect_cases(of_calls, answered_at, parts=False)
     suspects = {
         name: case
         for name, case in (parts | calls).items()
--- a/mulberrygate/control/tests/test_blame.py
+++ b/mulberrygate/control/tests/test_blame.py
@@ -162,6 +162,15 @@
         self.assertEqual(judge(crashes[:-1], {}).guilty, {})
         self.assertEqual(set(judge(crashes, {}).guilty), {"a"})
 
+    def test_calls_that_always_run_together_are_sent_one_at_a_time(self):
+        """Guards against refusing a call for the crashes of another one beside it."""
+        pair = (Candidate("bad"), Candidate("good"))
+        crashes = [crash(10.0 * n, *pair) for n in range(1, CRASHES_WITHOUT_HEAD + 2)]
+        verdicts = judge(crashes, {})
+        self.assertEqual((verdicts.guilty, set(verdicts.suspects)), ({}, {"bad", "good"}))
+        verdicts = judge([*crashes, crash(90.0, Candidate("bad"))], {})
+        self.assertEqual((set(verdicts.guilty), verdicts.suspects), ({"bad"}, {}))
+
     def test_answer_clears_only_earlier_crashes(self):
         """Guards against a late report of an answer that erases crashes seen after it."""
         crashes = [crash(10.0 * n, Candidate("a")) for n in range(1, 9)]
--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -417,7 +417,7 @@
 
     def _on_cleared(self, message: Cleared, _sender: str) -> None:
         for content in message.contents:
-            self.crashes.clear(content)
+            self.crashes.clear(content, self.timers.now())
 
     def accept_announcement(self, announcement: Announcement) -> Refusal | None:
         """Add an endpoint's announcement to the directory, or return why it is refused."""
--- a/mulberrygate/entry/crashes.py
+++ b/mulberrygate/entry/crashes.py
@@ -3,39 +3,30 @@
 Explanation
 ===========
 A caller may send a crashing request again under a new key, so contents are identified by a
-fingerprint. When an endpoint dies, each content that ran on it becomes a suspect. Three rules keep
-ordinary requests on the same endpoint from being refused:
-
-- A content that completes on any endpoint is cleared.
-- If contents with earlier crashes ran there, only those with the most crashes are blamed.
-- Contents with `ISOLATION_CRASHES` crashes are isolated from each other: an entry runs no two of
-  them on one endpoint. One crash does not suffice, since the many requests of an endpoint that
-  failed for another reason would then wait for each other.
-
-A content is refused for `QUARANTINE_S` after `QUARANTINE_CRASHES` crashes if it was the only
-suspect in at least one of them. The reports of all entry instances of the failure domain about one
-death are merged before it is evaluated, so that all instances reach the same verdict.
+fingerprint. When an endpoint dies, the contents that ran on it are candidates for its cause;
+`mulberrygate.control.quarantine` judges them as it does on the platform. Contents that it suspects
+are isolated from each other: an entry runs no two of them on one endpoint.
+
+The reports of all entry instances of the failure domain about one death are merged before it is
+judged, so that all instances reach the same verdict.
 """
 
 from __future__ import annotations
 
 import collections
+import itertools
 
 import attrs
 
+from mulberrygate.control.blame import Candidate
+from mulberrygate.control.quarantine import AnswerEvidence, CrashEvidence, QuarantineState
 from mulberrygate.core.wire import message
 
-QUARANTINE_CRASHES = 3
-ISOLATION_CRASHES = 2
-QUARANTINE_S = 3600.0
-# A suspect is dropped this long after its last crash.
-SUSPECT_EXPIRY_S = 900.0
 # Reports of one endpoint's death are collected for this time.
 REPORT_WINDOW_S = 0.5
 # A request without an answer counts as running for this time after its end, since the death of an
 # endpoint is known only when its lease has expired.
 UNANSWERED_S = 6.0
-MAX_CONTENTS = 10_000
 FATAL_FAULTS = frozenset({"cut", "gone", "lost"})
 # Fault of an endpoint that did not run the request.
 REFUSED = "refused"
@@ -58,27 +49,6 @@
     contents: tuple[str, ...]
 
 
-@attrs.define
-class Suspect:
-    """Content that ran on an endpoint that died.
-
-    Parameters
-    ==========
-    seen_at : float
-        Monotonic time of the last crash.
-    was_sole_suspect : bool
-        Whether it was the only content blamed for at least one crash.
-    """
-
-    crashes: int
-    seen_at: float
-    was_sole_suspect: bool = False
-
-    def is_over_limit(self) -> bool:
-        """Return whether the content has caused enough crashes to be refused."""
-        return self.crashes >= QUARANTINE_CRASHES and self.was_sole_suspect
-
-
 class CrashTracker:
     """Count of endpoint deaths by content.
 
@@ -97,12 +67,15 @@
         Time of the first report and the reported contents, for each death not yet evaluated.
     evaluated : dict
         Time of the evaluation of recent deaths, by endpoint; late reports of them are ignored.
+    state : QuarantineState
+        Verdicts on contents.
     """
 
     def __init__(self):
         self.running: dict[str, collections.Counter[str]] = {}
         self.unanswered: dict[str, dict[str, float]] = {}
-        self.suspects: collections.OrderedDict[str, Suspect] = collections.OrderedDict()
+        self.state = QuarantineState()
+        self.deaths = itertools.count()
         self.pending_deaths: dict[str, tuple[float, set[str]]] = {}
         self.evaluated: dict[str, float] = {}
         self.reports: list[CrashReport] = []
@@ -131,8 +104,8 @@
             self.unanswered.pop(endpoint, None)
         elif fault not in FATAL_FAULTS and fault != REFUSED:
             self.unanswered.setdefault(endpoint, {})[content] = now
-        if is_complete and content in self.suspects:
-            self.clear(content)
+        if is_complete and self._is_candidate(content):
+            self.clear(content, now)
             self.cleared.add(content)
 
     def record_death(self, endpoint: str, now: float) -> None:
@@ -152,9 +125,14 @@
         _, contents = self.pending_deaths.setdefault(report.endpoint, (now, set()))
         contents.update(report.contents)
 
-    def clear(self, content: str) -> None:
-        """Drop a suspect whose content has completed."""
-        self.suspects.pop(content, None)
+    def _is_candidate(self, content: str) -> bool:
+        """Return whether a content is quarantined or a candidate of any death."""
+        crashes = self.state.crashes.values()
+        return content in self.state.records or any(content in c.candidates for c in crashes)
+
+    def clear(self, content: str, now: float) -> None:
+        """Clear a content that has completed of the deaths before."""
+        self.state.put([], [AnswerEvidence(content)], at=now)
 
     def tick(self, now: float) -> None:
         """Evaluate deaths whose report window is over, and drop expired suspects."""
@@ -162,7 +140,7 @@
             if now >= since + REPORT_WINDOW_S:
                 del self.pending_deaths[endpoint]
                 self.evaluated[endpoint] = now
-                self._evaluate_death(contents, now)
+                self._evaluate_death(endpoint, contents, now)
         for endpoint, at in list(self.evaluated.items()):
             if now >= at + REPORT_WINDOW_S:
                 del self.evaluated[endpoint]
@@ -172,42 +150,28 @@
                 self.unanswered[endpoint] = kept
             else:
                 del self.unanswered[endpoint]
-        for content, suspect in list(self.suspects.items()):
-            kept_s = QUARANTINE_S if suspect.is_over_limit() else SUSPECT_EXPIRY_S
-            if now >= suspect.seen_at + kept_s:
-                del self.suspects[content]
-
-    def _evaluate_death(self, contents: set[str], now: float) -> None:
-        crashes = {content: self._crash_count(content) for content in sorted(contents)}
-        most = min(ISOLATION_CRASHES, max(crashes.values(), default=0))
-        blamed = [content for content, count in crashes.items() if count >= most]
-        for content in blamed:
-            suspect = self.suspects.setdefault(content, Suspect(0, now))
-            suspect.crashes += 1
-            suspect.was_sole_suspect |= len(blamed) == 1
-            suspect.seen_at = now
-        while len(self.suspects) > MAX_CONTENTS:
-            self.suspects.popitem(last=False)
+        if self.state.has_expired(now):
+            self.state.put(at=now)
+
+    def _evaluate_death(self, endpoint: str, contents: set[str], now: float) -> None:
+        number = next(self.deaths)
+        evidence = [
+            CrashEvidence(Candidate(content), endpoint, number) for content in sorted(contents)
+        ]
+        self.state.put(evidence, at=now)
 
     def is_quarantined(self, content: str, now: float) -> bool:
         """Return whether requests with a content are refused."""
-        suspect = self.suspects.get(content)
-        if suspect is None or not suspect.is_over_limit():
-            return False
-        return now < suspect.seen_at + QUARANTINE_S
-
-    def _crash_count(self, content: str) -> int:
-        suspect = self.suspects.get(content)
-        return suspect.crashes if suspect is not None else 0
+        record = self.state.records.get(content)
+        return record is not None and now < record.expires_at
 
     def must_isolate(self, content: str, endpoint: str) -> bool:
         """Return whether an endpoint runs another content that must not run beside this one."""
-        if self._crash_count(content) < ISOLATION_CRASHES:
+        suspects = self.state.verdicts.suspects
+        if content not in suspects:
             return False
         running = self.running.get(endpoint, ())
-        return any(
-            self._crash_count(other) >= ISOLATION_CRASHES for other in running if other != content
-        )
+        return any(other in suspects for other in running if other != content)
 
     def avoided_endpoints(self, content: str) -> tuple[str, ...]:
         """Return the endpoints to which a content must not be sent at present."""
--- a/mulberrygate/entry/tests/test_crashes.py
+++ b/mulberrygate/entry/tests/test_crashes.py
@@ -2,9 +2,9 @@
 
 import unittest
 
+from mulberrygate.control.blame import CRASHES_TO_SUSPECT
+from mulberrygate.control.blame import CRASHES_WITHOUT_HEAD as QUARANTINE_CRASHES
 from mulberrygate.entry.crashes import (
-    ISOLATION_CRASHES,
-    QUARANTINE_CRASHES,
     REPORT_WINDOW_S,
     UNANSWERED_S,
     Cleared,
@@ -105,7 +105,7 @@
         """Guards against isolating all requests of one dead endpoint from each other."""
         self.crash("first", "second")
         self.tracker.record_start("first", "e")
-        self.assertLess(1, ISOLATION_CRASHES)
+        self.assertLess(1, CRASHES_TO_SUSPECT)
         self.assertFalse(self.tracker.must_isolate("second", "e"))
 
     def test_completion_clears_a_content_and_is_reported(self):
@@ -126,7 +126,7 @@
         for report in other.take_reports():
             self.tracker.add_report(report, self.now + REPORT_WINDOW_S / 2)
         self.tracker.tick(self.now + REPORT_WINDOW_S)
-        self.assertEqual(self.tracker.suspects["bad"].crashes, 1)
+        self.assertEqual(len(self.tracker.state.crashes), 1)
 
 
 if __name__ == "__main__":
--- a/mulberrygate/forward/tests/test_crashing_calls.py
+++ b/mulberrygate/forward/tests/test_crashing_calls.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from mulberrygate.control.blame import CRASHES_TO_SUSPECT
 from mulberrygate.endpoints.roster import Registration
 from mulberrygate.forward.tests.support import HOST, Endpoint, Entry, crash, document, stream
 
@@ -108,14 +109,14 @@
         """Guards against counting crashes of one endpoint once while its restart is unknown."""
         endpoint = RestartingEndpoint("e", crash())
         entry = await self.start(booking=[endpoint])
-        for number in range(1, 4):
+        for number in range(1, CRASHES_TO_SUSPECT + 1):
             async with entry.request("/plain/1", identifier=f"id-{number}") as answer:
                 self.assertEqual(answer.status, 502)
             await self.until(lambda count=number: len(entry.crashes) == count)
             await endpoint.start()
         async with entry.request("/plain/1", identifier="id-4") as answer:
-            self.assertEqual(answer.status, 503)
-        self.assertEqual(len(endpoint.requests), 3)
+            self.assertEqual((answer.status, (await answer.json())["code"]), (503, 1210))
+        self.assertEqual(len(endpoint.requests), CRASHES_TO_SUSPECT)
 
     async def test_stream_that_had_begun_is_not_blamed(self):
         """Guards against refusing a call that ran beside calls that crash endpoints."""
--- a/mulberrygate/forward/tests/test_suspects.py
+++ b/mulberrygate/forward/tests/test_suspects.py
@@ -72,9 +72,11 @@
 
     def test_entry_alone_refuses_what_it_could_not_report(self):
         """Guards against an entry without control processes that crashes many endpoints."""
-        for endpoint in ("e1", "e2", "e3"):
+        for endpoint in ("e1", "e2"):
             self.assertEqual(self.standing(call()), Standing.CLEAR)
             self.crash(call(), endpoint)
+        self.assertEqual(self.standing(call()), Standing.SUSPECTED)
+        self.crash(call(), "e3")
         self.assertEqual(self.standing(call(request="id-9")), Standing.QUARANTINED)
         self.assertEqual(self.standing(call(path="/plain/2")), Standing.CLEAR)
         self.assertEqual(self.standing(call(account="b")), Standing.CLEAR)
