Use a new connection for each call to an endpoint in the product's own path

A second copy of an answer that came late, on a pooled connection that was in use again, was returned as the answer to the next idempotent call. A connection serves one exchange now, as it does on the platform.

--- a/mulberrygate/entry/dispatch.py
+++ b/mulberrygate/entry/dispatch.py
@@ -109,7 +109,6 @@
             self._headers(request),
             self._body(request),
             min(limit, max(0.1, request.remaining_s(request.dispatched_at))),
-            is_repeatable=request.is_idempotent,
         )
         if isinstance(opened, NotSent):
             request.was_sent = was_sent
--- a/mulberrygate/entry/upstream.py
+++ b/mulberrygate/entry/upstream.py
@@ -2,8 +2,8 @@
 
 Explanation
 ===========
-A call that may run at most once gets a new connection, since an idle one may be dead although new
-ones work. Idempotent calls use pooled connections, which are closed after a bounded idle time.
+Each call gets a new connection. An idle one may be dead although new ones work, and a late second
+copy of an answer on a reused one would be taken for the answer to the next call.
 """
 
 from __future__ import annotations
@@ -17,8 +17,6 @@
 # Connecting within a region takes milliseconds. An endpoint that does not accept within a second is
 # treated as unreachable, and nothing was sent to it.
 CONNECT_TIMEOUT_S = 1.0
-# Load balancers and firewalls between instances drop idle connections after a minute or more.
-IDLE_CONNECTION_S = 10.0
 CANCEL_TIMEOUT_S = 2.0
 
 
@@ -44,17 +42,13 @@
 
 
 class Upstream:
-    """HTTP client for endpoints, with pooled and unpooled connections."""
+    """HTTP client for endpoints."""
 
     def __init__(self):
-        self.unpooled = aiohttp.ClientSession(
+        self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
             auto_decompress=False,
         )
-        self.pooled = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S),
-            auto_decompress=False,
-        )
 
     async def open(
         self,
@@ -63,7 +57,6 @@
         headers: dict[str, str],
         body: bytes | None,
         timeout_s: float,
-        is_repeatable: bool = False,
     ) -> Connected | NotSent | Broken:
         """Send a call and wait for the response headers.
 
@@ -71,14 +64,11 @@
         ==========
         timeout_s : float
             Seconds for connecting, sending and receiving the response headers.
-        is_repeatable : bool
-            Whether the call may use a pooled connection.
         """
-        session = self.pooled if is_repeatable else self.unpooled
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with asyncio.timeout(timeout_s):
-                response = await session.request(
+                response = await self.session.request(
                     method,
                     # The path is sent exactly as the caller wrote it, including dot segments.
                     URL(url, encoded=True),
@@ -103,5 +93,4 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.unpooled.close()
-        await self.pooled.close()
+        await self.session.close()
