End service responses that trickle on after the request's deadline

A response was ended only by 30 s of silence, so a stalled service that sent a byte now and then held its request for ever; the test did not end. The body has to be complete 30 s after the deadline of the request.

--- a/mulberrygate/entry/relay.py
+++ b/mulberrygate/entry/relay.py
@@ -20,7 +20,8 @@
 # Answers up to this size are stored in the ledger for callers that send the request again.
 KEPT_ANSWER_BYTES = 16 << 10
 MAX_SERVICE_ANSWER_BYTES = 32 << 20
-# A connection to a service that is silent for this time is treated as lost.
+# A connection to a service that is silent for this time is treated as lost, and so is one on which
+# the answer has not ended this long after the request's deadline.
 SERVICE_SILENCE_S = 30.0
 # A caller that doesn't read blocks the relay by flow control no longer than this.
 CALLER_STALL_S = 30.0
@@ -64,7 +65,9 @@
     async def _relay_response(self, request: RequestContext, proceed):
         response = request.upstream
         try:
-            body = await self._read_body(response)
+            left_s = max(0.0, request.remaining_s(self.parts.timers.now()))
+            async with asyncio.timeout(left_s + SERVICE_SILENCE_S):
+                body = await self._read_body(response)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return await self._handle_broken(request, type(error).__name__, proceed)
         finally:
--- a/mulberrygate/entry/tests/test_relay.py
+++ b/mulberrygate/entry/tests/test_relay.py
@@ -8,6 +8,7 @@
 from mulberrygate.entry import relay
 from mulberrygate.entry.context import RequestContext, Result
 from mulberrygate.entry.relay import UNREAD_BYTES, StreamDelivery
+from mulberrygate.ledger.codes import UNCERTAIN
 
 
 class Transport:
@@ -56,5 +57,43 @@
         self.assertFalse(delivery.is_caller_connected)
 
 
+class Trickle:
+    """Service response that sends a byte now and then and never ends."""
+
+    status = 200
+    headers: dict[str, str] = {}
+
+    def __init__(self):
+        self.content = self
+
+    async def readany(self) -> bytes:
+        await asyncio.sleep(0.01)
+        return b"x"
+
+    def release(self) -> None:
+        """Do nothing; there is no connection."""
+
+
+class StalledServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Responses of services that don't end."""
+
+    async def test_response_that_trickles_ends_after_the_deadline(self):
+        """Guards against a stalled response that never ends, as it sends a byte now and then."""
+        parts = mock.Mock()
+        parts.timers.now.return_value = 10.0
+        parts.background.wait_shielded = mock.AsyncMock()
+        request = mock.create_autospec(RequestContext, instance=True)
+        request.upstream = Trickle()
+        request.remaining_s.return_value = -1.0
+        request.is_idempotent = False
+        request.result = Result()
+        with mock.patch.object(relay, "SERVICE_SILENCE_S", 0.1):
+            outcome = await asyncio.wait_for(
+                relay.Relay(parts)._relay_response(request, mock.Mock()), 10.0
+            )
+        self.assertEqual(outcome.code, UNCERTAIN)
+        self.assertEqual(request.result.fault, "cut")
+
+
 if __name__ == "__main__":
     unittest.main()
