Answer requests that arrive as a planned stop closes the listening socket

A connection that had been accepted just before, and had sent its first request a moment later, was reset without an answer: the server closed all connections without a running request at once. It waits a quarter of a second now, within the time that the stop has. The test got a reset before.

Tests of streams without a length come with it: complete, broken off inside an event, and reset between events. They pass on the earlier code.

--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -11,7 +11,7 @@
 from mulberrygate.control.blame import is_part
 from mulberrygate.core.boot_time import seconds_since_boot
 from mulberrygate.core.timers import TimerService
-from mulberrygate.daemon.http_server import HttpServer
+from mulberrygate.daemon.http_server import LAST_REQUEST_S, HttpServer
 from mulberrygate.daemon.placement import Placement, PoolOwners
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.daemon.sockets import Listeners, split_address
@@ -302,7 +302,8 @@
         end = started + self.site.bounds.kill_after_s - EXIT_MARGIN_S
         self.is_stopping = True
         self.forwarder.is_closing = True
-        await asyncio.sleep(min(BALANCER_REMOVAL_S, max(0.0, end - self.timers.now())))
+        listens_until = end - LAST_REQUEST_S
+        await asyncio.sleep(min(BALANCER_REMOVAL_S, max(0.0, listens_until - self.timers.now())))
         await self.http.stop_listening()
         await self.forwarder.wait_idle(end - self.timers.now())
         self.lines.log("process.stops", active=self.forwarder.active)
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -14,6 +14,8 @@
 MAX_LINE_BYTES = 16384
 # Time for connections to send the rest of their answers when the server closes.
 SHUTDOWN_TIMEOUT_S = 0.2
+# Time for requests that were on their way when the server stopped listening.
+LAST_REQUEST_S = 0.25
 
 
 class HttpServer:
@@ -112,8 +114,17 @@
                 connection.force_close()
 
     async def stop_listening(self) -> None:
-        """Stop accepting connections and close each existing one once it has no request."""
+        """Stop accepting connections and close each existing one once it has no request.
+
+        Explanation
+        ===========
+        Callers may have connected or sent a request just before. Their requests are still read and
+        answered; connections without one are closed after `LAST_REQUEST_S`.
+        """
+        # Connections that wait in the backlog are accepted first; closing the socket resets them.
+        await asyncio.sleep(0)
         self.listener.close()
+        await asyncio.sleep(LAST_REQUEST_S)
         for connection in list(self.server.connections):
             if connection in self.active_connections:
                 connection.close()
--- a/mulberrygate/forward/tests/test_service.py
+++ b/mulberrygate/forward/tests/test_service.py
@@ -17,6 +17,7 @@
     Endpoint,
     Entry,
     document,
+    identifier,
     stream,
     whole,
 )
@@ -57,6 +58,21 @@
     await writer.drain()
 
 
+def unframed_stream(text, is_reset=False):
+    """Return an answer function that sends a stream without a length, and may reset it."""
+
+    async def answer(_endpoint, _reader, writer, head):
+        lines = [b"HTTP/1.1 200 OK", identifier(head), SIGNATURE.encode() + b": s"]
+        lines.append(b"Content-Type: text/event-stream")
+        writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + text)
+        await writer.drain()
+        if is_reset:
+            await asyncio.sleep(0.05)
+            break_off(writer)
+
+    return answer
+
+
 async def wait_for_disconnect(endpoint, reader, _writer, _head):
     """Send no answer, and wait for the connection to be closed."""
     await reader.read()
@@ -188,6 +204,31 @@
             async with entry.request("/stream/1") as answer:
                 await answer.read()
 
+    async def test_stream_without_a_length(self):
+        """Guards against a stream that ends with its connection and is taken for broken off."""
+        entry = await self.start(care=[Endpoint("e", unframed_stream(b"id: 1\ndata: x\n\n"))])
+        async with entry.request("/stream/1") as answer:
+            self.assertEqual(await answer.read(), events(1))
+
+    async def test_stream_without_a_length_that_ends_inside_an_event(self):
+        """Guards against a stream that ends inside an event and is taken for complete."""
+        text = b"id: 1\ndata: x\n\nid: 2\nda"
+        for is_reset in (False, True):
+            endpoint = Endpoint("e", unframed_stream(text, is_reset))
+            entry = await self.start(care=[endpoint])
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                async with entry.request("/stream/1") as answer:
+                    await answer.read()
+            self.assertEqual(len(entry.lines.of("endpoint.broke")), 1)
+
+    async def test_stream_without_a_length_that_is_reset(self):
+        """Guards against a stream that is reset between events and is taken for complete."""
+        endpoint = Endpoint("e", unframed_stream(b"id: 1\ndata: x\n\n", is_reset=True))
+        entry = await self.start(care=[endpoint])
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            async with entry.request("/stream/1") as answer:
+                await answer.read()
+
     async def test_broken_stream_is_resumed_elsewhere(self):
         """Guards against lost, repeated or partial events in a stream that is resumed elsewhere."""
         endpoints = [Endpoint("e1", stream(2, end=False)), Endpoint("e2", stream(2, first=3))]
@@ -374,6 +415,20 @@
             async with entry.request("/plain/2"):
                 pass
 
+    async def test_planned_stop_answers_a_request_that_has_just_arrived(self):
+        """Guards against cutting off a request on a connection that was accepted at a stop."""
+        entry = await self.start(booking=[Endpoint("e", whole())])
+        reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+        self.addCleanup(writer.close)
+        entry.forwarder.is_closing = True
+        stopping = asyncio.ensure_future(entry.http.stop_listening())
+        while entry.http.listener.is_serving():  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        writer.write(b"POST /plain/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n")
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+        self.assertIn(b" 200 ", head.splitlines()[0])
+        await stopping
+
     async def test_planned_stop_lets_running_answers_end(self):
         """Guards against cutting off a stream that runs when the stop begins."""
         release = asyncio.Event()
