--- a/mulberrygate/forward/tests/test_crashing_calls.py
+++ b/mulberrygate/forward/tests/test_crashing_calls.py
@@ -9,7 +9,16 @@
 
 from mulberrygate.control.blame import CRASHES_TO_SUSPECT
 from mulberrygate.endpoints.roster import Registration
-from mulberrygate.forward.tests.support import HOST, Endpoint, Entry, crash, document, stream
+from mulberrygate.forward.tests.support import (
+    HOST,
+    SIGNATURE,
+    Endpoint,
+    Entry,
+    crash,
+    document,
+    identifier,
+    stream,
+)
 
 STEP_TIMEOUT_S = 10.0
 
@@ -147,6 +156,91 @@
         self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 1)
 
 
+def crash_at_first_event():
+    """Return an answer function that sends the head of a stream without a length, and ends."""
+
+    async def answer(endpoint, _reader, writer, head):
+        lines = [b"HTTP/1.1 200 OK", identifier(head), SIGNATURE.encode() + b": s"]
+        lines.append(b"Content-Type: text/event-stream")
+        writer.write(b"\r\n".join(lines) + b"\r\n\r\nid: 1")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        endpoint.server.close()
+        writer.transport.abort()
+
+    return answer
+
+
+class TestCrashingParts(CrashTestCase):
+    """Calls that share a part of their prompts with one that crashed an endpoint."""
+
+    PARTS = "X-Mulberrygate-Prefix-Hash"
+
+    def with_parts(self, *parts):
+        """Return the headers of a call whose prompt has these shared parts and one of its own."""
+        return {self.PARTS: ",".join(f"{part}:60" for part in (*parts, "0a"))}
+
+    async def crash_one(self, *others):
+        """Start an entry, let its endpoint end under a call with a part, and add other ones."""
+        first = Endpoint("e1", crash_at_first_event())
+        entry = await self.start(document(resumable=True), care=[first])
+        headers = self.with_parts("aa", "bad")
+        async with entry.request("/stream/1", identifier="id-1", **headers) as answer:
+            self.assertEqual(answer.status, 502)
+        await self.until(lambda: entry.crashes)
+        for endpoint in others:
+            await endpoint.start()
+            self.addAsyncCleanup(endpoint.close)
+            entry.roster.record_report(endpoint.registration("care"), entry.timers.now())
+        entry.placement.refresh()
+        return entry
+
+    async def test_end_without_a_length_is_evidence(self):
+        """Guards against missing a crash because the answer had neither length nor chunks."""
+        entry = await self.crash_one()
+        (crash,) = entry.crashes
+        self.assertEqual((crash.parts, crash.has_head), (("part-aa", "part-bad"), True))
+
+    async def test_call_that_crashed_an_endpoint_is_not_sent_to_another(self):
+        """Guards against a retry that costs the next endpoint."""
+        other = Endpoint("e2", stream(2))
+        entry = await self.crash_one(other)
+        headers = self.with_parts("aa", "bad")
+        async with entry.request("/stream/1", identifier="id-2", **headers) as answer:
+            self.assertEqual((answer.status, (await answer.json())["code"]), (503, 1210))
+        self.assertEqual(other.requests, [])
+
+    async def test_call_with_a_suspected_part_waits_for_its_clearance(self):
+        """Guards against refusing a sound call at once because it shares a suspected part."""
+        entry = await self.crash_one(Endpoint("e2", stream(2)))
+        headers = self.with_parts("aa")
+        asked = asyncio.ensure_future(
+            entry.request("/stream/2", identifier="id-2", **headers).__aenter__()
+        )
+        await asyncio.sleep(0.2)
+        self.assertFalse(asked.done())
+        suspects = entry.forwarder.suspects
+        suspects.record_reported(suspects.next_report(), 1)
+        suspects.update_quarantine(1, (), ("part-bad",))
+        answer = await asyncio.wait_for(asked, STEP_TIMEOUT_S)
+        self.assertEqual(answer.status, 200)
+
+    async def test_send_of_a_quarantined_call_is_cancelled(self):
+        """Guards against an endpoint that begins a call which was quarantined in the meantime."""
+        endpoint = Endpoint("e1", stay_silent)
+        entry = await self.start(care=[endpoint])
+        headers = self.with_parts("bad")
+        asked = asyncio.ensure_future(
+            entry.request("/stream/1", identifier="id-1", **headers).__aenter__()
+        )
+        await asyncio.wait_for(endpoint.asked.wait(), STEP_TIMEOUT_S)
+        entry.forwarder.suspects.update_quarantine(1, ("part-bad",), ())
+        entry.forwarder.cancel_quarantined()
+        answer = await asyncio.wait_for(asked, STEP_TIMEOUT_S)
+        self.assertEqual((answer.status, (await answer.json())["code"]), (502, 6203))
+        self.assertEqual(entry.crashes, [])
+
+
 class TestOtherEnds(CrashTestCase):
     """Ends of calls at endpoints that go on running."""
 
