Quarantine parts that can't be told apart jointly

Such parts are guilty jointly now: calls with all of them are refused, calls with one of them are sent one at a time, and the first answer or crash of these decides.

--- a/mulberrygate/control/blame.py
+++ b/mulberrygate/control/blame.py
@@ -38,6 +38,8 @@
 # Candidates of one crash that are kept. A crash with more tells little about each.
 MAX_CANDIDATES = 32
 PART_PREFIX = "part-"
+# Joins the parts of a joint identity.
+JOINT = "+"
 
 
 def part_identity(part: str) -> str:
@@ -57,6 +59,28 @@
     return identity.startswith(PART_PREFIX)
 
 
+def joint_identity(parts: Iterable[str]) -> str:
+    """Return the identity of prompts that have all of some parts.
+
+    Examples
+    ========
+    >>> from mulberrygate.control.blame import joint_identity, members
+    >>> joint_identity(["part-b", "part-a"]), members("part-a+part-b"), members("part-a")
+    ('part-a+part-b', ('part-a', 'part-b'), ('part-a',))
+    """
+    return JOINT.join(sorted(parts))
+
+
+def members(identity: str) -> tuple[str, ...]:
+    """Return the parts of a joint identity, or the identity itself."""
+    return tuple(identity.split(JOINT))
+
+
+def matching(listed: Iterable[str], identities: Collection[str]) -> tuple[str, ...]:
+    """Return those of the listed identities, single or joint, that a call has."""
+    return tuple(name for name in listed if all(part in identities for part in members(name)))
+
+
 @attrs.frozen
 class Candidate:
     """Call that may have caused a crash.
@@ -197,7 +221,13 @@
 
 @attrs.frozen
 class Verdicts:
-    """Identities that are guilty of crashes, and those that may be, with their evidence."""
+    """Identities that are guilty of crashes, and those that may be, with their evidence.
+
+    Explanation
+    ===========
+    Parts that can't be told apart are guilty jointly: calls with all of them are refused, and those
+    with some of them are suspected.
+    """
 
     guilty: dict[str, Case]
     suspects: dict[str, Case]
@@ -227,7 +257,8 @@
     Explanation
     ===========
     Identities that are in the same crashes can't be told apart. Calls are, once they are sent one
-    at a time. Parts that always stand in the same prompts never are, so one more crash decides.
+    at a time. Parts may always stand in the same prompts; after one more crash they are guilty
+    jointly, and an answer to a call with one of them decides.
     """
     guilty: dict[str, Case] = {}
     undecided: set[str] = set()
@@ -238,12 +269,14 @@
         if not found:
             return guilty
         best = max(found, key=lambda case: (case.episodes, -case.answered_at))
-        equal = [case for case in found if best.covers(case)]
-        is_decided = len(equal) == 1 or (parts and best.excess > 0)
-        if is_decided:
-            guilty.update((case.identity, case) for case in equal)
-        else:
-            undecided.update(case.identity for case in equal)
+        equal = [case.identity for case in found if best.covers(case)]
+        if len(equal) == 1:
+            guilty[best.identity] = best
+            continue
+        undecided.update(equal)
+        if parts and best.excess > 0:
+            joint = joint_identity(equal)
+            guilty[joint] = attrs.evolve(best, identity=joint)
 
 
 def judge(
--- a/mulberrygate/control/quarantine.py
+++ b/mulberrygate/control/quarantine.py
@@ -19,7 +19,16 @@
 
 import attrs
 
-from mulberrygate.control.blame import Candidate, Case, EndpointCrash, Verdicts, is_part, judge
+from mulberrygate.control.blame import (
+    Candidate,
+    Case,
+    EndpointCrash,
+    Verdicts,
+    is_part,
+    judge,
+    matching,
+    members,
+)
 
 # Time for which a crash counts.
 EVIDENCE_S = 900.0
@@ -201,8 +210,9 @@
         is_change = self._drop_expired()
         for answer in answers:
             is_change |= self._add_answer(answer.identity, self.clock - answer.age_s)
-        for identity in released:
-            is_change |= self._add_answer(identity, self.clock)
+        for released_identity in released:
+            for identity in members(released_identity):
+                is_change |= self._add_answer(identity, self.clock)
         for crash in crashes:
             is_change |= self._add_crash(crash)
         if is_change:
@@ -217,11 +227,19 @@
         self.answered_at[identity] = at
         while len(self.answered_at) > MAX_ANSWERS:
             del self.answered_at[next(iter(self.answered_at))]
-        record = self.records.get(identity)
-        if record is not None and record.last_crash_at <= at:
-            del self.records[identity]
+        self._drop_records_with(identity, at)
         return True
 
+    def _drop_records_with(self, identity: str, at: float) -> None:
+        """Drop the records of an identity, and of its joint ones, without a crash since a time."""
+        found = [
+            name
+            for name, record in self.records.items()
+            if identity in members(name) and record.last_crash_at <= at
+        ]
+        for name in found:
+            del self.records[name]
+
     def _add_crash(self, evidence: CrashEvidence) -> bool:
         key = (evidence.endpoint, evidence.incarnation)
         at = self.clock - evidence.age_s
@@ -230,11 +248,10 @@
         while len(self.crashes) > MAX_CRASHES:
             oldest = min(self.crashes, key=lambda other: self.crashes[other].at)
             del self.crashes[oldest]
-        for identity in evidence.candidate.identities:
-            record = self.records.get(identity)
-            if record is not None and at > self.answered_at.get(identity, -math.inf):
-                record.crashes.add(key)
-                record.last_crash_at = max(record.last_crash_at, crash.at)
+        for name in matching(self.records, evidence.candidate.identities):
+            record = self.records[name]
+            record.crashes.add(key)
+            record.last_crash_at = max(record.last_crash_at, crash.at)
         return is_change
 
     def _judge(self) -> None:
@@ -246,6 +263,7 @@
                     set(self.crash_keys(case)), case.crashes[-1].at
                 )
                 self.trials.pop(identity, None)
+        self._drop_decided_records()
         self._drop_oldest_records()
         before = self.quarantined, self.suspects
         self.quarantined = tuple(self.records)
@@ -255,6 +273,16 @@
         if before != (self.quarantined, self.suspects):
             self.number += 1
 
+    def _drop_decided_records(self) -> None:
+        """Drop the records of joint identities with a part that is quarantined by itself."""
+        decided = [
+            name
+            for name in self.records
+            if len(members(name)) > 1 and any(part in self.records for part in members(name))
+        ]
+        for name in decided:
+            del self.records[name]
+
     def _drop_oldest_records(self) -> None:
         while len(self.records) > MAX_QUARANTINED:
             del self.records[min(self.records, key=lambda name: self.records[name].last_crash_at)]
@@ -283,8 +311,11 @@
         return identity in self.records or identity in self.verdicts.suspects
 
     def listed(self, identities: Iterable[str]) -> tuple[str, ...]:
-        """Return those of some identities that are suspected or quarantined."""
-        return tuple(identity for identity in identities if self.is_listed(identity))
+        """Return what is suspected or quarantined, singly or jointly, of a call's identities."""
+        known = tuple(identities)
+        single = tuple(identity for identity in known if self.is_listed(identity))
+        joint = matching((name for name in self.records if name not in known), known)
+        return single + joint
 
     def trial_wait_s(self, identities: Iterable[str], at: float) -> float:
         """Return the seconds from a Unix time until a trial of a call is due.
@@ -330,8 +361,9 @@
         at : float
             Unix time in seconds at the process that proposes the trial.
         """
-        listed = self.listed(identities)
-        if not listed or self.trial_wait_s(listed, at) > 0:
+        known = tuple(identities)
+        listed = self.listed(known)
+        if not listed or self.trial_wait_s(known, at) > 0:
             return False
         self.clock = max(self.clock, at)
         for identity in listed:
--- a/mulberrygate/control/tests/test_quarantine.py
+++ b/mulberrygate/control/tests/test_quarantine.py
@@ -110,6 +110,28 @@
         self.quarantine.put([], [AnswerEvidence(PART)], at=40.0)
         self.assertEqual((self.quarantine.quarantined, self.quarantine.clock), ((), 100.0))
 
+    def test_parts_of_the_same_prompts_are_quarantined_jointly(self):
+        """Guards against refusing a sound part that is not answered, as no call has it alone."""
+        parts = ("part-aa", PART)
+        for number in range(3):
+            evidence = [crash(f"c{number}", f"e{number}", *parts, has_head=True)]
+            self.quarantine.put(evidence, at=10.0 * number)
+        self.assertEqual(self.quarantine.quarantined, ("part-aa+part-bad",))
+        self.assertLessEqual(set(parts), set(self.quarantine.suspects))
+        self.assertEqual(self.quarantine.trial_wait_s(("c9", "part-aa"), 22.0), 0.0)
+        self.assertGreater(self.quarantine.trial_wait_s(("c9", *parts), 30.0), 0.0)
+        self.quarantine.put([], [AnswerEvidence("part-aa")], at=30.0)
+        self.assertEqual(self.quarantine.quarantined, (PART,))
+        self.assertNotIn("part-aa", self.quarantine.suspects)
+
+    def test_operator_releases_parts_that_are_quarantined_jointly(self):
+        """Guards against a release that the same evidence undoes at once."""
+        for number in range(3):
+            evidence = [crash(f"c{number}", f"e{number}", "part-aa", PART, has_head=True)]
+            self.quarantine.put(evidence, at=10.0 * number)
+        self.quarantine.put(released=self.quarantine.quarantined, at=25.0)
+        self.assertEqual(self.quarantine.quarantined, ())
+
     def test_number_rises_with_each_change_of_the_same_size(self):
         """Guards against missing a change to a list of the same size."""
         quarantine_call(self.quarantine, "a")
--- a/mulberrygate/daemon/trial_granter.py
+++ b/mulberrygate/daemon/trial_granter.py
@@ -57,13 +57,14 @@
         if not self.is_leader() or not self.gate.is_open(self.timers.now()):
             return TrialResult(False, UNDECIDED_WAIT_S)
         quarantine = self.machine().quarantine
-        listed = quarantine.listed((request.call, *request.parts))
+        identities = (request.call, *request.parts)
+        listed = quarantine.listed(identities)
         if not listed:
             return TrialResult(False, UNDECIDED_WAIT_S)
-        wait_s = quarantine.trial_wait_s(listed, self.clock.now())
+        wait_s = quarantine.trial_wait_s(identities, self.clock.now())
         if wait_s > 0:
             return TrialResult(False, wait_s)
-        is_committed = await self.commit(PutTrials(listed, request.holder, self.clock.now()))
+        is_committed = await self.commit(PutTrials(identities, request.holder, self.clock.now()))
         is_granted = is_committed and self._is_holder(listed, request.holder)
         self.lines.log(
             "call.trial",
--- a/mulberrygate/forward/suspects.py
+++ b/mulberrygate/forward/suspects.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from mulberrygate.control.blame import TRUST_S, Candidate
+from mulberrygate.control.blame import TRUST_S, Candidate, matching
 from mulberrygate.control.quarantine import AnswerEvidence, CrashEvidence, QuarantineState
 from mulberrygate.core.boot_time import seconds_since_boot
 from mulberrygate.forward.request import Call
@@ -215,7 +215,10 @@
         now = self.clock()
         self._drop_awaited_crashes(now)
         identities = call.identities
-        quarantined = tuple(name for name in identities if self._is_quarantined(name, now))
+        quarantined = matching({**self.quarantined, **self.local.records}, identities)
+        quarantined = quarantined or tuple(
+            name for name in identities if self._has_crash_beyond_list(name, now)
+        )
         if quarantined:
             return Finding(Standing.QUARANTINED, quarantined)
         suspected = tuple(name for name in identities if self._is_suspected(name, now))
@@ -227,10 +230,8 @@
         if any(now >= local.reported_at + AWAIT_LIST_S for local in self.crashes.values()):
             self._drop_listed_crashes(now)
 
-    def _is_quarantined(self, identity: str, now: float) -> bool:
-        if identity in self.quarantined or identity in self.local.records:
-            return True
-        # A crash that isn't in the list yet is one more for a suspect.
+    def _has_crash_beyond_list(self, identity: str, now: float) -> bool:
+        """Return whether a suspect has one more crash, which isn't in the list yet."""
         if identity not in self.suspected or self._is_exempt(identity, now):
             return False
         return self._is_of_local_crash(identity)
--- a/mulberrygate/forward/tests/test_suspects.py
+++ b/mulberrygate/forward/tests/test_suspects.py
@@ -92,6 +92,15 @@
         self.assertEqual((found.standing, found.identities), (Standing.QUARANTINED, (BAD,)))
         self.assertEqual(self.standing(call("/stream/9", parts=("aa",))), Standing.CLEAR)
 
+    def test_parts_that_are_quarantined_jointly(self):
+        """Guards against refusing calls with one of two parts that can't be told apart."""
+        self.suspects.update_quarantine(1, ("part-aa+part-bad",), (FIRST, BAD))
+        found = self.suspects.find(call(parts=("aa", "0c", "bad")))
+        self.assertEqual(found.standing, Standing.QUARANTINED)
+        self.assertEqual(found.identities, ("part-aa+part-bad",))
+        self.assertEqual(self.standing(call(parts=("aa",))), Standing.SUSPECTED)
+        self.assertEqual(self.standing(call(parts=("0c",))), Standing.CLEAR)
+
     def test_older_list_changes_nothing(self):
         """Guards against an older quarantine of a lagging control process that releases a call."""
         self.suspects.update_quarantine(2, (call().fingerprint,), ())
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -18,7 +18,7 @@
 
 MAX_DOCUMENT_BYTES = 16 << 20
 INSTANCE = re.compile(r"/instances/([^/?]+)$")
-QUARANTINED = re.compile(r"/quarantine/((?:part-)?[0-9a-f]+)$")
+QUARANTINED = re.compile(r"/quarantine/([0-9a-f]+|part-[0-9a-f]+(?:\+part-[0-9a-f]+)*)$")
 ROLLOUT = re.compile(r"/rollouts/([^/?]+)$")
 
 
