--- a/mulberrygate/control/blame.py
+++ b/mulberrygate/control/blame.py
@@ -110,14 +110,14 @@
 
 @attrs.define(eq=False)
 class EndpointCrash:
-    """Crash of one process of an endpoint, and the calls that may have caused it.
+    """Crash of one process of an endpoint, and the calls that are most likely to have caused it.
 
     Parameters
     ==========
     at : float
         Seconds on the clock of the record.
     candidates : dict[str, Candidate]
-        By fingerprint.
+        By fingerprint: the calls with the head of an answer, or all if there are none.
     """
 
     at: float
@@ -125,23 +125,23 @@
 
     def add(self, candidate: Candidate) -> bool:
         """Add a candidate; return whether that changes anything."""
-        known = self.candidates.get(candidate.call)
-        is_known = known is not None and known.has_head >= candidate.has_head
-        if is_known or (known is None and len(self.candidates) >= MAX_CANDIDATES):
+        has_head = any(known.has_head for known in self.candidates.values())
+        if candidate.has_head and not has_head:
+            self.candidates = {candidate.call: candidate}
+            return True
+        is_unlikely = has_head and not candidate.has_head
+        if is_unlikely or candidate.call in self.candidates:
+            return False
+        if len(self.candidates) >= MAX_CANDIDATES:
             return False
         self.candidates[candidate.call] = candidate
         return True
 
-    def likeliest(self) -> list[Candidate]:
-        """Return the candidates with the head of an answer, or all if there are none."""
-        begun = [candidate for candidate in self.candidates.values() if candidate.has_head]
-        return begun or list(self.candidates.values())
-
     def is_explained(self, guilty: Collection[str]) -> bool:
-        """Return whether one of its likeliest candidates has a guilty identity."""
+        """Return whether one of its candidates has a guilty identity."""
         return any(
             identity in guilty
-            for candidate in self.likeliest()
+            for candidate in self.candidates.values()
             for identity in candidate.identities
         )
 
@@ -153,7 +153,7 @@
     Parameters
     ==========
     crashes : list[EndpointCrash]
-        Crashes since its last answer in which it is among the likeliest candidates, in order.
+        Crashes since its last answer in which it is among the candidates, in order.
     calls : set[str]
         Fingerprints of its calls among the candidates.
     heads : int
@@ -239,7 +239,7 @@
     """Return the evidence against all parts, or against all whole calls."""
     cases: dict[str, Case] = {}
     for crash in crashes:
-        for candidate in crash.likeliest():
+        for candidate in crash.candidates.values():
             for identity in candidate.parts if parts else (candidate.call,):
                 answered = answered_at.get(identity, -math.inf)
                 if answered >= crash.at:
