--- a/bench/site_messages.py
+++ b/bench/site_messages.py
@@ -11,19 +11,31 @@
 
 from mulberrygate.control.catalogs import (
     CatalogStateMachine,
-    PutCrashes,
-    PutTrial,
+    PutEvidence,
+    PutTrials,
     encode_command,
 )
 from mulberrygate.core.wire import decode, encode
 from mulberrygate.schedule.messages import Progress
-from mulberrygate.sync.messages import CheckCurrent, CheckCurrentResult, TrialRequest, TrialResult
+from mulberrygate.sync.messages import (
+    Answered,
+    CheckCurrent,
+    CheckCurrentResult,
+    Crash,
+    CrashReport,
+    FollowResult,
+    TrialRequest,
+    TrialResult,
+)
 
 REPEATS = 3000
 RUNNING = 13
 WAITING = 7
 CALLS_PER_CRASH = 14
 CRASHES = 600
+CRASH_PAUSE_S = 5.0
+PARTS = (f"part-{1:012x}", f"part-{2:012x}")
+LISTED = 250
 FINGERPRINT = f"{0:024x}"
 HOLDER = "10.1.0.25/1787771334520/1"
 
@@ -52,33 +64,59 @@
     print_message("Progress", Progress("pool", emitted, held, True))
     print_message("CheckCurrent", CheckCurrent())
     print_message("CheckCurrentResult", CheckCurrentResult(True))
-    print_message("TrialRequest", TrialRequest(FINGERPRINT, HOLDER))
+    crash = Crash(FINGERPRINT, f"i-{0:010x}", 1, PARTS, True, 0.05, 0.4)
+    print_message("CrashReport of one call", CrashReport((crash,)))
+    print_message("CrashReport of one answer", CrashReport(answers=(Answered(PARTS[0], 0.4),)))
+    listed = tuple(f"{number:024x}" for number in range(LISTED))
+    print_message(f"FollowResult with {LISTED} listed", FollowResult(1, 1, 1, suspected=listed))
+    print_message("TrialRequest", TrialRequest(FINGERPRINT, HOLDER, PARTS))
     print_message("TrialResult", TrialResult(False, 19.5))
 
 
-def make_crash_command(number: int, calls: int) -> PutCrashes:
+def make_crash_command(number: int, calls: int, has_head: bool) -> PutEvidence:
     """Return the command that reports the crash of one endpoint during a number of calls."""
-    crashes = tuple((f"{number:012x}{call:012x}", f"i-{number:010x}", 1) for call in range(calls))
-    return PutCrashes(crashes, (), 0.0)
-
-
-def print_commands() -> None:
+    crashes = tuple(
+        (
+            f"{number:012x}{call:012x}",
+            (f"part-{number % 50:012x}", f"part-{number * calls + call:012x}"),
+            has_head and call == 0,
+            f"i-{number:010x}",
+            1,
+            0.05,
+            0.4,
+        )
+        for call in range(calls)
+    )
+    return PutEvidence(crashes, (), (), number * CRASH_PAUSE_S)
+
+
+def print_commands(has_head: bool) -> None:
     """Print the cost of crash reports in the replicated state machine."""
     machine = CatalogStateMachine()
-    commands = [encode_command(make_crash_command(n, CALLS_PER_CRASH)) for n in range(CRASHES)]
+    commands = [
+        encode_command(make_crash_command(n, CALLS_PER_CRASH, has_head)) for n in range(CRASHES)
+    ]
     for index, command in enumerate(commands[:-100], start=1):
         machine.apply(index, command)
     started = time.process_time()
     for index, command in enumerate(commands[-100:], start=CRASHES):
         machine.apply(index, command)
     apply_ms = (time.process_time() - started) / 100 * 1e3
-    one = encode_command(make_crash_command(0, 1))
-    print(f"PutCrashes of 1 and {CALLS_PER_CRASH} calls: {len(one)} and {len(commands[0])} B")
-    print(f"PutTrial: {len(encode_command(PutTrial(FINGERPRINT, HOLDER, 0.0)))} B")
-    print(f"to apply it on {len(machine.quarantine.records)} records: {apply_ms:.2f} ms")
+    one = encode_command(make_crash_command(0, 1, has_head))
+    print(f"crashes {'after' if has_head else 'without'} the head of an answer:")
+    print(f"PutEvidence of 1 and {CALLS_PER_CRASH} calls: {len(one)} and {len(commands[0])} B")
+    print(f"to apply it on {len(machine.quarantine.crashes)} crashes: {apply_ms:.2f} ms")
     print(f"snapshot: {len(machine.snapshot()) / 1000:.0f} KB")
 
 
+def print_trial() -> None:
+    """Print the size of the command that begins a trial."""
+    command = PutTrials((FINGERPRINT, *PARTS), HOLDER, 0.0)
+    print(f"PutTrials: {len(encode_command(command))} B")
+
+
 if __name__ == "__main__":
     print_messages()
-    print_commands()
+    print_commands(has_head=True)
+    print_commands(has_head=False)
+    print_trial()
--- a/mulberrygate/cli/explain.py
+++ b/mulberrygate/cli/explain.py
@@ -11,10 +11,14 @@
 
 from mulberrygate.cli.codes import load_codes
 from mulberrygate.cli.command import OK, REFUSED, add_format_argument, command, print_json
+from mulberrygate.control.blame import matching
 from mulberrygate.core.codes import Code
+from mulberrygate.forward.codes import CRASHES_ENDPOINTS, MAY_CRASH_ENDPOINTS
 
 Line = dict[str, Any]
 
+CRASH_CODES = tuple(f"{code.number} " for code in (CRASHES_ENDPOINTS, MAY_CRASH_ENDPOINTS))
+
 # Events that change the state on which a process bases its decisions about requests.
 CONTEXT_EVENTS = (
     "catalog.in_force",
@@ -27,6 +31,10 @@
     "process.stopping",
     "process.unfinished",
 )
+# Events on an identity that is blamed for crashes, see `mulberrygate.control.blame`.
+VERDICT_EVENTS = ("quarantine.suspected", "quarantine.added", "quarantine.known")
+# Reports of crashes, and verdicts, that are shown of one refused request.
+MAX_CRASH_LINES = 24
 # Context events up to this long before the request's end are shown.
 CONTEXT_S = 20.0
 
@@ -76,7 +84,40 @@
         and end - CONTEXT_S <= line["at"] <= end
         and ("endpoint" not in line or line["endpoint"] in endpoints)
     ]
-    return sorted(request_lines + context, key=lambda line: line["at"])
+    crashes = collect_crash_lines(lines, request_lines[-1])
+    return sorted(request_lines + context + crashes, key=lambda line: line["at"])
+
+
+def collect_crash_lines(lines: list[Line], end: Line) -> list[Line]:
+    """Return the verdicts and crashes for which a request was refused, the latest of them.
+
+    Parameters
+    ==========
+    end : Line
+        Last line of the request, whose detail names the identities that are blamed.
+    """
+    if not str(end.get("code", "")).startswith(CRASH_CODES):
+        return []
+    blamed = set(str(end.get("detail", "")).split(","))
+    found = [
+        line
+        for line in lines
+        if line["at"] <= end["at"] and (is_verdict_on(line, blamed) or is_crash_with(line, blamed))
+    ]
+    return found[-MAX_CRASH_LINES:]
+
+
+def is_verdict_on(line: Line, blamed: set[str]) -> bool:
+    """Return whether a line tells that one of some identities is suspected or quarantined."""
+    return line["event"] in VERDICT_EVENTS and line.get("identity") in blamed
+
+
+def is_crash_with(line: Line, blamed: set[str]) -> bool:
+    """Return whether a line reports a crash during a call with one of some identities."""
+    if line["event"] != "call.crashed":
+        return False
+    known = {line.get("fingerprint"), *str(line.get("parts", "")).split(",")}
+    return bool(matching(blamed, known))
 
 
 def describe_outcome(lines: list[Line], request: str, codes: dict[int, Code]) -> str:
--- a/mulberrygate/cli/tests/test_explain.py
+++ b/mulberrygate/cli/tests/test_explain.py
@@ -49,6 +49,20 @@
         self.assertEqual(len(self.lines), 9)
         self.assertEqual([line["at"] for line in self.lines], sorted(x["at"] for x in self.lines))
 
+    def test_crashes_for_which_a_call_was_refused(self):
+        """Guards against a refused part whose crashes an operator has to search for."""
+        code = str(forward_codes.CRASHES_ENDPOINTS)
+        texts = [
+            text(1.0, "call.crashed", fingerprint="f1", parts="part-aa,part-bad", endpoint="e1"),
+            text(2.0, "call.crashed", fingerprint="f2", parts="part-aa", endpoint="e2"),
+            text(3.0, "quarantine.added", node="core-1", identity="part-bad", endpoints="e1"),
+            text(4.0, "quarantine.added", node="core-1", identity="part-aa", endpoints="e2"),
+            text(5.0, "request.refused", id="r5", status=503, code=code, detail="part-bad"),
+            text(6.0, "call.crashed", fingerprint="f3", parts="part-bad", endpoint="e3"),
+        ]
+        found = collect_request_lines(parse_lines(texts), "r5")
+        self.assertEqual([line["at"] for line in found], [1.0, 3.0, 5.0])
+
     def test_context_events_of_the_process_are_included(self):
         """Guards against omitting the process's catalog, or showing that of another process."""
         events = [(line["event"], line["node"]) for line in collect_request_lines(self.lines, "r2")]
