--- a/mulberrygate/control/quarantine.py
+++ b/mulberrygate/control/quarantine.py
@@ -29,10 +29,15 @@
     matching,
     members,
 )
+from mulberrygate.control.quarantine_records import (
+    QuarantineRecord,
+    Trials,
+    dump_values,
+    load_values,
+)
 
 # Time for which a crash counts.
 EVIDENCE_S = 900.0
-QUARANTINE_S = 3600.0
 # Pauses in seconds before the trials of a quarantined identity, counted from the crash or the trial
 # before; there are no trials after the last one. A part has had its trials as a suspect.
 TRIAL_PAUSES_S = (1.0, 20.0)
@@ -45,6 +50,8 @@
 # The same for a call with several suspected parts. An answer to a call with one of them comes first
 # and tells them apart.
 SUSPECT_PARTS_PAUSE_S = 3.0
+# Time for which a call stays suspected. Its caller repeats it within seconds, if at all.
+SUSPECT_CALL_S = 60.0
 # Time after which a trial of a suspect without an outcome counts as lost.
 TRIAL_TIMEOUT_S = 3.0
 # Many entries report the answers to one identity; more of them tell nothing until it is listed.
@@ -52,10 +59,6 @@
 MAX_CRASHES = 128
 MAX_ANSWERS = 4096
 MAX_QUARANTINED = 1024
-# Fields of a dump after the records; dumps of earlier releases have fewer.
-LATER_FIELDS = 5
-# Crashes at which earlier releases quarantine a call.
-EARLIER_CRASHES_TO_QUARANTINE = 3
 
 
 @attrs.frozen
@@ -85,46 +88,6 @@
     age_s: float = 0.0
 
 
-@attrs.define
-class Trials:
-    """Calls with one identity that were sent although it is suspected or quarantined.
-
-    Parameters
-    ==========
-    count : int
-        Number of trials in the present state, suspected or quarantined.
-    at : float
-        Time of the last trial.
-    holder : str
-        Identifier of the request for the last trial.
-    """
-
-    count: int = 0
-    at: float = -math.inf
-    holder: str = ""
-
-
-@attrs.define
-class QuarantineRecord:
-    """Identity in quarantine.
-
-    Parameters
-    ==========
-    crashes : set[tuple[str, int]]
-        Endpoint and incarnation of the crashes that are known for it.
-    last_crash_at : float
-        Time of the last of them.
-    """
-
-    crashes: set[tuple[str, int]]
-    last_crash_at: float
-
-    @property
-    def expires_at(self) -> float:
-        """Time at which the quarantine ends."""
-        return self.last_crash_at + QUARANTINE_S
-
-
 @attrs.frozen
 class QuarantinedIdentity:
     """Identity in quarantine as shown to operators.
@@ -266,13 +229,27 @@
         self._drop_decided_records()
         self._drop_oldest_records()
         before = self.quarantined, self.suspects
-        self.quarantined = tuple(self.records)
-        self.suspects = tuple(name for name in self.verdicts.suspects if name not in self.records)
+        self._update_lists()
         listed = {*self.quarantined, *self.suspects}
         self.trials = {name: trials for name, trials in self.trials.items() if name in listed}
         if before != (self.quarantined, self.suspects):
             self.number += 1
 
+    def _update_lists(self) -> None:
+        self.quarantined = tuple(self.records)
+        suspects = self.verdicts.suspects.items()
+        self.suspects = tuple(
+            name
+            for name, case in suspects
+            if name not in self.records and self._suspicion_ends_at(case) > self.clock
+        )
+
+    @staticmethod
+    def _suspicion_ends_at(case: Case) -> float:
+        """Return the time at which a suspicion ends without an answer."""
+        kept_s = EVIDENCE_S if is_part(case.identity) else SUSPECT_CALL_S
+        return case.crashes[-1].at + kept_s
+
     def _drop_decided_records(self) -> None:
         """Drop the records of joint identities with a part that is quarantined by itself."""
         decided = [
@@ -298,17 +275,22 @@
             del self.crashes[key]
         for name in old_records:
             del self.records[name]
-        return bool(old_crashes or old_records)
+        is_suspicion_over = any(
+            self._suspicion_ends_at(self.verdicts.suspects[name]) <= self.clock
+            for name in self.suspects
+        )
+        return bool(old_crashes or old_records or is_suspicion_over)
 
     def has_expired(self, at: float) -> bool:
-        """Return whether a crash or a quarantine has expired at a Unix time."""
-        return any(crash.at + EVIDENCE_S <= at for crash in self.crashes.values()) or any(
-            record.expires_at <= at for record in self.records.values()
-        )
+        """Return whether a crash, a suspicion or a quarantine has expired at a Unix time."""
+        ends = [crash.at + EVIDENCE_S for crash in self.crashes.values()]
+        ends += [self._suspicion_ends_at(self.verdicts.suspects[name]) for name in self.suspects]
+        ends += [record.expires_at for record in self.records.values()]
+        return any(end <= at for end in ends)
 
     def is_listed(self, identity: str) -> bool:
         """Return whether an identity is suspected or quarantined."""
-        return identity in self.records or identity in self.verdicts.suspects
+        return identity in self.records or identity in self.suspects
 
     def listed(self, identities: Iterable[str]) -> tuple[str, ...]:
         """Return what is suspected or quarantined, singly or jointly, of a call's identities."""
@@ -404,60 +386,10 @@
 
     def dump(self) -> list:
         """Return the whole state as plain values."""
-        crashes = [
-            [*key, crash.at, [attrs.astuple(item) for item in crash.candidates.values()]]
-            for key, crash in self.crashes.items()
-        ]
-        records = [
-            [identity, sorted([*crash] for crash in record.crashes), record.last_crash_at]
-            for identity, record in self.records.items()
-        ]
-        trials = [[identity, *attrs.astuple(trials)] for identity, trials in self.trials.items()]
-        # Earlier releases read the first three fields, and expect a record for each trial.
-        of_records = [row for row in trials if row[0] in self.records]
-        of_suspects = [row for row in trials if row[0] not in self.records]
-        answers = list(self.answered_at.items())
-        return [self.number, records, of_records, of_suspects, self.clock, crashes, answers]
+        return dump_values(self)
 
     def load(self, values: list) -> None:
-        """Replace the whole state by dumped values."""
-        self.number, records, *later = values
-        if len(later) < LATER_FIELDS:
-            self._load_earlier(records, later[0] if later else ())
-            return
-        of_records, of_suspects, self.clock, crashes, answers = later
-        self.records = {
-            identity: QuarantineRecord({(name, number) for name, number in keys}, last_crash_at)
-            for identity, keys, last_crash_at in records
-        }
-        self.trials = {
-            identity: Trials(*fields) for identity, *fields in (*of_records, *of_suspects)
-        }
-        self.crashes = {
-            (endpoint, incarnation): EndpointCrash(
-                at,
-                {
-                    call: Candidate(call, tuple(parts), has_head, sent_at)
-                    for call, parts, has_head, sent_at in candidates
-                },
-            )
-            for endpoint, incarnation, at, candidates in crashes
-        }
-        self.answered_at = dict((identity, at) for identity, at in answers)
-        self._restore_verdicts()
-
-    def _load_earlier(self, records: list, trials: Iterable) -> None:
-        """Load the state of an earlier release, which counts the crashes of whole calls."""
-        self.clock = max((last_at for _, _, last_at in records), default=-math.inf)
-        self.crashes, self.answered_at, self.records = {}, {}, {}
-        for call, keys, last_at in records:
-            crashes = {(endpoint, incarnation) for endpoint, incarnation in keys}
-            if len(crashes) >= EARLIER_CRASHES_TO_QUARANTINE:
-                self.records[call] = QuarantineRecord(crashes, last_at)
-        self.trials = {call: Trials(*fields) for call, *fields in trials if call in self.records}
-        self._restore_verdicts()
-
-    def _restore_verdicts(self) -> None:
+        """Replace the whole state by dumped values, also those of an earlier release."""
+        load_values(self, values)
         self.verdicts = judge(self.crashes.values(), self.answered_at, self.records)
-        self.quarantined = tuple(self.records)
-        self.suspects = tuple(name for name in self.verdicts.suspects if name not in self.records)
+        self._update_lists()
--- a/mulberrygate/control/tests/test_quarantine.py
+++ b/mulberrygate/control/tests/test_quarantine.py
@@ -19,7 +19,7 @@
     EVIDENCE_S,
     MAX_CRASHES,
     PART_TRIAL_PAUSES_S,
-    QUARANTINE_S,
+    SUSPECT_CALL_S,
     SUSPECT_PART_PAUSE_S,
     SUSPECT_PARTS_PAUSE_S,
     TRIAL_PAUSES_S,
@@ -27,8 +27,8 @@
     AnswerEvidence,
     CrashEvidence,
     QuarantineState,
-    Trials,
 )
+from mulberrygate.control.quarantine_records import QUARANTINE_S, Trials
 
 PART = "part-bad"
 
@@ -144,8 +144,11 @@
     def test_old_records_are_forgotten(self):
         """Guards against a quarantine or a suspicion that never ends."""
         quarantine_call(self.quarantine, "a")
-        self.quarantine.put([crash("b", "e9", has_head=True)], at=0.0)
-        self.assertEqual(self.quarantine.suspects, ("b",))
+        self.quarantine.put([crash("b", "e9", PART, has_head=True)], at=0.0)
+        self.assertEqual(set(self.quarantine.suspects), {"b", PART})
+        self.assertTrue(self.quarantine.has_expired(SUSPECT_CALL_S))
+        self.quarantine.put(at=SUSPECT_CALL_S)
+        self.assertEqual(self.quarantine.suspects, (PART,))
         self.assertFalse(self.quarantine.has_expired(EVIDENCE_S - 3.0))
         self.assertTrue(self.quarantine.has_expired(EVIDENCE_S))
         self.quarantine.put(at=EVIDENCE_S)
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -242,7 +242,7 @@
             suspects.update_quarantine(result.quarantine, result.quarantined, result.suspected)
         if suspects.quarantine_number != before:
             self.trials.retain({*suspects.quarantined, *suspects.suspected})
-            self.forwarder.cancel_quarantined()
+            self.forwarder.gate.cancel_quarantined()
 
     def _check_informed(self, result: FollowResult) -> None:
         """Begin to serve once the state of the control group is known.
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -150,7 +150,7 @@
                 forwarder.scheduler.return_grant(ticket.request)
                 if self.attempts.sends:
                     return self._give_up()
-                refused = await forwarder.check_quarantine(call)
+                refused = await forwarder.gate.check(call)
                 if refused is not None:
                     return refused
                 continue
@@ -173,7 +173,7 @@
     async def _may_send(self, ticket: Ticket) -> bool:
         """Return whether the quarantine allows to send the call; return the grant if cancelled."""
         try:
-            return await self.forwarder.may_send(self.call, self.attempts.may_have_run)
+            return await self.forwarder.gate.may_send(self.call, self.attempts.may_have_run)
         except BaseException:
             self.forwarder.scheduler.return_grant(ticket.request)
             raise
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -19,8 +19,9 @@
 from mulberrygate.forward.exchange import EndpointClient
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.prior_wait import PriorWaitEstimator
+from mulberrygate.forward.quarantine_gate import QuarantineGate
 from mulberrygate.forward.request import Call, Dialect, Refused
-from mulberrygate.forward.suspects import Finding, Standing, Suspects
+from mulberrygate.forward.suspects import Standing, Suspects
 from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import RetryBudget
@@ -31,12 +32,6 @@
 NO_CATALOG_WAIT_S = 1.5
 NO_CATALOG_WAIT_FRACTION = 0.5
 NO_CATALOG_RETRY_S = 0.5
-# Limits of the Retry-After for quarantined calls.
-MIN_QUARANTINED_RETRY_S = 0.2
-QUARANTINED_RETRY_S = 5.0
-# Longest wait of a suspected call, in seconds and as a fraction of the caller's timeout.
-SUSPECT_WAIT_S = 2.0
-SUSPECT_WAIT_FRACTION = 0.25
 # A catalog counts as current for this time. A control process is polled twice a second, and hears
 # from its leader eight times a second.
 CATALOG_CURRENT_S = 1.5
@@ -53,7 +48,8 @@
 
     Explanation
     ===========
-    The steps are `choose_route`, `authenticate`, `read_body`, `check_quarantine` and `spend_units`.
+    The steps are `choose_route`, `authenticate`, `read_body`, `QuarantineGate.check` and
+    `spend_units`.
     Then a `Delivery` waits for a grant, sends the request and relays the answer, and retries where
     the kind of the request allows it.
 
@@ -93,7 +89,6 @@
         self.scheduler = scheduler
         self.limits = limits
         self.suspects = suspects
-        self.trials = trials
         self.timers = timers
         self.lines = lines
         self.metrics = metrics
@@ -101,6 +96,9 @@
         self.crash_detector = CrashDetector(
             placement.directory.roster, self.endpoints, suspects, timers, lines
         )
+        self.gate = QuarantineGate(
+            suspects, trials, self.crash_detector.monitor.sends, timers, lines
+        )
         self.index: CatalogIndex | None = None
         self.has_index = asyncio.Event()
         self.retry_budgets: dict[str, RetryBudget] = {}
@@ -173,7 +171,7 @@
         if refused is None:
             refused = await self.read_body(call, request, index)
         if refused is None:
-            refused = await self.check_quarantine(call)
+            refused = await self.gate.check(call)
         if refused is None:
             refused = await self.spend_units(call, index)
         return refused
@@ -249,89 +247,6 @@
         call.body = bytes(body)
         return None
 
-    async def check_quarantine(self, call: Call) -> Refused | None:
-        """Hold back a call that may crash endpoints, and refuse one that does.
-
-        Explanation
-        ===========
-        A call that is only suspected waits for a while: for an answer to a call with the same
-        identity, or for a trial of its own. If a trial may be due, the call goes on; `may_send`
-        requests the trial before the send.
-        """
-        patience_s = SUSPECT_WAIT_FRACTION * (call.deadline_at - call.received_at)
-        give_up_at = call.received_at + min(SUSPECT_WAIT_S, patience_s)
-        while True:
-            changed = self.suspects.changed
-            finding = self.suspects.find(call)
-            if finding.standing is Standing.CLEAR or self._may_request_trial(call, finding):
-                return None
-            left_s = give_up_at - self.timers.now()
-            if finding.standing is Standing.QUARANTINED or left_s <= 0:
-                return self.refuse_listed(finding)
-            wait_s = self.trials.wait_s(finding.identities) or left_s
-            await self._wait_for_change(changed, min(left_s, wait_s))
-
-    @staticmethod
-    async def _wait_for_change(changed: asyncio.Event, timeout_s: float) -> None:
-        """Wait until the list or the local evidence changes, up to a timeout."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await changed.wait()
-        except TimeoutError:
-            pass
-
-    def _may_request_trial(self, call: Call, finding: Finding) -> bool:
-        if self.suspects.is_unreported(call):
-            return False
-        return self.trials.wait_s(finding.identities) <= 0
-
-    def refuse_listed(self, finding: Finding) -> Refused:
-        """Return the refusal of a suspected or quarantined call, with the time of the next try."""
-        wait_s = self.trials.wait_s(finding.identities) or QUARANTINED_RETRY_S
-        retry_after_s = min(QUARANTINED_RETRY_S, max(MIN_QUARANTINED_RETRY_S, wait_s))
-        is_quarantined = finding.standing is Standing.QUARANTINED
-        code = codes.CRASHES_ENDPOINTS if is_quarantined else codes.MAY_CRASH_ENDPOINTS
-        return Refused(code, ",".join(finding.identities), retry_after_s)
-
-    async def may_send(self, call: Call, may_have_run: bool) -> bool:
-        """Return whether a call may be sent to an endpoint, if need be as a trial.
-
-        Explanation
-        ===========
-        A call may have been listed while it waited or while an earlier send ran. A trial is used up
-        once the call may have run.
-        """
-        finding = self.suspects.find(call)
-        if finding.standing is Standing.CLEAR:
-            return True
-        if may_have_run:
-            return False
-        if not call.is_trial and self._may_request_trial(call, finding):
-            call.is_trial = await self.trials.request(
-                call.fingerprint, call.parts, finding.identities
-            )
-            self.lines.log(
-                "call.trial_requested",
-                id=call.head.request,
-                fingerprint=call.fingerprint,
-                identities=",".join(finding.identities),
-                is_granted=call.is_trial,
-            )
-        return call.is_trial
-
-    def cancel_quarantined(self) -> None:
-        """Cancel the sends of quarantined calls that endpoints have not begun to answer.
-
-        Explanation
-        ===========
-        An endpoint drops a call whose connection closes, so those that have not begun it survive.
-        """
-        for send in self.crash_detector.monitor.sends:
-            if send.has_head or send.call.is_trial:
-                continue
-            if self.suspects.find(send.call).standing is Standing.QUARANTINED:
-                send.cancel()
-
     async def spend_units(self, call: Call, index: CatalogIndex) -> Refused | None:
         """Spend the request's units of its client account; return the refusal, if any."""
         account = index.accounts.get(call.account)
--- a/mulberrygate/forward/suspects.py
+++ b/mulberrygate/forward/suspects.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from mulberrygate.control.blame import TRUST_S, Candidate, matching
+from mulberrygate.control.blame import TRUST_S, Candidate, matching, members
 from mulberrygate.control.quarantine import AnswerEvidence, CrashEvidence, QuarantineState
 from mulberrygate.core.boot_time import seconds_since_boot
 from mulberrygate.forward.request import Call
@@ -104,6 +104,8 @@
         Number of the list that was taken over last, as the control processes count them.
     quarantined, suspected : dict[str, float]
         Identities of that list, with the times since which they are in it.
+    joint : tuple[str, ...]
+        Joint identities among the quarantined ones.
     changed : asyncio.Event
         Set and replaced by a new event when a call's standing may have changed.
     crashes : dict[Crash, LocalCrash]
@@ -127,6 +129,7 @@
         self.lower_number_since = math.inf
         self.quarantined: dict[str, float] = {}
         self.suspected: dict[str, float] = {}
+        self.joint: tuple[str, ...] = ()
         self.changed = asyncio.Event()
         self.crashes: dict[Crash, LocalCrash] = {}
         self.local = QuarantineState()
@@ -156,6 +159,7 @@
         self.quarantine_number = quarantine_number
         self.quarantined = {name: self.quarantined.get(name, now) for name in quarantined}
         self.suspected = {name: self.suspected.get(name, now) for name in suspected}
+        self.joint = tuple(name for name in quarantined if len(members(name)) > 1)
         self._drop_listed_crashes(now)
         self._report_earlier_answers(now)
         self._announce_change()
@@ -215,7 +219,7 @@
         now = self.clock()
         self._drop_awaited_crashes(now)
         identities = call.identities
-        quarantined = matching({**self.quarantined, **self.local.records}, identities)
+        quarantined = self._quarantined_of(identities)
         quarantined = quarantined or tuple(
             name for name in identities if self._has_crash_beyond_list(name, now)
         )
@@ -226,6 +230,13 @@
             return Finding(Standing.SUSPECTED, suspected)
         return CLEAR
 
+    def _quarantined_of(self, identities: tuple[str, ...]) -> tuple[str, ...]:
+        """Return what is quarantined of a call's identities, singly or jointly."""
+        single = (name for name in identities if name in self.quarantined)
+        joint = matching(self.joint, identities)
+        local = matching(self.local.records, identities)
+        return tuple(dict.fromkeys((*single, *joint, *local)))
+
     def _drop_awaited_crashes(self, now: float) -> None:
         if any(now >= local.reported_at + AWAIT_LIST_S for local in self.crashes.values()):
             self._drop_listed_crashes(now)
--- a/mulberrygate/forward/tests/test_crashing_calls.py
+++ b/mulberrygate/forward/tests/test_crashing_calls.py
@@ -235,7 +235,7 @@
         )
         await asyncio.wait_for(endpoint.asked.wait(), STEP_TIMEOUT_S)
         entry.forwarder.suspects.update_quarantine(1, ("part-bad",), ())
-        entry.forwarder.cancel_quarantined()
+        entry.forwarder.gate.cancel_quarantined()
         answer = await asyncio.wait_for(asked, STEP_TIMEOUT_S)
         self.assertEqual((answer.status, (await answer.json())["code"]), (502, 6203))
         self.assertEqual(entry.crashes, [])
