--- a/mulberrygate/daemon/tests/test_crash_soak.py
+++ b/mulberrygate/daemon/tests/test_crash_soak.py
@@ -54,6 +54,11 @@
     late_retries: int
     unserved_s: float
 
+    @property
+    def is_bad(self) -> bool:
+        """Whether the call reached more endpoints than the users allow."""
+        return self.late_retries > MAX_LATE_RETRIES
+
 
 class FragileEndpoint(Endpoint):
     """Endpoint that ends under the crashing call and starts again after a while.
@@ -234,9 +239,9 @@
                 self.assertGreaterEqual(report.crashes, 3)
 
 
-def main():
-    """Run the given number of seeds and return the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__)
+def run_seeds(soak_class, description):
+    """Run the seeds that the command line asks for and return the exit code."""
+    parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--seeds", type=int, default=50, help="number of runs")
     parser.add_argument("--first", type=int, default=0, help="first seed")
     parser.add_argument("--seconds", type=float, default=30.0, help="length of a run")
@@ -244,17 +249,16 @@
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
         try:
-            report = asyncio.run(Soak(seed, options.seconds).run())
+            report = asyncio.run(soak_class(seed, options.seconds).run())
         except TimeoutError:
-            print(f"seed {seed}: an ordinary call was not served", flush=True)
+            print(f"FAILED seed {seed}: an ordinary call was not served", flush=True)
             failed += 1
             continue
-        is_bad = report.late_retries > MAX_LATE_RETRIES
-        failed += is_bad
-        print(f"{'FAILED ' if is_bad else ''}{report}", flush=True)
+        failed += report.is_bad
+        print(f"{'FAILED ' if report.is_bad else ''}{report}", flush=True)
     print(f"{failed} of {options.seeds} seeds failed")
     return 1 if failed else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_seeds(Soak, __doc__))
--- a/mulberrygate/daemon/tests/test_crashing_parts.py
+++ b/mulberrygate/daemon/tests/test_crashing_parts.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import itertools
 import random
@@ -18,8 +17,8 @@
 import aiohttp
 import attrs
 
-from mulberrygate.daemon.tests.site_support import ENTRY, OTHER_ENTRY, Deployment
-from mulberrygate.daemon.tests.test_crash_soak import CONTACT_S, FragileEndpoint, Soak
+from mulberrygate.daemon.tests.site_support import CONTROLS, ENTRY, OTHER_ENTRY, Deployment
+from mulberrygate.daemon.tests.test_crash_soak import CONTACT_S, FragileEndpoint, Soak, run_seeds
 from mulberrygate.forward.tests.support import REQUEST_ID, SIGNATURE, identifier, stream
 
 CI_SEEDS = (1, 2)
@@ -90,7 +89,9 @@
         super().__init__(seed, seconds)
         self.rng = random.Random(seed)
         self.route, self.pool = "stream", "care"
-        self.silent_share = 0.0
+        self.silent_share = self.rng.choice((0.0, 0.0, 0.5))
+        # A control process is killed and started again on its data, the leader if it is known.
+        self.kill_at_s = self.rng.choice((None, 2.0, 4.0))
         self.prefill_s = self.rng.choice((0.05, 0.2))
         self.sends_head = self.rng.random() < 0.8
         # The part may stand anywhere but at the end.
@@ -108,6 +109,8 @@
                 self.endpoints.append(await PartEndpoint(number, self).start())
             self.spawn(self.send_heartbeats())
             await self.wait_served("/stream/first")
+            if self.kill_at_s is not None:
+                self.spawn(self.restart_control())
             await self.send_calls()
             return self.report(0.0)
         finally:
@@ -119,6 +122,14 @@
                 await endpoint.close()
             await self.deployment.close()
 
+    async def restart_control(self):
+        """Kill the leader, or any control process, and start it again."""
+        await asyncio.sleep(self.kill_at_s)
+        name = self.deployment.leader() or CONTROLS[0]
+        await self.deployment.crash(name)
+        await asyncio.sleep(self.rng.uniform(0.5, 2.0))
+        await self.deployment.start_control(name, is_first=False)
+
     async def send_calls(self):
         """Send sound calls, and after a while crashing ones among them."""
         started_at = time.monotonic()
@@ -196,21 +207,5 @@
             self.assertFalse(report.is_bad, report)
 
 
-def main():
-    """Run the given number of seeds and return the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=50, help="number of runs")
-    parser.add_argument("--first", type=int, default=0, help="first seed")
-    parser.add_argument("--seconds", type=float, default=30.0, help="length of a run")
-    options = parser.parse_args()
-    failed = 0
-    for seed in range(options.first, options.first + options.seeds):
-        report = asyncio.run(PartSoak(seed, options.seconds).run())
-        failed += report.is_bad
-        print(f"{'FAILED ' if report.is_bad else ''}{report}", flush=True)
-    print(f"{failed} of {options.seeds} seeds failed")
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_seeds(PartSoak, __doc__))
