Repeat a trial that had no outcome, and limit only those that crash endpoints

A quarantined call got two trials, however they ended. If their callers left first, an innocent call was refused for an hour; the test shows the third trial missing. Trials without a crash or an answer are repeated after 10 s now.

--- a/mulberrygate/control/quarantine.py
+++ b/mulberrygate/control/quarantine.py
@@ -42,6 +42,9 @@
 # before; there are no trials after the last one. A part has had its trials as a suspect.
 TRIAL_PAUSES_S = (1.0, 20.0)
 PART_TRIAL_PAUSES_S = (20.0, 120.0)
+# Pause after a trial of a quarantined identity that had no outcome, as its caller left first. Such
+# trials aren't limited; an innocent call would be refused until its quarantine expires.
+TRIAL_RETRY_S = 10.0
 # Pause before a suspected call is sent again.
 SUSPECT_CALL_PAUSE_S = 5.0
 # Pause before a call with a suspected part is sent: calls that were on their way at the crash have
@@ -101,7 +104,7 @@
     crashes : int
         Number of endpoints that crashed.
     trials : int
-        Number of times that a call with it was sent since.
+        Number of trials since that crashed an endpoint.
     expires_s : float
         Seconds until the quarantine ends.
     """
@@ -212,11 +215,20 @@
             oldest = min(self.crashes, key=lambda other: self.crashes[other].at)
             del self.crashes[oldest]
         for name in matching(self.records, evidence.candidate.identities):
-            record = self.records[name]
-            record.crashes.add(key)
-            record.last_crash_at = max(record.last_crash_at, crash.at)
+            self._add_crash_to_record(name, key, crash.at)
         return is_change
 
+    def _add_crash_to_record(self, identity: str, key: tuple[str, int], at: float) -> None:
+        """Add a crash to a quarantined identity, as the outcome of its trial if there is one."""
+        record = self.records[identity]
+        if key in record.crashes:
+            return
+        trials = self.trials.get(identity)
+        if trials is not None and record.last_crash_at < trials.at <= at:
+            trials.count += 1
+        record.crashes.add(key)
+        record.last_crash_at = max(record.last_crash_at, at)
+
     def _judge(self) -> None:
         """Update the verdicts, and the lists if these change."""
         self.verdicts = judge(self.crashes.values(), self.answered_at, self.records)
@@ -326,7 +338,10 @@
             pauses = PART_TRIAL_PAUSES_S if is_part(identity) else TRIAL_PAUSES_S
             if trials.count >= len(pauses):
                 return math.inf
-            return max(record.last_crash_at, trials.at) + pauses[trials.count]
+            pause_s = pauses[trials.count]
+            due_at = record.last_crash_at + pause_s
+            has_outcome = trials.at <= record.last_crash_at
+            return due_at if has_outcome else max(due_at, trials.at + max(pause_s, TRIAL_RETRY_S))
         crashed_at = self.verdicts.suspects[identity].crashes[-1].at
         due_at = crashed_at + (part_pause_s if is_part(identity) else SUSPECT_CALL_PAUSE_S)
         # A crash after the trial is its outcome.
@@ -350,7 +365,6 @@
         self.clock = max(self.clock, at)
         for identity in listed:
             trials = self.trials.setdefault(identity, Trials())
-            trials.count += 1
             trials.at = self.clock
             trials.holder = holder
         return True
--- a/mulberrygate/control/quarantine_records.py
+++ b/mulberrygate/control/quarantine_records.py
@@ -27,7 +27,7 @@
     Parameters
     ==========
     count : int
-        Number of trials in the present state, suspected or quarantined.
+        Number of trials of a quarantined identity that crashed an endpoint.
     at : float
         Time of the last trial.
     holder : str
