--- a/mulberrygate/daemon/tests/test_crash_soak.py
+++ b/mulberrygate/daemon/tests/test_crash_soak.py
@@ -115,11 +115,17 @@
         await self.send_heartbeat()
 
     async def send_heartbeat(self):
-        """Register at a control process."""
+        """Register at the first control process that can be reached."""
         self.sequence += 1
         deployment = self.soak.deployment
         fields = deployment.heartbeat(self, self.soak.pool, self.sequence, born=self.born_ms)
-        await deployment.call_control("PUT", f"/instances/{self.name}", fields)
+        for name in list(deployment.nodes):
+            try:
+                await deployment.call_control("PUT", f"/instances/{self.name}", fields, name)
+                return
+            except (OSError, aiohttp.ClientError):
+                # It has been killed; the next heartbeat comes soon in any case.
+                continue
 
 
 class Soak:
