--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Any
 
 import attrs
@@ -85,6 +86,8 @@
         Stream response to the caller whose head was sent.
     last_failure : WholeAnswer or None
         Latest error answer of an endpoint; it is passed on if no send succeeds.
+    relayed_at : float
+        Monotonic time at which events were last passed on to the caller, infinite before.
     """
 
     def __init__(self, forwarder: Any, call: Call, request: web.BaseRequest):
@@ -98,6 +101,7 @@
         self.last_failure: WholeAnswer | None = None
         self.tickets = 0
         self.crash_check: asyncio.Task | None = None
+        self.relayed_at = math.inf
 
     def now(self) -> float:
         """Return the monotonic time."""
@@ -326,6 +330,7 @@
             if not events:
                 continue
             send.running.events = splitter.count - before
+            self._record_pause()
             if self.response is None:
                 await self._begin_response(exchange)
             is_first = send.tokens == 0
@@ -346,6 +351,12 @@
         self.forwarder.record_answer(call, self.response.status)
         return self.response
 
+    def _record_pause(self) -> None:
+        """Record the time since events were last passed on, over all sends of the call."""
+        now = self.now()
+        self.call.longest_pause_s = max(self.call.longest_pause_s, now - self.relayed_at)
+        self.relayed_at = now
+
     def _split(self, data: bytes, before: int) -> bytes:
         """Return the complete events in a stream's next bytes.
 
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -67,6 +67,8 @@
         Instance whose scheduler chose the endpoint.
     granted_after_s, first_after_s : float
         Seconds from the arrival to the first grant and to the first byte of an answer, -1 before.
+    longest_pause_s : float
+        Longest time between two reads of a stream's events that were passed on, in seconds.
     """
 
     head: CallHead
@@ -88,6 +90,7 @@
     granted_by: str = ""
     granted_after_s: float = -1.0
     first_after_s: float = -1.0
+    longest_pause_s: float = 0.0
     known_fingerprint: str = ""
 
     @property
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -356,6 +356,7 @@
             tokens=call.tokens,
             granted_s=round(call.granted_after_s, 4),
             first_s=round(call.first_after_s, 4),
+            pause_s=round(call.longest_pause_s, 4),
             total_s=round(now - call.received_at, 4),
             **fields,
         )
--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -157,7 +157,10 @@
 
 
 def stream(events, end=True, first=1, reset=False):
-    """Return an answer function that sends a chunked stream of events, complete or broken off."""
+    """Return an answer function that sends a chunked stream of events, complete or broken off.
+
+    With ``None`` for `end` the stream is left open for the caller to continue.
+    """
 
     async def answer(_endpoint, _reader, writer, head):
         lines = [b"HTTP/1.1 200 OK", identifier(head), SIGNATURE.encode() + b": s"]
@@ -168,7 +171,7 @@
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
         if end:
             writer.write(b"0\r\n\r\n")
-        else:
+        elif end is not None:
             writer.write(b"5\r\nid: 9\r\n")
         await writer.drain()
         await asyncio.sleep(0.05)
--- a/mulberrygate/forward/tests/test_service.py
+++ b/mulberrygate/forward/tests/test_service.py
@@ -197,6 +197,23 @@
         async with entry.request("/stream/1") as answer:
             self.assertEqual(await answer.read(), events(1, 2, 3))
 
+    async def test_longest_pause_of_a_stream_is_logged(self):
+        """Guards against late streams whose log line shows no reason."""
+        pause_s = 0.05
+
+        async def slow_stream(endpoint, reader, writer, head):
+            await stream(1, end=None)(endpoint, reader, writer, head)
+            await asyncio.sleep(pause_s)
+            event = events(2)
+            writer.write(b"%x\r\n" % len(event) + event + b"\r\n0\r\n\r\n")
+            await writer.drain()
+
+        entry = await self.start(care=[Endpoint("e", slow_stream)])
+        async with entry.request("/stream/1") as answer:
+            self.assertEqual(await answer.read(), events(1, 2))
+        logged = entry.lines.of("request.answered")[0]["pause_s"]
+        self.assertGreaterEqual(logged, pause_s)
+
     async def test_broken_stream_does_not_look_complete(self):
         """Guards against ending a broken stream as if it were complete."""
         entry = await self.start(care=[Endpoint("e", stream(2, end=False))])
