Compare only endpoints with all their slots when judging which are fast

Cause: the least seconds per token were taken over all endpoints with a slot, also those that only get probes. They are now taken over endpoints that have all their slots, if there are any.

--- a/mulberrygate/schedule/health.py
+++ b/mulberrygate/schedule/health.py
@@ -14,9 +14,17 @@
     """Classifies endpoints of wide pools; see `mulberrygate.schedule.scheduler.PoolScheduler`."""
 
     def _update_fast_threshold(self) -> None:
-        """Set the seconds per token up to which endpoints count as fast."""
-        usable = [state.token_s for state in self.states.values() if state.slots > 0]
-        self.chooser.fast_token_s = FAST_RATIO * min(usable, default=0.0)
+        """Set the seconds per token up to which endpoints count as fast.
+
+        Explanation
+        ===========
+        An endpoint that only gets probes runs few requests and takes less time per token than busy
+        ones of the same speed, so it is compared only if there are no others.
+        """
+        usable = [state for state in self.states.values() if state.slots > 0]
+        unlimited = [state for state in usable if state.slots >= state.view.slots]
+        times = [state.token_s for state in unlimited or usable]
+        self.chooser.fast_token_s = FAST_RATIO * min(times, default=0.0)
 
     def _is_fast_expected(self, waiting: WaitingRequest, now: float) -> bool:
         """Return whether a fast endpoint will probably be free while the request is on time.
--- a/mulberrygate/schedule/tests/test_wide.py
+++ b/mulberrygate/schedule/tests/test_wide.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 import unittest
 
@@ -169,6 +170,39 @@
             bench.done(f"r{number}", total_s, 0.1, tokens=tokens, first_tokens=10)
         self.assertAlmostEqual(bench.scheduler.states["a"].token_s, 0.003, delta=0.0003)
 
+    def test_failing_endpoint_with_few_requests_does_not_make_others_slow(self):
+        """An idle endpoint that only got probes made all busy ones count as slow.
+
+        Timely requests then waited for the probes' slot while sound endpoints had free ones.
+        """
+        bench = WideBench([make_view(name, hardware="", slots=8) for name in ("bad", "good")])
+        for number in range(120):
+            names = [f"r{number}-{place}" for place in range(1 + number % 16)]
+            for name in names:
+                bench.ask(name)
+            bench.now += 1.0
+            loads = collections.Counter(bench.endpoint_of(name) for name in names)
+            for name in names:
+                token_s = 0.001 * loads[bench.endpoint_of(name)]
+                bench.done(name, total_s=0.05 + 99 * token_s, first_s=0.05)
+        for number in range(10):
+            names = [f"failing{number}-{place}" for place in range(8)]
+            for name in names:
+                bench.ask(name)
+            for name in names:
+                fault = "error" if bench.endpoint_of(name) == "bad" else ""
+                bench.done(name, total_s=0.05 + 99 * 0.004, first_s=0.05, fault=fault)
+        bench.advance(0.6)
+        states = bench.scheduler.states
+        self.assertEqual((states["bad"].is_failing, states["bad"].slots), (True, 2))
+        for number in range(7):
+            bench.ask(f"busy{number}")
+        busy = bench.scheduler.states["good"]
+        self.assertGreaterEqual(busy.used, 5)
+        self.assertLess(busy.used, busy.view.slots)
+        bench.advance(0.6)
+        self.assertLessEqual(busy.token_s, bench.scheduler.chooser.fast_token_s)
+
     def test_new_owner_learns_from_the_requests_that_run(self):
         """After each change of owner long requests went to slow engines for two seconds."""
         bench = WideBench([make_view(name, hardware="", slots=15) for name in ("fast", "slow")])
