Let deputies among the entries order engine requests while no leader answers

Cause: an entry without an owner ordered its requests alone with slots / entries of each endpoint, one or two slots of 350 with 194 entries, and counted the load that others put on an endpoint against that share, so that often nothing was left of it.

The sum of the shares stays what it was, so two owners at a time oversubscribe no more than before; requests are presented to the deputy and to the next owner as after any change of owner. A share is no longer reduced by the load of others. An instance without a catalog answers an ask with NotHosted, so that the next one is asked.

Tests fail before: 0 of 1 requests granted beside foreign load, no deputy asked.

--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -20,6 +20,7 @@
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.service import Forwarder
 from mulberrygate.forward.suspects import Suspects
+from mulberrygate.members.deputies import Deputies
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.sync.crash_reports import CrashReporter
@@ -82,6 +83,7 @@
         self.metrics = Metrics()
         self.peers = SitePeers(site)
         self.roster = Roster()
+        self.deputies = Deputies(site.instance)
         self.limits = AccountLimits(
             site.instance,
             self.peers,
@@ -135,7 +137,12 @@
             self.seed,
         )
         self.follower.quarantine_number = lambda: self.suspects.quarantine_number
-        pool_owners = PoolOwners(site.instance, lambda: self.follower.leader, self._list_entries)
+        pool_owners = PoolOwners(
+            site.instance,
+            lambda: self.follower.leader,
+            self._list_entries,
+            self.deputies.for_pool,
+        )
         self.placement = Placement(
             site,
             peers,
@@ -170,8 +177,8 @@
         )
 
     def _list_entries(self) -> list[str]:
-        # Without an owner each entry uses its share of the slots, so only their number matters.
-        return [str(number) for number in range(self.forwarder.entries)]
+        # Control processes of earlier releases tell only the number of entries.
+        return list(self.deputies.entries) or [str(n) for n in range(self.forwarder.entries)]
 
     def _on_timer_error(self, name: str, error: BaseException) -> None:
         self.lines.log("timer.failed", timer=name, error=repr(error))
@@ -228,6 +235,8 @@
         self.forwarder.catalog_current_at = self.follower.current_at
         self.forwarder.set_entries(result.entries)
         self.limits.entries = result.entries
+        if result.entry_names:
+            self.deputies.set_entries(result.entry_names)
         self._update_quarantine(result)
         self._check_informed(result)
         self.evidence.set_moves(self.follower.moves)
--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -5,8 +5,8 @@
 One owner, the leader of the control group, queues the requests of an engine pool: in a burst all
 slots are taken, and only a single queue keeps the order among entries. A plain service has free
 slots most of the time, and asking another region would cost more than it gains, so each entry
-schedules the requests of services itself. Without a leader an entry schedules the requests of all
-pools, within its share of the slots.
+schedules the requests of services itself. While no leader answers, entries ask a deputy among them,
+which may use the shares of the slots of those that ask it.
 """
 
 from __future__ import annotations
@@ -59,6 +59,8 @@
         Returns the leader of the control group, empty if it is not known.
     list_entries : Callable[[], list[str]]
         Returns the live entries.
+    find_deputies : Callable[[str], tuple[str, ...]]
+        Returns the entries to ask in turn about a subject while the leader doesn't answer.
 
     Attributes
     ==========
@@ -71,10 +73,12 @@
         instance: str,
         find_leader: Callable[[], str],
         list_entries: Callable[[], list[str]],
+        find_deputies: Callable[[str], tuple[str, ...]] = lambda _subject: (),
     ):
         self.instance = instance
         self.find_leader = find_leader
         self.list_entries = list_entries
+        self.find_deputies = find_deputies
         self.engine_subjects: frozenset[str] = frozenset()
 
     def owner(self, _failure_domain: str, subject: str) -> str:
@@ -83,6 +87,12 @@
             return self.find_leader() or ""
         return self.instance
 
+    def owners(self, failure_domain: str, subject: str) -> tuple[str, ...]:
+        """Return the instances to ask in turn about a pool: the owner and its deputies."""
+        owner = self.owner(failure_domain, subject)
+        deputies = self.find_deputies(subject) if subject in self.engine_subjects else ()
+        return (owner, *deputies) if owner else deputies
+
     def in_domain(self, _failure_domain: str) -> list[str]:
         """Return all entries; they share the endpoints regardless of failure domains."""
         return self.list_entries()
--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -20,6 +20,7 @@
 from mulberrygate.schedule.messages import (
     Ask,
     Done,
+    NotHosted,
     Present,
     Progress,
     Withdraw,
@@ -40,6 +41,8 @@
 # A scheduler without requests for this time is dropped; its successor has to learn the endpoints'
 # speeds again.
 IDLE_TIMEOUT_S = 600.0
+# An entry counts as one that asks here for this time after its last message about the pool.
+ASKER_MEMORY_S = 3.0
 
 
 @attrs.define
@@ -77,6 +80,8 @@
         Whether a timer is set for the scheduling that was deferred.
     is_owner : bool
         Whether this instance owned the pool at the last tick.
+    asked_at : dict[str, float]
+        Time of the last message of each entry that waits for grants or has some.
     """
 
     scheduler: PoolScheduler
@@ -84,6 +89,13 @@
     handling_time: HandlingTime = attrs.field(factory=HandlingTime)
     has_deferred_timer: bool = False
     is_owner: bool = False
+    asked_at: dict[str, float] = attrs.field(factory=dict)
+
+    def count_askers(self, now: float) -> int:
+        """Return the number of entries that have asked lately, at least one."""
+        limit = now - ASKER_MEMORY_S
+        self.asked_at = {name: at for name, at in self.asked_at.items() if at >= limit}
+        return max(1, len(self.asked_at))
 
     def take_handling_time(self) -> HandlingTime:
         """Return the handling time since the last call of this method."""
@@ -96,8 +108,8 @@
 
     Explanation
     ===========
-    The owner of a pool schedules over all slots of the endpoints. Another instance, which an entry
-    asks when it can't reach the owner, schedules over its share of the slots only.
+    The owner of a pool schedules over all slots of the endpoints. Another instance, which entries
+    ask when they can't reach the owner, schedules over the shares of the slots of these entries.
 
     Parameters
     ==========
@@ -159,15 +171,24 @@
                 is_wide=self.is_wide,
             )
             hosted = self.hosted[pool] = HostedScheduler(scheduler, now)
-            self._refresh(pool, scheduler, now)
+            self._refresh(pool, hosted, now)
         hosted.used_at = now
         return hosted.scheduler
 
-    def on_ask(self, message: Ask, _sender: str) -> None:
+    def on_ask(self, message: Ask, sender: str) -> NotHosted | None:
         """Add a request to its pool's queue."""
         pool = message.ticket.pool
-        if self.scheduler(pool) is not None:
-            self._handle(pool, lambda scheduler, now: scheduler.ask(message.ticket, now))
+        if self.scheduler(pool) is None:
+            return NotHosted(pool)
+        self._record_asker(pool, sender)
+        self._handle(pool, lambda scheduler, now: scheduler.ask(message.ticket, now))
+        return None
+
+    def _record_asker(self, pool: str, entry: str) -> None:
+        """Record that an entry waits for grants of a pool, or has some."""
+        hosted = self.hosted.get(pool)
+        if hosted is not None:
+            hosted.asked_at[entry] = self.timers.now()
 
     def on_withdraw(self, message: Withdraw, _sender: str) -> None:
         """Drop a waiting request or take back a grant."""
@@ -176,6 +197,8 @@
 
     def on_progress(self, message: Progress, sender: str) -> None:
         """Update the progress of running requests, and remove those that have ended."""
+        if message.held:
+            self._record_asker(message.pool, sender)
         self._handle(message.pool, lambda scheduler, now: scheduler.progress(message, sender, now))
 
     def on_done(self, message: Done, _sender: str) -> None:
@@ -185,6 +208,7 @@
     def on_present(self, message: Present, sender: str) -> None:
         """Take over the requests of an entry from an earlier owner."""
         if self.scheduler(message.pool) is not None:
+            self._record_asker(message.pool, sender)
             self._handle(
                 message.pool, lambda scheduler, now: scheduler.present(message, sender, now)
             )
@@ -221,7 +245,7 @@
                 del self.hosted[pool]
                 continue
             self._update_ownership(pool, hosted)
-            self._refresh(pool, hosted.scheduler, now)
+            self._refresh(pool, hosted, now)
             self._handle(pool, PoolScheduler.tick)
 
     def _update_ownership(self, pool: str, hosted: HostedScheduler) -> None:
@@ -244,27 +268,34 @@
                 self.run(pool, hosted.scheduler.forget_entry(entry, now))
         self.live_entries = live
 
-    def _refresh(self, pool: str, scheduler: PoolScheduler, now: float) -> None:
+    def _refresh(self, pool: str, hosted: HostedScheduler, now: float) -> None:
+        scheduler = hosted.scheduler
         settings = self.in_force.pools[pool]
         if settings != scheduler.pool:
             self.run(pool, scheduler.set_pool(settings, now))
         views = self.directory.views(pool, now)
         if not self.is_owner(pool):
-            views = self._limit_to_share(views)
+            views = self._limit_to_shares(views, hosted.count_askers(now))
         self.run(pool, scheduler.set_endpoints(views, now))
         if self.move_monitor is not None:
             self.run(pool, scheduler.set_shares(self.move_monitor.shares(pool), now))
 
-    def _limit_to_share(self, views: list[EndpointView]) -> list[EndpointView]:
+    def _limit_to_shares(self, views: list[EndpointView], askers: int) -> list[EndpointView]:
         """Return the endpoints with the slots that this instance may use as a non-owner.
 
         Explanation
         ===========
         The shares of all entries add up to about the number of slots. If an endpoint has fewer
-        slots than there are entries, a hash selects the entries that may use it.
+        slots than there are entries, a hash selects the instances that may use it.
+
+        Parameters
+        ==========
+        askers : int
+            Number of entries whose shares this instance may use.
         """
         entries = max(1, len(self.view().in_domain(self.settings.failure_domain)))
-        shared = [self._with_share(view, view.slots / entries) for view in views]
+        part = min(1.0, askers / entries)
+        shared = [self._with_share(view, view.slots * part) for view in views]
         if not shared or any(view.accepts_work for view in shared):
             return shared
         best = max(range(len(views)), key=lambda number: self._hash_fraction(views[number]))
@@ -273,7 +304,9 @@
 
     def _with_share(self, view: EndpointView, share: float) -> EndpointView:
         slots = int(share) + (self._hash_fraction(view) < share % 1.0)
-        return attrs.evolve(view, slots=max(1, slots), accepts_work=view.accepts_work and slots > 0)
+        accepts_work = view.accepts_work and slots > 0
+        # The load from others isn't counted, since they use slots outside of this share.
+        return attrs.evolve(view, slots=max(1, slots), accepts_work=accepts_work, load=0)
 
     def _hash_fraction(self, view: EndpointView) -> float:
         """Return the hash of an endpoint and this instance, scaled to 0 to 1."""
--- a/mulberrygate/daemon/tests/test_pool_host.py
+++ b/mulberrygate/daemon/tests/test_pool_host.py
@@ -5,8 +5,10 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from mulberrygate.daemon.pool_host import PoolHost
-from mulberrygate.schedule.messages import Ask, Ticket
+import attrs
+
+from mulberrygate.daemon.pool_host import ASKER_MEMORY_S, PoolHost
+from mulberrygate.schedule.messages import Ask, NotHosted, Ticket
 from mulberrygate.schedule.tests.support import make_view
 from mulberrygate.tables.model import Move, Pool
 
@@ -65,13 +67,39 @@
         """
         views = [make_view(f"e{number}", slots=8) for number in range(45)]
         hosts = [self.host_without_owner(number, 80, views) for number in range(80)]
-        taken = [
-            sum(state.slots for state in host.scheduler("pool").states.values()) for host in hosts
-        ]
+        taken = [self.count_slots(host) for host in hosts]
         self.assertLess(sum(taken), 1.2 * 45 * 8)
         self.assertGreater(sum(taken), 0.8 * 45 * 8)
         self.assertGreater(min(taken), 0)
 
+    def test_deputy_uses_the_shares_of_the_entries_that_ask_it(self):
+        """Guards against a deputy that takes the slots of entries which still ask the owner."""
+        views = [make_view(f"e{number}", slots=8) for number in range(45)]
+        host = self.host_without_owner(1, 80, views)
+        for number in range(39):
+            ticket = attrs.evolve(TICKET, request=f"r{number}")
+            host.on_ask(Ask(ticket), f"10.0.0.{number}")
+        host.tick()
+        self.assertLess(abs(self.count_slots(host) / (0.5 * 45 * 8) - 1.0), 0.1)
+        host.timers.now = lambda: 1.0 + ASKER_MEMORY_S + 0.1
+        host.tick()
+        self.assertLess(self.count_slots(host), 0.1 * 45 * 8)
+
+    def count_slots(self, host):
+        """Return the slots that a host uses."""
+        return sum(state.slots for state in host.scheduler("pool").states.values())
+
+    def test_load_of_others_leaves_a_deputy_its_share(self):
+        """Requests were refused as the slots that others used were taken off a small share."""
+        views = [make_view("e", slots=8, load=6, load_age_s=0.0)]
+        host = self.host_without_owner(1, 4, views)
+        self.assertEqual(len(host.scheduler("pool").running), 1)
+
+    def test_unknown_pool_is_no_silent_wait(self):
+        """Guards against requests that wait at an instance which has no catalog yet."""
+        ticket = attrs.evolve(TICKET, pool="other")
+        self.assertEqual(self.host.on_ask(Ask(ticket), "me"), NotHosted("other"))
+
     def test_former_owner_forgets_what_others_take_over(self):
         """Guards against a former owner that counts ended requests as running.
 
--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -13,7 +13,16 @@
 from mulberrygate.entry.tickets import SchedulerClient
 from mulberrygate.peers.client import Unreachable
 from mulberrygate.schedule.codes import QUEUE_FULL
-from mulberrygate.schedule.messages import Done, Grant, Present, Progress, Refuse, Ticket, Withdraw
+from mulberrygate.schedule.messages import (
+    Done,
+    Grant,
+    NotHosted,
+    Present,
+    Progress,
+    Refuse,
+    Ticket,
+    Withdraw,
+)
 
 TICKET = Ticket("r", "me", "pool", "route", "account", 1.0, 0, 10, 10, (), 5.0)
 LIMIT_S = 60.0
@@ -27,6 +36,7 @@
         self.asked = []
         self.handlers = {}
         self.unreachable = set()
+        self.answers = {}
         self.on_ask = lambda owner, count: None
 
     def on(self, cls, handler):
@@ -43,7 +53,7 @@
         if instance in self.unreachable:
             return Unreachable(instance, "test")
         self.on_ask(instance, len(self.asked))
-        return Ack()
+        return self.answers.get(instance, Ack())
 
     def sent_to(self, instance, kind) -> int:
         """Return the number of messages of a kind that were sent to an instance."""
@@ -51,13 +61,14 @@
 
 
 class View:
-    """Membership view whose owner a test sets."""
+    """Membership view whose owner and deputies a test sets."""
 
     name = "one"
+    deputies = ()
 
-    def owner(self, domain, subject):
-        """Return the owner of each pool."""
-        return self.name
+    def owners(self, domain, subject):
+        """Return the owner of each pool, and its deputies."""
+        return (self.name, *self.deputies)
 
 
 class SchedulerClientTest(unittest.IsolatedAsyncioTestCase):
@@ -143,6 +154,24 @@
         self.assertEqual(self.peers.sent_to("one", Withdraw), 1)
         self.assertEqual(self.peers.sent_to("two", Withdraw), 0)
 
+    async def test_deputies_are_asked_in_turn_while_the_owner_is_unreachable(self):
+        """Guards against entries that each order their requests alone while there is no owner."""
+        self.peers.unreachable = {"one", "first"}
+        self.view.deputies = ("first", "second")
+        self.peers.on_ask = lambda owner, count: self.grant(owner)
+        self.assertEqual((await self.acquire()).endpoint, "e")
+        self.assertEqual(self.peers.asked, ["one", "first", "second"])
+        self.assertEqual(self.client.granted_by("r"), "second")
+
+    async def test_deputy_that_does_not_know_the_pool_is_passed_over(self):
+        """Guards against a request that waits at an entry which has just started."""
+        self.view.name = "one"
+        self.view.deputies = ("two",)
+        self.peers.answers["one"] = NotHosted("pool")
+        self.peers.on_ask = lambda owner, count: owner == "two" and self.grant(owner)
+        self.assertEqual((await self.acquire()).endpoint, "e")
+        self.assertEqual(self.peers.asked, ["one", "two"])
+
     async def test_unreachable_owner_is_avoided(self):
         """Guards against a request that waits for an owner which does not answer."""
         self.peers.unreachable = {"one"}
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -19,6 +19,7 @@
     Ask,
     Done,
     Grant,
+    NotHosted,
     Present,
     Progress,
     Refuse,
@@ -35,8 +36,8 @@
 ASK_TIMEOUT_S = 0.5
 # Interval of the reports of received tokens, by which the owner sees which requests advance.
 PROGRESS_S = 1.0
-# After an owner did not answer, the entry schedules with its own share of the slots for this time
-# before it asks again; membership names another owner within a few seconds.
+# An owner that did not answer is not asked for this time; membership names another one within a few
+# seconds.
 OWNER_AVOIDANCE_S = 2.0
 # An owner gets progress reports for this time after the entry's last request there has ended.
 PROGRESS_LINGER_S = 10.0
@@ -130,8 +131,9 @@
     ===========
     The owner of a pool is the live instance of this failure domain with the highest rendezvous
     weight. When it changes, all waiting and running requests are presented to the new one. An
-    owner that does not answer is avoided for `OWNER_AVOIDANCE_S`; meanwhile the instance schedules
-    its own requests from a small share of the endpoints' slots.
+    owner that does not answer is avoided for `OWNER_AVOIDANCE_S`; meanwhile its deputies are asked,
+    if there are any. If none answers, the instance schedules its own requests from a small share of
+    the endpoints' slots.
 
     Parameters
     ==========
@@ -183,10 +185,11 @@
 
     def owner(self, pool: str) -> str:
         """Return the instance that this entry asks for grants of a pool at present."""
-        owner = self.view().owner(self.failure_domain, pool_subject(pool)) or self.instance
-        if self.avoided_until.get(owner, 0.0) > self.timers.now():
-            return self.instance
-        return owner
+        now = self.timers.now()
+        for owner in self.view().owners(self.failure_domain, pool_subject(pool)):
+            if self.avoided_until.get(owner, 0.0) <= now:
+                return owner
+        return self.instance
 
     def count_waiting(self, account: str) -> int:
         """Return how many requests of a client account wait here."""
@@ -249,12 +252,12 @@
     async def _ask_owner(self, waiting: WaitingTicket, ticket: Ticket) -> None:
         owner = waiting.owner
         answer = await self.peers.call(owner, Ask(ticket), self.ask_timeout_s)
-        if not isinstance(answer, Unreachable) or owner == self.instance:
+        if not isinstance(answer, Unreachable | NotHosted) or owner == self.instance:
             return
         self.avoided_until[owner] = self.timers.now() + OWNER_AVOIDANCE_S
         log.warning("A pool's owner does not answer.", owner=owner, pool=ticket.pool)
         if ticket.request in self.waiting and not waiting.answer.done():
-            waiting.owner = self.instance
+            waiting.owner = self.owner(ticket.pool)
             self._ask(waiting)
 
     def on_grant(self, grant: Grant, sender: str) -> None:
--- a/mulberrygate/members/view.py
+++ b/mulberrygate/members/view.py
@@ -72,7 +72,7 @@
         self.domains: dict[str, list[str]] = {}
         self.regions: dict[str, str] = {}
         # Caches: hashing 60 names costs 0.2 ms, and owners are looked up for every message.
-        self.owners: dict[tuple[str, str], str] = {}
+        self.cached_owners: dict[tuple[str, str], str] = {}
         self.ranked: dict[str, list[str]] = {}
         for name, member in sorted(members.items()):
             self.regions[member.failure_domain] = member.region
@@ -95,9 +95,14 @@
     def owner(self, failure_domain: str, subject: str) -> str:
         """Return the live instance of a failure domain that owns a subject; empty if none."""
         key = (failure_domain, subject)
-        if key not in self.owners:
-            self.owners[key] = choose(subject, self.in_domain(failure_domain))
-        return self.owners[key]
+        if key not in self.cached_owners:
+            self.cached_owners[key] = choose(subject, self.in_domain(failure_domain))
+        return self.cached_owners[key]
+
+    def owners(self, failure_domain: str, subject: str) -> tuple[str, ...]:
+        """Return the instances to ask in turn about a subject: its owner, if there is one."""
+        owner = self.owner(failure_domain, subject)
+        return (owner,) if owner else ()
 
     def relays(self, failure_domain: str, count: int = 2) -> list[str]:
         """Return the relays of a failure domain; the first one is the main relay."""
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -99,6 +99,14 @@
     ticket: Ticket
 
 
+@message("schedule.not_hosted")
+@attrs.frozen
+class NotHosted:
+    """Answer to an `Ask`: the instance doesn't know the pool, so another one has to be asked."""
+
+    pool: str
+
+
 @message("schedule.withdraw")
 @attrs.frozen
 class Withdraw:
