Grant units of account limits at a deputy while no leader answers

Cause: without a leader an entry spent a part of its former share of an account's use, and at fleet size most entries have not served an account before. Ruled out: missing slots, since 16 refusals had 2005.

One deputy of all entries grants units now, from buckets that are filled in proportion to the entries that ask it and to the same fractions of the limit as before (0.6 for 4 s, then 0.2). After a leader did not answer, one request at a time tries it, and a new leader is asked at once.

--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -23,10 +23,11 @@
 from mulberrygate.members.deputies import Deputies
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.observe.metrics import Metrics
+from mulberrygate.quota import DeputyLimits, Limit
 from mulberrygate.sync.crash_reports import CrashReporter
 from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.follower import Follower
-from mulberrygate.sync.messages import Crash, FollowResult
+from mulberrygate.sync.messages import AskUnits, Crash, FollowResult, Units
 from mulberrygate.sync.trials import TrialClient
 
 # The load balancer checks readiness once a second and removes an instance after two failures. A
@@ -90,7 +91,10 @@
             lambda: self.follower.leader,
             site.bounds.quota_slack,
             seconds_since_boot,
+            self.deputies.for_limits,
         )
+        self.deputy_limits = DeputyLimits()
+        self.peers.client.on(AskUnits, self._on_ask_units)
         self.suspects = Suspects(self._log_crash, lambda: self.reporter.wake())
         self._add_quarantine_gauges()
         self.reporter = CrashReporter(
@@ -180,6 +184,19 @@
         # Control processes of earlier releases tell only the number of entries.
         return list(self.deputies.entries) or [str(n) for n in range(self.forwarder.entries)]
 
+    def _on_ask_units(self, message: AskUnits, _sender: str) -> Units:
+        """Grant units of an account to an entry that reaches no leader."""
+        if self.forwarder.index is None:
+            return Units(False)
+        granted = self.deputy_limits.grant(
+            message.instance,
+            message.account,
+            message.need,
+            self.forwarder.entries,
+            seconds_since_boot(),
+        )
+        return Units(True, granted.units, granted.wait_s)
+
     def _on_timer_error(self, name: str, error: BaseException) -> None:
         self.lines.log("timer.failed", timer=name, error=repr(error))
 
@@ -224,6 +241,10 @@
 
     def _put_in_force(self, index: CatalogIndex) -> None:
         self.forwarder.set_index(index)
+        accounts = index.catalog.accounts
+        self.deputy_limits.set_limits(
+            {a.name: Limit(a.rate, a.burst) for a in accounts if a.rate > 0}
+        )
         if self.http is not None:
             self.http.set_limits(index.catalog.limits)
 
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -13,7 +13,7 @@
     1206, "over_account_limit", "The client account is over its limit; not run.", 429
 )
 NO_SHARE = register_code(
-    1207, "no_share_of_limit", "This entry holds no share of the account's limit; not run.", 503
+    1207, "no_share_of_limit", "No leader, and no units of the account's limit here; not run.", 503
 )
 CRASHES_ENDPOINTS = register_code(
     1208, "crashes_endpoints", "Such calls crash endpoints that run them; not run.", 503
--- a/mulberrygate/forward/limits.py
+++ b/mulberrygate/forward/limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from mulberrygate.catalog import ClientAccount
@@ -12,9 +13,11 @@
 from mulberrygate.sync.messages import AskUnits, Units
 
 ASK_TIMEOUT_S = 0.3
-# After a call without an answer the leader is not asked for this time, so that requests don't wait
-# for it.
+# After a call without an answer a leader is asked by one request in this time, so that the others
+# don't wait for it.
 AVOID_LEADER_S = 0.5
+# After a call without an answer a deputy is not asked for this time.
+AVOID_DEPUTY_S = 2.0
 NO_SHARE_RETRY_S = 0.6
 MAX_SHAPING_S = 0.6
 # Fraction of a limit's slack that all entries together may hold in advance.
@@ -24,12 +27,19 @@
 class AccountLimits:
     """Rate limiter that spends units granted by the leader of the control group.
 
+    Explanation
+    ===========
+    While the leader doesn't answer, a deputy among the entries grants units. If that doesn't answer
+    either, the entry spends its former share of the limit.
+
     Parameters
     ==========
     peers : SitePeers
         Transport to the leader.
     find_leader : Callable[[], str]
         Returns the leader's instance, empty if it is not known.
+    find_deputies : Callable[[], tuple[str, ...]]
+        Returns the entries to ask in turn while the leader doesn't answer.
     slack : float
         Units by which an account may exceed its limit in a window.
     clock : Callable[[], float]
@@ -39,8 +49,10 @@
     ==========
     entries : int
         Number of entries that share the limits.
-    avoid_until : float
-        Time until which the leader is not asked.
+    unreachable_leader : str
+        Leader that did not answer the last call, empty if it did.
+    avoided_until : dict[str, float]
+        Time until which an instance that did not answer is not asked.
     """
 
     def __init__(
@@ -50,15 +62,18 @@
         find_leader: Callable[[], str],
         slack: float,
         clock: Callable[[], float],
+        find_deputies: Callable[[], tuple[str, ...]] = tuple,
     ):
         self.instance = instance
         self.peers = peers
         self.find_leader = find_leader
+        self.find_deputies = find_deputies
         self.clock = clock
         self.units = LocalUnits()
         self.slack = slack
         self.entries = 1
-        self.avoid_until = float("-inf")
+        self.unreachable_leader = ""
+        self.avoided_until: dict[str, float] = {}
 
     @property
     def max_units(self) -> float:
@@ -83,9 +98,7 @@
         end = self.clock() + min(max_wait_s, MAX_SHAPING_S)
         while True:
             refused = await self._spend_now(account, units)
-            if refused is None or refused.code is not codes.OVER_LIMIT:
-                return refused
-            if self.clock() + refused.retry_after_s > end:
+            if refused is None or self.clock() + refused.retry_after_s > end:
                 return refused
             await asyncio.sleep(refused.retry_after_s)
 
@@ -94,26 +107,56 @@
         if self.units.spend(account.name, units, now):
             return None
         leader = self.find_leader()
-        if not leader or now < self.avoid_until:
-            return self._spend_without_leader(account, units)
-        return await self._ask(leader, account, units)
+        if leader and not self._is_avoided(leader):
+            answer = await self._ask_leader(leader, account, units)
+            if answer is not None:
+                return self._spend_granted(answer, account, units)
+        return await self._spend_without_leader(account, units)
+
+    def _is_avoided(self, instance: str) -> bool:
+        return self.clock() < self.avoided_until.get(instance, -math.inf)
 
-    async def _ask(self, leader: str, account: ClientAccount, units: float) -> Refused | None:
-        """Ask the leader for the units of a request; without an answer use the local share."""
+    async def _ask_leader(self, leader: str, account: ClientAccount, units: float) -> Units | None:
+        """Ask the leader for units; return its answer, or ``None`` if it does not lead or answer.
+
+        Explanation
+        ===========
+        A leader that did not answer the last call is avoided before the next one, so that only one
+        request waits for it.
+        """
+        if leader == self.unreachable_leader:
+            self.avoided_until[leader] = self.clock() + AVOID_LEADER_S
         question = AskUnits(self.instance, account.name, units, self.max_units)
         answer = await self.peers.client.call(leader, question, ASK_TIMEOUT_S)
-        now = self.clock()
-        if not isinstance(answer, Units) or not answer.is_leader:
-            if not isinstance(answer, Units):
-                self.avoid_until = now + AVOID_LEADER_S
-            return self._spend_without_leader(account, units)
+        if not isinstance(answer, Units):
+            self.unreachable_leader = leader
+            self.avoided_until[leader] = self.clock() + AVOID_LEADER_S
+            return None
+        self.unreachable_leader = ""
+        self.avoided_until.pop(leader, None)
+        return answer if answer.is_leader else None
+
+    def _spend_granted(self, answer: Units, account: ClientAccount, units: float) -> Refused | None:
+        """Spend what the leader granted, and keep the units granted in advance."""
         if answer.units < units:
             return Refused(codes.OVER_LIMIT, account.name, answer.wait_s)
         extra = answer.units - units
-        self.units.add_grant(account.name, extra, answer.share, self.max_units, now)
+        self.units.add_grant(account.name, extra, answer.share, self.max_units, self.clock())
         return None
 
-    def _spend_without_leader(self, account: ClientAccount, units: float) -> Refused | None:
+    async def _spend_without_leader(self, account: ClientAccount, units: float) -> Refused | None:
+        """Spend units that a deputy grants, or of the local share if no deputy answers."""
+        for deputy in self.find_deputies():
+            if self._is_avoided(deputy):
+                continue
+            question = AskUnits(self.instance, account.name, units, 0.0)
+            answer = await self.peers.client.call(deputy, question, ASK_TIMEOUT_S)
+            if not isinstance(answer, Units) or not answer.is_leader:
+                self.avoided_until[deputy] = self.clock() + AVOID_DEPUTY_S
+            elif answer.units >= units:
+                return None
+            else:
+                return Refused(codes.NO_SHARE, account.name, answer.wait_s)
         if self.units.spend_without_leader(account.name, units, account.rate, self.clock()):
             return None
         return Refused(codes.NO_SHARE, account.name, NO_SHARE_RETRY_S)
--- a/mulberrygate/forward/tests/test_account_limits.py
+++ b/mulberrygate/forward/tests/test_account_limits.py
@@ -16,7 +16,7 @@
 
 
 class Leader:
-    """Leader that can be made unreachable."""
+    """Leader that can be made unreachable, and deputies with fixed answers."""
 
     def __init__(self, clock):
         self.clock = clock
@@ -24,10 +24,13 @@
         self.limits.set_limits({"x": Limit(ACCOUNT.rate, ACCOUNT.burst)}, clock())
         self.is_reachable = True
         self.asked = 0
+        self.deputies = {}
         self.client = self
 
-    async def call(self, _instance, message, _timeout_s):
+    async def call(self, instance, message, _timeout_s):
         """Answer a request for units, unless unreachable."""
+        if instance in self.deputies:
+            return self.deputies[instance]
         self.asked += 1
         if not self.is_reachable:
             return Unreachable("leader", "test")
@@ -70,6 +73,43 @@
             self.assertIs(refused.code, codes.NO_SHARE)
         self.assertEqual(self.leader.asked, 1)
 
+    def lose_leader(self, **deputies):
+        """Make the leader unreachable, with deputies that give these answers."""
+        self.leader.is_reachable = False
+        self.leader.deputies = deputies
+        self.limits.find_deputies = lambda: tuple(deputies)
+
+    async def test_deputies_are_asked_in_turn_without_a_leader(self):
+        """Guards against refusals of an entry that never spent units of an account before."""
+        self.lose_leader(one=Unreachable("one", "test"), two=Units(False), three=Units(True, 5.0))
+        for _ in range(3):
+            self.assertIsNone(await self.limits.spend(ACCOUNT, 5.0))
+        self.assertEqual(self.leader.asked, 1)
+
+    async def test_deputy_without_units_refuses(self):
+        """Guards against an account that spends at the next deputy what the first one refused."""
+        self.lose_leader(one=Units(True, 0.0, 9.0), two=Units(True, 5.0))
+        refused = await self.limits.spend(ACCOUNT, 5.0, max_wait_s=5.0)
+        self.assertIs(refused.code, codes.NO_SHARE)
+        self.assertEqual(refused.retry_after_s, 9.0)
+
+    async def test_one_request_at_a_time_tries_a_leader_that_did_not_answer(self):
+        """Guards against all requests waiting for a stopped leader each time it is tried again."""
+        self.lose_leader(one=Units(True, 5.0))
+        self.assertIsNone(await self.limits.spend(ACCOUNT, 5.0))
+        self.limits.avoided_until.clear()
+        await asyncio.gather(*(self.limits.spend(ACCOUNT, 5.0) for _ in range(5)))
+        self.assertEqual(self.leader.asked, 2)
+
+    async def test_new_leader_is_asked_at_once(self):
+        """Guards against a new leader that is avoided since its predecessor did not answer."""
+        self.lose_leader(one=Units(True, 5.0))
+        await self.limits.spend(ACCOUNT, 5.0)
+        self.leader.is_reachable = True
+        self.limits.find_leader = lambda: "next leader"
+        self.assertIsNone(await self.limits.spend(ACCOUNT, 5.0))
+        self.assertEqual(self.leader.asked, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/quota/__init__.py
+++ b/mulberrygate/quota/__init__.py
@@ -1,7 +1,8 @@
 """Limits that all entries share: rate limits of client accounts and retry budgets."""
 
 from mulberrygate.quota.central import CentralLimits, Limit
+from mulberrygate.quota.deputy import DeputyLimits
 from mulberrygate.quota.local import LocalUnits
 from mulberrygate.quota.retries import RetryBudget
 
-__all__ = ["CentralLimits", "Limit", "LocalUnits", "RetryBudget"]
+__all__ = ["CentralLimits", "DeputyLimits", "Limit", "LocalUnits", "RetryBudget"]
--- a/mulberrygate/quota/central.py
+++ b/mulberrygate/quota/central.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Container
 
 import attrs
 
@@ -79,16 +80,31 @@
 
     def set_limits(self, limits: dict[str, Limit], now: float) -> None:
         """Replace the limits; the level of each account is kept, up to the new burst."""
-        for name in [name for name in self.accounts if name not in limits]:
-            del self.accounts[name]
+        self.remove_others(limits)
         for name, limit in limits.items():
-            account = self.accounts.get(name)
-            if account is None:
-                self.accounts[name] = AccountBucket(limit, limit.burst * INITIAL_FILL_FRACTION, now)
-                continue
-            self._refill(account, now)
-            account.limit = limit
-            account.level = min(account.level, limit.burst)
+            self.set_limit(name, limit, now)
+
+    def remove_others(self, names: Container[str]) -> None:
+        """Remove all accounts except the named ones."""
+        for name in [name for name in self.accounts if name not in names]:
+            del self.accounts[name]
+
+    def set_limit(self, name: str, limit: Limit, now: float, fill_fraction: float = 0.0) -> None:
+        """Set the limit of an account.
+
+        Parameters
+        ==========
+        fill_fraction : float
+            Fraction of an increase of the burst that is added to the level.
+        """
+        account = self.accounts.get(name)
+        if account is None:
+            self.accounts[name] = AccountBucket(limit, limit.burst * INITIAL_FILL_FRACTION, now)
+            return
+        self._refill(account, now)
+        added = max(0.0, limit.burst - account.limit.burst) * fill_fraction
+        account.limit = limit
+        account.level = min(account.level + added, limit.burst)
 
     def grant(self, entry: str, name: str, need: float, advance: float, now: float) -> GrantedUnits:
         """Grant units for waiting requests of an entry, and some in advance.
--- a/mulberrygate/quota/local.py
+++ b/mulberrygate/quota/local.py
@@ -17,6 +17,13 @@
 MAX_LEADERLESS_S = 30.0
 
 
+def leaderless_fraction(leaderless_s: float) -> float:
+    """Return the fraction of a limit that may be used this many seconds after the last leader."""
+    if leaderless_s > MAX_LEADERLESS_S:
+        return 0.0
+    return LEADERLESS_FRACTION if leaderless_s < LEADER_CHANGE_S else LONG_LEADERLESS_FRACTION
+
+
 @attrs.define
 class AccountUnits:
     """Units and share that an entry holds of one account.
@@ -100,12 +107,9 @@
             Limit of the account in units a second.
         """
         held = self.get(account)
-        leaderless_s = now - held.granted_at
-        if leaderless_s > MAX_LEADERLESS_S:
+        fraction = leaderless_fraction(now - held.granted_at)
+        if not fraction:
             return False
-        fraction = (
-            LEADERLESS_FRACTION if leaderless_s < LEADER_CHANGE_S else LONG_LEADERLESS_FRACTION
-        )
         allowed = fraction * held.share * rate
         if held.leaderless_updated_at == -math.inf:
             held.leaderless_units = allowed
