Take the number of live entries from control processes that have their group

Entries that follow it would take that part of the fleet for all of it, and each part would use whole limits and slots at a deputy of its own. Found by reading; the new test failed before with one entry in place of four. Deputies write what they do: deputy.limits, and askers in pool.state.

--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -192,11 +192,18 @@
             message.instance,
             message.account,
             message.need,
-            self.forwarder.entries,
+            len(self.deputies.entries) or self.forwarder.entries,
             seconds_since_boot(),
         )
         return Units(True, granted.units, granted.wait_s)
 
+    def _log_pools(self) -> None:
+        """Log the state of the pools, and for which entries this one is a deputy."""
+        self.placement.log_pools(self.lines)
+        askers = self.deputy_limits.count_askers(seconds_since_boot())
+        if askers:
+            self.lines.log("deputy.limits", askers=askers, entries=len(self.deputies.entries))
+
     def _on_timer_error(self, name: str, error: BaseException) -> None:
         self.lines.log("timer.failed", timer=name, error=repr(error))
 
@@ -207,9 +214,7 @@
         self.follower.start()
         self.timers.every(EVIDENCE_INTERVAL_S, self._send_evidence, "evidence")
         self.timers.every(LOG_FLUSH_INTERVAL_S, self.lines.flush, "lines")
-        self.timers.every(
-            POOLS_LOG_INTERVAL_S, lambda: self.placement.log_pools(self.lines), "pools"
-        )
+        self.timers.every(POOLS_LOG_INTERVAL_S, self._log_pools, "pools")
         self.readiness_http = self._make_http(self._handle_readiness, self.site.readiness_address)
         await self.readiness_http.start()
         self.http = self._make_http(
@@ -254,16 +259,28 @@
         if result.is_current and result.is_settled:
             self.placement.directory.silent_endpoints = frozenset(result.silent)
         self.forwarder.catalog_current_at = self.follower.current_at
-        self.forwarder.set_entries(result.entries)
-        self.limits.entries = result.entries
-        if result.entry_names:
-            self.deputies.set_entries(result.entry_names)
+        self._update_entries(result)
         self._update_quarantine(result)
         self._check_informed(result)
         self.evidence.set_moves(self.follower.moves)
         if result.heard or result.gone:
             self.placement.refresh()
 
+    def _update_entries(self, result: FollowResult) -> None:
+        """Take over the live entries, which divide limits and slots among them.
+
+        Explanation
+        ===========
+        A control process cut off from its group knows only the entries that follow it. If each of
+        them used its part of that smaller fleet, all together would exceed the limits.
+        """
+        if not result.is_current and self.deputies.entries:
+            return
+        self.forwarder.set_entries(result.entries)
+        self.limits.entries = result.entries
+        if result.is_current and result.entry_names:
+            self.deputies.set_entries(result.entry_names)
+
     def _update_quarantine(self, result: FollowResult) -> None:
         """Take over the quarantine of a control process, and cancel what it forbids."""
         suspects = self.suspects
--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -207,6 +207,7 @@
                 "pool.state",
                 pool=pool,
                 is_owner=self.host.is_owner(pool),
+                askers=hosted.count_askers(now),
                 waiting=[queue.count for queue in scheduler.queue.tiers],
                 late=[queue.late for queue in scheduler.queue.tiers],
                 asked=counts.asked,
--- a/mulberrygate/daemon/tests/test_entry_start.py
+++ b/mulberrygate/daemon/tests/test_entry_start.py
@@ -7,6 +7,8 @@
 import zlib
 from unittest import mock
 
+import attrs
+
 from mulberrygate.daemon.entry_node import CURRENT_STATE_WAIT_S, EntryNode
 from mulberrygate.forward.tests.support import Lines, document
 from mulberrygate.platform.documents import decode_document
@@ -50,6 +52,20 @@
         patch.start()
         self.addCleanup(patch.stop)
 
+    async def test_number_of_entries_of_a_process_without_its_group_is_not_used(self):
+        """Guards against limits that are exceeded as each part of a fleet takes itself for all.
+
+        A control process that is cut off from its group forgets the entries that follow others.
+        """
+        names = ("e1", "e2", "e3", "e4")
+        self.receive(attrs.evolve(result(1), entries=4, entry_names=names, entries_digest=9))
+        cut_off = attrs.evolve(result(1, is_current=False), entries=1, entries_digest=5)
+        self.receive(attrs.evolve(cut_off, entry_names=names[:1]))
+        self.assertEqual(self.entry.deputies.entries, names)
+        self.assertEqual(self.entry.forwarder.entries, 4)
+        self.assertEqual(self.entry.limits.entries, 4)
+        self.assertEqual(self.entry.follower.entries_digest, 9)
+
     def receive(self, answer):
         """Apply an answer of the followed control process."""
         self.entry.follower._apply_result(answer)
--- a/mulberrygate/quota/deputy.py
+++ b/mulberrygate/quota/deputy.py
@@ -95,11 +95,14 @@
         self.central.set_limit(name, part, now, INITIAL_FILL_FRACTION)
         return self.central.grant(entry, name, need, 0.0, now)
 
-    def _record_asker(self, entry: str, now: float) -> None:
-        """Record a request of an entry, and forget entries that have stopped asking."""
+    def count_askers(self, now: float) -> int:
+        """Forget the entries that have stopped asking, and return the number of the others."""
         limit = now - ASKER_MEMORY_S
         for name in [name for name, asker in self.askers.items() if asker.last_at < limit]:
             del self.askers[name]
-        if not self.askers:
+        return len(self.askers)
+
+    def _record_asker(self, entry: str, now: float) -> None:
+        if not self.count_askers(now):
             self.largest_part = 0.0
         self.askers.setdefault(entry, Asker(now, now)).last_at = now
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -51,7 +51,7 @@
     quarantine_number : Callable[[], int]
         Returns the number of the quarantine list that the entry has.
     entries_digest : int
-        Digest of the list of live entries in the last answer.
+        Digest of the list of live entries in the last answer that was current.
     moves : tuple[MoveShare, ...]
         Version moves of the newest replicated state in any answer so far.
     current_at : float
@@ -180,7 +180,8 @@
             self.lines.log("control.followed", control=self.control, age_s=age_s)
         self.control_incarnation = result.control_incarnation
         self.changes = result.changes
-        self.entries_digest = result.entries_digest
+        if result.is_current:
+            self.entries_digest = result.entries_digest
         self._apply_roster(result, now)
         if result.catalog and (self.index is None or result.catalog_version > self.index.version):
             self.index = CatalogIndex(self.decode(zlib.decompress(result.catalog)))
