--- a/bench/journal_table.py
+++ b/bench/journal_table.py
@@ -32,20 +32,29 @@
     return f"{day['G']:.3f}" + (f" ({broken} broken)" if broken else "")
 
 
+def describe_score(entry: dict) -> str:
+    """Return the time and name of a score, and whether only light days were played."""
+    light = " (light days)" if entry.get("mode") == "quick" else ""
+    return f"{entry['at'][0][11:16]} `{entry['id'][:8]}`{light}"
+
+
 def format_site_table(site: str, entries: list[dict]) -> list[str]:
     """Return the table of one site, with a row for each day and a column for each score."""
     by_entry = [{day["name"]: day for day in entry["days"]} for entry in entries]
     names = [name for name in by_entry[-1] if not name.startswith("fresh")]
     marks = {name: by_entry[-1][name] for name in names}
-    heads = [f"{entry['at'][0][11:16]} `{entry['id'][:8]}`" for entry in entries]
-    lines = [f"## {site}", "", "| day | zero | one | " + " | ".join(heads) + " |"]
-    lines.append("|---|---|---|" + "---|" * len(entries))
+    heads = [describe_score(entry) for entry in entries]
+    lines = [f"## {site}", ""]
+    lines.append("| day | zero | one | processor s, wall s | " + " | ".join(heads) + " |")
+    lines.append("|---|---|---|---|" + "---|" * len(entries))
     for name in names:
         worths = [describe_day(days.get(name)) for days in by_entry]
         zero, one = marks[name]["naive"], marks[name]["top"]
-        lines.append(f"| {name} | {zero:.3f} | {one:.3f} | " + " | ".join(worths) + " |")
+        times = f"{marks[name].get('cpu_s', 0):.0f}, {marks[name].get('wall_s', 0):.0f}"
+        marked = f"| {name} | {zero:.3f} | {one:.3f} | {times} | "
+        lines.append(marked + " | ".join(worths) + " |")
     scores = [f"**{entry['score']:.3f}**" for entry in entries]
-    lines.append("| score of the site | | | " + " | ".join(scores) + " |")
+    lines.append("| score of the site | | | | " + " | ".join(scores) + " |")
     return [*lines, ""]
 
 
@@ -56,6 +65,7 @@
         "# Days of the sites",
         "",
         "Column `worth` of each standard day in the scores of the journal (`bench.journal_table`).",
+        "Times are those of the newest score, beside other plays on a shared machine.",
         "A day at its mark `zero` scores 0, at `one` 1. A site's score varies by 0.03 by itself.",
         "",
     ]
