--- a/bench/site_messages.py
+++ b/bench/site_messages.py
@@ -1,11 +1,13 @@
 """Measure the messages that report to owners of queues and to control processes.
 
 Run it with ``python -m bench.site_messages``. It prints size and processor time of each message,
-and the cost to apply a command of crash reports to a full quarantine record.
+the cost of a deputy's grants, and the cost to apply a command of crash reports to a full
+quarantine record.
 """
 
 from __future__ import annotations
 
+import itertools
 import time
 from collections.abc import Callable
 
@@ -16,9 +18,11 @@
     encode_command,
 )
 from mulberrygate.core.wire import decode, encode
+from mulberrygate.quota import DeputyLimits, Limit
 from mulberrygate.schedule.messages import Progress
 from mulberrygate.sync.messages import (
     Answered,
+    AskUnits,
     CheckCurrent,
     CheckCurrentResult,
     Crash,
@@ -26,9 +30,11 @@
     FollowResult,
     TrialRequest,
     TrialResult,
+    Units,
 )
 
 REPEATS = 3000
+FLEETS = (194, 360)
 RUNNING = 13
 WAITING = 7
 CALLS_PER_CRASH = 14
@@ -69,10 +75,31 @@
     print_message("CrashReport of one answer", CrashReport(answers=(Answered(PARTS[0], 0.4),)))
     listed = tuple(f"{number:024x}" for number in range(LISTED))
     print_message(f"FollowResult with {LISTED} listed", FollowResult(1, 1, 1, suspected=listed))
+    for entries in FLEETS:
+        names = tuple(f"10.{number // 64}.0.{number % 64}" for number in range(entries))
+        print_message(
+            f"FollowResult with {entries} entries",
+            FollowResult(1, 1, 1, entries=entries, entries_digest=2**32 - 1, entry_names=names),
+        )
+    print_message("AskUnits", AskUnits("10.1.0.25", "account", 7000.0, 0.0))
+    print_message("Units", Units(True, 7000.0))
     print_message("TrialRequest", TrialRequest(FINGERPRINT, HOLDER, PARTS))
     print_message("TrialResult", TrialResult(False, 19.5))
 
 
+def print_deputy(entries: int) -> None:
+    """Print the processor time of a deputy's grant while all entries ask it."""
+    deputy = DeputyLimits()
+    deputy.set_limits({"account": Limit(1e9, 1e9)})
+    numbers = itertools.count()
+
+    def grant() -> None:
+        number = next(numbers)
+        deputy.grant(str(number % entries), "account", 1.0, entries, number * 1e-3)
+
+    print(f"DeputyLimits.grant, {entries} entries: {measure_us(grant):.1f} us")
+
+
 def make_crash_command(number: int, calls: int, has_head: bool) -> PutEvidence:
     """Return the command that reports the crash of one endpoint during a number of calls."""
     crashes = tuple(
@@ -117,6 +144,8 @@
 
 if __name__ == "__main__":
     print_messages()
+    for entries in FLEETS:
+        print_deputy(entries)
     print_commands(has_head=True)
     print_commands(has_head=False)
     print_trial()
