--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -373,8 +373,10 @@
         self.zone = zone
         self.slots = slots
         self.work_s = work_s
+        self.arrivals: set[str] = set()
         self.runs: list[Run] = []
         self.active = 0
+        self.free = asyncio.Semaphore(slots)
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.state = "ready"
@@ -444,6 +446,8 @@
                     writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 body = await read_body(reader, headers, False)
                 run = Run(self.name, method, path, headers, body)
+                self.arrivals.add(run.request)
+                self.record.add(f"{self.name} has received {run.request}")
                 if not await self.handle(run, writer):
                     return
         except (OSError, EOFError, asyncio.LimitOverrunError):
@@ -459,15 +463,23 @@
             return self.answer(run, writer, 400, b"", is_run=False)
         if self.active >= 2 * self.slots:
             return self.answer(run, writer, 503, b"", is_run=False)
-        self.runs.append(run)
-        self.record.add(f"{self.name} runs {run.request}: {run.method} {run.path}")
         self.active += 1
         try:
-            await asyncio.sleep(self.work_s)
+            async with self.free:
+                if writer.transport.is_closing():
+                    return False
+                self.runs.append(run)
+                self.record.add(f"{self.name} runs {run.request}: {run.method} {run.path}")
+                await asyncio.sleep(self.work_s)
         finally:
             self.active -= 1
         return self.answer_run(run, writer)
 
+    def load(self) -> str:
+        """Return the running and the waiting requests and the slots, as answers report them."""
+        running = min(self.active, self.slots)
+        return f"{running},{self.active - running},{self.slots}"
+
     def answer_run(self, run: Run, writer: asyncio.StreamWriter) -> bool:
         """Answer a request that ran."""
         return self.answer(run, writer, 200, b"done " + run.request.encode(), is_run=True)
@@ -479,7 +491,7 @@
         lines = [f"HTTP/1.1 {status} {'OK' if status == 200 else 'Refused'}"]
         lines.append(f"X-Mulberrygate-Request-Id: {run.request}")
         lines.append(f"X-Mulberrygate-Server-Signature: {self.name}.{len(self.runs)}")
-        lines.append(f"X-Mulberrygate-Server-Load: {self.active},0,{self.slots}")
+        lines.append(f"X-Mulberrygate-Server-Load: {self.load()}")
         if not is_run:
             lines.append("X-Mulberrygate-Not-Executed: 1")
         lines.append(f"Content-Length: {len(body)}")
@@ -488,6 +500,44 @@
         return True
 
 
+class Engine(Server):
+    """Sound model replica: streams events, and lets requests wait while its slots are taken."""
+
+    def __init__(self, *arguments, events: int = 76, gap_s: float = 0.15, **fields):
+        super().__init__(*arguments, **fields)
+        self.events = events
+        self.gap_s = gap_s
+
+    def registration(self) -> dict:
+        """Return the body of the next heartbeat."""
+        models = [{"name": "m", "version": 1, "adapters": []}]
+        return {**super().registration(), "stage": "colocated", "models": models}
+
+    async def handle(self, run: Run, writer: asyncio.StreamWriter) -> bool:
+        """Run a request and stream its events; return whether the connection may go on."""
+        if run.headers.get("x-mulberrygate-expect-instance", self.name) != self.name:
+            return self.answer(run, writer, 421, b"", is_run=False)
+        async with self.free:
+            if writer.transport.is_closing():
+                return False
+            self.runs.append(run)
+            self.record.add(f"{self.name} runs {run.request}: {run.method} {run.path}")
+            lines = ["HTTP/1.1 200 OK", f"X-Mulberrygate-Request-Id: {run.request}"]
+            lines.append(f"X-Mulberrygate-Server-Signature: {self.name}.{len(self.runs)}")
+            lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            for number in range(1, self.events + 1):
+                event = f"id: {number}\ndata: tokens of {run.request}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+                if writer.transport.is_closing():
+                    return False
+                await asyncio.sleep(self.gap_s)
+            writer.write(b"0\r\n\r\n")
+            self.record.add(f"{self.name} has ended {run.request}")
+            return True
+
+
 def service(name: str) -> dict:
     """Return a plain service of a configuration."""
     return {
@@ -499,6 +549,25 @@
     }
 
 
+def engine_service(name: str, slots: int) -> dict:
+    """Return a service of model replicas of a configuration, with the figures of PROTOCOL.md."""
+    engine = {
+        "slots": slots,
+        "kvCapacityTokens": 954524,
+        "kvTokenBytes": 18432,
+        "linkMbps": 370000.0,
+        "moves": True,
+        "backups": True,
+        "stride": 5,
+        "most": 12,
+        "pinMs": 4000.0,
+        "holdMs": 2000.0,
+        "handleS": 5.0,
+        "models": [{"name": "m"}],
+    }
+    return {**service(name), "maxConnections": 620, "engine": engine}
+
+
 def route(name: str, prefix: str, kind: str, service_name: str, **fields: object) -> dict:
     """Return a route of a configuration."""
     return {
@@ -518,12 +587,14 @@
     }
 
 
-def document(version: int, routes: list[dict], services: list[str], **fields: object) -> dict:
+def document(
+    version: int, routes: list[dict], services: list[str | dict], **fields: object
+) -> dict:
     """Return a complete configuration."""
     return {
         "version": version,
         "routes": routes,
-        "services": [service(name) for name in services],
+        "services": [item if isinstance(item, dict) else service(item) for item in services],
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 4194304,
@@ -555,6 +626,17 @@
     }
 
 
+def model_headers(request: str, output_tokens: int, deadline_ms: int) -> dict[str, str]:
+    """Return the headers of a client's request to a model replica."""
+    return {
+        **client_headers(request),
+        "X-Mulberrygate-Request-Deadline": str(deadline_ms),
+        "X-Mulberrygate-Model": "m",
+        "X-Mulberrygate-Token-Count": f"100,{output_tokens}",
+        "X-Mulberrygate-Prefix-Hash": f"5c1e07a2:60,{abs(hash(request)):x}:40",
+    }
+
+
 def run_case(folder: Path, case) -> int:
     """Run a case and return the exit code; ``case(record, has_trouble)`` returns if it held."""
     record = Record(folder)
