--- a/mulberrygate/cli/command.py
+++ b/mulberrygate/cli/command.py
@@ -12,6 +12,8 @@
 
 import aiohttp
 
+from mulberrygate.core.http_client import open_session
+
 ENTRY_VARIABLE = "MULBERRYGATE_ENTRY"
 TOKEN_VARIABLE = "MULBERRYGATE_OPERATOR_TOKEN_FILE"
 TIMEOUT_S = 30.0
@@ -157,7 +159,7 @@
 ) -> Reply:
     headers = {**headers, "X-Operator": os.environ.get("USER", "operator")}
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with open_session(timeout=timeout) as session:
         url = f"http://{instance}{path}"
         async with session.request(method, url, data=body, headers=headers, params=query) as answer:
             return Reply(answer.status, await answer.read(), dict(answer.headers))
--- a/mulberrygate/daemon/order_sender.py
+++ b/mulberrygate/daemon/order_sender.py
@@ -15,6 +15,7 @@
 from mulberrygate.control.loading import EndpointRow, EndpointsAnswer, EndpointsQuery, plan_loads
 from mulberrygate.control.orders import OrderController, OrderEnded, OrderKind, SendOrder
 from mulberrygate.core.effects import Effect
+from mulberrygate.core.http_client import open_session
 from mulberrygate.core.timers import TimerService
 from mulberrygate.endpoints.model import Announcement
 from mulberrygate.members.view import MembershipView
@@ -165,7 +166,7 @@
     async def _send(self, effect: SendOrder) -> None:
         order = effect.order
         timeout = aiohttp.ClientTimeout(total=self.controller.settings.order_life_s)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with open_session(timeout=timeout) as session:
             # The process may have been paused since the controller decided.
             if not self.controller.may_send(effect, self.timers.now()):
                 return
--- a/mulberrygate/daemon/tests/site_support.py
+++ b/mulberrygate/daemon/tests/site_support.py
@@ -9,8 +9,7 @@
 import tempfile
 import unittest
 
-import aiohttp
-
+from mulberrygate.core.http_client import open_session
 from mulberrygate.daemon.control_node import ControlNode
 from mulberrygate.daemon.entry_node import EntryNode
 from mulberrygate.forward.tests.support import (
@@ -82,7 +81,7 @@
 
     async def start(self):
         """Start the control processes and one entry."""
-        self.session = aiohttp.ClientSession()
+        self.session = open_session()
         for name in CONTROLS:
             await self.start_control(name)
         self.entry_node = await self.start_entry(ENTRY)
@@ -174,11 +173,11 @@
             **changes,
         }
 
-    async def send_request(self, path, entry=ENTRY, **headers):
+    async def send_request(self, path, entry=ENTRY, method="POST", **headers):
         """Send a caller's request to an entry and return status and body."""
         url = f"http://{entry}:{self.entry_port}{path}"
         values = {"Host": "a.example", REQUEST_ID: "id-1", **headers}
-        async with self.session.post(url, headers=values) as answer:
+        async with self.session.request(method, url, headers=values) as answer:
             return answer.status, await answer.read()
 
     async def close(self):
@@ -216,12 +215,12 @@
                     return
                 await asyncio.sleep(0.05)
 
-    async def send_until_received(self, endpoint):
+    async def send_until_received(self, endpoint, path="/plain/1", method="POST"):
         """Repeat the same call until an endpoint has received it."""
         async with asyncio.timeout(STEP_TIMEOUT_S):
             for number in itertools.count():
                 attempt = f"{endpoint.name}-{number}"
-                await self.deployment.send_request("/plain/1", **{REQUEST_ID: attempt})
+                await self.deployment.send_request(path, method=method, **{REQUEST_ID: attempt})
                 if endpoint.asked.is_set():
                     return
                 await asyncio.sleep(0.05)
--- a/mulberrygate/daemon/tests/test_site_quarantine.py
+++ b/mulberrygate/daemon/tests/test_site_quarantine.py
@@ -25,13 +25,13 @@
         patch.start()
         self.addCleanup(patch.stop)
 
-    async def quarantine_call(self):
+    async def quarantine_call(self, path="/plain/1", method="POST"):
         """Let three endpoints end under one call, and wait until it is quarantined."""
         await self.deployment.put_document(1)
         suspects = self.deployment.entry_node.suspects
         for number in range(1, 4):
             endpoint = await self.start_endpoint(answer=crash(), name=f"e{number}")
-            await self.send_until_received(endpoint)
+            await self.send_until_received(endpoint, path, method)
         await self.deployment.until(lambda: suspects.quarantined)
 
     async def send_until_served(self):
@@ -73,6 +73,22 @@
             await asyncio.sleep(0.05)
         self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 2)
 
+    async def test_crashing_read_reaches_few_more_endpoints(self):
+        """Guards against a GET that is never quarantined and goes on to crash endpoints.
+
+        The HTTP client repeated it at the endpoint that had just ended, which hid the crash.
+        """
+        self.set_trial_pauses()
+        await self.quarantine_call("/read/1", "GET")
+        sound = await self.start_endpoint(name="e4")
+        entry_node = self.deployment.entry_node
+        await self.deployment.until(lambda: "e4" in entry_node.roster.rows)
+        for number in range(5):
+            headers = {REQUEST_ID: f"again-{number}"}
+            status, _ = await self.deployment.send_request("/read/1", method="GET", **headers)
+            self.assertEqual(status, 503)
+        self.assertEqual(sound.requests, [])
+
     async def test_operator_releases_a_call(self):
         """Guards against a quarantine that an operator can't end."""
         self.set_trial_pauses()
--- a/mulberrygate/entry/tests/test_upstream.py
+++ b/mulberrygate/entry/tests/test_upstream.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from mulberrygate.entry.upstream import Connected, Upstream
+from mulberrygate.entry.upstream import Broken, Connected, Upstream
 
 HOST = "127.0.0.1"
 
@@ -13,6 +13,7 @@
 
     async def asyncSetUp(self):
         self.calls = 0
+        self.is_broken = False
         self.server = await asyncio.start_server(self.serve, HOST, 0)
         self.port = self.server.sockets[0].getsockname()[1]
         self.upstream = Upstream()
@@ -26,6 +27,9 @@
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 self.calls += 1
+                if self.is_broken:
+                    writer.transport.abort()
+                    return
                 answer = b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nanswer %d" % self.calls
                 writer.write(previous + answer)
                 previous = answer
@@ -43,6 +47,16 @@
         opened.response.release()
         return body
 
+    async def test_call_whose_connection_breaks_is_sent_once(self):
+        """Guards against a call that runs twice since the HTTP client repeats it by itself."""
+        self.is_broken = True
+        for method in ("GET", "PUT", "DELETE", "POST"):
+            with self.subTest(method):
+                self.calls = 0
+                url = f"http://{HOST}:{self.port}/stock"
+                self.assertIsInstance(await self.upstream.open(method, url, {}, None, 5.0), Broken)
+                self.assertEqual(self.calls, 1)
+
     async def test_late_second_copy_of_an_answer(self):
         """Guards against taking a second copy of an answer for the answer to the next call."""
         self.assertEqual(await self.call(), b"answer 1")
--- a/mulberrygate/entry/upstream.py
+++ b/mulberrygate/entry/upstream.py
@@ -14,6 +14,8 @@
 import aiohttp
 from yarl import URL
 
+from mulberrygate.core.http_client import open_session
+
 # Connecting within a region takes milliseconds. An endpoint that does not accept within a second is
 # treated as unreachable, and nothing was sent to it.
 CONNECT_TIMEOUT_S = 1.0
@@ -45,7 +47,7 @@
     """HTTP client for endpoints."""
 
     def __init__(self):
-        self.session = aiohttp.ClientSession(
+        self.session = open_session(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
             auto_decompress=False,
         )
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -18,6 +18,7 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
+from mulberrygate.core.http_client import open_session
 from mulberrygate.forward.request import AnswerHead, Call, Dialect
 
 # A live endpoint accepts within a round trip; one that is down or partitioned never does.
@@ -171,7 +172,7 @@
     def __init__(self, dialect: Dialect):
         self.dialect = dialect
         self.buffered = BufferedBytes()
-        self.session = aiohttp.ClientSession(
+        self.session = open_session(
             connector=BoundedConnector(),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -6,10 +6,10 @@
 import json
 import math
 
-import aiohttp
 from yarl import URL
 
 from mulberrygate.catalog import CatalogIndex
+from mulberrygate.core.http_client import open_session
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.http_server import HttpServer
 from mulberrygate.daemon.placement import Placement, PoolOwners
@@ -223,7 +223,7 @@
                 self.roster.record_report(endpoint.registration(pool), self.timers.now())
         self.endpoints = [item for members in endpoints.values() for item in members]
         self.put(self.document)
-        self.session = aiohttp.ClientSession()
+        self.session = open_session()
         return self
 
     def decide_trial(self, _request):
--- a/mulberrygate/forward/tests/test_crashing_calls.py
+++ b/mulberrygate/forward/tests/test_crashing_calls.py
@@ -127,6 +127,23 @@
             self.assertEqual((answer.status, (await answer.json())["code"]), (503, 1210))
         self.assertEqual(len(endpoint.requests), CRASHES_TO_SUSPECT)
 
+    async def test_crash_under_a_call_that_may_be_repeated(self):
+        """Guards against missing the crashes of an idempotent GET, which then go on.
+
+        The HTTP client repeated a GET at the endpoint that had just ended. The refused connection
+        of the repetition hid the crash, and the call was sent to one endpoint after the other.
+        """
+        endpoints = [Endpoint(f"e{number}", crash()) for number in range(4)]
+        entry = await self.start(booking=endpoints)
+        async with entry.request("/read/1", "GET") as answer:
+            self.assertEqual(answer.status, 502)
+        await self.until(lambda: len(entry.crashes) == CRASHES_TO_SUSPECT)
+        # The route allows two attempts.
+        self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 2)
+        async with entry.request("/read/1", "GET", identifier="id-2") as answer:
+            self.assertEqual((answer.status, (await answer.json())["code"]), (503, 1210))
+        self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 2)
+
     async def test_stream_that_had_begun_is_not_blamed(self):
         """Guards against refusing a call that ran beside calls that crash endpoints."""
         endpoint = RestartingEndpoint("e", crash_within_stream(3))
--- a/mulberrygate/forward/tests/test_service.py
+++ b/mulberrygate/forward/tests/test_service.py
@@ -120,6 +120,19 @@
             self.assertEqual(answer.status, 502)
         self.assertEqual(sum(len(endpoint.requests) for endpoint in endpoints), 1)
 
+    async def test_lost_answer_of_a_call_that_runs_once_with_any_method(self):
+        """Guards against a booking that an HTTP client repeats by itself when its answer is lost.
+
+        The client repeated GET, PUT and DELETE at the same endpoint, so that the booking ran twice.
+        """
+        for method in ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST"):
+            with self.subTest(method):
+                endpoint = Endpoint("e", reset)
+                entry = await self.start(booking=[endpoint])
+                async with entry.request("/plain/1", method) as answer:
+                    self.assertEqual(answer.status, 502)
+                self.assertEqual(len(endpoint.requests), 1)
+
     async def test_idempotent_call_goes_to_another_endpoint(self):
         """Guards against a read that failed at one endpoint and is not sent to another."""
         entry = await self.start(booking=[Endpoint("e1", whole(500)), Endpoint("e2", whole(200))])
--- a/mulberrygate/standin/announcer.py
+++ b/mulberrygate/standin/announcer.py
@@ -9,6 +9,7 @@
 import aiohttp
 import attrs
 
+from mulberrygate.core.http_client import open_session
 from mulberrygate.endpoints.model import Announcement
 
 PERIOD_S = 1.0
@@ -56,7 +57,7 @@
 
     async def run(self) -> None:
         """Announce every `PERIOD_S` until cancelled."""
-        async with aiohttp.ClientSession() as session:
+        async with open_session() as session:
             while True:
                 await self.announce(session)
                 await asyncio.sleep(PERIOD_S)
--- a/mulberrygate/standin/local.py
+++ b/mulberrygate/standin/local.py
@@ -23,6 +23,8 @@
 import aiohttp
 import attrs
 
+from mulberrygate.core.http_client import open_session
+
 DEFAULT_TIMEOUT_S = 60.0
 POLL_S = 0.05
 FIRST_PORT = 10_000
@@ -204,9 +206,7 @@
     async def start(self) -> None:
         """Start all daemons and endpoints that do not run."""
         if self.session is None:
-            self.session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, force_close=True)
-            )
+            self.session = open_session(connector=aiohttp.TCPConnector(limit=0, force_close=True))
         for name in self.daemons:
             self.start_daemon(name)
         for name in self.endpoints:
