--- a/mulberrygate/platform/documents.py
+++ b/mulberrygate/platform/documents.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import json
-import math
 from typing import Any
 
 from mulberrygate.catalog import (
@@ -15,6 +13,7 @@
     RouteRule,
     WeightedPool,
 )
+from mulberrygate.platform.values import InvalidValue, parse_json, read_number, read_whole
 
 RETRY_POLICIES = {
     "idempotent": RetryPolicy.IDEMPOTENT,
@@ -36,23 +35,18 @@
         The document is malformed, or its parts contradict each other.
     """
     try:
-        fields = json.loads(body)
-    except ValueError as error:
-        raise InvalidDocument(f"not readable: {error}") from error
-    try:
-        catalog = _decode(fields)
-    except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
+        catalog = _decode(parse_json(body))
+    except InvalidValue as error:
+        raise InvalidDocument(str(error)) from error
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
         raise InvalidDocument(f"{type(error).__name__}: {error}") from error
     _check(catalog)
     return catalog
 
 
 def _decode(fields: dict[str, Any]) -> Catalog:
-    version = fields["version"]
-    if type(version) is not int or version < 0:
-        raise InvalidDocument("the version is no whole number")
     return Catalog(
-        version=version,
+        version=read_whole(fields, "version"),
         routes=tuple(_route(item) for item in _list(fields, "routes")),
         pools=tuple(_pool(item) for item in _list(fields, "services")),
         accounts=tuple(_account(item) for item in fields.get("tenants") or ()),
@@ -67,17 +61,6 @@
     return value
 
 
-def _number(fields: dict[str, Any], name: str, default: float | None = None) -> float:
-    value = fields.get(name, default)
-    if value is None and default is not None:
-        value = default
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-        raise InvalidDocument(f"{name} is no number")
-    if value < 0:
-        raise InvalidDocument(f"{name} is negative")
-    return value
-
-
 def _text(fields: dict[str, Any], name: str) -> str:
     value = fields[name]
     if not isinstance(value, str) or not value:
@@ -92,7 +75,7 @@
     prefix = _text(fields, "pathPrefix")
     if not (prefix.startswith("/") and prefix.endswith("/")):
         raise InvalidDocument(f"path prefix {prefix!r} does not begin and end with a slash")
-    timeout_ms = _number(fields, "timeoutMs")
+    timeout_ms = read_number(fields, "timeoutMs")
     if not timeout_ms:
         raise InvalidDocument("a timeout is 0")
     return RouteRule(
@@ -102,11 +85,11 @@
         retry_policy=RETRY_POLICIES[kind],
         pools=_weighted_pools(fields),
         timeout_s=timeout_ms / 1000,
-        max_attempts=max(1, int(_number(fields, "maxAttempts", 1))),
+        max_attempts=max(1, int(read_number(fields, "maxAttempts", 1))),
         # Target for the answer, or for the first event of a stream.
-        target_first_s=_number(fields, "targetLatencyMs", 1000) / 1000,
-        target_gap_s=_number(fields, "targetGapMs", 1000) / 1000,
-        tier=int(_number(fields, "priority", 2)),
+        target_first_s=read_number(fields, "targetLatencyMs", 1000) / 1000,
+        target_gap_s=read_number(fields, "targetGapMs", 1000) / 1000,
+        tier=int(read_number(fields, "priority", 2)),
         is_anonymous=fields.get("anonymous") is True,
         is_resumable=kind == "streaming" and fields.get("resumable") is True,
     )
@@ -116,7 +99,9 @@
     split = fields.get("trafficSplit")
     if not split:
         return (WeightedPool(_text(fields, "service"), 1.0),)
-    pools = tuple(WeightedPool(_text(item, "service"), _number(item, "weight")) for item in split)
+    pools = tuple(
+        WeightedPool(_text(item, "service"), read_number(item, "weight")) for item in split
+    )
     if not sum(item.weight for item in pools) > 0:
         raise InvalidDocument("the weights of a route add up to 0")
     return pools
@@ -127,10 +112,10 @@
     return BackendPool(
         name=_text(fields, "name"),
         is_engine=bool(engine),
-        slots=int(_number(engine, "slots", 0)),
-        kv_tokens=int(_number(engine, "kvCapacityTokens", 0)),
+        slots=int(read_number(engine, "slots", 0)),
+        kv_tokens=int(read_number(engine, "kvCapacityTokens", 0)),
         # Output tokens in one event of a stream.
-        tokens_per_event=max(1, int(_number(engine, "stride", 1))),
+        tokens_per_event=max(1, int(read_number(engine, "stride", 1))),
     )
 
 
@@ -142,21 +127,23 @@
     return ClientAccount(
         name=_text(fields, "name"),
         keys=tuple(keys),
-        tier=None if priority is None else int(_number(fields, "priority")),
-        rate=_number(fields, "ratePerS", 0),
-        burst=_number(fields, "burst", 0),
+        tier=None if priority is None else int(read_number(fields, "priority")),
+        rate=read_number(fields, "ratePerS", 0),
+        burst=read_number(fields, "burst", 0),
         counts_tokens=fields.get("unit") == "tokens",
-        default_tokens=int(_number(fields, "plainTokens", 1)),
+        default_tokens=int(read_number(fields, "plainTokens", 1)),
     )
 
 
 def _limits(fields: dict[str, Any]) -> RequestLimits:
     default = RequestLimits()
+    header_timeout_ms = read_number(fields, "headerTimeoutMs", default.header_timeout_s * 1000)
+    idle_timeout_ms = read_number(fields, "idleTimeoutMs", default.idle_timeout_s * 1000)
     return RequestLimits(
-        max_header_bytes=int(_number(fields, "maxHeaderBytes", default.max_header_bytes)),
-        max_body_bytes=int(_number(fields, "maxBodyBytes", default.max_body_bytes)),
-        header_timeout_s=_number(fields, "headerTimeoutMs", default.header_timeout_s * 1000) / 1000,
-        idle_timeout_s=_number(fields, "idleTimeoutMs", default.idle_timeout_s * 1000) / 1000,
+        max_header_bytes=int(read_number(fields, "maxHeaderBytes", default.max_header_bytes)),
+        max_body_bytes=int(read_number(fields, "maxBodyBytes", default.max_body_bytes)),
+        header_timeout_s=header_timeout_ms / 1000,
+        idle_timeout_s=idle_timeout_ms / 1000,
     )
 
 
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -14,7 +14,9 @@
     MAX_REGISTRATION_BYTES,
     InvalidRegistration,
     decode_registration,
+    is_name,
 )
+from mulberrygate.platform.values import InvalidValue, parse_json, read_number, read_text
 
 MAX_DOCUMENT_BYTES = 16 << 20
 INSTANCE = re.compile(r"/instances/([^/?]+)$")
@@ -46,8 +48,7 @@
         if found and method == "PUT":
             return await self.put_registration(found[1], request)
         if found and method == "DELETE":
-            is_acknowledged = await self.controller.deregister(found[1])
-            return answer(200 if is_acknowledged else 503)
+            return await self.delete_registration(found[1])
         if path == "/quarantine" and method == "GET":
             return self.get_quarantine()
         found = QUARANTINED.match(path)
@@ -103,6 +104,12 @@
             return answer(400, {"error": str(error)})
         return answer(200 if await self.controller.record_heartbeat(registration) else 503)
 
+    async def delete_registration(self, endpoint: str) -> web.Response:
+        """Mark an endpoint as ended."""
+        if not is_name(endpoint):
+            return answer(400, {"error": "the name is no text"})
+        return answer(200 if await self.controller.deregister(endpoint) else 503)
+
     def get_quarantine(self) -> web.Response:
         """Return what is quarantined; 503 if this process may not know all of it."""
         if not self.controller.is_current:
@@ -114,11 +121,13 @@
         """Begin the move of a pool to a version."""
         body = await self.read_body(request, MAX_REGISTRATION_BYTES) or b""
         try:
-            fields = json.loads(body)
-            pool, target = fields["service"], fields["target"]
-            duration_s = float(fields["durationS"])
-        except (ValueError, KeyError, TypeError) as error:
-            return answer(400, {"error": f"{type(error).__name__}: {error}"})
+            fields = parse_json(body)
+            if not isinstance(fields, dict):
+                raise InvalidValue("no object")
+            pool, target = read_text(fields, "service"), read_text(fields, "target")
+            duration_s = read_number(fields, "durationS")
+        except InvalidValue as error:
+            return answer(400, {"error": str(error)})
         is_known = await self.controller.has_pool(pool)
         if is_known is None:
             return answer(503)
--- a/mulberrygate/platform/registrations.py
+++ b/mulberrygate/platform/registrations.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
-import json
+import ipaddress
 from typing import Any
 
 from mulberrygate.endpoints.roster import Registration
+from mulberrygate.platform.values import (
+    MAX_WHOLE,
+    InvalidValue,
+    is_unicode,
+    parse_json,
+    read_number,
+    read_text,
+    read_whole,
+)
 
 READY = "ready"
 DRAINING = "draining"
 MAX_REGISTRATION_BYTES = 64 << 10
+MAX_PORT = 65535
 
 
 class InvalidRegistration(ValueError):
@@ -22,43 +32,49 @@
     Raises
     ======
     InvalidRegistration
-        The body is malformed, or a field is missing or has a wrong type.
+        The body is malformed, or a field is missing, of a wrong type or out of range.
     """
+    if not is_name(endpoint):
+        raise InvalidRegistration("the name can't be sent in a header")
     try:
-        fields = json.loads(body)
+        fields = parse_json(body)
         if not isinstance(fields, dict):
             raise InvalidRegistration("no object")
-        state = _field(fields, "state", str)
+        state = read_text(fields, "state")
         if state not in (READY, DRAINING):
             raise InvalidRegistration(f"unknown state {state!r}")
         return Registration(
             endpoint=endpoint,
             # Start of the endpoint in Unix milliseconds; an older format lacks the field.
-            incarnation=_field(fields, "born", int, 0),
-            sequence=_field(fields, "sequence", int),
-            pool=_field(fields, "service", str),
+            incarnation=read_whole(fields, "born", 0),
+            sequence=read_whole(fields, "sequence"),
+            pool=read_text(fields, "service"),
             address=_address(fields),
-            failure_domain=_field(fields, "zone", str),
-            version=_field(fields, "version", str, ""),
-            slots=_field(fields, "slots", int),
+            failure_domain=read_text(fields, "zone"),
+            version=read_text(fields, "version", ""),
+            slots=read_whole(fields, "slots"),
             is_leaving=state == DRAINING,
             # Remaining milliseconds for which the endpoint is slow after its start.
-            warmup_s=float(_field(fields, "coldRemainingMs", (int, float), 0)) / 1000,
+            warmup_s=max(0.0, read_number(fields, "coldRemainingMs", 0, -MAX_WHOLE) / 1000),
         )
-    except (ValueError, RecursionError) as error:
+    except InvalidValue as error:
         raise InvalidRegistration(str(error)) from error
 
 
-def _field(fields: dict[str, Any], name: str, kind: Any, default: Any = None) -> Any:
-    value = fields.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, kind):
-        raise InvalidRegistration(f"{name} is missing or of another type")
-    return value
+def is_name(endpoint: str) -> bool:
+    """Return whether a text can be the name of an endpoint, which requests carry in a header."""
+    return is_unicode(endpoint) and not any(char < " " or char == "\x7f" for char in endpoint)
 
 
 def _address(fields: dict[str, Any]) -> str:
-    address = _field(fields, "address", str)
+    """Return the address of an endpoint, an IP address and a port."""
+    address = read_text(fields, "address")
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise InvalidRegistration("address is no host and port")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        is_port = port.isascii() and 0 < int(port) <= MAX_PORT
+    except ValueError:
+        is_port = False
+    if not is_port:
+        raise InvalidRegistration("address is no IP address and port")
     return address
--- a/mulberrygate/platform/tests/test_documents.py
+++ b/mulberrygate/platform/tests/test_documents.py
@@ -104,6 +104,33 @@
         """Guards against a key of two accounts, which would identify the last one only."""
         self.refused(lambda d: d["tenants"].append({"name": "other", "apiKeys": ["k2"]}))
 
+    def test_texts_that_are_no_unicode(self):
+        """Guards against names that no message between processes can carry."""
+        self.refused(lambda d: d["routes"][0].update(name="\ud800"))
+        self.refused(lambda d: d["tenants"][0].update(name="\udc80"))
+        self.refused(lambda d: d["services"][0].update(note="\ud800"))
+        body = json.dumps(DOCUMENT).encode()
+        for raw in (b"\xed\xa0\x80", b"\xff"):
+            with self.assertRaises(InvalidDocument):
+                decode_document(body.replace(b"hule", raw))
+
+    def test_numbers_out_of_range(self):
+        """Guards against numbers that no message between processes can carry."""
+        self.refused(lambda d: d.update(version=1 << 63))
+        self.refused(lambda d: d["routes"][0].update(priority=1e300))
+        self.refused(lambda d: d["tenants"][0].update(ratePerS=float("inf")))
+        body = json.dumps(DOCUMENT).encode().replace(b'"version": 7', b'"version": ' + b"9" * 5000)
+        with self.assertRaises(InvalidDocument):
+            decode_document(body)
+
+    def test_text_in_escapes_and_other_scripts(self):
+        """Guards against refusing a valid document whose texts are not all ASCII."""
+        fields = copy.deepcopy(DOCUMENT)
+        fields["tenants"][0]["name"] = "Teranga Lumière \U0001f9fa"
+        for is_escaped in (True, False):
+            body = json.dumps(fields, ensure_ascii=is_escaped).encode()
+            self.assertEqual(decode_document(body).accounts[0].name, fields["tenants"][0]["name"])
+
     def test_wrong_types(self):
         """Guards against a field of a wrong type that raises another exception."""
         self.refused(lambda d: d.update(version="7"))
--- a/mulberrygate/platform/tests/test_registrations.py
+++ b/mulberrygate/platform/tests/test_registrations.py
@@ -6,7 +6,11 @@
 import tempfile
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from mulberrygate.core.outcome import Refusal
+from mulberrygate.core.wire import encode
 from mulberrygate.platform.registrations import InvalidRegistration, decode_registration
 from mulberrygate.platform.settings import load_site
 
@@ -30,6 +34,17 @@
     return decode_registration("i-1", body.encode())
 
 
+# Any JSON value that another writer may put into a field.
+ANY_VALUE = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-(1 << 70), 1 << 70),
+    st.floats(),
+    st.text(st.characters(), max_size=6),
+    st.sampled_from([*HEARTBEAT.values(), "draining", 1 << 63, (1 << 63) - 1, "\ud800", "\udc80"]),
+)
+
+
 class TestRegistrations(unittest.TestCase):
     """Valid and unusable heartbeats."""
 
@@ -54,10 +69,47 @@
             {"sequence": None},
             {"service": 3},
             {"born": 1.5},
+            {"born": 1 << 63},
+            {"sequence": -1},
+            {"slots": 10**400},
+            {"coldRemainingMs": 1 << 70},
+            {"coldRemainingMs": float("nan")},
+            {"service": "\ud800"},
+            {"note": "\udfff"},
+            {"address": "10.128.0.9:\u00b2"},
+            {"address": "10.128.0.9:65536"},
+            {"address": "10.128.0.9 :80"},
         ]
         for changes in malformed:
             with self.subTest(changes), self.assertRaises(InvalidRegistration):
                 decode(**changes)
+
+    def test_malformed_names(self):
+        """Guards against a name that no message or no request's header can carry."""
+        for name in ("i-\ud800", "i-\r\nX-Own: 1", "i-\x00"):
+            with self.subTest(name), self.assertRaises(InvalidRegistration):
+                decode_registration(name, json.dumps(HEARTBEAT).encode())
+
+    def test_warmup_that_is_over(self):
+        """Guards against refusing an endpoint that counts its warm-up below 0."""
+        self.assertEqual(decode(coldRemainingMs=-5).warmup_s, 0.0)
+
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(
+        st.text(st.characters(), max_size=6),
+        st.dictionaries(st.sampled_from(sorted(HEARTBEAT)), ANY_VALUE),
+    )
+    def test_whatever_is_accepted_can_be_sent_on(self, name, changes):
+        """Guards against a heartbeat that makes a message between processes impossible to encode.
+
+        No entry would get a configuration from a process that has such an endpoint.
+        """
+        body = json.dumps({**HEARTBEAT, **changes}).encode()
+        try:
+            registration = decode_registration(name, body)
+        except InvalidRegistration:
+            return
+        encode(registration)
         for body in (b"", b"[]", b"\xff", b"{", b"[" * 100_000):
             with self.assertRaises(InvalidRegistration):
                 decode_registration("i-1", body)
