--- a/mulberrygate/daemon/tests/test_site_outside_values.py
+++ b/mulberrygate/daemon/tests/test_site_outside_values.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import unittest
 
-from mulberrygate.daemon.tests.site_support import CONTROLS, SiteTestCase, unreachable_endpoint
+from mulberrygate.daemon.tests.site_support import (
+    CONTROLS,
+    ENTRY,
+    STEP_TIMEOUT_S,
+    SiteTestCase,
+    unreachable_endpoint,
+)
 from mulberrygate.forward.tests.support import document
 
 # Half of a surrogate pair: valid in a JSON escape, but no Unicode text.
@@ -14,6 +21,11 @@
 STRAY = "/instances/i-stray"
 
 
+async def stay_silent(_endpoint, reader, _writer, _head):
+    """Go on running without an answer until the connection is closed."""
+    await reader.read()
+
+
 class TestOutsideValues(SiteTestCase):
     """Heartbeats, configurations, version moves and requests with such values."""
 
@@ -85,6 +97,39 @@
         self.assertEqual(status, 400)
         await self.assert_configuration_arrives(3)
 
+    async def send_head(self, *lines):
+        """Send a request with raw header lines to the entry and return the status."""
+        reader, writer = await asyncio.open_connection(ENTRY, self.deployment.entry_port)
+        head = (b"POST /stream/1 HTTP/1.1", b"Host: a.example", b"Content-Length: 0", *lines)
+        writer.write(b"\r\n".join(head) + b"\r\n\r\n")
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            line = await reader.readline()
+        writer.close()
+        return int(line.split()[1])
+
+    async def test_request_with_a_header_that_is_no_unicode(self):
+        """Guards against a request that keeps the entry from reporting on all others of its pool.
+
+        The owner of the pool is told the identifiers of all requests in one message.
+        """
+        await self.assert_configuration_arrives(1)
+        await self.start_endpoint("care", stay_silent)
+        entry_node = self.deployment.entry_node
+        await self.deployment.until(lambda: entry_node.roster.rows)
+        sound = asyncio.create_task(self.deployment.send_request("/stream/1"))
+        self.addCleanup(sound.cancel)
+        await self.deployment.until(lambda: entry_node.forwarder.scheduler.running)
+        scheduler = entry_node.forwarder.scheduler
+        statuses = await asyncio.gather(
+            self.send_head(b"X-Mulberrygate-Request-Id: \xff"),
+            self.send_head(b"X-Mulberrygate-Token-Count: " + b"9" * 24 + b",1"),
+            self.send_head(b"X-Mulberrygate-Token-Count: " + b"9" * 5000 + b",1"),
+        )
+        self.assertEqual(statuses, [400] * 3)
+        scheduler.report_progress()
+        failed = entry_node.lines.of("timer.failed") + entry_node.lines.of("request.failed")
+        self.assertEqual(failed, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -24,6 +24,9 @@
 MAY_CRASH_ENDPOINTS = register_code(
     1210, "may_crash_endpoints", "Such a call may have crashed an endpoint; not run.", 503
 )
+UNREADABLE_HEAD = register_code(
+    1211, "unreadable_head", "The path or a header holds no Unicode text or a huge number.", 400
+)
 NOT_SERVED = register_code(
     2201, "not_served", "No endpoint took the call in the time it had; not run.", 503
 )
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -32,6 +32,8 @@
         Identifier of the event after which a stream is to be resumed, empty for its start.
     shared_parts : tuple[str, ...]
         Identifiers of the parts of the prompt that other calls may share, in order.
+    fault : str
+        Why the head can't be used, empty if it can.
     """
 
     request: str
@@ -45,6 +47,7 @@
     expected_tokens: int = 0
     last_event_id: str = ""
     shared_parts: tuple[str, ...] = ()
+    fault: str = ""
 
 
 @attrs.define
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -164,6 +164,8 @@
 
     async def _admit(self, call: Call, request: web.BaseRequest) -> Refused | None:
         """Run the steps before scheduling; return the refusal, if any."""
+        if call.head.fault:
+            return Refused(codes.UNREADABLE_HEAD, call.head.fault)
         index = self.index or await self.wait_for_catalog(call)
         if index is None:
             return Refused(codes.NO_CATALOG, retry_after_s=NO_CATALOG_RETRY_S)
--- a/mulberrygate/platform/headers.py
+++ b/mulberrygate/platform/headers.py
@@ -8,6 +8,7 @@
 from aiohttp import hdrs
 
 from mulberrygate.forward.request import AnswerHead, Call, CallHead, Refused
+from mulberrygate.platform.values import InvalidValue, is_unicode, parse_count
 
 PREFIX = "X-Mulberrygate-"
 REQUEST_ID = PREFIX + "Request-Id"
@@ -65,12 +66,26 @@
         "Kv-Fetch",
     )
 )
+# Headers without the platform's prefix that are decoded from a caller's request.
+DECODED_HEADERS = frozenset(n.lower() for n in (hdrs.HOST, hdrs.AUTHORIZATION, LAST_EVENT))
 DROPPED_HEADERS = CONNECTION_HEADERS | SYSTEM_HEADERS
 
 
-def _parse_count(text: str | None) -> int:
-    """Return the number in a text of decimal digits, 0 for any other text."""
-    return int(text) if text and text.isascii() and text.isdigit() else 0
+def _is_decoded(name: str) -> bool:
+    """Return whether a caller's header is decoded here or meant for the platform."""
+    lower = name.lower()
+    return lower in DECODED_HEADERS or lower.startswith(PREFIX.lower())
+
+
+def _parse_load(text: str) -> int | None:
+    """Return the running and waiting requests that an endpoint tells, ``None`` if unreadable."""
+    counts = text.split(",")
+    if len(counts) != 3:
+        return None
+    try:
+        return parse_count(counts[0].strip()) + parse_count(counts[1].strip())
+    except InvalidValue:
+        return None
 
 
 def _parse_shared_parts(text: str) -> tuple[str, ...]:
@@ -98,8 +113,33 @@
     """Conversion between the platform's HTTP headers and `mulberrygate.forward.request`."""
 
     def call_head(self, request: Any) -> CallHead:
-        """Decode the head of a caller's request."""
+        """Decode the head of a caller's request; its ``fault`` says why it can't be used."""
+        try:
+            return self._decode_head(request)
+        except InvalidValue as error:
+            identifier = request.headers.get(REQUEST_ID, "")
+            return CallHead(
+                request=identifier if is_unicode(identifier) else "",
+                host="",
+                method=request.method,
+                path="",
+                fault=str(error),
+            )
+
+    def _decode_head(self, request: Any) -> CallHead:
+        """Decode the head of a caller's request.
+
+        Raises
+        ======
+        InvalidValue
+            The path or a header of the platform is no Unicode text, or a number is out of range.
+        """
         headers = request.headers
+        if not is_unicode(request.raw_path):
+            raise InvalidValue("the path is no Unicode text")
+        for name, value in headers.items():
+            if not value.isascii() and _is_decoded(name) and not is_unicode(value):
+                raise InvalidValue(f"{name} is no Unicode text")
         prompt, _, output = headers.get(TOKEN_COUNT, "").partition(",")
         authorization = headers.get(hdrs.AUTHORIZATION, "")
         is_bearer = authorization[: len(BEARER)].lower() == BEARER
@@ -110,10 +150,10 @@
             method=request.method,
             path=request.raw_path,
             key=authorization[len(BEARER) :].strip() if is_bearer else "",
-            timeout_s=_parse_count(deadline) / 1000 if deadline else None,
-            prompt_tokens=_parse_count(prompt.strip()),
-            output_tokens=_parse_count(output.strip()),
-            expected_tokens=_parse_count(headers.get(LENGTH_HINT)),
+            timeout_s=parse_count(deadline) / 1000 if deadline else None,
+            prompt_tokens=parse_count(prompt.strip()),
+            output_tokens=parse_count(output.strip()),
+            expected_tokens=parse_count(headers.get(LENGTH_HINT)),
             last_event_id=headers.get(LAST_EVENT, ""),
             shared_parts=_parse_shared_parts(headers.get(PROMPT_PARTS, "")),
         )
@@ -139,15 +179,11 @@
         is_success = 200 <= response.status < 300
         is_encoded = hdrs.CONTENT_ENCODING in headers
         is_signed = SIGNATURE in headers
-        load = headers.get(SERVER_LOAD, "").split(",")
-        has_load = len(load) == 3
         return AnswerHead(
             status=response.status,
             has_run=not (NOT_EXECUTED in headers or response.status == 421),
             is_genuine=not is_other_request and not is_encoded and (is_signed or not is_success),
-            load=(
-                _parse_count(load[0].strip()) + _parse_count(load[1].strip()) if has_load else None
-            ),
+            load=_parse_load(headers.get(SERVER_LOAD, "")),
             is_events=headers.get(hdrs.CONTENT_TYPE, "").startswith("text/event-stream"),
         )
 
--- a/mulberrygate/platform/tests/test_headers.py
+++ b/mulberrygate/platform/tests/test_headers.py
@@ -5,12 +5,16 @@
 import types
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from multidict import CIMultiDict
 
 from mulberrygate.catalog import BackendPool, RetryPolicy, RouteRule, WeightedPool
+from mulberrygate.core.wire import encode
 from mulberrygate.forward import codes
 from mulberrygate.forward.request import Call, Refused
 from mulberrygate.platform.headers import MAX_PARTS, PlatformDialect
+from mulberrygate.schedule.messages import Ask, Ticket
 
 ROUTE = RouteRule("r", "a.example", "/n/", RetryPolicy.STREAM, (WeightedPool("care", 1.0),), 5.0)
 
@@ -24,6 +28,24 @@
     return types.SimpleNamespace(headers=values, method="POST", raw_path="/n/7?x=1")
 
 
+def make_ticket(head):
+    """Return a ticket with everything that it takes from a head."""
+    return Ticket(
+        request=head.request,
+        entry="entry",
+        pool="care",
+        route="r",
+        account="hule",
+        weight=1.0,
+        tier=1,
+        prompt_tokens=head.prompt_tokens,
+        output_tokens=max(head.output_tokens, head.expected_tokens),
+        prefixes=head.shared_parts,
+        deadline_s=head.timeout_s or 1.0,
+        idempotent=False,
+    )
+
+
 def call_of(sent, account="hule"):
     """Return the call of a request."""
     call = Call(PlatformDialect().call_head(sent), sent.headers, 0.0, ROUTE, BackendPool("care"))
@@ -47,6 +69,52 @@
         self.assertEqual((head.expected_tokens, head.timeout_s, head.key), (0, 1.5, "k1"))
         self.assertEqual(head.host, "a.example")
 
+    def test_numbers_out_of_range(self):
+        """Guards against a number that no message between processes can carry."""
+        for name in ("Token_Count", "Length_Hint", "Request_Deadline"):
+            for digits in (24, 5000):
+                with self.subTest(name=name, digits=digits):
+                    sent = request(**{f"X_Mulberrygate_{name}": "9" * digits})
+                    head = PlatformDialect().call_head(sent)
+                    self.assertIn("out of range", head.fault)
+                    self.assertEqual(head.request, "id-1")
+        sent = request(X_Mulberrygate_Token_Count=f"{'0' * 40}7,80")
+        self.assertEqual(PlatformDialect().call_head(sent).prompt_tokens, 7)
+
+    def test_texts_that_are_no_unicode(self):
+        """Guards against an identifier that no message between processes can carry.
+
+        Bytes that are no UTF-8 arrive as half of a surrogate pair.
+        """
+        for name in ("X_Mulberrygate_Request_Id", "X_Mulberrygate_Model", "Authorization", "Host"):
+            with self.subTest(name):
+                head = PlatformDialect().call_head(request(**{name: "\udcff"}))
+                self.assertIn("no Unicode", head.fault)
+        sent = request()
+        sent.raw_path = "/n/\udcff"
+        self.assertIn("path", PlatformDialect().call_head(sent).fault)
+        self.assertEqual(PlatformDialect().call_head(request(User_Agent="\udcff")).fault, "")
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(
+        st.dictionaries(
+            st.sampled_from(
+                ("Request_Id", "Token_Count", "Length_Hint", "Request_Deadline", "Prefix_Hash")
+            ),
+            st.one_of(
+                st.text(st.characters(), max_size=8),
+                st.integers(0, 1 << 70).map(str),
+                st.sampled_from(["9" * 5000, "1,2", "aa:1,bb:2", "\udcff"]),
+            ),
+        )
+    )
+    def test_whatever_is_accepted_can_be_sent_on(self, changes):
+        """Guards against a request that makes a message to the owner of a pool impossible."""
+        sent = request(**{f"X_Mulberrygate_{name}": text for name, text in changes.items()})
+        head = PlatformDialect().call_head(sent)
+        if not head.fault:
+            encode(Ask(make_ticket(head)))
+
     def test_shared_parts(self):
         """Guards against blaming a prompt's own last part, or an entry that can't be read."""
         text = "5C1E07a2:800, 91bd3f06:410,nonsense:3,,5c1e07a2:1,e4402b7d:250"
@@ -116,6 +184,7 @@
         """Guards against a malformed load header that is read as a number."""
         self.assertEqual(self.head(X_Mulberrygate_Server_Load="3, 2, 8").load, 5)
         self.assertIsNone(self.head(X_Mulberrygate_Server_Load="3").load)
+        self.assertIsNone(self.head(X_Mulberrygate_Server_Load=f"{'9' * 5000},1,8").load)
         self.assertIsNone(self.head().load)
 
     def test_refusal_has_retry_after(self):
