--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -35,6 +35,10 @@
 BALANCER_REMOVAL_S = 2.6
 # Time reserved for closing connections and exiting.
 EXIT_MARGIN_S = 0.9
+# Time before the end of a stop after which a call is no longer sent: most would be cut off.
+LAST_SEND_S = 3.0
+# Time reserved for the answers to calls that are refused or given up at a limit of a stop.
+ANSWER_MARGIN_S = 0.1
 EVIDENCE_INTERVAL_S = 0.3
 # A pool's owner answers within a round trip between regions.
 ASK_TIMEOUT_S = 0.25
@@ -49,6 +53,23 @@
 CURRENT_STATE_WAIT_S = 3.0
 
 
+def last_send_at(read_at: float, end: float) -> float:
+    """Return the time after which a stopping entry sends no call for the first time.
+
+    Parameters
+    ==========
+    read_at, end : float
+        Monotonic times at which the last requests have been read, and at which calls without an
+        answer are given up.
+
+    Examples
+    ========
+    >>> last_send_at(2.5, 7.0), last_send_at(2.5, 4.0), last_send_at(1.0, 1.0)
+    (4.0, 2.5, 0.9)
+    """
+    return min(max(read_at, end - LAST_SEND_S), end - ANSWER_MARGIN_S)
+
+
 class EntryNode:
     """Entry process: follows a control process and forwards callers' requests to endpoints.
 
@@ -343,16 +364,17 @@
         ===========
         The load balancer opens new connections until it notices that the entry isn't ready; they
         are served until then. Kept connections are closed with their next answer, and idle ones
-        once the entry stops listening.
+        once the entry stops listening. Calls that still wait to be sent are refused in time for
+        their callers to use another entry, and calls without an answer are given up at the end.
         """
         started = self.timers.now()
         end = started + self.site.bounds.kill_after_s - EXIT_MARGIN_S
         self.is_stopping = True
-        self.forwarder.is_closing = True
-        listens_until = end - LAST_REQUEST_S
-        await asyncio.sleep(min(BALANCER_REMOVAL_S, max(0.0, listens_until - self.timers.now())))
+        listens_until = min(started + BALANCER_REMOVAL_S, end - LAST_REQUEST_S)
+        self.forwarder.begin_stop(last_send_at(listens_until + LAST_REQUEST_S, end), end)
+        await asyncio.sleep(max(0.0, listens_until - self.timers.now()))
         await self.http.stop_listening()
-        await self.forwarder.wait_idle(end - self.timers.now())
+        await self.forwarder.wait_idle(end + ANSWER_MARGIN_S - self.timers.now())
         self.lines.log("process.stops", active=self.forwarder.active)
         await self.http.close()
         await self.readiness_http.close()
--- a/mulberrygate/daemon/tests/test_site.py
+++ b/mulberrygate/daemon/tests/test_site.py
@@ -15,6 +15,8 @@
     unreachable_endpoint,
 )
 from mulberrygate.forward.tests.support import (
+    REQUEST_ID,
+    Endpoint,
     document,
     stream,
 )
@@ -230,6 +232,36 @@
             self.assertEqual(answer.status, 503)
         await stop
 
+    async def test_stop_answers_calls_that_wait(self):
+        """Guards against a planned stop that cuts off calls that wait for an endpoint.
+
+        Nothing had run, but the callers could not know that they may send the calls again.
+        """
+
+        async def stay_silent(_endpoint, reader, _writer, _head):
+            await reader.read()
+
+        await self.deployment.put_document(1, timeoutMs=60_000)
+        endpoint = await Endpoint("e1", stay_silent).start()
+        self.addAsyncCleanup(endpoint.close)
+        await self.register(endpoint, "booking", slots=1)
+        entry_node = self.deployment.entry_node
+        await self.deployment.until(lambda: entry_node.roster.rows)
+        asked = [
+            asyncio.ensure_future(
+                self.deployment.send_request("/plain/1", **{REQUEST_ID: f"id-{number}"})
+            )
+            for number in range(8)
+        ]
+        scheduler = entry_node.forwarder.scheduler
+        await self.deployment.until(lambda: endpoint.asked.is_set() and scheduler.waiting)
+        await entry_node.stop()
+        statuses = [status for status, _ in await asyncio.gather(*asked)]
+        # Those that reached the endpoint may have run.
+        sent = len(endpoint.requests)
+        self.assertEqual(sorted(statuses), [503] * (8 - sent) + [504] * sent)
+        self.assertLess(sent, 8)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -27,6 +27,9 @@
 UNREADABLE_HEAD = register_code(
     1211, "unreadable_head", "The path or a header holds no Unicode text or a huge number.", 400
 )
+STOPPING = register_code(
+    1212, "entry_stopping", "The entry stops before it could send the call; not run.", 503
+)
 NOT_SERVED = register_code(
     2201, "not_served", "No endpoint took the call in the time it had; not run.", 503
 )
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -40,6 +40,14 @@
     body: bytes
 
 
+@attrs.frozen
+class Turn:
+    """Grant of an endpoint to which a call may be sent now."""
+
+    ticket: Ticket
+    grant: Grant
+
+
 class Send:
     """One send of a call to one endpoint, with its times and token counts.
 
@@ -110,7 +118,7 @@
     async def run(self) -> web.StreamResponse | Refused:
         """Return the response to the caller, or the refusal if there is none."""
         try:
-            async with asyncio.timeout_at(self.call.deadline_at):
+            async with self.forwarder.stop_limits.until_answer(self.call.deadline_at):
                 answer = await self._try_endpoints()
         except TimeoutError:
             answer = self._timed_out()
@@ -130,34 +138,31 @@
         return answer
 
     def _timed_out(self) -> web.StreamResponse | WholeAnswer | Refused:
+        is_deadline = self.now() >= self.call.deadline_at
+        reason = "" if is_deadline else "the entry stops"
         if self.response is not None:
-            return self._abort("deadline")
+            return self._abort(reason or "deadline")
         if self.last_failure is not None:
             return self.last_failure
         if self.attempts.may_have_run:
-            return Refused(codes.TIMED_OUT)
-        return Refused(codes.NOT_SERVED)
+            return Refused(codes.TIMED_OUT, reason)
+        return Refused(codes.NOT_SERVED, reason)
 
     async def _try_endpoints(self) -> WholeAnswer | web.StreamResponse | Refused:
         """Send the call to one endpoint after the other until there is a final answer."""
         forwarder, call = self.forwarder, self.call
         budget = forwarder.retry_budget(call.pool.name)
         while True:
-            self.tickets += 1
-            ticket = forwarder.make_ticket(
-                call, self.tickets, self.attempts.sends, tuple(self.avoid)
-            )
-            grant = await forwarder.acquire_grant(call, ticket)
-            if isinstance(grant, Refusal):
-                return self._without_grant(grant)
-            if not await self._may_send(ticket):
-                forwarder.scheduler.return_grant(ticket.request)
-                if self.attempts.sends:
-                    return self._give_up()
-                refused = await forwarder.gate.check(call)
-                if refused is not None:
-                    return refused
-                continue
+            try:
+                async with forwarder.stop_limits.before_send() as limit:
+                    granted = await self._wait_for_turn()
+            except TimeoutError:
+                if not limit.expired():
+                    raise
+                return self._give_up() if self.attempts.sends else forwarder.refuse_stopping()
+            if not isinstance(granted, Turn):
+                return granted
+            ticket, grant = granted.ticket, granted.grant
             if not self.attempts.arrivals:
                 budget.count_first_send()
             elif not budget.take():
@@ -174,6 +179,26 @@
             elif self.crash_check is not None:
                 await asyncio.wait({self.crash_check}, timeout=CRASH_CHECK_WAIT_S)
 
+    async def _wait_for_turn(self) -> Turn | WholeAnswer | web.StreamResponse | Refused:
+        """Wait until the call may be sent to an endpoint; return the final answer if it may not."""
+        forwarder, call = self.forwarder, self.call
+        while True:
+            self.tickets += 1
+            ticket = forwarder.make_ticket(
+                call, self.tickets, self.attempts.sends, tuple(self.avoid)
+            )
+            grant = await forwarder.acquire_grant(call, ticket)
+            if isinstance(grant, Refusal):
+                return self._without_grant(grant)
+            if await self._may_send(ticket):
+                return Turn(ticket, grant)
+            forwarder.scheduler.return_grant(ticket.request)
+            if self.attempts.sends:
+                return self._give_up()
+            refused = await forwarder.gate.check(call)
+            if refused is not None:
+                return refused
+
     async def _may_send(self, ticket: Ticket) -> bool:
         """Return whether the quarantine allows to send the call; return the grant if cancelled."""
         try:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -21,6 +21,7 @@
 from mulberrygate.forward.prior_wait import PriorWaitEstimator
 from mulberrygate.forward.quarantine_gate import QuarantineGate
 from mulberrygate.forward.request import Call, Dialect, Refused
+from mulberrygate.forward.stopping import StopLimits
 from mulberrygate.forward.suspects import Standing, Suspects
 from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.observe.metrics import Metrics
@@ -36,6 +37,8 @@
 # from its leader eight times a second.
 CATALOG_CURRENT_S = 1.5
 UNCERTAIN_RETRY_S = 0.5
+# Other entries can take the call at once; the pause only keeps callers from returning together.
+STOPPING_RETRY_S = 0.1
 # Fraction of the caller's timeout that a stream may wait for an endpoint; the rest is for its run.
 ENDPOINT_WAIT_FRACTION = 0.8
 REFUSAL_GRACE_S = 0.1
@@ -106,6 +109,7 @@
         self.prior_waits = PriorWaitEstimator()
         self.catalog_current_at = -math.inf
         self.is_closing = False
+        self.stop_limits = StopLimits()
         self.active = 0
         self.idle = asyncio.Event()
 
@@ -151,7 +155,11 @@
         return response
 
     async def _answer(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
-        refused = await self._admit(call, request)
+        try:
+            async with self.stop_limits.before_send():
+                refused = await self._admit(call, request)
+        except TimeoutError:
+            refused = self.refuse_stopping()
         if refused is not None:
             return self.refuse(call, refused)
         delivery = Delivery(self, call, request)
@@ -221,6 +229,10 @@
         call.tier = index.tier(call.route, account)
         return None
 
+    def refuse_stopping(self) -> Refused:
+        """Return the refusal of a call that was not sent before this entry stops."""
+        return Refused(codes.STOPPING, retry_after_s=STOPPING_RETRY_S)
+
     def refuse_unknown(self, code: Code, detail: str = "") -> Refused:
         """Return the refusal for a route or key that the catalog in force doesn't have.
 
@@ -363,6 +375,17 @@
             **fields,
         )
 
+    def begin_stop(self, send_until: float, answer_until: float) -> None:
+        """Close kept connections with their next answers, and limit the calls in progress.
+
+        Parameters
+        ==========
+        send_until, answer_until : float
+            As in `mulberrygate.forward.stopping.StopLimits`.
+        """
+        self.is_closing = True
+        self.stop_limits.begin(send_until, answer_until)
+
     async def wait_idle(self, timeout_s: float) -> None:
         """Wait until no request is being answered, up to a timeout."""
         try:
