--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -79,6 +79,8 @@
 SUPERSEDED_CHECK_S = 1.0
 IDLE_CHECK_S = 10.0
 STOP_POLL_S = 0.05
+# Time for the refusals of requests that wait at the end of the grace period.
+REFUSAL_NOTICE_S = 0.2
 # Time for other instances to learn that this one leaves and to take over what it owns.
 LEAVE_NOTICE_S = 0.5
 
@@ -479,6 +481,9 @@
                     "Stopping at the end of the grace period while requests run.",
                     active=self.web.active_requests,
                 )
+                # Those that still wait are answered, as their callers may try elsewhere.
+                self.parts.scheduler.end_waits()
+                await asyncio.sleep(REFUSAL_NOTICE_S)
                 break
             await asyncio.sleep(STOP_POLL_S)
         self.members_runner.run(self.membership.leave(self.timers.now()))
--- a/mulberrygate/daemon/tests/base.py
+++ b/mulberrygate/daemon/tests/base.py
@@ -21,6 +21,8 @@
     # Region and failure domain of each instance.
     instances = INSTANCES
     voters = VOTERS
+    # Settings of all daemons that differ from the usual ones.
+    settings: dict[str, object] = {}
 
     def add_endpoints(self) -> None:
         """Add the endpoints; subclasses may add others."""
@@ -43,7 +45,7 @@
         self.folder = tempfile.TemporaryDirectory(prefix="mulberrygate-test-")
         self.addCleanup(self.folder.cleanup)
         self.system = LocalSystem(self.folder.name)
-        self.system.add_daemons(self.instances, self.voters)
+        self.system.add_daemons(self.instances, self.voters, **self.settings)
         self.add_endpoints()
         self.addAsyncCleanup(self.system.close)
         await self.system.start()
--- a/mulberrygate/daemon/tests/test_requests.py
+++ b/mulberrygate/daemon/tests/test_requests.py
@@ -85,6 +85,32 @@
         return answer.split(b"\n\n")[:-1]
 
 
+class GracePeriodTest(SystemTest):
+    """A planned stop whose grace period ends while requests wait."""
+
+    settings = {"stop_grace_s": 0.3}
+
+    def pools(self):
+        return {**super().pools(), "diagnosis": {"version": "v1", "engine_queue": 0}}
+
+    def add_endpoints(self):
+        self.system.add_endpoint(
+            "engine", "engine-a", "diagnosis", "a", slots=1, decode_tokens_s=50
+        )
+
+    async def test_waiting_requests_are_refused_as_not_run(self):
+        """Guards against closing the connections of requests that no engine has seen."""
+        running = asyncio.ensure_future(self.complete("a1", tokens=300))
+        await wait_for(self.has_stream, "the engine is busy")
+        waiting = [asyncio.ensure_future(self.complete("a2", tokens=5)) for _ in range(3)]
+        await asyncio.sleep(0.3)
+        self.system.terminate("a2")
+        answers = await asyncio.gather(*waiting)
+        found = [(status, answer["code"], answer["outcome"]) for status, answer in answers]
+        self.assertEqual(found, [(503, 1010, "not_run")] * 3)
+        running.cancel()
+
+
 class WaitingTest(SystemTest):
     """Requests that wait while an instance dies."""
 
--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -9,7 +9,7 @@
 from mulberrygate.core import Refusal, TimerService
 from mulberrygate.core.wire import Ack
 from mulberrygate.entry import tickets
-from mulberrygate.entry.codes import DEADLINE_PASSED
+from mulberrygate.entry.codes import DEADLINE_PASSED, STOPPING
 from mulberrygate.entry.tickets import SchedulerClient
 from mulberrygate.peers.client import Unreachable
 from mulberrygate.schedule.codes import QUEUE_FULL
@@ -133,6 +133,16 @@
             await wait
         self.assertEqual(self.peers.sent_to("one", Withdraw), 1)
 
+    async def test_waits_end_at_a_stop(self):
+        """Guards against a request that a stop cuts off, and against its ticket staying queued."""
+        wait = asyncio.ensure_future(self.acquire())
+        await asyncio.sleep(0)
+        self.client.end_waits()
+        self.assertEqual((await wait).code, STOPPING)
+        self.assertEqual((await self.acquire()).code, STOPPING)
+        self.assertEqual(self.peers.sent_to("one", Withdraw), 1)
+        self.assertEqual((self.client.waiting, self.errors), ({}, []))
+
     async def test_lost_grant_is_asked_for_again(self):
         """Guards against a request that waits for ever after its grant was lost."""
         self.peers.on_ask = lambda owner, count: count >= 3 and self.grant(owner)
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -11,7 +11,7 @@
 from mulberrygate.core.codes import code_by_number
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.core.timers import TimerService
-from mulberrygate.entry.codes import DEADLINE_PASSED
+from mulberrygate.entry.codes import DEADLINE_PASSED, STOPPING
 from mulberrygate.members.view import MembershipView
 from mulberrygate.observe.logs import logger
 from mulberrygate.peers.client import PeerClient, Unreachable
@@ -41,6 +41,11 @@
 OWNER_AVOIDANCE_S = 2.0
 # An owner gets progress reports for this time after the entry's last request there has ended.
 PROGRESS_LINGER_S = 10.0
+STOPPING_RETRY_S = 1.0
+
+
+class WaitEnded(Exception):
+    """The process stops, so that a request can't wait for a grant any longer."""
 
 
 @attrs.define(eq=False)
@@ -77,7 +82,7 @@
 
     def is_granted(self, endpoint: str) -> bool:
         """Return whether the answer is a grant of this endpoint."""
-        if not self.answer.done() or self.answer.cancelled():
+        if not self.answer.done() or self.answer.cancelled() or self.answer.exception():
             return False
         answer = self.answer.result()
         return isinstance(answer, Grant) and answer.endpoint == endpoint
@@ -176,6 +181,7 @@
         self.avoided_until: dict[str, float] = {}
         # Owner and pool of recent requests, with the time at which one was last seen running.
         self.active_at: dict[tuple[str, str], float] = {}
+        self.is_stopping = False
         peers.on(Grant, self.on_grant)
         peers.on(Refuse, self.on_refuse)
         timers.every(REPEAT_S, self.ask_again, "tickets.repeat")
@@ -207,6 +213,8 @@
         give_up_at : float
             Monotonic time at which the wait ends even if the owner has not answered.
         """
+        if self.is_stopping:
+            return Refusal(STOPPING, retry_after_s=STOPPING_RETRY_S)
         loop = asyncio.get_running_loop()
         owner = self.owner(ticket.pool)
         now = self.timers.now()
@@ -221,6 +229,8 @@
                 answer = await waiting.answer
         except TimeoutError:
             return Refusal(DEADLINE_PASSED, retry_after_s=1.0)
+        except WaitEnded:
+            return Refusal(STOPPING, retry_after_s=STOPPING_RETRY_S)
         finally:
             self.waiting.pop(ticket.request, None)
             self._withdraw(waiting, answer is not None)
@@ -230,6 +240,12 @@
         self.running[ticket.request] = GrantedRequest(ticket, answer, waiting.owner, waiting.owner)
         return answer
 
+    def end_waits(self) -> None:
+        """Refuse all requests that wait, and later ones, since this process stops."""
+        self.is_stopping = True
+        for waiting in self._unanswered():
+            waiting.answer.set_exception(WaitEnded())
+
     def _withdraw(self, waiting: WaitingTicket, is_taken: bool) -> None:
         """Withdraw the ticket from all instances except the owner whose answer was used.
 
