--- a/mulberrygate/core/wire.py
+++ b/mulberrygate/core/wire.py
@@ -26,6 +26,10 @@
     """A frame can't be decoded."""
 
 
+class EncodeError(ValueError):
+    """A message holds a value that can't be encoded."""
+
+
 def message(name: str) -> Callable[[Class], Class]:
     """Register an ``attrs`` class as a message.
 
@@ -63,8 +67,18 @@
 
 
 def encode(value: Any) -> tuple[str, bytes]:
-    """Return the wire name and the bytes of a message."""
-    return _names[type(value)], converter.dumps(value)
+    """Return the wire name and the bytes of a message.
+
+    Raises
+    ======
+    EncodeError
+        A text is no Unicode, or a whole number has more than 64 bits.
+    """
+    name = _names[type(value)]
+    try:
+        return name, converter.dumps(value)
+    except (UnicodeEncodeError, OverflowError) as error:
+        raise EncodeError(f"message {name} can't be encoded: {error}") from error
 
 
 def decode(name: str, body: bytes) -> Any:
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -22,6 +22,7 @@
 from mulberrygate.control.quarantine import QuarantinedIdentity
 from mulberrygate.core.boot_time import seconds_since_boot
 from mulberrygate.core.timers import TimerService
+from mulberrygate.core.wire import EncodeError, encode
 from mulberrygate.daemon.crash_committer import CRASH_EXPIRY_INTERVAL_S, CrashCommitter
 from mulberrygate.daemon.log_clock import LogClock
 from mulberrygate.daemon.placement import Placement, PoolOwners
@@ -390,6 +391,12 @@
         of this process.
         """
         name = registration.endpoint
+        try:
+            encode(registration)
+        except EncodeError as error:
+            # One such row would make all answers to entries fail, so it must not enter the roster.
+            self.lines.log("endpoint.refused", endpoint=name, reason=str(error))
+            return False
         is_change = self.roster.record_report(registration, self.timers.now())
         if self.machine.leaving.get(name, -1) >= registration.incarnation:
             self.roster.mark_leaving(name, registration.incarnation)
--- a/mulberrygate/daemon/tests/test_site_outside_values.py
+++ b/mulberrygate/daemon/tests/test_site_outside_values.py
@@ -13,6 +13,7 @@
     SiteTestCase,
     unreachable_endpoint,
 )
+from mulberrygate.endpoints.roster import Registration
 from mulberrygate.forward.tests.support import document
 
 # Half of a surrogate pair: valid in a JSON escape, but no Unicode text.
@@ -75,6 +76,20 @@
                 self.assertEqual(await self.put_stray(**{field: TOO_LARGE}), [400] * 3)
                 await self.assert_configuration_arrives(version)
 
+    async def test_registration_that_cannot_be_encoded(self):
+        """Guards against a roster in which one endpoint makes all answers to entries fail.
+
+        The decoder refuses such a heartbeat; this one is passed on as if it had missed it.
+        """
+        await self.assert_configuration_arrives(1)
+        for registration in (
+            Registration("i-stray", 1, 1, SURROGATE, "127.0.0.1:1", "a"),
+            Registration("i-stray", 1, 1, "booking", "127.0.0.1:1", "a", slots=TOO_LARGE),
+        ):
+            for node in self.deployment.nodes.values():
+                self.assertFalse(await node.controller.record_heartbeat(registration))
+        await self.assert_configuration_arrives(2)
+
     async def test_version_move_with_a_text_that_is_no_unicode(self):
         """Guards against a version move whose target no answer to entries can carry."""
         await self.assert_configuration_arrives(1)
--- a/mulberrygate/peers/client.py
+++ b/mulberrygate/peers/client.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from mulberrygate.core.wire import Ack, decode, encode
+from mulberrygate.core.wire import Ack, EncodeError, decode, encode
 from mulberrygate.observe.logs import logger
 from mulberrygate.peers.link import Link, Unreachable
 from mulberrygate.peers.server import Handler, PeerServer
@@ -87,7 +87,10 @@
         link = self._link(address, instance)
         if isinstance(link, Unreachable):
             return link
-        kind, body = encode(message)
+        encoded = self._encode(message, name)
+        if isinstance(encoded, Unreachable):
+            return encoded
+        kind, body = encoded
         self.on_sent(kind, len(body))
         frame = await link.call(kind, body, timeout_s)
         if isinstance(frame, Unreachable):
@@ -108,11 +111,23 @@
         if address is None:
             return
         link = self._link(address, instance)
-        if isinstance(link, Link):
-            kind, body = encode(message)
+        if not isinstance(link, Link):
+            return
+        encoded = self._encode(message, instance)
+        if not isinstance(encoded, Unreachable):
+            kind, body = encoded
             self.on_sent(kind, len(body))
             link.send(kind, body)
 
+    @staticmethod
+    def _encode(message: Any, instance: str) -> tuple[str, bytes] | Unreachable:
+        """Encode a message; one that can't be encoded is lost, and its sender goes on."""
+        try:
+            return encode(message)
+        except EncodeError as error:
+            log.error("A message can't be encoded.", to=instance, error=str(error))
+            return Unreachable(instance, str(error))
+
     def check_link(self, instance: str) -> None:
         """Check the link to an instance that has just connected to this one.
 
--- a/mulberrygate/peers/server.py
+++ b/mulberrygate/peers/server.py
@@ -13,7 +13,7 @@
 from grpclib.server import Server, Stream
 
 from mulberrygate.core.clock import HybridClock, Stamp
-from mulberrygate.core.wire import Ack, DecodeError, decode, encode
+from mulberrygate.core.wire import Ack, DecodeError, EncodeError, decode, encode
 from mulberrygate.observe.logs import logger
 from mulberrygate.peers import peer_grpc
 from mulberrygate.peers.outbox import Outbox
@@ -144,7 +144,12 @@
         if error:
             outbox.add(Frame(id=frame.id, is_answer=True, error=error))
             return
-        kind, body = encode(Ack() if answer is None else answer)
+        try:
+            kind, body = encode(Ack() if answer is None else answer)
+        except EncodeError as error:
+            # Raised on, it would end the stream with all other messages on it.
+            self._answer_failure(frame, outbox, error)
+            return
         self.on_sent(kind, len(body))
         outbox.add(Frame(kind=kind, body=body, id=frame.id, is_answer=True))
 
--- a/mulberrygate/peers/tests/test_peers.py
+++ b/mulberrygate/peers/tests/test_peers.py
@@ -52,6 +52,14 @@
         answer = await self.client.call("b", Question("hello"), 5.0)
         self.assertEqual(answer, Question("hello from a"))
 
+    async def test_message_that_cannot_be_encoded_is_lost_alone(self):
+        """Guards against one message whose encoding ends the task that sends others after it."""
+        self.client.send("b", Question("\ud800"))
+        self.assertIsInstance(await self.client.call("b", Question("\ud800"), 5.0), Unreachable)
+        self.server.on(Question, lambda m, _: Question("\ud800" if m.text == "bad" else m.text))
+        self.assertIsInstance(await self.client.call("b", Question("bad"), 5.0), Unreachable)
+        self.assertEqual(await self.client.call("b", Question("good"), 5.0), Question("good"))
+
     async def test_answers_are_counted_as_sent(self):
         """Guards against byte counts that leave out the answers."""
         sent = []
