--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -17,20 +17,19 @@
 from mulberrygate.control.catalogs import (
     CatalogStateMachine,
     PutCatalog,
-    PutLeaving,
 )
 from mulberrygate.control.quarantine import QuarantinedIdentity
 from mulberrygate.core.boot_time import seconds_since_boot
 from mulberrygate.core.timers import TimerService
-from mulberrygate.core.wire import EncodeError, encode
 from mulberrygate.daemon.crash_committer import CRASH_EXPIRY_INTERVAL_S, CrashCommitter
+from mulberrygate.daemon.endpoint_reports import EndpointReports
 from mulberrygate.daemon.log_clock import LogClock
 from mulberrygate.daemon.placement import Placement, PoolOwners
 from mulberrygate.daemon.roster_sharing import RosterSharing
 from mulberrygate.daemon.site_moves import SiteMoves
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.daemon.trial_granter import TrialGranter
-from mulberrygate.endpoints.roster import Registration, Roster
+from mulberrygate.endpoints.roster import Roster
 from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import CentralLimits, Limit
@@ -98,6 +97,8 @@
         Set and replaced by a new event when followers have something new to fetch.
     entries : EntryList
         Entries that follow this or another control process.
+    reports : EndpointReports
+        Takes what endpoints tell of themselves.
     limits : CentralLimits or None
         Limits of the client accounts; only at the leader.
     """
@@ -143,6 +144,16 @@
             self._other_controls,
             lambda: self.entries.own(self.timers.now()),
         )
+        self.reports = EndpointReports(
+            self.roster,
+            self.sharing,
+            lambda: self.machine,
+            self.log.commit,
+            lambda: self.is_current,
+            self._wake_followers,
+            self.timers,
+            lines,
+        )
         self.placement: Placement | None = None
         self.log_clock = LogClock(lambda: self.machine.quarantine.clock)
         self.crash_committer = CrashCommitter(
@@ -382,56 +393,6 @@
         """Return the newest catalog and moves, and whether they are certain to be the newest."""
         return await self.log.read_latest()
 
-    async def record_heartbeat(self, registration: Registration) -> bool:
-        """Add an endpoint's heartbeat to the roster; return whether it may be acknowledged.
-
-        Explanation
-        ===========
-        That an endpoint leaves is acknowledged once it is committed, so that it survives the loss
-        of this process.
-        """
-        name = registration.endpoint
-        try:
-            encode(registration)
-        except EncodeError as error:
-            # One such row would make all answers to entries fail, so it must not enter the roster.
-            self.lines.log("endpoint.refused", endpoint=name, reason=str(error))
-            return False
-        is_change = self.roster.record_report(registration, self.timers.now())
-        if self.machine.leaving.get(name, -1) >= registration.incarnation:
-            self.roster.mark_leaving(name, registration.incarnation)
-        if is_change:
-            self.lines.log(
-                "endpoint.heard",
-                endpoint=name,
-                pool=registration.pool,
-                address=registration.address,
-                is_leaving=registration.is_leaving,
-                sequence=registration.sequence,
-            )
-            self.sharing.share_change(name)
-            self._wake_followers()
-        self.sharing.renewed.add(name)
-        if registration.is_leaving:
-            return await self._commit_leaving(name, registration.incarnation)
-        return self.is_current
-
-    async def deregister(self, name: str) -> bool:
-        """Mark an endpoint as ended; return whether that may be acknowledged."""
-        row = self.roster.rows.get(name)
-        if row is None:
-            return self.is_current
-        incarnation = row.registration.incarnation
-        if self.roster.mark_ended(name, incarnation):
-            self.lines.log("endpoint.left", endpoint=name)
-            self._wake_followers()
-        return await self._commit_leaving(name, incarnation)
-
-    async def _commit_leaving(self, name: str, incarnation: int) -> bool:
-        if self.machine.leaving.get(name, -1) >= incarnation:
-            return True
-        return await self.log.commit(PutLeaving(name, incarnation))
-
     def _on_peer_update(self, message: PeerUpdate, sender: str) -> PeerUpdateResult:
         """Merge an update into the roster; return the renewed endpoints that are unknown here."""
         now = self.timers.now()
--- a/mulberrygate/daemon/tests/test_site_outside_values.py
+++ b/mulberrygate/daemon/tests/test_site_outside_values.py
@@ -87,7 +87,7 @@
             Registration("i-stray", 1, 1, "booking", "127.0.0.1:1", "a", slots=TOO_LARGE),
         ):
             for node in self.deployment.nodes.values():
-                self.assertFalse(await node.controller.record_heartbeat(registration))
+                self.assertFalse(await node.controller.reports.record_heartbeat(registration))
         await self.assert_configuration_arrives(2)
 
     async def test_version_move_with_a_text_that_is_no_unicode(self):
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -17,8 +17,9 @@
 from mulberrygate.forward.events import EventSplitter, EventTooLong
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
 from mulberrygate.forward.request import AnswerHead, Call, Refused
+from mulberrygate.forward.sends import Send, Turn
 from mulberrygate.forward.unanswered import RunningSend
-from mulberrygate.schedule.messages import Done, Grant, Ticket
+from mulberrygate.schedule.messages import Grant, Ticket
 
 # Retry-After for a call that all endpoints turned down.
 TURNED_DOWN_RETRY_S = 0.4
@@ -40,44 +41,6 @@
     body: bytes
 
 
-@attrs.frozen
-class Turn:
-    """Grant of an endpoint to which a call may be sent now."""
-
-    ticket: Ticket
-    grant: Grant
-
-
-class Send:
-    """One send of a call to one endpoint, with its times and token counts.
-
-    Parameters
-    ==========
-    running : RunningSend
-        Description of this send for the detection of crashes.
-
-    Attributes
-    ==========
-    first_at : float
-        Monotonic time of the first token, or of the answer's head; 0 before.
-    first_tokens : int
-        Number of tokens that arrived together first.
-    fault : str
-        Kind of fault to report to the scheduler, empty for none.
-    """
-
-    def __init__(self, ticket: Ticket, grant: Grant, running: RunningSend):
-        self.ticket = ticket
-        self.grant = grant
-        self.running = running
-        self.sent_at = running.sent_at
-        self.first_at = 0.0
-        self.tokens = 0
-        self.first_tokens = 1
-        self.fault = ""
-        self.is_cancelled = False
-
-
 class Delivery:
     """Delivery of one call to an endpoint, and of the answer to the caller.
 
@@ -280,7 +243,7 @@
             forwarder.crash_detector.monitor.sends.discard(send.running)
             if exchange is not None:
                 exchange.close()
-            self._report_done(send)
+            forwarder.scheduler.report_done(send.as_done(call, self.now()))
         self.attempts.replace_last(outcome)
         return answer
 
@@ -416,25 +379,3 @@
         if transport is not None:
             transport.close()
         return self.response or web.Response(status=502)
-
-    def _report_done(self, send: Send) -> None:
-        """Report the end of a send to the scheduler."""
-        now = self.now()
-        call = self.call
-        first_s = (send.first_at or now) - send.sent_at
-        self.forwarder.scheduler.report_done(
-            Done(
-                pool=call.pool.name,
-                request=send.ticket.request,
-                endpoint=send.grant.endpoint,
-                version=send.grant.version,
-                route=call.route.name,
-                prompt_tokens=send.ticket.prompt_tokens,
-                output_tokens=max(1, send.tokens),
-                first_token_s=first_s,
-                total_s=now - send.sent_at,
-                fault=send.fault,
-                cancelled=send.is_cancelled,
-                first_tokens=send.first_tokens,
-            )
-        )
--- /dev/null
+++ b/mulberrygate/forward/sends.py
@@ -0,0 +1,65 @@
+"""Sends of a call to endpoints, and the grants on which they are made."""
+
+from __future__ import annotations
+
+import attrs
+
+from mulberrygate.forward.request import Call
+from mulberrygate.forward.unanswered import RunningSend
+from mulberrygate.schedule.messages import Done, Grant, Ticket
+
+
+@attrs.frozen
+class Turn:
+    """Grant of an endpoint to which a call may be sent now."""
+
+    ticket: Ticket
+    grant: Grant
+
+
+class Send:
+    """One send of a call to one endpoint, with its times and token counts.
+
+    Parameters
+    ==========
+    running : RunningSend
+        Description of this send for the detection of crashes.
+
+    Attributes
+    ==========
+    first_at : float
+        Monotonic time of the first token, or of the answer's head; 0 before.
+    first_tokens : int
+        Number of tokens that arrived together first.
+    fault : str
+        Kind of fault to report to the scheduler, empty for none.
+    """
+
+    def __init__(self, ticket: Ticket, grant: Grant, running: RunningSend):
+        self.ticket = ticket
+        self.grant = grant
+        self.running = running
+        self.sent_at = running.sent_at
+        self.first_at = 0.0
+        self.tokens = 0
+        self.first_tokens = 1
+        self.fault = ""
+        self.is_cancelled = False
+
+    def as_done(self, call: Call, now: float) -> Done:
+        """Return the report of the end of this send to the scheduler."""
+        first_s = (self.first_at or now) - self.sent_at
+        return Done(
+            pool=call.pool.name,
+            request=self.ticket.request,
+            endpoint=self.grant.endpoint,
+            version=self.grant.version,
+            route=call.route.name,
+            prompt_tokens=self.ticket.prompt_tokens,
+            output_tokens=max(1, self.tokens),
+            first_token_s=first_s,
+            total_s=now - self.sent_at,
+            fault=self.fault,
+            cancelled=self.is_cancelled,
+            first_tokens=self.first_tokens,
+        )
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -102,13 +102,13 @@
         except InvalidRegistration as error:
             self.controller.lines.log("endpoint.refused", endpoint=endpoint, reason=str(error))
             return answer(400, {"error": str(error)})
-        return answer(200 if await self.controller.record_heartbeat(registration) else 503)
+        return answer(200 if await self.controller.reports.record_heartbeat(registration) else 503)
 
     async def delete_registration(self, endpoint: str) -> web.Response:
         """Mark an endpoint as ended."""
         if not is_name(endpoint):
             return answer(400, {"error": "the name is no text"})
-        return answer(200 if await self.controller.deregister(endpoint) else 503)
+        return answer(200 if await self.controller.reports.deregister(endpoint) else 503)
 
     def get_quarantine(self) -> web.Response:
         """Return what is quarantined; 503 if this process may not know all of it."""
