--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -35,7 +35,7 @@
 BALANCER_REMOVAL_S = 2.6
 # Time reserved for closing connections and exiting.
 EXIT_MARGIN_S = 0.9
-# Time before the end of a stop after which a call is no longer sent: most would be cut off.
+# Time at the end of a stop in which no call is sent any more, so that those sent can be answered.
 LAST_SEND_S = 3.0
 # Time reserved for the answers to calls that are refused or given up at a limit of a stop.
 ANSWER_MARGIN_S = 0.1
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -156,9 +156,11 @@
 
     async def _answer(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
         try:
-            async with self.stop_limits.before_send():
+            async with self.stop_limits.before_send() as limit:
                 refused = await self._admit(call, request)
         except TimeoutError:
+            if not limit.expired():
+                raise
             refused = self.refuse_stopping()
         if refused is not None:
             return self.refuse(call, refused)
