--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -150,7 +150,9 @@
             self.active -= 1
             if not self.active:
                 self.idle.set()
-        if self.is_closing:
+        # A stream that began before the stop has told its caller that the connection is kept. The
+        # next request on it is answered and closes it.
+        if self.is_closing and not response.prepared:
             response.force_close()
         return response
 
--- a/mulberrygate/forward/tests/test_stopping.py
+++ b/mulberrygate/forward/tests/test_stopping.py
@@ -170,6 +170,35 @@
         release.set()
         self.assertEqual(await asked, (200, b"done"))
 
+    async def test_kept_connection_of_a_stream_that_began_before(self):
+        """Guards against closing a kept connection on which the caller sends its next request.
+
+        The head of the stream had said that the connection is kept.
+        """
+        release = asyncio.Event()
+
+        async def end_later(endpoint, reader, writer, head):
+            await stream(2, end=None)(endpoint, reader, writer, head)
+            await release.wait()
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+
+        entry = await self.start(care=[Endpoint("s", end_later)], booking=[Endpoint("e", whole())])
+        reader, writer = await asyncio.open_connection(HOST, entry.port)
+        head = "POST /{}/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n"
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            writer.write(head.format("stream").encode())
+            self.assertNotIn(b"Connection: close", await reader.readuntil(b"\r\n\r\n"))
+            now = entry.timers.now()
+            entry.forwarder.begin_stop(now + STEP_TIMEOUT_S, now + STEP_TIMEOUT_S)
+            release.set()
+            await reader.readuntil(b"\r\n0\r\n\r\n")
+            writer.write(head.format("plain").encode())
+            answer = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 200 ", answer)
+        self.assertIn(b"Connection: close", answer)
+        writer.close()
+
     async def test_stream_at_the_end_does_not_look_complete(self):
         """Guards against a stream that a stop ends like a complete one."""
         entry = await self.start(care=[Endpoint("e", stream(2, end=None))])
