--- a/bin/run_tests.py
+++ b/bin/run_tests.py
@@ -1,8 +1,7 @@
 """Run the tests and doctests, except those that KNOWN-RED.txt lists.
 
 KNOWN-RED.txt holds entries whose first line is ``test: <id>``. A listed test runs and may fail. A
-listed test that passes fails the run, so that the list stays up to date, unless its line ends with
-``(fails at times)``.
+listed test that passes fails the run, so that the list stays up to date.
 """
 
 from __future__ import annotations
@@ -23,18 +22,15 @@
 # Test modules that run concurrently, each in its own process. Few, as process tests start daemons.
 WORKERS = 4
 MODULE_LIMIT_S = 1200
-# Marks a listed test of which some runs pass.
-AT_TIMES = "(fails at times)"
 RESULT_PREFIX = "run_tests result:"
 
 
-def load_known_red() -> dict[str, bool]:
-    """Return the tests that are known to fail, and whether each always does."""
+def load_known_red() -> set[str]:
+    """Return the identifiers of tests that are known to fail."""
     if not os.path.exists(KNOWN_RED):
-        return {}
+        return set()
     with open(KNOWN_RED, encoding="utf-8") as file:
-        listed = [line[5:].strip() for line in file if line.startswith("test:")]
-    return {name.removesuffix(AT_TIMES).strip(): not name.endswith(AT_TIMES) for name in listed}
+        return {line[5:].strip() for line in file if line.startswith("test:")}
 
 
 def all_modules() -> list[str]:
@@ -52,7 +48,7 @@
 class Result(unittest.TextTestResult):
     """Test result that counts passes and tolerates the failures of listed tests."""
 
-    listed: dict[str, bool] = {}
+    listed: set[str] = set()
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
@@ -61,7 +57,7 @@
 
     def addSuccess(self, test):
         super().addSuccess(test)
-        if self.listed.get(test.id(), False):
+        if test.id() in self.listed:
             self.failures.append((test, "listed in KNOWN-RED.txt but passes; remove the entry"))
         else:
             self.passed += 1
--- a/mulberrygate/forward/tests/test_stopping.py
+++ b/mulberrygate/forward/tests/test_stopping.py
@@ -37,7 +37,7 @@
         return entry
 
     async def ask(self, entry, path="/plain/1", method="POST", identifier="id-1"):
-        """Return status and result code of a request, code 0 for an endpoint's own answer."""
+        """Return the status and the result code, or the body of an endpoint's answer."""
         async with asyncio.timeout(STEP_TIMEOUT_S):
             async with entry.request(path, method, identifier) as answer:
                 body = await answer.read()
