Send an endpoint nothing during the pause that it asks this entry for

A turned-away call came back at once, up to four times, and each answer counted as a fault, after which probes went on at intervals of up to a second, within the pause.

`forward.notices` keeps the end of the pause for the incarnation that asked, extended by a random tenth, so that the entries don't all return at one moment. Grants are checked against it before the send, and tickets tell it to the owner of the pool, which lets the request wait for another endpoint. The answer is no fault of the endpoint. If all endpoints of a pool want a pause, callers are refused at once with 2203 `endpoints_paused`, which is true (nothing was sent), and told when the first of them takes calls again. A number that can't be read, is negative or over 600 s counts as 5 s and is logged.

--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -199,6 +199,7 @@
             self.timers,
             self.lines,
             self.metrics,
+            self.seed,
         )
 
     def _list_entries(self) -> list[str]:
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -36,6 +36,9 @@
 TURNED_DOWN = register_code(
     2202, "turned_down", "The endpoints that were asked turned the call down; not run.", 503
 )
+ENDPOINTS_PAUSED = register_code(
+    2203, "endpoints_paused", "All endpoints asked for a pause of this entry; not run.", 503
+)
 TIMED_OUT = register_code(
     6201, "answer_timed_out", "The call was sent and got no answer in time; it may have run.", 504
 )
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -146,6 +146,9 @@
         """Wait until the call may be sent to an endpoint; return the final answer if it may not."""
         forwarder, call = self.forwarder, self.call
         while True:
+            pause_s = forwarder.notices.pool_pause_s(call.pool.name, self.now())
+            if pause_s > 0:
+                return self._refuse_paused(pause_s)
             self.tickets += 1
             ticket = forwarder.make_ticket(
                 call, self.tickets, self.attempts.sends, tuple(self.avoid)
@@ -154,11 +157,11 @@
             if isinstance(grant, Refusal):
                 return self._without_grant(grant)
             is_allowed = await self._may_send(ticket)
-            if is_allowed and forwarder.notices.may_use(grant):
+            if is_allowed and forwarder.notices.may_use(grant, self.now()):
                 return Turn(ticket, grant)
             forwarder.scheduler.return_grant(ticket.request)
             if is_allowed:
-                # The endpoint has said that it leaves since the ticket was sent.
+                # Since the ticket was sent, the endpoint has said that it takes no more calls.
                 self.avoid.append(grant.endpoint)
                 continue
             if self.attempts.sends:
@@ -196,7 +199,15 @@
             return Refused(codes.NOT_SERVED, str(refusal.code), refusal.retry_after_s)
         return Refused(refusal.code, refusal.detail, refusal.retry_after_s)
 
-    def _give_up(self) -> WholeAnswer | web.StreamResponse | Refused:
+    def _refuse_paused(self, pause_s: float) -> WholeAnswer | web.StreamResponse | Refused:
+        """Return the final answer while all endpoints want no call of this entry."""
+        if self.attempts.sends:
+            return self._give_up(pause_s)
+        return Refused(codes.ENDPOINTS_PAUSED, retry_after_s=pause_s)
+
+    def _give_up(
+        self, retry_after_s: float = TURNED_DOWN_RETRY_S
+    ) -> WholeAnswer | web.StreamResponse | Refused:
         """Return the final answer after all sends failed."""
         if self.response is not None:
             return self._abort("not resumed")
@@ -204,7 +215,7 @@
             return self.last_failure
         if self.attempts.may_have_run:
             return Refused(codes.ENDPOINT_FAILED)
-        return Refused(codes.TURNED_DOWN, retry_after_s=TURNED_DOWN_RETRY_S)
+        return Refused(codes.TURNED_DOWN, retry_after_s=retry_after_s)
 
     async def _send(self, send: Send) -> WholeAnswer | web.StreamResponse | Refused | None:
         """Send the call once; return the final answer, or ``None`` if it may be sent elsewhere."""
@@ -282,8 +293,10 @@
                 send.grant.endpoint, head.load, self.now()
             )
         self._record_notice(send, head)
+        # An endpoint that asks for a pause is sound; a cancelled send is no fault of it.
+        send.is_cancelled = head.pause_s is not None
         if not head.has_run:
-            send.fault = "refused"
+            send.fault = "refused" if head.pause_s is None else ""
             return SendOutcome.TURNED_DOWN, None
         if not head.is_genuine:
             raise Broken("the answer is not the endpoint's own")
@@ -298,16 +311,15 @@
             raise Broken("a resumed stream was not continued")
         if head.status < 500:
             return SendOutcome.FAILED, answer
-        send.fault = "error"
+        send.fault = "error" if head.pause_s is None else ""
         self.last_failure = answer
         return SendOutcome.FAILED, None
 
     def _record_notice(self, send: Send, head: AnswerHead) -> None:
         """Record what an endpoint says of itself in an answer, and log what is new."""
         forwarder, running = self.forwarder, send.running
-        is_change = forwarder.notices.record(
-            running.endpoint, running.incarnation, self.call.pool.name, head, self.now()
-        )
+        endpoint = running.endpoint, running.incarnation
+        is_change = forwarder.notices.record(*endpoint, self.call.pool.name, head, self.now())
         if is_change:
             forwarder.lines.log(
                 "endpoint.notice",
@@ -316,6 +328,8 @@
                 incarnation=running.incarnation,
                 pool=self.call.pool.name,
                 is_leaving=head.is_leaving,
+                asked_pause_s="unreadable" if head.pause_s == math.inf else head.pause_s,
+                pause_s=round(forwarder.notices.pause_left_s(*endpoint, self.now()), 3),
             )
 
     def _record_first_byte(self, send: Send) -> None:
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -135,6 +135,9 @@
         Whether the body is a stream of server-sent events.
     is_leaving : bool
         Whether the endpoint says that it leaves and takes no new work.
+    pause_s : float or None
+        Seconds for which the endpoint, which turned the request away, wants no other of this
+        instance; ``None`` if it doesn't say so, infinite if the number can't be read.
     """
 
     status: int
@@ -143,6 +146,7 @@
     load: int | None = None
     is_events: bool = False
     is_leaving: bool = False
+    pause_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import random
 from typing import Any
 
 from aiohttp import web
@@ -63,6 +64,8 @@
         Protocol of callers and endpoints.
     placement : Placement
         Pools in force and the endpoints of the roster; see `mulberrygate.daemon.placement`.
+    seed : int or None
+        Seed of the random choices.
 
     Attributes
     ==========
@@ -86,6 +89,7 @@
         timers: TimerService,
         lines: JsonLines,
         metrics: Metrics,
+        seed: int | None = None,
     ):
         self.site = site
         self.dialect = dialect
@@ -98,8 +102,9 @@
         self.metrics = metrics
         self.endpoints = EndpointClient(dialect)
         roster = placement.directory.roster
-        self.notices = EndpointNotices(roster)
+        self.notices = EndpointNotices(roster, random.Random(seed))
         metrics.gauge("endpoints_leaving", self.notices.count_leaving)
+        metrics.gauge("endpoints_paused", lambda: self.notices.count_paused(timers.now()))
         self.crash_detector = CrashDetector(
             roster, self.endpoints, suspects, self.notices, timers, lines
         )
--- a/mulberrygate/forward/tests/test_crash_detection.py
+++ b/mulberrygate/forward/tests/test_crash_detection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from unittest import mock
 
@@ -55,7 +56,12 @@
         timers = TimerService(lambda name, error: None)
         self.addAsyncCleanup(timers.close)
         detector = CrashDetector(
-            self.roster, endpoints, suspects, EndpointNotices(self.roster), timers, Lines()
+            self.roster,
+            endpoints,
+            suspects,
+            EndpointNotices(self.roster, random.Random(1)),
+            timers,
+            Lines(),
         )
         now = timers.now()
         send = UnansweredSend(
--- a/mulberrygate/forward/tests/test_endpoint_notices.py
+++ b/mulberrygate/forward/tests/test_endpoint_notices.py
@@ -4,14 +4,21 @@
 
 import asyncio
 import itertools
+import json
+import random
 import unittest
 
 import attrs
 
+from mulberrygate.endpoints.roster import Roster
+from mulberrygate.forward import codes
+from mulberrygate.forward.notices import DEFAULT_PAUSE_S, MAX_PAUSE_JITTER_S, EndpointNotices
+from mulberrygate.forward.request import AnswerHead
 from mulberrygate.forward.tests.support import REQUEST_ID, Endpoint, Entry, document, stream, whole
 
 STEP_TIMEOUT_S = 20.0
 LEAVING = b"Server-Leaving: 1"
+NOT_EXECUTED = b"X-Mulberrygate-Not-Executed: 1"
 CALLS = 12
 
 
@@ -106,7 +113,7 @@
             "/read/1": whole(200, b"done", LEAVING),
             "/plain/1": whole(200, b"done", LEAVING),
             "/read/error": whole(404, b"none", LEAVING),
-            "/plain/refused": whole(503, b"", b"X-Mulberrygate-Not-Executed: 1", LEAVING),
+            "/plain/refused": whole(503, b"", NOT_EXECUTED, LEAVING),
             "/stream/1": with_lines(stream(3), LEAVING),
         }
         for path, answer in answers.items():
@@ -203,5 +210,97 @@
         self.assertIn("endpoints_leaving 1", entry.forwarder.metrics.text())
 
 
+def busy(retry_after, *lines):
+    """Return an answer function that turns a call away for a time."""
+    return whole(503, b"", NOT_EXECUTED, b"Retry-After: " + retry_after, *lines)
+
+
+class TestPausedEndpoints(NoticeTestCase):
+    """Answers 503 of endpoints that want no other call of this entry for a time."""
+
+    async def start_busy(self, retry_after, path="/read/1"):
+        """Start an endpoint that turns calls away, and one that serves them."""
+        pool = "care" if "/stream/" in path else "booking"
+        self.busy = Endpoint("e1", busy(retry_after))
+        await self.start(document(resumable=True), **{pool: [self.busy]})
+        await self.call(path)
+        self.sound = Endpoint("e2", stream(3) if pool == "care" else whole())
+        await self.add(self.sound, pool)
+
+    async def test_endpoint_that_asks_for_a_pause(self):
+        """Guards against calls to an endpoint during the pause that it has asked this entry for."""
+        for path in ("/read/1", "/plain/1", "/stream/1"):
+            with self.subTest(path):
+                await self.start_busy(b"60", path)
+                self.assertEqual(await self.call_often(path), [200] * CALLS)
+                self.assertEqual((len(self.busy.requests), len(self.sound.requests)), (1, CALLS))
+
+    async def test_pause_ends(self):
+        """Guards against an endpoint that is left alone for longer than it has asked for."""
+        await self.start_busy(b"0.3")
+        self.sound.answer = busy(b"60")
+        self.busy.answer = whole()
+        async with asyncio.timeout(STEP_TIMEOUT_S):
+            while (await self.call())[0] != 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        self.assertEqual(len(self.busy.requests), 2)
+
+    async def test_all_endpoints_are_paused(self):
+        """Guards against calls that wait for endpoints that want none, and an untrue Retry-After.
+
+        The caller is told when the first of them takes calls again.
+        """
+        await self.start_busy(b"60")
+        self.sound.answer = busy(b"20.5")
+        await self.call()
+        status, code, retry_after = await self.call()
+        self.assertEqual((status, code), (503, codes.ENDPOINTS_PAUSED.number))
+        self.assertTrue(19.0 < float(retry_after) <= 20.5 + MAX_PAUSE_JITTER_S, retry_after)
+        self.assertEqual((len(self.busy.requests), len(self.sound.requests)), (1, 1))
+
+    async def test_pause_is_no_fault(self):
+        """Guards against an endpoint that is blocked as faulty because it asked for pauses."""
+        endpoint = Endpoint("e1", busy(b"0.02"))
+        await self.start(booking=[endpoint])
+        for _ in range(5):
+            await self.call()
+            await asyncio.sleep(0.05)
+        state = self.entry.placement.host.hosted["booking"].scheduler.states["e1"]
+        self.assertEqual(len(endpoint.requests), 5)
+        self.assertEqual((state.consecutive_faults, state.failures.share), (0, 0.0))
+
+    async def test_numbers_that_are_no_pause(self):
+        """Guards against an endpoint lost for good by a number that can't be right."""
+        for text in (b"-1", b"soon", b"", b"1e9", b"99999999999", b"9" * 5000, b"nan", b"\xff"):
+            with self.subTest(text[:20]):
+                await self.start_busy(text)
+                left_s = self.entry.forwarder.notices.pause_left_s("e1", 1, self.entry.timers.now())
+                self.assertTrue(0.0 < left_s <= DEFAULT_PAUSE_S + MAX_PAUSE_JITTER_S, left_s)
+                found = self.entry.lines.of("endpoint.notice")
+                self.assertEqual(len(found), 1)
+                json.dumps(found, allow_nan=False)
+
+    async def test_only_a_503_asks_for_a_pause(self):
+        """Guards against an endpoint that is left alone for the Retry-After of another answer."""
+        for status in (200, 404, 429):
+            with self.subTest(status):
+                endpoint = Endpoint("e1", whole(status, b"done", b"Retry-After: 60"))
+                await self.start(booking=[endpoint])
+                await self.call()
+                endpoint.answer = whole()
+                self.assertEqual(await self.call_often(), [200] * CALLS)
+
+    async def test_entries_return_at_different_times(self):
+        """Guards against all entries that come back at the moment at which a pause ends."""
+        head = AnswerHead(503, has_run=False, is_genuine=True, pause_s=4.0)
+        ends = set()
+        for seed in range(20):
+            notices = EndpointNotices(Roster(), random.Random(seed))
+            notices.record("e1", 1, "care", head, 0.0)
+            ends.add(notices.pause_left_s("e1", 1, 0.0))
+        self.assertGreaterEqual(min(ends), 4.0)
+        self.assertGreater(max(ends) - min(ends), 0.2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/platform/headers.py
+++ b/mulberrygate/platform/headers.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import math
 import re
 from typing import Any
 
 from aiohttp import hdrs
 
 from mulberrygate.forward.request import AnswerHead, Call, CallHead, Refused
-from mulberrygate.platform.values import InvalidValue, is_unicode, parse_count
+from mulberrygate.platform.values import (
+    InvalidValue,
+    is_unicode,
+    parse_count,
+    parse_decimal,
+)
 
 PREFIX = "X-Mulberrygate-"
 REQUEST_ID = PREFIX + "Request-Id"
@@ -103,6 +109,16 @@
     return tuple(dict.fromkeys(match[0] for match in found if match))
 
 
+def _parse_pause_s(text: str | None) -> float | None:
+    """Return the seconds of a ``Retry-After`` header, infinite if they can't be read."""
+    if text is None:
+        return None
+    try:
+        return parse_decimal(text)
+    except InvalidValue:
+        return math.inf
+
+
 def _named_by_connection(headers: Any) -> set[str]:
     """Return the names in a message's ``Connection`` header, in lower case."""
     names: set[str] = set()
@@ -183,6 +199,7 @@
         is_signed = SIGNATURE in headers
         # Another process than the endpoint that was meant answers 421, and says nothing of it.
         is_endpoint = not is_other_request and response.status != 421
+        is_turned_away = is_endpoint and response.status == 503
         return AnswerHead(
             status=response.status,
             has_run=not (NOT_EXECUTED in headers or response.status == 421),
@@ -190,6 +207,7 @@
             load=_parse_load(headers.get(SERVER_LOAD, "")),
             is_events=headers.get(hdrs.CONTENT_TYPE, "").startswith("text/event-stream"),
             is_leaving=is_endpoint and headers.get(SERVER_LEAVING, "").strip() == "1",
+            pause_s=_parse_pause_s(headers.get(hdrs.RETRY_AFTER)) if is_turned_away else None,
         )
 
     def answer_headers(self, response: Any) -> list[tuple[str, str]]:
--- a/mulberrygate/platform/values.py
+++ b/mulberrygate/platform/values.py
@@ -11,12 +11,14 @@
 
 import json
 import math
+import re
 from typing import Any
 
 # Largest whole number that a message can carry in every field.
 MAX_WHOLE = (1 << 63) - 1
 # Digits of the largest count that is read from a header.
 MAX_COUNT_DIGITS = 15
+DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?|\.[0-9]{1,15}", re.ASCII)
 
 
 class InvalidValue(ValueError):
@@ -124,3 +126,22 @@
     if len(digits) > MAX_COUNT_DIGITS:
         raise InvalidValue(f"a number of {len(digits)} digits is out of range")
     return int(digits or "0")
+
+
+def parse_decimal(text: str) -> float:
+    """Return the number in a text of decimal digits with at most one point.
+
+    Raises
+    ======
+    InvalidValue
+        The text is no such number, or has more digits than `DECIMAL` allows.
+
+    Examples
+    ========
+    >>> parse_decimal(" 2.5 "), parse_decimal("3")
+    (2.5, 3.0)
+    """
+    found = DECIMAL.fullmatch(text.strip())
+    if found is None:
+        raise InvalidValue("no decimal number")
+    return float(found[0])
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -31,6 +31,12 @@
 ONCE_PROBE_S = 2.0
 
 
+def is_allowed(waiting: WaitingRequest, state: EndpointState, now: float) -> bool:
+    """Return whether a request may go to an endpoint after what that has said to its entry."""
+    waited_s = now - waiting.asked_at
+    return waiting.ticket.may_use(state.name, state.view.incarnation, waited_s)
+
+
 class Choice:
     """Endpoint chosen for a request.
 
@@ -96,12 +102,12 @@
             for other in self.states.values()
         )
 
-    def is_usable(self, waiting: WaitingRequest, state: EndpointState) -> bool:
+    def is_usable(self, waiting: WaitingRequest, state: EndpointState, now: float) -> bool:
         """Return whether the request may go to the endpoint, whatever its load."""
         ticket = waiting.ticket
         if ticket.avoid and self.is_avoided(waiting, state):
             return False
-        if ticket.notices and not ticket.may_use(state.name, state.view.incarnation):
+        if ticket.notices and not is_allowed(waiting, state, now):
             return False
         return self.shares.is_allowed(ticket.route, state.view.version)
 
@@ -210,7 +216,7 @@
                 continue
             if ticket.avoid and self.is_avoided(waiting, state):
                 continue
-            if ticket.notices and not ticket.may_use(state.name, state.view.incarnation):
+            if ticket.notices and not is_allowed(waiting, state, now):
                 continue
             hit = cached.get(state.name, 0) if cached else 0
             uncached = prompt - hit if prompt > hit else 1.0
@@ -278,7 +284,7 @@
 
     def could_run(self, waiting: WaitingRequest, state: EndpointState, now: float) -> bool:
         """Return whether a request could be granted the endpoint now, given free capacity."""
-        if state.distance > self.max_distance or not self.is_usable(waiting, state):
+        if state.distance > self.max_distance or not self.is_usable(waiting, state, now):
             return False
         cached = self.prefix_hits(waiting, now).get(state.name, 0)
         uncached = max(waiting.ticket.prompt_tokens - cached, 1.0)
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -27,6 +27,8 @@
         Incarnation that has said it; it doesn't apply to later ones.
     is_leaving : bool
         Whether it leaves and takes no new work.
+    pause_s : float
+        Seconds from the moment the message is sent for which it wants no request of the entry.
     age_s : float
         Seconds from the answer to the moment the message is sent.
     """
@@ -35,11 +37,16 @@
     incarnation: int
     is_leaving: bool = False
     age_s: float = 0.0
+    pause_s: float = 0.0
 
-    @property
-    def is_barred(self) -> bool:
-        """Whether the endpoint may get no request of the entry."""
-        return self.is_leaving
+    def is_barred(self, waited_s: float) -> bool:
+        """Return whether the endpoint may get no request of the entry some seconds later."""
+        return self.is_leaving or waited_s < self.pause_s
+
+    def aged(self, seconds: float) -> EndpointNotice:
+        """Return the notice as it is to be sent some seconds later."""
+        pause_s = max(0.0, self.pause_s - seconds)
+        return attrs.evolve(self, age_s=self.age_s + seconds, pause_s=pause_s)
 
 
 @attrs.frozen
@@ -97,10 +104,18 @@
     is_isolated: bool = False
     notices: tuple[EndpointNotice, ...] = ()
 
-    def may_use(self, endpoint: str, incarnation: int) -> bool:
-        """Return whether the request may go to an endpoint after what that has said."""
+    def may_use(self, endpoint: str, incarnation: int, waited_s: float) -> bool:
+        """Return whether the request may go to an endpoint after what that has said.
+
+        Parameters
+        ==========
+        waited_s : float
+            Seconds since the ticket was sent.
+        """
         return not any(
-            notice.is_barred and notice.endpoint == endpoint and incarnation <= notice.incarnation
+            notice.endpoint == endpoint
+            and incarnation <= notice.incarnation
+            and notice.is_barred(waited_s)
             for notice in self.notices
         )
 
@@ -111,7 +126,7 @@
             deadline_s=max(0.0, self.deadline_s - seconds),
             first_by_s=max(0.0, self.first_by_s - seconds),
             start_by_s=max(0.0, self.start_by_s - seconds),
-            notices=tuple(attrs.evolve(n, age_s=n.age_s + seconds) for n in self.notices),
+            notices=tuple(notice.aged(seconds) for notice in self.notices),
         )
 
 
