Send an endpoint no more requests a second than it names

The header is decoded in the adapter, kept by `forward.notices` for the incarnation that names it, and told to the owner of the pool with each ticket. The scheduler keeps a token bucket for each endpoint (`schedule.rate_limit`); the answer that is the latest known counts, so an answer without the header ends the limit. The limit is for all instances together: the leader, which alone orders the requests of engines, uses it in full; a deputy uses the part of the entries that ask it; entries that all schedule a plain service divide it, and where they are many, rendezvous hashing chooses two of them for each request a second, since each may have one request in reserve. A grant says that its endpoint is limited, so an entry that never knew of the limit tells when it is over.

--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -93,6 +93,10 @@
         deputies = self.find_deputies(subject) if subject in self.engine_subjects else ()
         return (owner, *deputies) if owner else deputies
 
+    def list_owners(self, pool: str) -> list[str]:
+        """Return the instances that all schedule a pool, none if it has one owner."""
+        return [] if pool_subject(pool) in self.engine_subjects else self.list_entries()
+
     def in_domain(self, _failure_domain: str) -> list[str]:
         """Return all entries; they share the endpoints regardless of failure domains."""
         return self.list_entries()
@@ -184,6 +188,7 @@
             None,
             random.Random(seed),
             is_wide=True,
+            list_owners=pool_owners.list_owners,
         )
         self.host.move_monitor = move_monitor
 
--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -26,6 +26,7 @@
     Withdraw,
     pool_subject,
 )
+from mulberrygate.schedule.rate_limit import rate_part
 from mulberrygate.schedule.scheduler import PoolScheduler
 from mulberrygate.schedule.wide import WIDE_SCHEDULE_INTERVAL_S
 from mulberrygate.settings.model import Settings
@@ -115,6 +116,8 @@
     ==========
     is_wide : bool
         Whether endpoints of all failure domains are used on equal terms; see `PoolScheduler`.
+    list_owners : Callable[[str], list[str]]
+        Returns the instances that all own a pool, none if it has one owner.
     """
 
     def __init__(
@@ -129,8 +132,10 @@
         events: EventRing,
         rng: random.Random,
         is_wide: bool = False,
+        list_owners: Callable[[str], list[str]] = lambda _pool: [],
     ):
         self.is_wide = is_wide
+        self.list_owners = list_owners
         self.settings = settings
         self.peers = peers
         self.view = view
@@ -171,6 +176,7 @@
                 is_wide=self.is_wide,
             )
             hosted = self.hosted[pool] = HostedScheduler(scheduler, now)
+            scheduler.find_rate_part = lambda endpoint, rate: self._rate_part(pool, endpoint, rate)
             self._refresh(pool, hosted, now)
         hosted.used_at = now
         return hosted.scheduler
@@ -280,6 +286,18 @@
         if self.move_monitor is not None:
             self.run(pool, scheduler.set_shares(self.move_monitor.shares(pool), now))
 
+    def _rate_part(self, pool: str, endpoint: str, rate: float) -> float:
+        """Return the part of the limit that an endpoint has named which this instance may use."""
+        if self.is_owner(pool):
+            owners = self.list_owners(pool)
+            return rate_part(endpoint, rate, self.settings.instance, owners) if owners else 1.0
+        return self._share_of_askers(self.hosted[pool].count_askers(self.timers.now()))
+
+    def _share_of_askers(self, askers: int) -> float:
+        """Return the part of the endpoints that some entries may use without an owner."""
+        entries = max(1, len(self.view().in_domain(self.settings.failure_domain)))
+        return min(1.0, askers / entries)
+
     def _limit_to_shares(self, views: list[EndpointView], askers: int) -> list[EndpointView]:
         """Return the endpoints with the slots that this instance may use as a non-owner.
 
@@ -293,8 +311,7 @@
         askers : int
             Number of entries whose shares this instance may use.
         """
-        entries = max(1, len(self.view().in_domain(self.settings.failure_domain)))
-        part = min(1.0, askers / entries)
+        part = self._share_of_askers(askers)
         shared = [self._with_share(view, view.slots * part) for view in views]
         if not shared or any(view.accepts_work for view in shared):
             return shared
--- a/mulberrygate/daemon/tests/test_endpoint_notices.py
+++ b/mulberrygate/daemon/tests/test_endpoint_notices.py
@@ -14,7 +14,7 @@
     SiteTestCase,
 )
 from mulberrygate.forward.tests.support import Endpoint, stream, whole
-from mulberrygate.forward.tests.test_endpoint_notices import LEAVING, with_lines
+from mulberrygate.forward.tests.test_endpoint_notices import LEAVING, slowly, with_lines
 
 CALLS = 12
 PATHS = {"booking": "/read/1", "care": "/stream/1"}
@@ -123,5 +123,82 @@
             await self.call_until_reached("care")
 
 
+class TestLimitedEndpoints(SiteTestCase):
+    """Endpoints that name the requests a second that they take from all entries together."""
+
+    RATE = 3.0
+    SECONDS = 9.0
+    # The users' bound for any 4 s, from some seconds after the limit was first named.
+    WINDOW_S = 4.0
+    ALLOWED = 1.5 * RATE * WINDOW_S + 5
+    GRACE_S = 3.0
+
+    def record_arrivals(self, answer):
+        """Return an answer function that also records when calls arrive."""
+        self.arrivals = []
+
+        async def record(*arguments):
+            self.arrivals.append(asyncio.get_running_loop().time())
+            await answer(*arguments)
+
+        return record
+
+    async def start_pool(self, pool):
+        """Start an endpoint that names a limit and one that doesn't, known to two entries."""
+        sound = slowly(stream(3) if pool == "care" else whole())
+        limited = with_lines(self.record_arrivals(sound), b"Server-Limit: %.1f" % self.RATE)
+        self.endpoints = [
+            await Endpoint("e1", limited).start(),
+            await Endpoint("e2", sound).start(),
+        ]
+        await self.deployment.put_document(1)
+        nodes = [self.deployment.entry_node, await self.deployment.start_entry(OTHER_ENTRY)]
+        for endpoint in self.endpoints:
+            self.addAsyncCleanup(endpoint.close)
+            await self.register(endpoint, pool)
+        for node in nodes:
+            await self.deployment.until(lambda node=node: node.is_ready)
+            await self.deployment.until(lambda node=node: len(node.roster.rows) == 2)
+        await self.deployment.find_leader()
+
+    async def send_load(self, pool):
+        """Send calls through both entries at a steady rate, until the end."""
+        loop = asyncio.get_running_loop()
+        calls, end = [], loop.time() + self.SECONDS
+        while loop.time() < end:
+            for entry in (ENTRY, OTHER_ENTRY):
+                headers = {"X-Mulberrygate-Request-Id": f"call-{len(calls)}"}
+                call = self.deployment.send_request(PATHS[pool], entry, **headers)
+                calls.append(asyncio.ensure_future(call))
+            await asyncio.sleep(0.04)
+        await asyncio.gather(*calls)
+
+    def largest_window(self):
+        """Return the most calls that arrived in `WINDOW_S`, after `GRACE_S`."""
+        times = [at for at in self.arrivals if at >= self.arrivals[0] + self.GRACE_S]
+        return max(sum(at <= other < at + self.WINDOW_S for other in times) for at in times)
+
+    async def test_engine_of_two_entries(self):
+        """Guards against an engine in need that gets more than it takes from all entries."""
+        await self.start_pool("care")
+        await self.send_load("care")
+        self.assertLessEqual(self.largest_window(), self.ALLOWED)
+
+    async def test_service_of_two_entries(self):
+        """Guards against a limit that each of two entries uses in full for a plain service."""
+        await self.start_pool("booking")
+        await self.send_load("booking")
+        self.assertLessEqual(self.largest_window(), self.ALLOWED)
+
+    async def test_change_of_the_leader(self):
+        """Guards against a new leader that doesn't know the limits that the one before knew."""
+        await self.start_pool("care")
+        load = asyncio.ensure_future(self.send_load("care"))
+        await asyncio.sleep(self.SECONDS / 2)
+        await self.deployment.crash(await self.deployment.find_leader())
+        await load
+        self.assertLessEqual(self.largest_window(), self.ALLOWED)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -319,7 +319,9 @@
         """Record what an endpoint says of itself in an answer, and log what is new."""
         forwarder, running = self.forwarder, send.running
         endpoint = running.endpoint, running.incarnation
-        is_change = forwarder.notices.record(*endpoint, self.call.pool.name, head, self.now())
+        is_change = forwarder.notices.record(
+            *endpoint, self.call.pool.name, head, self.now(), send.grant.is_rate_limited
+        )
         if is_change:
             forwarder.lines.log(
                 "endpoint.notice",
@@ -328,6 +330,7 @@
                 incarnation=running.incarnation,
                 pool=self.call.pool.name,
                 is_leaving=head.is_leaving,
+                rate="none" if head.rate == math.inf else head.rate,
                 asked_pause_s="unreadable" if head.pause_s == math.inf else head.pause_s,
                 pause_s=round(forwarder.notices.pause_left_s(*endpoint, self.now()), 3),
             )
--- a/mulberrygate/forward/notices.py
+++ b/mulberrygate/forward/notices.py
@@ -20,6 +20,8 @@
 # Longest pause that an endpoint can ask for, and the pause if it asks for more or can't be read.
 MAX_PAUSE_S = 600.0
 DEFAULT_PAUSE_S = 5.0
+# Time for which owners are told that a limit is over.
+RATE_END_TOLD_S = 10.0
 # Random part by which a pause is extended, so that the entries don't all return at its end.
 PAUSE_JITTER = 0.1
 MAX_PAUSE_JITTER_S = 0.5
@@ -35,6 +37,10 @@
         Monotonic time of the last answer that said something.
     paused_until : float
         Monotonic time until which it wants no call of this instance.
+    rate : float
+        Requests a second that it takes from all instances, infinite without a limit.
+    rate_heard_at : float
+        Monotonic time of the last answer that named a limit, or none after one.
     """
 
     pool: str
@@ -42,6 +48,19 @@
     is_leaving: bool = False
     heard_at: float = -math.inf
     paused_until: float = -math.inf
+    rate: float = math.inf
+    rate_heard_at: float = -math.inf
+
+    def take_rate(self, rate: float, now: float) -> bool:
+        """Take over the limit that an answer names; return whether it is another one."""
+        is_change = rate != self.rate
+        self.rate = rate
+        self.rate_heard_at = now
+        return is_change
+
+    def is_rate_told(self, now: float) -> bool:
+        """Return whether owners have to know the limit, or that it is over."""
+        return self.rate < math.inf or now - self.rate_heard_at <= RATE_END_TOLD_S
 
 
 class EndpointNotices:
@@ -79,7 +98,13 @@
         self.last_pause_end = -math.inf
 
     def record(
-        self, endpoint: str, incarnation: int, pool: str, head: AnswerHead, now: float
+        self,
+        endpoint: str,
+        incarnation: int,
+        pool: str,
+        head: AnswerHead,
+        now: float,
+        is_rate_limited: bool = False,
     ) -> bool:
         """Record what an answer says; return whether that changes what is known.
 
@@ -88,17 +113,22 @@
         incarnation : int
             Incarnation that was known when the call was sent. The answer may be of a later one,
             but not of an earlier one.
+        is_rate_limited : bool
+            Whether the owner of the pool knows a limit of the endpoint.
         """
         known = self.known.get(endpoint)
         if known is not None and known.incarnation > incarnation:
             return False
-        if not head.is_leaving and head.pause_s is None:
-            return False
         if known is None or known.incarnation < incarnation:
             known = Known(pool, incarnation)
-        is_change = False
+        is_rate_told = head.rate is not None and (
+            is_rate_limited or min(head.rate, known.rate) < math.inf
+        )
+        if not (head.is_leaving or head.pause_s is not None or is_rate_told):
+            return False
+        is_change = is_rate_told and known.take_rate(head.rate, now)
         if head.is_leaving:
-            is_change = not known.is_leaving
+            is_change = is_change or not known.is_leaving
             known.is_leaving = True
         if head.pause_s is not None:
             is_change = is_change or known.paused_until <= now
@@ -170,9 +200,16 @@
             if known.pool == pool and self._is_news(endpoint, known, now):
                 age_s = max(0.0, now - known.heard_at)
                 pause_s = max(0.0, known.paused_until - now)
+                is_rate_told = known.is_rate_told(now)
                 found.append(
                     EndpointNotice(
-                        endpoint, known.incarnation, known.is_leaving, age_s=age_s, pause_s=pause_s
+                        endpoint,
+                        known.incarnation,
+                        known.is_leaving,
+                        age_s=age_s,
+                        pause_s=pause_s,
+                        rate=known.rate,
+                        rate_age_s=now - known.rate_heard_at if is_rate_told else math.inf,
                     )
                 )
             if len(found) == MAX_TICKET_NOTICES:
@@ -181,7 +218,7 @@
 
     def _is_news(self, endpoint: str, known: Known, now: float) -> bool:
         """Return whether an owner has to know what an endpoint has said, and may not know it."""
-        if not known.is_leaving and known.paused_until <= now:
+        if not (known.is_leaving or known.paused_until > now or known.is_rate_told(now)):
             return False
         row = self.roster.rows.get(endpoint)
         if row is None:
@@ -192,6 +229,11 @@
         """Return the number of endpoints that want no call of this instance at present."""
         return sum(known.paused_until > now for known in self.known.values())
 
+    def count_rate_limited(self) -> int:
+        """Return the number of endpoints that name a limit of requests a second."""
+        known = self.known.items()
+        return sum(item.rate < math.inf and name in self.roster.rows for name, item in known)
+
     def count_leaving(self) -> int:
         """Return the number of endpoints in the roster that have said that they leave."""
         return sum(
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -138,6 +138,9 @@
     pause_s : float or None
         Seconds for which the endpoint, which turned the request away, wants no other of this
         instance; ``None`` if it doesn't say so, infinite if the number can't be read.
+    rate : float or None
+        Requests a second that the endpoint takes from all instances together; infinite if it names
+        no limit, ``None`` if the number can't be read or the answer isn't the endpoint's.
     """
 
     status: int
@@ -147,6 +150,7 @@
     is_events: bool = False
     is_leaving: bool = False
     pause_s: float | None = None
+    rate: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -104,6 +104,7 @@
         roster = placement.directory.roster
         self.notices = EndpointNotices(roster, random.Random(seed))
         metrics.gauge("endpoints_leaving", self.notices.count_leaving)
+        metrics.gauge("endpoints_rate_limited", self.notices.count_rate_limited)
         metrics.gauge("endpoints_paused", lambda: self.notices.count_paused(timers.now()))
         self.crash_detector = CrashDetector(
             roster, self.endpoints, suspects, self.notices, timers, lines
--- a/mulberrygate/forward/tests/test_endpoint_notices.py
+++ b/mulberrygate/forward/tests/test_endpoint_notices.py
@@ -53,6 +53,16 @@
     return add_lines
 
 
+def slowly(answer, seconds=0.15):
+    """Return an answer function that answers after a time."""
+
+    async def wait(*arguments):
+        await asyncio.sleep(seconds)
+        await answer(*arguments)
+
+    return wait
+
+
 class NoticeTestCase(unittest.IsolatedAsyncioTestCase):
     """One entry that reaches no control process, and its endpoints."""
 
@@ -302,5 +312,79 @@
         self.assertGreater(max(ends) - min(ends), 0.2)
 
 
+def names_limit(rate, answer=None):
+    """Return an answer function whose answers name a limit of requests a second."""
+    return with_lines(answer or whole(), b"Server-Limit: " + rate)
+
+
+class TestLimitedEndpoints(NoticeTestCase):
+    """Answers that name the requests a second that an endpoint takes from all entries."""
+
+    async def send_load(self, path, seconds=4.0, gap_s=0.05):
+        """Send calls at a steady rate for a time and return their statuses."""
+        calls = []
+        end = self.entry.timers.now() + seconds
+        while self.entry.timers.now() < end:
+            calls.append(asyncio.ensure_future(self.call(path)))
+            await asyncio.sleep(gap_s)
+        return [status for status, _, _ in await asyncio.gather(*calls)]
+
+    async def test_endpoint_that_names_a_limit(self):
+        """Guards against an endpoint in need that gets as many requests as the others."""
+        for pool, path in (("booking", "/read/1"), ("booking", "/plain/1"), ("care", "/stream/1")):
+            with self.subTest(path):
+                sound = slowly(stream(3) if pool == "care" else whole())
+                limited, other = Endpoint("e1", names_limit(b"2.5", sound)), Endpoint("e2", sound)
+                await self.start(**{pool: [limited, other]})
+                async with asyncio.timeout(STEP_TIMEOUT_S):
+                    while not limited.requests:  # noqa: ASYNC110
+                        await asyncio.gather(*(self.call(path) for _ in range(8)))
+                before = len(limited.requests)
+                statuses = await self.send_load(path)
+                # The users' bound for 4 s.
+                self.assertLessEqual(len(limited.requests) - before, 1.5 * 2.5 * 4.0 + 5)
+                self.assertGreater(len(other.requests), len(limited.requests))
+                self.assertEqual(set(statuses), {200})
+
+    async def test_limit_that_has_ended(self):
+        """Guards against an endpoint that is spared after its answers name no limit any more."""
+        endpoint = Endpoint("e1", names_limit(b"1"))
+        entry = await self.start(booking=[endpoint])
+        await self.call()
+        endpoint.answer = whole()
+        await self.call()
+        self.assertEqual(await self.call_often(), [200] * CALLS)
+        found = [line["rate"] for line in entry.lines.of("endpoint.notice")]
+        self.assertEqual(found, [1.0, "none"])
+        self.assertIn("endpoints_rate_limited 0", entry.forwarder.metrics.text())
+
+    async def test_limit_that_cannot_be_read(self):
+        """Guards against a limit that begins or ends with an answer whose number can't be read."""
+        endpoint = Endpoint("e1", names_limit(b"1"))
+        entry = await self.start(booking=[endpoint])
+        for text in (b"many", b"-1", b"nan", b"", b"\xff", b"9" * 400):
+            endpoint.answer = names_limit(text)
+            await self.call()
+            self.assertEqual(entry.forwarder.notices.count_rate_limited(), 0)
+        endpoint.answer = names_limit(b"50")
+        await self.call()
+        endpoint.answer = names_limit(b"many")
+        await self.call()
+        self.assertEqual(entry.forwarder.notices.count_rate_limited(), 1)
+
+    async def test_answers_of_other_processes(self):
+        """Guards against a limit that another process than the endpoint has named, or ended."""
+        for answer in (whole(421, b""), to_another(whole())):
+            endpoint = Endpoint("e1", names_limit(b"1", answer))
+            entry = await self.start(booking=[endpoint])
+            await self.call()
+            self.assertEqual(entry.forwarder.notices.count_rate_limited(), 0)
+            endpoint.answer = names_limit(b"50")
+            await self.call()
+            endpoint.answer = answer
+            await self.call()
+            self.assertEqual(entry.forwarder.notices.count_rate_limited(), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/platform/headers.py
+++ b/mulberrygate/platform/headers.py
@@ -33,6 +33,8 @@
 NOT_EXECUTED = PREFIX + "Not-Executed"
 # "1" in each answer of an endpoint that is leaving.
 SERVER_LEAVING = "Server-Leaving"
+# Requests a second that an endpoint takes from all instances together.
+SERVER_LIMIT = "Server-Limit"
 # Running requests, waiting requests and slots of an endpoint, separated by commas.
 SERVER_LOAD = PREFIX + "Server-Load"
 LAST_EVENT = "Last-Event-Id"
@@ -119,6 +121,16 @@
         return math.inf
 
 
+def _parse_rate(text: str | None) -> float | None:
+    """Return the limit that an answer names, infinite for none and ``None`` if unreadable."""
+    if text is None:
+        return math.inf
+    try:
+        return parse_decimal(text)
+    except InvalidValue:
+        return None
+
+
 def _named_by_connection(headers: Any) -> set[str]:
     """Return the names in a message's ``Connection`` header, in lower case."""
     names: set[str] = set()
@@ -208,6 +220,7 @@
             is_events=headers.get(hdrs.CONTENT_TYPE, "").startswith("text/event-stream"),
             is_leaving=is_endpoint and headers.get(SERVER_LEAVING, "").strip() == "1",
             pause_s=_parse_pause_s(headers.get(hdrs.RETRY_AFTER)) if is_turned_away else None,
+            rate=_parse_rate(headers.get(SERVER_LIMIT)) if is_endpoint else None,
         )
 
     def answer_headers(self, response: Any) -> list[tuple[str, str]]:
--- a/mulberrygate/platform/tests/test_headers.py
+++ b/mulberrygate/platform/tests/test_headers.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import math
+import random
 import types
 import unittest
 
+import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from multidict import CIMultiDict
 
 from mulberrygate.catalog import BackendPool, RetryPolicy, RouteRule, WeightedPool
 from mulberrygate.core.wire import encode
+from mulberrygate.endpoints.roster import Roster
 from mulberrygate.forward import codes
+from mulberrygate.forward.notices import EndpointNotices
 from mulberrygate.forward.request import Call, Refused
 from mulberrygate.platform.headers import MAX_PARTS, PlatformDialect
 from mulberrygate.schedule.messages import Ask, Ticket
@@ -187,6 +192,29 @@
         self.assertIsNone(self.head(X_Mulberrygate_Server_Load=f"{'9' * 5000},1,8").load)
         self.assertIsNone(self.head().load)
 
+    def test_what_an_endpoint_says_of_itself(self):
+        """Guards against a notice that comes from the wrong answer or an unreadable text."""
+        head = self.head(Server_Leaving="1", Server_Limit="4.3", Retry_After="2")
+        self.assertEqual((head.is_leaving, head.rate, head.pause_s), (True, 4.3, None))
+        self.assertEqual(self.head(status=503, Retry_After="0.5").pause_s, 0.5)
+        self.assertEqual(self.head(status=503, Retry_After="soon").pause_s, math.inf)
+        head = self.head()
+        self.assertEqual((head.is_leaving, head.rate, head.pause_s), (False, math.inf, None))
+        for fields in ({"status": 421}, {"X_Mulberrygate_Request_Id": "id-0"}):
+            head = self.head(Server_Leaving="1", Server_Limit="4", Retry_After="2", **fields)
+            self.assertEqual((head.is_leaving, head.rate, head.pause_s), (False, None, None))
+
+    @given(st.text(max_size=30), st.text(max_size=30), st.text(max_size=30))
+    @settings(derandomize=True, deadline=None)
+    def test_whatever_an_endpoint_says_can_be_told(self, leaving, limit, pause):
+        """Guards against a header of an endpoint that no message to its pool's owner can carry."""
+        said = {"Server_Leaving": leaving, "Server_Limit": limit, "Retry_After": pause}
+        notices = EndpointNotices(Roster(), random.Random(1))
+        for status in (200, 503):
+            notices.record("e1", 1, "care", self.head(status=status, **said), 0.0)
+            ticket = make_ticket(PlatformDialect().call_head(request()))
+            encode(Ask(attrs.evolve(ticket, notices=notices.for_ticket("care", 0.5))))
+
     def test_refusal_has_retry_after(self):
         """Guards against a delay of less than a second that is rounded to 0."""
         refused = Refused(codes.OVER_LIMIT, retry_after_s=0.4)
--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -8,6 +8,7 @@
 from mulberrygate.schedule.detect import SlownessDetector
 from mulberrygate.schedule.failures import FailureShare
 from mulberrygate.schedule.messages import Ticket
+from mulberrygate.schedule.rate_limit import EndpointRateLimit
 from mulberrygate.schedule.speed import EndpointSpeed, GenerationSpeed
 
 LOCAL, OTHER_DOMAIN, OTHER_REGION = range(3)
@@ -166,6 +167,7 @@
         # Times of the endpoint's last report, and of its last answer that said that it leaves.
         self.reported_at = -math.inf
         self.left_at = -math.inf
+        self.rate_limit = EndpointRateLimit()
         self.slots = 0
         self.queue_limit = 0
         # Position in the set of endpoints with free capacity; -1 when it is in none.
@@ -196,6 +198,10 @@
             + self.pending_prefill * self.prefill_s
         )
 
+    def is_blocked(self, now: float) -> bool:
+        """Return whether the endpoint gets no request now, but will after some time."""
+        return now < self.blocked_until or not self.rate_limit.has_token(now)
+
     @property
     def accepts_work(self) -> bool:
         """Whether the endpoint takes new work, by its reports and by its answers.
@@ -211,7 +217,7 @@
         """Recompute how many requests the endpoint may have."""
         view = self.view
         self.slots = self.queue_limit = 0
-        if not self.accepts_work or now < self.blocked_until:
+        if not self.accepts_work or self.is_blocked(now):
             return
         if self.consecutive_faults >= FAULTS_TO_BLOCK or self.is_silent:
             self.slots = 1
--- a/mulberrygate/schedule/health.py
+++ b/mulberrygate/schedule/health.py
@@ -19,10 +19,15 @@
         Explanation
         ===========
         An endpoint that only gets probes runs few requests and takes less time per token than busy
-        ones of the same speed, so it is compared only if there are no others.
+        ones of the same speed, so it is compared only if there are no others. So is one that takes
+        few requests a second, since hardly any request could wait for it.
         """
         usable = [state for state in self.states.values() if state.slots > 0]
-        unlimited = [state for state in usable if state.slots >= state.view.slots]
+        unlimited = [
+            state
+            for state in usable
+            if state.slots >= state.view.slots and not state.rate_limit.is_limited
+        ]
         times = [state.token_s for state in unlimited or usable]
         self.chooser.fast_token_s = FAST_RATIO * min(times, default=0.0)
 
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -31,6 +31,10 @@
         Seconds from the moment the message is sent for which it wants no request of the entry.
     age_s : float
         Seconds from the answer to the moment the message is sent.
+    rate : float
+        Requests a second that it takes from all instances, infinite without a limit.
+    rate_age_s : float
+        Seconds from the answer that named this rate or none, infinite if nothing is known of it.
     """
 
     endpoint: str
@@ -38,6 +42,8 @@
     is_leaving: bool = False
     age_s: float = 0.0
     pause_s: float = 0.0
+    rate: float = math.inf
+    rate_age_s: float = math.inf
 
     def is_barred(self, waited_s: float) -> bool:
         """Return whether the endpoint may get no request of the entry some seconds later."""
@@ -46,7 +52,12 @@
     def aged(self, seconds: float) -> EndpointNotice:
         """Return the notice as it is to be sent some seconds later."""
         pause_s = max(0.0, self.pause_s - seconds)
-        return attrs.evolve(self, age_s=self.age_s + seconds, pause_s=pause_s)
+        return attrs.evolve(
+            self,
+            age_s=self.age_s + seconds,
+            pause_s=pause_s,
+            rate_age_s=self.rate_age_s + seconds,
+        )
 
 
 @attrs.frozen
@@ -242,6 +253,8 @@
     ==========
     incarnation : int
         Incarnation of the endpoint, 0 from owners of earlier releases.
+    is_rate_limited : bool
+        Whether the owner knows a limit of the endpoint, so that it has to hear when that is over.
     """
 
     pool: str
@@ -251,6 +264,7 @@
     version: str
     region: str = ""
     incarnation: int = 0
+    is_rate_limited: bool = False
 
 
 @message("schedule.refuse")
--- /dev/null
+++ b/mulberrygate/schedule/rate_limit.py
@@ -0,0 +1,135 @@
+"""Limit of the requests a second that an endpoint takes, as it names it in its answers."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection
+
+from mulberrygate.members.rendezvous import rank
+
+# Time over which requests that were not sent may be sent later, at most.
+BURST_S = 0.25
+# Least requests a second to an endpoint, whatever it names: only answers show that a limit is over.
+MIN_RATE = 0.2
+# Owners of a pool for each request a second that an endpoint takes, at most. Each of them may have
+# one token left, and all may use it at the same time.
+OWNERS_PER_RATE = 2.0
+
+
+class EndpointRateLimit:
+    """Token bucket of one endpoint; without a named limit it always has a token.
+
+    Attributes
+    ==========
+    rate : float
+        Requests a second that the endpoint takes from all instances, infinite without a limit.
+    stated_at : float
+        Time of the answer that is the latest known to name a limit or none.
+    part : float
+        Part of the limit that this scheduler may use.
+
+    Examples
+    ========
+    >>> from mulberrygate.schedule.rate_limit import EndpointRateLimit
+    >>> limit = EndpointRateLimit()
+    >>> limit.state(rate=4.0, stated_at=10.0, now=10.0)
+    True
+    >>> limit.has_token(10.1), limit.has_token(10.25)
+    (False, True)
+    >>> limit.take(10.25)
+    >>> limit.has_token(10.25)
+    False
+    >>> limit.state(rate=8.0, stated_at=9.0, now=10.3)
+    False
+    """
+
+    __slots__ = ("rate", "stated_at", "part", "tokens", "filled_at")
+
+    def __init__(self):
+        self.rate = math.inf
+        self.stated_at = -math.inf
+        self.part = 1.0
+        self.tokens = 0.0
+        self.filled_at = -math.inf
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the endpoint names a limit."""
+        return self.rate < math.inf
+
+    def state(self, rate: float, stated_at: float, now: float, tokens: float = 0.0) -> bool:
+        """Take over what an answer names; return whether that changes the limit.
+
+        Parameters
+        ==========
+        rate : float
+            Requests a second, infinite if the answer names no limit.
+        stated_at : float
+            Time of the answer; what an earlier one than the latest known names is ignored.
+        tokens : float
+            Tokens at the beginning of a limit.
+        """
+        if stated_at <= self.stated_at:
+            return False
+        self.stated_at = stated_at
+        if rate == self.rate:
+            return False
+        if self.is_limited:
+            self._fill(now)
+        else:
+            self.tokens, self.filled_at = tokens, now
+        self.rate = rate
+        return True
+
+    def set_part(self, part: float, now: float) -> None:
+        """Set the part of the limit that this scheduler may use."""
+        if part != self.part:
+            self._fill(now)
+            self.part = part
+
+    def _fill(self, now: float) -> None:
+        """Add the tokens of the time since the last call."""
+        if not self.is_limited:
+            return
+        rate = max(self.rate, MIN_RATE) * self.part
+        most = max(1.0, rate * BURST_S)
+        self.tokens = min(most, self.tokens + rate * max(0.0, now - self.filled_at))
+        self.filled_at = now
+
+    def has_token(self, now: float) -> bool:
+        """Return whether the endpoint may get a request now."""
+        self._fill(now)
+        return not self.is_limited or self.tokens >= 1.0
+
+    def take(self, now: float) -> None:
+        """Count a request."""
+        if self.is_limited:
+            self._fill(now)
+            self.tokens -= 1.0
+
+    def put_back(self) -> None:
+        """Return the token of a request that was not sent."""
+        if self.is_limited:
+            self.tokens += 1.0
+
+
+def rate_part(endpoint: str, rate: float, instance: str, owners: Collection[str]) -> float:
+    """Return the part of an endpoint's limit for one of several instances that all own its pool.
+
+    Explanation
+    ===========
+    If there are more owners than `OWNERS_PER_RATE` allows, rendezvous hashing chooses those that
+    may use the endpoint.
+
+    Examples
+    ========
+    >>> from mulberrygate.schedule.rate_limit import rate_part
+    >>> owners = [str(number) for number in range(80)]
+    >>> parts = [rate_part("e1", 4.0, name, owners) for name in owners]
+    >>> sorted(parts)[-9:], sum(parts)
+    ([0.0, 0.125, 0.125, 0.125, 0.125, 0.125, 0.125, 0.125, 0.125], 1.0)
+    """
+    most = max(1, int(min(rate * OWNERS_PER_RATE, len(owners))))
+    if len(owners) <= most:
+        return 1.0 / max(1, len(owners))
+    return 1.0 / most if instance in rank(endpoint, owners)[:most] else 0.0
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections.abc import Callable
 
 from mulberrygate.core.effects import Effect, Send
 from mulberrygate.core.invariant import invariant
@@ -178,6 +179,8 @@
         self.without_endpoint_since: float | None = None
         # Endpoints that get no requests until their back-off time is over.
         self.blocked: dict[str, EndpointState] = {}
+        # Returns the part of an endpoint's named limit that this scheduler may use.
+        self.find_rate_part: Callable[[str, float], float] = lambda _endpoint, _rate: 1.0
         self.maintained_at = self.expired_at = self.demand_at = -math.inf
 
     def ask(self, ticket: Ticket, now: float) -> list[Effect]:
@@ -204,6 +207,7 @@
         if granted is None:
             return []
         self._release(granted, now)
+        granted.state.rate_limit.put_back()
         self.shares.undo_count(granted.ticket.route, granted.version, granted.share_epoch)
         self.queue.charge(granted.ticket, -granted.cost)
         return self._schedule(now)
@@ -295,6 +299,10 @@
             state.extend_load_integral(now)
             state.view = view
             state.reported_at = now - view.report_age_s
+            if state.rate_limit.is_limited:
+                state.rate_limit.set_part(
+                    self.find_rate_part(state.name, state.rate_limit.rate), now
+                )
             state.estimate_external_load()
             self.prefixes.set_reported(view.endpoint, view.prefixes)
             self._update_limits(state, now)
@@ -431,7 +439,17 @@
                 continue
             if notice.is_leaving:
                 state.left_at = max(state.left_at, now - notice.age_s)
-                self._update_limits(state, now)
+            if notice.rate_age_s < math.inf:
+                self._set_rate(state, notice.rate, now - notice.rate_age_s, now)
+            self._update_limits(state, now)
+
+    def _set_rate(self, state: EndpointState, rate: float, stated_at: float, now: float) -> None:
+        """Take over the limit that an endpoint has named."""
+        part = self.find_rate_part(state.name, rate)
+        # Instances that hear of a limit at the same time would else send together later as well.
+        tokens = self.rng.random() if part < 1.0 else 0.0
+        if state.rate_limit.state(rate, stated_at, now, tokens):
+            state.rate_limit.set_part(part, now)
 
     def _enqueue(self, ticket: Ticket, now: float) -> None:
         self._apply_notices(ticket, now)
@@ -583,7 +601,7 @@
         if state.distance == LOCAL:
             self.local_slots -= state.slots
         state.set_limits(self.pool.engine_queue, now)
-        if now < state.blocked_until:
+        if state.is_blocked(now):
             self.blocked[state.name] = state
         elif self.blocked:
             self.blocked.pop(state.name, None)
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -268,6 +268,9 @@
         granted.expected_end = now + choice.run_s
         granted.expires_at = max(waiting.deadline, now + 4 * choice.run_s) + LOST_DONE_S
         self._add_running(granted, now)
+        if state.rate_limit.is_limited:
+            state.rate_limit.take(now)
+            self._update_limits(state, now)
         if ticket.prefixes:
             self.prefixes.add_granted(state.name, ticket.prefixes, state.view.kv_tokens)
         return self._grant_message(granted)
@@ -275,5 +278,6 @@
     def _grant_message(self, granted: GrantedRequest) -> Send:
         ticket, view = granted.ticket, granted.state.view
         destination = (view.endpoint, view.address, granted.version, view.region, view.incarnation)
-        grant = Grant(ticket.pool, ticket.request, *destination)
+        is_rate_limited = granted.state.rate_limit.is_limited
+        grant = Grant(ticket.pool, ticket.request, *destination, is_rate_limited)
         return Send(ticket.entry, grant)
