Look up the part of an endpoint's limit only when the limit changes

Rendezvous hashing over all entries ran for each notice in each ticket; with 194 entries that is 194 hashes a ticket and limited endpoint. A call whose grant can't be used waits for 20 ms before it asks again, so that an owner of an earlier release, which doesn't read notices, is not asked without a pause.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -25,7 +25,7 @@
 TURNED_DOWN_RETRY_S = 0.4
 # Events without a token that a stream may have, such as its end marker.
 MAX_TOKENLESS_EVENTS = 16
-# Pause after a send that got no connection.
+# Pause after a send that got no connection, or after a grant that could not be used.
 RETRY_PAUSE_S = 0.02
 # Longest wait for the check whether an endpoint has ended that broke off before its first event.
 # It refuses connections some hundredths of a second after it has ended.
@@ -161,8 +161,11 @@
                 return Turn(ticket, grant)
             forwarder.scheduler.return_grant(ticket.request)
             if is_allowed:
-                # Since the ticket was sent, the endpoint has said that it takes no more calls.
-                self.avoid.append(grant.endpoint)
+                # Since the ticket was sent, the endpoint has said that it takes no more calls. An
+                # owner of an earlier release, which doesn't read notices, avoids it if it can.
+                if grant.endpoint not in self.avoid:
+                    self.avoid.append(grant.endpoint)
+                await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             if self.attempts.sends:
                 return self._give_up()
--- a/mulberrygate/schedule/rate_limit.py
+++ b/mulberrygate/schedule/rate_limit.py
@@ -57,7 +57,7 @@
         """Whether the endpoint names a limit."""
         return self.rate < math.inf
 
-    def state(self, rate: float, stated_at: float, now: float, tokens: float = 0.0) -> bool:
+    def state(self, rate: float, stated_at: float, now: float) -> bool:
         """Take over what an answer names; return whether that changes the limit.
 
         Parameters
@@ -66,8 +66,6 @@
             Requests a second, infinite if the answer names no limit.
         stated_at : float
             Time of the answer; what an earlier one than the latest known names is ignored.
-        tokens : float
-            Tokens at the beginning of a limit.
         """
         if stated_at <= self.stated_at:
             return False
@@ -77,7 +75,7 @@
         if self.is_limited:
             self._fill(now)
         else:
-            self.tokens, self.filled_at = tokens, now
+            self.tokens, self.filled_at = 0.0, now
         self.rate = rate
         return True
 
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -445,11 +445,14 @@
 
     def _set_rate(self, state: EndpointState, rate: float, stated_at: float, now: float) -> None:
         """Take over the limit that an endpoint has named."""
-        part = self.find_rate_part(state.name, rate)
-        # Instances that hear of a limit at the same time would else send together later as well.
-        tokens = self.rng.random() if part < 1.0 else 0.0
-        if state.rate_limit.state(rate, stated_at, now, tokens):
-            state.rate_limit.set_part(part, now)
+        limit = state.rate_limit
+        was_limited = limit.is_limited
+        if not limit.state(rate, stated_at, now) or not limit.is_limited:
+            return
+        limit.set_part(self.find_rate_part(state.name, rate), now)
+        if not was_limited and limit.part < 1.0:
+            # Else instances that hear of a limit at the same time would always send together.
+            limit.tokens = self.rng.random()
 
     def _enqueue(self, ticket: Ticket, now: float) -> None:
         self._apply_notices(ticket, now)
