Report to an owner after each request, not only after long ones

Cause: the end of a request is reported once. If that message is lost, the owner learns from the list of held requests, sent every 0.4 s, that the slot is free. But that list went only to owners of requests that were running at the moment of such a report. A request that was granted and ended between two reports started none, so a lost end was not corrected before the grant expired, half a minute later. The owner then counts a request that is overdue, takes the endpoint for silent, lets it have one request at a time, and that one is the lost one. In the trace of a failing run the leader logs `running 1, slots 1, is_silent true` from second 3 to 18, until a change of the leader.

Now the end of each wait and of each request starts the reports, which go on for 10 s.

--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -110,6 +110,21 @@
         self.assertEqual(self.reports()[-1].held, ())
         self.assertTrue(self.reports()[-1].is_whole)
 
+    async def test_lost_end_of_a_request_that_ends_between_two_reports(self):
+        """Guards against a slot that stays occupied because its request was in no report."""
+        self.peers.on_ask = lambda owner, count: self.grant(owner)
+        await self.acquire()
+        done = Done("pool", "r", "e", "v1", "route", 1, 1, 0.01, 0.02)
+        self.client.report_done(done)
+        self.client.report_progress()
+        self.assertEqual([report.held for report in self.reports()], [()])
+
+    async def test_lost_withdrawal_is_corrected_by_the_next_report(self):
+        """Guards against a slot that is kept by a request whose wait ended before the grant."""
+        await self.acquire(0.01)
+        self.client.report_progress()
+        self.assertEqual([report.held for report in self.reports()], [()])
+
     async def test_waiting_request_is_in_the_report(self):
         """Guards against an owner that takes back a grant which is still under way."""
         self.client.active_at["one", "pool"] = self.timers.now()
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -174,7 +174,8 @@
         self.running: dict[str, GrantedRequest] = {}
         self.known_owners: dict[str, str] = {}
         self.avoided_until: dict[str, float] = {}
-        # Owner and pool of recent requests, with the time at which one was last seen running.
+        # Owner and pool of recent requests, with the time at which a wait or a request last ended or
+        # a request was last seen running.
         self.active_at: dict[tuple[str, str], float] = {}
         self.is_stopping = False
         peers.on(Grant, self.on_grant)
@@ -250,11 +251,17 @@
         grant would occupy a slot until it expires.
         """
         holders = waiting.asked | {waiting.owner}
+        for owner in holders:
+            self._record_active(owner, waiting.ticket.pool)
         if is_taken:
             holders.discard(waiting.owner)
         for owner in holders:
             self.peers.send(owner, Withdraw(waiting.ticket.pool, waiting.ticket.request))
 
+    def _record_active(self, owner: str, pool: str) -> None:
+        """Record that an owner may count requests of this entry, so that reports go to it."""
+        self.active_at[owner, pool] = self.timers.now()
+
     def _ask(self, waiting: WaitingTicket) -> None:
         waiting.asked.add(waiting.owner)
         ticket = waiting.updated_ticket(self.timers.now())
@@ -321,6 +328,7 @@
 
     def _send_to_owners(self, dispatched: GrantedRequest, message: Done | Withdraw) -> None:
         for owner in {dispatched.granted_by, dispatched.owner}:
+            self._record_active(owner, dispatched.ticket.pool)
             self.peers.send(owner, message)
 
     def check_owners(self) -> None:
@@ -374,7 +382,7 @@
         now = self.timers.now()
         for dispatched in self.running.values():
             for owner in {dispatched.granted_by, dispatched.owner}:
-                self.active_at[owner, dispatched.ticket.pool] = now
+                self._record_active(owner, dispatched.ticket.pool)
         for key in [key for key, at in self.active_at.items() if now - at > PROGRESS_LINGER_S]:
             del self.active_at[key]
         for owner, pool in self.active_at:
