--- a/mulberrygate/cli/explain.py
+++ b/mulberrygate/cli/explain.py
@@ -26,6 +26,7 @@
     "control.left",
     "endpoint.known",
     "endpoint.leaves",
+    "endpoint.notice",
     "endpoint.forgotten",
     "process.started",
     "process.stopping",
--- a/mulberrygate/daemon/tests/test_stop_soak.py
+++ b/mulberrygate/daemon/tests/test_stop_soak.py
@@ -15,6 +15,7 @@
 import time
 import unittest
 
+import aiohttp
 import attrs
 
 from mulberrygate.daemon.tests.site_support import (
@@ -105,7 +106,15 @@
 
 
 class StopSoak:
-    """One run: callers on kept connections while processes are stopped and started."""
+    """One run: callers on kept connections while processes are stopped and started.
+
+    Attributes
+    ==========
+    pools : tuple[str, ...]
+        Pool of each endpoint.
+    """
+
+    pools = POOLS
 
     def __init__(self, seed, seconds):
         self.seed = seed
@@ -135,20 +144,19 @@
             await self.deployment.put_document(1, timeoutMs=ROUTE_TIMEOUT_MS)
             self.nodes[ENTRY] = self.deployment.entry_node
             self.nodes[OTHER_ENTRY] = await self.deployment.start_entry(OTHER_ENTRY)
-            for number, pool in enumerate(POOLS):
-                endpoint = await Endpoint(f"e{number}", self.run_call).start()
+            for number, pool in enumerate(self.pools):
+                endpoint = await self.make_endpoint(f"e{number}").start()
                 endpoint.pool = pool
                 self.endpoints.append(endpoint)
             heartbeats = asyncio.ensure_future(self.send_heartbeats())
             for node in self.nodes.values():
-                await self.deployment.until(lambda node=node: len(node.roster.rows) == len(POOLS))
+                await self.deployment.until(
+                    lambda node=node: len(node.roster.rows) == len(self.pools)
+                )
                 await self.deployment.until(lambda node=node: node.is_ready)
             self.ends_at = time.monotonic() + self.seconds
             tasks = [asyncio.ensure_future(self.send_calls()) for _ in range(CALLERS)]
-            tasks += [
-                asyncio.ensure_future(work)
-                for work in (self.stop_entries(), self.stop_controls(), self.change_documents())
-            ]
+            tasks += [asyncio.ensure_future(disturbance) for disturbance in self.disturbances()]
             async with asyncio.timeout(self.seconds + STEP_TIMEOUT_S):
                 await asyncio.gather(*tasks)
             heartbeats.cancel()
@@ -161,6 +169,18 @@
                 await endpoint.close()
             await self.deployment.close()
 
+    def make_endpoint(self, name):
+        """Return an endpoint that is not started yet."""
+        return Endpoint(name, self.run_call)
+
+    def describe(self, endpoint):
+        """Return the fields of an endpoint's heartbeat that differ from the usual ones."""
+        return {"slots": 2}
+
+    def disturbances(self):
+        """Return the coroutines that disturb the run."""
+        return self.stop_entries(), self.stop_controls(), self.change_documents()
+
     def is_over(self):
         """Return whether no more requests and stops begin."""
         return time.monotonic() >= self.ends_at
@@ -169,12 +189,14 @@
         """Register all endpoints at running control processes, again and again."""
         for sequence in itertools.count(1):
             for endpoint in self.endpoints:
-                fields = self.deployment.heartbeat(endpoint, endpoint.pool, sequence, slots=2)
+                fields = self.deployment.heartbeat(
+                    endpoint, endpoint.pool, sequence, **self.describe(endpoint)
+                )
                 for name in list(self.deployment.nodes):
                     try:
                         path = f"/instances/{endpoint.name}"
                         status, _ = await self.deployment.call_control("PUT", path, fields, name)
-                    except OSError:
+                    except (OSError, aiohttp.ClientError):
                         # It has just stopped; the next one may accept the heartbeat.
                         continue
                     if status == 200:
@@ -216,12 +238,14 @@
         """Apply one configuration after the other."""
         while not self.is_over():
             await asyncio.sleep(self.rng.uniform(0.5, 2.0))
+            if not self.deployment.nodes:
+                continue
             name = self.rng.choice(list(self.deployment.nodes))
             try:
                 await self.deployment.put_document(
                     next(self.versions), name, timeoutMs=ROUTE_TIMEOUT_MS
                 )
-            except OSError:
+            except (OSError, aiohttp.ClientError):
                 # The control process has just stopped.
                 continue
 
