Let an entry that knows no names of other entries use an equal part of a limit

Control processes of earlier releases tell only the number of entries, and an entry whose own name is not in the list would never use a limited endpoint of a plain service. The test fails before (0 instead of 1/80). The method that takes over a limit is called update; state is the word for an endpoint's state.

--- a/mulberrygate/schedule/rate_limit.py
+++ b/mulberrygate/schedule/rate_limit.py
@@ -32,14 +32,14 @@
     ========
     >>> from mulberrygate.schedule.rate_limit import EndpointRateLimit
     >>> limit = EndpointRateLimit()
-    >>> limit.state(rate=4.0, stated_at=10.0, now=10.0)
+    >>> limit.update(rate=4.0, stated_at=10.0, now=10.0)
     True
     >>> limit.has_token(10.1), limit.has_token(10.25)
     (False, True)
     >>> limit.take(10.25)
     >>> limit.has_token(10.25)
     False
-    >>> limit.state(rate=8.0, stated_at=9.0, now=10.3)
+    >>> limit.update(rate=8.0, stated_at=9.0, now=10.3)
     False
     """
 
@@ -57,7 +57,7 @@
         """Whether the endpoint names a limit."""
         return self.rate < math.inf
 
-    def state(self, rate: float, stated_at: float, now: float) -> bool:
+    def update(self, rate: float, stated_at: float, now: float) -> bool:
         """Take over what an answer names; return whether that changes the limit.
 
         Parameters
@@ -117,7 +117,7 @@
     Explanation
     ===========
     If there are more owners than `OWNERS_PER_RATE` allows, rendezvous hashing chooses those that
-    may use the endpoint.
+    may use the endpoint. An instance that doesn't know the names of the others uses an equal part.
 
     Examples
     ========
@@ -128,6 +128,6 @@
     ([0.0, 0.125, 0.125, 0.125, 0.125, 0.125, 0.125, 0.125, 0.125], 1.0)
     """
     most = max(1, int(min(rate * OWNERS_PER_RATE, len(owners))))
-    if len(owners) <= most:
+    if len(owners) <= most or instance not in owners:
         return 1.0 / max(1, len(owners))
     return 1.0 / most if instance in rank(endpoint, owners)[:most] else 0.0
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -447,7 +447,7 @@
         """Take over the limit that an endpoint has named."""
         limit = state.rate_limit
         was_limited = limit.is_limited
-        if not limit.state(rate, stated_at, now) or not limit.is_limited:
+        if not limit.update(rate, stated_at, now) or not limit.is_limited:
             return
         limit.set_part(self.find_rate_part(state.name, rate), now)
         if not was_limited and limit.part < 1.0:
--- a/mulberrygate/schedule/tests/test_notices.py
+++ b/mulberrygate/schedule/tests/test_notices.py
@@ -172,6 +172,11 @@
                 self.assertLessEqual(largest_window(times), allowed(rate))
                 self.assertGreater(len(times), 0)
 
+    def test_owner_that_knows_only_the_number_of_owners(self):
+        """Guards against an entry of a fleet of two releases that may never use an endpoint."""
+        numbers = [str(number) for number in range(80)]
+        self.assertEqual(rate_part("e1", 4.0, "10.0.0.1", numbers), 1 / 80)
+
 
 class TestLeavingAndPausedEndpoints(unittest.TestCase):
     """Endpoints that an entry may not use, and the others that may."""
