--- a/mulberrygate/forward/tests/test_endpoint_notices.py
+++ b/mulberrygate/forward/tests/test_endpoint_notices.py
@@ -31,24 +31,31 @@
     return change_identifier
 
 
-def with_lines(answer, *lines):
-    """Return an answer function that adds header lines to the answer of another one."""
+class HeaderWriter:
+    """Writer that adds header lines to the head of an answer, which is written first."""
 
-    async def add_lines(endpoint, reader, writer, head):
-        class Writer:
-            is_head = True
+    def __init__(self, writer, lines):
+        self.writer = writer
+        self.lines = lines
+        self.has_head = False
+
+    def write(self, data):
+        """Write bytes, with the header lines after the first line of the head."""
+        if not self.has_head:
+            status_line, rest = data.split(b"\r\n", 1)
+            data = b"\r\n".join([status_line, *self.lines, rest])
+            self.has_head = True
+        self.writer.write(data)
 
-            def write(self, data):
-                if self.is_head:
-                    first, rest = data.split(b"\r\n", 1)
-                    data = b"\r\n".join([first, *lines, rest])
-                    self.is_head = False
-                writer.write(data)
+    def __getattr__(self, name):
+        return getattr(self.writer, name)
 
-            def __getattr__(self, name):
-                return getattr(writer, name)
 
-        await answer(endpoint, reader, Writer(), head)
+def with_lines(answer, *lines):
+    """Return an answer function that adds header lines to the answer of another one."""
+
+    async def add_lines(endpoint, reader, writer, head):
+        await answer(endpoint, reader, HeaderWriter(writer, lines), head)
 
     return add_lines
 
