Split the pool scheduler by job

The endpoints of a pool and their limits are in schedule.endpoint_set, granted requests and those of former owners in schedule.running; the queue and its scheduling passes stay in schedule.scheduler. No behaviour changes.

--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -8,23 +8,19 @@
 
 from mulberrygate.core.effects import Effect, Send
 from mulberrygate.core.invariant import invariant
-from mulberrygate.endpoints.model import EndpointView
 from mulberrygate.schedule.capacity import FreeCapacity
 from mulberrygate.schedule.choose import Chooser
 from mulberrygate.schedule.codes import (
     NO_ENDPOINT,
     QUEUE_OVER_LIMIT,
-    SLOTS_MISCOUNTED,
 )
 from mulberrygate.schedule.demand import MEMORY_S, Demand
 from mulberrygate.schedule.endpoint import (
-    HOP_S,
-    LOCAL,
-    OTHER_DOMAIN,
     OTHER_REGION,
     EndpointState,
     GrantedRequest,
 )
+from mulberrygate.schedule.endpoint_set import EndpointSet
 from mulberrygate.schedule.fair_queue import (
     LENGTH_PENALTY_S,
     FairQueue,
@@ -34,21 +30,19 @@
 from mulberrygate.schedule.learn import (
     is_unanswered,
     learn,
-    learn_presented,
     learn_reference,
     observe_request,
 )
 from mulberrygate.schedule.messages import (
     Done,
-    Present,
     Progress,
-    Running,
     Ticket,
 )
 from mulberrygate.schedule.precedence import STRICT
 from mulberrygate.schedule.prefix import PrefixIndex
 from mulberrygate.schedule.rate import Rate
 from mulberrygate.schedule.recently_ended import RecentlyEnded
+from mulberrygate.schedule.running import RunningRequests
 from mulberrygate.schedule.selection import (
     LOOK_AHEAD,
     LOST_DONE_S,
@@ -66,7 +60,6 @@
 from mulberrygate.schedule.shedding import Shedding
 from mulberrygate.schedule.speed import (
     DEFAULT_PRIOR,
-    PRIORS,
     REFERENCE_MAX_SLOPE_SHARE,
     GenerationSpeed,
     LengthModel,
@@ -76,20 +69,16 @@
     FAULTS_AFTER_ACCEPT,
     FAULTS_WITH_RESPONSE,
     WIDE_LENGTH_PENALTY_S,
-    WIDE_LONGEST_BLOCK_S,
     WIDE_MAX_LENGTH_PENALTY_S,
-    WIDE_MAX_LOAD_REPORT_AGE_S,
     WIDE_MEMORY_S,
     WIDE_SCHEDULE_INTERVAL_S,
     WIDE_TIERS,
 )
-from mulberrygate.tables.model import MODEL, TIERS, Pool
+from mulberrygate.tables.model import TIERS, Pool
 
 # Time without any endpoint after which waiting requests are refused. A new owner knows no endpoints
 # until their announcements arrive, which are sent every second.
 NO_ENDPOINT_WAIT_S = 2.5
-# Time within which a grant reaches its entry, or the entry asks again.
-GRANT_DELIVERY_S = 1.5
 # Intervals of work that isn't repeated for each message.
 MAINTENANCE_PERIOD_S = 0.5
 EXPIRY_PERIOD_S = 3.0
@@ -98,7 +87,7 @@
 DEFER_ABOVE_SKIPPED = 16
 
 
-class PoolScheduler(Selection, Shedding, EndpointHealth):
+class PoolScheduler(EndpointSet, RunningRequests, Selection, Shedding, EndpointHealth):
     """Order the requests of a pool and grant them endpoints.
 
     Explanation
@@ -224,18 +213,6 @@
             return self._schedule(now)
         return []
 
-    def _release_ended(self, entry: str, held: frozenset[str], now: float) -> bool:
-        """Release the grants that their entry holds no longer; return whether there were any."""
-        ended = [
-            granted
-            for request, granted in self.running_by_entry.get(entry, {}).items()
-            if request not in held and now - granted.granted_at > GRANT_DELIVERY_S
-        ]
-        for granted in ended:
-            self._release(granted, now)
-            self.ended.add(granted.ticket.request, None, now)
-        return bool(ended)
-
     def done(self, message: Done, now: float) -> list[Effect]:
         """Release a granted request that has ended, learn from it, and grant freed capacity."""
         granted = self.running.get(message.request)
@@ -272,43 +249,6 @@
             evidence = observe_request(granted, message, load, self.reference)
         return [evidence, *self._schedule(now)]
 
-    def present(self, message: Present, sender: str, now: float) -> list[Effect]:
-        """Take over the requests of an entry after a change of owner."""
-        for running in message.running:
-            self._take_over(running, now)
-        for ticket in message.waiting:
-            request = ticket.request
-            if request in self.running or request in self.queue.by_request:
-                continue
-            if request not in self.ended and ticket.entry == sender:
-                self._enqueue(ticket, now)
-        return self._schedule(now)
-
-    def set_endpoints(self, views: list[EndpointView], now: float) -> list[Effect]:
-        """Replace the endpoints of the pool."""
-        names = {view.endpoint for view in views}
-        for name in [name for name in self.states if name not in names]:
-            self._remove_endpoint(self.states[name])
-        for view in views:
-            state = self.states.get(view.endpoint)
-            if state is not None and state.view.incarnation != view.incarnation:
-                self._remove_endpoint(state)
-                state = None
-            if state is None:
-                state = self._add_endpoint(view, now)
-            state.extend_load_integral(now)
-            state.view = view
-            state.reported_at = now - view.report_age_s
-            if state.rate_limit.is_limited:
-                state.rate_limit.set_part(
-                    self.find_rate_part(state.name, state.rate_limit.rate), now
-                )
-            state.estimate_external_load()
-            self.prefixes.set_reported(view.endpoint, view.prefixes)
-            self._update_limits(state, now)
-        self._maintain(now)
-        return self._schedule(now)
-
     def set_shares(self, shares: dict[str, float], now: float) -> list[Effect]:
         """Set the share of each route's traffic that each version may get; empty for any."""
         self.shares.set(shares, self.pool.move.previous if self.pool.move else "")
@@ -337,11 +277,6 @@
                 granted.expires_at = min(granted.expires_at, granted.expected_end)
         return self._schedule(now)
 
-    def forget_running(self, now: float) -> None:
-        """Release all running requests; a later owner counts them when they are presented."""
-        for granted in list(self.running.values()):
-            self._release(granted, now)
-
     def tick(self, now: float) -> list[Effect]:
         """Drop lost grants, shed requests that are too late, and update limits and reserves."""
         for state in list(self.blocked.values()):
@@ -369,13 +304,6 @@
         self.ended.forget_old(now)
         self._update_demand(now)
 
-    def _expire(self, now: float) -> None:
-        """Drop grants whose end was never reported."""
-        self.expired_at = now
-        for granted in [item for item in self.running.values() if item.expires_at <= now]:
-            self._release(granted, now)
-            self.ended.add(granted.ticket.request, None, now)
-
     def _schedule(self, now: float) -> list[Effect]:
         """Grant what can be granted and shed what has to be shed.
 
@@ -431,29 +359,6 @@
             else OTHER_REGION
         )
 
-    def _apply_notices(self, ticket: Ticket, now: float) -> None:
-        """Take over what endpoints have said to the entry of a ticket."""
-        for notice in ticket.notices:
-            state = self.states.get(notice.endpoint)
-            if state is None or state.view.incarnation > notice.incarnation:
-                continue
-            if notice.is_leaving:
-                state.left_at = max(state.left_at, now - notice.age_s)
-            if notice.rate_age_s < math.inf:
-                self._set_rate(state, notice.rate, now - notice.rate_age_s, now)
-            self._update_limits(state, now)
-
-    def _set_rate(self, state: EndpointState, rate: float, stated_at: float, now: float) -> None:
-        """Take over the limit that an endpoint has named."""
-        limit = state.rate_limit
-        was_limited = limit.is_limited
-        if not limit.update(rate, stated_at, now) or not limit.is_limited:
-            return
-        limit.set_part(self.find_rate_part(state.name, rate), now)
-        if not was_limited and limit.part < 1.0:
-            # Else instances that hear of a limit at the same time would always send together.
-            limit.tokens = self.rng.random()
-
     def _enqueue(self, ticket: Ticket, now: float) -> None:
         self._apply_notices(ticket, now)
         self.sequence += 1
@@ -482,132 +387,7 @@
         since = self.without_endpoint_since
         return since is not None and now - since >= NO_ENDPOINT_WAIT_S
 
-    def _take_over(self, running: Running, now: float) -> None:
-        """Count a running request that a former owner granted."""
-        ticket = running.ticket
-        state = self.states.get(running.endpoint)
-        request = ticket.request
-        if request in self.running or request in self.ended:
-            return
-        waiting = self.queue.by_request.get(request)
-        if waiting is not None:
-            self.queue.remove(waiting)
-        if state is None:
-            # The endpoint is gone; a late ask must not grant the request a second time.
-            self.ended.add(request, None, now)
-            return
-        output = self.lengths.output_tokens(ticket.route, ticket.output_tokens)
-        cost = ticket.prompt_tokens + output
-        granted = GrantedRequest(ticket, state, running.version, now, cost, output, 0.0)
-        granted.is_presented = True
-        granted.expected_end = now + state.finish_s(granted.uncached, granted.output)
-        granted.expires_at = max(now + ticket.deadline_s, granted.expected_end) + LOST_DONE_S
-        self._add_running(granted, now)
-        state.progress(granted, running.emitted_tokens)
-        if self.is_wide or self._is_reference(running.version):
-            learn_presented(state, running)
-
-    def _done_without_grant(self, message: Done, now: float) -> list[Effect]:
-        """Return the evidence from a request that a former owner granted."""
-        state = self.states.get(message.endpoint)
-        if state is None or message.request in self.ended:
-            return []
-        waiting = self.queue.by_request.get(message.request)
-        if waiting is not None:
-            self.queue.remove(waiting)
-        self.ended.add(message.request, None, now)
-        ticket = Ticket(
-            message.request,
-            "",
-            message.pool,
-            message.route,
-            "",
-            1.0,
-            0,
-            message.prompt_tokens,
-            message.output_tokens,
-            (),
-            0.0,
-        )
-        granted = GrantedRequest(ticket, state, message.version, now, 0.0, 0.0, 0.0)
-        evidence = observe_request(granted, message, float(max(state.used, 1)), self.reference)
-        return [evidence, *self._schedule(now)]
-
-    def _add_running(self, granted: GrantedRequest, now: float) -> None:
-        self.running[granted.ticket.request] = granted
-        self.running_by_entry.setdefault(granted.ticket.entry, {})[granted.ticket.request] = granted
-        granted.state.add(granted, now)
-        self.capacity.update(granted.state)
-
-    def _release(self, granted: GrantedRequest, now: float) -> None:
-        state = granted.state
-        del self.running[granted.ticket.request]
-        self._remove_from_entry(granted)
-        state.remove(granted, now)
-        invariant(
-            state.used == len(state.running) + state.external_load and state.pending_output > -1.0,
-            SLOTS_MISCOUNTED,
-            state.name,
-        )
-        if self.states.get(state.name) is state:
-            self.capacity.update(state)
-
-    def _remove_from_entry(self, granted: GrantedRequest) -> None:
-        entry = granted.ticket.entry
-        del self.running_by_entry[entry][granted.ticket.request]
-        if not self.running_by_entry[entry]:
-            del self.running_by_entry[entry]
-
     def _is_reference(self, version: str) -> bool:
         if self.is_wide:
             return version not in self.shares.limited
         return self.pool.move is None or version != self.pool.version
-
-    def _distance(self, view: EndpointView) -> int:
-        if view.failure_domain == self.failure_domain:
-            return LOCAL
-        return OTHER_DOMAIN if view.region == self.region else OTHER_REGION
-
-    def _add_endpoint(self, view: EndpointView, now: float) -> EndpointState:
-        kind = view.hardware
-        if self.is_wide and not kind:
-            # Endpoints without stated hardware may differ in speed, so each is learned separately.
-            kind = f"endpoint {view.endpoint}"
-        generation = self.generations.get(kind)
-        if generation is None:
-            generation = GenerationSpeed(PRIORS.get(view.hardware, DEFAULT_PRIOR))
-            self.generations[kind] = generation
-        distance = self._distance(view)
-        state = EndpointState(view, LOCAL if self.is_wide else distance, generation)
-        state.hop_s = HOP_S[distance]
-        if self.is_wide:
-            state.longest_block_s = WIDE_LONGEST_BLOCK_S
-            state.max_load_report_age_s = WIDE_MAX_LOAD_REPORT_AGE_S
-            state.limits_slow = self.pool.kind == MODEL
-        state.load_integral_at = now
-        self.states[view.endpoint] = state
-        return state
-
-    def _remove_endpoint(self, state: EndpointState) -> None:
-        del self.states[state.name]
-        self.blocked.pop(state.name, None)
-        if state.distance == LOCAL:
-            self.local_slots -= state.slots
-        self.capacity.remove(state)
-        self.prefixes.remove(state.name)
-        self.generations.pop(f"endpoint {state.name}", None)
-        self.grant_log.forget(state.name)
-
-    def _update_limits(self, state: EndpointState, now: float) -> None:
-        if self.states.get(state.name) is not state:
-            return
-        if state.distance == LOCAL:
-            self.local_slots -= state.slots
-        state.set_limits(self.pool.engine_queue, now)
-        if state.is_blocked(now):
-            self.blocked[state.name] = state
-        elif self.blocked:
-            self.blocked.pop(state.name, None)
-        if state.distance == LOCAL:
-            self.local_slots += state.slots
-        self.capacity.update(state)
--- a/mulberrygate/schedule/tests/machine.py
+++ b/mulberrygate/schedule/tests/machine.py
@@ -12,7 +12,7 @@
 from mulberrygate.endpoints import EndpointView
 from mulberrygate.schedule import Done, Grant, PoolScheduler, Present, Progress, Refuse, Running
 from mulberrygate.schedule.messages import Ticket
-from mulberrygate.schedule.scheduler import GRANT_DELIVERY_S
+from mulberrygate.schedule.running import GRANT_DELIVERY_S
 from mulberrygate.tables.model import Move, Pool
 
 ROUTES = ("note", "quick")
--- a/mulberrygate/schedule/tests/test_order.py
+++ b/mulberrygate/schedule/tests/test_order.py
@@ -6,7 +6,7 @@
 
 from mulberrygate.schedule import Present, Running, codes
 from mulberrygate.schedule.messages import Progress
-from mulberrygate.schedule.scheduler import GRANT_DELIVERY_S
+from mulberrygate.schedule.running import GRANT_DELIVERY_S
 from mulberrygate.schedule.tests.support import Bench, make_ticket, make_view
 from mulberrygate.tables.model import Pool
 
