Return the units of refused requests to the leader, and ask for none in vain

Callers may see 429 over_account_limit within the limits of their accounts. Two causes, found by reading: the units of a request that was refused after it had been granted some stayed at its entry, which holds a few hundred at most, so in an overload the refused requests of an account used up its limit; and each question asked for units in advance up to that bound, which on a fleet of 70 entries is 800 units, less than most requests need, so they expired unused.

Units of the present leadership now go back to the leader, which ignores those of an earlier one, and nothing is asked in advance that no request like the present one could use.

Measured: the three new tests in forward.tests.test_account_limits pass. They use the new way back, so they can't run on the code before.

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -48,6 +48,7 @@
     PeerUpdateResult,
     Propose,
     ReadLatestCatalog,
+    ReturnUnits,
     TrialRequest,
     Units,
     VersionEvidence,
@@ -67,6 +68,8 @@
 ROSTER_FILL_S = 6.0
 # A process that has lacked committed state for this time may give entries outdated answers.
 BEHIND_AFTER_S = 1.5
+# Size of the random identifier of a leadership.
+EPOCH_BITS = 48
 # Added to the wait of an answer, so that the process counts as behind when the answer is made.
 BEHIND_MARGIN_S = 0.02
 
@@ -198,6 +201,7 @@
         on(Propose, self.log.on_propose)
         on(ReadLatestCatalog, self.log.on_read_latest)
         on(AskUnits, self._on_ask_units)
+        on(ReturnUnits, self._on_return_units)
         on(VersionEvidence, self.moves.on_evidence)
         on(CrashReport, self.crash_committer.on_report)
         on(TrialRequest, self.trial_granter.on_request)
@@ -352,7 +356,7 @@
     def _on_role(self, role: Role, term: int) -> None:
         self.lines.log("control.role", role=role.value, term=term)
         if role is Role.LEADER:
-            self.limits = CentralLimits()
+            self.limits = CentralLimits(self.rng.getrandbits(EPOCH_BITS) + 1)
             self._set_limits()
             self.moves.reset()
         else:
@@ -479,7 +483,13 @@
         granted = self.limits.grant(
             message.instance, message.account, message.need, message.advance, seconds_since_boot()
         )
-        return Units(True, granted.units, granted.wait_s, granted.share)
+        epoch = self.limits.epoch
+        return Units(True, granted.units, granted.wait_s, granted.share, epoch)
+
+    def _on_return_units(self, message: ReturnUnits, _sender: str) -> None:
+        """Take back units of requests that did not run, if this leadership granted them."""
+        if self.limits is not None and message.epoch == self.limits.epoch:
+            self.limits.put_back(message.account, message.units, seconds_since_boot())
 
     async def _expire_crashes(self) -> None:
         if self.is_leader:
--- a/mulberrygate/forward/limits.py
+++ b/mulberrygate/forward/limits.py
@@ -10,8 +10,8 @@
 from mulberrygate.forward import codes
 from mulberrygate.forward.request import Refused
 from mulberrygate.quota import LocalUnits
-from mulberrygate.quota.local import LeaderlessTime
-from mulberrygate.sync.messages import AskUnits, Units
+from mulberrygate.quota.local import LeaderlessTime, UnitsReceipt
+from mulberrygate.sync.messages import AskUnits, ReturnUnits, Units
 
 ASK_TIMEOUT_S = 0.3
 # After a call without an answer a leader is asked by one request in this time, so that the others
@@ -54,6 +54,8 @@
         Leader that did not answer the last call, empty if it did.
     avoided_until : dict[str, float]
         Time until which an instance that did not answer is not asked.
+    epoch : int
+        Epoch of the leader that granted units last.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.unreachable_leader = ""
         self.avoided_until: dict[str, float] = {}
         self.leaderless = LeaderlessTime()
+        self.epoch = 0
 
     @property
     def max_units(self) -> float:
@@ -83,7 +86,11 @@
         return self.slack * ADVANCE_FRACTION / max(self.entries, 1)
 
     async def spend(
-        self, account: ClientAccount, units: float, max_wait_s: float = 0.0
+        self,
+        account: ClientAccount,
+        units: float,
+        max_wait_s: float = 0.0,
+        spent: UnitsReceipt | None = None,
     ) -> Refused | None:
         """Spend units of an account; return the refusal if it has too few.
 
@@ -96,22 +103,32 @@
         ==========
         max_wait_s : float
             Seconds for which the request may wait for units, at most `MAX_SHAPING_S`.
+        spent : UnitsReceipt or None
+            Filled with what was spent and who granted it, for `refund`.
         """
+        spent = spent if spent is not None else UnitsReceipt()
         end = self.clock() + min(max_wait_s, MAX_SHAPING_S)
         while True:
-            refused = await self._spend_now(account, units)
-            if refused is None or self.clock() + refused.retry_after_s > end:
+            refused = await self._spend_now(account, units, spent)
+            if refused is None:
+                spent.units = units
+                return None
+            if self.clock() + refused.retry_after_s > end:
                 return refused
             await asyncio.sleep(refused.retry_after_s)
 
-    async def _spend_now(self, account: ClientAccount, units: float) -> Refused | None:
+    async def _spend_now(
+        self, account: ClientAccount, units: float, spent: UnitsReceipt
+    ) -> Refused | None:
         now = self.clock()
+        spent.epoch = 0
         if self.units.spend(account.name, units, now):
             return None
         leader = self.find_leader()
         if leader and not self._is_avoided(leader):
             answer = await self._ask_leader(leader, account, units)
             if answer is not None:
+                spent.epoch = answer.epoch
                 return self._spend_granted(answer, account, units)
         return await self._spend_without_leader(account, units)
 
@@ -128,7 +145,8 @@
         """
         if leader == self.unreachable_leader:
             self.avoided_until[leader] = self.clock() + AVOID_LEADER_S
-        question = AskUnits(self.instance, account.name, units, self.max_units)
+        advance = self._useful_advance(account.name, units)
+        question = AskUnits(self.instance, account.name, units, advance)
         answer = await self.peers.client.call(leader, question, ASK_TIMEOUT_S)
         if not isinstance(answer, Units):
             self.unreachable_leader = leader
@@ -141,8 +159,21 @@
         self.leaderless.record_answer(self.clock())
         return answer
 
+    def _useful_advance(self, account: str, units: float) -> float:
+        """Return the units to ask for in advance of requests like one that needs some units.
+
+        Explanation
+        ===========
+        Units that are too few for a request, or exceed what may be held, would expire unused and be
+        lost to the account. With many entries that is the usual case.
+        """
+        if units > self.max_units:
+            return 0.0
+        return max(0.0, self.max_units - self.units.available(account, self.clock()))
+
     def _spend_granted(self, answer: Units, account: ClientAccount, units: float) -> Refused | None:
         """Spend what the leader granted, and keep the units granted in advance."""
+        self.epoch = answer.epoch
         if answer.units < units:
             return Refused(codes.OVER_LIMIT, account.name, answer.wait_s)
         extra = answer.units - units
@@ -167,7 +198,18 @@
             return None
         return Refused(codes.NO_SHARE, account.name, NO_SHARE_RETRY_S)
 
-    def refund(self, account: str, units: float) -> None:
-        """Return the units of a request that did not run."""
-        if units:
-            self.units.refund(account, units, self.max_units, self.clock())
+    def refund(self, account: str, spent: UnitsReceipt) -> None:
+        """Return the units of a request that did not run.
+
+        Explanation
+        ===========
+        Units of the present leader go back to it, so that any entry can spend them; in an overload
+        the refused requests of an account would otherwise use up its limit. Others are kept here.
+        """
+        if not spent.units:
+            return
+        leader = self.find_leader()
+        if leader and spent.epoch and spent.epoch == self.epoch:
+            self.peers.client.send(leader, ReturnUnits(account, spent.units, spent.epoch))
+        else:
+            self.units.refund(account, spent.units, self.max_units, self.clock())
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -10,6 +10,7 @@
 from mulberrygate.catalog import BackendPool, RouteRule
 from mulberrygate.control.blame import part_identity
 from mulberrygate.core.codes import Code
+from mulberrygate.quota.local import UnitsReceipt
 
 
 @attrs.frozen
@@ -60,6 +61,8 @@
         Monotonic time of the arrival, and the latest time for a final answer.
     units : float
         Units of its client account's limit that the request takes.
+    spent : mulberrygate.quota.local.UnitsReceipt
+        Units that it has spent.
     sends : int
         Number of sends to endpoints.
     is_trial : bool
@@ -95,6 +98,7 @@
     first_after_s: float = -1.0
     longest_pause_s: float = 0.0
     known_fingerprint: str = ""
+    spent: UnitsReceipt = attrs.field(factory=UnitsReceipt)
 
     @property
     def fingerprint(self) -> str:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -180,7 +180,7 @@
         response = await delivery.run()
         if isinstance(response, Refused):
             if not delivery.attempts.may_have_run:
-                self.limits.refund(call.account, call.units)
+                self.limits.refund(call.account, call.spent)
             return self.refuse(call, response)
         return response
 
@@ -283,7 +283,7 @@
         tokens = call.head.prompt_tokens + call.head.output_tokens
         call.units = (tokens or account.default_tokens) if account.counts_tokens else 1.0
         max_wait_s = SHAPING_FRACTION * (call.deadline_at - call.received_at)
-        return await self.limits.spend(account, call.units, max_wait_s)
+        return await self.limits.spend(account, call.units, max_wait_s, call.spent)
 
     def make_ticket(
         self, call: Call, number: int, earlier_sends: int, avoid: tuple[str, ...]
--- a/mulberrygate/forward/tests/test_account_limits.py
+++ b/mulberrygate/forward/tests/test_account_limits.py
@@ -10,6 +10,7 @@
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.peers.client import Unreachable
 from mulberrygate.quota import CentralLimits, Limit
+from mulberrygate.quota.local import UnitsReceipt
 from mulberrygate.sync.messages import Units
 
 ACCOUNT = ClientAccount("x", ("k",), rate=100.0, burst=10.0)
@@ -20,12 +21,13 @@
 
     def __init__(self, clock):
         self.clock = clock
-        self.limits = CentralLimits()
+        self.limits = CentralLimits(epoch=1)
         self.limits.set_limits({"x": Limit(ACCOUNT.rate, ACCOUNT.burst)}, clock())
         self.is_reachable = True
         self.asked = 0
         self.deputies = {}
         self.client = self
+        self.advances = []
 
     async def call(self, instance, message, _timeout_s):
         """Answer a request for units, unless unreachable."""
@@ -34,8 +36,14 @@
         self.asked += 1
         if not self.is_reachable:
             return Unreachable("leader", "test")
+        self.advances.append(message.advance)
         granted = self.limits.grant("e", "x", message.need, message.advance, self.clock())
-        return Units(True, granted.units, granted.wait_s, granted.share)
+        return Units(True, granted.units, granted.wait_s, granted.share, self.limits.epoch)
+
+    def send(self, _instance, message):
+        """Take back units of the present leadership."""
+        if message.epoch == self.limits.epoch:
+            self.limits.put_back(message.account, message.units, self.clock())
 
 
 class TestAccountLimits(unittest.IsolatedAsyncioTestCase):
@@ -110,6 +118,35 @@
         self.assertIsNone(await self.limits.spend(ACCOUNT, 5.0))
         self.assertEqual(self.leader.asked, 2)
 
+    async def test_units_of_a_refused_request_serve_another_entry(self):
+        """Guards against a limit that is used up by requests that were refused in an overload."""
+        receipt = UnitsReceipt()
+        self.assertIsNone(await self.limits.spend(ACCOUNT, 200.0, spent=receipt))
+        self.assertLess(self.leader.limits.accounts["x"].level, 0)
+        self.limits.refund("x", receipt)
+        other = AccountLimits("f", self.leader, lambda: "leader", 0.0, self.limits.clock)
+        self.assertIsNone(await other.spend(ACCOUNT, 200.0))
+
+    async def test_units_of_an_earlier_leader_are_not_returned_to_the_next(self):
+        """Guards against a new leader that gets units which it never granted."""
+        receipt = UnitsReceipt()
+        await self.limits.spend(ACCOUNT, 200.0, spent=receipt)
+        self.leader.limits = CentralLimits(epoch=2)
+        self.leader.limits.set_limits({"x": Limit(0.0, 10.0)}, self.limits.clock())
+        await self.limits.spend(ACCOUNT, 200.0)
+        self.limits.refund("x", receipt)
+        self.assertLessEqual(self.leader.limits.accounts["x"].level, 0)
+
+    async def test_no_units_are_asked_in_advance_that_no_request_could_use(self):
+        """Guards against units that expire at entries, each of which may hold only a few."""
+        self.limits.slack = 50.0
+        self.leader.limits.set_limits({"x": Limit(100.0, 1000.0)}, self.limits.clock())
+        self.leader.limits.put_back("x", 1000.0, self.limits.clock())
+        await self.limits.spend(ACCOUNT, 30.0)
+        await self.limits.spend(ACCOUNT, 5.0)
+        await self.limits.spend(ACCOUNT, 20.0)
+        self.assertEqual(self.leader.advances, [0.0, 20.0])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/quota/central.py
+++ b/mulberrygate/quota/central.py
@@ -64,6 +64,11 @@
     Each account has a token bucket. While its level is above 0, a request is granted in full and
     may make the level negative, since one request may need more than the burst.
 
+    Parameters
+    ==========
+    epoch : int
+        Identifier of this leadership. Units of an earlier one can't be returned.
+
     Examples
     ========
     >>> from mulberrygate.quota import CentralLimits, Limit
@@ -75,7 +80,8 @@
     GrantedUnits(units=0.0, wait_s=0.5, share=0.0)
     """
 
-    def __init__(self):
+    def __init__(self, epoch: int = 0):
+        self.epoch = epoch
         self.accounts: dict[str, AccountBucket] = {}
 
     def set_limits(self, limits: dict[str, Limit], now: float) -> None:
@@ -106,6 +112,13 @@
         account.limit = limit
         account.level = min(account.level + added, limit.burst)
 
+    def put_back(self, name: str, units: float, now: float) -> None:
+        """Take back granted units of a request that did not run."""
+        account = self.accounts.get(name)
+        if account is not None:
+            self._refill(account, now)
+            account.level = min(account.limit.burst, account.level + units)
+
     def grant(self, entry: str, name: str, need: float, advance: float, now: float) -> GrantedUnits:
         """Grant units for waiting requests of an entry, and some in advance.
 
--- a/mulberrygate/quota/local.py
+++ b/mulberrygate/quota/local.py
@@ -24,6 +24,20 @@
     return LEADERLESS_FRACTION if leaderless_s < LEADER_CHANGE_S else LONG_LEADERLESS_FRACTION
 
 
+@attrs.define
+class UnitsReceipt:
+    """Units that a request has spent.
+
+    Parameters
+    ==========
+    epoch : int
+        Identifier of the leadership that granted them, 0 if none did.
+    """
+
+    units: float = 0.0
+    epoch: int = 0
+
+
 @attrs.define
 class LeaderlessTime:
     """Estimate of the time since which an entry gets no answer of a leader.
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -243,12 +243,25 @@
     ==========
     is_leader : bool
         Whether the sender grants units at present.
+    epoch : int
+        Identifier of the leadership that grants them, 0 from a deputy.
     """
 
     is_leader: bool
     units: float = 0.0
     wait_s: float = 0.0
     share: float = 0.0
+    epoch: int = 0
+
+
+@message("sync.return_units")
+@attrs.frozen
+class ReturnUnits:
+    """Entry to leader: units of requests that did not run; ``epoch`` as in `Units`."""
+
+    account: str
+    units: float
+    epoch: int
 
 
 @message("sync.evidence")
