Tell a new leader which units entries were granted

Each entry records what it was granted and tells a new leader once; the leader replays the token bucket, and takes an entry without a report to have used its equal part. Before reports a bucket holds half of a second's units at most. All leaders together grant rate * t + burst, what entries without a report spent beyond their parts, and that initial level at each change. An account within its limit keeps its burst.

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -49,6 +49,8 @@
     Propose,
     ReadLatestCatalog,
     ReturnUnits,
+    SpentUnits,
+    SpentUnitsResult,
     TrialRequest,
     Units,
     VersionEvidence,
@@ -202,6 +204,7 @@
         on(ReadLatestCatalog, self.log.on_read_latest)
         on(AskUnits, self._on_ask_units)
         on(ReturnUnits, self._on_return_units)
+        on(SpentUnits, self._on_spent_units)
         on(VersionEvidence, self.moves.on_evidence)
         on(CrashReport, self.crash_committer.on_report)
         on(TrialRequest, self.trial_granter.on_request)
@@ -491,6 +494,17 @@
         if self.limits is not None and message.epoch == self.limits.epoch:
             self.limits.put_back(message.account, message.units, seconds_since_boot())
 
+    def _on_spent_units(self, message: SpentUnits, _sender: str) -> SpentUnitsResult:
+        """Take over what an entry was granted by earlier leaders, if this process leads."""
+        if self.limits is None or not self.is_leader:
+            return SpentUnitsResult()
+        spent = {name: list(items) for name, items in message.spent.items()}
+        entries = len(self.entries.all(self.timers.now()).names)
+        self.limits.record_spent(
+            message.instance, spent, message.up_s, entries, seconds_since_boot()
+        )
+        return SpentUnitsResult(self.limits.epoch)
+
     async def _expire_crashes(self) -> None:
         if self.is_leader:
             await self.crash_committer.expire_records()
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -28,6 +28,7 @@
 from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.follower import Follower
 from mulberrygate.sync.messages import AskUnits, Crash, FollowResult, Units
+from mulberrygate.sync.spent_units import SpentUnitsReporter
 from mulberrygate.sync.trials import TrialClient
 
 # The load balancer checks readiness once a second and removes an instance after two failures. A
@@ -188,6 +189,15 @@
             progress_s=PROGRESS_INTERVAL_S,
             owner_check_s=OWNER_CHECK_INTERVAL_S,
         )
+        self.units_reporter = SpentUnitsReporter(
+            site.instance,
+            peers,
+            self.limits.history,
+            self.timers,
+            lambda: self.follower.leader,
+            lambda: self.limits.epoch,
+            seconds_since_boot,
+        )
         self.forwarder = Forwarder(
             site,
             self.dialect,
--- a/mulberrygate/forward/limits.py
+++ b/mulberrygate/forward/limits.py
@@ -9,7 +9,7 @@
 from mulberrygate.catalog import ClientAccount
 from mulberrygate.forward import codes
 from mulberrygate.forward.request import Refused
-from mulberrygate.quota import LocalUnits
+from mulberrygate.quota import GrantHistory, LocalUnits
 from mulberrygate.quota.local import LeaderlessTime, UnitsReceipt
 from mulberrygate.sync.messages import AskUnits, ReturnUnits, Units
 
@@ -54,6 +54,8 @@
         Leader that did not answer the last call, empty if it did.
     avoided_until : dict[str, float]
         Time until which an instance that did not answer is not asked.
+    history : GrantHistory
+        What leaders have granted to this entry.
     epoch : int
         Epoch of the leader that granted units last.
     """
@@ -78,6 +80,7 @@
         self.unreachable_leader = ""
         self.avoided_until: dict[str, float] = {}
         self.leaderless = LeaderlessTime()
+        self.history = GrantHistory()
         self.epoch = 0
 
     @property
@@ -174,6 +177,8 @@
     def _spend_granted(self, answer: Units, account: ClientAccount, units: float) -> Refused | None:
         """Spend what the leader granted, and keep the units granted in advance."""
         self.epoch = answer.epoch
+        if answer.units:
+            self.history.add(account.name, answer.units, answer.epoch, self.clock())
         if answer.units < units:
             return Refused(codes.OVER_LIMIT, account.name, answer.wait_s)
         extra = answer.units - units
@@ -211,5 +216,6 @@
         leader = self.find_leader()
         if leader and spent.epoch and spent.epoch == self.epoch:
             self.peers.client.send(leader, ReturnUnits(account, spent.units, spent.epoch))
+            self.history.add(account, -spent.units, spent.epoch, self.clock())
         else:
             self.units.refund(account, spent.units, self.max_units, self.clock())
--- a/mulberrygate/quota/central.py
+++ b/mulberrygate/quota/central.py
@@ -7,8 +7,9 @@
 
 import attrs
 
-# Fraction of the burst that a new leader starts with; its predecessor may have granted the rest.
-INITIAL_FILL_FRACTION = 0.5
+from mulberrygate.quota.limit import Limit
+from mulberrygate.quota.takeover import Takeover, initial_level
+
 # Maximum fraction of the remaining units that one entry gets in advance.
 ADVANCE_FRACTION = 0.1
 # Time constant of the exponential decay of each entry's usage.
@@ -18,14 +19,6 @@
 MAX_WAIT_S = 5.0
 
 
-@attrs.frozen
-class Limit:
-    """Limit of one account: ``rate`` in units per second, and ``burst`` in units."""
-
-    rate: float
-    burst: float
-
-
 @attrs.frozen
 class GrantedUnits:
     """Result of one request for units.
@@ -47,11 +40,18 @@
 
 @attrs.define
 class AccountBucket:
-    """Token bucket of one account, and the decaying usage of each entry."""
+    """Token bucket of one account, and the decaying usage of each entry.
+
+    Parameters
+    ==========
+    restored : float
+        Level that the bucket had at the change of leader, as far as entries have reported.
+    """
 
     limit: Limit
     level: float
     updated_at: float
+    restored: float = 0.0
     usage: dict[str, float] = attrs.field(factory=dict)
     usage_updated_at: float = 0.0
 
@@ -83,9 +83,12 @@
     def __init__(self, epoch: int = 0):
         self.epoch = epoch
         self.accounts: dict[str, AccountBucket] = {}
+        self.takeover: Takeover | None = None
 
     def set_limits(self, limits: dict[str, Limit], now: float) -> None:
         """Replace the limits; the level of each account is kept, up to the new burst."""
+        if self.takeover is None:
+            self.takeover = Takeover(self.epoch, now)
         self.remove_others(limits)
         for name, limit in limits.items():
             self.set_limit(name, limit, now)
@@ -105,13 +108,37 @@
         """
         account = self.accounts.get(name)
         if account is None:
-            self.accounts[name] = AccountBucket(limit, limit.burst * INITIAL_FILL_FRACTION, now)
+            level = initial_level(limit)
+            self.accounts[name] = AccountBucket(limit, level, now, restored=level)
             return
         self._refill(account, now)
         added = max(0.0, limit.burst - account.limit.burst) * fill_fraction
         account.limit = limit
         account.level = min(account.level + added, limit.burst)
 
+    def record_spent(
+        self,
+        entry: str,
+        spent: dict[str, list[tuple[float, float, int]]],
+        up_s: float,
+        entries: int,
+        now: float,
+    ) -> None:
+        """Take over what an entry was granted by earlier leaders; see `Takeover.record`.
+
+        Parameters
+        ==========
+        entries : int
+            Number of live entries.
+        """
+        if self.takeover is None or not self.takeover.record(entry, spent, up_s, now):
+            return
+        for name, account in self.accounts.items():
+            restored = self.takeover.restored_level(name, account.limit, entries)
+            self._refill(account, now)
+            account.level = min(account.limit.burst, account.level + restored - account.restored)
+            account.restored = restored
+
     def put_back(self, name: str, units: float, now: float) -> None:
         """Take back granted units of a request that did not run."""
         account = self.accounts.get(name)
--- a/mulberrygate/quota/deputy.py
+++ b/mulberrygate/quota/deputy.py
@@ -4,18 +4,13 @@
 
 import attrs
 
-from mulberrygate.quota.central import (
-    INITIAL_FILL_FRACTION,
-    MAX_WAIT_S,
-    AccountBucket,
-    CentralLimits,
-    GrantedUnits,
-    Limit,
-)
+from mulberrygate.quota.central import MAX_WAIT_S, AccountBucket, CentralLimits, GrantedUnits
+from mulberrygate.quota.limit import Limit
 from mulberrygate.quota.local import LEADERLESS_FRACTION, leaderless_fraction
+from mulberrygate.quota.takeover import INITIAL_FILL_FRACTION
 
-# An entry counts as one that reaches no leader for this time after it has asked, and is credited for
-# this time before its first question at most.
+# An entry counts as one that reaches no leader for this time after it has asked, and is credited
+# for this time before its first question at most.
 ASKER_MEMORY_S = 3.0
 
 
@@ -57,12 +52,12 @@
     then, so that hardly any entry knows a share of the limit that it could spend alone.
 
     The leader may still answer other entries. So each entry that asks here adds its part of the
-    limits, as large as the part of an entry that spends alone, for the time that it has been without
-    a leader. Entries that lose and find the leader by turns add nothing for the time in between, in
-    which they use the leader's units.
+    limits, as large as the part of an entry that spends alone, for the time that it has been
+    without a leader. Entries that lose and find the leader by turns add nothing for the time in
+    between, in which they use the leader's units.
 
-    While a part ``p`` of the entries is without a leader, the units granted here in ``t`` seconds are
-    at most ``LEADERLESS_FRACTION * p * (rate * t + burst)`` and one request.
+    While a part ``p`` of the entries is without a leader, the units granted here in ``t`` seconds
+    are at most ``LEADERLESS_FRACTION * p * (rate * t + burst)`` and one request.
 
     Attributes
     ==========
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -264,6 +264,32 @@
     epoch: int
 
 
+@message("sync.spent_units")
+@attrs.frozen
+class SpentUnits:
+    """Entry to a new leader: units that the entry was granted lately.
+
+    Parameters
+    ==========
+    up_s : float
+        Seconds since the entry started.
+    spent : dict[str, tuple[tuple[float, float, int], ...]]
+        Ages in seconds, units and epochs of the grants, by account.
+    """
+
+    instance: str
+    up_s: float
+    spent: dict[str, tuple[tuple[float, float, int], ...]]
+
+
+@message("sync.spent_units_result")
+@attrs.frozen
+class SpentUnitsResult:
+    """Answer to `SpentUnits`: the epoch of the leadership that has taken it over, 0 for none."""
+
+    epoch: int = 0
+
+
 @message("sync.evidence")
 @attrs.frozen
 class VersionEvidence:
--- /dev/null
+++ b/mulberrygate/sync/spent_units.py
@@ -0,0 +1,69 @@
+"""Reports of an entry to a new leader of the units that it was granted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from mulberrygate.core.timers import TimerService
+from mulberrygate.quota.history import GrantHistory
+from mulberrygate.sync.messages import SpentUnits, SpentUnitsResult
+
+REPORT_TIMEOUT_S = 0.3
+CHECK_INTERVAL_S = 0.1
+
+
+class SpentUnitsReporter:
+    """Tells each new leader once what this entry was granted; see `mulberrygate.quota.takeover`.
+
+    Parameters
+    ==========
+    client : PeerClient
+        Client for messages to control processes.
+    find_leader : Callable[[], str]
+        Returns the leader, empty if it is not known.
+    last_epoch : Callable[[], int]
+        Returns the epoch of the leader that granted units last, 0 before the first grant.
+    clock : Callable[[], float]
+        Returns seconds on the clock of the history.
+
+    Attributes
+    ==========
+    informed : tuple[str, int]
+        Leader that has the report, and its epoch.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        client,
+        history: GrantHistory,
+        timers: TimerService,
+        find_leader: Callable[[], str],
+        last_epoch: Callable[[], int],
+        clock: Callable[[], float],
+    ):
+        self.instance = instance
+        self.client = client
+        self.history = history
+        self.find_leader = find_leader
+        self.last_epoch = last_epoch
+        self.clock = clock
+        self.started_at = clock()
+        self.informed = ("", 0)
+        timers.every(CHECK_INTERVAL_S, self.report, "units.report")
+
+    def is_due(self, leader: str) -> bool:
+        """Return whether a leader lacks the report."""
+        known, epoch = self.informed
+        return leader != known or self.last_epoch() not in (0, epoch)
+
+    async def report(self) -> None:
+        """Send the report to the leader, unless it has it."""
+        leader = self.find_leader()
+        if not leader or not self.is_due(leader):
+            return
+        now = self.clock()
+        report = SpentUnits(self.instance, now - self.started_at, self.history.report(now))
+        result = await self.client.call(leader, report, REPORT_TIMEOUT_S)
+        if isinstance(result, SpentUnitsResult) and result.epoch:
+            self.informed = (leader, result.epoch)
