Use the slowdown that endpoints on shared machines state

The load header has a fourth figure there: how long work takes at the moment. The parser took three fields or nothing, so the load was lost too.

The figure is decoded once, reaches the owner of the pool with Progress (at once if it is unusual) or Done (with its age), and decays within a fraction of a second. It corrects predictions, and is divided out of observed times before speeds are learned or endpoints and versions are judged.

--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -119,6 +119,17 @@
         self.client.report_progress()
         self.assertEqual([report.held for report in self.reports()], [()])
 
+    async def test_slowed_endpoint_is_reported_at_once(self):
+        """Guards against an owner that learns of a slowed machine after it has recovered."""
+        self.peers.on_ask = lambda owner, count: self.grant(owner)
+        await self.acquire()
+        self.client.report_slowdown("r", 1.0)
+        self.client.report_slowdown("unknown", 3.0)
+        self.assertEqual(self.reports(), [])
+        self.client.report_slowdown("r", 3.0)
+        self.assertEqual([report.slowdowns for report in self.reports()], [{"e": 3.0}])
+        self.assertFalse(self.reports()[0].is_whole)
+
     async def test_lost_withdrawal_is_corrected_by_the_next_report(self):
         """Guards against a slot that is kept by a request whose wait ended before the grant."""
         await self.acquire(0.01)
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -28,6 +28,7 @@
     Withdraw,
     pool_subject,
 )
+from mulberrygate.schedule.slowdown import is_urgent
 
 log = logger("entry")
 
@@ -314,6 +315,20 @@
             dispatched.first_tokens = tokens
         dispatched.emitted = tokens
 
+    def report_slowdown(self, request: str, slowdown: float) -> None:
+        """Report at once that the endpoint of a request works unusually fast or slowly.
+
+        Explanation
+        ===========
+        The figure is worth a fraction of a second, so it doesn't wait for the next progress
+        report. A usual figure is reported at the end of the request.
+        """
+        dispatched = self.running.get(request)
+        if dispatched is not None and is_urgent(slowdown):
+            slowdowns = {dispatched.grant.endpoint: slowdown}
+            message = Progress(dispatched.ticket.pool, {}, slowdowns=slowdowns)
+            self._send_to_owners(dispatched, message)
+
     def return_grant(self, request: str) -> None:
         """Return an unused grant to the owners."""
         dispatched = self.running.pop(request, None)
@@ -326,7 +341,9 @@
         if dispatched is not None:
             self._send_to_owners(dispatched, done)
 
-    def _send_to_owners(self, dispatched: GrantedRequest, message: Done | Withdraw) -> None:
+    def _send_to_owners(
+        self, dispatched: GrantedRequest, message: Done | Progress | Withdraw
+    ) -> None:
         for owner in {dispatched.granted_by, dispatched.owner}:
             self._record_active(owner, dispatched.ticket.pool)
             self.peers.send(owner, message)
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -295,6 +295,9 @@
             self.forwarder.placement.directory.report_load(
                 send.grant.endpoint, head.load, self.now()
             )
+        if head.slowdown is not None:
+            send.slowdown, send.slowdown_at = head.slowdown, self.now()
+            self.forwarder.scheduler.report_slowdown(send.ticket.request, head.slowdown)
         self._record_notice(send, head)
         # An endpoint that asks for a pause is sound; a cancelled send is no fault of it.
         send.is_cancelled = head.pause_s is not None
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -131,6 +131,8 @@
         Whether it is the endpoint's own answer to this request and may be passed on.
     load : int or None
         Number of requests that run or wait at the endpoint.
+    slowdown : float or None
+        Time that work takes on the endpoint's machine at present, relative to the usual time.
     is_events : bool
         Whether the body is a stream of server-sent events.
     is_leaving : bool
@@ -151,6 +153,7 @@
     is_leaving: bool = False
     pause_s: float | None = None
     rate: float | None = None
+    slowdown: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/mulberrygate/forward/sends.py
+++ b/mulberrygate/forward/sends.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from mulberrygate.forward.request import Call
@@ -33,6 +35,10 @@
         Number of tokens that arrived together first.
     fault : str
         Kind of fault to report to the scheduler, empty for none.
+    slowdown : float
+        Time that work takes relative to the usual time, as the head of the answer states.
+    slowdown_at : float
+        Monotonic time of that head, infinitely long ago if it states nothing.
     """
 
     def __init__(self, ticket: Ticket, grant: Grant, running: RunningSend):
@@ -44,6 +50,8 @@
         self.tokens = 0
         self.first_tokens = 1
         self.fault = ""
+        self.slowdown = 1.0
+        self.slowdown_at = -math.inf
         self.is_cancelled = False
 
     def as_done(self, call: Call, now: float) -> Done:
@@ -62,4 +70,6 @@
             fault=self.fault,
             cancelled=self.is_cancelled,
             first_tokens=self.first_tokens,
+            slowdown=self.slowdown,
+            slowdown_age_s=now - self.slowdown_at,
         )
--- a/mulberrygate/forward/tests/test_endpoint_notices.py
+++ b/mulberrygate/forward/tests/test_endpoint_notices.py
@@ -105,6 +105,24 @@
         return [(await self.call(path))[0] for _ in range(calls)]
 
 
+class TestSharedMachines(NoticeTestCase):
+    """Answers that state how long work takes on the endpoint's machine."""
+
+    async def test_slowdown_reaches_the_scheduler(self):
+        """Neither the load nor the slowdown of an endpoint on a shared machine was known."""
+        line = b"X-Mulberrygate-Server-Load: 3,1,4,300"
+        answers = {"booking": whole(200, b"done", line), "care": with_lines(stream(3), line)}
+        endpoints = {pool: [Endpoint(pool, answer)] for pool, answer in answers.items()}
+        await self.start(**endpoints)
+        for pool, path in (("booking", "/read/1"), ("care", "/stream/1")):
+            with self.subTest(pool=pool):
+                self.assertEqual((await self.call(path))[0], 200)
+                placement = self.entry.placement
+                slowdown = placement.host.hosted[pool].scheduler.states[pool].slowdown
+                self.assertGreater(slowdown.usual, 1.0)
+                self.assertEqual(placement.directory.loads[pool].load, 4)
+
+
 class TestLeavingEndpoints(NoticeTestCase):
     """Answers with the header by which an endpoint says that it leaves."""
 
--- a/mulberrygate/platform/headers.py
+++ b/mulberrygate/platform/headers.py
@@ -35,7 +35,8 @@
 SERVER_LEAVING = "Server-Leaving"
 # Requests a second that an endpoint takes from all instances together.
 SERVER_LIMIT = "Server-Limit"
-# Running requests, waiting requests and slots of an endpoint, separated by commas.
+# Running requests, waiting requests and slots of an endpoint, separated by commas. Endpoints on
+# shared machines add the time that work takes at present, in percent of the usual time.
 SERVER_LOAD = PREFIX + "Server-Load"
 LAST_EVENT = "Last-Event-Id"
 BEARER = "bearer "
@@ -87,13 +88,27 @@
     return lower in DECODED_HEADERS or lower.startswith(PREFIX.lower())
 
 
-def _parse_load(text: str) -> int | None:
-    """Return the running and waiting requests that an endpoint tells, ``None`` if unreadable."""
-    counts = text.split(",")
-    if len(counts) != 3:
-        return None
+def _parse_load(text: str) -> tuple[int | None, float | None]:
+    """Return the requests at an endpoint and its slowdown, each ``None`` if missing or unreadable.
+
+    Explanation
+    ===========
+    The requests are the running and the waiting ones. A slowdown of 1 is usual.
+    """
+    fields = [field.strip() for field in text.split(",")]
+    if len(fields) not in (3, 4):
+        return None, None
+    try:
+        load = parse_count(fields[0]) + parse_count(fields[1])
+    except InvalidValue:
+        return None, None
+    return load, _parse_percent(fields[3]) if len(fields) == 4 else None
+
+
+def _parse_percent(text: str) -> float | None:
+    """Return a positive percentage as a ratio, ``None`` if unreadable."""
     try:
-        return parse_count(counts[0].strip()) + parse_count(counts[1].strip())
+        return parse_decimal(text) / 100 or None
     except InvalidValue:
         return None
 
@@ -212,11 +227,13 @@
         # Another process than the endpoint that was meant answers 421, and says nothing of it.
         is_endpoint = not is_other_request and response.status != 421
         is_turned_away = is_endpoint and response.status == 503
+        load, slowdown = _parse_load(headers.get(SERVER_LOAD, ""))
         return AnswerHead(
             status=response.status,
             has_run=not (NOT_EXECUTED in headers or response.status == 421),
             is_genuine=not is_other_request and not is_encoded and (is_signed or not is_success),
-            load=_parse_load(headers.get(SERVER_LOAD, "")),
+            load=load,
+            slowdown=slowdown if is_endpoint else None,
             is_events=headers.get(hdrs.CONTENT_TYPE, "").startswith("text/event-stream"),
             is_leaving=is_endpoint and headers.get(SERVER_LEAVING, "").strip() == "1",
             pause_s=_parse_pause_s(headers.get(hdrs.RETRY_AFTER)) if is_turned_away else None,
--- a/mulberrygate/platform/tests/test_headers.py
+++ b/mulberrygate/platform/tests/test_headers.py
@@ -192,6 +192,25 @@
         self.assertIsNone(self.head(X_Mulberrygate_Server_Load=f"{'9' * 5000},1,8").load)
         self.assertIsNone(self.head().load)
 
+    def test_load_and_slowdown(self):
+        """The load was lost where endpoints state a fourth figure, the slowdown."""
+        for text, load, slowdown in (
+            ("3, 2, 8, 250", 5, 2.5),
+            ("3,2,8,100", 5, 1.0),
+            ("3,2,8", 5, None),
+            ("3,2,8,soon", 5, None),
+            ("3,2,8,0", 5, None),
+            ("3,2,8,-50", 5, None),
+            (f"{'9' * 5000},1,8,120", None, None),
+            ("3,2", None, None),
+        ):
+            with self.subTest(text=text):
+                head = self.head(X_Mulberrygate_Server_Load=text)
+                self.assertEqual((head.load, head.slowdown), (load, slowdown))
+        other = {"X_Mulberrygate_Request_Id": "id-0"}
+        head = self.head(X_Mulberrygate_Server_Load="3,2,8,250", **other)
+        self.assertIsNone(head.slowdown)
+
     def test_what_an_endpoint_says_of_itself(self):
         """Guards against a notice that comes from the wrong answer or an unreadable text."""
         head = self.head(Server_Leaving="1", Server_Limit="4.3", Retry_After="2")
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -181,7 +181,7 @@
             return True
         if self.should_wait_for_fast(waiting, now):
             return False
-        return state.start_s + uncached * state.prefill_s <= waiting.first_by - now
+        return state.first_s(uncached) <= waiting.first_by - now
 
     def _sample(self, items: list[EndpointState], cached: dict) -> Iterable[EndpointState]:
         """Return the endpoints to examine: a random part of many, and those in ``cached``."""
@@ -222,6 +222,8 @@
             uncached = prompt - hit if prompt > hit else 1.0
             # `EndpointState.finish_s` inlined; a call would double the time per endpoint.
             run_s = state.start_s + uncached * state.prefill_s + output * state.token_s
+            if state.slowdown.excess:
+                run_s += state.slowdown.delay_s(run_s)
             if not self.meets_time_limits(waiting, state, uncached, run_s, now):
                 continue
             # A version under a move gets its due share first, spread evenly over its endpoints;
--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -7,8 +7,9 @@
 from mulberrygate.endpoints.model import EndpointView
 from mulberrygate.schedule.detect import SlownessDetector
 from mulberrygate.schedule.failures import FailureShare
-from mulberrygate.schedule.messages import Ticket
+from mulberrygate.schedule.messages import Done, Ticket
 from mulberrygate.schedule.rate_limit import EndpointRateLimit
+from mulberrygate.schedule.slowdown import Slowdown
 from mulberrygate.schedule.speed import EndpointSpeed, GenerationSpeed
 
 LOCAL, OTHER_DOMAIN, OTHER_REGION = range(3)
@@ -51,6 +52,11 @@
         Whether all slots were taken at the grant.
     load_integral : float
         The endpoint's load integral at the grant.
+    slowdown_integral : float
+        Integral of the endpoint's slowdown at the grant.
+    first_slowdown, slowdown : float
+        Mean slowdown of the endpoint until the first token and until the end, relative to what is
+        usual there; set at the end.
     predicted_first_s : float
         Predicted seconds to the first token.
     is_presented : bool
@@ -71,6 +77,9 @@
         "prefill_ahead",
         "waited_for_slot",
         "load_integral",
+        "slowdown_integral",
+        "first_slowdown",
+        "slowdown",
         "expected_end",
         "predicted_first_s",
         "expires_at",
@@ -98,6 +107,8 @@
         self.uncached = ticket.prompt_tokens - cached if ticket.prompt_tokens > cached else 1.0
         self.emitted = 0
         self.wait_s = self.prefill_ahead = self.load_integral = self.predicted_first_s = 0.0
+        self.slowdown_integral = 0.0
+        self.first_slowdown = self.slowdown = 1.0
         self.waited_for_slot = False
         self.is_presented = False
         # Epoch of the version shares that counted the grant; -1 if none did.
@@ -141,6 +152,7 @@
         self.hop_s = HOP_S[distance]
         self.generation = generation
         self.speed = EndpointSpeed()
+        self.slowdown = Slowdown()
         self.detector = SlownessDetector()
         self.running: dict[str, GrantedRequest] = {}
         self.external_load = 0
@@ -245,7 +257,8 @@
         self._refresh()
 
     def extend_load_integral(self, now: float) -> None:
-        """Extend the load integral to now."""
+        """Extend the integrals of the load and of the slowdown to now."""
+        self.slowdown.advance(now)
         if now > self.load_integral_at:
             self.load_integral += self.used * (now - self.load_integral_at)
             self.load_integral_at = now
@@ -254,6 +267,7 @@
         """Add a granted request to the endpoint's load."""
         self.extend_load_integral(now)
         granted.load_integral = self.load_integral
+        granted.slowdown_integral = self.slowdown.integral
         self.grant_count += 1
         self.granted_at = now
         self.running[granted.ticket.request] = granted
@@ -323,6 +337,16 @@
             else float(self.used)
         )
 
+    def set_slowdown(self, granted: GrantedRequest, done: Done, now: float) -> None:
+        """Set the mean slowdown during a request that has ended, and take over what it states."""
+        self.slowdown.advance(now)
+        granted.slowdown = self.slowdown.mean_since(
+            granted.slowdown_integral, now - granted.granted_at
+        )
+        if done.slowdown_age_s < math.inf:
+            granted.first_slowdown = self.slowdown.mean_before(done.slowdown, done.first_token_s)
+            self.slowdown.report(done.slowdown, now - done.slowdown_age_s, now)
+
     def _queue_wait_s(self) -> float:
         """Return the predicted wait until the next request gets a slot."""
         slots = self.view.slots
@@ -331,7 +355,13 @@
 
     def finish_s(self, uncached: float, output: float) -> float:
         """Return the predicted seconds to the end of a request granted now."""
-        return self.start_s + uncached * self.prefill_s + output * self.token_s
+        usual_s = self.start_s + uncached * self.prefill_s + output * self.token_s
+        return usual_s + self.slowdown.delay_s(usual_s)
+
+    def first_s(self, uncached: float) -> float:
+        """Return the predicted seconds to the first token of a request granted now."""
+        usual_s = self.start_s + uncached * self.prefill_s
+        return usual_s + self.slowdown.delay_s(usual_s)
 
     def record_fault(self, now: float) -> None:
         """Count a failed request; block the endpoint with exponential back-off."""
--- a/mulberrygate/schedule/learn.py
+++ b/mulberrygate/schedule/learn.py
@@ -33,6 +33,8 @@
     # The predicted wait depends on the load, and a version under a move has little of it.
     wait_s = 0.0 if reference else granted.wait_s
     expected = wait_s + generation.expected_s(uncached, done.output_tokens, concurrent)
+    # A busy machine says nothing of the endpoint itself.
+    expected *= granted.slowdown
     return ObservedRequest(
         route=done.route,
         version=done.version,
@@ -75,10 +77,12 @@
     later_tokens = done.output_tokens - done.first_tokens
     if later_tokens >= MIN_DECODE_TOKENS - 1:
         per_token = max(done.total_s - done.first_token_s, 1e-6) / later_tokens
+        per_token /= granted.slowdown
         reference.learn_decode(per_token, concurrent, FULL_WEIGHT)
     if not granted.waited_for_slot and not granted.cached:
         tokens = granted.prefill_ahead + max(done.prompt_tokens, 1)
-        reference.learn_prefill(done.first_token_s, tokens, FULL_WEIGHT)
+        first_token_s = done.first_token_s / granted.first_slowdown
+        reference.learn_prefill(first_token_s, tokens, FULL_WEIGHT)
 
 
 def learn_presented(state: EndpointState, running: Running) -> None:
@@ -130,6 +134,7 @@
     later_tokens = done.output_tokens - done.first_tokens
     if later_tokens >= MIN_DECODE_TOKENS - 1:
         per_token = max(done.total_s - done.first_token_s, 1e-6) / later_tokens
+        per_token /= granted.slowdown
         ratio = per_token / generation.per_token_s(concurrent)
         speed.learn_decode(ratio)
         if learns_generation:
@@ -137,11 +142,12 @@
     has_waited = granted.waited_for_slot if learns_queued else granted.was_queued
     if not has_waited and not granted.cached:
         tokens = granted.prefill_ahead + max(done.prompt_tokens, 1)
-        speed.learn_prefill(done.first_token_s / generation.first_token_s(tokens))
+        first_token_s = done.first_token_s / granted.first_slowdown
+        speed.learn_prefill(first_token_s / generation.first_token_s(tokens))
         if learns_generation:
-            generation.learn_prefill(done.first_token_s, tokens, trust)
+            generation.learn_prefill(first_token_s, tokens, trust)
     if not granted.was_queued:
         ratio = done.total_s / max(evidence.expected_s, 1e-6)
     if ratio:
-        state.detector.observe(ratio)
+        state.detector.observe(ratio / (1.0 + state.slowdown.spread))
     state.refresh_speed()
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -196,12 +196,16 @@
     ==========
     held : tuple[str, ...]
         All requests of the pool that wait or run at the entry, if ``is_whole``.
+    slowdowns : dict[str, float]
+        Time that work takes relative to the usual time, by endpoint, as stated in an answer that
+        the entry has just received.
     """
 
     pool: str
     emitted: dict[str, int]
     held: tuple[str, ...] = ()
     is_whole: bool = False
+    slowdowns: dict[str, float] = attrs.field(factory=dict)
 
 
 @message("schedule.done")
@@ -218,6 +222,10 @@
         A cancellation by the caller is not a fault; see ``cancelled``.
     first_tokens : int
         Tokens that came together with the first one, when an event holds several.
+    slowdown : float
+        Time that work took relative to the usual time, as stated in the head of the answer.
+    slowdown_age_s : float
+        Seconds from the head to the moment the message is sent, infinite if it stated nothing.
     """
 
     pool: str
@@ -232,6 +240,8 @@
     fault: str = ""
     cancelled: bool = False
     first_tokens: int = 1
+    slowdown: float = 1.0
+    slowdown_age_s: float = math.inf
 
 
 @message("schedule.present")
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -209,6 +209,10 @@
                 granted.state.progress(granted, emitted)
                 granted.state.last_answer_at = now
                 granted.expires_at = max(granted.expires_at, now + LOST_DONE_S)
+        for endpoint, slowdown in message.slowdowns.items():
+            state = self.states.get(endpoint)
+            if state is not None:
+                state.slowdown.report(slowdown, now, now)
         if message.is_whole and self._release_ended(sender, frozenset(message.held), now):
             return self._schedule(now)
         return []
@@ -220,6 +224,7 @@
             return self._done_without_grant(message, now)
         state = granted.state
         load = state.mean_load(granted, now)
+        state.set_slowdown(granted, message, now)
         evidence = observe_request(granted, message, load)
         self._release(granted, now)
         self.ended.add(message.request, None, now)
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -264,7 +264,7 @@
         granted.wait_s = state.wait_s + state.pending_prefill * state.prefill_s
         granted.prefill_ahead = state.pending_prefill
         granted.waited_for_slot = state.wait_s > 0
-        granted.predicted_first_s = state.start_s + granted.uncached * state.prefill_s
+        granted.predicted_first_s = state.first_s(granted.uncached)
         granted.expected_end = now + choice.run_s
         granted.expires_at = max(waiting.deadline, now + 4 * choice.run_s) + LOST_DONE_S
         self._add_running(granted, now)
