Keep an account of the tokens that endpoints hold

An engine got requests up to its slots, whatever their prompts. If they exceed its memory it preempts the newest one and reads its prompt again, or crashes.

The owner of a pool counts prompt and expected output tokens of the granted requests and grants only what fits into nine tenths of the memory that the catalog states.

--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -248,6 +248,7 @@
         "is_slow": state.detector.is_slow,
         "is_failing": state.is_failing,
         "is_silent": state.is_silent,
+        "held_tokens": round(state.memory.held),
         "slowdown": round(1.0 + state.slowdown.excess, 2),
         "usual_slowdown": round(state.slowdown.usual, 2),
         "token_ms": round(state.token_s * 1000, 2),
--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -323,7 +323,10 @@
         slots = int(share) + (self._hash_fraction(view) < share % 1.0)
         accepts_work = view.accepts_work and slots > 0
         # The load from others isn't counted, since they use slots outside of this share.
-        return attrs.evolve(view, slots=max(1, slots), accepts_work=accepts_work, load=0)
+        kv_tokens = view.kv_tokens * max(1, slots) // max(1, view.slots)
+        return attrs.evolve(
+            view, slots=max(1, slots), kv_tokens=kv_tokens, accepts_work=accepts_work, load=0
+        )
 
     def _hash_fraction(self, view: EndpointView) -> float:
         """Return the hash of an endpoint and this instance, scaled to 0 to 1."""
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -103,8 +103,10 @@
         )
 
     def is_usable(self, waiting: WaitingRequest, state: EndpointState, now: float) -> bool:
-        """Return whether the request may go to the endpoint, whatever its load."""
+        """Return whether the request may go to the endpoint, whatever its free slots."""
         ticket = waiting.ticket
+        if ticket.prompt_tokens + waiting.output > state.memory.free:
+            return False
         if ticket.avoid and self.is_avoided(waiting, state):
             return False
         if ticket.notices and not is_allowed(waiting, state, now):
@@ -214,6 +216,8 @@
             self.comparison_count += 1
             if is_limited and state.view.version not in allowed:
                 continue
+            if prompt + output > state.memory.free:
+                continue
             if ticket.avoid and self.is_avoided(waiting, state):
                 continue
             if ticket.notices and not is_allowed(waiting, state, now):
--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -7,6 +7,7 @@
 from mulberrygate.endpoints.model import EndpointView
 from mulberrygate.schedule.detect import SlownessDetector
 from mulberrygate.schedule.failures import FailureShare
+from mulberrygate.schedule.memory import HeldTokens
 from mulberrygate.schedule.messages import Done, Ticket
 from mulberrygate.schedule.rate_limit import EndpointRateLimit
 from mulberrygate.schedule.slowdown import Slowdown
@@ -120,6 +121,11 @@
             return False
         return waited_s > max(MIN_OVERDUE_S, OVERDUE_RATIO * self.predicted_first_s)
 
+    @property
+    def held_tokens(self) -> float:
+        """Tokens for which the endpoint needs memory until the request ends."""
+        return self.ticket.prompt_tokens + max(self.output, self.emitted)
+
     @property
     def was_queued(self) -> bool:
         """Return whether other requests were ahead of it at the endpoint."""
@@ -155,6 +161,8 @@
         self.slowdown = Slowdown()
         self.detector = SlownessDetector()
         self.running: dict[str, GrantedRequest] = {}
+        self.memory = HeldTokens()
+        self.memory.set_capacity(view.kv_tokens)
         self.external_load = 0
         self.used = self.grant_count = 0
         self.peak_running = self.previous_peak_running = 0
@@ -275,6 +283,7 @@
         self.peak_running = max(self.peak_running, len(self.running))
         self.pending_prefill += granted.uncached
         self.pending_output += granted.output
+        self.memory.add(granted.held_tokens)
         self._refresh()
 
     def remove(self, granted: GrantedRequest, now: float) -> None:
@@ -284,7 +293,9 @@
         self.used = len(self.running) + self.external_load
         if not self.running:
             self.pending_prefill = self.pending_output = 0.0
+            self.memory.clear()
         else:
+            self.memory.add(-granted.held_tokens)
             if not granted.emitted:
                 self.pending_prefill -= granted.uncached
             self.pending_output -= max(0.0, granted.output - granted.emitted)
@@ -297,7 +308,9 @@
         if not granted.emitted:
             self.pending_prefill -= granted.uncached
         left = max(0.0, granted.output - granted.emitted)
+        held_tokens = granted.held_tokens
         granted.emitted = emitted
+        self.memory.add(granted.held_tokens - held_tokens)
         self.pending_output -= left - max(0.0, granted.output - emitted)
         self._refresh()
 
--- a/mulberrygate/schedule/endpoint_set.py
+++ b/mulberrygate/schedule/endpoint_set.py
@@ -36,6 +36,7 @@
                 state = self._add_endpoint(view, now)
             state.extend_load_integral(now)
             state.view = view
+            state.memory.set_capacity(view.kv_tokens)
             state.reported_at = now - view.report_age_s
             if state.rate_limit.is_limited:
                 state.rate_limit.set_part(
--- /dev/null
+++ b/mulberrygate/schedule/memory.py
@@ -0,0 +1,64 @@
+"""Account of the tokens that an endpoint holds in its memory."""
+
+from __future__ import annotations
+
+import math
+
+# Share of the memory that is left free, since lengths of answers are estimates.
+MARGIN = 0.1
+
+
+class HeldTokens:
+    """Tokens of the requests that an endpoint runs or has queued, against its memory.
+
+    Explanation
+    ===========
+    An endpoint without stated memory takes any request. A request larger than the memory that may
+    be used goes only where nothing else is held: the endpoint itself says whether it takes it.
+
+    Attributes
+    ==========
+    held : float
+        Prompt and expected output tokens of the granted requests; the received ones if they
+        are more than expected.
+    limit : float
+        Tokens that may be held, infinite if the memory isn't known.
+    free : float
+        Largest request that may be granted, in tokens.
+
+    Examples
+    ========
+    >>> from mulberrygate.schedule.memory import HeldTokens
+    >>> memory = HeldTokens()
+    >>> memory.set_capacity(10_000)
+    >>> memory.add(6_000)
+    >>> memory.free
+    3000.0
+    >>> memory.clear()
+    >>> memory.free
+    inf
+    """
+
+    __slots__ = ("held", "limit", "free")
+
+    def __init__(self):
+        self.held = 0.0
+        self.limit = self.free = math.inf
+
+    def set_capacity(self, tokens: int) -> None:
+        """Set the memory in tokens, 0 if it isn't known."""
+        self.limit = tokens * (1.0 - MARGIN) if tokens > 0 else math.inf
+        self._update()
+
+    def add(self, tokens: float) -> None:
+        """Add tokens that the endpoint holds, or remove them if they are negative."""
+        self.held = max(0.0, self.held + tokens)
+        self._update()
+
+    def clear(self) -> None:
+        """Remove all tokens, since no request is held."""
+        self.held = 0.0
+        self._update()
+
+    def _update(self) -> None:
+        self.free = self.limit - self.held if self.held else math.inf
