--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -103,8 +103,10 @@
         )
 
     def is_usable(self, waiting: WaitingRequest, state: EndpointState, now: float) -> bool:
-        """Return whether the request may go to the endpoint, whatever its load."""
+        """Return whether the request may go to the endpoint, whatever its free slots."""
         ticket = waiting.ticket
+        if ticket.prompt_tokens + waiting.output > state.memory.free:
+            return False
         if ticket.avoid and self.is_avoided(waiting, state):
             return False
         if ticket.notices and not is_allowed(waiting, state, now):
@@ -181,7 +183,7 @@
             return True
         if self.should_wait_for_fast(waiting, now):
             return False
-        return state.start_s + uncached * state.prefill_s <= waiting.first_by - now
+        return state.first_s(uncached) <= waiting.first_by - now
 
     def _sample(self, items: list[EndpointState], cached: dict) -> Iterable[EndpointState]:
         """Return the endpoints to examine: a random part of many, and those in ``cached``."""
@@ -214,6 +216,8 @@
             self.comparison_count += 1
             if is_limited and state.view.version not in allowed:
                 continue
+            if prompt + output > state.memory.free:
+                continue
             if ticket.avoid and self.is_avoided(waiting, state):
                 continue
             if ticket.notices and not is_allowed(waiting, state, now):
@@ -222,6 +226,8 @@
             uncached = prompt - hit if prompt > hit else 1.0
             # `EndpointState.finish_s` inlined; a call would double the time per endpoint.
             run_s = state.start_s + uncached * state.prefill_s + output * state.token_s
+            if state.slowdown.excess:
+                run_s += state.slowdown.delay_s(run_s)
             if not self.meets_time_limits(waiting, state, uncached, run_s, now):
                 continue
             # A version under a move gets its due share first, spread evenly over its endpoints;
