Serve routes and client accounts with home regions there only

Catalogs hold home regions of routes and accounts, both bind; tickets carry them, schedulers choose among the endpoints at home, and the entry checks each grant before the send. Calls without a usable endpoint at home are refused at once (2006), those without any allowed region with 2204.

--- a/mulberrygate/catalog/index.py
+++ b/mulberrygate/catalog/index.py
@@ -91,6 +91,20 @@
         """Return the client account of an API key, ``None`` if the key is unknown."""
         return self.accounts_by_key.get(key)
 
+    def home_regions(
+        self, route: RouteRule, account: ClientAccount | None
+    ) -> frozenset[str] | None:
+        """Return the regions in which a request may be served, ``None`` for any.
+
+        Explanation
+        ===========
+        If both the route and the account have home regions, both bind. The result is empty if they
+        have none in common.
+        """
+        limits = [route.home_regions, account.home_regions if account is not None else ()]
+        homes = [frozenset(regions) for regions in limits if regions]
+        return frozenset.intersection(*homes) if homes else None
+
     def choose_pool(self, route: RouteRule, request: str) -> str:
         """Return the pool of a request, chosen by weight.
 
--- a/mulberrygate/catalog/model.py
+++ b/mulberrygate/catalog/model.py
@@ -54,6 +54,8 @@
         Priority class of the requests; 0 is the most urgent.
     is_resumable : bool
         Whether a broken stream may be resumed at another endpoint.
+    home_regions : tuple[str, ...]
+        Regions in which its requests may be served, none for any.
     """
 
     name: str
@@ -68,6 +70,7 @@
     tier: int = 2
     is_anonymous: bool = False
     is_resumable: bool = False
+    home_regions: tuple[str, ...] = ()
 
     @property
     def event_timeout_s(self) -> float:
@@ -97,6 +100,10 @@
         Size of one engine's KV cache in tokens.
     tokens_per_event : int
         Output tokens in one event of a stream.
+    cold_start_s : float
+        Seconds for which an endpoint is cold after its start; 0 if it never is.
+    cold_rate : float
+        Requests a second that a cold endpoint takes from all entries together; 0 for no limit.
     """
 
     name: str
@@ -104,6 +111,8 @@
     slots: int = 0
     kv_tokens: int = 0
     tokens_per_event: int = 1
+    cold_start_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 @attrs.frozen
@@ -122,6 +131,8 @@
         Whether a unit is a token; otherwise it is a request.
     default_tokens : int
         Tokens charged for a request that states no token count.
+    home_regions : tuple[str, ...]
+        Regions in which its requests may be served, none for any.
     """
 
     name: str
@@ -131,6 +142,7 @@
     burst: float = 0.0
     counts_tokens: bool = False
     default_tokens: int = 1
+    home_regions: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/mulberrygate/catalog/tests/test_index.py
+++ b/mulberrygate/catalog/tests/test_index.py
@@ -93,5 +93,30 @@
         self.assertEqual(MAX_TIERS, WIDE_TIERS)
 
 
+class TestHomeRegions(unittest.TestCase):
+    """Regions in which a request may be served."""
+
+    def homes(self, of_route=(), of_account=()):
+        """Return the home regions of a request to a route with a client account."""
+        pools = (WeightedPool("care", 1.0),)
+        route = RouteRule(
+            "r", "a.example", "/", RetryPolicy.ONCE, pools, 5.0, home_regions=of_route
+        )
+        account = ClientAccount("x", ("k",), home_regions=of_account)
+        index = CatalogIndex(Catalog(1, (route,), accounts=(account,)))
+        return index.home_regions(route, account)
+
+    def test_route_and_account_both_bind(self):
+        """Guards against a limit of the route or the account that the other one replaces."""
+        self.assertIsNone(self.homes())
+        self.assertEqual(self.homes(("n", "s")), {"n", "s"})
+        self.assertEqual(self.homes((), ("s",)), {"s"})
+        self.assertEqual(self.homes(("n", "s"), ("s", "w")), {"s"})
+
+    def test_no_common_region_is_not_any_region(self):
+        """Guards against an empty intersection that counts as no limit."""
+        self.assertEqual(self.homes(("n",), ("s",)), frozenset())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -135,9 +135,23 @@
 
     def views(self, pool: str, now: float) -> list[EndpointView]:
         """Return the usable endpoints of a pool, silent ones only if there are no others."""
+        return [self._make_view(row, now) for row in self.usable_rows(pool)]
+
+    def usable_rows(self, pool: str) -> list[Row]:
+        """Return the rows of the usable endpoints of a pool, as `views` does."""
         rows = self.roster.usable(pool)
         heard = [row for row in rows if row.registration.endpoint not in self.silent_endpoints]
-        return [self._make_view(row, now) for row in heard or rows]
+        return heard or rows
+
+    def region_of(self, row: Row) -> str:
+        """Return the region of an endpoint."""
+        domain = row.registration.failure_domain
+        return self.site.regions.get(domain, domain)
+
+    def has_endpoint_in(self, pool: str, regions: frozenset[str]) -> bool:
+        """Return whether some regions have a usable endpoint of a pool, or none is known at all."""
+        rows = self.usable_rows(pool)
+        return not rows or any(self.region_of(row) in regions for row in rows)
 
     def _make_view(self, row: Row, now: float) -> EndpointView:
         registration = row.registration
@@ -149,7 +163,7 @@
             address=registration.address,
             pool=registration.pool,
             failure_domain=registration.failure_domain,
-            region=self.site.regions.get(registration.failure_domain, registration.failure_domain),
+            region=self.region_of(row),
             version=registration.version,
             hardware="",
             slots=max(1, registration.slots),
--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -304,7 +304,8 @@
         Explanation
         ===========
         The shares of all entries add up to about the number of slots. If an endpoint has fewer
-        slots than there are entries, a hash selects the instances that may use it.
+        slots than there are entries, a hash selects the instances that may use it. Each region
+        keeps an endpoint, since some requests may not run in another one.
 
         Parameters
         ==========
@@ -313,10 +314,11 @@
         """
         part = self._share_of_askers(askers)
         shared = [self._with_share(view, view.slots * part) for view in views]
-        if not shared or any(view.accepts_work for view in shared):
-            return shared
-        best = max(range(len(views)), key=lambda number: self._hash_fraction(views[number]))
-        shared[best] = attrs.evolve(views[best], slots=1)
+        with_work = {view.region for view in shared if view.accepts_work}
+        for region in {view.region for view in views} - with_work:
+            numbers = [n for n in range(len(views)) if views[n].region == region]
+            best = max(numbers, key=lambda number: self._hash_fraction(views[number]))
+            shared[best] = attrs.evolve(views[best], slots=1)
         return shared
 
     def _with_share(self, view: EndpointView, share: float) -> EndpointView:
--- a/mulberrygate/daemon/tests/test_pool_host.py
+++ b/mulberrygate/daemon/tests/test_pool_host.py
@@ -72,6 +72,14 @@
         self.assertGreater(sum(taken), 0.8 * 45 * 8)
         self.assertGreater(min(taken), 0)
 
+    def test_each_region_keeps_an_endpoint_without_an_owner(self):
+        """Guards against requests bound to a region of which an entry's share has no endpoint."""
+        views = [make_view(f"e{n}", slots=2, region=f"r{n % 3}") for n in range(9)]
+        for number in range(80):
+            states = self.host_without_owner(number, 80, views).hosted["pool"].scheduler.states
+            regions = {state.view.region for state in states.values() if state.accepts_work}
+            self.assertEqual(regions, {"r0", "r1", "r2"})
+
     def test_deputy_uses_the_shares_of_the_entries_that_ask_it(self):
         """Guards against a deputy that takes the slots of entries which still ask the owner."""
         views = [make_view(f"e{number}", slots=8) for number in range(45)]
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -39,6 +39,9 @@
 ENDPOINTS_PAUSED = register_code(
     2203, "endpoints_paused", "All endpoints asked for a pause of this entry; not run.", 503
 )
+NO_HOME_REGION = register_code(
+    2204, "no_home_region", "The call has no home region that all its limits allow; not run.", 503
+)
 TIMED_OUT = register_code(
     6201, "answer_timed_out", "The call was sent and got no answer in time; it may have run.", 504
 )
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -146,7 +146,12 @@
         """Wait until the call may be sent to an endpoint; return the final answer if it may not."""
         forwarder, call = self.forwarder, self.call
         while True:
-            pause_s = forwarder.notices.pool_pause_s(call.pool.name, self.now())
+            refused = forwarder.homes.refuse(call, forwarder.index)
+            if refused is not None:
+                return self._give_up() if self.attempts.sends else refused
+            pause_s = forwarder.notices.pool_pause_s(
+                call.pool.name, self.now(), lambda row: forwarder.homes.is_home(call, row)
+            )
             if pause_s > 0:
                 return self._refuse_paused(pause_s)
             self.tickets += 1
@@ -157,9 +162,12 @@
             if isinstance(grant, Refusal):
                 return self._without_grant(grant)
             is_allowed = await self._may_send(ticket)
-            if is_allowed and forwarder.notices.may_use(grant, self.now()):
+            is_home = forwarder.homes.may_use(call, grant, forwarder.index)
+            if is_allowed and is_home and forwarder.notices.may_use(grant, self.now()):
                 return Turn(ticket, grant)
             forwarder.scheduler.return_grant(ticket.request)
+            if not is_home:
+                self._record_outside(grant)
             if is_allowed:
                 # Since the ticket was sent, the endpoint has said that it takes no more calls. An
                 # owner of an earlier release, which doesn't read notices, avoids it if it can.
@@ -173,6 +181,27 @@
             if refused is not None:
                 return refused
 
+    def _record_outside(self, grant: Grant) -> None:
+        """Record a grant of an endpoint outside the call's home regions.
+
+        Explanation
+        ===========
+        An owner of an earlier release doesn't read home regions, but avoids endpoints that failed
+        the call if there are others.
+        """
+        forwarder, call = self.forwarder, self.call
+        forwarder.metrics.count("grants_outside_homes_total")
+        forwarder.lines.log(
+            "grant.outside_homes",
+            id=call.head.request,
+            endpoint=grant.endpoint,
+            region=grant.region,
+            homes=",".join(sorted(call.home_regions or ())),
+            granted_by=call.granted_by,
+        )
+        outside = forwarder.homes.endpoints_outside(call)
+        self.avoid += [name for name in outside if name not in self.avoid]
+
     async def _may_send(self, ticket: Ticket) -> bool:
         """Return whether the quarantine allows to send the call; return the grant if cancelled."""
         try:
--- a/mulberrygate/forward/notices.py
+++ b/mulberrygate/forward/notices.py
@@ -4,10 +4,11 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import attrs
 
-from mulberrygate.endpoints.roster import Roster
+from mulberrygate.endpoints.roster import Roster, Row
 from mulberrygate.forward.request import AnswerHead
 from mulberrygate.schedule.messages import EndpointNotice, Grant
 
@@ -165,9 +166,16 @@
             return 0.0
         return max(0.0, known.paused_until - now)
 
-    def pool_pause_s(self, pool: str, now: float) -> float:
+    def pool_pause_s(
+        self, pool: str, now: float, is_home: Callable[[Row], bool] = lambda _row: True
+    ) -> float:
         """Return the seconds until the first endpoint of a pool takes calls of this instance.
 
+        Parameters
+        ==========
+        is_home : Callable[[Row], bool]
+            Whether an endpoint may get the call that waits.
+
         Returns
         =======
         float
@@ -177,7 +185,9 @@
             return 0.0
         pauses = [
             self.pause_left_s(registration.endpoint, registration.incarnation, now)
-            for registration in (row.registration for row in self.roster.usable(pool))
+            for registration in (
+                row.registration for row in self.roster.usable(pool) if is_home(row)
+            )
             if not self.is_leaving(registration.endpoint, registration.incarnation)
         ]
         return min(pauses, default=0.0)
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from mulberrygate.catalog import BackendPool, RouteRule
+from mulberrygate.catalog import BackendPool, CatalogIndex, RouteRule
 from mulberrygate.control.blame import part_identity
 from mulberrygate.core.codes import Code
 
@@ -72,6 +72,10 @@
         Seconds from the arrival to the first grant and to the first byte of an answer, -1 before.
     longest_pause_s : float
         Longest time between two reads of a stream's events that were passed on, in seconds.
+    index : CatalogIndex or None
+        Latest catalog whose home regions bind the call.
+    home_regions : frozenset of str or None
+        Regions whose endpoints may get the call by each catalog since its arrival, ``None`` if any.
     """
 
     head: CallHead
@@ -95,6 +99,8 @@
     first_after_s: float = -1.0
     longest_pause_s: float = 0.0
     known_fingerprint: str = ""
+    index: CatalogIndex | None = None
+    home_regions: frozenset[str] | None = None
 
     @property
     def fingerprint(self) -> str:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -18,6 +18,7 @@
 from mulberrygate.forward.crash_detection import CrashDetector
 from mulberrygate.forward.delivery import Delivery
 from mulberrygate.forward.exchange import EndpointClient
+from mulberrygate.forward.homes import HomeRegions
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.notices import EndpointNotices
 from mulberrygate.forward.prior_wait import PriorWaitEstimator
@@ -106,6 +107,7 @@
         metrics.gauge("endpoints_leaving", self.notices.count_leaving)
         metrics.gauge("endpoints_rate_limited", self.notices.count_rate_limited)
         metrics.gauge("endpoints_paused", lambda: self.notices.count_paused(timers.now()))
+        self.homes = HomeRegions(placement.directory)
         self.crash_detector = CrashDetector(
             roster, self.endpoints, suspects, self.notices, timers, lines
         )
@@ -191,7 +193,11 @@
         index = self.index or await self.wait_for_catalog(call)
         if index is None:
             return Refused(codes.NO_CATALOG, retry_after_s=NO_CATALOG_RETRY_S)
-        refused = self.choose_route(call, index) or self.authenticate(call, index)
+        refused = (
+            self.choose_route(call, index)
+            or self.authenticate(call, index)
+            or self.homes.refuse(call, index)
+        )
         if refused is None:
             refused = await self.read_body(call, request, index)
         if refused is None:
@@ -328,6 +334,7 @@
             start_by_s=max(0.0, max_wait_s - waited_s),
             is_isolated=self.suspects.find(call).standing is not Standing.CLEAR,
             notices=self.notices.for_ticket(pool.name, self.timers.now()),
+            home_regions=tuple(sorted(call.home_regions or ())),
         )
 
     async def acquire_grant(self, call: Call, ticket: Ticket) -> Grant | Refusal:
--- a/mulberrygate/platform/documents.py
+++ b/mulberrygate/platform/documents.py
@@ -92,9 +92,20 @@
         tier=int(read_number(fields, "priority", 2)),
         is_anonymous=fields.get("anonymous") is True,
         is_resumable=kind == "streaming" and fields.get("resumable") is True,
+        home_regions=_home_regions(fields),
     )
 
 
+def _home_regions(fields: dict[str, Any]) -> tuple[str, ...]:
+    """Return the regions that a route or tenant is limited to, none for any."""
+    regions = fields.get("allowedRegions")
+    if regions is None:
+        return ()
+    if not isinstance(regions, list) or not all(isinstance(n, str) and n for n in regions):
+        raise InvalidDocument("allowedRegions is no list of names")
+    return tuple(dict.fromkeys(regions))
+
+
 def _weighted_pools(fields: dict[str, Any]) -> tuple[WeightedPool, ...]:
     split = fields.get("trafficSplit")
     if not split:
@@ -116,6 +127,8 @@
         kv_tokens=int(read_number(engine, "kvCapacityTokens", 0)),
         # Output tokens in one event of a stream.
         tokens_per_event=max(1, int(read_number(engine, "stride", 1))),
+        cold_start_s=read_number(fields, "coldStartS", 0),
+        cold_rate=read_number(fields, "coldPerS", 0),
     )
 
 
@@ -132,6 +145,7 @@
         burst=read_number(fields, "burst", 0),
         counts_tokens=fields.get("unit") == "tokens",
         default_tokens=int(read_number(fields, "plainTokens", 1)),
+        home_regions=_home_regions(fields),
     )
 
 
--- a/mulberrygate/platform/tests/test_documents.py
+++ b/mulberrygate/platform/tests/test_documents.py
@@ -131,6 +131,26 @@
             body = json.dumps(fields, ensure_ascii=is_escaped).encode()
             self.assertEqual(decode_document(body).accounts[0].name, fields["tenants"][0]["name"])
 
+    def test_home_regions_and_cold_endpoints(self):
+        """Guards against limits on places and on cold endpoints that are not read."""
+        fields = copy.deepcopy(DOCUMENT)
+        fields["routes"][0]["allowedRegions"] = ["dakar", "thies"]
+        fields["routes"][1]["allowedRegions"] = []
+        fields["tenants"][0]["allowedRegions"] = ["thies"]
+        fields["services"][0].update(coldStartS=3.0, coldPerS=11.0)
+        catalog = decode_document(json.dumps(fields).encode())
+        homes = [route.home_regions for route in catalog.routes]
+        self.assertEqual(homes, [("dakar", "thies"), ()])
+        self.assertEqual(catalog.accounts[0].home_regions, ("thies",))
+        limits = [(pool.cold_start_s, pool.cold_rate) for pool in catalog.pools]
+        self.assertEqual(limits, [(3.0, 11.0), (0.0, 0.0)])
+        for regions in ("dakar", [3], [""], {"dakar": 1}, False):
+            self.refused(lambda d, names=regions: d["routes"][0].update(allowedRegions=names))
+            self.refused(lambda d, names=regions: d["tenants"][0].update(allowedRegions=names))
+        for value in ("3", -1, True):
+            self.refused(lambda d, number=value: d["services"][0].update(coldStartS=number))
+            self.refused(lambda d, number=value: d["services"][0].update(coldPerS=number))
+
     def test_wrong_types(self):
         """Guards against a field of a wrong type that raises another exception."""
         self.refused(lambda d: d.update(version="7"))
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -66,6 +66,8 @@
     fast_token_s : float
         Endpoints with at most these seconds per output token count as fast. They get a request even
         if it is predicted to miss its deadline there, since no other endpoint would be faster.
+    fast_regions : frozenset[str]
+        Regions that have a fast endpoint, free or not; set by the scheduler.
     is_fast_expected : Callable[[WaitingRequest, float], bool]
         Whether a fast endpoint will probably be free while a request can still be on time.
     """
@@ -90,6 +92,7 @@
         self.probes_failing = False
         self.max_distance = LOCAL
         self.fast_token_s = 0.0
+        self.fast_regions: frozenset[str] = frozenset()
         self.is_fast_expected: Callable[[WaitingRequest, float], bool] = lambda waiting, now: False
 
     def is_avoided(self, waiting: WaitingRequest, state: EndpointState) -> bool:
@@ -98,13 +101,18 @@
         if state.name not in avoid:
             return False
         return any(
-            other.accepts_work and other.name not in avoid and other.distance == LOCAL
+            other.accepts_work
+            and other.name not in avoid
+            and other.distance == LOCAL
+            and waiting.ticket.may_run_in(other.view.region)
             for other in self.states.values()
         )
 
     def is_usable(self, waiting: WaitingRequest, state: EndpointState, now: float) -> bool:
         """Return whether the request may go to the endpoint, whatever its load."""
         ticket = waiting.ticket
+        if not ticket.may_run_in(state.view.region):
+            return False
         if ticket.avoid and self.is_avoided(waiting, state):
             return False
         if ticket.notices and not is_allowed(waiting, state, now):
@@ -144,6 +152,8 @@
         """Return whether a request waits for a fast endpoint although slow ones may be free."""
         if not self.fast_token_s or waiting.is_late:
             return False
+        if self.fast_regions.isdisjoint(waiting.ticket.home_regions or self.fast_regions):
+            return False
         return self.is_fast_expected(waiting, now)
 
     def has_fast_capacity(self, may_use_slots: bool, may_queue: bool) -> bool:
@@ -210,8 +220,11 @@
             due = shares.due_versions(ticket.route)
             allowed = [name for name in shares.shares if shares.is_allowed(ticket.route, name)]
         best, best_rank, best_score = None, 2 * FAILING_RANK_OFFSET, 0.0
+        homes = ticket.home_regions
         for state in items:
             self.comparison_count += 1
+            if homes and state.view.region not in homes:
+                continue
             if is_limited and state.view.version not in allowed:
                 continue
             if ticket.avoid and self.is_avoided(waiting, state):
--- a/mulberrygate/schedule/health.py
+++ b/mulberrygate/schedule/health.py
@@ -29,7 +29,10 @@
             if state.slots >= state.view.slots and not state.rate_limit.is_limited
         ]
         times = [state.token_s for state in unlimited or usable]
-        self.chooser.fast_token_s = FAST_RATIO * min(times, default=0.0)
+        limit_s = self.chooser.fast_token_s = FAST_RATIO * min(times, default=0.0)
+        self.chooser.fast_regions = frozenset(
+            state.view.region for state in usable if state.token_s <= limit_s
+        )
 
     def _is_fast_expected(self, waiting: WaitingRequest, now: float) -> bool:
         """Return whether a fast endpoint will probably be free while the request is on time.
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -94,6 +94,8 @@
         Whether it may crash its endpoint, and so goes where the fewest others run.
     notices : tuple[EndpointNotice, ...]
         What endpoints of the pool have said to the entry.
+    home_regions : tuple[str, ...]
+        Regions whose endpoints may get the request, none for any.
     """
 
     request: str
@@ -114,6 +116,11 @@
     start_by_s: float = math.inf
     is_isolated: bool = False
     notices: tuple[EndpointNotice, ...] = ()
+    home_regions: tuple[str, ...] = ()
+
+    def may_run_in(self, region: str) -> bool:
+        """Return whether the endpoints of a region may get the request."""
+        return not self.home_regions or region in self.home_regions
 
     def may_use(self, endpoint: str, incarnation: int, waited_s: float) -> bool:
         """Return whether the request may go to an endpoint after what that has said.
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -12,6 +12,7 @@
 from mulberrygate.schedule.choose import Chooser
 from mulberrygate.schedule.codes import (
     NO_ENDPOINT,
+    NO_HOME_ENDPOINT,
     QUEUE_OVER_LIMIT,
 )
 from mulberrygate.schedule.demand import MEMORY_S, Demand
@@ -79,10 +80,14 @@
 # Time without any endpoint after which waiting requests are refused. A new owner knows no endpoints
 # until their announcements arrive, which are sent every second.
 NO_ENDPOINT_WAIT_S = 2.5
+# Time without an endpoint in its home regions after which a request is refused. Entries refuse such
+# requests themselves unless they know endpoints that this process doesn't, so it is shorter.
+NO_HOME_WAIT_S = 0.3
 # Intervals of work that isn't repeated for each message.
 MAINTENANCE_PERIOD_S = 0.5
 EXPIRY_PERIOD_S = 3.0
 DEMAND_PERIOD_S = 0.05
+HOMES_CHECK_PERIOD_S = 0.1
 # Scheduling is deferred after a dispatch that skipped more requests than this.
 DEFER_ABOVE_SKIPPED = 16
 
@@ -170,7 +175,7 @@
         self.blocked: dict[str, EndpointState] = {}
         # Returns the part of an endpoint's named limit that this scheduler may use.
         self.find_rate_part: Callable[[str, float], float] = lambda _endpoint, _rate: 1.0
-        self.maintained_at = self.expired_at = self.demand_at = -math.inf
+        self.maintained_at = self.expired_at = self.demand_at = self.homes_checked_at = -math.inf
 
     def ask(self, ticket: Ticket, now: float) -> list[Effect]:
         """Queue a request, then grant and shed waiting requests as needed."""
@@ -342,11 +347,31 @@
         if self.without_endpoint_since is not None and self._is_without_endpoint(now):
             return effects + self._shed_all(NO_ENDPOINT, now)
         effects += self._dispatch(now)
+        if now >= self.homes_checked_at + HOMES_CHECK_PERIOD_S:
+            effects += self._shed_without_home(now)
         if len(waiting) > self.pool.max_waiting:
             effects += self._shed_excess(now)
         invariant(len(waiting) <= self.pool.max_waiting, QUEUE_OVER_LIMIT)
         return effects
 
+    def _shed_without_home(self, now: float) -> list[Effect]:
+        """Shed the requests that no endpoint in their home regions can take, lowest tier first."""
+        self.homes_checked_at = now
+        regions = {state.view.region for state in self.states.values() if state.accepts_work}
+        homeless = [
+            waiting
+            for waiting in self.queue.by_request.values()
+            if waiting.ticket.home_regions
+            and now - waiting.asked_at >= NO_HOME_WAIT_S
+            and regions.isdisjoint(waiting.ticket.home_regions)
+        ]
+        homeless.sort(key=lambda waiting: -waiting.ticket.tier)
+        effects: list[Effect] = []
+        for waiting in homeless:
+            self.grant_log.check_shed(waiting)
+            effects.append(self._refuse(waiting, NO_HOME_ENDPOINT, now))
+        return effects
+
     def _update_demand(self, now: float) -> None:
         self.demand_at = now
         waiting = (tier for tier in range(self.tiers) if self.queue.tiers[tier].count)
