Record evacuated failure domains in the control log

The issue: nothing holds an operator's order that a failure domain gets nothing more.

The command PutEvacuation states for one failure domain whether it is evacuated. The last one in the log counts.

--- a/mulberrygate/control/catalogs.py
+++ b/mulberrygate/control/catalogs.py
@@ -1,4 +1,4 @@
-"""State machine of the control log for catalogs, leaving endpoints, version moves and quarantine.
+"""State machine of the control log: the replicated state of a deployment.
 
 Explanation
 ===========
@@ -15,6 +15,7 @@
 import msgpack
 
 from mulberrygate.control.blame import Candidate
+from mulberrygate.control.evacuations import Evacuations, PutEvacuation
 from mulberrygate.control.quarantine import AnswerEvidence, CrashEvidence, QuarantineState
 from mulberrygate.core.codes import register_code
 from mulberrygate.core.invariant import invariant
@@ -163,6 +164,7 @@
     "trial": PutTrial,
     "evidence": PutEvidence,
     "trials": PutTrials,
+    "evacuation": PutEvacuation,
 }
 KINDS = {cls: kind for kind, cls in COMMANDS.items()}
 
@@ -201,16 +203,17 @@
         self.leaving: dict[str, int] = {}
         self.moves: dict[str, Move] = {}
         self.quarantine = QuarantineState()
+        self.evacuations = Evacuations()
 
     def apply(self, index: int, command: bytes) -> object:
         """Apply a committed command and return whether it changed the state."""
-        is_change = self._apply(decode_command(command))
+        is_change = self._apply(index, decode_command(command))
         if is_change:
             self.revision = index
             self.on_change()
         return is_change
 
-    def _apply(self, command: object) -> bool:
+    def _apply(self, index: int, command: object) -> bool:
         if isinstance(command, PutCatalog):
             return self._put_catalog(command)
         if isinstance(command, PutLeaving):
@@ -223,6 +226,8 @@
             return self.quarantine.begin_trial(command.identities, command.holder, command.at)
         if isinstance(command, PutTrial):
             return self.quarantine.begin_trial((command.call,), command.holder, command.at)
+        if isinstance(command, PutEvacuation):
+            return self.evacuations.put(command, index)
         return self._put_move(command)
 
     def _put_evidence(self, command: PutEvidence) -> bool:
@@ -277,7 +282,9 @@
         """Return the whole state as a snapshot."""
         moves = {pool: list(attrs.astuple(move)) for pool, move in self.moves.items()}
         state = [self.version, self.document, self.leaving, moves]
-        return msgpack.packb([*state, self.quarantine.dump(), self.revision])
+        # Earlier releases can't read the last field, and can't apply the commands that fill it.
+        later = [self.evacuations.dump()] if self.evacuations.domains else []
+        return msgpack.packb([*state, self.quarantine.dump(), self.revision, *later])
 
     def moves_json(self) -> bytes:
         """Return the moves as JSON, for answers to reads of other processes."""
@@ -294,6 +301,9 @@
         self.leaving = dict(leaving)
         self.moves = {pool: Move(*values) for pool, values in moves.items()}
         if later:
-            quarantine, self.revision = later
+            quarantine, self.revision, *evacuations = later
             self.quarantine.load(quarantine)
+            self.evacuations = Evacuations()
+            if evacuations:
+                self.evacuations.load(evacuations[0])
         self.on_change()
