--- a/mulberrygate/settings/load.py
+++ b/mulberrygate/settings/load.py
@@ -99,6 +99,14 @@
         The refusal names every wrong key. Relative paths are resolved against the folder of the
         settings file.
     """
+    settings = load_file(path, Settings)
+    if isinstance(settings, Refusal):
+        return settings
+    return _with_absolute_paths(settings, os.path.dirname(os.path.abspath(path)))
+
+
+def load_file(path: str, cls: type[Class]) -> Class | Refusal:
+    """Read a file of JSON with comments as an ``attrs`` object; a refusal names every wrong key."""
     text = _read_text(path)
     if isinstance(text, Refusal):
         return text
@@ -116,10 +124,9 @@
     if duplicates:
         return Refusal(INVALID, f"{path}: {'; '.join(duplicates)}")
     try:
-        settings = structure(values, Settings)
+        return structure(values, cls)
     except Exception as error:
         return Refusal(INVALID, f"{path}: {'; '.join(describe_errors(error))}")
-    return _with_absolute_paths(settings, os.path.dirname(os.path.abspath(path)))
 
 
 def _read_text(path: str) -> str | Refusal:
