--- a/mulberrygate/schedule/codes.py
+++ b/mulberrygate/schedule/codes.py
@@ -17,6 +17,9 @@
 WAIT_TOO_LONG = register_code(
     2005, "wait_too_long", "The expected wait is longer than the caller's patience; not run.", 503
 )
+NO_SPARE_ROOM = register_code(
+    2006, "no_spare_room", "The pool has no room to spare for a second copy of a request.", 503
+)
 
 SHED_BEFORE_LOWER_TIER = register_code(
     9400, "shed_before_lower_tier", "A request was shed while one of a lower tier was waiting."
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -94,6 +94,10 @@
         Whether it may crash its endpoint, and so goes where the fewest others run.
     notices : tuple[EndpointNotice, ...]
         What endpoints of the pool have said to the entry.
+    is_spare : bool
+        Whether it is for a second copy of a request that runs at the last endpoint of ``avoid``. It
+        is granted at once from room to spare or refused; see `mulberrygate.schedule.spare`. An
+        owner of an earlier release queues it, and the entry withdraws it.
     """
 
     request: str
@@ -114,6 +118,7 @@
     start_by_s: float = math.inf
     is_isolated: bool = False
     notices: tuple[EndpointNotice, ...] = ()
+    is_spare: bool = False
 
     def may_use(self, endpoint: str, incarnation: int, waited_s: float) -> bool:
         """Return whether the request may go to an endpoint after what that has said.
--- a/mulberrygate/schedule/running.py
+++ b/mulberrygate/schedule/running.py
@@ -25,7 +25,7 @@
             request = ticket.request
             if request in self.running or request in self.queue.by_request:
                 continue
-            if request not in self.ended and ticket.entry == sender:
+            if request not in self.ended and ticket.entry == sender and not ticket.is_spare:
                 self._enqueue(ticket, now)
         return self._schedule(now)
 
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -58,6 +58,7 @@
     LatestStartQueue,
 )
 from mulberrygate.schedule.shedding import Shedding
+from mulberrygate.schedule.spare import SpareGrants
 from mulberrygate.schedule.speed import (
     DEFAULT_PRIOR,
     REFERENCE_MAX_SLOPE_SHARE,
@@ -87,7 +88,7 @@
 DEFER_ABOVE_SKIPPED = 16
 
 
-class PoolScheduler(EndpointSet, RunningRequests, Selection, Shedding, EndpointHealth):
+class PoolScheduler(EndpointSet, RunningRequests, Selection, SpareGrants, Shedding, EndpointHealth):
     """Order the requests of a pool and grant them endpoints.
 
     Explanation
@@ -183,6 +184,8 @@
         if request in self.ended:
             refusal = self.ended.refusal(request)
             return [Send(ticket.entry, refusal)] if refusal is not None else []
+        if ticket.is_spare:
+            return [self._ask_spare(ticket, now)]
         self._enqueue(ticket, now)
         return self._schedule(now)
 
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -255,6 +255,11 @@
         self.queue.remove(waiting)
         self.demand.count_grant(choice.run_s, now)
         self.served.count_grant(ticket.tier, waiting.is_late, now)
+        return self._start_grant(waiting, choice, now)
+
+    def _start_grant(self, waiting: WaitingRequest, choice: Choice, now: float) -> Send:
+        """Count a grant of the chosen endpoint, and return the message to the entry."""
+        ticket, state = waiting.ticket, choice.state
         granted = GrantedRequest(
             ticket, state, state.view.version, now, waiting.cost, waiting.output, choice.cached
         )
