Hedge slow requests that may be repeated, within a share that the operators set

A second copy of a plain idempotent request goes to another endpoint once the first is slower than a quantile of its route's recent times; the first answer wins and the loser is cancelled, which is neither a fault nor a crash of its endpoint. Copies count in the retry budget, of which half is kept for failed requests, and in a token bucket of the operators' share of the pool's first sends. Off without product settings. Streams, calls that run once, engines, suspected calls and stopping entries have no copies.

--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -17,6 +17,7 @@
 from mulberrygate.daemon.sockets import Listeners, split_address
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.entry.tickets import SchedulerClient
+from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.service import Forwarder
 from mulberrygate.forward.suspects import Suspects
@@ -24,6 +25,7 @@
 from mulberrygate.observe.jsonlines import JsonLines
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import DeputyLimits, Limit
+from mulberrygate.settings.product import ProductSettings
 from mulberrygate.sync.crash_reports import CrashReporter
 from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.follower import Follower
@@ -85,6 +87,8 @@
         Sockets that already listen.
     seed : int or None
         Seed of the random choices.
+    product : ProductSettings or None
+        Settings that the operators have chosen, ``None`` for the defaults.
 
     Attributes
     ==========
@@ -96,9 +100,17 @@
     """
 
     def __init__(
-        self, site, lines: JsonLines, dialect, decode, listeners=None, seed: int | None = None
+        self,
+        site,
+        lines: JsonLines,
+        dialect,
+        decode,
+        listeners=None,
+        seed: int | None = None,
+        product: ProductSettings | None = None,
     ):
         self.site = site
+        self.product = product or ProductSettings()
         self.listeners = listeners or Listeners()
         self.lines = lines
         self.timers = TimerService(self._on_timer_error)
@@ -200,8 +212,14 @@
             self.lines,
             self.metrics,
             self.seed,
+            self._make_hedging(),
         )
 
+    def _make_hedging(self) -> Hedging | None:
+        """Return what decides about second copies, ``None`` if the operators want none."""
+        settings = self.product.hedging
+        return Hedging(settings) if settings is not None and settings.share > 0 else None
+
     def _list_entries(self) -> list[str]:
         # Control processes of earlier releases tell only the number of entries.
         return list(self.deputies.entries) or [str(n) for n in range(self.forwarder.entries)]
--- a/mulberrygate/daemon/site.py
+++ b/mulberrygate/daemon/site.py
@@ -88,7 +88,7 @@
         return self.signature != before
 
 
-def create_node(site, lines, started_at: float, listeners):
+def create_node(site, lines, started_at: float, listeners, product):
     """Return the control or entry process of the settings, with the platform's adapter.
 
     Parameters
@@ -97,6 +97,8 @@
         Monotonic time at which the process started.
     listeners : mulberrygate.daemon.sockets.Listeners
         Sockets that already listen.
+    product : mulberrygate.settings.product.ProductSettings
+        Settings that the operators have chosen.
     """
     from mulberrygate.platform.documents import decode_document
 
@@ -108,10 +110,12 @@
     from mulberrygate.daemon.entry_node import EntryNode
     from mulberrygate.platform.headers import PlatformDialect
 
-    return EntryNode(site, lines, PlatformDialect(), decode_document, listeners)
+    return EntryNode(site, lines, PlatformDialect(), decode_document, listeners, product=product)
 
 
-async def serve(site, path: str, signals: Signals, lines, started_at: float, listeners) -> None:
+async def serve(
+    site, path: str, signals: Signals, lines, started_at: float, listeners, product
+) -> None:
     """Run the control or entry process until a stop is requested, then exit."""
     from mulberrygate.core.outcome import Refusal
     from mulberrygate.platform.settings import load_site
@@ -119,7 +123,7 @@
     woken = asyncio.Event()
     signals.attach_to_loop(asyncio.get_running_loop(), woken.set)
     watcher = SettingsFileWatcher(path)
-    node = create_node(site, lines, started_at, listeners)
+    node = create_node(site, lines, started_at, listeners, product)
     await node.start()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 20, 50)
@@ -177,16 +181,19 @@
     from mulberrygate.core.outcome import Refusal
     from mulberrygate.observe.jsonlines import JsonHandler, JsonLines
     from mulberrygate.platform.settings import load_site
+    from mulberrygate.settings.product import load_product_settings, product_settings_path
 
     site = load_site(path)
-    if isinstance(site, Refusal):
-        print(f"{site.code}: {site.detail}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
+    product = load_product_settings(product_settings_path())
+    for loaded in (site, product):
+        if isinstance(loaded, Refusal):
+            print(f"{loaded.code}: {loaded.detail}", file=sys.stderr)
+            return EXIT_BAD_SETTINGS
     lines = JsonLines(site.node)
     JsonHandler(lines).push_application()
     for address, error in listeners.bind_errors.items():
         lines.log("listen.failed", address=address, error=repr(error))
-    asyncio.run(serve(site, path, signals, lines, started_at, listeners))
+    asyncio.run(serve(site, path, signals, lines, started_at, listeners, product))
     return 0
 
 
--- a/mulberrygate/forward/attempts.py
+++ b/mulberrygate/forward/attempts.py
@@ -68,11 +68,16 @@
         if outcome in (SendOutcome.FAILED, SendOutcome.UNKNOWN):
             self.runs += 1
 
-    def replace_last(self, outcome: SendOutcome) -> None:
-        """Replace the outcome of the last send."""
-        if self.last_outcome is not SendOutcome.UNSENT:
+    def replace(self, before: SendOutcome, outcome: SendOutcome) -> None:
+        """Replace the outcome with which a send was recorded.
+
+        Explanation
+        ===========
+        Two copies of a call may be on their way, so it need not be the last send.
+        """
+        if before is not SendOutcome.UNSENT:
             self.arrivals -= 1
-        if self.last_outcome in (SendOutcome.FAILED, SendOutcome.UNKNOWN):
+        if before in (SendOutcome.FAILED, SendOutcome.UNKNOWN):
             self.runs -= 1
         self.sends -= 1
         self.record(outcome)
@@ -82,6 +87,16 @@
         """Whether the call may have run at an endpoint."""
         return self.runs > 0
 
+    def may_hedge_first(self) -> bool:
+        """Return whether the first send of a call may have a copy at a second endpoint."""
+        is_repeatable = self.route.retry_policy is RetryPolicy.IDEMPOTENT
+        return is_repeatable and not self.sends and self.route.max_attempts > 1
+
+    def may_hedge(self) -> bool:
+        """Return whether the copy of a call that was sent once may be sent now."""
+        is_repeatable = self.route.retry_policy is RetryPolicy.IDEMPOTENT
+        return is_repeatable and self.sends == 1 and self.arrivals < self.route.max_attempts
+
     def may_send_again(self) -> bool:
         """Return whether the call may be sent again."""
         if self.sends >= MAX_SENDS:
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -16,6 +16,7 @@
 from mulberrygate.forward.crash_detection import SIGN_OF_LIFE_S
 from mulberrygate.forward.events import EventSplitter, EventTooLong
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
+from mulberrygate.forward.hedged_send import HedgedSend
 from mulberrygate.forward.request import AnswerHead, Call, Refused
 from mulberrygate.forward.sends import Send, Turn
 from mulberrygate.forward.unanswered import RunningSend
@@ -59,6 +60,8 @@
         Latest error answer of an endpoint; it is passed on if no send succeeds.
     relayed_at : float
         Monotonic time at which events were last passed on to the caller, infinite before.
+    hedge : HedgedSend or None
+        Send in progress that may have a second copy.
     """
 
     def __init__(self, forwarder: Any, call: Call, request: web.BaseRequest):
@@ -73,6 +76,7 @@
         self.tickets = 0
         self.crash_check: asyncio.Task | None = None
         self.relayed_at = math.inf
+        self.hedge: HedgedSend | None = None
 
     def now(self) -> float:
         """Return the monotonic time."""
@@ -131,7 +135,7 @@
             elif not budget.take():
                 forwarder.scheduler.return_grant(ticket.request)
                 return self._give_up()
-            answer = await self._send(Send(ticket, grant, self._describe_send(grant)))
+            answer = await self._send_hedged(self.make_send(ticket, grant))
             if answer is not None:
                 return answer
             self.avoid.append(grant.endpoint)
@@ -142,6 +146,21 @@
             elif self.crash_check is not None:
                 await asyncio.wait({self.crash_check}, timeout=CRASH_CHECK_WAIT_S)
 
+    def make_send(self, ticket: Ticket, grant: Grant) -> Send:
+        """Return a send of the call on a grant."""
+        return Send(ticket, grant, self._describe_send(grant))
+
+    async def _send_hedged(self, send: Send) -> WholeAnswer | web.StreamResponse | Refused | None:
+        """Send the call as `send_once` does, with a second copy if the operators allow it."""
+        hedging = self.forwarder.hedging
+        if hedging is None or not HedgedSend.applies_to(self):
+            return await self.send_once(send)
+        self.hedge = HedgedSend(self, send, hedging)
+        try:
+            return await self.hedge.run()
+        finally:
+            self.hedge = None
+
     async def _wait_for_turn(self) -> Turn | WholeAnswer | web.StreamResponse | Refused:
         """Wait until the call may be sent to an endpoint; return the final answer if it may not."""
         forwarder, call = self.forwarder, self.call
@@ -220,7 +239,7 @@
             return Refused(codes.ENDPOINT_FAILED)
         return Refused(codes.TURNED_DOWN, retry_after_s=retry_after_s)
 
-    async def _send(self, send: Send) -> WholeAnswer | web.StreamResponse | Refused | None:
+    async def send_once(self, send: Send) -> WholeAnswer | web.StreamResponse | Refused | None:
         """Send the call once; return the final answer, or ``None`` if it may be sent elsewhere."""
         forwarder, call = self.forwarder, self.call
         call.sends += 1
@@ -252,20 +271,20 @@
             )
             self._check_endpoint(send, is_broken=True)
         except BaseException as error:
+            send.is_cancelled = True
             if isinstance(error, TimeoutError) and limit.expired():
-                send.is_cancelled = True
-                return self._cancelled_as_quarantined()
+                return None if send.is_beaten else self._cancelled_as_quarantined()
             # The call's deadline, a caller that left, or the end of this process.
-            send.is_cancelled = True
             if self.now() - send.running.heard_at > SIGN_OF_LIFE_S:
                 self._check_endpoint(send, is_broken=False)
             raise
         finally:
             forwarder.crash_detector.monitor.sends.discard(send.running)
+            send.running.limit = None
             if exchange is not None:
                 exchange.close()
             forwarder.scheduler.report_done(send.as_done(call, self.now()))
-        self.attempts.replace_last(outcome)
+        self.attempts.replace(SendOutcome.UNKNOWN, outcome)
         return answer
 
     def _check_endpoint(self, send: Send, is_broken: bool) -> None:
@@ -304,6 +323,9 @@
         if not head.is_genuine:
             raise Broken("the answer is not the endpoint's own")
         if head.is_success and head.is_events:
+            if self.hedge is not None:
+                # Events are passed on as they arrive, so those of two copies would be mixed.
+                self.hedge.choose(send)
             return SendOutcome.FAILED, await self._relay_events(send, exchange)
         answer = WholeAnswer(
             head, self.forwarder.dialect.answer_headers(exchange.response), await exchange.read()
--- a/mulberrygate/forward/notices.py
+++ b/mulberrygate/forward/notices.py
@@ -182,6 +182,12 @@
         ]
         return min(pauses, default=0.0)
 
+    def has_paused(self, pool: str, now: float) -> bool:
+        """Return whether an endpoint of a pool wants no calls of this instance at present."""
+        if now >= self.last_pause_end:
+            return False
+        return any(k.pool == pool and k.paused_until > now for k in self.known.values())
+
     def may_use(self, grant: Grant, now: float) -> bool:
         """Return whether a call may be sent on a grant."""
         incarnation = self._incarnation(grant)
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -72,6 +72,9 @@
         Seconds from the arrival to the first grant and to the first byte of an answer, -1 before.
     longest_pause_s : float
         Longest time between two reads of a stream's events that were passed on, in seconds.
+    hedge : str
+        Whether a second copy has ``won`` or ``lost`` against the first send, or both have
+        ``failed``; empty without a copy.
     """
 
     head: CallHead
@@ -94,6 +97,7 @@
     granted_after_s: float = -1.0
     first_after_s: float = -1.0
     longest_pause_s: float = 0.0
+    hedge: str = ""
     known_fingerprint: str = ""
 
     @property
--- a/mulberrygate/forward/sends.py
+++ b/mulberrygate/forward/sends.py
@@ -33,6 +33,8 @@
         Number of tokens that arrived together first.
     fault : str
         Kind of fault to report to the scheduler, empty for none.
+    is_beaten : bool
+        Whether it was cancelled because another copy of the call has answered.
     """
 
     def __init__(self, ticket: Ticket, grant: Grant, running: RunningSend):
@@ -45,6 +47,12 @@
         self.first_tokens = 1
         self.fault = ""
         self.is_cancelled = False
+        self.is_beaten = False
+
+    def beat(self) -> None:
+        """Cancel this send, because another copy of the call has answered."""
+        self.is_beaten = True
+        self.running.cancel()
 
     def as_done(self, call: Call, now: float) -> Done:
         """Return the report of the end of this send to the scheduler."""
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -18,6 +18,7 @@
 from mulberrygate.forward.crash_detection import CrashDetector
 from mulberrygate.forward.delivery import Delivery
 from mulberrygate.forward.exchange import EndpointClient
+from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.notices import EndpointNotices
 from mulberrygate.forward.prior_wait import PriorWaitEstimator
@@ -66,6 +67,8 @@
         Pools in force and the endpoints of the roster; see `mulberrygate.daemon.placement`.
     seed : int or None
         Seed of the random choices.
+    hedging : Hedging or None
+        Decides about second copies of slow requests, ``None`` to send none.
 
     Attributes
     ==========
@@ -90,7 +93,9 @@
         lines: JsonLines,
         metrics: Metrics,
         seed: int | None = None,
+        hedging: Hedging | None = None,
     ):
+        self.hedging = hedging
         self.site = site
         self.dialect = dialect
         self.placement = placement
@@ -128,6 +133,9 @@
         self.index = index
         self.has_index.set()
         self.placement.set_pools(index.pools)
+        if self.hedging is not None:
+            routes = {route.name for route in index.catalog.routes}
+            self.hedging.retain(routes, set(index.pools))
 
     def set_entries(self, entries: int) -> None:
         """Set the number of entries that share the retry budgets."""
@@ -365,6 +373,8 @@
 
     def _log_request(self, call: Call, event: str, status: int, **fields: Any) -> None:
         now = self.timers.now()
+        if call.hedge:
+            fields["hedge"] = call.hedge
         self.lines.log(
             event,
             id=call.head.request,
--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -184,7 +184,8 @@
 class Entry:
     """Forwarding path of one entry on loopback."""
 
-    def __init__(self, fields=None, bounds=None):
+    def __init__(self, fields=None, bounds=None, hedging=None):
+        self.hedging = hedging
         self.site = Site(
             "entry", "entry-1", "a", "r", {"a": "r"}, "", "", "", 0, (), False, "", 3,
             bounds or Bounds(),
@@ -212,7 +213,7 @@
             self.site, PlatformDialect(), self.placement, scheduler, limits,
             Suspects(self.crashes.append, lambda: None),
             TrialClient("entry", 1, peers, self.timers, lambda: "entry"), self.timers, self.lines,
-            view_metrics,
+            view_metrics, hedging=self.hedging,
         )  # fmt: skip
         self.http = HttpServer(self.forwarder.handle, HOST, 0, cancel_on_disconnect=True)
         await self.http.start()
--- a/mulberrygate/quota/retries.py
+++ b/mulberrygate/quota/retries.py
@@ -50,6 +50,16 @@
         # The level may always reach 1, or an entry among many could never retry.
         self.level = min(max(self.limit, 1.0), self.level + self.ratio)
 
+    def has_spare(self) -> bool:
+        """Return whether a retry that could be done without may be taken.
+
+        Explanation
+        ===========
+        Half of the budget is kept for requests that have failed. Copies of slow requests use the
+        rest, so that an endpoint that begins to fail finds some of it left.
+        """
+        return self.level >= max(1.0, self.limit / 2.0)
+
     def take(self) -> bool:
         """Take one retry from the budget; return whether there was one."""
         if self.level < 1.0:
--- a/mulberrygate/settings/product.py
+++ b/mulberrygate/settings/product.py
@@ -9,6 +9,7 @@
 
 from mulberrygate.core.codes import register_code
 from mulberrygate.core.outcome import Refusal
+from mulberrygate.settings.load import load_file
 
 FILE_VARIABLE = "MULBERRYGATE_PRODUCT_SETTINGS"
 
@@ -74,9 +75,6 @@
     """Read and check the product settings; without a path, return the defaults."""
     if not path:
         return ProductSettings()
-    # The decoders are imported only here, since most deployments have no such file.
-    from mulberrygate.settings.load import load_file
-
     loaded = load_file(path, ProductSettings)
     if isinstance(loaded, Refusal):
         return Refusal(BAD_PRODUCT_SETTINGS, loaded.detail)
