--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -79,6 +79,9 @@
         Latest catalog whose home regions bind the call.
     home_regions : frozenset of str or None
         Regions whose endpoints may get the call by each catalog since its arrival, ``None`` if any.
+    hedge : str
+        Whether a second copy has ``won`` or ``lost`` against the first send, or both have
+        ``failed``; empty without a copy.
     """
 
     head: CallHead
@@ -101,6 +104,7 @@
     granted_after_s: float = -1.0
     first_after_s: float = -1.0
     longest_pause_s: float = 0.0
+    hedge: str = ""
     known_fingerprint: str = ""
     spent: UnitsReceipt = attrs.field(factory=UnitsReceipt)
     index: CatalogIndex | None = None
--- a/mulberrygate/schedule/codes.py
+++ b/mulberrygate/schedule/codes.py
@@ -23,6 +23,9 @@
     "No endpoint in the home regions of the call takes work; not run.",
     503,
 )
+NO_SPARE_ROOM = register_code(
+    2007, "no_spare_room", "The pool has no room to spare for a second copy of a request.", 503
+)
 
 SHED_BEFORE_LOWER_TIER = register_code(
     9400, "shed_before_lower_tier", "A request was shed while one of a lower tier was waiting."
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -96,6 +96,10 @@
         What endpoints of the pool have said to the entry.
     home_regions : tuple[str, ...]
         Regions whose endpoints may get the request, none for any.
+    is_spare : bool
+        Whether it is for a second copy of a request that runs at the last endpoint of ``avoid``. It
+        is granted at once from room to spare or refused; see `mulberrygate.schedule.spare`. An
+        owner of an earlier release queues it, and the entry withdraws it.
     """
 
     request: str
@@ -117,6 +121,7 @@
     is_isolated: bool = False
     notices: tuple[EndpointNotice, ...] = ()
     home_regions: tuple[str, ...] = ()
+    is_spare: bool = False
 
     def may_run_in(self, region: str) -> bool:
         """Return whether the endpoints of a region may get the request."""
