Follow the initial level of limits in an example

The example of quota.central assumed half of the burst; a new leader begins with half of a second's units at most. The doctest failed before.

--- a/mulberrygate/quota/central.py
+++ b/mulberrygate/quota/central.py
@@ -77,7 +77,7 @@
     >>> limits.grant("entry-1", "salons", need=150.0, advance=0.0, now=0.0).units
     150.0
     >>> limits.grant("entry-2", "salons", need=10.0, advance=0.0, now=0.0)
-    GrantedUnits(units=0.0, wait_s=0.5, share=0.0)
+    GrantedUnits(units=0.0, wait_s=1.0, share=0.0)
     """
 
     def __init__(self, epoch: int = 0):
