Limit the requests a second that cold endpoints get

Schedulers now keep a second token bucket for each endpoint, divided among owners, deputies and entries alone; it begins empty, and the rate rises after the cold time. Reports that are passed on tell the cold time that is left.

--- a/mulberrygate/daemon/endpoint_reports.py
+++ b/mulberrygate/daemon/endpoint_reports.py
@@ -74,6 +74,7 @@
                 address=registration.address,
                 is_leaving=registration.is_leaving,
                 sequence=registration.sequence,
+                cold_s=registration.warmup_s if registration.states_warmup else None,
             )
             self.sharing.share_change(name)
             self.wake_followers()
--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -120,6 +121,8 @@
         Last reported load of each endpoint.
     silent_endpoints : frozenset[str]
         Endpoints without a recent heartbeat.
+    returned_at : dict[str, float]
+        Monotonic time at which a failure domain was last given requests again.
     """
 
     def __init__(self, site, roster: Roster):
@@ -128,6 +131,7 @@
         self.pools: dict[str, BackendPool] = {}
         self.loads: dict[str, LoadReport] = {}
         self.silent_endpoints: frozenset[str] = frozenset()
+        self.returned_at: dict[str, float] = {}
 
     def report_load(self, endpoint: str, load: int, now: float) -> None:
         """Record the load that an endpoint reported."""
@@ -153,6 +157,33 @@
         rows = self.usable_rows(pool)
         return not rows or any(self.region_of(row) in regions for row in rows)
 
+    def record_return(self, failure_domain: str, now: float) -> None:
+        """Record that the endpoints of a failure domain may get requests again.
+
+        Explanation
+        ===========
+        They may have become cold shortly before, so each counts as cold until its next report.
+        """
+        self.returned_at[failure_domain] = now
+
+    def cold_s(self, row: Row, now: float) -> float:
+        """Return the seconds for which an endpoint is or may be cold, as far as known."""
+        pool = self.pools.get(row.registration.pool)
+        start_s = pool.cold_start_s if pool else 0.0
+        cold_s = row.cold_s(start_s, now)
+        returned_at = self.returned_at.get(row.registration.failure_domain, -math.inf)
+        if row.heard_at <= returned_at:
+            cold_s = max(cold_s, returned_at + start_s - now)
+        return cold_s
+
+    def count_cold(self, now: float) -> int:
+        """Return the number of endpoints that are limited since they are cold."""
+        return sum(
+            self.cold_s(row, now) > 0
+            for row in self.roster.rows.values()
+            if (pool := self.pools.get(row.registration.pool)) is not None and pool.cold_rate > 0
+        )
+
     def _make_view(self, row: Row, now: float) -> EndpointView:
         registration = row.registration
         pool = self.pools.get(registration.pool)
@@ -172,6 +203,8 @@
             load=report.load if report else 0,
             load_age_s=now - report.reported_at if report else 1e9,
             report_age_s=now - row.heard_at,
+            cold_s=self.cold_s(row, now),
+            cold_rate=pool.cold_rate if pool else 0.0,
         )
 
 
@@ -205,6 +238,7 @@
             list_owners=pool_owners.list_owners,
         )
         self.host.move_monitor = move_monitor
+        metrics.gauge("endpoints_cold", lambda: self.directory.count_cold(timers.now()))
 
     def set_pools(self, pools: dict[str, BackendPool]) -> None:
         """Replace the pools in force."""
@@ -262,6 +296,7 @@
         "is_slow": state.detector.is_slow,
         "is_failing": state.is_failing,
         "is_silent": state.is_silent,
+        "rate": state.cold_limit.rate if state.cold_limit.is_limited else None,
         "token_ms": round(state.token_s * 1000, 2),
         "start_ms": round(state.start_s * 1000, 1),
     }
--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -17,6 +18,13 @@
 from mulberrygate.observe.logs import logger
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.peers.client import PeerClient
+from mulberrygate.schedule.cold import (
+    AWAY_PART,
+    NEW_OWNER_PART,
+    NEW_OWNER_S,
+    choose_away_owners,
+    most_cold_owners,
+)
 from mulberrygate.schedule.messages import (
     Ask,
     Done,
@@ -81,6 +89,8 @@
         Whether a timer is set for the scheduling that was deferred.
     is_owner : bool
         Whether this instance owned the pool at the last tick.
+    owned_since : float
+        Time of the tick from which on it has owned the pool, infinite before.
     asked_at : dict[str, float]
         Time of the last message of each entry that waits for grants or has some.
     """
@@ -90,6 +100,7 @@
     handling_time: HandlingTime = attrs.field(factory=HandlingTime)
     has_deferred_timer: bool = False
     is_owner: bool = False
+    owned_since: float = math.inf
     asked_at: dict[str, float] = attrs.field(factory=dict)
 
     def count_askers(self, now: float) -> int:
@@ -177,6 +188,7 @@
             )
             hosted = self.hosted[pool] = HostedScheduler(scheduler, now)
             scheduler.find_rate_part = lambda endpoint, rate: self._rate_part(pool, endpoint, rate)
+            scheduler.find_cold_part = lambda endpoint, rate: self._cold_part(pool, endpoint, rate)
             self._refresh(pool, hosted, now)
         hosted.used_at = now
         return hosted.scheduler
@@ -264,6 +276,8 @@
         as running for ever, also after it owns the pool again.
         """
         was_owner, hosted.is_owner = hosted.is_owner, self.is_owner(pool)
+        if hosted.is_owner and not was_owner:
+            hosted.owned_since = self.timers.now()
         if was_owner and not hosted.is_owner:
             hosted.scheduler.forget_running(self.timers.now())
 
@@ -293,6 +307,30 @@
             return rate_part(endpoint, rate, self.settings.instance, owners) if owners else 1.0
         return self._share_of_askers(self.hosted[pool].count_askers(self.timers.now()))
 
+    def _cold_part(self, pool: str, endpoint: str, rate: float) -> float:
+        """Return the part of a cold endpoint's limit that this instance may use.
+
+        Explanation
+        ===========
+        All instances together must stay below the limit and its slack, also those that don't know
+        of each other: the owner, the one before it, deputies and entries alone.
+        """
+        instance = self.settings.instance
+        if self.is_owner(pool):
+            owners = self.list_owners(pool)
+            if owners:
+                return rate_part(endpoint, rate, instance, owners, most_cold_owners(rate))
+            is_new = self.timers.now() < self.hosted[pool].owned_since + NEW_OWNER_S
+            return NEW_OWNER_PART if is_new else 1.0
+        askers = self.hosted[pool].count_askers(self.timers.now())
+        if askers > 1:
+            return AWAY_PART * self._share_of_askers(askers)
+        entries = tuple(self.view().in_domain(self.settings.failure_domain))
+        if instance not in entries:
+            return AWAY_PART / max(1, len(entries))
+        owners = choose_away_owners(endpoint, entries)
+        return AWAY_PART / len(owners) if instance in owners else 0.0
+
     def _share_of_askers(self, askers: int) -> float:
         """Return the part of the endpoints that some entries may use without an owner."""
         entries = max(1, len(self.view().in_domain(self.settings.failure_domain)))
--- a/mulberrygate/daemon/roster_sharing.py
+++ b/mulberrygate/daemon/roster_sharing.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Callable
 
-import attrs
-
 from mulberrygate.core.timers import TimerService
 from mulberrygate.endpoints.roster import AgedRegistration, Roster
 from mulberrygate.peers import PeerClient
@@ -48,9 +46,7 @@
 
     def aged_registration(self, name: str) -> AgedRegistration:
         """Return an endpoint's registration and the age of its last heartbeat."""
-        row = self.roster.rows[name]
-        registration = attrs.evolve(row.registration, is_leaving=row.is_leaving)
-        return AgedRegistration(registration, max(0.0, self.timers.now() - row.heard_at))
+        return self.roster.rows[name].aged(self.timers.now())
 
     def share_change(self, name: str) -> None:
         """Send a new or changed endpoint to the other control processes without delay."""
--- a/mulberrygate/endpoints/model.py
+++ b/mulberrygate/endpoints/model.py
@@ -80,6 +80,10 @@
         Prefix hashes that are probably cached.
     report_age_s : float
         Seconds since the endpoint last reported to any process, as far as known.
+    cold_s : float
+        Seconds for which the endpoint is still cold, as far as known.
+    cold_rate : float
+        Requests a second that a cold endpoint of the pool takes from all instances, 0 for any.
     """
 
     endpoint: str
@@ -97,3 +101,5 @@
     load_age_s: float = 0.0
     prefixes: frozenset[str] = frozenset()
     report_age_s: float = 0.0
+    cold_s: float = 0.0
+    cold_rate: float = 0.0
--- a/mulberrygate/endpoints/roster.py
+++ b/mulberrygate/endpoints/roster.py
@@ -11,10 +11,15 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from mulberrygate.core.wire import message
 
+# A change of the time until which an endpoint is cold counts as one from this on. Reports take
+# hundredths of a second, and each change wakes all entries.
+COLD_CHANGE_S = 0.3
 # Ended incarnations that are remembered, so that late reports don't restore them.
 MAX_ENDED = 4096
 
@@ -35,7 +40,9 @@
     slots : int
         Requests that it runs at the same time.
     warmup_s : float
-        Seconds after its start during which it is slower than usual.
+        Seconds from the report for which it is cold: slower than usual, and it takes few requests.
+    states_warmup : bool
+        Whether the report states `warmup_s`.
     """
 
     endpoint: str
@@ -48,6 +55,7 @@
     slots: int = 1
     is_leaving: bool = False
     warmup_s: float = 0.0
+    states_warmup: bool = True
 
     @property
     def order_key(self) -> tuple[int, int]:
@@ -66,11 +74,59 @@
 
 @attrs.define
 class Row:
-    """Endpoint in the roster; ``heard_at`` is on the monotonic clock of this process."""
+    """Endpoint in the roster; times are on the monotonic clock of this process.
+
+    Parameters
+    ==========
+    first_heard_at : float
+        Time of the first report of the incarnation.
+    cold_until : float or None
+        Time until which it is cold, ``None`` if no report of the incarnation has stated that.
+    """
 
     registration: Registration
     heard_at: float
     is_leaving: bool = False
+    first_heard_at: float = -math.inf
+    cold_until: float | None = -math.inf
+
+    def take_warmup(self, before: Row | None, reported_at: float) -> None:
+        """Set until when the endpoint is cold, from its report and the one before."""
+        known = self.registration
+        is_same = before is not None and before.registration.incarnation == known.incarnation
+        self.first_heard_at = before.first_heard_at if is_same else reported_at
+        if known.states_warmup:
+            is_cold = known.warmup_s > 0
+            self.cold_until = reported_at + known.warmup_s if is_cold else -math.inf
+        else:
+            self.cold_until = before.cold_until if is_same else None
+
+    def cold_s(self, start_s: float, now: float) -> float:
+        """Return the seconds for which the endpoint is still cold, as far as known.
+
+        Parameters
+        ==========
+        start_s : float
+            Seconds for which an endpoint is cold after its start, if no report states it.
+        """
+        until = self.first_heard_at + start_s if self.cold_until is None else self.cold_until
+        return max(0.0, until - now)
+
+    def aged(self, now: float) -> AgedRegistration:
+        """Return the registration as it is to be passed on: as if it had been reported last.
+
+        Explanation
+        ===========
+        The time of the last report is newer than the registration if only the time was passed on.
+        """
+        left_s = 0.0 if self.cold_until is None else max(0.0, self.cold_until - self.heard_at)
+        known = attrs.evolve(
+            self.registration,
+            is_leaving=self.is_leaving,
+            warmup_s=left_s,
+            states_warmup=self.cold_until is not None,
+        )
+        return AgedRegistration(known, max(0.0, now - self.heard_at))
 
 
 class Roster:
@@ -110,12 +166,14 @@
         if self._is_superseded(registration, heard_at):
             return False
         is_leaving = registration.is_leaving
+        reported_at = heard_at
         if row is not None and row.registration.incarnation == registration.incarnation:
             is_leaving = is_leaving or row.is_leaving
             heard_at = max(heard_at, row.heard_at)
         self._remove_others_at(registration)
-        self.rows[name] = Row(registration, heard_at, is_leaving)
-        is_change = row is None or is_changed(row, self.rows[name])
+        new = self.rows[name] = Row(registration, heard_at, is_leaving)
+        new.take_warmup(row, reported_at)
+        is_change = row is None or is_changed(row, new) or is_cold_changed(row, new, reported_at)
         if is_change:
             self._record_change(name)
         return is_change
@@ -195,6 +253,14 @@
 
 def is_changed(before: Row, after: Row) -> bool:
     """Return whether two rows differ in more than sequence and time."""
-    first = attrs.evolve(before.registration, sequence=0, warmup_s=0.0)
-    second = attrs.evolve(after.registration, sequence=0, warmup_s=0.0)
+    changing = {"sequence": 0, "warmup_s": 0.0, "states_warmup": True}
+    first = attrs.evolve(before.registration, **changing)
+    second = attrs.evolve(after.registration, **changing)
     return first != second or before.is_leaving != after.is_leaving
+
+
+def is_cold_changed(before: Row, after: Row, now: float) -> bool:
+    """Return whether an endpoint has become cold, or will be cold for another time than known."""
+    if before.cold_until is None or after.cold_until is None:
+        return before.cold_until is not after.cold_until
+    return abs(max(before.cold_until, now) - max(after.cold_until, now)) > COLD_CHANGE_S
--- a/mulberrygate/endpoints/tests/test_roster.py
+++ b/mulberrygate/endpoints/tests/test_roster.py
@@ -87,6 +87,70 @@
         self.assertEqual(self.roster.rows["e1"].heard_at, 10.0)
 
 
+class TestColdEndpoints(unittest.TestCase):
+    """How long endpoints stay cold, by their reports and by reports passed on."""
+
+    START_S = 3.0
+
+    def setUp(self):
+        self.roster = Roster()
+
+    def cold_s(self, now, roster=None):
+        """Return the seconds for which the endpoint is still cold."""
+        return (roster or self.roster).rows["e1"].cold_s(self.START_S, now)
+
+    def record(self, sequence, warmup_s, heard_at, **more):
+        """Record a report; return whether it is a change."""
+        return self.roster.record_report(
+            report(sequence=sequence, warmup_s=warmup_s, **more), heard_at
+        )
+
+    def test_endpoint_that_turns_cold_is_a_change(self):
+        """Guards against entries that hear only at the next change that an endpoint is cold."""
+        self.assertTrue(self.record(1, 0.0, 0.0))
+        self.assertTrue(self.record(2, 3.0, 10.0))
+        self.assertEqual(self.cold_s(11.0), 2.0)
+        self.assertFalse(self.record(3, 1.8, 11.2), "the time that is left just goes by")
+        self.assertFalse(self.record(4, 0.0, 13.5))
+        self.assertTrue(self.record(5, 3.0, 20.0))
+        self.assertTrue(self.record(6, 0.0, 20.5), "warm earlier than it had said")
+        self.assertEqual(self.cold_s(20.5), 0.0)
+
+    def test_late_report_changes_nothing(self):
+        """Guards against a report from before that ends the cold time."""
+        self.record(5, 3.0, 10.0)
+        self.assertFalse(self.record(4, 0.0, 10.5))
+        self.assertEqual(self.cold_s(10.5), 2.5)
+
+    def test_report_passed_on_later(self):
+        """Guards against an old cold time that begins anew each time a report is passed on."""
+        self.record(1, 3.0, 0.0)
+        self.roster.renew("e1", 1, 20.0)
+        other = Roster()
+        aged = self.roster.rows["e1"].aged(21.0)
+        self.assertEqual(aged.age_s, 1.0)
+        other.record_report(aged.registration, 50.0 - aged.age_s)
+        self.assertEqual(self.cold_s(50.0, other), 0.0)
+        self.record(2, 4.0, 21.0)
+        aged = self.roster.rows["e1"].aged(22.0)
+        other.record_report(aged.registration, 51.0 - aged.age_s)
+        self.assertEqual(self.cold_s(51.0, other), 3.0)
+
+    def test_report_that_does_not_state_it(self):
+        """Guards against a new incarnation that counts as warm since nobody has said otherwise."""
+        self.record(1, 0.0, 10.0, states_warmup=False)
+        self.assertEqual(self.cold_s(11.0), 2.0)
+        self.record(2, 0.0, 12.0, states_warmup=False)
+        self.assertEqual(self.cold_s(14.0), 0.0)
+        aged = self.roster.rows["e1"].aged(12.5)
+        self.assertFalse(aged.registration.states_warmup)
+        self.record(3, 5.0, 15.0)
+        self.record(4, 0.0, 16.0, states_warmup=False)
+        self.assertEqual(self.cold_s(16.0), 4.0, "what it stated before still holds")
+        self.record(1, 0.0, 17.0, incarnation=2, states_warmup=False)
+        self.assertEqual(self.cold_s(17.0), self.START_S)
+
+
 REPORTS = st.lists(
     st.builds(
         report,
--- a/mulberrygate/platform/registrations.py
+++ b/mulberrygate/platform/registrations.py
@@ -54,8 +54,9 @@
             version=read_text(fields, "version", ""),
             slots=read_whole(fields, "slots"),
             is_leaving=state == DRAINING,
-            # Remaining milliseconds for which the endpoint is slow after its start.
+            # Remaining milliseconds for which it is cold; an older format lacks the field.
             warmup_s=max(0.0, read_number(fields, "coldRemainingMs", 0, -MAX_WHOLE) / 1000),
+            states_warmup=fields.get("coldRemainingMs") is not None,
         )
     except InvalidValue as error:
         raise InvalidRegistration(str(error)) from error
--- a/mulberrygate/platform/tests/test_registrations.py
+++ b/mulberrygate/platform/tests/test_registrations.py
@@ -94,6 +94,11 @@
         """Guards against refusing an endpoint that counts its warm-up below 0."""
         self.assertEqual(decode(coldRemainingMs=-5).warmup_s, 0.0)
 
+    def test_heartbeat_that_does_not_state_its_warmup(self):
+        """Guards against an endpoint that counts as warm since an older format lacks the field."""
+        self.assertTrue(decode(coldRemainingMs=0).states_warmup)
+        self.assertFalse(decode(coldRemainingMs=None).states_warmup)
+
     @settings(derandomize=True, max_examples=400, deadline=None)
     @given(
         st.text(st.characters(), max_size=6),
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -25,6 +25,10 @@
 NO_HITS: dict[str, int] = {}
 # Added to the rank of failing endpoints, so that all others are preferred.
 FAILING_RANK_OFFSET = 2
+# Added to the rank of cold endpoints for requests below the most urgent tier. A cold endpoint takes
+# few requests a second, whatever their length, so they are kept for those that are worth most.
+COLD_RANK_OFFSET = 4
+MAX_RANK = COLD_RANK_OFFSET + 2 * FAILING_RANK_OFFSET
 # Least seconds between two requests that probe whether a failing endpoint has recovered: for
 # idempotent requests, and for others, which are lost if it has not.
 PROBE_S = 0.5
@@ -63,6 +67,8 @@
     ==========
     max_distance : int
         Largest distance that the backlog justifies at present; set by the scheduler.
+    top_tier : int
+        Most urgent tier that sends requests at present; set by the scheduler.
     fast_token_s : float
         Endpoints with at most these seconds per output token count as fast. They get a request even
         if it is predicted to miss its deadline there, since no other endpoint would be faster.
@@ -91,6 +97,7 @@
         # Whether a failing endpoint ranks with the others only for one probe request at intervals.
         self.probes_failing = False
         self.max_distance = LOCAL
+        self.top_tier = 0
         self.fast_token_s = 0.0
         self.fast_regions: frozenset[str] = frozenset()
         self.is_fast_expected: Callable[[WaitingRequest, float], bool] = lambda waiting, now: False
@@ -219,7 +226,7 @@
         if is_limited:
             due = shares.due_versions(ticket.route)
             allowed = [name for name in shares.shares if shares.is_allowed(ticket.route, name)]
-        best, best_rank, best_score = None, 2 * FAILING_RANK_OFFSET, 0.0
+        best, best_rank, best_score = None, MAX_RANK, 0.0
         homes = ticket.home_regions
         for state in items:
             self.comparison_count += 1
@@ -247,6 +254,8 @@
                 score = float(state.used)
             if state.is_failing and not self.may_probe(waiting, state, now):
                 rank += FAILING_RANK_OFFSET
+            if state.cold_limit.is_limited and ticket.tier > self.top_tier:
+                rank += COLD_RANK_OFFSET
             if rank < best_rank or (rank == best_rank and score < best_score):
                 best, best_rank, best_score = state, rank, score
         return None if best is None else self.predict(waiting, best, cached.get(best.name, 0))
--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -5,6 +5,7 @@
 import math
 
 from mulberrygate.endpoints.model import EndpointView
+from mulberrygate.schedule.cold import ColdLimit
 from mulberrygate.schedule.detect import SlownessDetector
 from mulberrygate.schedule.failures import FailureShare
 from mulberrygate.schedule.messages import Ticket
@@ -168,6 +169,7 @@
         self.reported_at = -math.inf
         self.left_at = -math.inf
         self.rate_limit = EndpointRateLimit()
+        self.cold_limit = ColdLimit()
         self.slots = 0
         self.queue_limit = 0
         # Position in the set of endpoints with free capacity; -1 when it is in none.
@@ -200,7 +202,26 @@
 
     def is_blocked(self, now: float) -> bool:
         """Return whether the endpoint gets no request now, but will after some time."""
-        return now < self.blocked_until or not self.rate_limit.has_token(now)
+        return now < self.blocked_until or not self.has_token(now)
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the endpoint takes a limited number of requests a second."""
+        return self.rate_limit.is_limited or self.cold_limit.is_limited
+
+    def has_token(self, now: float) -> bool:
+        """Return whether the limits of requests a second allow one now."""
+        return self.rate_limit.has_token(now) and self.cold_limit.has_token(now)
+
+    def take_token(self, now: float) -> None:
+        """Count a request for the limits."""
+        self.rate_limit.take(now)
+        self.cold_limit.take(now)
+
+    def put_back_token(self, granted: GrantedRequest) -> None:
+        """Uncount a granted request that was not sent."""
+        self.rate_limit.put_back(granted.granted_at)
+        self.cold_limit.put_back(granted.granted_at)
 
     @property
     def accepts_work(self) -> bool:
--- a/mulberrygate/schedule/endpoint_set.py
+++ b/mulberrygate/schedule/endpoint_set.py
@@ -37,6 +37,8 @@
             state.extend_load_integral(now)
             state.view = view
             state.reported_at = now - view.report_age_s
+            state.cold_limit.report(view.cold_s, view.cold_rate, state.reported_at, now)
+            self._set_cold_part(state, now)
             if state.rate_limit.is_limited:
                 state.rate_limit.set_part(
                     self.find_rate_part(state.name, state.rate_limit.rate), now
@@ -70,6 +72,25 @@
             # Else instances that hear of a limit at the same time would always send together.
             limit.tokens = self.rng.random()
 
+    def _set_cold_part(self, state: EndpointState, now: float) -> None:
+        """Set the part of a cold endpoint's limit that this scheduler may use."""
+        limit = state.cold_limit
+        if limit.is_limited:
+            limit.set_part(self.find_cold_part(state.name, limit.cold_rate), now)
+
+    def _suspect_cold(self, state: EndpointState, now: float) -> None:
+        """Limit an endpoint that answers again after it was blocked, until its next report."""
+        state.cold_limit.suspect(now)
+        self._set_cold_part(state, now)
+        self._update_limits(state, now)
+
+    def _refresh_cold(self, now: float) -> None:
+        """Raise the limits of endpoints that have warmed up."""
+        for state in self.states.values():
+            if state.cold_limit.is_limited:
+                state.cold_limit.refresh(now)
+                self._update_limits(state, now)
+
     def _distance(self, view: EndpointView) -> int:
         if view.failure_domain == self.failure_domain:
             return LOCAL
--- a/mulberrygate/schedule/health.py
+++ b/mulberrygate/schedule/health.py
@@ -24,9 +24,7 @@
         """
         usable = [state for state in self.states.values() if state.slots > 0]
         unlimited = [
-            state
-            for state in usable
-            if state.slots >= state.view.slots and not state.rate_limit.is_limited
+            state for state in usable if state.slots >= state.view.slots and not state.is_limited
         ]
         times = [state.token_s for state in unlimited or usable]
         limit_s = self.chooser.fast_token_s = FAST_RATIO * min(times, default=0.0)
@@ -50,6 +48,8 @@
         """Update which endpoints have stopped answering."""
         for state in self.states.values():
             if (state.running or state.is_silent) and state.update_silence(now):
+                if not state.is_silent:
+                    self._suspect_cold(state, now)
                 self._update_limits(state, now)
 
     def _update_all_failing(self, now: float) -> None:
--- a/mulberrygate/schedule/rate_limit.py
+++ b/mulberrygate/schedule/rate_limit.py
@@ -1,4 +1,7 @@
-"""Limit of the requests a second that an endpoint takes, as it names it in its answers."""
+"""Limit of the requests a second that an endpoint takes.
+
+It names the limit in its answers, or is cold; see `mulberrygate.schedule.cold`.
+"""
 
 from __future__ import annotations
 
@@ -27,6 +30,8 @@
         Time of the answer that is the latest known to name a limit or none.
     part : float
         Part of the limit that this scheduler may use.
+    limited_since : float
+        Time since which the endpoint has been limited.
 
     Examples
     ========
@@ -43,14 +48,14 @@
     False
     """
 
-    __slots__ = ("rate", "stated_at", "part", "tokens", "filled_at")
+    __slots__ = ("rate", "stated_at", "part", "tokens", "filled_at", "limited_since")
 
     def __init__(self):
         self.rate = math.inf
         self.stated_at = -math.inf
         self.part = 1.0
         self.tokens = 0.0
-        self.filled_at = -math.inf
+        self.filled_at = self.limited_since = -math.inf
 
     @property
     def is_limited(self) -> bool:
@@ -70,12 +75,17 @@
         if stated_at <= self.stated_at:
             return False
         self.stated_at = stated_at
+        return self.set_rate(rate, now)
+
+    def set_rate(self, rate: float, now: float) -> bool:
+        """Set the limit; return whether that changes it."""
         if rate == self.rate:
             return False
         if self.is_limited:
             self._fill(now)
         else:
             self.tokens, self.filled_at = 0.0, now
+            self.limited_since = now
         self.rate = rate
         return True
 
@@ -105,13 +115,19 @@
             self._fill(now)
             self.tokens -= 1.0
 
-    def put_back(self) -> None:
-        """Return the token of a request that was not sent."""
-        if self.is_limited:
+    def put_back(self, taken_at: float) -> None:
+        """Return the token of a request that was not sent, if it took one."""
+        if self.is_limited and taken_at >= self.limited_since:
             self.tokens += 1.0
 
 
-def rate_part(endpoint: str, rate: float, instance: str, owners: Collection[str]) -> float:
+def rate_part(
+    endpoint: str,
+    rate: float,
+    instance: str,
+    owners: Collection[str],
+    max_owners: int | None = None,
+) -> float:
     """Return the part of an endpoint's limit for one of several instances that all own its pool.
 
     Explanation
@@ -119,6 +135,11 @@
     If there are more owners than `OWNERS_PER_RATE` allows, rendezvous hashing chooses those that
     may use the endpoint. An instance that doesn't know the names of the others uses an equal part.
 
+    Parameters
+    ==========
+    max_owners : int or None
+        Most owners that may use the endpoint, ``None`` for what `OWNERS_PER_RATE` allows.
+
     Examples
     ========
     >>> from mulberrygate.schedule.rate_limit import rate_part
@@ -127,7 +148,9 @@
     >>> sorted(parts)[-9:], sum(parts)
     ([0.0, 0.125, 0.125, 0.125, 0.125, 0.125, 0.125, 0.125, 0.125], 1.0)
     """
-    most = max(1, int(min(rate * OWNERS_PER_RATE, len(owners))))
+    if max_owners is None:
+        max_owners = int(rate * OWNERS_PER_RATE)
+    most = max(1, min(max_owners, len(owners)))
     if len(owners) <= most or instance not in owners:
         return 1.0 / max(1, len(owners))
     return 1.0 / most if instance in rank(endpoint, owners)[:most] else 0.0
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -17,6 +17,7 @@
 )
 from mulberrygate.schedule.demand import MEMORY_S, Demand
 from mulberrygate.schedule.endpoint import (
+    FAULTS_TO_BLOCK,
     OTHER_REGION,
     EndpointState,
     GrantedRequest,
@@ -175,6 +176,8 @@
         self.blocked: dict[str, EndpointState] = {}
         # Returns the part of an endpoint's named limit that this scheduler may use.
         self.find_rate_part: Callable[[str, float], float] = lambda _endpoint, _rate: 1.0
+        # Same for the limit of a cold endpoint.
+        self.find_cold_part: Callable[[str, float], float] = lambda _endpoint, _rate: 1.0
         self.maintained_at = self.expired_at = self.demand_at = self.homes_checked_at = -math.inf
 
     def ask(self, ticket: Ticket, now: float) -> list[Effect]:
@@ -201,7 +204,7 @@
         if granted is None:
             return []
         self._release(granted, now)
-        granted.state.rate_limit.put_back()
+        granted.state.put_back_token(granted)
         self.shares.undo_count(granted.ticket.route, granted.version, granted.share_epoch)
         self.queue.charge(granted.ticket, -granted.cost)
         return self._schedule(now)
@@ -241,6 +244,8 @@
         elif message.fault:
             state.record_fault(now)
         elif not message.cancelled:
+            if state.consecutive_faults >= FAULTS_TO_BLOCK:
+                self._suspect_cold(state, now)
             state.consecutive_faults = 0
             state.failures.observe(False)
             is_reference = self._is_reference(message.version)
@@ -284,6 +289,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Drop lost grants, shed requests that are too late, and update limits and reserves."""
+        self._refresh_cold(now)
         for state in list(self.blocked.values()):
             self._update_limits(state, now)
         if self.is_wide:
@@ -376,6 +382,7 @@
         self.demand_at = now
         waiting = (tier for tier in range(self.tiers) if self.queue.tiers[tier].count)
         self.top_tier = min(self.demand.top_tier(now), next(waiting, self.tiers))
+        self.chooser.top_tier = self.top_tier
         if not self.is_wide:
             self.reserved = self.demand.reserved(self.local_slots, now)
         self.chooser.max_distance = (
@@ -396,7 +403,7 @@
         self.served.count_ask(ticket.tier, now)
         if ticket.tier < self.top_tier:
             # The reserved slots are recomputed at once when a more urgent tier appears.
-            self.top_tier = ticket.tier
+            self.top_tier = self.chooser.top_tier = ticket.tier
             self.demand_at = -math.inf
         # The latest start as if the whole prompt were cached; the actual cached prefix is looked up
         # only once that time has passed.
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -268,8 +268,8 @@
         granted.expected_end = now + choice.run_s
         granted.expires_at = max(waiting.deadline, now + 4 * choice.run_s) + LOST_DONE_S
         self._add_running(granted, now)
-        if state.rate_limit.is_limited:
-            state.rate_limit.take(now)
+        if state.is_limited:
+            state.take_token(now)
             self._update_limits(state, now)
         if ticket.prefixes:
             self.prefixes.add_granted(state.name, ticket.prefixes, state.view.kv_tokens)
--- a/mulberrygate/sync/evidence.py
+++ b/mulberrygate/sync/evidence.py
@@ -72,9 +72,8 @@
 
     def _record_warmups(self, rows: list) -> None:
         for row in rows:
-            known = row.registration
-            if known.warmup_s > 0:
-                self.warm_at[known.endpoint] = row.heard_at + known.warmup_s
+            if row.cold_until is not None and row.cold_until > -math.inf:
+                self.warm_at[row.registration.endpoint] = row.cold_until
 
     def observe(self, pool: str, effect: Effect) -> None:
         """Count the result of a request in a pool under a move."""
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -217,6 +217,7 @@
                     address=known.address,
                     is_leaving=known.is_leaving,
                     age_s=round(heard.age_s, 3),
+                    cold_s=round(known.warmup_s, 3) if known.states_warmup else None,
                 )
             if known.is_leaving and roster.mark_leaving(known.endpoint, known.incarnation):
                 self.lines.log("endpoint.leaves", endpoint=known.endpoint)
