--- a/mulberrygate/control/tests/test_evacuations.py
+++ b/mulberrygate/control/tests/test_evacuations.py
@@ -30,10 +30,9 @@
     st.tuples(st.just("send again"), st.integers(0, 9)),
     st.tuples(st.just("commit"), st.integers(0, 9)),
     st.tuples(st.just("lose leader"), st.integers(0, 9)),
-    st.tuples(st.just("apply"), st.integers(0, REPLICAS - 1)),
-    st.tuples(st.just("restart"), st.integers(0, REPLICAS - 1)),
-    st.tuples(st.just("replace"), st.integers(0, REPLICAS - 1)),
-    st.tuples(st.just("inform"), st.integers(0, REPLICAS - 1)),
+    st.tuples(st.sampled_from(["apply", "inform"]), st.integers(0, REPLICAS - 1)),
+    st.tuples(st.sampled_from(["apply", "inform"]), st.integers(0, REPLICAS - 1)),
+    st.tuples(st.sampled_from(["restart", "replace"]), st.integers(0, REPLICAS - 1)),
 )
 
 
@@ -122,7 +121,7 @@
     """Orders that are sent again, reordered and lost, and control processes that are replaced."""
 
     @settings(max_examples=400, derandomize=True, deadline=None)
-    @given(st.lists(STEPS, max_size=40))
+    @given(st.lists(STEPS, min_size=30, max_size=60))
     def test_last_committed_order_counts(self, steps):
         """Guards against an evacuation that differs among processes or that one of them forgets.
 
