Evacuate failure domains on the operator's order

The issue: POST and DELETE /evacuate/ZONE were answered with 404, and nothing kept requests from the endpoints of a failure domain.

Both calls are committed by a majority before their 200, also when they state what holds already; an unknown zone gets 422, and 503 means not certain, as while a control process of an earlier release runs. Followers are woken and get the evacuated domains with the log index of the last change. Endpoints there are listed to schedulers but accept no work; an entry checks a grant in hand right before the send and returns it. Calls to a pool without any other endpoint are refused with 2204, also those that wait. GET /evacuate lists the domains and how many requests still run there, which entries count and control processes add up. After a withdrawal the endpoints of the domain count as cold for the pool's cold time (EndpointView.cold_s).

--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -23,6 +23,7 @@
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.crash_committer import CRASH_EXPIRY_INTERVAL_S, CrashCommitter
 from mulberrygate.daemon.endpoint_reports import EndpointReports
+from mulberrygate.daemon.evacuation_orders import EvacuationOrders
 from mulberrygate.daemon.log_clock import LogClock
 from mulberrygate.daemon.placement import Placement, PoolOwners
 from mulberrygate.daemon.roster_sharing import RosterSharing
@@ -76,9 +77,9 @@
 
     Explanation
     ===========
-    The catalog, leaving endpoints, version moves and crash reports are replicated by a Raft-like
-    group. Heartbeats are not; control processes share them with each other. Entries follow any
-    control process by long polling.
+    The catalog, leaving endpoints, version moves, crash reports and evacuations are replicated by a
+    Raft-like group. Heartbeats are not; control processes share them with each other. Entries
+    follow any control process by long polling.
 
     Parameters
     ==========
@@ -143,6 +144,7 @@
             self.timers,
             self._other_controls,
             lambda: self.entries.own(self.timers.now()),
+            lambda: self.evacuations.running.own(self.timers.now()),
         )
         self.reports = EndpointReports(
             self.roster,
@@ -155,7 +157,9 @@
             lines,
         )
         self.placement: Placement | None = None
-        self.log_clock = LogClock(lambda: self.machine.quarantine.clock)
+        self.log_clock = LogClock(
+            lambda: max(self.machine.quarantine.clock, self.machine.evacuations.clock)
+        )
         self.crash_committer = CrashCommitter(
             lambda: self.machine, self.log.commit, self.log_clock, self.timers, lines
         )
@@ -167,6 +171,16 @@
             self.timers,
             lines,
         )
+        self.evacuations = EvacuationOrders(
+            lambda: self.machine,
+            self.roster,
+            lambda: set(site.regions),
+            lambda: self.is_roster_filled,
+            self.log.commit,
+            self.log_clock,
+            self.timers,
+            lines,
+        )
         self.is_stopping = False
         self.is_catalog_pending = False
         self.is_behind = True
@@ -333,12 +347,19 @@
             self.roster.mark_leaving(name, incarnation)
         self.moves.apply_moves()
         self.crash_committer.log_quarantine_changes()
+        self._apply_evacuations()
         if not self.is_catalog_pending:
             # A restart applies hundreds of catalog versions at once; only the last is decoded.
             self.is_catalog_pending = True
             self.timers.after(0.0, self._apply_catalog, "catalog")
         self._wake_followers()
 
+    def _apply_evacuations(self) -> None:
+        """Keep the schedulers of this process from granting endpoints that are evacuated."""
+        self.evacuations.log_changes()
+        if self.evacuations.apply_to(self.placement.directory.evacuations):
+            self.placement.refresh()
+
     def _apply_catalog(self) -> None:
         """Decode the newest catalog and apply it to the limits and the placement."""
         self.is_catalog_pending = False
@@ -400,6 +421,9 @@
         if not message.reads_evidence:
             self.crash_committer.gate.record_earlier_release(now)
             self.trial_granter.gate.record_earlier_release(now)
+        self.evacuations.running.record_update(sender, message.running, now)
+        if not message.reads_evacuations:
+            self.evacuations.gate.record_earlier_release(now)
         is_change, result = self.sharing.merge(message, now)
         if is_change:
             self._wake_followers()
@@ -409,6 +433,7 @@
         """Answer an entry once there are changes for it, or at the end of the wait (long poll)."""
         if self.entries.record_poll(message.instance, self.timers.now()):
             self.lines.log("entry.follows", entry=message.instance)
+        self.evacuations.running.record_poll(message.instance, message.running, self.timers.now())
         if not self._has_changes_for(message):
             try:
                 await asyncio.wait_for(self.state_changed.wait(), self._follow_wait_s(message))
@@ -435,6 +460,7 @@
             or message.catalog_version < self.machine.version
             or message.changes < self.roster.changes
             or message.quarantine < self.machine.quarantine.number
+            or 0 <= message.evacuations < self.machine.evacuations.number
         )
 
     def _make_follow_result(self, message: Follow) -> FollowResult:
@@ -446,6 +472,7 @@
         quarantine = machine.quarantine
         is_quarantine_due = message.quarantine != quarantine.number
         entries = self.entries.all(self.timers.now())
+        evacuations = self.evacuations.ages()
         return FollowResult(
             control_incarnation=self.incarnation,
             changes=roster.changes,
@@ -470,6 +497,10 @@
             quarantined=quarantine.quarantined if is_quarantine_due else (),
             suspected=quarantine.suspects if is_quarantine_due else (),
             age_s=self.state_age_s,
+            evacuations=evacuations.number,
+            evacuated=evacuations.evacuated,
+            evacuated_s=evacuations.evacuated_s,
+            withdrawn=evacuations.withdrawn,
         )
 
     def _on_ask_units(self, message: AskUnits, _sender: str) -> Units:
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -21,7 +21,7 @@
 from mulberrygate.forward.service import Forwarder
 from mulberrygate.forward.suspects import Suspects
 from mulberrygate.members.deputies import Deputies
-from mulberrygate.observe.jsonlines import JsonLines
+from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import DeputyLimits, Limit
 from mulberrygate.sync.crash_reports import CrashReporter
@@ -162,6 +162,7 @@
             self.seed,
         )
         self.follower.quarantine_number = lambda: self.suspects.quarantine_number
+        self.follower.evacuations_number = lambda: self.evacuations.number
         pool_owners = PoolOwners(
             site.instance,
             lambda: self.follower.leader,
@@ -178,6 +179,8 @@
             self.evidence,
             self.seed,
         )
+        self.evacuations = self.placement.directory.evacuations
+        self.metrics.gauge("evacuated_failure_domains", lambda: len(self.evacuations.evacuated))
         scheduler = SchedulerClient(
             site.instance,
             site.failure_domain,
@@ -188,6 +191,9 @@
             progress_s=PROGRESS_INTERVAL_S,
             owner_check_s=OWNER_CHECK_INTERVAL_S,
         )
+        self.follower.running = lambda: self.placement.directory.count_evacuated(
+            scheduler.running_endpoints()
+        )
         self.forwarder = Forwarder(
             site,
             self.dialect,
@@ -283,6 +289,7 @@
         self.forwarder.catalog_current_at = self.follower.current_at
         self._update_entries(result)
         self._update_quarantine(result)
+        self._update_evacuations(result)
         self._check_informed(result)
         self.evidence.set_moves(self.follower.moves)
         if result.heard or result.gone:
@@ -313,13 +320,37 @@
             self.trials.retain({*suspects.quarantined, *suspects.suspected})
             self.forwarder.gate.cancel_quarantined()
 
+    def _update_evacuations(self, result: FollowResult) -> None:
+        """Take over the evacuations of a control process, and stop what they forbid."""
+        before = self.evacuations.evacuated
+        is_change = self.evacuations.update(
+            result.evacuations,
+            result.evacuated,
+            result.withdrawn,
+            result.is_current,
+            self.timers.now(),
+        )
+        if not is_change:
+            return
+        ages_s = dict(zip(result.evacuated, result.evacuated_s, strict=False))
+        for name in sorted(self.evacuations.evacuated - before):
+            age_s = rounded_age(ages_s.get(name, math.inf))
+            self.lines.log("evacuation.in_force", failure_domain=name, age_s=age_s)
+        ages_s = dict(result.withdrawn)
+        for name in sorted(before - self.evacuations.evacuated):
+            age_s = rounded_age(ages_s.get(name, math.inf))
+            self.lines.log("evacuation.ended", failure_domain=name, age_s=age_s)
+        self.placement.refresh()
+        self.forwarder.refuse_evacuated()
+
     def _check_informed(self, result: FollowResult) -> None:
         """Begin to serve once the state of the control group is known.
 
         Explanation
         ===========
         A control process that was restored from its disk has an older quarantine until it has
-        caught up. An entry that started with that would send calls that crash endpoints.
+        caught up. An entry that started with that would send calls that crash endpoints, or calls
+        to an evacuated failure domain.
         """
         if self.is_informed:
             return
--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -23,6 +24,7 @@
 from mulberrygate.endpoints.roster import Roster, Row
 from mulberrygate.schedule.endpoint import EndpointState
 from mulberrygate.schedule.messages import pool_subject
+from mulberrygate.sync.evacuations import KnownEvacuations
 from mulberrygate.tables.model import MODEL, SERVICE, Pool
 
 MAX_WAITING_REQUESTS = 2000
@@ -120,6 +122,8 @@
         Last reported load of each endpoint.
     silent_endpoints : frozenset[str]
         Endpoints without a recent heartbeat.
+    evacuations : KnownEvacuations
+        Failure domains to whose endpoints nothing may be sent.
     """
 
     def __init__(self, site, roster: Roster):
@@ -128,18 +132,71 @@
         self.pools: dict[str, BackendPool] = {}
         self.loads: dict[str, LoadReport] = {}
         self.silent_endpoints: frozenset[str] = frozenset()
+        self.evacuations = KnownEvacuations()
 
     def report_load(self, endpoint: str, load: int, now: float) -> None:
         """Record the load that an endpoint reported."""
         self.loads[endpoint] = LoadReport(load, now)
 
     def views(self, pool: str, now: float) -> list[EndpointView]:
-        """Return the usable endpoints of a pool, silent ones only if there are no others."""
+        """Return the usable endpoints of a pool, silent ones only if there are no others.
+
+        Explanation
+        ===========
+        Endpoints of evacuated failure domains are listed as well, since requests may still run at
+        them, but accept no work.
+        """
+        rows = self.roster.usable(pool)
+        usable, evacuated = rows, []
+        if self.evacuations.evacuated:
+            usable = [row for row in rows if not self._is_evacuated(row)]
+            evacuated = [row for row in rows if self._is_evacuated(row)]
+        heard = [row for row in usable if row.registration.endpoint not in self.silent_endpoints]
+        views = [self._make_view(row, now) for row in heard or usable]
+        views += [self._make_view(row, now, accepts_work=False) for row in evacuated]
+        return views
+
+    def _is_evacuated(self, row: Row) -> bool:
+        return self.evacuations.is_evacuated(row.registration.failure_domain)
+
+    def is_evacuated(self, endpoint: str) -> bool:
+        """Return whether an endpoint is known to be in an evacuated failure domain."""
+        row = self.roster.rows.get(endpoint)
+        return row is not None and self._is_evacuated(row)
+
+    def count_evacuated(self, endpoints: list[str]) -> tuple[tuple[str, int], ...]:
+        """Return the evacuated failure domains of some endpoints and how often each occurs."""
+        if not self.evacuations.evacuated:
+            return ()
+        rows = (self.roster.rows.get(endpoint) for endpoint in endpoints)
+        return tuple(
+            Counter(
+                row.registration.failure_domain
+                for row in rows
+                if row is not None and self._is_evacuated(row)
+            ).items()
+        )
+
+    def is_pool_evacuated(self, pool: str) -> bool:
+        """Return whether all endpoints of a pool, at least one, are evacuated."""
+        if not self.evacuations.evacuated:
+            return False
         rows = self.roster.usable(pool)
-        heard = [row for row in rows if row.registration.endpoint not in self.silent_endpoints]
-        return [self._make_view(row, now) for row in heard or rows]
+        return bool(rows) and all(self._is_evacuated(row) for row in rows)
+
+    def _cold_s(self, row: Row, pool: BackendPool | None, now: float) -> float:
+        """Return for how long an endpoint may still be cold, in seconds.
+
+        Explanation
+        ===========
+        The endpoints of a failure domain may have become cold shortly before its evacuation is
+        withdrawn. Renewed reports don't tell it, so all of them count as cold from then on.
+        """
+        stated_s = row.registration.warmup_s - (now - row.heard_at)
+        ended_s = self.evacuations.ended_s(row.registration.failure_domain, now)
+        return max(0.0, stated_s, getattr(pool, "cold_start_s", 0.0) - ended_s)
 
-    def _make_view(self, row: Row, now: float) -> EndpointView:
+    def _make_view(self, row: Row, now: float, accepts_work: bool = True) -> EndpointView:
         registration = row.registration
         pool = self.pools.get(registration.pool)
         report = self.loads.get(registration.endpoint)
@@ -154,10 +211,11 @@
             hardware="",
             slots=max(1, registration.slots),
             kv_tokens=pool.kv_tokens if pool else 0,
-            accepts_work=True,
+            accepts_work=accepts_work,
             load=report.load if report else 0,
             load_age_s=now - report.reported_at if report else 1e9,
             report_age_s=now - row.heard_at,
+            cold_s=self._cold_s(row, pool, now),
         )
 
 
--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -315,7 +315,10 @@
         shared = [self._with_share(view, view.slots * part) for view in views]
         if not shared or any(view.accepts_work for view in shared):
             return shared
-        best = max(range(len(views)), key=lambda number: self._hash_fraction(views[number]))
+        usable = [number for number, view in enumerate(views) if view.accepts_work]
+        if not usable:
+            return shared
+        best = max(usable, key=lambda number: self._hash_fraction(views[number]))
         shared[best] = attrs.evolve(views[best], slots=1)
         return shared
 
--- a/mulberrygate/daemon/roster_sharing.py
+++ b/mulberrygate/daemon/roster_sharing.py
@@ -23,6 +23,8 @@
         Returns the other control processes.
     own_entries : Callable[[], tuple[str, ...]]
         Returns the entries that follow this process, which each update names.
+    own_running : Callable[[], tuple[tuple[str, int], ...]]
+        Returns how many requests of these entries run in each evacuated failure domain.
 
     Attributes
     ==========
@@ -37,12 +39,14 @@
         timers: TimerService,
         list_others: Callable[[], list[str]],
         own_entries: Callable[[], tuple[str, ...]],
+        own_running: Callable[[], tuple[tuple[str, int], ...]] = lambda: (),
     ):
         self.roster = roster
         self.client = client
         self.timers = timers
         self.list_others = list_others
         self.own_entries = own_entries
+        self.own_running = own_running
         self.changed: set[str] = set()
         self.renewed: set[str] = set()
 
@@ -89,6 +93,8 @@
             reads_crashes=True,
             reads_trials=True,
             reads_evidence=True,
+            reads_evacuations=True,
+            running=self.own_running(),
             **fields,
         )
 
--- a/mulberrygate/daemon/tests/test_pool_host.py
+++ b/mulberrygate/daemon/tests/test_pool_host.py
@@ -89,6 +89,17 @@
         """Return the slots that a host uses."""
         return sum(state.slots for state in host.scheduler("pool").states.values())
 
+    def test_deputy_uses_no_evacuated_endpoint(self):
+        """Guards against a small share whose only slot is at an endpoint that accepts no work."""
+        views = [make_view(f"e{number}", slots=1, accepts_work=number > 2) for number in range(5)]
+        for number in range(80):
+            states = self.host_without_owner(number, 80, views).scheduler("pool").states
+            used = {name for name, state in states.items() if state.slots}
+            self.assertTrue(used <= {"e3", "e4"})
+            self.assertTrue(used)
+        views = [attrs.evolve(view, accepts_work=False) for view in views]
+        self.assertEqual(self.count_slots(self.host_without_owner(1, 80, views)), 0)
+
     def test_load_of_others_leaves_a_deputy_its_share(self):
         """Requests were refused as the slots that others used were taken off a small share."""
         views = [make_view("e", slots=8, load=6, load_age_s=0.0)]
--- a/mulberrygate/endpoints/model.py
+++ b/mulberrygate/endpoints/model.py
@@ -80,6 +80,8 @@
         Prefix hashes that are probably cached.
     report_age_s : float
         Seconds since the endpoint last reported to any process, as far as known.
+    cold_s : float
+        Seconds for which the endpoint is still cold, as far as known.
     """
 
     endpoint: str
@@ -97,3 +99,4 @@
     load_age_s: float = 0.0
     prefixes: frozenset[str] = frozenset()
     report_age_s: float = 0.0
+    cold_s: float = 0.0
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -45,7 +45,11 @@
 
 
 class WaitEnded(Exception):
-    """The process stops, so that a request can't wait for a grant any longer."""
+    """A request can't wait for a grant any longer, for the reason that the refusal states."""
+
+    def __init__(self, refusal: Refusal):
+        super().__init__(str(refusal.code))
+        self.refusal = refusal
 
 
 @attrs.define(eq=False)
@@ -197,6 +201,10 @@
         """Return how many requests of a client account wait here."""
         return sum(1 for waiting in self.waiting.values() if waiting.ticket.account == account)
 
+    def running_endpoints(self) -> list[str]:
+        """Return the endpoint of each request that was granted here and has not ended."""
+        return [granted.grant.endpoint for granted in self.running.values()]
+
     async def acquire(
         self, ticket: Ticket, deadline_at: float, give_up_at: float = math.inf
     ) -> Grant | Refusal:
@@ -225,8 +233,8 @@
                 answer = await waiting.answer
         except TimeoutError:
             return Refusal(DEADLINE_PASSED, retry_after_s=1.0)
-        except WaitEnded:
-            return Refusal(STOPPING, retry_after_s=STOPPING_RETRY_S)
+        except WaitEnded as ended:
+            return ended.refusal
         finally:
             self.waiting.pop(ticket.request, None)
             self._withdraw(waiting, answer is not None)
@@ -240,7 +248,15 @@
         """Refuse all requests that wait, and later ones, since this process stops."""
         self.is_stopping = True
         for waiting in self._unanswered():
-            waiting.answer.set_exception(WaitEnded())
+            waiting.answer.set_exception(
+                WaitEnded(Refusal(STOPPING, retry_after_s=STOPPING_RETRY_S))
+            )
+
+    def refuse_waiting(self, pool: str, refusal: Refusal) -> None:
+        """Refuse the requests that wait for grants of a pool, and withdraw them from its owner."""
+        for waiting in self._unanswered():
+            if waiting.ticket.pool == pool:
+                waiting.answer.set_exception(WaitEnded(refusal))
 
     def _withdraw(self, waiting: WaitingTicket, is_taken: bool) -> None:
         """Withdraw the ticket from all instances except the owner whose answer was used.
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -146,6 +146,8 @@
         """Wait until the call may be sent to an endpoint; return the final answer if it may not."""
         forwarder, call = self.forwarder, self.call
         while True:
+            if forwarder.placement.directory.is_pool_evacuated(call.pool.name):
+                return self._without_grant(forwarder.evacuated_refusal())
             pause_s = forwarder.notices.pool_pause_s(call.pool.name, self.now())
             if pause_s > 0:
                 return self._refuse_paused(pause_s)
@@ -157,12 +159,12 @@
             if isinstance(grant, Refusal):
                 return self._without_grant(grant)
             is_allowed = await self._may_send(ticket)
-            if is_allowed and forwarder.notices.may_use(grant, self.now()):
+            if is_allowed and forwarder.may_use(grant):
                 return Turn(ticket, grant)
             forwarder.scheduler.return_grant(ticket.request)
             if is_allowed:
-                # Since the ticket was sent, the endpoint has said that it takes no more calls. An
-                # owner of an earlier release, which doesn't read notices, avoids it if it can.
+                # Since the ticket was sent, the endpoint has said that it takes no more calls, or
+                # it was evacuated. An owner that doesn't know it yet avoids it if it can.
                 if grant.endpoint not in self.avoid:
                     self.avoid.append(grant.endpoint)
                 await asyncio.sleep(RETRY_PAUSE_S)
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -41,6 +41,8 @@
 UNCERTAIN_RETRY_S = 0.5
 # Other entries can take the call at once; the pause only keeps callers from returning together.
 STOPPING_RETRY_S = 0.1
+# A withdrawal is in force at all entries within a round trip to a control process.
+EVACUATED_RETRY_S = 1.0
 # Fraction of the caller's timeout that a stream may wait for an endpoint; the rest is for its run.
 ENDPOINT_WAIT_FRACTION = 0.8
 REFUSAL_GRACE_S = 0.1
@@ -343,6 +345,23 @@
                 call.granted_after_s = self.timers.now() - call.received_at
         return outcome
 
+    def may_use(self, grant: Grant) -> bool:
+        """Return whether a call may be sent on a grant now."""
+        if self.placement.directory.is_evacuated(grant.endpoint):
+            self.metrics.count("grants_evacuated_total")
+            return False
+        return self.notices.may_use(grant, self.timers.now())
+
+    def evacuated_refusal(self) -> Refusal:
+        """Return the refusal of a call to a pool without endpoints outside evacuated domains."""
+        return Refusal(codes.ENDPOINTS_EVACUATED, retry_after_s=EVACUATED_RETRY_S)
+
+    def refuse_evacuated(self) -> None:
+        """Refuse the waiting calls to pools all of whose endpoints are evacuated."""
+        for pool in self.index.pools if self.index is not None else ():
+            if self.placement.directory.is_pool_evacuated(pool):
+                self.scheduler.refuse_waiting(pool, self.evacuated_refusal())
+
     def refuse(self, call: Call, refused: Refused) -> web.Response:
         """Log a refusal and return the response for it."""
         code = refused.code
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -9,6 +9,7 @@
 import attrs
 from aiohttp import web
 
+from mulberrygate.control.evacuations import OrderResult
 from mulberrygate.platform.documents import InvalidDocument, decode_document
 from mulberrygate.platform.registrations import (
     MAX_REGISTRATION_BYTES,
@@ -21,6 +22,7 @@
 MAX_DOCUMENT_BYTES = 16 << 20
 INSTANCE = re.compile(r"/instances/([^/?]+)$")
 QUARANTINED = re.compile(r"/quarantine/([0-9a-f]+|part-[0-9a-f]+(?:\+part-[0-9a-f]+)*)$")
+EVACUATION = re.compile(r"/evacuate/([^/?]+)$")
 ROLLOUT = re.compile(r"/rollouts/([^/?]+)$")
 
 
@@ -54,6 +56,11 @@
         found = QUARANTINED.match(path)
         if found and method == "DELETE":
             return answer(200 if await self.controller.release_identity(found[1]) else 503)
+        if path == "/evacuate" and method == "GET":
+            return self.get_evacuations()
+        found = EVACUATION.match(path)
+        if found and method in ("POST", "DELETE"):
+            return await self.put_evacuation(found[1], method == "POST")
         found = ROLLOUT.match(path)
         if found and method == "GET":
             return await self.get_rollout(found[1])
@@ -117,6 +124,25 @@
         found = [attrs.asdict(item) for item in self.controller.list_quarantined()]
         return answer(200, {"quarantined": found})
 
+    async def put_evacuation(self, zone: str, is_evacuated: bool) -> web.Response:
+        """Evacuate a zone, or withdraw that.
+
+        Explanation
+        ===========
+        Orders are sent again until they get an answer of 2xx, 400, 409, 412, 413 or 422, so an
+        unknown zone gets 422: the call can be read, and no repetition will be accepted.
+        """
+        result = await self.controller.evacuations.put(zone, is_evacuated)
+        if result is OrderResult.UNKNOWN_DOMAIN:
+            return answer(422, {"error": f"unknown zone {zone!r}"})
+        return answer(200 if result is OrderResult.COMMITTED else 503)
+
+    def get_evacuations(self) -> web.Response:
+        """Return the evacuated zones; 503 if this process may not know all of them."""
+        if not self.controller.is_current:
+            return answer(503)
+        return answer(200, {"evacuated": self.controller.evacuations.describe()})
+
     async def post_rollout(self, request: web.BaseRequest) -> web.Response:
         """Begin the move of a pool to a version."""
         body = await self.read_body(request, MAX_REGISTRATION_BYTES) or b""
--- a/mulberrygate/sync/follower.py
+++ b/mulberrygate/sync/follower.py
@@ -50,6 +50,10 @@
     ==========
     quarantine_number : Callable[[], int]
         Returns the number of the quarantine list that the entry has.
+    evacuations_number : Callable[[], int]
+        Returns the number of the evacuations that the entry knows.
+    running : Callable[[], tuple[tuple[str, int], ...]]
+        Returns how many requests of the entry run in each evacuated failure domain.
     entries_digest : int
         Digest of the list of live entries in the last answer that was current.
     moves : tuple[MoveShare, ...]
@@ -93,6 +97,8 @@
         self.control_incarnation = 0
         self.changes = -1
         self.quarantine_number: Callable[[], int] = lambda: 0
+        self.evacuations_number: Callable[[], int] = lambda: 0
+        self.running: Callable[[], tuple[tuple[str, int], ...]] = lambda: ()
         self.entries_digest = 0
         self.revision = 0
         self.moves: tuple[MoveShare, ...] = ()
@@ -152,6 +158,8 @@
             self.quarantine_number(),
             FOLLOW_WAIT_S if self.index else FIRST_CATALOG_WAIT_S,
             self.entries_digest,
+            self.evacuations_number(),
+            self.running(),
         )
         answer = await self._ask(request)
         if not isinstance(answer, FollowResult):
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -51,6 +51,10 @@
         Longest time in seconds for which the answer may wait for a change.
     entries_digest : int
         Digest of the list of live entries that the entry has; see `mulberrygate.sync.entry_list`.
+    evacuations : int
+        Number of the evacuations that the entry knows, -1 from entries of earlier releases.
+    running : tuple[tuple[str, int], ...]
+        Evacuated failure domains in which requests of the entry still run, and how many.
     """
 
     instance: str
@@ -61,6 +65,8 @@
     quarantine: int = 0
     wait_s: float = FOLLOW_WAIT_S
     entries_digest: int = 0
+    evacuations: int = -1
+    running: tuple[tuple[str, int], ...] = ()
 
 
 @message("sync.state")
@@ -104,6 +110,15 @@
     age_s : float
         Seconds since the control process had applied everything that its group had committed,
         infinite if it never had.
+    evacuations : int
+        Number of the evacuations at the control process, -1 from those of earlier releases; see
+        `mulberrygate.control.evacuations`.
+    evacuated : tuple[str, ...]
+        Failure domains to whose endpoints nothing may be sent.
+    evacuated_s : tuple[float, ...]
+        Seconds since each of them was evacuated.
+    withdrawn : tuple[tuple[str, float], ...]
+        Failure domains whose evacuation was withdrawn lately, and the seconds since.
     """
 
     control_incarnation: int
@@ -127,6 +142,10 @@
     suspected: tuple[str, ...] = ()
     revision: int = 0
     age_s: float = math.inf
+    evacuations: int = -1
+    evacuated: tuple[str, ...] = ()
+    evacuated_s: tuple[float, ...] = ()
+    withdrawn: tuple[tuple[str, float], ...] = ()
 
 
 @message("sync.ask_standing")
@@ -159,6 +178,10 @@
     reads_crashes, reads_trials, reads_evidence : bool
         Whether the sender can apply the commands that count crashes, begin trials of calls, and
         that count evidence and begin trials of any identity; earlier releases can't.
+    reads_evacuations : bool
+        Whether the sender can apply the command that evacuates a failure domain.
+    running : tuple[tuple[str, int], ...]
+        Evacuated failure domains in which requests of these entries still run, and how many.
     """
 
     heard: tuple[AgedRegistration, ...] = ()
@@ -167,6 +190,8 @@
     reads_crashes: bool = False
     reads_trials: bool = False
     reads_evidence: bool = False
+    reads_evacuations: bool = False
+    running: tuple[tuple[str, int], ...] = ()
 
 
 @message("sync.share_result")
