Let operators evacuate failure domains from the command line

mulberrygate evacuate orders, ends and lists evacuations through any control process; the list shows how many requests still run in each failure domain and names the pools without another endpoint. The gauge pools_without_endpoint of an entry counts these.

--- a/mulberrygate/cli/tests/test_cli.py
+++ b/mulberrygate/cli/tests/test_cli.py
@@ -105,6 +105,36 @@
         self.assertEqual((code, out), (REFUSED, ""))
         self.assertIn("not current", err)
 
+    def test_failure_domain_is_evacuated_and_listed(self):
+        """Guards against an operator who can't empty a failure domain or see that it is empty."""
+        row = {"failure_domain": "north 1", "age_s": 61.6, "running": 2}
+        body = {"evacuated": [row], "pools_without_endpoint": ["care"]}
+        address = self.serve(200, json.dumps(body).encode())[1]
+        for more, state in (((), "evacuated"), (("--end",), "no longer evacuated")):
+            code, out, _ = self.run_main("evacuate", "--control", address, "north 1", *more)
+            self.assertEqual((code, out), (OK, f"north 1 is {state}\n"))
+        code, out, err = self.run_main("evacuate", "--control", address, "--list")
+        self.assertEqual(code, OK)
+        self.assertEqual(out.splitlines()[1].split(), ["north", "1", "62", "2"])
+        self.assertIn("all endpoints of care are evacuated", err)
+        path = "/evacuate/north%201"
+        self.assertEqual(
+            [seen[:2] for seen in self.seen],
+            [("POST", path), ("DELETE", path), ("GET", "/evacuate")],
+        )
+        self.assertEqual(self.run_main("evacuate", "--control", address)[0], USAGE)
+
+    def test_refused_evacuation(self):
+        """Guards against an order that looks accepted though it is not committed."""
+        for status, body, reason in (
+            (503, b"{}", "can't confirm"),
+            (422, b'{"error": "unknown zone"}', "unknown zone"),
+        ):
+            address = self.serve(status, body)[1]
+            code, out, err = self.run_main("evacuate", "--control", address, "a")
+            self.assertEqual((code, out), (REFUSED, ""))
+            self.assertIn(reason, err)
+
     def test_check_names_line_and_column(self):
         """Guards against a fault that is reported without its position in the file."""
         cases = {
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -181,6 +181,7 @@
         )
         self.evacuations = self.placement.directory.evacuations
         self.metrics.gauge("evacuated_failure_domains", lambda: len(self.evacuations.evacuated))
+        self.metrics.gauge("pools_without_endpoint", self.placement.count_evacuated_pools)
         scheduler = SchedulerClient(
             site.instance,
             site.failure_domain,
--- a/mulberrygate/daemon/evacuation_orders.py
+++ b/mulberrygate/daemon/evacuation_orders.py
@@ -128,14 +128,15 @@
             tuple((name, age_s) for name, age_s in withdrawn if age_s <= WITHDRAWAL_TOLD_S),
         )
 
-    def describe(self) -> list[dict[str, Any]]:
-        """Return the evacuated failure domains for operators."""
+    def describe(self) -> dict[str, Any]:
+        """Return the evacuated failure domains and the pools without another one, for operators."""
         ages = self.ages()
         running = self.running.totals(self.timers.now())
-        return [
+        evacuated = [
             {"failure_domain": name, "age_s": round(age_s, 3), "running": running.get(name, 0)}
             for name, age_s in zip(ages.evacuated, ages.evacuated_s, strict=True)
         ]
+        return {"evacuated": evacuated, "pools_without_endpoint": self.pools_without_endpoint()}
 
     def apply_to(self, known: KnownEvacuations) -> bool:
         """Bring what the schedulers of this process know up to date; return as `update` does.
--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -257,6 +257,10 @@
         engines = [name for name, pool in pools.items() if pool.is_engine]
         self.pool_owners.engine_subjects = frozenset(pool_subject(name) for name in engines)
 
+    def count_evacuated_pools(self) -> int:
+        """Return the number of pools all of whose endpoints are evacuated."""
+        return sum(map(self.directory.is_pool_evacuated, self.directory.pools))
+
     def log_pools(self, lines) -> None:
         """Log the state of this process's pool schedulers that have waiting or running requests."""
         for pool, hosted in self.host.hosted.items():
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -141,7 +141,7 @@
         """Return the evacuated zones; 503 if this process may not know all of them."""
         if not self.controller.is_current:
             return answer(503)
-        return answer(200, {"evacuated": self.controller.evacuations.describe()})
+        return answer(200, self.controller.evacuations.describe())
 
     async def post_rollout(self, request: web.BaseRequest) -> web.Response:
         """Begin the move of a pool to a version."""
