Show evacuations before a request's outcome in explain

Also tests that an entry which starts knows the evacuations before its first request, and keeps them whichever control process answers.

--- a/mulberrygate/cli/explain.py
+++ b/mulberrygate/cli/explain.py
@@ -28,6 +28,8 @@
     "endpoint.leaves",
     "endpoint.notice",
     "endpoint.forgotten",
+    "evacuation.in_force",
+    "evacuation.ended",
     "process.started",
     "process.stopping",
     "process.unfinished",
--- a/mulberrygate/daemon/tests/test_entry_start.py
+++ b/mulberrygate/daemon/tests/test_entry_start.py
@@ -70,6 +70,39 @@
         """Apply an answer of the followed control process."""
         self.entry.follower._apply_result(answer)
 
+    def evacuated(self):
+        """Return the evacuated failure domains that the entry knows."""
+        return sorted(self.entry.evacuations.evacuated)
+
+    async def test_evacuations_are_known_before_the_first_request(self):
+        """Guards against a restarted entry that sends to an evacuated failure domain.
+
+        A control process that was restored from its disk lacks the evacuation.
+        """
+        known = {}
+        self.entry.forwarder.has_index.set = lambda: known.update(domains=self.evacuated())
+        self.receive(attrs.evolve(result(1, is_current=False), evacuations=0))
+        self.assertFalse(self.entry.is_ready)
+        self.receive(attrs.evolve(result(1), evacuations=9, evacuated=("b",), evacuated_s=(4.0,)))
+        self.assertEqual(known, {"domains": ["b"]})
+        self.assertEqual(
+            self.entry.lines.of("evacuation.in_force"), [{"failure_domain": "b", "age_s": 4.0}]
+        )
+
+    async def test_evacuation_is_not_forgotten(self):
+        """Guards against a process that is behind, or of an earlier release, which ends one."""
+        self.receive(attrs.evolve(result(1), evacuations=9, evacuated=("b",), evacuated_s=(4.0,)))
+        self.now += 60.0
+        self.receive(attrs.evolve(result(1, is_current=False), evacuations=3))
+        self.receive(attrs.evolve(result(1), evacuations=-1))
+        self.assertEqual(self.evacuated(), ["b"])
+        withdrawn = (("b", 1.5),)
+        self.receive(attrs.evolve(result(1), evacuations=12, withdrawn=withdrawn))
+        self.assertEqual(self.evacuated(), [])
+        self.assertEqual(
+            self.entry.lines.of("evacuation.ended"), [{"failure_domain": "b", "age_s": 1.5}]
+        )
+
     async def test_catalog_of_a_process_that_is_behind_is_not_put_in_force(self):
         """Guards against a withdrawn key that is valid again at an entry that starts anew.
 
