--- a/mulberrygate/daemon/tests/test_evacuations.py
+++ b/mulberrygate/daemon/tests/test_evacuations.py
@@ -155,6 +155,22 @@
         self.assertEqual(await self.call_many("care"), [200] * CALLS)
         self.assertEqual(self.count("b"), before)
 
+    async def test_entries_without_control_processes(self):
+        """Guards against entries and deputies that forget an evacuation with the control group."""
+        await self.start_pool("care")
+        other = await self.deployment.start_entry(OTHER_ENTRY)
+        await self.until_known(other)
+        await self.order("b")
+        for node in (self.deployment.entry_node, other):
+            await self.until_in_force("b", node)
+        for name in CONTROLS:
+            await self.deployment.crash(name)
+        before = self.count("b")
+        for entry in (ENTRY, OTHER_ENTRY):
+            statuses = await self.call_many("care", entry, prefix=entry)
+            self.assertEqual(statuses, [200] * CALLS)
+        self.assertEqual(self.count("b"), before)
+
     async def test_list_of_evacuations(self):
         """Guards against an operator who can't see whether a failure domain is empty."""
         await self.start_pool("booking")
