Evacuate failure domains on the product's own daemons

The directory lists endpoints of evacuated failure domains without work, and the dispatcher checks the failure domain of a grant right before the send; grants name it now, on the users' platform as well, for endpoints that the entry doesn't know yet. A leader accepts orders only while all known voters name the role evacuations, because a voter stops at an unknown command. The command evacuate takes an entry in place of a control process; status and timeline show evacuations.

--- a/mulberrygate/cli/status.py
+++ b/mulberrygate/cli/status.py
@@ -35,6 +35,7 @@
         print_json(status)
         return OK
     print_tables(status["summary"])
+    print_evacuations(status["summary"].get("evacuations", {}))
     print_instances(status)
     print_pools(status["instances"])
     print_goodput(status["instances"])
@@ -55,6 +56,15 @@
         print(f"move of {name} {move['previous']} -> {move['version']}: {state}")
 
 
+def print_evacuations(evacuations: dict) -> None:
+    """Print the evacuated failure domains and the requests that still run there."""
+    for name, row in sorted(evacuations.items()):
+        print(
+            f"{name} is evacuated on {row['in_force_on']} instances by {row['operator'] or '-'}, "
+            f"{row['running']} requests run there"
+        )
+
+
 def print_instances(status: dict) -> None:
     """Print one row for each instance."""
     rows = [
--- a/mulberrygate/cli/tests/test_cli.py
+++ b/mulberrygate/cli/tests/test_cli.py
@@ -124,6 +124,26 @@
         )
         self.assertEqual(self.run_main("evacuate", "--control", address)[0], USAGE)
 
+    def test_failure_domain_of_the_own_daemons(self):
+        """Guards against operators of the product's own daemons who can't evacuate."""
+        row = {"operator": "ana", "at": 0.0, "running": 2, "in_force_on": 1}
+        status = {
+            "instances": {"a1": {}, "b1": {}},
+            "unreachable": ["b2"],
+            "summary": {"evacuations": {"b": row}},
+        }
+        access = self.serve(200, json.dumps(status).encode())
+        self.assertEqual(self.run_main("evacuate", *access, "b")[1], "b is evacuated\n")
+        code, out, err = self.run_main("evacuate", *access, "--list")
+        self.assertEqual(code, OK)
+        self.assertEqual(out.splitlines()[1].split()[::2], ["b", "2"])
+        self.assertIn("not reached: b2", err)
+        self.assertIn("b is not evacuated yet on 1 instances", err)
+        self.assertEqual(
+            [seen[:2] for seen in self.seen],
+            [("POST", "/admin/evacuations/b"), ("GET", "/admin/status")],
+        )
+
     def test_refused_evacuation(self):
         """Guards against an order that looks accepted though it is not committed."""
         for status, body, reason in (
--- a/mulberrygate/cli/timeline.py
+++ b/mulberrygate/cli/timeline.py
@@ -15,13 +15,15 @@
     print_problem,
 )
 
-SUBJECTS = ("request", "endpoint", "move", "table", "instance")
+SUBJECTS = ("request", "endpoint", "move", "table", "instance", "failure_domain")
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the arguments of the subcommand."""
     for subject in SUBJECTS:
-        parser.add_argument(f"--{subject}", help=f"only events about this {subject}")
+        words = subject.split("_")
+        about = " ".join(words)
+        parser.add_argument(f"--{'-'.join(words)}", help=f"only events about this {about}")
     parser.add_argument("--limit", type=int, default=200, help="newest events to show")
     add_entry_arguments(parser)
     add_format_argument(parser)
--- a/mulberrygate/control/commands.py
+++ b/mulberrygate/control/commands.py
@@ -97,6 +97,41 @@
     term: int
 
 
+@message("control.set_evacuation")
+@attrs.frozen
+class SetEvacuation:
+    """Evacuate a failure domain, or withdraw its evacuation.
+
+    Parameters
+    ==========
+    operator : str
+        Name of the operator, for the timeline.
+    at : float
+        Unix time in seconds at which the leader received the order.
+    """
+
+    failure_domain: str
+    is_evacuated: bool
+    operator: str
+    at: float
+
+
+@message("control.evacuation_state")
+@attrs.frozen
+class EvacuationState:
+    """Evacuated failure domain in the configuration (section ``evacuations``).
+
+    Parameters
+    ==========
+    operator, at
+        As in `SetEvacuation`.
+    """
+
+    failure_domain: str
+    operator: str
+    at: float
+
+
 @message("control.result")
 @attrs.frozen
 class CommandResult:
@@ -128,7 +163,7 @@
     Parameters
     ==========
     section : str
-        ``routes``, ``accounts``, ``pools``, ``tables``, ``shards`` or ``moves``.
+        ``routes``, ``accounts``, ``pools``, ``tables``, ``shards``, ``moves`` or ``evacuations``.
     name : str
     revision : int
         Log index of the command that last changed it.
--- a/mulberrygate/control/decoded.py
+++ b/mulberrygate/control/decoded.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from mulberrygate.control.commands import MoveState, TableState
+from mulberrygate.control.commands import EvacuationState, MoveState, TableState
 from mulberrygate.control.configuration import Configuration
 from mulberrygate.control.state import SECTIONS, decode_value
 from mulberrygate.ledger.views import Shard
@@ -30,6 +30,7 @@
         self.moves: dict[str, MoveState] = {}
         self.shards: dict[str, Shard] = {}
         self.shard_domains: frozenset[str] = frozenset()
+        self.evacuations: dict[str, EvacuationState] = {}
         self.refresh()
 
     def refresh(self) -> bool:
@@ -54,6 +55,7 @@
         self.moves = self._section("moves")
         self.shards = self._section("shards")
         self.shard_domains = frozenset(s.failure_domain for s in self.shards.values())
+        self.evacuations = self._section("evacuations")
         self.account_by_token = {
             token: name for name, account in self.accounts.items() for token in account.token_sha256
         }
--- a/mulberrygate/control/messages.py
+++ b/mulberrygate/control/messages.py
@@ -28,6 +28,22 @@
     operator: str
 
 
+@message("control.evacuation_request")
+@attrs.frozen
+class EvacuationRequest:
+    """Request of an entry to the leader: evacuate a failure domain, or withdraw that.
+
+    Parameters
+    ==========
+    operator : str
+        Name of the operator, for the timeline.
+    """
+
+    failure_domain: str
+    is_evacuated: bool
+    operator: str
+
+
 @message("control.answer")
 @attrs.frozen
 class ControlAnswer:
--- a/mulberrygate/control/state.py
+++ b/mulberrygate/control/state.py
@@ -1,4 +1,4 @@
-"""State machine of the control log: tables, shards, version moves and fencing numbers."""
+"""State machine of the control log: tables, shards, moves, evacuations and fencing numbers."""
 
 from __future__ import annotations
 
@@ -13,8 +13,10 @@
     ApplyTable,
     CommandResult,
     ConfigEntry,
+    EvacuationState,
     MoveState,
     PutShards,
+    SetEvacuation,
     TableState,
     TakeFence,
 )
@@ -114,6 +116,7 @@
     "tables": TableState,
     "shards": Shard,
     "moves": MoveState,
+    "evacuations": EvacuationState,
 }
 
 
@@ -175,6 +178,10 @@
         """Return the version moves by pool."""
         return self._section("moves")
 
+    def evacuations(self) -> dict[str, EvacuationState]:
+        """Return the evacuated failure domains."""
+        return self._section("evacuations")
+
     def _section(self, section: str) -> dict[str, Any]:
         bodies = self.configuration.section(section)
         return {name: decode_value(section, body) for name, body in bodies.items()}
@@ -191,6 +198,8 @@
             return self._advance_move(index, command)
         if isinstance(command, TakeFence):
             return self._take_fence(index, command)
+        if isinstance(command, SetEvacuation):
+            return self._set_evacuation(index, command)
         return _refused(UNKNOWN_COMMAND, f"unknown command {type(command).__name__}")
 
     def _apply_table(self, index: int, command: ApplyTable) -> CommandResult:
@@ -361,6 +370,24 @@
             return CommandResult(SHARDS_CHANGED.number, index, detail, changed)
         return CommandResult(0, index, "", changed)
 
+    def _set_evacuation(self, index: int, command: SetEvacuation) -> CommandResult:
+        """Evacuate a failure domain or withdraw that; an order that holds already changes nothing.
+
+        Explanation
+        ===========
+        The revision of an order that changes nothing is the current one, which has its effect.
+        """
+        name = command.failure_domain
+        configuration = self.configuration
+        if command.is_evacuated is bool(configuration.get("evacuations", name)):
+            return CommandResult(0, configuration.revision, "unchanged")
+        if command.is_evacuated:
+            state = EvacuationState(name, command.operator, command.at)
+            configuration.put("evacuations", name, index, encode_value(state))
+            return CommandResult(0, index, f"{name} is evacuated")
+        configuration.remove("evacuations", name, index)
+        return CommandResult(0, index, f"{name} is no longer evacuated")
+
     def _take_fence(self, index: int, command: TakeFence) -> CommandResult:
         if command.term < self.fence_term:
             return _refused(TERM_OLD, f"term {command.term} after term {self.fence_term}")
--- a/mulberrygate/control/tests/test_state_machine.py
+++ b/mulberrygate/control/tests/test_state_machine.py
@@ -6,7 +6,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from mulberrygate.control.commands import AdvanceMove, ApplyTable, PutShards, TakeFence
+from mulberrygate.control.commands import (
+    AdvanceMove,
+    ApplyTable,
+    PutShards,
+    SetEvacuation,
+    TakeFence,
+)
 from mulberrygate.control.state import LAST_STAGE, VERDICTS, ControlState
 from mulberrygate.ledger.views import Shard, View
 from mulberrygate.tables import parse_table
@@ -34,6 +40,7 @@
         self.accepted = {}
         self.verdicts = {}
         self.fence = 0
+        self.evacuated = set()
 
     def apply(self, command):
         index = self.state.applied + 1
@@ -115,6 +122,21 @@
         number = before.active.number if before else 0
         assert (result.code == 0) == (number == expected)
 
+    @rule(domain=st.sampled_from("ab"), is_evacuated=st.booleans())
+    def set_evacuation(self, domain, is_evacuated):
+        """The last order counts; one that holds already changes nothing."""
+        before = self.state.configuration.revision
+        is_known = is_evacuated is (domain in self.evacuated)
+        result = self.apply(SetEvacuation(domain, is_evacuated, "ana", 1.0))
+        (self.evacuated.add if is_evacuated else self.evacuated.discard)(domain)
+        assert result.code == 0
+        assert result.revision == self.state.configuration.revision
+        assert (self.state.configuration.revision == before) is is_known
+
+    @invariant()
+    def last_evacuations_hold(self):
+        assert self.state.evacuations().keys() == self.evacuated
+
     @rule(term=st.integers(1, 5))
     def take_fence(self, term):
         result = self.apply(TakeFence("x", term))
--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -67,7 +67,7 @@
 from mulberrygate.observe.metrics import Metrics, add_process_gauges
 from mulberrygate.peers import PeerClient, PeerServer
 from mulberrygate.schedule.messages import pool_subject
-from mulberrygate.settings.model import CONTROL, Settings
+from mulberrygate.settings.model import CONTROL, EVACUATIONS, Settings
 
 log = logger("daemon")
 
@@ -165,7 +165,7 @@
             settings.region,
             settings.failure_domain,
             self.incarnation,
-            roles=settings.parts,
+            roles=(*settings.parts, EVACUATIONS),
         )
         self.membership = Membership(member, settings.seeds, self.rng)
 
@@ -182,8 +182,18 @@
 
     def _on_configuration(self, _delta: Delta) -> None:
         self.in_force.refresh()
+        self._apply_evacuations()
         self.ledger_runner.run(self.ledger_replica.install(self.in_force.shards, self.timers.now()))
 
+    def _apply_evacuations(self) -> None:
+        """Keep the endpoints of evacuated failure domains from new requests."""
+        evacuated = frozenset(self.in_force.evacuations)
+        before, self.directory.evacuated = self.directory.evacuated, evacuated
+        for name in sorted(evacuated - before):
+            self.events.add("evacuation.in_force", failure_domain=name)
+        for name in sorted(before - evacuated):
+            self.events.add("evacuation.ended", failure_domain=name)
+
     def _make_ledger(self) -> None:
         settings = self.settings
         self.ledger_replica = Replica(settings.instance, self.incarnation)
--- a/mulberrygate/daemon/control_voter.py
+++ b/mulberrygate/daemon/control_voter.py
@@ -21,12 +21,13 @@
     StorageError,
 )
 from mulberrygate.control.client import UNDETERMINED
-from mulberrygate.control.commands import ApplyTable, CommandResult
+from mulberrygate.control.commands import ApplyTable, CommandResult, SetEvacuation
 from mulberrygate.control.decoded import DecodedConfiguration
 from mulberrygate.control.evidence import Evidence
 from mulberrygate.control.messages import (
     ApplyRequest,
     ControlAnswer,
+    EvacuationRequest,
     FindLeader,
     ReadTable,
     TableText,
@@ -39,11 +40,11 @@
 from mulberrygate.core.wire import decode, encode
 from mulberrygate.daemon.order_sender import OrderSender
 from mulberrygate.ledger.messages import CopyReport
-from mulberrygate.members.view import MembershipView
+from mulberrygate.members.view import MembershipView, Status
 from mulberrygate.observe.events import EventRing
 from mulberrygate.observe.logs import logger
 from mulberrygate.peers.client import PeerClient
-from mulberrygate.settings.model import Settings
+from mulberrygate.settings.model import CONTROL, EVACUATIONS, Settings
 from mulberrygate.tables.model import PoolsTable, RoutesTable
 from mulberrygate.tables.parse import ROUTES, Faults, parse_table
 from mulberrygate.tables.render import render_table
@@ -52,6 +53,13 @@
 
 NO_TABLE = register_code(5004, "no_table", "No version of the table is in force.", 404)
 
+UNKNOWN_DOMAIN = register_code(
+    4025, "unknown_failure_domain", "No instance of this failure domain is known.", 422
+)
+EARLIER_RELEASE = register_code(
+    5005, "earlier_release", "A voter of an earlier release can't apply this; nothing changed.", 503
+)
+
 PROPOSE_TIMEOUT_S = 6.0
 READ_TIMEOUT_S = 4.0
 LEADER_TICK_S = 0.25
@@ -167,6 +175,7 @@
         self.service = AgreementService(node, storage, self.peers, self.timers, self.machine)
         self.service.on_role.append(self._on_role)
         self.peers.on(ApplyRequest, self.on_apply_request)
+        self.peers.on(EvacuationRequest, self.on_evacuation_request)
         self.peers.on(ReadTable, self.on_read_table)
         self.peers.on(FindLeader, self.on_find_leader)
         self.peers.on(CopyReport, self.on_copy_report)
@@ -229,6 +238,36 @@
         )
         return ControlAnswer(True, "", result.code, result.revision, result.detail)
 
+    async def on_evacuation_request(
+        self, request: EvacuationRequest, _sender: str
+    ) -> ControlAnswer:
+        """Evacuate a failure domain or withdraw that, if this voter leads."""
+        if not self.is_leader:
+            return ControlAnswer(False, self.service.leader)
+        name = request.failure_domain
+        if name not in self.view().regions and name not in self.in_force.evacuations:
+            return ControlAnswer(True, code=UNKNOWN_DOMAIN.number, detail=name)
+        if not self._can_all_apply():
+            return ControlAnswer(True, code=EARLIER_RELEASE.number)
+        command = SetEvacuation(name, request.is_evacuated, request.operator, time.time())
+        result = await self.propose(command)
+        if isinstance(result, ProposalFailure):
+            return ControlAnswer(not result.leader, result.leader, result.code, 0, result.detail)
+        self.events.add(
+            "control.evacuation", result.detail, failure_domain=name, operator=request.operator
+        )
+        return ControlAnswer(True, "", result.code, result.revision, result.detail)
+
+    def _can_all_apply(self) -> bool:
+        """Return whether all known voters can apply the command that evacuates.
+
+        Explanation
+        ===========
+        A voter stops at a command that it doesn't know.
+        """
+        voters = (m for m in self.view().members.values() if CONTROL in m.roles)
+        return all(EVACUATIONS in m.roles for m in voters if m.status is not Status.DEAD)
+
     async def propose(self, command: Any) -> CommandResult | ProposalFailure:
         """Propose a command and wait for its result."""
         outcome = await self.service.propose(encode_command(command), PROPOSE_TIMEOUT_S)
--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -159,10 +159,17 @@
     def _is_evacuated(self, row: Row) -> bool:
         return self.evacuations.is_evacuated(row.registration.failure_domain)
 
-    def is_evacuated(self, endpoint: str) -> bool:
-        """Return whether an endpoint is known to be in an evacuated failure domain."""
+    def is_evacuated(self, endpoint: str, failure_domain: str) -> bool:
+        """Return whether an endpoint is in an evacuated failure domain.
+
+        Parameters
+        ==========
+        failure_domain : str
+            Failure domain that a grant names, empty from owners of earlier releases.
+        """
         row = self.roster.rows.get(endpoint)
-        return row is not None and self._is_evacuated(row)
+        is_evacuated = row is not None and self._is_evacuated(row)
+        return is_evacuated or self.evacuations.is_evacuated(failure_domain)
 
     def count_evacuated(self, endpoints: list[str]) -> tuple[tuple[str, int], ...]:
         """Return the evacuated failure domains of some endpoints and how often each occurs."""
--- a/mulberrygate/daemon/report.py
+++ b/mulberrygate/daemon/report.py
@@ -107,4 +107,22 @@
         "behind": behind,
         "tables": tables,
         "moves": moves,
+        "evacuations": sum_evacuations(instances),
     }
+
+
+def sum_evacuations(instances: dict[str, dict]) -> dict[str, dict]:
+    """Return the evacuated failure domains that any instance knows.
+
+    Explanation
+    ===========
+    ``running`` is the number of requests of all reached instances that still run there, and
+    ``in_force_on`` the number of instances that know the evacuation.
+    """
+    found: dict[str, dict] = {}
+    for state in instances.values():
+        for name, known in state.get("evacuations", {}).items():
+            row = found.setdefault(name, {**known, "running": 0, "in_force_on": 0})
+            row["running"] += known["running"]
+            row["in_force_on"] += 1
+    return found
--- a/mulberrygate/daemon/status.py
+++ b/mulberrygate/daemon/status.py
@@ -5,7 +5,7 @@
 import collections
 from typing import Any, Protocol
 
-from mulberrygate.control.commands import MoveState, TableState
+from mulberrygate.control.commands import EvacuationState, MoveState, TableState
 
 # Counters that are reported for each tier, and their names in the status.
 TIER_COUNTERS = {
@@ -25,6 +25,7 @@
     web: Any
     pool_host: Any
     directory: Any
+    parts: Any
     metrics: Any
 
     def view(self) -> Any:
@@ -46,6 +47,7 @@
         "revision": daemon.configuration_replica.revision,
         "tables": {name: _table(state) for name, state in in_force.tables.items()},
         "moves": {name: _move(state) for name, state in in_force.moves.items()},
+        "evacuations": _evacuations(daemon),
         "control": voter.get("role", "-"),
         "voter": voter,
         "active_requests": daemon.web.active_requests,
@@ -61,6 +63,16 @@
     return {"version": state.version, "digest": state.digest, "operator": state.operator}
 
 
+def _evacuations(daemon: Instance) -> dict[str, dict[str, Any]]:
+    """Return the evacuated failure domains, and how many requests of this instance run there."""
+    running = collections.Counter(daemon.parts.scheduler.running_domains())
+    evacuations: dict[str, EvacuationState] = daemon.in_force.evacuations
+    return {
+        name: {"operator": state.operator, "at": state.at, "running": running[name]}
+        for name, state in evacuations.items()
+    }
+
+
 def _move(state: MoveState) -> dict[str, Any]:
     names = ("previous", "version", "stage", "share", "verdict", "reason")
     return {name: getattr(state, name) for name in names}
--- a/mulberrygate/daemon/web.py
+++ b/mulberrygate/daemon/web.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from mulberrygate.control.client import ANSWER_LOST, NO_LEADER, UNDETERMINED, ControlClient
-from mulberrygate.control.messages import ApplyRequest, ReadTable
+from mulberrygate.control.messages import ApplyRequest, EvacuationRequest, ReadTable
 from mulberrygate.core.codes import code_by_number, register_code
 from mulberrygate.core.outcome import Execution, Refusal
 from mulberrygate.daemon.announcements import read_announcement
@@ -85,6 +85,9 @@
         app.router.add_get("/metrics", self.on_metrics)
         app.router.add_post("/admin/tables/{table}", self.operators_only(self.on_apply))
         app.router.add_get("/admin/tables/{table}", self.operators_only(self.on_get_table))
+        path = "/admin/evacuations/{failure_domain}"
+        app.router.add_post(path, self.operators_only(self.on_evacuation))
+        app.router.add_delete(path, self.operators_only(self.on_evacuation))
         app.router.add_get("/admin/status", self.operators_only(self.on_status))
         app.router.add_get("/admin/timeline", self.operators_only(self.on_timeline))
         if self.parts.settings.partition_switch:
@@ -197,8 +200,17 @@
         parsed = await asyncio.to_thread(parse_table, content, table)
         if isinstance(parsed, Faults):
             return self._table_faults(table, parsed)
-        operator = printable(request.headers.get("X-Operator", ""))[:MAX_OPERATOR_CHARS]
-        answer = await self.control.request(ApplyRequest(table, content, operator))
+        return await self._order(ApplyRequest(table, content, operator_name(request)))
+
+    async def on_evacuation(self, request: web.Request) -> web.Response:
+        """Evacuate a failure domain (POST) or withdraw that (DELETE) through the leader."""
+        name = request.match_info["failure_domain"]
+        is_evacuated = request.method == "POST"
+        return await self._order(EvacuationRequest(name, is_evacuated, operator_name(request)))
+
+    async def _order(self, message: ApplyRequest | EvacuationRequest) -> web.Response:
+        """Send an operator's order to the leader and return its answer."""
+        answer = await self.control.request(message)
         if isinstance(answer, Unreachable):
             return self._no_leader(answer)
         if answer.code:
@@ -267,6 +279,11 @@
     return is_same and scheme == "Bearer"
 
 
+def operator_name(request: web.Request) -> str:
+    """Return the operator that a request names."""
+    return printable(request.headers.get("X-Operator", ""))[:MAX_OPERATOR_CHARS]
+
+
 def printable(text: str) -> str:
     """Return a text without control characters and unpaired surrogates."""
     return "".join(char for char in text if char.isprintable())
--- a/mulberrygate/endpoints/directory.py
+++ b/mulberrygate/endpoints/directory.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+import attrs
 import msgpack
 
 from mulberrygate.core.effects import Effect, Record, Reply, Send
@@ -86,6 +87,8 @@
         Incarnation and time of death of endpoints that died recently.
     reports : list[list[Any]]
         Queued reports to owners: owner, time and row of `Reports`.
+    evacuated : frozenset[str]
+        Failure domains whose endpoints get no new work.
     """
 
     def __init__(
@@ -106,6 +109,7 @@
         self.tombstones: dict[str, tuple[int, float]] = {}
         self.death_listeners: list[DeathListener] = []
         self.reports: list[list[Any]] = []
+        self.evacuated: frozenset[str] = frozenset()
         self.summaries = SummarySender(failure_domain)
         self.last_report = float("-inf")
         self.last_pull = float("-inf")
@@ -128,12 +132,19 @@
         """Return the endpoints of a pool, those of other failure domains included."""
         tables = [self.table] + [t for (_, name), t in self.remote.items() if name == pool]
         return [
-            lease.view(now)
+            self._view(lease, now)
             for table in tables
             for lease in table.leases.values()
             if lease.announcement.pool == pool
         ]
 
+    def _view(self, lease: Lease, now: float) -> EndpointView:
+        """Return the endpoint of a lease, without work for an evacuated failure domain."""
+        view = lease.view(now)
+        if view.failure_domain in self.evacuated:
+            return attrs.evolve(view, accepts_work=False)
+        return view
+
     def pools(self) -> list[str]:
         """Return the names of the pools that have endpoints in this failure domain."""
         return sorted({lease.announcement.pool for lease in self.table.leases.values()})
@@ -146,7 +157,7 @@
                 return lease.view(now)
         return None
 
-    def accepts_work(self, endpoint: str, now: float) -> bool:
+    def accepts_work(self, endpoint: str, now: float, failure_domain: str = "") -> bool:
         """Return whether a granted endpoint may still get the request.
 
         Explanation
@@ -154,12 +165,20 @@
         Summaries of other failure domains go to the pools' owners only, so leases at a former owner
         are no longer renewed. The owner checked the lease when it made the grant; therefore an
         endpoint of another failure domain is accepted unless it is known to be leaving.
+
+        Parameters
+        ==========
+        failure_domain : str
+            Failure domain that the grant names, empty from owners of earlier releases.
         """
+        if failure_domain in self.evacuated:
+            return False
         lease = self.table.leases.get(endpoint)
         if lease is not None:
-            return lease.view(now).accepts_work
-        known = (table.leases.get(endpoint) for table in self.remote.values())
-        return not any(lease is not None and lease.announcement.leaving for lease in known)
+            return self._view(lease, now).accepts_work
+        found = (table.leases.get(endpoint) for table in self.remote.values())
+        known = [lease.announcement for lease in found if lease is not None]
+        return not any(a.leaving or a.failure_domain in self.evacuated for a in known)
 
     def announce(self, announcement: Announcement, now: float) -> list[Effect]:
         """Handle an announcement that an endpoint sent to this instance."""
--- a/mulberrygate/endpoints/tests/test_directory.py
+++ b/mulberrygate/endpoints/tests/test_directory.py
@@ -144,6 +144,17 @@
         self.assertEqual([e.to for e in effects], ["a"])
         self.assertEqual(self.directory.views("lamp", 0.0), [])
 
+    def test_evacuated_failure_domain(self):
+        """Guards against a grant from before an evacuation that is used after it."""
+        self.announce(0.0)
+        self.assertTrue(self.directory.accepts_work("e1", 0.5))
+        self.directory.evacuated = frozenset(["d0"])
+        self.assertFalse(self.directory.accepts_work("e1", 0.5))
+        self.assertFalse(self.view(0.5).accepts_work)
+        # An entry that doesn't own the pool may not know the endpoint of a grant.
+        self.assertFalse(self.directory.accepts_work("e9", 0.5, "d0"))
+        self.assertTrue(self.directory.accepts_work("e9", 0.5, "d1"))
+
 
 class InvariantTest(DirectoryCase):
     """Each invariant detects a small mutation of the code."""
@@ -293,6 +304,12 @@
         self.assertFalse(self.directory.find("e2", late).accepts_work)
         self.assertTrue(self.directory.accepts_work("e2", late))
 
+    def test_endpoint_of_another_evacuated_failure_domain(self):
+        """Guards against a grant of an owner of an earlier release, which names no domain."""
+        self.take_summary()
+        self.directory.evacuated = frozenset(["d1"])
+        self.assertFalse(self.directory.accepts_work("e2", 0.5))
+
     def test_endpoint_known_to_be_leaving_is_not_accepted(self):
         """Guards against new work for a leaving endpoint of another failure domain."""
         self.take_summary(leaving=True)
--- a/mulberrygate/entry/dispatch.py
+++ b/mulberrygate/entry/dispatch.py
@@ -68,7 +68,9 @@
         """Return whether the granted endpoint may take the request; if not, return the grant."""
         grant = request.grant
         parts = self.parts
-        is_open = parts.directory.accepts_work(grant.endpoint, parts.timers.now())
+        is_open = parts.directory.accepts_work(
+            grant.endpoint, parts.timers.now(), grant.failure_domain
+        )
         if is_open and not parts.crashes.must_isolate(request.fingerprint, grant.endpoint):
             return True
         parts.scheduler.return_grant(grant.request)
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -205,6 +205,10 @@
         """Return the endpoint of each request that was granted here and has not ended."""
         return [granted.grant.endpoint for granted in self.running.values()]
 
+    def running_domains(self) -> list[str]:
+        """Return the failure domain of each request that was granted here and has not ended."""
+        return [granted.grant.failure_domain for granted in self.running.values()]
+
     async def acquire(
         self, ticket: Ticket, deadline_at: float, give_up_at: float = math.inf
     ) -> Grant | Refusal:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -347,7 +347,7 @@
 
     def may_use(self, grant: Grant) -> bool:
         """Return whether a call may be sent on a grant now."""
-        if self.placement.directory.is_evacuated(grant.endpoint):
+        if self.placement.directory.is_evacuated(grant.endpoint, grant.failure_domain):
             self.metrics.count("grants_evacuated_total")
             return False
         return self.notices.may_use(grant, self.timers.now())
--- a/mulberrygate/forward/tests/test_evacuations.py
+++ b/mulberrygate/forward/tests/test_evacuations.py
@@ -185,6 +185,13 @@
         self.directory.evacuations.update(1, ("b",), (), True, self.now)
         self.assertEqual(self.accepting(), {"e1": True, "e2": False})
 
+    async def test_grant_of_an_endpoint_that_is_not_known_here(self):
+        """Guards against a send to an endpoint that only the owner of the pool knows yet."""
+        self.directory.evacuations.update(1, ("b",), (), True, self.now)
+        self.assertTrue(self.directory.is_evacuated("e9", "b"))
+        self.assertFalse(self.directory.is_evacuated("e9", "a"))
+        self.assertFalse(self.directory.is_evacuated("e9", ""))
+
     async def test_silent_endpoints_instead_of_evacuated_ones(self):
         """Guards against a pool without endpoints while some are silent and others evacuated."""
         self.add("e1", "a")
--- a/mulberrygate/members/view.py
+++ b/mulberrygate/members/view.py
@@ -35,7 +35,8 @@
     heartbeat : int
         Raised by the member itself, when it refutes a suspicion or leaves.
     roles : tuple[str, ...]
-        Roles that the instance runs: ``entry``, ``control``.
+        Roles that the instance runs: ``entry``, ``control``; and ``evacuations`` if its release can
+        apply the command that evacuates a failure domain.
     revision : int
         Configuration revision in force on the instance; a lower bound for members of other
         failure domains, except on a relay.
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -255,6 +255,8 @@
         Incarnation of the endpoint, 0 from owners of earlier releases.
     is_rate_limited : bool
         Whether the owner knows a limit of the endpoint, so that it has to hear when that is over.
+    failure_domain : str
+        Failure domain of the endpoint, empty from owners of earlier releases.
     """
 
     pool: str
@@ -265,6 +267,7 @@
     region: str = ""
     incarnation: int = 0
     is_rate_limited: bool = False
+    failure_domain: str = ""
 
 
 @message("schedule.refuse")
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -279,5 +279,7 @@
         ticket, view = granted.ticket, granted.state.view
         destination = (view.endpoint, view.address, granted.version, view.region, view.incarnation)
         is_rate_limited = granted.state.rate_limit.is_limited
-        grant = Grant(ticket.pool, ticket.request, *destination, is_rate_limited)
+        grant = Grant(
+            ticket.pool, ticket.request, *destination, is_rate_limited, view.failure_domain
+        )
         return Send(ticket.entry, grant)
--- a/mulberrygate/settings/model.py
+++ b/mulberrygate/settings/model.py
@@ -10,6 +10,8 @@
 ENTRY = "entry"
 CONTROL = "control"
 PARTS = (ENTRY, CONTROL)
+# Further role that members name, see `mulberrygate.members.view.Member`.
+EVACUATIONS = "evacuations"
 LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
 
 
