--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -11,8 +11,8 @@
 
 from __future__ import annotations
 
-import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -24,6 +24,7 @@
 from mulberrygate.endpoints.roster import Roster, Row
 from mulberrygate.schedule.endpoint import EndpointState
 from mulberrygate.schedule.messages import pool_subject
+from mulberrygate.sync.evacuations import KnownEvacuations
 from mulberrygate.tables.model import MODEL, SERVICE, Pool
 
 MAX_WAITING_REQUESTS = 2000
@@ -121,8 +122,8 @@
         Last reported load of each endpoint.
     silent_endpoints : frozenset[str]
         Endpoints without a recent heartbeat.
-    returned_at : dict[str, float]
-        Monotonic time at which a failure domain was last given requests again.
+    evacuations : KnownEvacuations
+        Failure domains to whose endpoints nothing may be sent.
     """
 
     def __init__(self, site, roster: Roster):
@@ -131,19 +132,31 @@
         self.pools: dict[str, BackendPool] = {}
         self.loads: dict[str, LoadReport] = {}
         self.silent_endpoints: frozenset[str] = frozenset()
-        self.returned_at: dict[str, float] = {}
+        self.evacuations = KnownEvacuations()
 
     def report_load(self, endpoint: str, load: int, now: float) -> None:
         """Record the load that an endpoint reported."""
         self.loads[endpoint] = LoadReport(load, now)
 
     def views(self, pool: str, now: float) -> list[EndpointView]:
-        """Return the usable endpoints of a pool, silent ones only if there are no others."""
-        return [self._make_view(row, now) for row in self.usable_rows(pool)]
+        """Return the usable endpoints of a pool, silent ones only if there are no others.
+
+        Explanation
+        ===========
+        Endpoints of evacuated failure domains are listed as well, since requests may still run at
+        them, but accept no work.
+        """
+        views = [self._make_view(row, now) for row in self.usable_rows(pool)]
+        if self.evacuations.evacuated:
+            evacuated = [row for row in self.roster.usable(pool) if self._is_evacuated(row)]
+            views += [self._make_view(row, now, accepts_work=False) for row in evacuated]
+        return views
 
     def usable_rows(self, pool: str) -> list[Row]:
-        """Return the rows of the usable endpoints of a pool, as `views` does."""
+        """Return the rows of the endpoints of a pool that may get requests, as `views` does."""
         rows = self.roster.usable(pool)
+        if self.evacuations.evacuated:
+            rows = [row for row in rows if not self._is_evacuated(row)]
         heard = [row for row in rows if row.registration.endpoint not in self.silent_endpoints]
         return heard or rows
 
@@ -157,24 +170,18 @@
         rows = self.usable_rows(pool)
         return not rows or any(self.region_of(row) in regions for row in rows)
 
-    def record_return(self, failure_domain: str, now: float) -> None:
-        """Record that the endpoints of a failure domain may get requests again.
+    def cold_s(self, row: Row, now: float) -> float:
+        """Return the seconds for which an endpoint is or may be cold, as far as known.
 
         Explanation
         ===========
-        They may have become cold shortly before, so each counts as cold until its next report.
+        The endpoints of a failure domain may have become cold shortly before its evacuation is
+        withdrawn, and a heartbeat from before may arrive later, so all count as cold from then on.
         """
-        self.returned_at[failure_domain] = now
-
-    def cold_s(self, row: Row, now: float) -> float:
-        """Return the seconds for which an endpoint is or may be cold, as far as known."""
         pool = self.pools.get(row.registration.pool)
         start_s = pool.cold_start_s if pool else 0.0
-        cold_s = row.cold_s(start_s, now)
-        returned_at = self.returned_at.get(row.registration.failure_domain, -math.inf)
-        if row.heard_at <= returned_at:
-            cold_s = max(cold_s, returned_at + start_s - now)
-        return cold_s
+        ended_s = self.evacuations.ended_s(row.registration.failure_domain, now)
+        return max(0.0, row.cold_s(start_s, now), start_s - ended_s)
 
     def count_cold(self, now: float) -> int:
         """Return the number of endpoints that are limited since they are cold."""
@@ -184,7 +191,42 @@
             if (pool := self.pools.get(row.registration.pool)) is not None and pool.cold_rate > 0
         )
 
-    def _make_view(self, row: Row, now: float) -> EndpointView:
+    def _is_evacuated(self, row: Row) -> bool:
+        return self.evacuations.is_evacuated(row.registration.failure_domain)
+
+    def is_evacuated(self, endpoint: str, failure_domain: str) -> bool:
+        """Return whether an endpoint is in an evacuated failure domain.
+
+        Parameters
+        ==========
+        failure_domain : str
+            Failure domain that a grant names, empty from owners of earlier releases.
+        """
+        row = self.roster.rows.get(endpoint)
+        is_evacuated = row is not None and self._is_evacuated(row)
+        return is_evacuated or self.evacuations.is_evacuated(failure_domain)
+
+    def count_evacuated(self, endpoints: list[str]) -> tuple[tuple[str, int], ...]:
+        """Return the evacuated failure domains of some endpoints and how often each occurs."""
+        if not self.evacuations.evacuated:
+            return ()
+        rows = (self.roster.rows.get(endpoint) for endpoint in endpoints)
+        return tuple(
+            Counter(
+                row.registration.failure_domain
+                for row in rows
+                if row is not None and self._is_evacuated(row)
+            ).items()
+        )
+
+    def is_pool_evacuated(self, pool: str) -> bool:
+        """Return whether all endpoints of a pool, at least one, are evacuated."""
+        if not self.evacuations.evacuated:
+            return False
+        rows = self.roster.usable(pool)
+        return bool(rows) and all(self._is_evacuated(row) for row in rows)
+
+    def _make_view(self, row: Row, now: float, accepts_work: bool = True) -> EndpointView:
         registration = row.registration
         pool = self.pools.get(registration.pool)
         report = self.loads.get(registration.endpoint)
@@ -199,7 +241,7 @@
             hardware="",
             slots=max(1, registration.slots),
             kv_tokens=pool.kv_tokens if pool else 0,
-            accepts_work=True,
+            accepts_work=accepts_work,
             load=report.load if report else 0,
             load_age_s=now - report.reported_at if report else 1e9,
             report_age_s=now - row.heard_at,
@@ -247,6 +289,10 @@
         engines = [name for name, pool in pools.items() if pool.is_engine]
         self.pool_owners.engine_subjects = frozenset(pool_subject(name) for name in engines)
 
+    def count_evacuated_pools(self) -> int:
+        """Return the number of pools all of whose endpoints are evacuated."""
+        return sum(map(self.directory.is_pool_evacuated, self.directory.pools))
+
     def log_pools(self, lines) -> None:
         """Log the state of this process's pool schedulers that have waiting or running requests."""
         for pool, hosted in self.host.hosted.items():
--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -352,9 +352,13 @@
         """
         part = self._share_of_askers(askers)
         shared = [self._with_share(view, view.slots * part) for view in views]
-        with_work = {view.region for view in shared if view.accepts_work}
-        for region in {view.region for view in views} - with_work:
-            numbers = [n for n in range(len(views)) if views[n].region == region]
+        usable = {view.region for view in views if view.accepts_work}
+        for region in usable - {view.region for view in shared if view.accepts_work}:
+            numbers = [
+                number
+                for number, view in enumerate(views)
+                if view.accepts_work and view.region == region
+            ]
             best = max(numbers, key=lambda number: self._hash_fraction(views[number]))
             shared[best] = attrs.evolve(views[best], slots=1)
         return shared
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -42,6 +42,9 @@
 NO_HOME_REGION = register_code(
     2204, "no_home_region", "The call has no home region that all its limits allow; not run.", 503
 )
+ENDPOINTS_EVACUATED = register_code(
+    2205, "endpoints_evacuated", "All endpoints are in evacuated failure domains; not run.", 503
+)
 TIMED_OUT = register_code(
     6201, "answer_timed_out", "The call was sent and got no answer in time; it may have run.", 504
 )
