--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -49,6 +49,7 @@
 OWNER_CHECK_INTERVAL_S = 0.1
 LOG_FLUSH_INTERVAL_S = 0.1
 POOLS_LOG_INTERVAL_S = 1.0
+HEDGES_LOG_INTERVAL_S = 5.0
 SILENT_CHECK_INTERVAL_S = 1.0
 # A new entry that hears only from control processes that may lack the newest state waits for this
 # time for one that has it. Without a majority of the group there is none.
@@ -220,6 +221,21 @@
         settings = self.product.hedging
         return Hedging(settings) if settings is not None and settings.share > 0 else None
 
+    def _log_hedges(self) -> None:
+        """Log what became of second copies since the start, and what the limits allow now."""
+        hedging = self.forwarder.hedging
+        counts = {
+            dict(labels)["result" if name == "hedges_total" else "reason"]: int(value)
+            for (name, labels), value in self.metrics.counters.items()
+            if name in ("hedges_total", "hedges_denied_total")
+        }
+        allowances = hedging.allowances.items()
+        self.lines.log(
+            "hedges.state",
+            counts=counts,
+            share_left={pool: round(allowance.level, 2) for pool, allowance in allowances},
+        )
+
     def _list_entries(self) -> list[str]:
         # Control processes of earlier releases tell only the number of entries.
         return list(self.deputies.entries) or [str(n) for n in range(self.forwarder.entries)]
@@ -255,6 +271,8 @@
         self.timers.every(EVIDENCE_INTERVAL_S, self._send_evidence, "evidence")
         self.timers.every(LOG_FLUSH_INTERVAL_S, self.lines.flush, "lines")
         self.timers.every(POOLS_LOG_INTERVAL_S, self._log_pools, "pools")
+        if self.forwarder.hedging is not None:
+            self.timers.every(HEDGES_LOG_INTERVAL_S, self._log_hedges, "hedges")
         self.readiness_http = self._make_http(self._handle_readiness, self.site.readiness_address)
         await self.readiness_http.start()
         self.http = self._make_http(
--- a/mulberrygate/daemon/tests/site_support.py
+++ b/mulberrygate/daemon/tests/site_support.py
@@ -87,10 +87,10 @@
         self.entry_node = await self.start_entry(ENTRY)
         return self
 
-    async def start_entry(self, name):
+    async def start_entry(self, name, product=None):
         """Start an entry."""
         entry_node = EntryNode(
-            self.make_settings(name), Lines(), PlatformDialect(), decode_document
+            self.make_settings(name), Lines(), PlatformDialect(), decode_document, product=product
         )
         self.entry_nodes.append(entry_node)
         await entry_node.start()
