--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -124,6 +124,7 @@
             has_head=self.first.running.has_head,
             is_paused=forwarder.notices.has_paused(call.pool.name, now),
             may_retry=forwarder.retry_budget(call.pool.name).has_spare(),
+            timer_delay_s=now - self.first.sent_at - self.delay_s,
         )
         return self.hedging.denial(call.route.name, call.pool.name, state, now)
 
--- a/mulberrygate/forward/hedging.py
+++ b/mulberrygate/forward/hedging.py
@@ -26,6 +26,8 @@
 # most one copy and the share of this many first sends.
 BURST_SENDS = 50
 MEDIAN = 0.5
+# A process whose timers are later than this is slow itself, and reads answers as late.
+MAX_TIMER_DELAY_S = 0.03
 
 
 class RecentTimes:
@@ -142,6 +144,8 @@
         Whether an endpoint of the pool wants no calls of this instance.
     may_retry : bool
         Whether the retry budget of the pool has a retry to spare.
+    timer_delay_s : float
+        Seconds by which the decision is later than it was due.
     """
 
     left_s: float
@@ -150,6 +154,7 @@
     has_head: bool = False
     is_paused: bool = False
     may_retry: bool = True
+    timer_delay_s: float = 0.0
 
 
 class Hedging:
@@ -216,6 +221,8 @@
             return "answering"
         if state.is_paused:
             return "paused"
+        if state.timer_delay_s > MAX_TIMER_DELAY_S:
+            return "entry_busy"
         times = self.times.get(route)
         if times is None or state.left_s <= times.quantile_s(MEDIAN, now):
             return "no_time"
--- a/mulberrygate/forward/tests/test_hedging.py
+++ b/mulberrygate/forward/tests/test_hedging.py
@@ -226,6 +226,7 @@
             ({"has_head": True}, "answering"),
             ({"is_paused": True}, "paused"),
             ({"left_s": 0.05}, "no_time"),
+            ({"timer_delay_s": 0.1}, "entry_busy"),
             ({"may_retry": False}, "retry_budget"),
         ):
             state = attrs.evolve(sound, **fields)
--- a/mulberrygate/schedule/spare.py
+++ b/mulberrygate/schedule/spare.py
@@ -28,11 +28,12 @@
     def _ask_spare(self, ticket: Ticket, now: float) -> Send:
         """Grant a copy a free slot, or refuse it."""
         self._apply_notices(ticket, now)
-        reason = self._spare_room_fault(ticket, now)
+        first = self.states.get(ticket.avoid[-1]) if ticket.avoid else None
+        reason = self._spare_room_fault(ticket, first) if first else "no first endpoint"
         output = self.lengths.output_tokens(ticket.route, ticket.output_tokens)
         cost = ticket.prompt_tokens + output
         waiting = WaitingRequest(ticket, cost, now + ticket.deadline_s, self.sequence, now, output)
-        choice = None if reason else self._choose_spare(waiting, now)
+        choice = None if reason else self._choose_spare(waiting, first, now)
         if choice is None:
             reason = reason or "no other endpoint"
             refusal = Refuse(ticket.pool, ticket.request, NO_SPARE_ROOM.number, 0.0, reason)
@@ -41,8 +42,8 @@
         self.queue.charge(ticket, cost)
         return self._start_grant(waiting, choice, now)
 
-    def _spare_room_fault(self, ticket: Ticket, now: float) -> str:
-        """Return why the pool has no room to spare, empty if it has some."""
+    def _spare_room_fault(self, ticket: Ticket, first: EndpointState) -> str:
+        """Return why the region of the first endpoint has no room to spare, empty if it has."""
         if len(self.queue):
             return "requests wait"
         if self.shares.shares:
@@ -53,11 +54,14 @@
             return "a rate limit"
         if any(notice.is_barred(0.0) for notice in ticket.notices if not notice.is_leaving):
             return "an endpoint's pause"
-        slots = sum(state.view.slots for state in states)
-        free = sum(max(0, state.slots - state.used) for state in states)
+        near = [state for state in states if state.view.region == first.view.region]
+        slots = sum(state.view.slots for state in near)
+        free = sum(max(0, state.slots - state.used) for state in near)
         return "" if slots and free >= MIN_FREE_SHARE * slots else "few free slots"
 
-    def _choose_spare(self, waiting: WaitingRequest, now: float) -> Choice | None:
+    def _choose_spare(
+        self, waiting: WaitingRequest, first: EndpointState, now: float
+    ) -> Choice | None:
         """Return the best endpoint for a copy, ``None`` if none fits.
 
         Explanation
@@ -67,9 +71,6 @@
         answer.
         """
         ticket = waiting.ticket
-        first = self.states.get(ticket.avoid[-1]) if ticket.avoid else None
-        if first is None:
-            return None
         best, best_rank = None, (True, math.inf)
         for state in self.states.values():
             if state.view.region != first.view.region or not self._may_take_spare(waiting, state):
--- a/mulberrygate/schedule/tests/test_spare.py
+++ b/mulberrygate/schedule/tests/test_spare.py
@@ -73,6 +73,16 @@
         bench.ask("copy", avoid=(first,), is_spare=True)
         self.assertEqual(self.refusal(bench, "copy"), (NO_SPARE_ROOM.number, "few free slots"))
 
+    def test_free_slots_of_another_region_do_not_count(self):
+        """Guards against copies in a full region because another region is idle."""
+        far = make_view("z1", slots=40, region="r2", domain="z")
+        bench = warm([make_view("a1", slots=4), make_view("a2", slots=4), far])
+        for number in range(7):
+            bench.ask(f"r{number}")
+        first = next(n for n in (f"r{i}" for i in range(7)) if bench.endpoint_of(n) != "z1")
+        bench.ask("copy", avoid=(bench.endpoint_of(first),), is_spare=True)
+        self.assertEqual(self.refusal(bench, "copy"), (NO_SPARE_ROOM.number, "few free slots"))
+
     def test_unsound_endpoint_gets_no_copy(self):
         """Guards against a copy at an endpoint that has just failed or has never answered."""
         bench = warm([make_view("a1", slots=4), make_view("a2", slots=4)])
