Explain to operators where a request would go now, without sending it

mulberrygate explain-placement asks a control process, which asks an entry; that takes the steps of the forwarding path without spending units, and asks the pool's owner where it is another process. Callers can't reach it: the entry's own address doesn't have it.

--- a/mulberrygate/cli/command.py
+++ b/mulberrygate/cli/command.py
@@ -135,7 +135,7 @@
         raise EntryUnreachable(f"{options.entry}: {error or type(error).__name__}") from error
 
 
-def call_control(control: str, method: str, path: str) -> Reply:
+def call_control(control: str, method: str, path: str, /, **query: str) -> Reply:
     """Call a control process of a deployment on the users' platform, which asks for no token.
 
     Raises
@@ -144,7 +144,7 @@
         The control process does not answer.
     """
     try:
-        return asyncio.run(_call(control, {}, method, path, None, {}))
+        return asyncio.run(_call(control, {}, method, path, None, query))
     except (TimeoutError, OSError, aiohttp.ClientError, ValueError) as error:
         raise EntryUnreachable(f"{control}: {error or type(error).__name__}") from error
 
--- a/mulberrygate/cli/main.py
+++ b/mulberrygate/cli/main.py
@@ -6,10 +6,31 @@
 import sys
 
 from mulberrygate import __version__
-from mulberrygate.cli import apply, check, codes, explain, get, quarantine, status, timeline
+from mulberrygate.cli import (
+    apply,
+    check,
+    codes,
+    explain,
+    get,
+    placement,
+    quarantine,
+    status,
+    timeline,
+)
 from mulberrygate.cli.command import UNREACHABLE, USAGE, EntryUnreachable, InvalidAccess, commands
 
-__all__ = ["apply", "check", "codes", "explain", "get", "main", "quarantine", "status", "timeline"]
+__all__ = [
+    "apply",
+    "check",
+    "codes",
+    "explain",
+    "get",
+    "main",
+    "placement",
+    "quarantine",
+    "status",
+    "timeline",
+]
 
 
 def make_parser() -> argparse.ArgumentParser:
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -41,6 +41,8 @@
     CheckCurrent,
     CheckCurrentResult,
     CrashReport,
+    ExplainedPlacement,
+    ExplainPlacement,
     Follow,
     FollowResult,
     LatestCatalog,
@@ -69,6 +71,8 @@
 BEHIND_AFTER_S = 1.5
 # Added to the wait of an answer, so that the process counts as behind when the answer is made.
 BEHIND_MARGIN_S = 0.02
+# Longest wait for an entry's explanation, which may take another call to the owner of a pool.
+EXPLAIN_TIMEOUT_S = 2.0
 
 
 class Controller:
@@ -389,6 +393,29 @@
         self.lines.log("catalog.put", version=catalog.version, is_committed=is_committed)
         return is_committed
 
+    async def explain_placement(
+        self, entry: str, question: ExplainPlacement
+    ) -> tuple[str, str | None]:
+        """Ask an entry where a request would go now.
+
+        Parameters
+        ==========
+        entry : str
+            Instance of the entry, empty for any one.
+
+        Returns
+        =======
+        tuple[str, str or None]
+            Instance that was asked, empty if it isn't one of the live entries, and its answer, a
+            JSON object; ``None`` if there is none.
+        """
+        names = self.entries.all(self.timers.now()).names
+        entry = entry or next(iter(names), "")
+        if entry not in names:
+            return "", None
+        answer = await self.peers.client.call(entry, question, EXPLAIN_TIMEOUT_S)
+        return entry, answer.text if isinstance(answer, ExplainedPlacement) else None
+
     async def read_latest(self) -> LatestCatalog:
         """Return the newest catalog and moves, and whether they are certain to be the newest."""
         return await self.log.read_latest()
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import math
 
 from aiohttp import web
@@ -17,6 +18,7 @@
 from mulberrygate.daemon.sockets import Listeners, split_address
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.entry.tickets import SchedulerClient
+from mulberrygate.forward.explain import PlacementExplainer
 from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.service import Forwarder
@@ -29,7 +31,14 @@
 from mulberrygate.sync.crash_reports import CrashReporter
 from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.follower import Follower
-from mulberrygate.sync.messages import AskUnits, Crash, FollowResult, Units
+from mulberrygate.sync.messages import (
+    AskUnits,
+    Crash,
+    ExplainedPlacement,
+    ExplainPlacement,
+    FollowResult,
+    Units,
+)
 from mulberrygate.sync.trials import TrialClient
 
 # The load balancer checks readiness once a second and removes an instance after two failures. A
@@ -215,6 +224,14 @@
             self.seed,
             self._make_hedging(),
         )
+        self.explainer = PlacementExplainer(self.forwarder, peers)
+        peers.on(ExplainPlacement, self._on_explain_placement)
+
+    async def _on_explain_placement(
+        self, message: ExplainPlacement, _sender: str
+    ) -> ExplainedPlacement:
+        """Answer an operator, through a control process, where a request would go now."""
+        return ExplainedPlacement(json.dumps(await self.explainer.explain(message)))
 
     def _make_hedging(self) -> Hedging | None:
         """Return what decides about second copies, ``None`` if the operators want none."""
--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -17,12 +18,16 @@
 from mulberrygate.observe.logs import logger
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.peers.client import PeerClient
+from mulberrygate.schedule.explain import explain_choice
 from mulberrygate.schedule.messages import (
     Ask,
     Done,
+    Explain,
+    Explained,
     NotHosted,
     Present,
     Progress,
+    Ticket,
     Withdraw,
     pool_subject,
 )
@@ -30,6 +35,7 @@
 from mulberrygate.schedule.scheduler import PoolScheduler
 from mulberrygate.schedule.wide import WIDE_SCHEDULE_INTERVAL_S
 from mulberrygate.settings.model import Settings
+from mulberrygate.tables.model import Pool
 
 if TYPE_CHECKING:
     from mulberrygate.control.decoded import DecodedConfiguration
@@ -153,6 +159,7 @@
         peers.on(Progress, self.on_progress)
         peers.on(Done, self.on_done)
         peers.on(Present, self.on_present)
+        peers.on(Explain, self.on_explain)
         timers.every(TICK_S, self.tick, "poolhost.tick")
 
     def is_owner(self, pool: str) -> bool:
@@ -168,13 +175,7 @@
             settings = self.in_force.pools.get(pool)
             if settings is None:
                 return None
-            scheduler = PoolScheduler(
-                self.settings.failure_domain,
-                self.settings.region,
-                settings,
-                self.rng,
-                is_wide=self.is_wide,
-            )
+            scheduler = self._make_scheduler(settings, self.rng)
             hosted = self.hosted[pool] = HostedScheduler(scheduler, now)
             scheduler.find_rate_part = lambda endpoint, rate: self._rate_part(pool, endpoint, rate)
             self._refresh(pool, hosted, now)
@@ -219,6 +220,34 @@
                 message.pool, lambda scheduler, now: scheduler.present(message, sender, now)
             )
 
+    def on_explain(self, message: Explain, _sender: str) -> Explained:
+        """Answer where a request would go now, without granting or queueing it."""
+        return Explained(message.ticket.pool, json.dumps(self.explain(message.ticket)))
+
+    def explain(self, ticket: Ticket) -> dict[str, Any]:
+        """Return where a request would go now, and why."""
+        now = self.timers.now()
+        pool = ticket.pool
+        settings = self.in_force.pools.get(pool)
+        if settings is None:
+            return {"verdict": f"{self.settings.instance} doesn't know the pool {pool}."}
+        hosted = self.hosted.get(pool)
+        scheduler = hosted.scheduler if hosted is not None else None
+        if scheduler is None:
+            # Hosting the pool would change what this instance does; this one is dropped again.
+            scheduler = self._make_scheduler(settings, random.Random(0))
+            scheduler.set_endpoints(self.directory.views(pool, now), now)
+        return {
+            "scheduler": self.settings.instance,
+            "is_owner": self.is_owner(pool),
+            "has_scheduled": hosted is not None,
+            **explain_choice(scheduler, ticket, now),
+        }
+
+    def _make_scheduler(self, pool: Pool, rng: random.Random) -> PoolScheduler:
+        domain, region = self.settings.failure_domain, self.settings.region
+        return PoolScheduler(domain, region, pool, rng, is_wide=self.is_wide)
+
     def _handle(self, pool: str, call: Callable[[PoolScheduler, float], list[Effect]]) -> None:
         """Call a pool's scheduler, if there is one, and carry out the effects."""
         hosted = self.hosted.get(pool)
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -5,6 +5,7 @@
 import json
 import re
 import zlib
+from collections.abc import Mapping
 
 import attrs
 from aiohttp import web
@@ -16,7 +17,15 @@
     decode_registration,
     is_name,
 )
-from mulberrygate.platform.values import InvalidValue, parse_json, read_number, read_text
+from mulberrygate.platform.values import (
+    InvalidValue,
+    parse_count,
+    parse_decimal,
+    parse_json,
+    read_number,
+    read_text,
+)
+from mulberrygate.sync.messages import ExplainPlacement
 
 MAX_DOCUMENT_BYTES = 16 << 20
 INSTANCE = re.compile(r"/instances/([^/?]+)$")
@@ -29,6 +38,29 @@
     return web.json_response({} if fields is None else fields, status=status)
 
 
+def decode_question(query: Mapping[str, str]) -> ExplainPlacement:
+    """Return the question of a query about a request.
+
+    Raises
+    ======
+    InvalidValue
+        A field is missing, or a number can't be read.
+    """
+    if not query.get("host") or not query.get("path", "").startswith("/"):
+        raise InvalidValue("host and a path from / are needed")
+    return ExplainPlacement(
+        host=query["host"],
+        path=query["path"],
+        request=query.get("request", ""),
+        account=query.get("account", ""),
+        prompt_tokens=parse_count(query.get("prompt_tokens", "0")),
+        output_tokens=parse_count(query.get("output_tokens", "0")),
+        expected_tokens=parse_count(query.get("expected_tokens", "0")),
+        parts=tuple(part for part in query.get("parts", "").lower().split(",") if part),
+        timeout_s=parse_decimal(query.get("timeout_s", "0")),
+    )
+
+
 class OperatorApi:
     """HTTP handler that decodes calls, passes them to the controller and encodes its answers."""
 
@@ -51,6 +83,8 @@
             return await self.delete_registration(found[1])
         if path == "/quarantine" and method == "GET":
             return self.get_quarantine()
+        if path == "/placement" and method == "GET":
+            return await self.get_placement(request)
         found = QUARANTINED.match(path)
         if found and method == "DELETE":
             return answer(200 if await self.controller.release_identity(found[1]) else 503)
@@ -117,6 +151,26 @@
         found = [attrs.asdict(item) for item in self.controller.list_quarantined()]
         return answer(200, {"quarantined": found})
 
+    async def get_placement(self, request: web.BaseRequest) -> web.Response:
+        """Return where a caller's request would go now; nothing is sent to an endpoint.
+
+        Explanation
+        ===========
+        The query has the route's ``host`` and the ``path``; the rest may be left out. Callers can't
+        reach this interface. It names accounts but takes and shows no key.
+        """
+        query = request.query
+        try:
+            question = decode_question(query)
+        except InvalidValue as error:
+            return answer(400, {"error": str(error)})
+        entry, text = await self.controller.explain_placement(query.get("entry", ""), question)
+        if not entry:
+            return answer(404, {"error": "no such live entry"})
+        if text is None:
+            return answer(503, {"error": f"the entry {entry} doesn't answer"})
+        return web.Response(text=text, content_type="application/json")
+
     async def post_rollout(self, request: web.BaseRequest) -> web.Response:
         """Begin the move of a pool to a version."""
         body = await self.read_body(request, MAX_REGISTRATION_BYTES) or b""
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -290,3 +290,26 @@
     code: int
     retry_after_s: float
     detail: str = ""
+
+
+@message("schedule.explain")
+@attrs.frozen
+class Explain:
+    """Entry to owner: where would this request go now? Nothing is granted or queued."""
+
+    ticket: Ticket
+
+
+@message("schedule.explained")
+@attrs.frozen
+class Explained:
+    """Owner to entry: answer to an `Explain`.
+
+    Parameters
+    ==========
+    text : str
+        JSON object for operators; its fields differ among releases.
+    """
+
+    pool: str
+    text: str
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -372,3 +372,39 @@
 
     is_granted: bool
     wait_s: float = 0.0
+
+
+@message("sync.explain_placement")
+@attrs.frozen
+class ExplainPlacement:
+    """Control to entry: where would a caller's request go now? Nothing is sent or spent.
+
+    Parameters
+    ==========
+    request : str
+        Identifier of the caller's attempt, by which the pool of a split route is chosen.
+    account : str
+        Name of the client account, empty for none.
+    parts : tuple[str, ...]
+        Identifiers of the shared parts of the prompt, in order.
+    timeout_s : float
+        Seconds for which the caller waits, 0 if it names none.
+    """
+
+    host: str
+    path: str
+    request: str = ""
+    account: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    expected_tokens: int = 0
+    parts: tuple[str, ...] = ()
+    timeout_s: float = 0.0
+
+
+@message("sync.explained_placement")
+@attrs.frozen
+class ExplainedPlacement:
+    """Entry to control: answer to an `ExplainPlacement`, a JSON object for operators."""
+
+    text: str
