--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import math
 
 from aiohttp import web
@@ -17,6 +18,7 @@
 from mulberrygate.daemon.sockets import Listeners, split_address
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.entry.tickets import SchedulerClient
+from mulberrygate.forward.explain import PlacementExplainer
 from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.service import Forwarder
@@ -29,7 +31,14 @@
 from mulberrygate.sync.crash_reports import CrashReporter
 from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.follower import Follower
-from mulberrygate.sync.messages import AskUnits, Crash, FollowResult, Units
+from mulberrygate.sync.messages import (
+    AskUnits,
+    Crash,
+    ExplainedPlacement,
+    ExplainPlacement,
+    FollowResult,
+    Units,
+)
 from mulberrygate.sync.spent_units import SpentUnitsReporter
 from mulberrygate.sync.trials import TrialClient
 
@@ -50,6 +59,7 @@
 OWNER_CHECK_INTERVAL_S = 0.1
 LOG_FLUSH_INTERVAL_S = 0.1
 POOLS_LOG_INTERVAL_S = 1.0
+HEDGES_LOG_INTERVAL_S = 5.0
 SILENT_CHECK_INTERVAL_S = 1.0
 # A new entry that hears only from control processes that may lack the newest state waits for this
 # time for one that has it. Without a majority of the group there is none.
@@ -231,12 +241,35 @@
             self.seed,
             self._make_hedging(),
         )
+        self.explainer = PlacementExplainer(self.forwarder, peers)
+        peers.on(ExplainPlacement, self._on_explain_placement)
+
+    async def _on_explain_placement(
+        self, message: ExplainPlacement, _sender: str
+    ) -> ExplainedPlacement:
+        """Answer an operator, through a control process, where a request would go now."""
+        return ExplainedPlacement(json.dumps(await self.explainer.explain(message)))
 
     def _make_hedging(self) -> Hedging | None:
         """Return what decides about second copies, ``None`` if the operators want none."""
         settings = self.product.hedging
         return Hedging(settings) if settings is not None and settings.share > 0 else None
 
+    def _log_hedges(self) -> None:
+        """Log what became of second copies since the start, and what the limits allow now."""
+        hedging = self.forwarder.hedging
+        counts = {
+            dict(labels)["result" if name == "hedges_total" else "reason"]: int(value)
+            for (name, labels), value in self.metrics.counters.items()
+            if name in ("hedges_total", "hedges_denied_total")
+        }
+        allowances = hedging.allowances.items()
+        self.lines.log(
+            "hedges.state",
+            counts=counts,
+            share_left={pool: round(allowance.level, 2) for pool, allowance in allowances},
+        )
+
     def _list_entries(self) -> list[str]:
         # Control processes of earlier releases tell only the number of entries.
         return list(self.deputies.entries) or [str(n) for n in range(self.forwarder.entries)]
@@ -273,6 +306,8 @@
         self.timers.every(EVIDENCE_INTERVAL_S, self._send_evidence, "evidence")
         self.timers.every(LOG_FLUSH_INTERVAL_S, self.lines.flush, "lines")
         self.timers.every(POOLS_LOG_INTERVAL_S, self._log_pools, "pools")
+        if self.forwarder.hedging is not None:
+            self.timers.every(HEDGES_LOG_INTERVAL_S, self._log_hedges, "hedges")
         self.readiness_http = self._make_http(self._handle_readiness, self.site.readiness_address)
         await self.readiness_http.start()
         self.http = self._make_http(
