--- a/bin/run_tests.py
+++ b/bin/run_tests.py
@@ -9,6 +9,8 @@
 import argparse
 import doctest
 import importlib
+import importlib.util
+import itertools
 import os
 import pkgutil
 import subprocess
@@ -45,6 +47,15 @@
     return sorted(names)
 
 
+def runs_alone(name: str) -> bool:
+    """Return whether a test module says that it runs after all others, by itself."""
+    spec = None if name == "doctests" else importlib.util.find_spec(name)
+    if spec is None or not spec.origin:
+        return False
+    with open(spec.origin, encoding="utf-8") as file:
+        return any(line.startswith("RUNS_ALONE = True") for line in file)
+
+
 class Result(unittest.TextTestResult):
     """Test result that counts passes and tolerates the failures of listed tests."""
 
@@ -130,8 +141,11 @@
         print("no test module matches")
         return 1
     totals = [0, 0, 0, 0]
+    alone = [name for name in names if runs_alone(name)]
     with ThreadPoolExecutor(WORKERS) as pool:
-        for name, code, output, seconds in pool.map(run_process, names):
+        concurrent = pool.map(run_process, [name for name in names if name not in alone])
+        one_by_one = map(run_process, alone)
+        for name, code, output, seconds in itertools.chain(concurrent, one_by_one):
             print(f"{name}: {'ok' if code == 0 else 'FAILED'} in {seconds:.1f} s", flush=True)
             lines = output.splitlines()
             counts = [line for line in lines if line.startswith(RESULT_PREFIX)]
