Leave slow engines to short requests, and prefer nearby endpoints

Requests that were cut off at their deadlines ran on slow engines, with a predicted run as long as the time left. Slow engines now first take requests whose predicted run fits twice; a second pass gives what is free to others.

The hop was counted from the process that orders a pool, not from the entry of the request.

--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -328,6 +328,8 @@
             start_by_s=max(0.0, max_wait_s - waited_s),
             is_isolated=self.suspects.find(call).standing is not Standing.CLEAR,
             notices=self.notices.for_ticket(pool.name, self.timers.now()),
+            failure_domain=self.site.failure_domain,
+            region=self.site.region,
         )
 
     async def acquire_grant(self, call: Call, ticket: Ticket) -> Grant | Refusal:
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -8,6 +8,7 @@
 from mulberrygate.schedule.capacity import FreeCapacity
 from mulberrygate.schedule.endpoint import LOCAL, OTHER_DOMAIN, EndpointState
 from mulberrygate.schedule.fair_queue import WaitingRequest
+from mulberrygate.schedule.near import distance_cost_s
 from mulberrygate.schedule.prefix import PrefixIndex
 from mulberrygate.schedule.shares import VersionShares
 
@@ -20,6 +21,10 @@
 # Part of a predicted time that has to fit before the deadline. About half of the predictions are
 # exceeded, so a request waits or is shed only if its prediction misses the deadline clearly.
 PREDICTION_TOLERANCE = 0.9
+# How many times a request's predicted run has to fit before its deadline to go to a slow endpoint
+# while others wait. Estimates of lengths are often wrong by half, and a request that is cut off at
+# its deadline has kept a slow slot for seconds that shorter ones could have used.
+SLOW_RUN_MARGIN = 2.0
 # Seconds for which the result of a request's prefix lookup is reused.
 MAX_HITS_AGE_S = 0.05
 NO_HITS: dict[str, int] = {}
@@ -66,6 +71,8 @@
     fast_token_s : float
         Endpoints with at most these seconds per output token count as fast. They get a request even
         if it is predicted to miss its deadline there, since no other endpoint would be faster.
+    slow_run_margin : float
+        How many times a predicted run has to fit before the deadline at a slow endpoint.
     is_fast_expected : Callable[[WaitingRequest, float], bool]
         Whether a fast endpoint will probably be free while a request can still be on time.
     """
@@ -90,6 +97,9 @@
         self.probes_failing = False
         self.max_distance = LOCAL
         self.fast_token_s = 0.0
+        self.slow_run_margin = SLOW_RUN_MARGIN
+        # Whether a request was kept from a slow endpoint by the margin alone.
+        self.was_margin_missed = False
         self.is_fast_expected: Callable[[WaitingRequest, float], bool] = lambda waiting, now: False
 
     def is_avoided(self, waiting: WaitingRequest, state: EndpointState) -> bool:
@@ -166,10 +176,11 @@
 
         Explanation
         ===========
-        The request has to end before its deadline. A slow endpoint isn't used while a fast one is
-        expected to be free in time, nor if its first token would be late. An endpoint of a version
-        under a move is used whatever its speed, which isn't known in advance. An endpoint that
-        fails most of its requests gets probes only: one that fails at once always has free slots.
+        The request has to end before its deadline, with `slow_run_margin` at a slow endpoint. A
+        slow one isn't used while a fast one is expected to be free in time, nor if its first token
+        would be late. An endpoint of a version under a move is used whatever its speed, which
+        isn't known in advance. An endpoint that fails most of its requests gets probes only: one
+        that fails at once always has free slots.
         """
         if state.is_mostly_failing and not self.may_probe(waiting, state, now):
             return False
@@ -177,7 +188,11 @@
             return True
         if self.fast_token_s and self.shares.limited and self.is_canary(waiting, state):
             return True
-        if run_s > (waiting.deadline - now) / PREDICTION_TOLERANCE:
+        left_s = waiting.deadline - now
+        if PREDICTION_TOLERANCE * run_s > left_s:
+            return False
+        if self.fast_token_s and self.slow_run_margin * run_s > left_s:
+            self.was_margin_missed = True
             return False
         if not self.fast_token_s or waiting.is_late:
             return True
@@ -234,6 +249,9 @@
             # otherwise its evidence would depend on which of them have the best scores.
             rank = 0 if due and state.view.version in due else 1
             score = run_s + RECOMPUTE_S * (most_cached - hit)
+            if ticket.region:
+                # The prediction has the hop from this scheduler, not that from the entry.
+                score += distance_cost_s(ticket, state.view, run_s) - state.hop_s
             if rank == 0 and self.spreads_canaries:
                 score = float(state.grant_count)
             if ticket.is_isolated:
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -94,6 +94,8 @@
         Whether it may crash its endpoint, and so goes where the fewest others run.
     notices : tuple[EndpointNotice, ...]
         What endpoints of the pool have said to the entry.
+    failure_domain, region : str
+        Location of the entry, empty from entries of earlier releases.
     """
 
     request: str
@@ -114,6 +116,8 @@
     start_by_s: float = math.inf
     is_isolated: bool = False
     notices: tuple[EndpointNotice, ...] = ()
+    failure_domain: str = ""
+    region: str = ""
 
     def may_use(self, endpoint: str, incarnation: int, waited_s: float) -> bool:
         """Return whether the request may go to an endpoint after what that has said.
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator
 
 from mulberrygate.core.effects import Effect, Send
-from mulberrygate.schedule.choose import Choice
+from mulberrygate.schedule.choose import PREDICTION_TOLERANCE, SLOW_RUN_MARGIN, Choice
 from mulberrygate.schedule.endpoint import LOCAL, OTHER_DOMAIN, EndpointState, GrantedRequest
 from mulberrygate.schedule.fair_queue import AccountQueue, TierQueue, WaitingRequest
 from mulberrygate.schedule.messages import Grant
@@ -40,7 +40,24 @@
     """Selects requests and endpoints; see `mulberrygate.schedule.scheduler.PoolScheduler`."""
 
     def _dispatch(self, now: float) -> list[Effect]:
-        """Grant waiting requests in order until no endpoint can take another one."""
+        """Grant waiting requests in order until no endpoint can take another one.
+
+        Explanation
+        ===========
+        Slow endpoints first get the requests that end there in time with a margin. What they have
+        free then goes to those that may just end in time.
+        """
+        chooser = self.chooser
+        chooser.was_margin_missed = False
+        effects = self._dispatch_once(now)
+        if chooser.was_margin_missed:
+            chooser.slow_run_margin = PREDICTION_TOLERANCE
+            effects += self._dispatch_once(now)
+            chooser.slow_run_margin = SLOW_RUN_MARGIN
+        return effects
+
+    def _dispatch_once(self, now: float) -> list[Effect]:
+        """Grant waiting requests in order, once through all classes."""
         effects: list[Effect] = []
         skipped: list[WaitingRequest] = []
         priority_classes = self._begin_dispatch(now)
--- a/mulberrygate/schedule/tests/test_slowdown.py
+++ b/mulberrygate/schedule/tests/test_slowdown.py
@@ -86,6 +86,7 @@
         self.asked_at = {}
         self.first_after_s = {}
         self.total_s = {}
+        self.outputs = {}
         self.started = set()
         self.number = 0
         super().__init__(self.engines, engine_queue=1)
@@ -113,10 +114,14 @@
             return
         name = f"r{len(self.asked_at)}"
         self.asked_at[name] = self.now
-        output = max(1, int(self.rng.expovariate(1 / tokens)))
-        self.ask(name, prompt=1000, tokens=output, deadline=30.0)
+        self.ask_one(name, max(1, int(self.rng.expovariate(1 / tokens))))
         self.push(self.now + self.rng.expovariate(rate), "arrive", argument)
 
+    def ask_one(self, name, output):
+        """Ask for a request with a length of which the owner gets an estimate."""
+        self.ask(name, prompt=1000, tokens=output, deadline=30.0)
+        self.outputs[name] = output
+
     def refresh(self, end):
         emitted = {name: 1 for name in self.first_after_s.keys() - self.total_s.keys()}
         self.call("progress", Progress("care", emitted), "entry-1")
@@ -139,13 +144,17 @@
         endpoint = self.endpoint_of(name)
         machine = self.machines[endpoint]
         self.first_after_s[name] = self.now - self.asked_at[name]
-        tokens = self.scheduler.running[name].ticket.output_tokens
+        tokens = self.outputs[name]
         figure = machine.figure(self.now)
         if self.tells and is_urgent(figure):
             self.push(self.now + self.news_delay_s, "tell", {endpoint: figure})
-        ends_at = machine.end_of(tokens * TOKEN_S, self.now)
+        ends_at = min(machine.end_of(tokens * TOKEN_S, self.now), self.leaves_at(name))
         self.push(ends_at, "end", (name, started_at, self.now, figure, tokens))
 
+    def leaves_at(self, name):
+        """Return the time at which the caller of a request leaves."""
+        return math.inf
+
     def tell(self, slowdowns):
         self.call("progress", Progress("care", {}, slowdowns=slowdowns), "entry-1")
 
