--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -345,6 +345,8 @@
             is_isolated=self.suspects.find(call).standing is not Standing.CLEAR,
             notices=self.notices.for_ticket(pool.name, self.timers.now()),
             home_regions=tuple(sorted(call.home_regions or ())),
+            failure_domain=self.site.failure_domain,
+            region=self.site.region,
         )
 
     async def acquire_grant(self, call: Call, ticket: Ticket) -> Grant | Refusal:
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -162,7 +162,8 @@
         """Evacuate a zone, or withdraw that.
 
         Explanation
-        ====        Orders are sent again until they get an answer of 2xx, 400, 409, 412, 413 or 422, so an
+        ===========
+        Orders are sent again until they get an answer of 2xx, 400, 409, 412, 413 or 422, so an
         unknown zone gets 422: the call can be read, and no repetition will be accepted.
         """
         result = await self.controller.evacuations.put(zone, is_evacuated)
@@ -176,7 +177,6 @@
             return answer(503)
         return answer(200, self.controller.evacuations.describe())
 
-=======
     async def get_placement(self, request: web.BaseRequest) -> web.Response:
         """Return where a caller's request would go now; nothing is sent to an endpoint.
 
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -100,6 +100,8 @@
         Whether it is for a second copy of a request that runs at the last endpoint of ``avoid``. It
         is granted at once from room to spare or refused; see `mulberrygate.schedule.spare`. An
         owner of an earlier release queues it, and the entry withdraws it.
+    failure_domain, region : str
+        Location of the entry, empty from entries of earlier releases.
     """
 
     request: str
@@ -122,6 +124,8 @@
     notices: tuple[EndpointNotice, ...] = ()
     home_regions: tuple[str, ...] = ()
     is_spare: bool = False
+    failure_domain: str = ""
+    region: str = ""
 
     def may_run_in(self, region: str) -> bool:
         """Return whether the endpoints of a region may get the request."""
