Send copies from entries that see few requests

On a fleet of 70 entries with 21 repeatable requests a second, no entry ever knows the 100 times of a route that give a quantile, and the share of its repeatable first sends adds up to one copy in a minute, so hedging did nothing. Found by reading; the new tests fail on the code before.

Operators may set a delay for routes with few times, and the share counts all first sends to the pool, as its description says. The grant of a copy is also checked for home regions and evacuations, as other grants are.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -20,6 +20,7 @@
 from mulberrygate.forward.request import AnswerHead, Call, Refused
 from mulberrygate.forward.sends import Send, Turn
 from mulberrygate.forward.unanswered import RunningSend
+from mulberrygate.quota import RetryBudget
 from mulberrygate.schedule.messages import Grant, Ticket
 
 # Retry-After for a call that all endpoints turned down.
@@ -131,7 +132,7 @@
                 return granted
             ticket, grant = granted.ticket, granted.grant
             if not self.attempts.arrivals:
-                budget.count_first_send()
+                self._count_first_send(budget)
             elif not budget.take():
                 forwarder.scheduler.return_grant(ticket.request)
                 return self._give_up()
@@ -161,6 +162,13 @@
         finally:
             self.hedge = None
 
+    def _count_first_send(self, budget: RetryBudget) -> None:
+        """Count a first send in the retry budget and in the share of hedged requests."""
+        budget.count_first_send()
+        hedging = self.forwarder.hedging
+        if hedging is not None and not self.attempts.sends:
+            hedging.allowance(self.call.pool.name).count_first_send()
+
     async def _wait_for_turn(self) -> Turn | WholeAnswer | web.StreamResponse | Refused:
         """Wait until the call may be sent to an endpoint; return the final answer if it may not."""
         forwarder, call = self.forwarder, self.call
--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -63,7 +63,6 @@
     async def run(self) -> Any:
         """Send the call; return as `Delivery.send_once` does."""
         timers, route = self.forwarder.timers, self.call.route.name
-        self.hedging.allowance(self.call.pool.name).count_first_send()
         self.delay_s = self.hedging.delay_s(route, timers.now())
         timer = None
         if self.delay_s is not None:
@@ -157,7 +156,10 @@
             return "answered"
         if grant.endpoint in ticket.avoid:
             return "no_room"
-        if not self.forwarder.notices.may_use(grant, self.forwarder.timers.now()):
+        forwarder = self.forwarder
+        if not forwarder.homes.may_use(self.call, grant, forwarder.index):
+            return "outside_homes"
+        if not forwarder.may_use(grant):
             return "paused"
         return self._denial()
 
--- a/mulberrygate/forward/hedging.py
+++ b/mulberrygate/forward/hedging.py
@@ -206,10 +206,10 @@
 
     def delay_s(self, route: str, now: float) -> float | None:
         """Return the seconds after which a copy may be sent, ``None`` if too little is known."""
-        times = self.times.get(route)
-        if times is None or times.count(now) < self.settings.min_samples:
-            return None
-        return max(self.settings.min_delay_s, times.quantile_s(self.settings.quantile, now))
+        settings, times = self.settings, self.times.get(route)
+        if times is None or times.count(now) < settings.min_samples:
+            return settings.initial_delay_s
+        return max(settings.min_delay_s, times.quantile_s(settings.quantile, now))
 
     def denial(self, route: str, pool: str, state: HedgeState, now: float) -> str:
         """Return why a slow request gets no copy, empty if it may get one."""
@@ -224,7 +224,7 @@
         if state.timer_delay_s > MAX_TIMER_DELAY_S:
             return "entry_busy"
         times = self.times.get(route)
-        if times is None or state.left_s <= times.quantile_s(MEDIAN, now):
+        if state.left_s <= (times.quantile_s(MEDIAN, now) if times is not None else 0.0):
             return "no_time"
         if not self.allowance(pool).has_copy():
             return "share"
--- a/mulberrygate/forward/tests/test_hedging.py
+++ b/mulberrygate/forward/tests/test_hedging.py
@@ -241,5 +241,26 @@
         self.assertEqual((hedging.times, hedging.allowances), ({}, {}))
 
 
+class TestInitialDelay(unittest.TestCase):
+    """Routes of which an entry knows few times."""
+
+    def test_entry_with_few_requests_waits_for_the_delay_of_the_operators(self):
+        """Guards against large fleets without any copy, since no entry knows enough times."""
+        hedging = Hedging(HedgeSettings(share=0.02, initial_delay_s=0.3))
+        self.assertEqual(hedging.delay_s("read", 0.0), 0.3)
+        for _ in range(hedging.settings.min_samples):
+            hedging.record("read", 0.1, 0.0)
+        self.assertLess(hedging.delay_s("read", 1.0), 0.2)
+        self.assertIsNone(Hedging(HedgeSettings(share=0.02)).delay_s("read", 0.0))
+
+    def test_copy_without_known_times(self):
+        """Guards against copies that are denied for lack of times although a delay is set."""
+        hedging = Hedging(HedgeSettings(share=0.2, initial_delay_s=0.3))
+        for _ in range(5):
+            hedging.allowance("pool").count_first_send()
+        self.assertEqual(hedging.denial("read", "pool", HedgeState(left_s=1.0), 0.0), "")
+        self.assertEqual(hedging.denial("read", "pool", HedgeState(left_s=0.0), 0.0), "no_time")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/settings/product.py
+++ b/mulberrygate/settings/product.py
@@ -44,13 +44,19 @@
     min_delay_s : float
         Shortest time until a copy, in seconds.
     min_samples : int
-        Recent response times of a route below which none of its requests gets a copy.
+        Recent response times of a route at one entry below which they give no quantile.
+    initial_delay_s : float or None
+        Time until a copy on a route with fewer times, in seconds; ``None`` to send none. A fleet
+        of many entries needs it where each of them sees a request of a route now and then.
     """
 
     share: float = attrs.field(validator=_between(0.0, MAX_HEDGE_SHARE))
     quantile: float = attrs.field(default=0.95, validator=_between(0.5, 0.999))
     min_delay_s: float = attrs.field(default=0.01, validator=_between(0.001, 60.0))
     min_samples: int = attrs.field(default=100, validator=_between(20, 1_000_000))
+    initial_delay_s: float | None = attrs.field(
+        default=None, validator=attrs.validators.optional(_between(0.001, 60.0))
+    )
 
 
 @attrs.frozen
