Begin a deputy's limits with half of a second's units

A deputy began with 0.3 of the burst in all, whatever a leader had granted before: 10,000 units in the new test of an account with a burst of a minute, in place of less than 1,000. Its buckets now begin as those of a new leader.

--- a/mulberrygate/quota/central.py
+++ b/mulberrygate/quota/central.py
@@ -101,13 +101,13 @@
         for name in [name for name in self.accounts if name not in names]:
             del self.accounts[name]
 
-    def set_limit(self, name: str, limit: Limit, now: float, fill_fraction: float = 0.0) -> None:
+    def set_limit(self, name: str, limit: Limit, now: float, fills_increase: bool = False) -> None:
         """Set the limit of an account.
 
         Parameters
         ==========
-        fill_fraction : float
-            Fraction of an increase of the burst that is added to the level.
+        fills_increase : bool
+            Whether a higher limit adds to the level what a new bucket of it would hold more.
         """
         account = self.accounts.get(name)
         if account is None:
@@ -115,9 +115,9 @@
             self.accounts[name] = AccountBucket(limit, level, now, restored=level)
             return
         self._refill(account, now)
-        added = max(0.0, limit.burst - account.limit.burst) * fill_fraction
+        added = initial_level(limit) - initial_level(account.limit) if fills_increase else 0.0
         account.limit = limit
-        account.level = min(account.level + added, limit.burst)
+        account.level = min(account.level + max(0.0, added), limit.burst)
 
     def record_spent(
         self,
--- a/mulberrygate/quota/deputy.py
+++ b/mulberrygate/quota/deputy.py
@@ -7,7 +7,6 @@
 from mulberrygate.quota.central import MAX_WAIT_S, AccountBucket, CentralLimits, GrantedUnits
 from mulberrygate.quota.limit import Limit
 from mulberrygate.quota.local import LEADERLESS_FRACTION, leaderless_fraction
-from mulberrygate.quota.takeover import INITIAL_FILL_FRACTION
 
 # An entry counts as one that reaches no leader for this time after it has asked, and is credited
 # for this time before its first question at most.
@@ -58,7 +57,7 @@
     between, in which they use the leader's units.
 
     While a part ``p`` of the entries is without a leader, the units granted here in ``t`` seconds
-    are at most ``LEADERLESS_FRACTION * p * (rate * t + burst)`` and one request.
+    are at most ``LEADERLESS_FRACTION * p * rate * (t + 0.5)`` and one request.
 
     Attributes
     ==========
@@ -127,7 +126,7 @@
             rate=limit.rate * sum(fractions) / entries,
             burst=limit.burst * LEADERLESS_FRACTION * self.largest_part,
         )
-        self.central.set_limit(name, part, now, INITIAL_FILL_FRACTION)
+        self.central.set_limit(name, part, now, fills_increase=True)
         credit_s = self.credited_s - self.seen_credit_s.get(name, self.credited_s)
         self.seen_credit_s[name] = self.credited_s
         self.central.credit(name, limit.rate * credit_s)
--- a/mulberrygate/quota/tests/test_deputy.py
+++ b/mulberrygate/quota/tests/test_deputy.py
@@ -190,6 +190,16 @@
         deputy.grant("0", "x", 0.0, 1, 2.5, leaderless_s=0.1)
         self.assertAlmostEqual(deputy.credited_s, 1.1 * LEADERLESS_FRACTION)
 
+    def test_large_burst_is_not_granted_again(self):
+        """Guards against a deputy that grants a part of a burst which the leader has granted."""
+        deputy = DeputyLimits()
+        deputy.set_limits({"x": Limit(1000.0, 60_000.0)})
+        granted = 0.0
+        for number in range(200):
+            entry = str(number % 10)
+            granted += deputy.grant(entry, "x", 50.0, 10, 0.005 * number, 0.005 * number).units
+        self.assertLess(granted, 1000.0)
+
     def test_entry_that_stopped_asking_adds_nothing(self):
         """Guards against parts of the limit that are granted for entries that have a leader."""
         deputy = DeputyLimits()
