--- a/mulberrygate/daemon/tests/test_evacuations.py
+++ b/mulberrygate/daemon/tests/test_evacuations.py
@@ -109,7 +109,7 @@
         started = asyncio.get_running_loop().time()
         status, body = await self.deployment.send_request(PATHS["care"])
         self.assertEqual(status, 503)
-        self.assertIn(b'"code": 2204', body)
+        self.assertIn(b'"code": 2205', body)
         self.assertLess(asyncio.get_running_loop().time() - started, 1.0)
 
     async def test_unknown_domain(self):
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -40,7 +40,7 @@
     2203, "endpoints_paused", "All endpoints asked for a pause of this entry; not run.", 503
 )
 ENDPOINTS_EVACUATED = register_code(
-    2204, "endpoints_evacuated", "All endpoints are in evacuated failure domains; not run.", 503
+    2205, "endpoints_evacuated", "All endpoints are in evacuated failure domains; not run.", 503
 )
 TIMED_OUT = register_code(
     6201, "answer_timed_out", "The call was sent and got no answer in time; it may have run.", 504
