Log endpoints that are lost while their memory is nearly used

An engine that runs out of memory takes all its requests with it, and nothing told this from a request that crashes its endpoint. The owner of the pool logs what the engine held. The quarantine isn't changed: entries judge crashes, and the account is the owner's.

--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -204,6 +204,17 @@
         for pool, hosted in self.host.hosted.items():
             scheduler = hosted.scheduler
             work = hosted.take_handling_time()
+            while scheduler.lost_while_full:
+                lost = scheduler.lost_while_full.popleft()
+                lines.log(
+                    "endpoint.lost_full",
+                    pool=pool,
+                    endpoint=lost.endpoint,
+                    incarnation=lost.incarnation,
+                    requests=lost.requests,
+                    held_tokens=round(lost.held),
+                    limit_tokens=round(lost.limit),
+                )
             if not len(scheduler.queue) and not scheduler.running:
                 continue
             states = list(scheduler.states.values())
--- a/mulberrygate/schedule/endpoint_set.py
+++ b/mulberrygate/schedule/endpoint_set.py
@@ -13,6 +13,7 @@
     OTHER_REGION,
     EndpointState,
 )
+from mulberrygate.schedule.memory import LostWhileFull
 from mulberrygate.schedule.messages import Ticket
 from mulberrygate.schedule.speed import DEFAULT_PRIOR, PRIORS, GenerationSpeed
 from mulberrygate.schedule.wide import WIDE_LONGEST_BLOCK_S, WIDE_MAX_LOAD_REPORT_AGE_S
@@ -98,6 +99,10 @@
 
     def _remove_endpoint(self, state: EndpointState) -> None:
         del self.states[state.name]
+        if state.memory.is_nearly_full:
+            memory = state.memory
+            lost = (state.name, state.view.incarnation, memory.held, memory.limit)
+            self.lost_while_full.append(LostWhileFull(*lost, len(state.running)))
         self.blocked.pop(state.name, None)
         if state.distance == LOCAL:
             self.local_slots -= state.slots
--- a/mulberrygate/schedule/memory.py
+++ b/mulberrygate/schedule/memory.py
@@ -4,8 +4,31 @@
 
 import math
 
+import attrs
+
 # Share of the memory that is left free, since lengths of answers are estimates.
 MARGIN = 0.1
+# Share of the usable memory from which an endpoint that is lost may have run out of it.
+NEARLY_FULL = 0.9
+
+
+@attrs.frozen
+class LostWhileFull:
+    """Endpoint that was lost while its memory was nearly used.
+
+    Parameters
+    ==========
+    held, limit : float
+        Tokens that it held, and those that it might hold by the account.
+    requests : int
+        Number of the requests that it held.
+    """
+
+    endpoint: str
+    incarnation: int
+    held: float
+    limit: float
+    requests: int
 
 
 class HeldTokens:
@@ -45,6 +68,11 @@
         self.held = 0.0
         self.limit = self.free = math.inf
 
+    @property
+    def is_nearly_full(self) -> bool:
+        """Whether little more fits into the memory."""
+        return self.held >= NEARLY_FULL * self.limit
+
     def set_capacity(self, tokens: int) -> None:
         """Set the memory in tokens, 0 if it isn't known."""
         self.limit = tokens * (1.0 - MARGIN) if tokens > 0 else math.inf
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import random
 from collections.abc import Callable
@@ -33,6 +34,7 @@
     learn_reference,
     observe_request,
 )
+from mulberrygate.schedule.memory import LostWhileFull
 from mulberrygate.schedule.messages import (
     Done,
     Progress,
@@ -85,6 +87,8 @@
 DEMAND_PERIOD_S = 0.05
 # Scheduling is deferred after a dispatch that skipped more requests than this.
 DEFER_ABOVE_SKIPPED = 16
+# Bounds the lost endpoints that are kept for the log.
+MAX_LOST = 64
 
 
 class PoolScheduler(EndpointSet, RunningRequests, Selection, Shedding, EndpointHealth):
@@ -130,6 +134,8 @@
         self.running_by_entry: dict[str, dict[str, GrantedRequest]] = {}
         self.ended = RecentlyEnded()
         self.states: dict[str, EndpointState] = {}
+        # Endpoints lost since the last log line.
+        self.lost_while_full: collections.deque[LostWhileFull] = collections.deque(maxlen=MAX_LOST)
         self.generations: dict[str, GenerationSpeed] = {}
         # Mean speed of a wide pool's endpoints, except those that serve a version under a move.
         self.reference = (
--- a/mulberrygate/schedule/tests/test_memory.py
+++ b/mulberrygate/schedule/tests/test_memory.py
@@ -57,6 +57,16 @@
         bench.ask("b", prompt=40_000, tokens=10)
         self.assertNotIn("b", bench.grants)
 
+    def test_loss_of_a_full_endpoint_is_recorded(self):
+        """Guards against a crash for lack of memory that looks like the fault of a request."""
+        for prompt, losses in ((1_000, 0), (85_000, 1)):
+            with self.subTest(prompt=prompt):
+                bench = WideBench([make_view(slots=4)])
+                bench.ask("a", prompt=prompt, tokens=100)
+                bench.call("set_endpoints", [make_view(slots=4, incarnation=2)])
+                found = [(lost.endpoint, lost.requests) for lost in bench.scheduler.lost_while_full]
+                self.assertEqual(found, losses * [("a", 1)])
+
     def test_account_is_empty_after_all_requests(self):
         """Guards against tokens that stay in the account, and fill it with time."""
         bench = WideBench([make_view(slots=8)])
