--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -23,6 +23,7 @@
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.crash_committer import CRASH_EXPIRY_INTERVAL_S, CrashCommitter
 from mulberrygate.daemon.endpoint_reports import EndpointReports
+from mulberrygate.daemon.evacuation_orders import EvacuationOrders
 from mulberrygate.daemon.log_clock import LogClock
 from mulberrygate.daemon.placement import Placement, PoolOwners
 from mulberrygate.daemon.roster_sharing import RosterSharing
@@ -41,6 +42,8 @@
     CheckCurrent,
     CheckCurrentResult,
     CrashReport,
+    ExplainedPlacement,
+    ExplainPlacement,
     Follow,
     FollowResult,
     LatestCatalog,
@@ -48,6 +51,9 @@
     PeerUpdateResult,
     Propose,
     ReadLatestCatalog,
+    ReturnUnits,
+    SpentUnits,
+    SpentUnitsResult,
     TrialRequest,
     Units,
     VersionEvidence,
@@ -67,8 +73,12 @@
 ROSTER_FILL_S = 6.0
 # A process that has lacked committed state for this time may give entries outdated answers.
 BEHIND_AFTER_S = 1.5
+# Size of the random identifier of a leadership.
+EPOCH_BITS = 48
 # Added to the wait of an answer, so that the process counts as behind when the answer is made.
 BEHIND_MARGIN_S = 0.02
+# Longest wait for an entry's explanation, which may take another call to the owner of a pool.
+EXPLAIN_TIMEOUT_S = 2.0
 
 
 class Controller:
@@ -76,9 +86,9 @@
 
     Explanation
     ===========
-    The catalog, leaving endpoints, version moves and crash reports are replicated by a Raft-like
-    group. Heartbeats are not; control processes share them with each other. Entries follow any
-    control process by long polling.
+    The catalog, leaving endpoints, version moves, crash reports and evacuations are replicated by a
+    Raft-like group. Heartbeats are not; control processes share them with each other. Entries
+    follow any control process by long polling.
 
     Parameters
     ==========
@@ -143,6 +153,7 @@
             self.timers,
             self._other_controls,
             lambda: self.entries.own(self.timers.now()),
+            lambda: self.evacuations.running.own(self.timers.now()),
         )
         self.reports = EndpointReports(
             self.roster,
@@ -155,7 +166,9 @@
             lines,
         )
         self.placement: Placement | None = None
-        self.log_clock = LogClock(lambda: self.machine.quarantine.clock)
+        self.log_clock = LogClock(
+            lambda: max(self.machine.quarantine.clock, self.machine.evacuations.clock)
+        )
         self.crash_committer = CrashCommitter(
             lambda: self.machine, self.log.commit, self.log_clock, self.timers, lines
         )
@@ -167,6 +180,16 @@
             self.timers,
             lines,
         )
+        self.evacuations = EvacuationOrders(
+            lambda: self.machine,
+            self.roster,
+            lambda: set(site.regions),
+            lambda: self.is_roster_filled,
+            self.log.commit,
+            self.log_clock,
+            self.timers,
+            lines,
+        )
         self.is_stopping = False
         self.is_catalog_pending = False
         self.is_behind = True
@@ -198,6 +221,8 @@
         on(Propose, self.log.on_propose)
         on(ReadLatestCatalog, self.log.on_read_latest)
         on(AskUnits, self._on_ask_units)
+        on(ReturnUnits, self._on_return_units)
+        on(SpentUnits, self._on_spent_units)
         on(VersionEvidence, self.moves.on_evidence)
         on(CrashReport, self.crash_committer.on_report)
         on(TrialRequest, self.trial_granter.on_request)
@@ -333,12 +358,19 @@
             self.roster.mark_leaving(name, incarnation)
         self.moves.apply_moves()
         self.crash_committer.log_quarantine_changes()
+        self._apply_evacuations()
         if not self.is_catalog_pending:
             # A restart applies hundreds of catalog versions at once; only the last is decoded.
             self.is_catalog_pending = True
             self.timers.after(0.0, self._apply_catalog, "catalog")
         self._wake_followers()
 
+    def _apply_evacuations(self) -> None:
+        """Keep the schedulers of this process from granting endpoints that are evacuated."""
+        self.evacuations.log_changes()
+        if self.evacuations.apply_to(self.placement.directory.evacuations):
+            self.placement.refresh()
+
     def _apply_catalog(self) -> None:
         """Decode the newest catalog and apply it to the limits and the placement."""
         self.is_catalog_pending = False
@@ -352,7 +384,7 @@
     def _on_role(self, role: Role, term: int) -> None:
         self.lines.log("control.role", role=role.value, term=term)
         if role is Role.LEADER:
-            self.limits = CentralLimits()
+            self.limits = CentralLimits(self.rng.getrandbits(EPOCH_BITS) + 1)
             self._set_limits()
             self.moves.reset()
         else:
@@ -389,6 +421,29 @@
         self.lines.log("catalog.put", version=catalog.version, is_committed=is_committed)
         return is_committed
 
+    async def explain_placement(
+        self, entry: str, question: ExplainPlacement
+    ) -> tuple[str, str | None]:
+        """Ask an entry where a request would go now.
+
+        Parameters
+        ==========
+        entry : str
+            Instance of the entry, empty for any one.
+
+        Returns
+        =======
+        tuple[str, str or None]
+            Instance that was asked, empty if it isn't one of the live entries, and its answer, a
+            JSON object; ``None`` if there is none.
+        """
+        names = self.entries.all(self.timers.now()).names
+        entry = entry or next(iter(names), "")
+        if entry not in names:
+            return "", None
+        answer = await self.peers.client.call(entry, question, EXPLAIN_TIMEOUT_S)
+        return entry, answer.text if isinstance(answer, ExplainedPlacement) else None
+
     async def read_latest(self) -> LatestCatalog:
         """Return the newest catalog and moves, and whether they are certain to be the newest."""
         return await self.log.read_latest()
@@ -400,6 +455,9 @@
         if not message.reads_evidence:
             self.crash_committer.gate.record_earlier_release(now)
             self.trial_granter.gate.record_earlier_release(now)
+        self.evacuations.running.record_update(sender, message.running, now)
+        if not message.reads_evacuations:
+            self.evacuations.gate.record_earlier_release(now)
         is_change, result = self.sharing.merge(message, now)
         if is_change:
             self._wake_followers()
@@ -409,6 +467,7 @@
         """Answer an entry once there are changes for it, or at the end of the wait (long poll)."""
         if self.entries.record_poll(message.instance, self.timers.now()):
             self.lines.log("entry.follows", entry=message.instance)
+        self.evacuations.running.record_poll(message.instance, message.running, self.timers.now())
         if not self._has_changes_for(message):
             try:
                 await asyncio.wait_for(self.state_changed.wait(), self._follow_wait_s(message))
@@ -435,6 +494,7 @@
             or message.catalog_version < self.machine.version
             or message.changes < self.roster.changes
             or message.quarantine < self.machine.quarantine.number
+            or 0 <= message.evacuations < self.machine.evacuations.number
         )
 
     def _make_follow_result(self, message: Follow) -> FollowResult:
@@ -446,6 +506,7 @@
         quarantine = machine.quarantine
         is_quarantine_due = message.quarantine != quarantine.number
         entries = self.entries.all(self.timers.now())
+        evacuations = self.evacuations.ages()
         return FollowResult(
             control_incarnation=self.incarnation,
             changes=roster.changes,
@@ -470,6 +531,10 @@
             quarantined=quarantine.quarantined if is_quarantine_due else (),
             suspected=quarantine.suspects if is_quarantine_due else (),
             age_s=self.state_age_s,
+            evacuations=evacuations.number,
+            evacuated=evacuations.evacuated,
+            evacuated_s=evacuations.evacuated_s,
+            withdrawn=evacuations.withdrawn,
         )
 
     def _on_ask_units(self, message: AskUnits, _sender: str) -> Units:
@@ -479,7 +544,24 @@
         granted = self.limits.grant(
             message.instance, message.account, message.need, message.advance, seconds_since_boot()
         )
-        return Units(True, granted.units, granted.wait_s, granted.share)
+        epoch = self.limits.epoch
+        return Units(True, granted.units, granted.wait_s, granted.share, epoch)
+
+    def _on_return_units(self, message: ReturnUnits, _sender: str) -> None:
+        """Take back units of requests that did not run, if this leadership granted them."""
+        if self.limits is not None and message.epoch == self.limits.epoch:
+            self.limits.put_back(message.account, message.units, seconds_since_boot())
+
+    def _on_spent_units(self, message: SpentUnits, _sender: str) -> SpentUnitsResult:
+        """Take over what an entry was granted by earlier leaders, if this process leads."""
+        if self.limits is None or not self.is_leader:
+            return SpentUnitsResult()
+        spent = {name: list(items) for name, items in message.spent.items()}
+        entries = len(self.entries.all(self.timers.now()).names)
+        self.limits.record_spent(
+            message.instance, spent, message.up_s, entries, seconds_since_boot()
+        )
+        return SpentUnitsResult(self.limits.epoch)
 
     async def _expire_crashes(self) -> None:
         if self.is_leader:
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import math
 
 from aiohttp import web
@@ -17,17 +18,28 @@
 from mulberrygate.daemon.sockets import Listeners, split_address
 from mulberrygate.endpoints.roster import Roster
 from mulberrygate.entry.tickets import SchedulerClient
+from mulberrygate.forward.explain import PlacementExplainer
+from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.service import Forwarder
 from mulberrygate.forward.suspects import Suspects
 from mulberrygate.members.deputies import Deputies
-from mulberrygate.observe.jsonlines import JsonLines
+from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.quota import DeputyLimits, Limit
+from mulberrygate.settings.product import ProductSettings
 from mulberrygate.sync.crash_reports import CrashReporter
 from mulberrygate.sync.evidence import EvidenceReports
 from mulberrygate.sync.follower import Follower
-from mulberrygate.sync.messages import AskUnits, Crash, FollowResult, Units
+from mulberrygate.sync.messages import (
+    AskUnits,
+    Crash,
+    ExplainedPlacement,
+    ExplainPlacement,
+    FollowResult,
+    Units,
+)
+from mulberrygate.sync.spent_units import SpentUnitsReporter
 from mulberrygate.sync.trials import TrialClient
 
 # The load balancer checks readiness once a second and removes an instance after two failures. A
@@ -47,6 +59,7 @@
 OWNER_CHECK_INTERVAL_S = 0.1
 LOG_FLUSH_INTERVAL_S = 0.1
 POOLS_LOG_INTERVAL_S = 1.0
+HEDGES_LOG_INTERVAL_S = 5.0
 SILENT_CHECK_INTERVAL_S = 1.0
 # A new entry that hears only from control processes that may lack the newest state waits for this
 # time for one that has it. Without a majority of the group there is none.
@@ -85,6 +98,8 @@
         Sockets that already listen.
     seed : int or None
         Seed of the random choices.
+    product : ProductSettings or None
+        Settings that the operators have chosen, ``None`` for the defaults.
 
     Attributes
     ==========
@@ -96,9 +111,17 @@
     """
 
     def __init__(
-        self, site, lines: JsonLines, dialect, decode, listeners=None, seed: int | None = None
+        self,
+        site,
+        lines: JsonLines,
+        dialect,
+        decode,
+        listeners=None,
+        seed: int | None = None,
+        product: ProductSettings | None = None,
     ):
         self.site = site
+        self.product = product or ProductSettings()
         self.listeners = listeners or Listeners()
         self.lines = lines
         self.timers = TimerService(self._on_timer_error)
@@ -162,6 +185,7 @@
             self.seed,
         )
         self.follower.quarantine_number = lambda: self.suspects.quarantine_number
+        self.follower.evacuations_number = lambda: self.evacuations.number
         pool_owners = PoolOwners(
             site.instance,
             lambda: self.follower.leader,
@@ -178,6 +202,9 @@
             self.evidence,
             self.seed,
         )
+        self.evacuations = self.placement.directory.evacuations
+        self.metrics.gauge("evacuated_failure_domains", lambda: len(self.evacuations.evacuated))
+        self.metrics.gauge("pools_without_endpoint", self.placement.count_evacuated_pools)
         scheduler = SchedulerClient(
             site.instance,
             site.failure_domain,
@@ -188,6 +215,18 @@
             progress_s=PROGRESS_INTERVAL_S,
             owner_check_s=OWNER_CHECK_INTERVAL_S,
         )
+        self.units_reporter = SpentUnitsReporter(
+            site.instance,
+            peers,
+            self.limits.history,
+            self.timers,
+            lambda: self.follower.leader,
+            lambda: self.limits.epoch,
+            seconds_since_boot,
+        )
+        self.follower.running = lambda: self.placement.directory.count_evacuated(
+            scheduler.running_endpoints()
+        )
         self.forwarder = Forwarder(
             site,
             self.dialect,
@@ -200,6 +239,35 @@
             self.lines,
             self.metrics,
             self.seed,
+            self._make_hedging(),
+        )
+        self.explainer = PlacementExplainer(self.forwarder, peers)
+        peers.on(ExplainPlacement, self._on_explain_placement)
+
+    async def _on_explain_placement(
+        self, message: ExplainPlacement, _sender: str
+    ) -> ExplainedPlacement:
+        """Answer an operator, through a control process, where a request would go now."""
+        return ExplainedPlacement(json.dumps(await self.explainer.explain(message)))
+
+    def _make_hedging(self) -> Hedging | None:
+        """Return what decides about second copies, ``None`` if the operators want none."""
+        settings = self.product.hedging
+        return Hedging(settings) if settings is not None and settings.share > 0 else None
+
+    def _log_hedges(self) -> None:
+        """Log what became of second copies since the start, and what the limits allow now."""
+        hedging = self.forwarder.hedging
+        counts = {
+            dict(labels)["result" if name == "hedges_total" else "reason"]: int(value)
+            for (name, labels), value in self.metrics.counters.items()
+            if name in ("hedges_total", "hedges_denied_total")
+        }
+        allowances = hedging.allowances.items()
+        self.lines.log(
+            "hedges.state",
+            counts=counts,
+            share_left={pool: round(allowance.level, 2) for pool, allowance in allowances},
         )
 
     def _list_entries(self) -> list[str]:
@@ -216,6 +284,7 @@
             message.need,
             len(self.deputies.entries) or self.forwarder.entries,
             seconds_since_boot(),
+            message.leaderless_s,
         )
         return Units(True, granted.units, granted.wait_s)
 
@@ -237,6 +306,8 @@
         self.timers.every(EVIDENCE_INTERVAL_S, self._send_evidence, "evidence")
         self.timers.every(LOG_FLUSH_INTERVAL_S, self.lines.flush, "lines")
         self.timers.every(POOLS_LOG_INTERVAL_S, self._log_pools, "pools")
+        if self.forwarder.hedging is not None:
+            self.timers.every(HEDGES_LOG_INTERVAL_S, self._log_hedges, "hedges")
         self.readiness_http = self._make_http(self._handle_readiness, self.site.readiness_address)
         await self.readiness_http.start()
         self.http = self._make_http(
@@ -283,6 +354,7 @@
         self.forwarder.catalog_current_at = self.follower.current_at
         self._update_entries(result)
         self._update_quarantine(result)
+        self._update_evacuations(result)
         self._check_informed(result)
         self.evidence.set_moves(self.follower.moves)
         if result.heard or result.gone:
@@ -313,13 +385,37 @@
             self.trials.retain({*suspects.quarantined, *suspects.suspected})
             self.forwarder.gate.cancel_quarantined()
 
+    def _update_evacuations(self, result: FollowResult) -> None:
+        """Take over the evacuations of a control process, and stop what they forbid."""
+        before = self.evacuations.evacuated
+        is_change = self.evacuations.update(
+            result.evacuations,
+            result.evacuated,
+            result.withdrawn,
+            result.is_current,
+            self.timers.now(),
+        )
+        if not is_change:
+            return
+        ages_s = dict(zip(result.evacuated, result.evacuated_s, strict=False))
+        for name in sorted(self.evacuations.evacuated - before):
+            age_s = rounded_age(ages_s.get(name, math.inf))
+            self.lines.log("evacuation.in_force", failure_domain=name, age_s=age_s)
+        ages_s = dict(result.withdrawn)
+        for name in sorted(before - self.evacuations.evacuated):
+            age_s = rounded_age(ages_s.get(name, math.inf))
+            self.lines.log("evacuation.ended", failure_domain=name, age_s=age_s)
+        self.placement.refresh()
+        self.forwarder.refuse_evacuated()
+
     def _check_informed(self, result: FollowResult) -> None:
         """Begin to serve once the state of the control group is known.
 
         Explanation
         ===========
         A control process that was restored from its disk has an older quarantine until it has
-        caught up. An entry that started with that would send calls that crash endpoints.
+        caught up. An entry that started with that would send calls that crash endpoints, or calls
+        to an evacuated failure domain.
         """
         if self.is_informed:
             return
--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -23,6 +24,7 @@
 from mulberrygate.endpoints.roster import Roster, Row
 from mulberrygate.schedule.endpoint import EndpointState
 from mulberrygate.schedule.messages import pool_subject
+from mulberrygate.sync.evacuations import KnownEvacuations
 from mulberrygate.tables.model import MODEL, SERVICE, Pool
 
 MAX_WAITING_REQUESTS = 2000
@@ -120,6 +122,8 @@
         Last reported load of each endpoint.
     silent_endpoints : frozenset[str]
         Endpoints without a recent heartbeat.
+    evacuations : KnownEvacuations
+        Failure domains to whose endpoints nothing may be sent.
     """
 
     def __init__(self, site, roster: Roster):
@@ -128,18 +132,101 @@
         self.pools: dict[str, BackendPool] = {}
         self.loads: dict[str, LoadReport] = {}
         self.silent_endpoints: frozenset[str] = frozenset()
+        self.evacuations = KnownEvacuations()
 
     def report_load(self, endpoint: str, load: int, now: float) -> None:
         """Record the load that an endpoint reported."""
         self.loads[endpoint] = LoadReport(load, now)
 
     def views(self, pool: str, now: float) -> list[EndpointView]:
-        """Return the usable endpoints of a pool, silent ones only if there are no others."""
+        """Return the usable endpoints of a pool, silent ones only if there are no others.
+
+        Explanation
+        ===========
+        Endpoints of evacuated failure domains are listed as well, since requests may still run at
+        them, but accept no work.
+        """
+        views = [self._make_view(row, now) for row in self.usable_rows(pool)]
+        if self.evacuations.evacuated:
+            evacuated = [row for row in self.roster.usable(pool) if self._is_evacuated(row)]
+            views += [self._make_view(row, now, accepts_work=False) for row in evacuated]
+        return views
+
+    def usable_rows(self, pool: str) -> list[Row]:
+        """Return the rows of the endpoints of a pool that may get requests, as `views` does."""
         rows = self.roster.usable(pool)
+        if self.evacuations.evacuated:
+            rows = [row for row in rows if not self._is_evacuated(row)]
         heard = [row for row in rows if row.registration.endpoint not in self.silent_endpoints]
-        return [self._make_view(row, now) for row in heard or rows]
+        return heard or rows
+
+    def region_of(self, row: Row) -> str:
+        """Return the region of an endpoint."""
+        domain = row.registration.failure_domain
+        return self.site.regions.get(domain, domain)
+
+    def has_endpoint_in(self, pool: str, regions: frozenset[str]) -> bool:
+        """Return whether some regions have a usable endpoint of a pool, or none is known at all."""
+        rows = self.usable_rows(pool)
+        return not rows or any(self.region_of(row) in regions for row in rows)
+
+    def cold_s(self, row: Row, now: float) -> float:
+        """Return the seconds for which an endpoint is or may be cold, as far as known.
+
+        Explanation
+        ===========
+        The endpoints of a failure domain may have become cold shortly before its evacuation is
+        withdrawn, and a heartbeat from before may arrive later, so all count as cold from then on.
+        """
+        pool = self.pools.get(row.registration.pool)
+        start_s = pool.cold_start_s if pool else 0.0
+        ended_s = self.evacuations.ended_s(row.registration.failure_domain, now)
+        return max(0.0, row.cold_s(start_s, now), start_s - ended_s)
+
+    def count_cold(self, now: float) -> int:
+        """Return the number of endpoints that are limited since they are cold."""
+        return sum(
+            self.cold_s(row, now) > 0
+            for row in self.roster.rows.values()
+            if (pool := self.pools.get(row.registration.pool)) is not None and pool.cold_rate > 0
+        )
+
+    def _is_evacuated(self, row: Row) -> bool:
+        return self.evacuations.is_evacuated(row.registration.failure_domain)
+
+    def is_evacuated(self, endpoint: str, failure_domain: str) -> bool:
+        """Return whether an endpoint is in an evacuated failure domain.
+
+        Parameters
+        ==========
+        failure_domain : str
+            Failure domain that a grant names, empty from owners of earlier releases.
+        """
+        row = self.roster.rows.get(endpoint)
+        is_evacuated = row is not None and self._is_evacuated(row)
+        return is_evacuated or self.evacuations.is_evacuated(failure_domain)
+
+    def count_evacuated(self, endpoints: list[str]) -> tuple[tuple[str, int], ...]:
+        """Return the evacuated failure domains of some endpoints and how often each occurs."""
+        if not self.evacuations.evacuated:
+            return ()
+        rows = (self.roster.rows.get(endpoint) for endpoint in endpoints)
+        return tuple(
+            Counter(
+                row.registration.failure_domain
+                for row in rows
+                if row is not None and self._is_evacuated(row)
+            ).items()
+        )
 
-    def _make_view(self, row: Row, now: float) -> EndpointView:
+    def is_pool_evacuated(self, pool: str) -> bool:
+        """Return whether all endpoints of a pool, at least one, are evacuated."""
+        if not self.evacuations.evacuated:
+            return False
+        rows = self.roster.usable(pool)
+        return bool(rows) and all(self._is_evacuated(row) for row in rows)
+
+    def _make_view(self, row: Row, now: float, accepts_work: bool = True) -> EndpointView:
         registration = row.registration
         pool = self.pools.get(registration.pool)
         report = self.loads.get(registration.endpoint)
@@ -149,15 +236,17 @@
             address=registration.address,
             pool=registration.pool,
             failure_domain=registration.failure_domain,
-            region=self.site.regions.get(registration.failure_domain, registration.failure_domain),
+            region=self.region_of(row),
             version=registration.version,
             hardware="",
             slots=max(1, registration.slots),
             kv_tokens=pool.kv_tokens if pool else 0,
-            accepts_work=True,
+            accepts_work=accepts_work,
             load=report.load if report else 0,
             load_age_s=now - report.reported_at if report else 1e9,
             report_age_s=now - row.heard_at,
+            cold_s=self.cold_s(row, now),
+            cold_rate=pool.cold_rate if pool else 0.0,
         )
 
 
@@ -191,6 +280,7 @@
             list_owners=pool_owners.list_owners,
         )
         self.host.move_monitor = move_monitor
+        metrics.gauge("endpoints_cold", lambda: self.directory.count_cold(timers.now()))
 
     def set_pools(self, pools: dict[str, BackendPool]) -> None:
         """Replace the pools in force."""
@@ -199,6 +289,10 @@
         engines = [name for name, pool in pools.items() if pool.is_engine]
         self.pool_owners.engine_subjects = frozenset(pool_subject(name) for name in engines)
 
+    def count_evacuated_pools(self) -> int:
+        """Return the number of pools all of whose endpoints are evacuated."""
+        return sum(map(self.directory.is_pool_evacuated, self.directory.pools))
+
     def log_pools(self, lines) -> None:
         """Log the state of this process's pool schedulers that have waiting or running requests."""
         for pool, hosted in self.host.hosted.items():
@@ -262,6 +356,7 @@
         "held_tokens": round(state.memory.held),
         "slowdown": round(1.0 + state.slowdown.excess, 2),
         "usual_slowdown": round(state.slowdown.usual, 2),
+        "rate": state.cold_limit.rate if state.cold_limit.is_limited else None,
         "token_ms": round(state.token_s * 1000, 2),
         "start_ms": round(state.start_s * 1000, 1),
     }
--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import json
+import math
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -17,12 +19,23 @@
 from mulberrygate.observe.logs import logger
 from mulberrygate.observe.metrics import Metrics
 from mulberrygate.peers.client import PeerClient
+from mulberrygate.schedule.cold import (
+    AWAY_PART,
+    NEW_OWNER_PART,
+    NEW_OWNER_S,
+    choose_away_owners,
+    most_cold_owners,
+)
+from mulberrygate.schedule.explain import explain_choice
 from mulberrygate.schedule.messages import (
     Ask,
     Done,
+    Explain,
+    Explained,
     NotHosted,
     Present,
     Progress,
+    Ticket,
     Withdraw,
     pool_subject,
 )
@@ -30,6 +43,7 @@
 from mulberrygate.schedule.scheduler import PoolScheduler
 from mulberrygate.schedule.wide import WIDE_SCHEDULE_INTERVAL_S
 from mulberrygate.settings.model import Settings
+from mulberrygate.tables.model import Pool
 
 if TYPE_CHECKING:
     from mulberrygate.control.decoded import DecodedConfiguration
@@ -81,6 +95,8 @@
         Whether a timer is set for the scheduling that was deferred.
     is_owner : bool
         Whether this instance owned the pool at the last tick.
+    owned_since : float
+        Time of the tick from which on it has owned the pool, infinite before.
     asked_at : dict[str, float]
         Time of the last message of each entry that waits for grants or has some.
     """
@@ -90,6 +106,7 @@
     handling_time: HandlingTime = attrs.field(factory=HandlingTime)
     has_deferred_timer: bool = False
     is_owner: bool = False
+    owned_since: float = math.inf
     asked_at: dict[str, float] = attrs.field(factory=dict)
 
     def count_askers(self, now: float) -> int:
@@ -153,6 +170,7 @@
         peers.on(Progress, self.on_progress)
         peers.on(Done, self.on_done)
         peers.on(Present, self.on_present)
+        peers.on(Explain, self.on_explain)
         timers.every(TICK_S, self.tick, "poolhost.tick")
 
     def is_owner(self, pool: str) -> bool:
@@ -168,15 +186,10 @@
             settings = self.in_force.pools.get(pool)
             if settings is None:
                 return None
-            scheduler = PoolScheduler(
-                self.settings.failure_domain,
-                self.settings.region,
-                settings,
-                self.rng,
-                is_wide=self.is_wide,
-            )
+            scheduler = self._make_scheduler(settings, self.rng)
             hosted = self.hosted[pool] = HostedScheduler(scheduler, now)
             scheduler.find_rate_part = lambda endpoint, rate: self._rate_part(pool, endpoint, rate)
+            scheduler.find_cold_part = lambda endpoint, rate: self._cold_part(pool, endpoint, rate)
             self._refresh(pool, hosted, now)
         hosted.used_at = now
         return hosted.scheduler
@@ -219,6 +232,34 @@
                 message.pool, lambda scheduler, now: scheduler.present(message, sender, now)
             )
 
+    def on_explain(self, message: Explain, _sender: str) -> Explained:
+        """Answer where a request would go now, without granting or queueing it."""
+        return Explained(message.ticket.pool, json.dumps(self.explain(message.ticket)))
+
+    def explain(self, ticket: Ticket) -> dict[str, Any]:
+        """Return where a request would go now, and why."""
+        now = self.timers.now()
+        pool = ticket.pool
+        settings = self.in_force.pools.get(pool)
+        if settings is None:
+            return {"verdict": f"{self.settings.instance} doesn't know the pool {pool}."}
+        hosted = self.hosted.get(pool)
+        scheduler = hosted.scheduler if hosted is not None else None
+        if scheduler is None:
+            # Hosting the pool would change what this instance does; this one is dropped again.
+            scheduler = self._make_scheduler(settings, random.Random(0))
+            scheduler.set_endpoints(self.directory.views(pool, now), now)
+        return {
+            "scheduler": self.settings.instance,
+            "is_owner": self.is_owner(pool),
+            "has_scheduled": hosted is not None,
+            **explain_choice(scheduler, ticket, now),
+        }
+
+    def _make_scheduler(self, pool: Pool, rng: random.Random) -> PoolScheduler:
+        domain, region = self.settings.failure_domain, self.settings.region
+        return PoolScheduler(domain, region, pool, rng, is_wide=self.is_wide)
+
     def _handle(self, pool: str, call: Callable[[PoolScheduler, float], list[Effect]]) -> None:
         """Call a pool's scheduler, if there is one, and carry out the effects."""
         hosted = self.hosted.get(pool)
@@ -264,6 +305,8 @@
         as running for ever, also after it owns the pool again.
         """
         was_owner, hosted.is_owner = hosted.is_owner, self.is_owner(pool)
+        if hosted.is_owner and not was_owner:
+            hosted.owned_since = self.timers.now()
         if was_owner and not hosted.is_owner:
             hosted.scheduler.forget_running(self.timers.now())
 
@@ -293,6 +336,30 @@
             return rate_part(endpoint, rate, self.settings.instance, owners) if owners else 1.0
         return self._share_of_askers(self.hosted[pool].count_askers(self.timers.now()))
 
+    def _cold_part(self, pool: str, endpoint: str, rate: float) -> float:
+        """Return the part of a cold endpoint's limit that this instance may use.
+
+        Explanation
+        ===========
+        All instances together must stay below the limit and its slack, also those that don't know
+        of each other: the owner, the one before it, deputies and entries alone.
+        """
+        instance = self.settings.instance
+        if self.is_owner(pool):
+            owners = self.list_owners(pool)
+            if owners:
+                return rate_part(endpoint, rate, instance, owners, most_cold_owners(rate))
+            is_new = self.timers.now() < self.hosted[pool].owned_since + NEW_OWNER_S
+            return NEW_OWNER_PART if is_new else 1.0
+        askers = self.hosted[pool].count_askers(self.timers.now())
+        if askers > 1:
+            return AWAY_PART * self._share_of_askers(askers)
+        entries = tuple(self.view().in_domain(self.settings.failure_domain))
+        if instance not in entries:
+            return AWAY_PART / max(1, len(entries))
+        owners = choose_away_owners(endpoint, entries)
+        return AWAY_PART / len(owners) if instance in owners else 0.0
+
     def _share_of_askers(self, askers: int) -> float:
         """Return the part of the endpoints that some entries may use without an owner."""
         entries = max(1, len(self.view().in_domain(self.settings.failure_domain)))
@@ -304,7 +371,8 @@
         Explanation
         ===========
         The shares of all entries add up to about the number of slots. If an endpoint has fewer
-        slots than there are entries, a hash selects the instances that may use it.
+        slots than there are entries, a hash selects the instances that may use it. Each region
+        keeps an endpoint, since some requests may not run in another one.
 
         Parameters
         ==========
@@ -313,10 +381,15 @@
         """
         part = self._share_of_askers(askers)
         shared = [self._with_share(view, view.slots * part) for view in views]
-        if not shared or any(view.accepts_work for view in shared):
-            return shared
-        best = max(range(len(views)), key=lambda number: self._hash_fraction(views[number]))
-        shared[best] = attrs.evolve(views[best], slots=1)
+        usable = {view.region for view in views if view.accepts_work}
+        for region in usable - {view.region for view in shared if view.accepts_work}:
+            numbers = [
+                number
+                for number, view in enumerate(views)
+                if view.accepts_work and view.region == region
+            ]
+            best = max(numbers, key=lambda number: self._hash_fraction(views[number]))
+            shared[best] = attrs.evolve(views[best], slots=1)
         return shared
 
     def _with_share(self, view: EndpointView, share: float) -> EndpointView:
--- a/mulberrygate/daemon/roster_sharing.py
+++ b/mulberrygate/daemon/roster_sharing.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Callable
 
-import attrs
-
 from mulberrygate.core.timers import TimerService
 from mulberrygate.endpoints.roster import AgedRegistration, Roster
 from mulberrygate.peers import PeerClient
@@ -23,6 +21,8 @@
         Returns the other control processes.
     own_entries : Callable[[], tuple[str, ...]]
         Returns the entries that follow this process, which each update names.
+    own_running : Callable[[], tuple[tuple[str, int], ...]]
+        Returns how many requests of these entries run in each evacuated failure domain.
 
     Attributes
     ==========
@@ -37,20 +37,20 @@
         timers: TimerService,
         list_others: Callable[[], list[str]],
         own_entries: Callable[[], tuple[str, ...]],
+        own_running: Callable[[], tuple[tuple[str, int], ...]] = lambda: (),
     ):
         self.roster = roster
         self.client = client
         self.timers = timers
         self.list_others = list_others
         self.own_entries = own_entries
+        self.own_running = own_running
         self.changed: set[str] = set()
         self.renewed: set[str] = set()
 
     def aged_registration(self, name: str) -> AgedRegistration:
         """Return an endpoint's registration and the age of its last heartbeat."""
-        row = self.roster.rows[name]
-        registration = attrs.evolve(row.registration, is_leaving=row.is_leaving)
-        return AgedRegistration(registration, max(0.0, self.timers.now() - row.heard_at))
+        return self.roster.rows[name].aged(self.timers.now())
 
     def share_change(self, name: str) -> None:
         """Send a new or changed endpoint to the other control processes without delay."""
@@ -89,6 +89,8 @@
             reads_crashes=True,
             reads_trials=True,
             reads_evidence=True,
+            reads_evacuations=True,
+            running=self.own_running(),
             **fields,
         )
 
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -7,9 +7,10 @@
 
 import attrs
 
-from mulberrygate.catalog import BackendPool, RouteRule
+from mulberrygate.catalog import BackendPool, CatalogIndex, RouteRule
 from mulberrygate.control.blame import part_identity
 from mulberrygate.core.codes import Code
+from mulberrygate.quota.local import UnitsReceipt
 
 
 @attrs.frozen
@@ -60,6 +61,8 @@
         Monotonic time of the arrival, and the latest time for a final answer.
     units : float
         Units of its client account's limit that the request takes.
+    spent : mulberrygate.quota.local.UnitsReceipt
+        Units that it has spent.
     sends : int
         Number of sends to endpoints.
     is_trial : bool
@@ -72,6 +75,13 @@
         Seconds from the arrival to the first grant and to the first byte of an answer, -1 before.
     longest_pause_s : float
         Longest time between two reads of a stream's events that were passed on, in seconds.
+    index : CatalogIndex or None
+        Latest catalog whose home regions bind the call.
+    home_regions : frozenset of str or None
+        Regions whose endpoints may get the call by each catalog since its arrival, ``None`` if any.
+    hedge : str
+        Whether a second copy has ``won`` or ``lost`` against the first send, or both have
+        ``failed``; empty without a copy.
     """
 
     head: CallHead
@@ -94,7 +104,11 @@
     granted_after_s: float = -1.0
     first_after_s: float = -1.0
     longest_pause_s: float = 0.0
+    hedge: str = ""
     known_fingerprint: str = ""
+    spent: UnitsReceipt = attrs.field(factory=UnitsReceipt)
+    index: CatalogIndex | None = None
+    home_regions: frozenset[str] | None = None
 
     @property
     def fingerprint(self) -> str:
--- a/mulberrygate/forward/sends.py
+++ b/mulberrygate/forward/sends.py
@@ -39,6 +39,8 @@
         Time that work takes relative to the usual time, as the head of the answer states.
     slowdown_at : float
         Monotonic time of that head, infinitely long ago if it states nothing.
+    is_beaten : bool
+        Whether it was cancelled because another copy of the call has answered.
     """
 
     def __init__(self, ticket: Ticket, grant: Grant, running: RunningSend):
@@ -53,6 +55,12 @@
         self.slowdown = 1.0
         self.slowdown_at = -math.inf
         self.is_cancelled = False
+        self.is_beaten = False
+
+    def beat(self) -> None:
+        """Cancel this send, because another copy of the call has answered."""
+        self.is_beaten = True
+        self.running.cancel()
 
     def as_done(self, call: Call, now: float) -> Done:
         """Return the report of the end of this send to the scheduler."""
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -18,6 +18,8 @@
 from mulberrygate.forward.crash_detection import CrashDetector
 from mulberrygate.forward.delivery import Delivery
 from mulberrygate.forward.exchange import EndpointClient
+from mulberrygate.forward.hedging import Hedging
+from mulberrygate.forward.homes import HomeRegions
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.notices import EndpointNotices
 from mulberrygate.forward.prior_wait import PriorWaitEstimator
@@ -41,6 +43,8 @@
 UNCERTAIN_RETRY_S = 0.5
 # Other entries can take the call at once; the pause only keeps callers from returning together.
 STOPPING_RETRY_S = 0.1
+# A withdrawal is in force at all entries within a round trip to a control process.
+EVACUATED_RETRY_S = 1.0
 # Fraction of the caller's timeout that a stream may wait for an endpoint; the rest is for its run.
 ENDPOINT_WAIT_FRACTION = 0.8
 REFUSAL_GRACE_S = 0.1
@@ -66,6 +70,8 @@
         Pools in force and the endpoints of the roster; see `mulberrygate.daemon.placement`.
     seed : int or None
         Seed of the random choices.
+    hedging : Hedging or None
+        Decides about second copies of slow requests, ``None`` to send none.
 
     Attributes
     ==========
@@ -90,7 +96,9 @@
         lines: JsonLines,
         metrics: Metrics,
         seed: int | None = None,
+        hedging: Hedging | None = None,
     ):
+        self.hedging = hedging
         self.site = site
         self.dialect = dialect
         self.placement = placement
@@ -106,6 +114,7 @@
         metrics.gauge("endpoints_leaving", self.notices.count_leaving)
         metrics.gauge("endpoints_rate_limited", self.notices.count_rate_limited)
         metrics.gauge("endpoints_paused", lambda: self.notices.count_paused(timers.now()))
+        self.homes = HomeRegions(placement.directory)
         self.crash_detector = CrashDetector(
             roster, self.endpoints, suspects, self.notices, timers, lines
         )
@@ -128,6 +137,9 @@
         self.index = index
         self.has_index.set()
         self.placement.set_pools(index.pools)
+        if self.hedging is not None:
+            routes = {route.name for route in index.catalog.routes}
+            self.hedging.retain(routes, set(index.pools))
 
     def set_entries(self, entries: int) -> None:
         """Set the number of entries that share the retry budgets."""
@@ -180,7 +192,7 @@
         response = await delivery.run()
         if isinstance(response, Refused):
             if not delivery.attempts.may_have_run:
-                self.limits.refund(call.account, call.units)
+                self.limits.refund(call.account, call.spent)
             return self.refuse(call, response)
         return response
 
@@ -191,7 +203,11 @@
         index = self.index or await self.wait_for_catalog(call)
         if index is None:
             return Refused(codes.NO_CATALOG, retry_after_s=NO_CATALOG_RETRY_S)
-        refused = self.choose_route(call, index) or self.authenticate(call, index)
+        refused = (
+            self.choose_route(call, index)
+            or self.authenticate(call, index)
+            or self.homes.refuse(call, index)
+        )
         if refused is None:
             refused = await self.read_body(call, request, index)
         if refused is None:
@@ -283,7 +299,7 @@
         tokens = call.head.prompt_tokens + call.head.output_tokens
         call.units = (tokens or account.default_tokens) if account.counts_tokens else 1.0
         max_wait_s = SHAPING_FRACTION * (call.deadline_at - call.received_at)
-        return await self.limits.spend(account, call.units, max_wait_s)
+        return await self.limits.spend(account, call.units, max_wait_s, call.spent)
 
     def make_ticket(
         self, call: Call, number: int, earlier_sends: int, avoid: tuple[str, ...]
@@ -328,6 +344,7 @@
             start_by_s=max(0.0, max_wait_s - waited_s),
             is_isolated=self.suspects.find(call).standing is not Standing.CLEAR,
             notices=self.notices.for_ticket(pool.name, self.timers.now()),
+            home_regions=tuple(sorted(call.home_regions or ())),
             failure_domain=self.site.failure_domain,
             region=self.site.region,
         )
@@ -345,6 +362,23 @@
                 call.granted_after_s = self.timers.now() - call.received_at
         return outcome
 
+    def may_use(self, grant: Grant) -> bool:
+        """Return whether a call may be sent on a grant now."""
+        if self.placement.directory.is_evacuated(grant.endpoint, grant.failure_domain):
+            self.metrics.count("grants_evacuated_total")
+            return False
+        return self.notices.may_use(grant, self.timers.now())
+
+    def evacuated_refusal(self) -> Refusal:
+        """Return the refusal of a call to a pool without endpoints outside evacuated domains."""
+        return Refusal(codes.ENDPOINTS_EVACUATED, retry_after_s=EVACUATED_RETRY_S)
+
+    def refuse_evacuated(self) -> None:
+        """Refuse the waiting calls to pools all of whose endpoints are evacuated."""
+        for pool in self.index.pools if self.index is not None else ():
+            if self.placement.directory.is_pool_evacuated(pool):
+                self.scheduler.refuse_waiting(pool, self.evacuated_refusal())
+
     def refuse(self, call: Call, refused: Refused) -> web.Response:
         """Log a refusal and return the response for it."""
         code = refused.code
@@ -367,6 +401,8 @@
 
     def _log_request(self, call: Call, event: str, status: int, **fields: Any) -> None:
         now = self.timers.now()
+        if call.hedge:
+            fields["hedge"] = call.hedge
         self.lines.log(
             event,
             id=call.head.request,
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -5,10 +5,12 @@
 import json
 import re
 import zlib
+from collections.abc import Mapping
 
 import attrs
 from aiohttp import web
 
+from mulberrygate.control.evacuations import OrderResult
 from mulberrygate.platform.documents import InvalidDocument, decode_document
 from mulberrygate.platform.registrations import (
     MAX_REGISTRATION_BYTES,
@@ -16,11 +18,20 @@
     decode_registration,
     is_name,
 )
-from mulberrygate.platform.values import InvalidValue, parse_json, read_number, read_text
+from mulberrygate.platform.values import (
+    InvalidValue,
+    parse_count,
+    parse_decimal,
+    parse_json,
+    read_number,
+    read_text,
+)
+from mulberrygate.sync.messages import ExplainPlacement
 
 MAX_DOCUMENT_BYTES = 16 << 20
 INSTANCE = re.compile(r"/instances/([^/?]+)$")
 QUARANTINED = re.compile(r"/quarantine/([0-9a-f]+|part-[0-9a-f]+(?:\+part-[0-9a-f]+)*)$")
+EVACUATION = re.compile(r"/evacuate/([^/?]+)$")
 ROLLOUT = re.compile(r"/rollouts/([^/?]+)$")
 
 
@@ -29,6 +40,29 @@
     return web.json_response({} if fields is None else fields, status=status)
 
 
+def decode_question(query: Mapping[str, str]) -> ExplainPlacement:
+    """Return the question of a query about a request.
+
+    Raises
+    ======
+    InvalidValue
+        A field is missing, or a number can't be read.
+    """
+    if not query.get("host") or not query.get("path", "").startswith("/"):
+        raise InvalidValue("host and a path from / are needed")
+    return ExplainPlacement(
+        host=query["host"],
+        path=query["path"],
+        request=query.get("request", ""),
+        account=query.get("account", ""),
+        prompt_tokens=parse_count(query.get("prompt_tokens", "0")),
+        output_tokens=parse_count(query.get("output_tokens", "0")),
+        expected_tokens=parse_count(query.get("expected_tokens", "0")),
+        parts=tuple(part for part in query.get("parts", "").lower().split(",") if part),
+        timeout_s=parse_decimal(query.get("timeout_s", "0")),
+    )
+
+
 class OperatorApi:
     """HTTP handler that decodes calls, passes them to the controller and encodes its answers."""
 
@@ -51,9 +85,16 @@
             return await self.delete_registration(found[1])
         if path == "/quarantine" and method == "GET":
             return self.get_quarantine()
+        if path == "/placement" and method == "GET":
+            return await self.get_placement(request)
         found = QUARANTINED.match(path)
         if found and method == "DELETE":
             return answer(200 if await self.controller.release_identity(found[1]) else 503)
+        if path == "/evacuate" and method == "GET":
+            return self.get_evacuations()
+        found = EVACUATION.match(path)
+        if found and method in ("POST", "DELETE"):
+            return await self.put_evacuation(found[1], method == "POST")
         found = ROLLOUT.match(path)
         if found and method == "GET":
             return await self.get_rollout(found[1])
@@ -117,6 +158,45 @@
         found = [attrs.asdict(item) for item in self.controller.list_quarantined()]
         return answer(200, {"quarantined": found})
 
+    async def put_evacuation(self, zone: str, is_evacuated: bool) -> web.Response:
+        """Evacuate a zone, or withdraw that.
+
+        Explanation
+        ===========
+        Orders are sent again until they get an answer of 2xx, 400, 409, 412, 413 or 422, so an
+        unknown zone gets 422: the call can be read, and no repetition will be accepted.
+        """
+        result = await self.controller.evacuations.put(zone, is_evacuated)
+        if result is OrderResult.UNKNOWN_DOMAIN:
+            return answer(422, {"error": f"unknown zone {zone!r}"})
+        return answer(200 if result is OrderResult.COMMITTED else 503)
+
+    def get_evacuations(self) -> web.Response:
+        """Return the evacuated zones; 503 if this process may not know all of them."""
+        if not self.controller.is_current:
+            return answer(503)
+        return answer(200, self.controller.evacuations.describe())
+
+    async def get_placement(self, request: web.BaseRequest) -> web.Response:
+        """Return where a caller's request would go now; nothing is sent to an endpoint.
+
+        Explanation
+        ===========
+        The query has the route's ``host`` and the ``path``; the rest may be left out. Callers can't
+        reach this interface. It names accounts but takes and shows no key.
+        """
+        query = request.query
+        try:
+            question = decode_question(query)
+        except InvalidValue as error:
+            return answer(400, {"error": str(error)})
+        entry, text = await self.controller.explain_placement(query.get("entry", ""), question)
+        if not entry:
+            return answer(404, {"error": "no such live entry"})
+        if text is None:
+            return answer(503, {"error": f"the entry {entry} doesn't answer"})
+        return web.Response(text=text, content_type="application/json")
+
     async def post_rollout(self, request: web.BaseRequest) -> web.Response:
         """Begin the move of a pool to a version."""
         body = await self.read_body(request, MAX_REGISTRATION_BYTES) or b""
--- a/mulberrygate/quota/central.py
+++ b/mulberrygate/quota/central.py
@@ -7,8 +7,9 @@
 
 import attrs
 
-# Fraction of the burst that a new leader starts with; its predecessor may have granted the rest.
-INITIAL_FILL_FRACTION = 0.5
+from mulberrygate.quota.limit import Limit
+from mulberrygate.quota.takeover import Takeover, initial_level
+
 # Maximum fraction of the remaining units that one entry gets in advance.
 ADVANCE_FRACTION = 0.1
 # Time constant of the exponential decay of each entry's usage.
@@ -18,14 +19,6 @@
 MAX_WAIT_S = 5.0
 
 
-@attrs.frozen
-class Limit:
-    """Limit of one account: ``rate`` in units per second, and ``burst`` in units."""
-
-    rate: float
-    burst: float
-
-
 @attrs.frozen
 class GrantedUnits:
     """Result of one request for units.
@@ -35,7 +28,7 @@
     units : float
         Units that the entry may spend.
     wait_s : float
-        Seconds until the account has units again, 0 if it has some left.
+        Seconds until the account has units for one more request, 0 if the request got some.
     share : float
         The entry's share of the account's recent usage over all entries.
     """
@@ -47,11 +40,21 @@
 
 @attrs.define
 class AccountBucket:
-    """Token bucket of one account, and the decaying usage of each entry."""
+    """Token bucket of one account, and the decaying usage of each entry.
+
+    Parameters
+    ==========
+    restored : float
+        Level that the bucket had at the change of leader, as far as entries have reported.
+    expected : float
+        Units of requests that got none and are expected back, less the units since then.
+    """
 
     limit: Limit
     level: float
     updated_at: float
+    restored: float = 0.0
+    expected: float = 0.0
     usage: dict[str, float] = attrs.field(factory=dict)
     usage_updated_at: float = 0.0
 
@@ -64,6 +67,11 @@
     Each account has a token bucket. While its level is above 0, a request is granted in full and
     may make the level negative, since one request may need more than the burst.
 
+    Parameters
+    ==========
+    epoch : int
+        Identifier of this leadership. Units of an earlier one can't be returned.
+
     Examples
     ========
     >>> from mulberrygate.quota import CentralLimits, Limit
@@ -72,14 +80,18 @@
     >>> limits.grant("entry-1", "salons", need=150.0, advance=0.0, now=0.0).units
     150.0
     >>> limits.grant("entry-2", "salons", need=10.0, advance=0.0, now=0.0)
-    GrantedUnits(units=0.0, wait_s=0.5, share=0.0)
+    GrantedUnits(units=0.0, wait_s=1.0, share=0.0)
     """
 
-    def __init__(self):
+    def __init__(self, epoch: int = 0):
+        self.epoch = epoch
         self.accounts: dict[str, AccountBucket] = {}
+        self.takeover: Takeover | None = None
 
     def set_limits(self, limits: dict[str, Limit], now: float) -> None:
         """Replace the limits; the level of each account is kept, up to the new burst."""
+        if self.takeover is None:
+            self.takeover = Takeover(self.epoch, now)
         self.remove_others(limits)
         for name, limit in limits.items():
             self.set_limit(name, limit, now)
@@ -99,13 +111,44 @@
         """
         account = self.accounts.get(name)
         if account is None:
-            self.accounts[name] = AccountBucket(limit, limit.burst * INITIAL_FILL_FRACTION, now)
+            level = initial_level(limit)
+            self.accounts[name] = AccountBucket(limit, level, now, restored=level)
             return
         self._refill(account, now)
         added = max(0.0, limit.burst - account.limit.burst) * fill_fraction
         account.limit = limit
         account.level = min(account.level + added, limit.burst)
 
+    def record_spent(
+        self,
+        entry: str,
+        spent: dict[str, list[tuple[float, float, int]]],
+        up_s: float,
+        entries: int,
+        now: float,
+    ) -> None:
+        """Take over what an entry was granted by earlier leaders; see `Takeover.record`.
+
+        Parameters
+        ==========
+        entries : int
+            Number of live entries.
+        """
+        if self.takeover is None or not self.takeover.record(entry, spent, up_s, now):
+            return
+        for name, account in self.accounts.items():
+            restored = self.takeover.restored_level(name, account.limit, entries)
+            self._refill(account, now)
+            account.level = min(account.limit.burst, account.level + restored - account.restored)
+            account.restored = restored
+
+    def put_back(self, name: str, units: float, now: float) -> None:
+        """Take back granted units of a request that did not run."""
+        account = self.accounts.get(name)
+        if account is not None:
+            self._refill(account, now)
+            account.level = min(account.limit.burst, account.level + units)
+
     def grant(self, entry: str, name: str, need: float, advance: float, now: float) -> GrantedUnits:
         """Grant units for waiting requests of an entry, and some in advance.
 
@@ -131,20 +174,29 @@
         account.usage[entry] = account.usage.get(entry, 0.0) + units
         total = sum(account.usage.values())
         share = account.usage[entry] / total if total > 0 else 0.0
-        return GrantedUnits(units, self._wait_s(account), share)
+        return GrantedUnits(units, 0.0 if units else self._add_expected(account, need), share)
 
-    def _wait_s(self, account: AccountBucket) -> float:
-        if account.level > 0:
-            return 0.0
+    def _add_expected(self, account: AccountBucket, need: float) -> float:
+        """Return the seconds until there are units for a request that got none.
+
+        Explanation
+        ===========
+        The load that this answers: an account several times over its limit. If each of its requests
+        were told the time until the first units, all would come back then and most would get none
+        again. So a request is told to come after those that came before it, and one that comes too
+        late for that is refused at once with a time at which there is room.
+        """
         if account.limit.rate <= 0:
             return MAX_WAIT_S
-        wait_s = -account.level / account.limit.rate
+        wait_s = (account.expected - account.level) / account.limit.rate
+        if wait_s < MAX_WAIT_S:
+            account.expected += need
         return min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s))
 
     def _refill(self, account: AccountBucket, now: float) -> None:
-        seconds = max(0.0, now - account.updated_at)
-        limit = account.limit
-        account.level = min(limit.burst, account.level + limit.rate * seconds)
+        units = account.limit.rate * max(0.0, now - account.updated_at)
+        account.level = min(account.limit.burst, account.level + units)
+        account.expected = max(0.0, account.expected - units)
         account.updated_at = now
 
     def _decay(self, account: AccountBucket, now: float) -> None:
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -30,6 +30,10 @@
 NO_HITS: dict[str, int] = {}
 # Added to the rank of failing endpoints, so that all others are preferred.
 FAILING_RANK_OFFSET = 2
+# Added to the rank of cold endpoints for requests below the most urgent tier. A cold endpoint takes
+# few requests a second, whatever their length, so they are kept for those that are worth most.
+COLD_RANK_OFFSET = 4
+MAX_RANK = COLD_RANK_OFFSET + 2 * FAILING_RANK_OFFSET
 # Least seconds between two requests that probe whether a failing endpoint has recovered: for
 # idempotent requests, and for others, which are lost if it has not.
 PROBE_S = 0.5
@@ -68,9 +72,13 @@
     ==========
     max_distance : int
         Largest distance that the backlog justifies at present; set by the scheduler.
+    top_tier : int
+        Most urgent tier that sends requests at present; set by the scheduler.
     fast_token_s : float
         Endpoints with at most these seconds per output token count as fast. They get a request even
         if it is predicted to miss its deadline there, since no other endpoint would be faster.
+    fast_regions : frozenset[str]
+        Regions that have a fast endpoint, free or not; set by the scheduler.
     slow_run_margin : float
         How many times a predicted run has to fit before the deadline at a slow endpoint.
     is_fast_expected : Callable[[WaitingRequest, float], bool]
@@ -96,7 +104,9 @@
         # Whether a failing endpoint ranks with the others only for one probe request at intervals.
         self.probes_failing = False
         self.max_distance = LOCAL
+        self.top_tier = 0
         self.fast_token_s = 0.0
+        self.fast_regions: frozenset[str] = frozenset()
         self.slow_run_margin = SLOW_RUN_MARGIN
         # Whether a request was kept from a slow endpoint by the margin alone.
         self.was_margin_missed = False
@@ -108,13 +118,18 @@
         if state.name not in avoid:
             return False
         return any(
-            other.accepts_work and other.name not in avoid and other.distance == LOCAL
+            other.accepts_work
+            and other.name not in avoid
+            and other.distance == LOCAL
+            and waiting.ticket.may_run_in(other.view.region)
             for other in self.states.values()
         )
 
     def is_usable(self, waiting: WaitingRequest, state: EndpointState, now: float) -> bool:
         """Return whether the request may go to the endpoint, whatever its free slots."""
         ticket = waiting.ticket
+        if not ticket.may_run_in(state.view.region):
+            return False
         if ticket.prompt_tokens + waiting.output > state.memory.free:
             return False
         if ticket.avoid and self.is_avoided(waiting, state):
@@ -156,6 +171,8 @@
         """Return whether a request waits for a fast endpoint although slow ones may be free."""
         if not self.fast_token_s or waiting.is_late:
             return False
+        if self.fast_regions.isdisjoint(waiting.ticket.home_regions or self.fast_regions):
+            return False
         return self.is_fast_expected(waiting, now)
 
     def has_fast_capacity(self, may_use_slots: bool, may_queue: bool) -> bool:
@@ -226,9 +243,12 @@
         if is_limited:
             due = shares.due_versions(ticket.route)
             allowed = [name for name in shares.shares if shares.is_allowed(ticket.route, name)]
-        best, best_rank, best_score = None, 2 * FAILING_RANK_OFFSET, 0.0
+        best, best_rank, best_score = None, MAX_RANK, 0.0
+        homes = ticket.home_regions
         for state in items:
             self.comparison_count += 1
+            if homes and state.view.region not in homes:
+                continue
             if is_limited and state.view.version not in allowed:
                 continue
             if prompt + output > state.memory.free:
@@ -258,6 +278,8 @@
                 score = float(state.used)
             if state.is_failing and not self.may_probe(waiting, state, now):
                 rank += FAILING_RANK_OFFSET
+            if state.cold_limit.is_limited and ticket.tier > self.top_tier:
+                rank += COLD_RANK_OFFSET
             if rank < best_rank or (rank == best_rank and score < best_score):
                 best, best_rank, best_score = state, rank, score
         return None if best is None else self.predict(waiting, best, cached.get(best.name, 0))
--- a/mulberrygate/schedule/health.py
+++ b/mulberrygate/schedule/health.py
@@ -24,12 +24,13 @@
         """
         usable = [state for state in self.states.values() if state.slots > 0]
         unlimited = [
-            state
-            for state in usable
-            if state.slots >= state.view.slots and not state.rate_limit.is_limited
+            state for state in usable if state.slots >= state.view.slots and not state.is_limited
         ]
         times = [state.token_s for state in unlimited or usable]
-        self.chooser.fast_token_s = FAST_RATIO * min(times, default=0.0)
+        limit_s = self.chooser.fast_token_s = FAST_RATIO * min(times, default=0.0)
+        self.chooser.fast_regions = frozenset(
+            state.view.region for state in usable if state.token_s <= limit_s
+        )
 
     def _is_fast_expected(self, waiting: WaitingRequest, now: float) -> bool:
         """Return whether a fast endpoint will probably be free while the request is on time.
@@ -47,6 +48,8 @@
         """Update which endpoints have stopped answering."""
         for state in self.states.values():
             if (state.running or state.is_silent) and state.update_silence(now):
+                if not state.is_silent:
+                    self._suspect_cold(state, now)
                 self._update_limits(state, now)
 
     def _update_all_failing(self, now: float) -> None:
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -94,6 +94,12 @@
         Whether it may crash its endpoint, and so goes where the fewest others run.
     notices : tuple[EndpointNotice, ...]
         What endpoints of the pool have said to the entry.
+    home_regions : tuple[str, ...]
+        Regions whose endpoints may get the request, none for any.
+    is_spare : bool
+        Whether it is for a second copy of a request that runs at the last endpoint of ``avoid``. It
+        is granted at once from room to spare or refused; see `mulberrygate.schedule.spare`. An
+        owner of an earlier release queues it, and the entry withdraws it.
     failure_domain, region : str
         Location of the entry, empty from entries of earlier releases.
     """
@@ -116,9 +122,15 @@
     start_by_s: float = math.inf
     is_isolated: bool = False
     notices: tuple[EndpointNotice, ...] = ()
+    home_regions: tuple[str, ...] = ()
+    is_spare: bool = False
     failure_domain: str = ""
     region: str = ""
 
+    def may_run_in(self, region: str) -> bool:
+        """Return whether the endpoints of a region may get the request."""
+        return not self.home_regions or region in self.home_regions
+
     def may_use(self, endpoint: str, incarnation: int, waited_s: float) -> bool:
         """Return whether the request may go to an endpoint after what that has said.
 
@@ -269,6 +281,8 @@
         Incarnation of the endpoint, 0 from owners of earlier releases.
     is_rate_limited : bool
         Whether the owner knows a limit of the endpoint, so that it has to hear when that is over.
+    failure_domain : str
+        Failure domain of the endpoint, empty from owners of earlier releases.
     """
 
     pool: str
@@ -279,6 +293,7 @@
     region: str = ""
     incarnation: int = 0
     is_rate_limited: bool = False
+    failure_domain: str = ""
 
 
 @message("schedule.refuse")
@@ -299,3 +314,26 @@
     code: int
     retry_after_s: float
     detail: str = ""
+
+
+@message("schedule.explain")
+@attrs.frozen
+class Explain:
+    """Entry to owner: where would this request go now? Nothing is granted or queued."""
+
+    ticket: Ticket
+
+
+@message("schedule.explained")
+@attrs.frozen
+class Explained:
+    """Owner to entry: answer to an `Explain`.
+
+    Parameters
+    ==========
+    text : str
+        JSON object for operators; its fields differ among releases.
+    """
+
+    pool: str
+    text: str
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -13,10 +13,12 @@
 from mulberrygate.schedule.choose import Chooser
 from mulberrygate.schedule.codes import (
     NO_ENDPOINT,
+    NO_HOME_ENDPOINT,
     QUEUE_OVER_LIMIT,
 )
 from mulberrygate.schedule.demand import MEMORY_S, Demand
 from mulberrygate.schedule.endpoint import (
+    FAULTS_TO_BLOCK,
     OTHER_REGION,
     EndpointState,
     GrantedRequest,
@@ -60,6 +62,7 @@
     LatestStartQueue,
 )
 from mulberrygate.schedule.shedding import Shedding
+from mulberrygate.schedule.spare import SpareGrants
 from mulberrygate.schedule.speed import (
     DEFAULT_PRIOR,
     REFERENCE_MAX_SLOPE_SHARE,
@@ -81,17 +84,21 @@
 # Time without any endpoint after which waiting requests are refused. A new owner knows no endpoints
 # until their announcements arrive, which are sent every second.
 NO_ENDPOINT_WAIT_S = 2.5
+# Time without an endpoint in its home regions after which a request is refused. Entries refuse such
+# requests themselves unless they know endpoints that this process doesn't, so it is shorter.
+NO_HOME_WAIT_S = 0.3
 # Intervals of work that isn't repeated for each message.
 MAINTENANCE_PERIOD_S = 0.5
 EXPIRY_PERIOD_S = 3.0
 DEMAND_PERIOD_S = 0.05
+HOMES_CHECK_PERIOD_S = 0.1
 # Scheduling is deferred after a dispatch that skipped more requests than this.
 DEFER_ABOVE_SKIPPED = 16
 # Bounds the lost endpoints that are kept for the log.
 MAX_LOST = 64
 
 
-class PoolScheduler(EndpointSet, RunningRequests, Selection, Shedding, EndpointHealth):
+class PoolScheduler(EndpointSet, RunningRequests, Selection, SpareGrants, Shedding, EndpointHealth):
     """Order the requests of a pool and grant them endpoints.
 
     Explanation
@@ -176,7 +183,9 @@
         self.blocked: dict[str, EndpointState] = {}
         # Returns the part of an endpoint's named limit that this scheduler may use.
         self.find_rate_part: Callable[[str, float], float] = lambda _endpoint, _rate: 1.0
-        self.maintained_at = self.expired_at = self.demand_at = -math.inf
+        # Same for the limit of a cold endpoint.
+        self.find_cold_part: Callable[[str, float], float] = lambda _endpoint, _rate: 1.0
+        self.maintained_at = self.expired_at = self.demand_at = self.homes_checked_at = -math.inf
 
     def ask(self, ticket: Ticket, now: float) -> list[Effect]:
         """Queue a request, then grant and shed waiting requests as needed."""
@@ -189,6 +198,8 @@
         if request in self.ended:
             refusal = self.ended.refusal(request)
             return [Send(ticket.entry, refusal)] if refusal is not None else []
+        if ticket.is_spare:
+            return [self._ask_spare(ticket, now)]
         self._enqueue(ticket, now)
         return self._schedule(now)
 
@@ -202,7 +213,7 @@
         if granted is None:
             return []
         self._release(granted, now)
-        granted.state.rate_limit.put_back()
+        granted.state.put_back_token(granted)
         self.shares.undo_count(granted.ticket.route, granted.version, granted.share_epoch)
         self.queue.charge(granted.ticket, -granted.cost)
         return self._schedule(now)
@@ -247,6 +258,8 @@
         elif message.fault:
             state.record_fault(now)
         elif not message.cancelled:
+            if state.consecutive_faults >= FAULTS_TO_BLOCK:
+                self._suspect_cold(state, now)
             state.consecutive_faults = 0
             state.failures.observe(False)
             is_reference = self._is_reference(message.version)
@@ -290,6 +303,7 @@
 
     def tick(self, now: float) -> list[Effect]:
         """Drop lost grants, shed requests that are too late, and update limits and reserves."""
+        self._refresh_cold(now)
         for state in list(self.blocked.values()):
             self._update_limits(state, now)
         if self.is_wide:
@@ -353,15 +367,36 @@
         if self.without_endpoint_since is not None and self._is_without_endpoint(now):
             return effects + self._shed_all(NO_ENDPOINT, now)
         effects += self._dispatch(now)
+        if now >= self.homes_checked_at + HOMES_CHECK_PERIOD_S:
+            effects += self._shed_without_home(now)
         if len(waiting) > self.pool.max_waiting:
             effects += self._shed_excess(now)
         invariant(len(waiting) <= self.pool.max_waiting, QUEUE_OVER_LIMIT)
         return effects
 
+    def _shed_without_home(self, now: float) -> list[Effect]:
+        """Shed the requests that no endpoint in their home regions can take, lowest tier first."""
+        self.homes_checked_at = now
+        regions = {state.view.region for state in self.states.values() if state.accepts_work}
+        homeless = [
+            waiting
+            for waiting in self.queue.by_request.values()
+            if waiting.ticket.home_regions
+            and now - waiting.asked_at >= NO_HOME_WAIT_S
+            and regions.isdisjoint(waiting.ticket.home_regions)
+        ]
+        homeless.sort(key=lambda waiting: -waiting.ticket.tier)
+        effects: list[Effect] = []
+        for waiting in homeless:
+            self.grant_log.check_shed(waiting)
+            effects.append(self._refuse(waiting, NO_HOME_ENDPOINT, now))
+        return effects
+
     def _update_demand(self, now: float) -> None:
         self.demand_at = now
         waiting = (tier for tier in range(self.tiers) if self.queue.tiers[tier].count)
         self.top_tier = min(self.demand.top_tier(now), next(waiting, self.tiers))
+        self.chooser.top_tier = self.top_tier
         if not self.is_wide:
             self.reserved = self.demand.reserved(self.local_slots, now)
         self.chooser.max_distance = (
@@ -382,7 +417,7 @@
         self.served.count_ask(ticket.tier, now)
         if ticket.tier < self.top_tier:
             # The reserved slots are recomputed at once when a more urgent tier appears.
-            self.top_tier = ticket.tier
+            self.top_tier = self.chooser.top_tier = ticket.tier
             self.demand_at = -math.inf
         # The latest start as if the whole prompt were cached; the actual cached prefix is looked up
         # only once that time has passed.
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -272,6 +272,11 @@
         self.queue.remove(waiting)
         self.demand.count_grant(choice.run_s, now)
         self.served.count_grant(ticket.tier, waiting.is_late, now)
+        return self._start_grant(waiting, choice, now)
+
+    def _start_grant(self, waiting: WaitingRequest, choice: Choice, now: float) -> Send:
+        """Count a grant of the chosen endpoint, and return the message to the entry."""
+        ticket, state = waiting.ticket, choice.state
         granted = GrantedRequest(
             ticket, state, state.view.version, now, waiting.cost, waiting.output, choice.cached
         )
@@ -285,8 +290,8 @@
         granted.expected_end = now + choice.run_s
         granted.expires_at = max(waiting.deadline, now + 4 * choice.run_s) + LOST_DONE_S
         self._add_running(granted, now)
-        if state.rate_limit.is_limited:
-            state.rate_limit.take(now)
+        if state.is_limited:
+            state.take_token(now)
             self._update_limits(state, now)
         if ticket.prefixes:
             self.prefixes.add_granted(state.name, ticket.prefixes, state.view.kv_tokens)
@@ -296,5 +301,7 @@
         ticket, view = granted.ticket, granted.state.view
         destination = (view.endpoint, view.address, granted.version, view.region, view.incarnation)
         is_rate_limited = granted.state.rate_limit.is_limited
-        grant = Grant(ticket.pool, ticket.request, *destination, is_rate_limited)
+        grant = Grant(
+            ticket.pool, ticket.request, *destination, is_rate_limited, view.failure_domain
+        )
         return Send(ticket.entry, grant)
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -51,6 +51,10 @@
         Longest time in seconds for which the answer may wait for a change.
     entries_digest : int
         Digest of the list of live entries that the entry has; see `mulberrygate.sync.entry_list`.
+    evacuations : int
+        Number of the evacuations that the entry knows, -1 from entries of earlier releases.
+    running : tuple[tuple[str, int], ...]
+        Evacuated failure domains in which requests of the entry still run, and how many.
     """
 
     instance: str
@@ -61,6 +65,8 @@
     quarantine: int = 0
     wait_s: float = FOLLOW_WAIT_S
     entries_digest: int = 0
+    evacuations: int = -1
+    running: tuple[tuple[str, int], ...] = ()
 
 
 @message("sync.state")
@@ -104,6 +110,15 @@
     age_s : float
         Seconds since the control process had applied everything that its group had committed,
         infinite if it never had.
+    evacuations : int
+        Number of the evacuations at the control process, -1 from those of earlier releases; see
+        `mulberrygate.control.evacuations`.
+    evacuated : tuple[str, ...]
+        Failure domains to whose endpoints nothing may be sent.
+    evacuated_s : tuple[float, ...]
+        Seconds since each of them was evacuated.
+    withdrawn : tuple[tuple[str, float], ...]
+        Failure domains whose evacuation was withdrawn lately, and the seconds since.
     """
 
     control_incarnation: int
@@ -127,6 +142,10 @@
     suspected: tuple[str, ...] = ()
     revision: int = 0
     age_s: float = math.inf
+    evacuations: int = -1
+    evacuated: tuple[str, ...] = ()
+    evacuated_s: tuple[float, ...] = ()
+    withdrawn: tuple[tuple[str, float], ...] = ()
 
 
 @message("sync.ask_standing")
@@ -159,6 +178,10 @@
     reads_crashes, reads_trials, reads_evidence : bool
         Whether the sender can apply the commands that count crashes, begin trials of calls, and
         that count evidence and begin trials of any identity; earlier releases can't.
+    reads_evacuations : bool
+        Whether the sender can apply the command that evacuates a failure domain.
+    running : tuple[tuple[str, int], ...]
+        Evacuated failure domains in which requests of these entries still run, and how many.
     """
 
     heard: tuple[AgedRegistration, ...] = ()
@@ -167,6 +190,8 @@
     reads_crashes: bool = False
     reads_trials: bool = False
     reads_evidence: bool = False
+    reads_evacuations: bool = False
+    running: tuple[tuple[str, int], ...] = ()
 
 
 @message("sync.share_result")
@@ -223,12 +248,15 @@
         Units that a waiting request needs.
     advance : float
         Further units that the entry requests in advance.
+    leaderless_s : float or None
+        To a deputy: seconds for which the entry has had no answer of a leader.
     """
 
     instance: str
     account: str
     need: float
     advance: float
+    leaderless_s: float | None = None
 
 
 @message("sync.units")
@@ -240,12 +268,51 @@
     ==========
     is_leader : bool
         Whether the sender grants units at present.
+    epoch : int
+        Identifier of the leadership that grants them, 0 from a deputy.
     """
 
     is_leader: bool
     units: float = 0.0
     wait_s: float = 0.0
     share: float = 0.0
+    epoch: int = 0
+
+
+@message("sync.return_units")
+@attrs.frozen
+class ReturnUnits:
+    """Entry to leader: units of requests that did not run; ``epoch`` as in `Units`."""
+
+    account: str
+    units: float
+    epoch: int
+
+
+@message("sync.spent_units")
+@attrs.frozen
+class SpentUnits:
+    """Entry to a new leader: units that the entry was granted lately.
+
+    Parameters
+    ==========
+    up_s : float
+        Seconds since the entry started.
+    spent : dict[str, tuple[tuple[float, float, int], ...]]
+        Ages in seconds, units and epochs of the grants, by account.
+    """
+
+    instance: str
+    up_s: float
+    spent: dict[str, tuple[tuple[float, float, int], ...]]
+
+
+@message("sync.spent_units_result")
+@attrs.frozen
+class SpentUnitsResult:
+    """Answer to `SpentUnits`: the epoch of the leadership that has taken it over, 0 for none."""
+
+    epoch: int = 0
 
 
 @message("sync.evidence")
@@ -372,3 +439,39 @@
 
     is_granted: bool
     wait_s: float = 0.0
+
+
+@message("sync.explain_placement")
+@attrs.frozen
+class ExplainPlacement:
+    """Control to entry: where would a caller's request go now? Nothing is sent or spent.
+
+    Parameters
+    ==========
+    request : str
+        Identifier of the caller's attempt, by which the pool of a split route is chosen.
+    account : str
+        Name of the client account, empty for none.
+    parts : tuple[str, ...]
+        Identifiers of the shared parts of the prompt, in order.
+    timeout_s : float
+        Seconds for which the caller waits, 0 if it names none.
+    """
+
+    host: str
+    path: str
+    request: str = ""
+    account: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    expected_tokens: int = 0
+    parts: tuple[str, ...] = ()
+    timeout_s: float = 0.0
+
+
+@message("sync.explained_placement")
+@attrs.frozen
+class ExplainedPlacement:
+    """Entry to control: answer to an `ExplainPlacement`, a JSON object for operators."""
+
+    text: str
