--- a/mulberrygate/schedule/explain.py
+++ b/mulberrygate/schedule/explain.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from mulberrygate.schedule.capacity import AvailableEndpoints
-from mulberrygate.schedule.choose import PREDICTION_TOLERANCE, Chooser, is_allowed
+from mulberrygate.schedule.choose import PREDICTION_TOLERANCE, Choice, Chooser, is_allowed
 from mulberrygate.schedule.codes import DEADLINE_UNREACHABLE, NO_ENDPOINT, QUEUE_FULL
 from mulberrygate.schedule.endpoint import LOCAL, EndpointState
 from mulberrygate.schedule.fair_queue import WaitingRequest
@@ -60,9 +60,7 @@
     def explain(self) -> dict[str, Any]:
         """Return the choice or the refusal, and the figures of all endpoints."""
         scheduler = self.scheduler
-        choice = None
-        if not self._waits_for_fast():
-            choice = self.chooser.choose(self.waiting, self.may_use_slots, self.may_queue, self.now)
+        choice = None if self._waits_for_fast() else self._choose()
         chosen = choice.state.name if choice is not None else ""
         rows = [self._describe(state, chosen) for state in scheduler.states.values()]
         rows.sort(key=lambda row: (not row["is_chosen"], bool(row["obstacle"]), row["end_s"]))
@@ -81,6 +79,16 @@
             "endpoints": rows[:MAX_SHOWN],
         }
 
+    def _choose(self) -> Choice | None:
+        """Return the endpoint that the request would get, as `Selection` chooses it."""
+        arguments = (self.waiting, self.may_use_slots, self.may_queue, self.now)
+        self.chooser.was_margin_missed = False
+        choice = self.chooser.choose(*arguments)
+        if choice is None and self.chooser.was_margin_missed:
+            self.chooser.slow_run_margin = PREDICTION_TOLERANCE
+            choice = self.chooser.choose(*arguments)
+        return choice
+
     def _waits_for_fast(self) -> bool:
         """Return whether the request would wait for a fast endpoint."""
         if self.scheduler.shares.shares:
@@ -137,7 +145,10 @@
             "load_age_s": round(view.load_age_s, 3) if view.load_age_s < 1e6 else None,
             "report_age_s": round(view.report_age_s, 3),
             "answer_age_s": self._age_s(state.last_answer_at),
-            "first_s": round(state.start_s + uncached * state.prefill_s, 4),
+            "held_tokens": round(state.memory.held),
+            "slowdown": round(1.0 + state.slowdown.excess, 2),
+            "slowdown_age_s": self._age_s(state.slowdown.heard_at),
+            "first_s": round(state.first_s(uncached), 4),
             "end_s": round(run_s, 4),
             "token_ms": round(state.token_s * 1000, 3),
             "cached_tokens": cached,
@@ -162,6 +173,8 @@
             return f"blocked for {state.blocked_until - now:.2f} s after faults"
         if state.rate_limit.is_limited and not state.slots:
             return "its rate limit is used up"
+        if self.ticket.prompt_tokens + waiting.output > state.memory.free:
+            return "the request doesn't fit into its memory"
         if chooser.is_avoided(waiting, state):
             return "has failed the request"
         if not is_allowed(waiting, state, now):
--- a/mulberrygate/schedule/tests/test_explain.py
+++ b/mulberrygate/schedule/tests/test_explain.py
@@ -134,12 +134,14 @@
             make_view("paused", slots=2),
             make_view("avoided", slots=2),
             make_view("faulty", slots=2),
+            make_view("laden", slots=2),
         ]
         bench = Bench(views)
         state = bench.scheduler.states
         state["full"].external_load = 1
         state["full"].used = 1
         bench.scheduler.capacity.update(state["full"])
+        state["laden"].memory.add(89_900)
         for _ in range(2):
             state["faulty"].record_fault(bench.now)
         bench.scheduler._update_limits(state["faulty"], bench.now)
@@ -157,6 +159,7 @@
                 "paused": "told the entry that it leaves or wants a pause",
                 "avoided": "has failed the request",
                 "faulty": "blocked for 0.50 s after faults",
+                "laden": "the request doesn't fit into its memory",
             },
         )
 
