--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -105,13 +105,23 @@
         if reason:
             forwarder.metrics.count("hedges_denied_total", reason=reason)
             return
-        # The list of tickets to avoid ends with the endpoint of the first send.
+        # The endpoints to avoid end with that of the first send.
         self.delivery.tickets += 1
-        avoid = (*self.delivery.avoid, self.first.grant.endpoint)
+        avoid = (*self._cold_endpoints(), *self.delivery.avoid, self.first.grant.endpoint)
         ticket = forwarder.make_ticket(call, self.delivery.tickets, 1, avoid)
         ticket = attrs.evolve(ticket, is_spare=True)
         self.copy_task = forwarder.timers.spawn(self._send_copy(ticket))
 
+    def _cold_endpoints(self) -> list[str]:
+        """Return the endpoints of the pool that are still slow after their start."""
+        now = self.forwarder.timers.now()
+        rows = self.forwarder.placement.directory.roster.usable(self.call.pool.name)
+        return [
+            row.registration.endpoint
+            for row in rows
+            if row.heard_at + row.registration.warmup_s > now and row.registration.warmup_s > 0
+        ]
+
     def _denial(self) -> str:
         """Return why the copy may not be sent now, empty if it may."""
         call, forwarder = self.call, self.forwarder
--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -6,6 +6,8 @@
 import unittest
 from unittest import mock
 
+import attrs
+
 from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.suspects import Finding, Standing
 from mulberrygate.forward.tests.support import (
@@ -375,6 +377,18 @@
         self.assertEqual((self.results(), self.denied("no_room")), ({}, 1))
         self.assertAlmostEqual(self.hedging.allowance("booking").level, 2.2)
 
+    async def test_cold_endpoint(self):
+        """Guards against a copy at an endpoint that has just started and is slow itself."""
+        await self.start()
+        rows = self.entry.roster.rows
+        for name, row in list(rows.items()):
+            rows[name] = attrs.evolve(
+                row, registration=attrs.evolve(row.registration, warmup_s=60.0)
+            )
+        self.answer_with(late(3 * DELAY_S, whole(200, b"first")), whole())
+        self.assertEqual(await self.call(), (200, b"first"))
+        self.assertEqual((self.results(), self.denied("no_room")), ({}, 1))
+
     async def test_copies_are_retries_of_the_budget(self):
         """Guards against copies beyond the retry budget of all entries."""
         await self.start()
