--- /dev/null
+++ b/mulberrygate/core/memory_budget.py
@@ -0,0 +1,227 @@
+"""Decisions on memory that callers make a process hold: who gets it, who waits and who goes."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+
+import attrs
+
+# Holdings up to this size may use all of a pool, larger ones only a part, so that ordinary requests
+# are granted beside a crowd of large ones.
+SMALL_BYTES = 64 << 10
+LARGE_FRACTION = 0.75
+# A caller on which a holding depends has to move this many bytes in this time, or the holding may
+# be ended while memory is short. That is 11 KB/s.
+PROGRESS_BYTES = 32 << 10
+STALL_S = 3.0
+# What a connection has buffered while its holding waits, and the part of a pool's size that all
+# that wait may have buffered together.
+WAITING_BYTES = 192 << 10
+WAITING_FRACTION = 0.5
+MIN_WAITING = 16
+
+
+class Verdict(enum.Enum):
+    """Answer to a holder that asks for memory."""
+
+    GRANTED = "granted"
+    WAITS = "waits"
+    REFUSED = "refused"
+
+
+@attrs.define(eq=False)
+class Holder:
+    """Memory held for one caller.
+
+    Parameters
+    ==========
+    group : str
+        Client account or address that the memory is counted for.
+    on_granted : Callable[[], None]
+        Called when a holding that waited is granted.
+    on_evicted : Callable[[], None]
+        Called when the holding has to end.
+    size, wanted : int
+        Bytes held, and bytes that are waited for in addition.
+    is_paced : bool
+        Whether the caller decides how fast the holding ends: it sends a body or reads an answer.
+    moved : int
+        Bytes that the caller has sent or read.
+    """
+
+    group: str
+    on_granted: Callable[[], None] = lambda: None
+    on_evicted: Callable[[], None] = lambda: None
+    size: int = 0
+    wanted: int = 0
+    is_paced: bool = False
+    moved: int = 0
+    marked: int = 0
+    marked_at: float = 0.0
+
+    def begin_paced(self, now: float) -> None:
+        """Count progress from now on."""
+        self.is_paced = True
+        self.marked, self.marked_at = self.moved, now
+
+
+class MemoryPool:
+    """Memory for one kind of holding.
+
+    Explanation
+    ===========
+    A holding that is larger than the pool is granted when it is the only one, so that a single
+    legal request is served on any machine. Holdings that wait are granted in the order of what
+    their group holds, then of their arrival; a large one that comes next keeps later large ones
+    waiting, so that it gets its turn.
+
+    Parameters
+    ==========
+    capacity : int
+        Bytes.
+
+    Examples
+    ========
+    >>> from mulberrygate.core.memory_budget import Holder, MemoryPool
+    >>> pool = MemoryPool(4 << 20)
+    >>> large, other, small = Holder("a"), Holder("b"), Holder("a")
+    >>> pool.ask(large, 3 << 20).value, pool.ask(other, 3 << 20).value, pool.ask(small, 100).value
+    ('granted', 'waits', 'granted')
+    >>> pool.release(large)
+    >>> other.size == 3 << 20
+    True
+    """
+
+    def __init__(self, capacity: int):
+        self.capacity = capacity
+        self.held = 0
+        self.groups: dict[str, int] = {}
+        self.holders: dict[Holder, None] = {}
+        self.waiting: dict[Holder, None] = {}
+        self.most_waiting = max(MIN_WAITING, int(capacity * WAITING_FRACTION) // WAITING_BYTES)
+
+    def ask(self, holder: Holder, size: int) -> Verdict:
+        """Ask for further bytes for a holder."""
+        if self._fits(holder, size) and not (size > SMALL_BYTES and self._large_waits()):
+            self._grant(holder, size)
+            return Verdict.GRANTED
+        if len(self.waiting) >= self.most_waiting:
+            return Verdict.REFUSED
+        holder.wanted = size
+        self.waiting[holder] = None
+        return Verdict.WAITS
+
+    def _fits(self, holder: Holder, size: int) -> bool:
+        if self.held == holder.size:
+            return True
+        is_small = holder.size + size <= SMALL_BYTES
+        limit = self.capacity if is_small else LARGE_FRACTION * self.capacity
+        return self.held + size <= limit
+
+    def _large_waits(self) -> bool:
+        return any(holder.wanted > SMALL_BYTES for holder in self.waiting)
+
+    def _grant(self, holder: Holder, size: int) -> None:
+        holder.size += size
+        holder.wanted = 0
+        self.held += size
+        self.groups[holder.group] = self.groups.get(holder.group, 0) + size
+        self.holders[holder] = None
+
+    def shrink(self, holder: Holder, size: int) -> None:
+        """Give back all but some bytes of a holding."""
+        if size < holder.size:
+            self._give_back(holder, holder.size - size)
+            self._grant_waiting()
+
+    def release(self, holder: Holder) -> None:
+        """Give back all of a holding and stop waiting for more."""
+        self.waiting.pop(holder, None)
+        self.holders.pop(holder, None)
+        holder.wanted = 0
+        if holder.size:
+            self._give_back(holder, holder.size)
+        if self.waiting:
+            self._grant_waiting()
+
+    def _give_back(self, holder: Holder, size: int) -> None:
+        holder.size -= size
+        self.held -= size
+        left = self.groups[holder.group] - size
+        if left:
+            self.groups[holder.group] = left
+        else:
+            del self.groups[holder.group]
+
+    def _grant_waiting(self) -> None:
+        """Grant what fits, small holdings first."""
+        is_large_blocked = False
+        for holder in sorted(self.waiting, key=self._order):
+            is_small = holder.wanted <= SMALL_BYTES
+            if is_large_blocked and not is_small:
+                continue
+            if self._fits(holder, holder.wanted):
+                del self.waiting[holder]
+                self._grant(holder, holder.wanted)
+                holder.on_granted()
+            elif not is_small:
+                is_large_blocked = True
+
+    def _order(self, holder: Holder) -> tuple[bool, int]:
+        """Return the sort key of a waiting holder; equal keys keep the order of arrival."""
+        return holder.wanted > SMALL_BYTES, self.groups.get(holder.group, 0)
+
+    def list_stalled(self, now: float, is_crowded: bool = False) -> list[Holder]:
+        """Return the holders to end so that those that wait can be granted.
+
+        Parameters
+        ==========
+        is_crowded : bool
+            Whether all that make no progress have to go, since connections are short.
+        """
+        stalled = [holder for holder in self.holders if self._is_stalled(holder, now)]
+        needed = sum(holder.wanted for holder in self.waiting)
+        stalled.sort(key=lambda holder: (self.groups[holder.group], holder.size), reverse=True)
+        found: list[Holder] = []
+        for holder in stalled:
+            if needed <= 0 and not is_crowded:
+                break
+            found.append(holder)
+            needed -= holder.size
+        return found
+
+    def _is_stalled(self, holder: Holder, now: float) -> bool:
+        """Return whether a holder's caller makes no progress; mark the progress that it makes."""
+        if not holder.is_paced or not holder.size or holder.wanted:
+            return False
+        if holder.moved - holder.marked >= PROGRESS_BYTES:
+            holder.marked, holder.marked_at = holder.moved, now
+        return now - holder.marked_at >= STALL_S
+
+
+class MemoryBudget:
+    """Memory that outsiders can make a process hold, in two pools that never lend to each other.
+
+    Explanation
+    ===========
+    With one pool, requests that hold their bodies could all wait for room for their answers.
+
+    Parameters
+    ==========
+    left_bytes : int
+        Memory of the machine that the program itself doesn't use.
+    """
+
+    # The rest covers copies, objects of the HTTP library and fragmentation.
+    COUNTED_FRACTION = 0.5
+    # Bound on unfinished heads, and on what waits in transports, of all connections together.
+    CONNECTION_FRACTION = 0.05
+    MIN_BYTES = 16 << 20
+
+    def __init__(self, left_bytes: int):
+        left_bytes = max(left_bytes, self.MIN_BYTES)
+        pool_bytes = int(left_bytes * self.COUNTED_FRACTION) // 2
+        self.bodies = MemoryPool(pool_bytes)
+        self.answers = MemoryPool(pool_bytes)
+        self.connection_bytes = int(left_bytes * self.CONNECTION_FRACTION)
--- /dev/null
+++ b/mulberrygate/core/tests/test_memory_budget.py
@@ -0,0 +1,138 @@
+"""Tests of the decisions on memory that callers make a process hold."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulberrygate.core.memory_budget import (
+    LARGE_FRACTION,
+    PROGRESS_BYTES,
+    SMALL_BYTES,
+    STALL_S,
+    Holder,
+    MemoryPool,
+    Verdict,
+)
+
+MB = 1 << 20
+
+
+class TestMemoryPool(unittest.TestCase):
+    """Grants, waits, refusals and evictions of one pool."""
+
+    def setUp(self):
+        self.pool = MemoryPool(8 * MB)
+
+    def ask(self, group, size):
+        """Return a new holder that asked, and the verdict."""
+        holder = Holder(group)
+        return holder, self.pool.ask(holder, size)
+
+    def test_single_holding_larger_than_the_pool(self):
+        """Guards against a legal body that a small machine never serves."""
+        self.assertIs(self.ask("a", 20 * MB)[1], Verdict.GRANTED)
+        self.assertIs(self.ask("a", 1 * MB)[1], Verdict.WAITS)
+
+    def test_small_holdings_beside_large_ones(self):
+        """Guards against ordinary requests that wait behind a crowd of large bodies."""
+        self.ask("a", 6 * MB)
+        self.assertIs(self.ask("a", 1 * MB)[1], Verdict.WAITS)
+        self.assertIs(self.ask("b", SMALL_BYTES)[1], Verdict.GRANTED)
+
+    def test_group_that_holds_least_comes_first(self):
+        """Guards against one address that takes all turns."""
+        first, _ = self.ask("a", 3 * MB)
+        self.ask("a", 3 * MB)
+        same, _ = self.ask("a", 2 * MB)
+        other, _ = self.ask("b", 2 * MB)
+        self.pool.release(first)
+        self.assertEqual((same.size, other.size), (0, 2 * MB))
+
+    def test_large_holding_gets_its_turn(self):
+        """Guards against a large body that waits for ever while smaller ones pass it."""
+        first, _ = self.ask("a", 4 * MB)
+        large, _ = self.ask("b", 6 * MB)
+        self.assertIs(self.ask("c", 1 * MB)[1], Verdict.WAITS)
+        self.pool.release(first)
+        self.assertEqual(large.size, 6 * MB)
+
+    def test_number_that_waits_is_bounded(self):
+        """Guards against waiting connections whose buffers take the memory."""
+        self.ask("a", 6 * MB)
+        verdicts = [self.ask("a", MB)[1] for _ in range(200)]
+        self.assertIn(Verdict.REFUSED, verdicts)
+        self.assertEqual(len(self.pool.waiting), verdicts.count(Verdict.WAITS))
+
+    def test_stalled_holders_go_only_while_others_wait(self):
+        """Guards against a slow caller that is closed in calm, or is never closed."""
+        holder, _ = self.ask("a", 6 * MB)
+        holder.begin_paced(0.0)
+        self.assertEqual(self.pool.list_stalled(STALL_S), [])
+        self.ask("b", MB)
+        self.assertEqual(self.pool.list_stalled(STALL_S), [holder])
+
+    def test_progress_keeps_a_holder(self):
+        """Guards against a caller that is closed although it sends or reads steadily."""
+        holder, _ = self.ask("a", 6 * MB)
+        holder.begin_paced(0.0)
+        self.ask("b", MB)
+        for second in range(1, 20):
+            holder.moved += PROGRESS_BYTES
+            self.assertEqual(self.pool.list_stalled(float(second)), [])
+        holder.moved += 100
+        self.assertEqual(self.pool.list_stalled(19 + STALL_S), [holder])
+
+    def test_holder_that_does_not_depend_on_its_caller_stays(self):
+        """Guards against a request in work at an endpoint that is ended for its silence."""
+        self.ask("a", 6 * MB)
+        self.ask("b", MB)
+        self.assertEqual(self.pool.list_stalled(100.0), [])
+
+    def test_largest_group_goes_first_and_no_more_than_needed(self):
+        """Guards against callers that are closed for the sake of one that holds more."""
+        one, _ = self.ask("one", 2 * MB)
+        crowd = [self.ask("crowd", 2 * MB)[0] for _ in range(2)]
+        for holder in (one, *crowd):
+            holder.begin_paced(0.0)
+        self.ask("b", MB)
+        self.assertEqual(self.pool.list_stalled(STALL_S), [crowd[0]])
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["ask", "release", "shrink"]),
+                st.integers(0, 11),
+                st.integers(1, 9 * MB),
+            ),
+            max_size=60,
+        )
+    )
+    def test_any_sequence(self, steps):
+        """Guards against sums that drift, and holders that are granted beyond the capacity."""
+        pool = MemoryPool(8 * MB)
+        holders = [Holder(f"group-{number % 3}") for number in range(12)]
+        for action, number, size in steps:
+            holder = holders[number]
+            if action == "ask" and not holder.wanted:
+                pool.ask(holder, size)
+            elif action == "release":
+                pool.release(holder)
+            elif action == "shrink":
+                pool.shrink(holder, size)
+            held = [item.size for item in holders if item.size]
+            self.assertEqual(pool.held, sum(held))
+            self.assertEqual(sum(pool.groups.values()), pool.held)
+            if len(held) > 1:
+                large = [item for item in held if item > SMALL_BYTES]
+                self.assertLessEqual(pool.held, max(pool.capacity, *held) + SMALL_BYTES * len(held))
+                if len(large) > 1 and max(large) <= pool.capacity * LARGE_FRACTION:
+                    self.assertLessEqual(pool.held, pool.capacity)
+        for holder in holders:
+            pool.release(holder)
+        self.assertEqual((pool.held, pool.groups, pool.waiting), (0, {}, {}))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/mulberrygate/daemon/bounded_connection.py
@@ -0,0 +1,151 @@
+"""Connection of a caller that reads and buffers no more than it should."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+from aiohttp import web
+
+# Bytes that may arrive behind a request in work before reading pauses.
+AHEAD_BYTES = 64 << 10
+# Bytes that one read takes from a socket, and that wait in the transport before a writer waits.
+READ_BYTES = 64 << 10
+WRITE_BYTES = 64 << 10
+# State in the first byte of TCP_INFO of a connection that the other side has closed.
+TCP_CLOSE_WAIT = 8
+HEAD_TOO_LARGE = b"HTTP/1.1 431 X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+
+class BoundedConnection(web.RequestHandler):
+    """Protocol of one connection that reports to its server and pauses reading ahead.
+
+    Parameters
+    ==========
+    bounds : mulberrygate.daemon.http_server.HttpServer
+        Server whose limits apply.
+
+    Attributes
+    ==========
+    head_bytes, ahead_bytes : int
+        Bytes of an unfinished head, and bytes that arrived behind a request in work.
+    head_since : float
+        Time at which the unfinished head began.
+    """
+
+    def __init__(self, bounds: Any, *arguments: Any, **options: Any):
+        super().__init__(*arguments, **options)
+        self.bounds = bounds
+        self.head_bytes = 0
+        self.head_since = 0.0
+        self.ahead_bytes = 0
+        self.last_buffered = 0
+
+    def connection_made(self, transport: Any) -> None:
+        """Count the connection, and close it at once if there is no room for it."""
+        transport.max_size = READ_BYTES
+        transport.set_write_buffer_limits(high=WRITE_BYTES)
+        super().connection_made(transport)
+        self.bounds.on_connected(self)
+
+    def connection_lost(self, error: BaseException | None) -> None:
+        """Stop counting the connection."""
+        if self._manager is not None:
+            self.bounds.on_disconnected(self)
+        super().connection_lost(error)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is in work here, and no answer still being sent."""
+        return not self._request_in_progress and not self._messages and not self.count_unwritten()
+
+    def count_unwritten(self) -> int:
+        """Return the number of bytes that wait in the transport."""
+        transport = self.transport
+        return transport.get_write_buffer_size() if transport is not None else 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; pause reading if it belongs to requests that are sent ahead."""
+        size = len(data)
+        if not size:
+            super().data_received(data)
+            return
+        waiter = self._waiter
+        is_waiting = waiter is not None and not waiter.done()
+        super().data_received(data)
+        if self._messages and is_waiting:
+            self.end_head()
+        elif is_waiting:
+            self._count_head(size)
+        elif self._messages or self._is_body_read():
+            self.ahead_bytes += size
+            if self.ahead_bytes > AHEAD_BYTES and not self._buffer_paused:
+                self.bounds.gate.count("reading_paused")
+                self._pause_reading_for_buffer()
+
+    def _is_body_read(self) -> bool:
+        request = self._current_request
+        return request is not None and request.content.is_eof()
+
+    def end_head(self) -> None:
+        """Stop counting an unfinished head."""
+        if self.head_bytes:
+            self.bounds.head_bytes -= self.head_bytes
+            self.head_bytes = 0
+            self.bounds.unfinished_heads.pop(self, None)
+
+    def _count_head(self, size: int) -> None:
+        """Count bytes of an unfinished head, and refuse it once it is too large."""
+        if not self.head_bytes:
+            self.head_since = asyncio.get_running_loop().time()
+            self.bounds.unfinished_heads[self] = None
+        self.head_bytes += size
+        self.bounds.head_bytes += size
+        if self.head_bytes > self.bounds.max_head_bytes and self.transport is not None:
+            self.bounds.gate.count("head_refused")
+            self.transport.write(HEAD_TOO_LARGE)
+            self.force_close()
+        else:
+            self.bounds.limit_heads()
+
+    def end_request(self) -> None:
+        """Count anew what arrives behind a request in work."""
+        if self._messages:
+            return
+        self.ahead_bytes = 0
+        # The library resumes only when it takes up another request, and there may be none yet.
+        if self._buffer_paused:
+            self._resume_reading_if_drained()
+
+    def _resume_reading_if_drained(self) -> None:
+        """Go on reading once no request waits behind the one in work.
+
+        The library goes on while up to 16 requests wait, and would read further bytes each time.
+        """
+        if self._upgraded:
+            super()._resume_reading_if_drained()
+            return
+        super().data_received(b"")
+        if not self._messages:
+            self.ahead_bytes = 0
+            self._resume_reading_for_buffer()
+
+    def close_if_left(self) -> None:
+        """Close a paused connection whose caller has closed it, which only reading would show."""
+        if not self._buffer_paused or self.transport is None:
+            return
+        connection = self.transport.get_extra_info("socket")
+        try:
+            state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except (OSError, AttributeError, IndexError):
+            return
+        if state == TCP_CLOSE_WAIT:
+            self.transport.abort()
+
+    def is_stuck(self) -> bool:
+        """Return whether what waits in the transport hasn't become less since the last call."""
+        unwritten = self.count_unwritten()
+        is_stuck = 0 < self.last_buffered <= unwritten
+        self.last_buffered = unwritten
+        return is_stuck
--- a/mulberrygate/daemon/control_node.py
+++ b/mulberrygate/daemon/control_node.py
@@ -4,8 +4,9 @@
 
 import asyncio
 
+from mulberrygate.core.memory_gate import SWEEP_INTERVAL_S, MemoryGate
 from mulberrygate.daemon.controller import Controller
-from mulberrygate.daemon.http_server import HttpServer
+from mulberrygate.daemon.http_server import RESERVED_SOCKETS, HttpServer
 from mulberrygate.daemon.sockets import Listeners, split_address
 from mulberrygate.observe.jsonlines import JsonLines
 
@@ -41,12 +42,22 @@
         self.api = make_api(self.controller)
         host, port = split_address(site.control_address)
         listening_socket = (listeners or Listeners()).get(site.control_address)
-        self.http = HttpServer(self.api.handle, host, port, listening_socket=listening_socket)
+        self.gate = self.api.gate = MemoryGate(site.limits.memory_bytes, lines)
+        self.http = HttpServer(
+            self.api.handle,
+            host,
+            port,
+            listening_socket=listening_socket,
+            gate=self.gate,
+            max_connections=site.limits.sockets - RESERVED_SOCKETS,
+        )
 
     async def start(self) -> None:
         """Start the controller and the HTTP server."""
         await self.controller.start()
         await self.http.start()
+        timers = self.controller.timers
+        timers.every(SWEEP_INTERVAL_S, lambda: self.http.sweep(timers.now()), "http.sweep")
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds after a change of the settings."""
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -10,8 +10,9 @@
 from mulberrygate.catalog import CatalogIndex
 from mulberrygate.control.blame import is_part
 from mulberrygate.core.boot_time import seconds_since_boot
+from mulberrygate.core.memory_gate import SWEEP_INTERVAL_S, MemoryGate
 from mulberrygate.core.timers import TimerService
-from mulberrygate.daemon.http_server import LAST_REQUEST_S, HttpServer
+from mulberrygate.daemon.http_server import LAST_REQUEST_S, RESERVED_SOCKETS, HttpServer
 from mulberrygate.daemon.placement import Placement, PoolOwners
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.daemon.sockets import Listeners, split_address
@@ -48,11 +49,22 @@
 LOG_FLUSH_INTERVAL_S = 0.1
 POOLS_LOG_INTERVAL_S = 1.0
 SILENT_CHECK_INTERVAL_S = 1.0
+MAX_READINESS_CONNECTIONS = 16
 # A new entry that hears only from control processes that may lack the newest state waits for this
 # time for one that has it. Without a majority of the group there is none.
 CURRENT_STATE_WAIT_S = 3.0
 
 
+def max_caller_connections(sockets: int) -> int:
+    """Return how many connections of callers may be open.
+
+    Explanation
+    ===========
+    Each may have a request in work, with a connection of its own to an endpoint.
+    """
+    return (sockets - RESERVED_SOCKETS) // 2
+
+
 def last_send_at(read_at: float, end: float) -> float:
     """Return the time after which a stopping entry sends no call for the first time.
 
@@ -103,6 +115,7 @@
         self.lines = lines
         self.timers = TimerService(self._on_timer_error)
         self.metrics = Metrics()
+        self.gate = MemoryGate(site.limits.memory_bytes, lines, self.metrics)
         self.peers = SitePeers(site)
         self.roster = Roster()
         self.deputies = Deputies(site.instance)
@@ -200,6 +213,7 @@
             self.lines,
             self.metrics,
             self.seed,
+            self.gate,
         )
 
     def _list_entries(self) -> list[str]:
@@ -237,10 +251,17 @@
         self.timers.every(EVIDENCE_INTERVAL_S, self._send_evidence, "evidence")
         self.timers.every(LOG_FLUSH_INTERVAL_S, self.lines.flush, "lines")
         self.timers.every(POOLS_LOG_INTERVAL_S, self._log_pools, "pools")
-        self.readiness_http = self._make_http(self._handle_readiness, self.site.readiness_address)
+        self.readiness_http = self._make_http(
+            self._handle_readiness,
+            self.site.readiness_address,
+            max_connections=MAX_READINESS_CONNECTIONS,
+        )
         await self.readiness_http.start()
         self.http = self._make_http(
-            self.forwarder.handle, self.site.entry_address, cancel_on_disconnect=True
+            self.forwarder.handle,
+            self.site.entry_address,
+            cancel_on_disconnect=True,
+            max_connections=max_caller_connections(self.site.limits.sockets),
         )
         await self.http.start()
         self.timers.every(
@@ -248,10 +269,27 @@
             lambda: self.http.close_silent(self.timers.now()),
             "http.silent",
         )
+        self.timers.every(
+            SWEEP_INTERVAL_S, lambda: self.http.sweep(self.timers.now()), "http.sweep"
+        )
 
-    def _make_http(self, handler, address: str, cancel_on_disconnect: bool = False) -> HttpServer:
+    def _make_http(
+        self,
+        handler,
+        address: str,
+        max_connections: int,
+        cancel_on_disconnect: bool = False,
+    ) -> HttpServer:
         host, port = split_address(address)
-        return HttpServer(handler, host, port, cancel_on_disconnect, self.listeners.get(address))
+        return HttpServer(
+            handler,
+            host,
+            port,
+            cancel_on_disconnect,
+            self.listeners.get(address),
+            self.gate,
+            max_connections,
+        )
 
     @property
     def is_ready(self) -> bool:
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from typing import Any
 
 from aiohttp import web
 
 from mulberrygate.catalog import RequestLimits
+from mulberrygate.core.memory_gate import DEFAULT_MEMORY_BYTES, MemoryGate
+from mulberrygate.daemon.bounded_connection import BoundedConnection
 from mulberrygate.daemon.sockets import BACKLOG
 
 MAX_LINE_BYTES = 16384
@@ -16,6 +19,19 @@
 SHUTDOWN_TIMEOUT_S = 0.2
 # Time for requests that were on their way when the server stopped listening.
 LAST_REQUEST_S = 0.25
+# Connections that are accepted before those accepted last are counted.
+ACCEPT_BATCH = 16
+# Body bytes that the HTTP library buffers; it pauses reading at twice this size.
+BODY_BUFFER_BYTES = 64 << 10
+# A head may have this multiple of the catalog's limit, which counts header lines only.
+HEAD_FACTOR = 2
+MIN_HEAD_BYTES = 32 << 10
+# Connections on a machine whose settings don't say its descriptors.
+DEFAULT_MAX_CONNECTIONS = 2000
+# Sockets for peers, readiness checks, and connections that were accepted and not yet counted.
+RESERVED_SOCKETS = 64
+# Idle connections that are looked at when one has to go.
+MOST_IDLE_TRIES = 32
 
 
 class HttpServer:
@@ -27,6 +43,11 @@
         Whether a handler is cancelled when its caller disconnects.
     listening_socket : socket.socket or None
         Socket that already listens on the address; ``None`` to open one.
+    gate : MemoryGate or None
+        Memory budget of the process.
+    max_connections : int
+        Connections that may be open at a time. When a new one comes, the one goes that has been
+        without a request for longest.
 
     Attributes
     ==========
@@ -36,6 +57,13 @@
         Connections that have had at least one request.
     silent_since : dict[Any, float]
         Connections without any request so far, with the time at which they were first seen.
+    new_connections, kept_connections : dict
+        Connections without a request so far, and those without a request at present, the longest
+        idle first.
+    unfinished_heads : dict
+        Connections that have sent a part of a head, the oldest first.
+    head_bytes : int
+        Bytes of all unfinished heads.
     """
 
     def __init__(
@@ -45,8 +73,17 @@
         port: int,
         cancel_on_disconnect: bool = False,
         listening_socket: socket.socket | None = None,
+        gate: MemoryGate | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ):
         self.handler = handler
+        self.gate = gate or MemoryGate(DEFAULT_MEMORY_BYTES)
+        self.max_connections = max_connections
+        self.new_connections: dict[BoundedConnection, None] = {}
+        self.kept_connections: dict[BoundedConnection, None] = {}
+        self.unfinished_heads: dict[BoundedConnection, None] = {}
+        self.head_bytes = 0
+        self.open_connections = 0
         self.host = host
         self.port = port
         self.listening_socket = listening_socket
@@ -61,28 +98,111 @@
             keepalive_timeout=RequestLimits().idle_timeout_s,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
+            read_bufsize=BODY_BUFFER_BYTES,
         )
         self.listener: asyncio.Server | None = None
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.active_connections.add(request.protocol)
         self.used_connections.add(request.protocol)
+        self.new_connections.pop(request.protocol, None)
+        self.kept_connections.pop(request.protocol, None)
         try:
             return await self.handler(request)
         finally:
             self.active_connections.discard(request.protocol)
+            if request.transport is not None:
+                self.kept_connections[request.protocol] = None
+                request.protocol.end_request()
+
+    def _make_connection(self) -> BoundedConnection:
+        loop = asyncio.get_running_loop()
+        return BoundedConnection(self, self.server, loop=loop, **self.server._kwargs)
+
+    def on_connected(self, connection: BoundedConnection) -> None:
+        """Count a new connection; make room for it, or close it if there is none."""
+        self.new_connections[connection] = None
+        self.open_connections += 1
+        if self.open_connections <= self.max_connections:
+            return
+        if self._close_idle(connection):
+            self.gate.count("idle_closed")
+        else:
+            self.gate.is_crowded = True
+            self.gate.count("connection_refused")
+            connection.transport.abort()
+
+    def _close_idle(self, newest: BoundedConnection) -> bool:
+        """Close the connection that has been without a request for longest."""
+        for connections in (self.new_connections, self.kept_connections):
+            for connection, _ in zip(connections, range(MOST_IDLE_TRIES), strict=False):
+                if connection is not newest and connection.is_idle:
+                    connections.pop(connection)
+                    connection.force_close()
+                    return True
+        return False
+
+    def on_disconnected(self, connection: BoundedConnection) -> None:
+        """Stop counting a connection."""
+        self.open_connections -= 1
+        self.new_connections.pop(connection, None)
+        self.kept_connections.pop(connection, None)
+        connection.end_head()
+
+    @property
+    def max_head_bytes(self) -> int:
+        """Largest request head in bytes."""
+        return max(MIN_HEAD_BYTES, HEAD_FACTOR * self.limits.max_header_bytes)
+
+    def limit_heads(self) -> None:
+        """Close the oldest unfinished head if all of them take too much memory."""
+        while self.head_bytes > self.gate.budget.connection_bytes and self.unfinished_heads:
+            connection = next(iter(self.unfinished_heads))
+            connection.end_head()
+            self.gate.count("head_closed")
+            connection.force_close()
+
+    def sweep(self, now: float) -> None:
+        """Close what makes no progress while memory is short; call it twice a second."""
+        self.gate.sweep(now)
+        unwritten = 0
+        stuck = []
+        for connection in self.server.connections:
+            if connection._buffer_paused:
+                connection.close_if_left()
+            if connection.is_stuck():
+                stuck.append(connection)
+            unwritten += connection.last_buffered
+        excess = unwritten - self.gate.budget.connection_bytes
+        stuck.sort(key=lambda connection: connection.last_buffered, reverse=True)
+        for connection in stuck:
+            if excess <= 0:
+                break
+            excess -= connection.last_buffered
+            self.gate.count("unread_closed")
+            if connection.transport is not None:
+                connection.transport.abort()
 
     async def start(self) -> None:
         """Start listening, on the given socket if there is one."""
         loop = asyncio.get_running_loop()
         if self.listening_socket is not None:
             self.listener = await loop.create_server(
-                self.server, sock=self.listening_socket, backlog=BACKLOG
+                self._make_connection, sock=self.listening_socket, backlog=ACCEPT_BATCH
             )
-            return
-        self.listener = await loop.create_server(
-            self.server, self.host, self.port, backlog=BACKLOG, reuse_address=True
-        )
+        else:
+            self.listener = await loop.create_server(
+                self._make_connection,
+                self.host,
+                self.port,
+                backlog=ACCEPT_BATCH,
+                reuse_address=True,
+            )
+        # The event loop accepts as many connections at once as its backlog is long, before any of
+        # them is counted. The sockets themselves keep a longer one.
+        for listener in self.listener.sockets:
+            with socket.socket(fileno=os.dup(listener.fileno())) as duplicate:
+                duplicate.listen(BACKLOG)
 
     def set_limits(self, limits: RequestLimits) -> None:
         """Apply a catalog's request limits to new connections."""
@@ -112,6 +232,9 @@
             if now - since > limit_s:
                 del self.silent_since[connection]
                 connection.force_close()
+        for connection in list(self.unfinished_heads):
+            if now - connection.head_since > limit_s:
+                connection.force_close()
 
     async def stop_listening(self) -> None:
         """Stop accepting connections and close each existing one once it has no request.
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -30,6 +30,12 @@
 STOPPING = register_code(
     1212, "entry_stopping", "The entry stops before it could send the call; not run.", 503
 )
+MEMORY_SHORT = register_code(
+    1213, "memory_short", "The instance had no memory for the body in time; not run.", 503
+)
+BODY_SLOW = register_code(
+    1214, "body_too_slow", "The body arrived too slowly while memory was short; not run.", 408
+)
 NOT_SERVED = register_code(
     2201, "not_served", "No endpoint took the call in the time it had; not run.", 503
 )
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -16,6 +16,7 @@
 from mulberrygate.forward.crash_detection import SIGN_OF_LIFE_S
 from mulberrygate.forward.events import EventSplitter, EventTooLong
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
+from mulberrygate.forward.long_response import SLICE_BYTES, LongResponse
 from mulberrygate.forward.request import AnswerHead, Call, Refused
 from mulberrygate.forward.sends import Send, Turn
 from mulberrygate.forward.unanswered import RunningSend
@@ -97,6 +98,8 @@
             return answer
         if isinstance(answer, WholeAnswer):
             self.forwarder.record_answer(self.call, answer.head.status)
+            if len(answer.body) > SLICE_BYTES:
+                return LongResponse(answer.head.status, answer.headers, answer.body)
             return web.Response(status=answer.head.status, headers=answer.headers, body=answer.body)
         return answer
 
@@ -369,7 +372,7 @@
             if is_first:
                 self._record_first_byte(send)
                 self.forwarder.suspects.record_answered(call)
-            await self.response.write(events)
+            await self.forwarder.write_events(call, self.request, self.response, events)
             send.tokens = (splitter.count - before) * stride
             if is_first:
                 send.first_tokens = send.tokens
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -19,6 +19,8 @@
 from yarl import URL
 
 from mulberrygate.core.http_client import open_session
+from mulberrygate.core.memory_budget import SMALL_BYTES, Holder
+from mulberrygate.core.memory_gate import MemoryGate
 from mulberrygate.forward.request import AnswerHead, Call, Dialect
 
 # A live endpoint accepts within a round trip; one that is down or partitioned never does.
@@ -28,12 +30,17 @@
 # and the size up to which an answer is still read when this memory is exhausted.
 MAX_BUFFERED_BYTES = 48 << 20
 SMALL_ANSWER_BYTES = 1 << 20
+# An answer without a length takes memory in steps that grow by this factor.
+GROWTH = 4
 MAX_HEAD_LINE_BYTES = 64 << 10
 # Bytes that an endpoint may send on a connection: a fixed allowance, and a multiple of the body
 # bytes read. They cover heads, informational responses, chunk framing and the library's
 # read-ahead.
 EXTRA_BYTES = 512 << 10
 EXTRA_RATIO = 16
+# Bytes that one read takes from a socket, and that the library buffers; it pauses reading at twice
+# this size.
+READ_BYTES = 64 << 10
 SUPPRESSED_HEADERS = (hdrs.USER_AGENT, hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.CONTENT_TYPE)
 
 
@@ -53,6 +60,21 @@
     """The call was sent, but its answer is incomplete or invalid."""
 
 
+class SlicedBody(aiohttp.BytesPayload):
+    """Request body that is written no faster than the endpoint reads.
+
+    Explanation
+    ===========
+    Written at once, what the endpoint hasn't read is copied into the transport.
+    """
+
+    async def write_with_length(self, writer, content_length: int | None) -> None:
+        """Write the body, up to a length."""
+        body = memoryview(self._value)[:content_length]
+        for start in range(0, len(body), READ_BYTES):
+            await writer.write(body[start : start + READ_BYTES])
+
+
 class BoundedHandler(ResponseHandler):
     """Protocol that aborts its connection when far more bytes arrive than are read as body.
 
@@ -67,6 +89,11 @@
         self.received = 0
         self.body_bytes_read = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what one read takes from the socket."""
+        transport.max_size = READ_BYTES
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         """Process received bytes, or abort the connection if they exceed the bound."""
         self.received += len(data)
@@ -101,9 +128,23 @@
         Response whose head has arrived.
     buffered : BufferedBytes
         Shared by the exchanges of a client.
+    gate : MemoryGate or None
+        Memory budget of the process.
+    holder : Holder or None
+        Holds the memory of the answer.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse, head: AnswerHead, buffered: BufferedBytes):
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        head: AnswerHead,
+        buffered: BufferedBytes,
+        gate: MemoryGate | None = None,
+        holder: Holder | None = None,
+    ):
+        self.gate = gate
+        self.holder = holder
+        self.held = 0
         self.response = response
         self.head = head
         self.buffered = buffered
@@ -123,7 +164,10 @@
         """
         body = bytearray()
         try:
+            await self._hold(self._expected_size())
             while chunk := await self.read_some():
+                if len(body) + len(chunk) > self.held:
+                    await self._hold(max(len(body) + len(chunk), GROWTH * self.held))
                 body += chunk
                 self.buffered.size += len(chunk)
                 self._check_size(len(body))
@@ -131,6 +175,19 @@
             self.buffered.size -= len(body)
         return bytes(body)
 
+    def _expected_size(self) -> int:
+        """Return the size of the body as far as it is known."""
+        length = self.response.content_length
+        if length is None or self.response.method == hdrs.METH_HEAD:
+            return SMALL_BYTES
+        return min(length, MAX_ANSWER_BYTES)
+
+    async def _hold(self, size: int) -> None:
+        """Wait until there is memory for a body of a size; the answer isn't read meanwhile."""
+        if self.gate is not None and size > self.held:
+            await self.gate.reserve(self.gate.budget.answers, self.holder, size - self.held, None)
+        self.held = size
+
     def _check_size(self, size: int) -> None:
         """Check that an answer, and all answers in memory, stay within their size limits."""
         is_memory_short = self.buffered.size > MAX_BUFFERED_BYTES and size > SMALL_ANSWER_BYTES
@@ -169,8 +226,9 @@
 class EndpointClient:
     """HTTP client for endpoints."""
 
-    def __init__(self, dialect: Dialect):
+    def __init__(self, dialect: Dialect, gate: MemoryGate | None = None):
         self.dialect = dialect
+        self.gate = gate
         self.buffered = BufferedBytes()
         self.session = open_session(
             connector=BoundedConnector(),
@@ -178,6 +236,7 @@
             auto_decompress=False,
             skip_auto_headers=SUPPRESSED_HEADERS,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            read_bufsize=READ_BYTES,
             max_line_size=MAX_HEAD_LINE_BYTES,
             max_field_size=MAX_HEAD_LINE_BYTES,
         )
@@ -201,14 +260,17 @@
                 call.head.method,
                 url,
                 headers=headers,
-                data=call.body or None,
+                data=SlicedBody(call.body) if len(call.body) > READ_BYTES else call.body or None,
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSent(f"{type(error).__name__}: {error}") from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise Broken(f"{type(error).__name__}: {error}") from error
-        return Exchange(response, self.dialect.answer_head(call, response), self.buffered)
+        if self.gate is not None and call.answer_holder is None:
+            call.answer_holder = Holder(call.account)
+        head = self.dialect.answer_head(call, response)
+        return Exchange(response, head, self.buffered, self.gate, call.answer_holder)
 
     async def probe(self, address: str) -> ProbeResult:
         """Try to connect to an address and return the result."""
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -10,6 +10,7 @@
 from mulberrygate.catalog import BackendPool, RouteRule
 from mulberrygate.control.blame import part_identity
 from mulberrygate.core.codes import Code
+from mulberrygate.core.memory_budget import Holder
 
 
 @attrs.frozen
@@ -72,6 +73,8 @@
         Seconds from the arrival to the first grant and to the first byte of an answer, -1 before.
     longest_pause_s : float
         Longest time between two reads of a stream's events that were passed on, in seconds.
+    body_holder, answer_holder : Holder or None
+        Memory that the body and the answer hold.
     """
 
     head: CallHead
@@ -95,6 +98,8 @@
     first_after_s: float = -1.0
     longest_pause_s: float = 0.0
     known_fingerprint: str = ""
+    body_holder: Holder | None = None
+    answer_holder: Holder | None = None
 
     @property
     def fingerprint(self) -> str:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -11,6 +11,8 @@
 
 from mulberrygate.catalog import CatalogIndex, RetryPolicy
 from mulberrygate.core.codes import Code
+from mulberrygate.core.memory_budget import Holder
+from mulberrygate.core.memory_gate import BodySlow, BodyTooLarge, MemoryGate, MemoryShort
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.core.timers import TimerService
 from mulberrygate.entry.tickets import SchedulerClient
@@ -19,6 +21,7 @@
 from mulberrygate.forward.delivery import Delivery
 from mulberrygate.forward.exchange import EndpointClient
 from mulberrygate.forward.limits import AccountLimits
+from mulberrygate.forward.long_response import LongResponse
 from mulberrygate.forward.notices import EndpointNotices
 from mulberrygate.forward.prior_wait import PriorWaitEstimator
 from mulberrygate.forward.quarantine_gate import QuarantineGate
@@ -41,6 +44,10 @@
 UNCERTAIN_RETRY_S = 0.5
 # Other entries can take the call at once; the pause only keeps callers from returning together.
 STOPPING_RETRY_S = 0.1
+MEMORY_RETRY_S = 1.0
+# What a stream holds whose caller doesn't keep up: events, and the buffers of both connections.
+STREAM_BYTES = 256 << 10
+LARGE_EVENTS_BYTES = 16 << 10
 # Fraction of the caller's timeout that a stream may wait for an endpoint; the rest is for its run.
 ENDPOINT_WAIT_FRACTION = 0.8
 REFUSAL_GRACE_S = 0.1
@@ -66,6 +73,8 @@
         Pools in force and the endpoints of the roster; see `mulberrygate.daemon.placement`.
     seed : int or None
         Seed of the random choices.
+    memory : MemoryGate or None
+        Memory budget of the process.
 
     Attributes
     ==========
@@ -90,7 +99,9 @@
         lines: JsonLines,
         metrics: Metrics,
         seed: int | None = None,
+        memory: MemoryGate | None = None,
     ):
+        self.memory = memory or MemoryGate(site.limits.memory_bytes)
         self.site = site
         self.dialect = dialect
         self.placement = placement
@@ -100,7 +111,7 @@
         self.timers = timers
         self.lines = lines
         self.metrics = metrics
-        self.endpoints = EndpointClient(dialect)
+        self.endpoints = EndpointClient(dialect, self.memory)
         roster = placement.directory.roster
         self.notices = EndpointNotices(roster, random.Random(seed))
         metrics.gauge("endpoints_leaving", self.notices.count_leaving)
@@ -149,22 +160,62 @@
         self.active += 1
         call = Call(self.dialect.call_head(request), request.headers, self.timers.now())
         try:
-            response = await self._answer(call, request)
+            response = await self._respond(call, request)
+            # A stream that began before the stop has told its caller that the connection is kept.
+            # The next request on it is answered and closes it.
+            if self.is_closing and not response.prepared:
+                response.force_close()
+            if isinstance(response, LongResponse):
+                await response.send(request, call.answer_holder)
+            return response
+        finally:
+            self._release_memory(call)
+            self.active -= 1
+            if not self.active:
+                self.idle.set()
+
+    async def _respond(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            return await self._answer(call, request)
         except asyncio.CancelledError:
             self._log_request(call, "request.left", 0)
             raise
         except Exception as error:
             self.lines.log("request.failed", id=call.head.request, error=repr(error))
-            response = self.refuse(call, Refused(codes.PATH_FAILED))
-        finally:
-            self.active -= 1
-            if not self.active:
-                self.idle.set()
-        # A stream that began before the stop has told its caller that the connection is kept. The
-        # next request on it is answered and closes it.
-        if self.is_closing and not response.prepared:
-            response.force_close()
-        return response
+            return self.refuse(call, Refused(codes.PATH_FAILED))
+
+    def _release_memory(self, call: Call) -> None:
+        """Give back the memory that a call holds."""
+        if call.known_fingerprint:
+            # Checks of endpoints may keep the call for some time, and need no more than this.
+            call.body = b""
+        if call.body_holder is not None:
+            self.memory.budget.bodies.release(call.body_holder)
+        if call.answer_holder is not None:
+            self.memory.budget.answers.release(call.answer_holder)
+
+    async def write_events(
+        self, call: Call, request: web.BaseRequest, response: web.StreamResponse, events: bytes
+    ) -> None:
+        """Write events of a stream; a caller that doesn't keep up holds memory meanwhile."""
+        transport = request.transport
+        if transport is None or (
+            len(events) <= LARGE_EVENTS_BYTES and not transport.get_write_buffer_size()
+        ):
+            await response.write(events)
+            return
+        pool = self.memory.budget.answers
+        if call.answer_holder is None:
+            call.answer_holder = Holder(call.account or request.remote or "")
+        holder = call.answer_holder
+        if not holder.size:
+            await self.memory.reserve(pool, holder, STREAM_BYTES, None)
+            holder.on_evicted = transport.abort
+            holder.begin_paced(self.timers.now())
+        await response.write(events)
+        holder.moved += len(events)
+        if not transport.get_write_buffer_size():
+            pool.release(holder)
 
     async def _answer(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
         try:
@@ -264,15 +315,15 @@
     ) -> Refused | None:
         """Read the whole body, up to the limit."""
         limit = index.catalog.limits.max_body_bytes
-        if (request.content_length or 0) > limit:
+        call.body_holder = Holder(call.account or request.remote or "")
+        try:
+            call.body = await self.memory.read_body(request, limit, call.body_holder)
+        except BodyTooLarge:
             return Refused(codes.BODY_TOO_LARGE)
-        body = bytearray()
-        if request.can_read_body:
-            while chunk := await request.content.readany():
-                body += chunk
-                if len(body) > limit:
-                    return Refused(codes.BODY_TOO_LARGE)
-        call.body = bytes(body)
+        except BodySlow:
+            return Refused(codes.BODY_SLOW)
+        except MemoryShort:
+            return Refused(codes.MEMORY_SHORT, retry_after_s=MEMORY_RETRY_S)
         return None
 
     async def spend_units(self, call: Call, index: CatalogIndex) -> Refused | None:
@@ -350,11 +401,15 @@
         detail = refused.detail
         self._log_request(call, "request.refused", code.http_status, code=str(code), detail=detail)
         headers = self.dialect.refusal_headers(call, refused)
-        return web.json_response(
+        response = web.json_response(
             {"code": code.number, "title": code.name, "detail": refused.detail or code.meaning},
             status=code.http_status,
             headers=headers,
         )
+        if code in (codes.MEMORY_SHORT, codes.BODY_SLOW):
+            # The rest of the body is still on its way.
+            response.force_close()
+        return response
 
     def record_answer(self, call: Call, status: int, fault: str = "") -> None:
         """Record the end of a request that was answered by an endpoint, in metrics and log."""
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -9,6 +9,14 @@
 import attrs
 from aiohttp import web
 
+from mulberrygate.core.memory_budget import Holder
+from mulberrygate.core.memory_gate import (
+    DEFAULT_MEMORY_BYTES,
+    BodySlow,
+    BodyTooLarge,
+    MemoryGate,
+    MemoryShort,
+)
 from mulberrygate.platform.documents import InvalidDocument, decode_document
 from mulberrygate.platform.registrations import (
     MAX_REGISTRATION_BYTES,
@@ -18,6 +26,7 @@
 )
 from mulberrygate.platform.values import InvalidValue, parse_json, read_number, read_text
 
+HOLDER = "memory_holder"
 MAX_DOCUMENT_BYTES = 16 << 20
 INSTANCE = re.compile(r"/instances/([^/?]+)$")
 QUARANTINED = re.compile(r"/quarantine/([0-9a-f]+|part-[0-9a-f]+(?:\+part-[0-9a-f]+)*)$")
@@ -29,14 +38,36 @@
     return web.json_response({} if fields is None else fields, status=status)
 
 
+def refuse_body(status: int) -> web.Response:
+    """Return the answer to a call whose body was not read in full; nothing was done."""
+    response = web.json_response({}, status=status, headers={"Retry-After": "1"})
+    response.force_close()
+    return response
+
+
 class OperatorApi:
     """HTTP handler that decodes calls, passes them to the controller and encodes its answers."""
 
-    def __init__(self, controller):
+    def __init__(self, controller, gate: MemoryGate | None = None):
         self.controller = controller
+        self.gate = gate
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
+        holder = Holder(request.remote or "")
+        request[HOLDER] = holder
+        try:
+            return await self._answer(request)
+        except BodySlow:
+            return refuse_body(408)
+        except MemoryShort:
+            return refuse_body(503)
+        finally:
+            if self.gate is not None:
+                self.gate.budget.bodies.release(holder)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a call by its method and path."""
         path, method = request.path, request.method
         if path == "/config" and method == "PUT":
             return await self.put_document(request)
@@ -60,13 +91,19 @@
         return answer(404, {"error": "no such call"})
 
     async def read_body(self, request: web.BaseRequest, limit: int) -> bytes | None:
-        """Return the body of a call, ``None`` if it is larger than the limit in bytes."""
-        body = bytearray()
-        async for chunk in request.content.iter_any():
-            body += chunk
-            if len(body) > limit:
-                return None
-        return bytes(body)
+        """Return the body of a call, ``None`` if it is larger than the limit in bytes.
+
+        Raises
+        ======
+        BodySlow, MemoryShort
+            There is too little memory for the body.
+        """
+        if self.gate is None:
+            self.gate = MemoryGate(DEFAULT_MEMORY_BYTES)
+        try:
+            return await self.gate.read_body(request, limit, request[HOLDER])
+        except BodyTooLarge:
+            return None
 
     async def put_document(self, request: web.BaseRequest) -> web.Response:
         """Apply a configuration document."""
--- a/mulberrygate/platform/settings.py
+++ b/mulberrygate/platform/settings.py
@@ -11,6 +11,10 @@
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.platform.listen import CONTROL, ENTRY, FILE_VARIABLE, READINESS
 
+# Descriptors of a machine's limit that the platform keeps for files.
+FILE_DESCRIPTORS = 200
+MIN_SOCKETS = 128
+
 BAD_SITE = register_code(7101, "bad_site_settings", "The platform's settings file is not usable.")
 
 
@@ -38,6 +42,22 @@
     exposure_share: float = 0.1
 
 
+@attrs.frozen
+class MachineLimits:
+    """Limits of the machine on which a process runs.
+
+    Parameters
+    ==========
+    memory_bytes : int
+        Memory beyond which the process is killed.
+    sockets : int
+        Descriptors for sockets.
+    """
+
+    memory_bytes: int = 512 << 20
+    sockets: int = 4096 - FILE_DESCRIPTORS
+
+
 @attrs.frozen
 class Site:
     """Settings of one process.
@@ -77,6 +97,7 @@
     data_folder: str
     voters: int
     bounds: Bounds
+    limits: MachineLimits = MachineLimits()
 
     @property
     def is_entry(self) -> bool:
@@ -134,6 +155,7 @@
         data_folder=fields.get("dataDir") or "",
         voters=2 * int(fields.get("faultTolerance", {}).get("machines", 1)) + 1,
         bounds=_decode_bounds(fields.get("bounds", {})),
+        limits=_decode_limits(fields.get("limits") or {}),
     )
 
 
@@ -148,6 +170,18 @@
     )
 
 
+def _decode_limits(fields: dict[str, Any]) -> MachineLimits:
+    default = MachineLimits()
+    memory_mb = float(fields.get("memoryMb") or 0)
+    descriptors = int(fields.get("maxFds") or 0)
+    return MachineLimits(
+        memory_bytes=int(memory_mb * (1 << 20)) if memory_mb > 0 else default.memory_bytes,
+        sockets=(
+            max(MIN_SOCKETS, descriptors - FILE_DESCRIPTORS) if descriptors > 0 else default.sockets
+        ),
+    )
+
+
 def _text(fields: dict[str, Any], name: str) -> str:
     value = fields[name]
     if not isinstance(value, str):
--- a/mulberrygate/platform/tests/test_registrations.py
+++ b/mulberrygate/platform/tests/test_registrations.py
@@ -156,6 +156,13 @@
         self.assertFalse(self.load(bootstrap=False).is_first_start)
         self.assertFalse(self.load(bootstrap=None).is_first_start)
 
+    def test_limits_of_the_machine(self):
+        """Guards against a budget for another machine, and a file that says no limits."""
+        limits = self.load(limits={"memoryMb": 152, "maxFds": 1535}).limits
+        self.assertEqual((limits.memory_bytes, limits.sockets), (152 << 20, 1335))
+        for absent in ({}, None, {"memoryMb": None, "maxFds": 0}):
+            self.assertEqual(self.load(limits=absent).limits, self.load().limits)
+
     def test_unusable_file(self):
         """Guards against a traceback instead of a result code for a faulty file."""
         self.assertIsInstance(self.load(ip=7), Refusal)
