--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -10,6 +10,7 @@
 from mulberrygate.catalog import BackendPool, CatalogIndex, RouteRule
 from mulberrygate.control.blame import part_identity
 from mulberrygate.core.codes import Code
+from mulberrygate.core.memory_budget import Holder
 from mulberrygate.quota.local import UnitsReceipt
 
 
@@ -82,6 +83,8 @@
     hedge : str
         Whether a second copy has ``won`` or ``lost`` against the first send, or both have
         ``failed``; empty without a copy.
+    body_holder, answer_holder : Holder or None
+        Memory that the body and the answer hold.
     """
 
     head: CallHead
@@ -109,6 +112,8 @@
     spent: UnitsReceipt = attrs.field(factory=UnitsReceipt)
     index: CatalogIndex | None = None
     home_regions: frozenset[str] | None = None
+    body_holder: Holder | None = None
+    answer_holder: Holder | None = None
 
     @property
     def fingerprint(self) -> str:
