Follow two examples and a text after the merge

The example of quota.deputy assumed an initial level by the burst; the explanation's text on memory was worded twice (schedule.tests.test_explain failed after the merge).

--- a/mulberrygate/quota/deputy.py
+++ b/mulberrygate/quota/deputy.py
@@ -75,11 +75,11 @@
     >>> from mulberrygate.quota import DeputyLimits, Limit
     >>> limits = DeputyLimits()
     >>> limits.set_limits({"salons": Limit(rate=100.0, burst=200.0)})
-    >>> limits.grant("entry-1", "salons", need=40.0, entries=2, now=0.0).units
-    40.0
-    >>> limits.grant("entry-2", "salons", need=40.0, entries=2, now=0.0).units
-    40.0
-    >>> limits.grant("entry-2", "salons", need=40.0, entries=2, now=0.0).units
+    >>> limits.grant("entry-1", "salons", need=20.0, entries=2, now=0.0).units
+    20.0
+    >>> limits.grant("entry-2", "salons", need=20.0, entries=2, now=0.0).units
+    20.0
+    >>> limits.grant("entry-2", "salons", need=20.0, entries=2, now=0.0).units
     0.0
     """
 
--- a/mulberrygate/schedule/explain.py
+++ b/mulberrygate/schedule/explain.py
@@ -188,7 +188,7 @@
         if not self.ticket.may_run_in(state.view.region):
             return "outside the home regions"
         if self.ticket.prompt_tokens + waiting.output > state.memory.free:
-            return "has too little memory free"
+            return "the request doesn't fit into its memory"
         if chooser.is_avoided(waiting, state):
             return "has failed the request"
         if not is_allowed(waiting, state, now):
