Keep a leader's time when many endpoints crash beside a long queue

Cause, from the log: the leader spent 489 ms of 0.6 s on scheduling and lost its lease; two owners then sent 549 requests to 336 slots. Endpoints that fail most requests keep free slots that only single probes may use, so each pass examined all waiting requests at all of them.

Such an endpoint now counts as blocked until its next probe is due, and the pause after a pass grows with the pairs that it examined.

--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from mulberrygate.schedule.capacity import FreeCapacity
-from mulberrygate.schedule.endpoint import LOCAL, OTHER_DOMAIN, EndpointState
+from mulberrygate.schedule.endpoint import LOCAL, OTHER_DOMAIN, PROBE_S, EndpointState
 from mulberrygate.schedule.fair_queue import WaitingRequest
 from mulberrygate.schedule.near import distance_cost_s
 from mulberrygate.schedule.prefix import PrefixIndex
@@ -34,9 +34,7 @@
 # few requests a second, whatever their length, so they are kept for those that are worth most.
 COLD_RANK_OFFSET = 4
 MAX_RANK = COLD_RANK_OFFSET + 2 * FAILING_RANK_OFFSET
-# Least seconds between two requests that probe whether a failing endpoint has recovered: for
-# idempotent requests, and for others, which are lost if it has not.
-PROBE_S = 0.5
+# `PROBE_S` for requests that are not idempotent, which are lost if the endpoint has not recovered.
 ONCE_PROBE_S = 2.0
 
 
--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -24,6 +24,8 @@
 FAULTS_TO_BLOCK = 2
 # Failure share from which a failing endpoint gets probes only.
 MOSTLY_FAILING = 0.5
+# Least seconds between two requests that probe whether a failing endpoint has recovered.
+PROBE_S = 0.5
 # First and longest time for which an endpoint is blocked.
 FIRST_BLOCK_S = 0.5
 LONGEST_BLOCK_S = 8.0
@@ -175,6 +177,8 @@
         self.failures = FailureShare()
         self.is_failing = False
         self.longest_block_s = LONGEST_BLOCK_S
+        # Whether an endpoint that fails most requests gets single probes only.
+        self.probes_failing = False
         self.max_load_report_age_s = MAX_LOAD_REPORT_AGE_S
         # Whether an endpoint that is judged slow gets fewer slots; false for plain services, since
         # the times of their calls can't be predicted.
@@ -222,7 +226,9 @@
 
     def is_blocked(self, now: float) -> bool:
         """Return whether the endpoint gets no request now, but will after some time."""
-        return now < self.blocked_until or not self.has_token(now)
+        if now < self.blocked_until or not self.has_token(now):
+            return True
+        return self.probes_failing and self.is_mostly_failing and now < self.granted_at + PROBE_S
 
     @property
     def is_limited(self) -> bool:
--- a/mulberrygate/schedule/endpoint_set.py
+++ b/mulberrygate/schedule/endpoint_set.py
@@ -113,6 +113,7 @@
         if self.is_wide:
             state.longest_block_s = WIDE_LONGEST_BLOCK_S
             state.max_load_report_age_s = WIDE_MAX_LOAD_REPORT_AGE_S
+            state.probes_failing = True
             state.limits_slow = self.pool.kind == MODEL
         state.load_integral_at = now
         self.states[view.endpoint] = state
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -76,6 +76,7 @@
     WIDE_LENGTH_PENALTY_S,
     WIDE_MAX_LENGTH_PENALTY_S,
     WIDE_MEMORY_S,
+    WIDE_PAUSE_PER_PAIR_S,
     WIDE_SCHEDULE_INTERVAL_S,
     WIDE_TIERS,
 )
@@ -165,6 +166,7 @@
         # Number of the last dispatch, and how many requests it skipped.
         self.dispatch_number = self.skipped_count = 0
         self.scheduled_at = -math.inf
+        self.schedule_pause_s = WIDE_SCHEDULE_INTERVAL_S
         self.is_deferred = False
         self.demand = Demand(WIDE_MEMORY_S if is_wide else MEMORY_S, self.tiers)
         self.latest_starts = LatestStartQueue(uses_predictions=not is_wide)
@@ -334,22 +336,27 @@
 
         Explanation
         ===========
-        After a dispatch that skipped many requests, scheduling is deferred for a short interval:
-        one more message changes little, and examining all requests at each message would make the
-        owner too slow to answer. The first message after the interval schedules what arrived in
-        it; without such a message, `schedule_deferred` does.
+        After a dispatch that skipped many requests, scheduling is deferred for a short interval,
+        longer after much work: one more message changes little, and examining all requests at each
+        message would make the owner too slow to answer. When a quarter of the endpoints crashed
+        beside a long queue, the leader lost its lease. The first message after the interval
+        schedules what arrived in it; without such a message, `schedule_deferred` does.
         """
         if (
             self.is_wide
             and self.skipped_count > DEFER_ABOVE_SKIPPED
-            and now < self.scheduled_at + WIDE_SCHEDULE_INTERVAL_S
+            and now < self.scheduled_at + self.schedule_pause_s
         ):
             self.is_deferred = True
             return []
         self.scheduled_at = now
         self.is_deferred = False
         self.skipped_count = 0
-        return self._schedule_now(now)
+        before = self.chooser.comparison_count
+        effects = self._schedule_now(now)
+        examined = self.skipped_count + self.chooser.comparison_count - before
+        self.schedule_pause_s = max(WIDE_SCHEDULE_INTERVAL_S, examined * WIDE_PAUSE_PER_PAIR_S)
+        return effects
 
     def schedule_deferred(self, now: float) -> list[Effect]:
         """Run a deferred scheduling pass, unless a later message has done so."""
--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -292,6 +292,7 @@
         self._add_running(granted, now)
         if state.is_limited:
             state.take_token(now)
+        if state.is_limited or state.is_mostly_failing:
             self._update_limits(state, now)
         if ticket.prefixes:
             self.prefixes.add_granted(state.name, ticket.prefixes, state.view.kv_tokens)
--- a/mulberrygate/schedule/wide.py
+++ b/mulberrygate/schedule/wide.py
@@ -34,6 +34,9 @@
 # Time between two scheduling passes while many requests are skipped. A delay of 5 ms is a hundredth
 # of the time to a first token, and requests queued at the endpoints keep their slots filled.
 WIDE_SCHEDULE_INTERVAL_S = 0.005
+# Pause after a scheduling pass for each request and each pair of a request and an endpoint that it
+# examined. Examining a pair takes about half a microsecond, so passes take a quarter of the time.
+WIDE_PAUSE_PER_PAIR_S = 2e-6
 # An endpoint counts as fast up to this ratio of the least seconds per token.
 FAST_RATIO = 1.5
 # Time constant of the rate at which slots of fast endpoints become free.
