Pass each heartbeat of a cold endpoint on to the other control processes

The only message that told of a new cold time could be lost; renewals tell ages alone, so the owner of the pool would have gone on with full load. daemon.tests.test_roster_sharing: 2 passed; modules named roster or daemon.tests.test_site: 47 passed.

--- a/mulberrygate/daemon/roster_sharing.py
+++ b/mulberrygate/daemon/roster_sharing.py
@@ -58,7 +58,13 @@
                 self.client.send(other, self._make_update(heard=heard))
 
     def share_renewals(self) -> None:
-        """Send the ages of the heartbeats received here to the other control processes."""
+        """Send the ages of the heartbeats received here to the other control processes.
+
+        Explanation
+        ===========
+        The message about an endpoint that has become cold may be lost, and the age alone doesn't
+        tell it. So registrations of cold endpoints are sent again as a whole.
+        """
         names, self.renewed = self.renewed, set()
         now = self.timers.now()
         renewed = tuple(
@@ -66,7 +72,12 @@
             for name in names
             if (row := self.roster.rows.get(name)) is not None
         )
-        update = self._make_update(renewed=renewed)
+        cold = tuple(
+            self.aged_registration(name)
+            for name in names
+            if (row := self.roster.rows.get(name)) is not None and row.cold_s(0.0, now) > 0
+        )
+        update = self._make_update(renewed=renewed, heard=cold)
         for other in self.list_others():
             self.timers.spawn(self._send_renewals(other, update))
 
