Count the start of the process, not of its components, in reports of units

An entry's report says so only if the entry started a refill before the leader; it counted from the end of the imports, 0.5 s of processor time later.

--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -112,6 +112,8 @@
         Seed of the random choices.
     product : ProductSettings or None
         Settings that the operators have chosen, ``None`` for the defaults.
+    started_at : float or None
+        Monotonic time at which the process started, ``None`` for the time of its components.
 
     Attributes
     ==========
@@ -131,7 +133,9 @@
         listeners=None,
         seed: int | None = None,
         product: ProductSettings | None = None,
+        started_at: float | None = None,
     ):
+        self.started_at = started_at
         self.site = site
         self.product = product or ProductSettings()
         self.listeners = listeners or Listeners()
@@ -236,6 +240,7 @@
             lambda: self.follower.leader,
             lambda: self.limits.epoch,
             seconds_since_boot,
+            0.0 if self.started_at is None else self.timers.now() - self.started_at,
         )
         self.follower.running = lambda: self.placement.directory.count_evacuated(
             scheduler.running_endpoints()
--- a/mulberrygate/daemon/site.py
+++ b/mulberrygate/daemon/site.py
@@ -110,7 +110,15 @@
     from mulberrygate.daemon.entry_node import EntryNode
     from mulberrygate.platform.headers import PlatformDialect
 
-    return EntryNode(site, lines, PlatformDialect(), decode_document, listeners, product=product)
+    return EntryNode(
+        site,
+        lines,
+        PlatformDialect(),
+        decode_document,
+        listeners,
+        product=product,
+        started_at=started_at,
+    )
 
 
 async def serve(
--- a/mulberrygate/quota/tests/test_takeover.py
+++ b/mulberrygate/quota/tests/test_takeover.py
@@ -127,6 +127,14 @@
             takeover.record(str(entry), {}, 1.0, 100.0)
         self.assertLessEqual(takeover.restored_level("x", limit, ENTRIES), RATE)
 
+    def test_entries_that_started_before_a_refill_know_all_grants(self):
+        """Guards against refusals within the limit when the whole system starts again."""
+        takeover = Takeover(2, 100.0)
+        limit = Limit(RATE, RATE)
+        for entry in range(ENTRIES):
+            takeover.record(str(entry), {}, 1.5, 100.4)
+        self.assertEqual(takeover.restored_level("x", limit, ENTRIES), RATE)
+
     def test_repeated_report_changes_nothing(self):
         """Guards against units that are subtracted twice when an answer was lost."""
         limits = CentralLimits(epoch=2)
--- a/mulberrygate/sync/spent_units.py
+++ b/mulberrygate/sync/spent_units.py
@@ -25,6 +25,8 @@
         Returns the epoch of the leader that granted units last, 0 before the first grant.
     clock : Callable[[], float]
         Returns seconds on the clock of the history.
+    up_s : float
+        Seconds since the process started, before which it knows of no grants.
 
     Attributes
     ==========
@@ -41,6 +43,7 @@
         find_leader: Callable[[], str],
         last_epoch: Callable[[], int],
         clock: Callable[[], float],
+        up_s: float = 0.0,
     ):
         self.instance = instance
         self.client = client
@@ -48,7 +51,7 @@
         self.find_leader = find_leader
         self.last_epoch = last_epoch
         self.clock = clock
-        self.started_at = clock()
+        self.started_at = clock() - up_s
         self.informed = ("", 0)
         timers.every(CHECK_INTERVAL_S, self.report, "units.report")
 
