--- a/mulberrygate/core/http_client.py
+++ b/mulberrygate/core/http_client.py
@@ -2,9 +2,49 @@
 
 from __future__ import annotations
 
+import asyncio
+import functools
 from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+
+class StrictHandler(ResponseHandler):
+    """Protocol on which an answer that is cut off can't look complete.
+
+    Explanation
+    ===========
+    A body without a length ends with its connection. The library takes it for complete also if the
+    connection was reset, and if it ended while the request was still being written.
+    """
+
+    def connection_lost(self, error: BaseException | None) -> None:
+        """Fail a body that the end of the connection has not completed."""
+        payload = self._payload
+        is_open = payload is not None and not payload.is_eof()
+        if is_open and (error is not None or self.is_writing()):
+            reason = error or "it ended before the request was written"
+            payload.set_exception(aiohttp.ClientPayloadError(f"the connection was lost: {reason}"))
+        super().connection_lost(error)
+
+    def is_writing(self) -> bool:
+        """Return whether a request is not written to its end."""
+        return False
+
+
+class StrictConnector(aiohttp.TCPConnector):
+    """Connector with a handler of its own, which never reuses a connection.
+
+    Parameters
+    ==========
+    handler : type
+        Class of the connections' protocols, `StrictHandler` or one derived from it.
+    """
+
+    def __init__(self, handler: type[StrictHandler] = StrictHandler, **options: Any):
+        super().__init__(force_close=True, limit=0, **options)
+        self._factory = functools.partial(handler, loop=asyncio.get_running_loop())
 
 
 def open_session(**options: Any) -> aiohttp.ClientSession:
--- a/mulberrygate/entry/upstream.py
+++ b/mulberrygate/entry/upstream.py
@@ -14,7 +14,7 @@
 import aiohttp
 from yarl import URL
 
-from mulberrygate.core.http_client import open_session
+from mulberrygate.core.http_client import StrictConnector, open_session
 
 # Connecting within a region takes milliseconds. An endpoint that does not accept within a second is
 # treated as unreachable, and nothing was sent to it.
@@ -48,7 +48,7 @@
 
     def __init__(self):
         self.session = open_session(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=StrictConnector(),
             auto_decompress=False,
         )
 
@@ -79,11 +79,11 @@
                     timeout=timeout,
                     allow_redirects=False,
                 )
-            return Connected(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return NotSent(type(error).__name__)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Broken(type(error).__name__)
+        return Connected(response)
 
     async def cancel(self, address: str, request: str) -> None:
         """Ask an engine to cancel a stream; if that fails, the stream runs to its end."""
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -11,14 +11,12 @@
 
 import asyncio
 import enum
-import functools
 
 import aiohttp
 from aiohttp import hdrs
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
-from mulberrygate.core.http_client import open_session
+from mulberrygate.core.http_client import StrictConnector, StrictHandler, open_session
 from mulberrygate.core.memory_budget import SMALL_BYTES, Holder
 from mulberrygate.core.memory_gate import MemoryGate
 from mulberrygate.forward.request import AnswerHead, Call, Dialect
@@ -71,23 +69,35 @@
     async def write_with_length(self, writer, content_length: int | None) -> None:
         """Write the body, up to a length."""
         body = memoryview(self._value)[:content_length]
+        protocol = writer.protocol
+        protocol.unwritten = len(body)
         for start in range(0, len(body), READ_BYTES):
-            await writer.write(body[start : start + READ_BYTES])
+            piece = body[start : start + READ_BYTES]
+            if protocol.transport is not None and not protocol.transport.is_closing():
+                protocol.unwritten -= len(piece)
+            await writer.write(piece)
 
 
-class BoundedHandler(ResponseHandler):
+class BoundedHandler(StrictHandler):
     """Protocol that aborts its connection when far more bytes arrive than are read as body.
 
     Parameters
     ==========
     body_bytes_read : int
         Body bytes that were read so far.
+    unwritten : int
+        Body bytes of the request that were not yet passed to the transport.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         self.received = 0
         self.body_bytes_read = 0
+        self.unwritten = 0
+
+    def is_writing(self) -> bool:
+        """Return whether the endpoint closed its connection before it got the whole request."""
+        return self.unwritten > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit what one read takes from the socket."""
@@ -104,14 +114,6 @@
         super().data_received(data)
 
 
-class BoundedConnector(aiohttp.TCPConnector):
-    """Connector that uses `BoundedHandler` and never reuses a connection."""
-
-    def __init__(self):
-        super().__init__(force_close=True, limit=0, use_dns_cache=False)
-        self._factory = functools.partial(BoundedHandler, loop=self._loop)
-
-
 class BufferedBytes:
     """Counter of the answer bytes that all exchanges of a client hold in memory."""
 
@@ -231,7 +233,7 @@
         self.gate = gate
         self.buffered = BufferedBytes()
         self.session = open_session(
-            connector=BoundedConnector(),
+            connector=StrictConnector(BoundedHandler, use_dns_cache=False),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=SUPPRESSED_HEADERS,
