--- a/mulberrygate/core/http_client.py
+++ b/mulberrygate/core/http_client.py
@@ -9,6 +9,21 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+# Statuses of an answer to a request.
+FIRST_STATUS = 200
+LAST_STATUS = 599
+
+
+def is_status(status: int) -> bool:
+    """Return whether a number is the status of an answer to a request.
+
+    Explanation
+    ===========
+    The HTTP library accepts any three digits, and takes 101 for the answer to a request that asked
+    for no other protocol.
+    """
+    return FIRST_STATUS <= status <= LAST_STATUS
+
 
 class StrictHandler(ResponseHandler):
     """Protocol on which an answer that is cut off can't look complete.
--- a/mulberrygate/entry/upstream.py
+++ b/mulberrygate/entry/upstream.py
@@ -14,7 +14,7 @@
 import aiohttp
 from yarl import URL
 
-from mulberrygate.core.http_client import StrictConnector, open_session
+from mulberrygate.core.http_client import StrictConnector, is_status, open_session
 
 # Connecting within a region takes milliseconds. An endpoint that does not accept within a second is
 # treated as unreachable, and nothing was sent to it.
@@ -83,6 +83,9 @@
             return NotSent(type(error).__name__)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return Broken(type(error).__name__)
+        if not is_status(response.status):
+            response.close()
+            return Broken(f"status {response.status:03d}")
         return Connected(response)
 
     async def cancel(self, address: str, request: str) -> None:
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -16,7 +16,7 @@
 from aiohttp import hdrs
 from yarl import URL
 
-from mulberrygate.core.http_client import StrictConnector, StrictHandler, open_session
+from mulberrygate.core.http_client import StrictConnector, StrictHandler, is_status, open_session
 from mulberrygate.core.memory_budget import SMALL_BYTES, Holder
 from mulberrygate.core.memory_gate import MemoryGate
 from mulberrygate.forward.request import AnswerHead, Call, Dialect
@@ -271,6 +271,9 @@
             raise Broken(f"{type(error).__name__}: {error}") from error
         if self.gate is not None and call.answer_holder is None:
             call.answer_holder = Holder(call.account)
+        if not is_status(response.status):
+            response.close()
+            raise Broken(f"the status is {response.status:03d}")
         head = self.dialect.answer_head(call, response)
         return Exchange(response, head, self.buffered, self.gate, call.answer_holder)
 
