Pass on only one of two streams that begin at once

Cause: when both sends of a hedged call got the head of a stream in one turn of the event loop, the second relayed its events as well before its cancellation arrived. A whole answer of a copy that was beaten in the same turn was returned after a stream of the first that broke off, as a second response on the caller's connection, which then hung. Change: a send that was beaten relays no events, and a copy that was beaten has no answer.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -371,6 +371,10 @@
             if self.hedge is not None:
                 # Events are passed on as they arrive, so those of two copies would be mixed.
                 self.hedge.choose(send)
+            if send.is_beaten:
+                # The other's answer was chosen in the same moment; this send is being cancelled.
+                send.is_cancelled = True
+                return SendOutcome.UNKNOWN, None
             return SendOutcome.FAILED, await self._relay_events(send, exchange)
         answer = WholeAnswer(
             head, self.forwarder.dialect.answer_headers(exchange.response), await exchange.read()
--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -156,7 +156,10 @@
         self._take(grant)
         self.copy = self.delivery.make_send(ticket, grant)
         answer = await self.delivery.send_once(self.copy)
-        if self._is_answer(answer) and not self.copy.is_beaten:
+        if self.copy.is_beaten:
+            # It was answered before it could be cancelled; the first may have begun its answer.
+            return None
+        if self._is_answer(answer):
             self.choose(self.copy)
         return answer
 
--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest import mock
 
+import aiohttp
 import attrs
 
 from mulberrygate.forward.hedging import Hedging
@@ -21,6 +22,7 @@
     whole,
 )
 from mulberrygate.forward.tests.test_service import reset, wait_for_disconnect
+from mulberrygate.forward.unanswered import RunningSend
 from mulberrygate.settings.product import HedgeSettings
 
 DELAY_S = 0.05
@@ -410,6 +412,52 @@
         self.assertEqual((status, body.count(b"id: 1"), body.count(b"id: 2")), (200, 1, 1))
         await self.assert_nothing_left()
 
+    def delay_cancellation(self):
+        """Cancel beaten sends late, as if their answers had arrived in the same moment."""
+        cancel = RunningSend.cancel
+
+        def cancel_later(send):
+            asyncio.get_running_loop().call_later(4 * DELAY_S, cancel, send)
+
+        patch = mock.patch.object(RunningSend, "cancel", cancel_later)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def test_two_streams_at_once(self):
+        """Guards against events of two copies that arrive before one of them is cancelled."""
+        await self.start()
+        self.delay_cancellation()
+        self.answer_with(self.after_copy(slow_events), slow_events)
+        status, body = await self.call()
+        self.assertEqual((status, body.count(b"id: 1"), body.count(b"id: 2")), (200, 1, 1))
+        await self.assert_nothing_left()
+
+    async def test_whole_answer_beside_a_stream(self):
+        """Guards against a copy's answer after the events of the first that were passed on."""
+        await self.start()
+        self.delay_cancellation()
+        sends = self.entry.forwarder.crash_detector.monitor.sends
+
+        async def broken_events(_endpoint, _reader, writer, head):
+            lines = [b"HTTP/1.1 200 X", identifier(head), SIGNATURE.encode() + b": s"]
+            lines += [b"Content-Type: text/event-stream", b"Transfer-Encoding: chunked"]
+            writer.write(b"\r\n".join(lines) + b"\r\n\r\n")
+            while len(sends) > 1:  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+            writer.write(b"f\r\nid: 1\ndata: x\n\n\r\n")
+            await writer.drain()
+
+        async def answer_second(endpoint, reader, writer, head):
+            while not any(send.has_head for send in sends):  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+            await whole(200, b"copy")(endpoint, reader, writer, head)
+
+        self.answer_with(self.after_copy(broken_events), answer_second)
+        async with asyncio.timeout(3):
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                await self.call()
+        await self.assert_nothing_left()
+
     async def test_crash_beside_a_copy(self):
         """Guards against a copy that is blamed for the crash of the other's endpoint, or lost."""
         await self.start()
