Let the answers of both copies of a call wait for memory on their own

Cause: the two sends of a hedged call shared one holder of memory. When both waited, the later one replaced the size and the wake-up of the earlier one, which then waited until the call's deadline if the later one broke off, and what the later one was granted at once ended the count of the other. Change: the answer of a copy has a holder of its own, which becomes the call's if the copy answers; both are released with the call. Result: with both waiting and the copy cut off, the first's answer did not come within the test's 3 s; now it does, and nothing is held after it. test_hedged_send: 23 passed.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -299,6 +299,8 @@
                 exchange = await forwarder.endpoints.send(
                     call, send.grant.endpoint, send.grant.address, left_s, last_event_id
                 )
+                if send.holder is not None:
+                    exchange.holder = send.holder
                 outcome, answer = await self._receive(send, exchange)
         except NotSent:
             outcome, send.fault = SendOutcome.UNSENT, "refused"
--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from mulberrygate.core.memory_budget import Holder
 from mulberrygate.forward.hedging import HedgeState, Hedging
 from mulberrygate.forward.request import Refused
 from mulberrygate.forward.sends import Send
@@ -93,6 +94,8 @@
         if self.chosen is not None:
             return
         self.chosen = send
+        if send is self.copy:
+            self.call.exchange_holders()
         other = self.copy if send is self.first else self.first
         if other is not None:
             other.beat()
@@ -154,7 +157,9 @@
             forwarder.metrics.count("hedges_denied_total", reason=reason)
             return None
         self._take(grant)
+        self.call.copy_holder = Holder(self.call.account)
         self.copy = self.delivery.make_send(ticket, grant)
+        self.copy.holder = self.call.copy_holder
         answer = await self.delivery.send_once(self.copy)
         if self.copy.is_beaten:
             # It was answered before it could be cancelled; the first may have begun its answer.
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -85,6 +85,9 @@
         ``failed``; empty without a copy.
     body_holder, answer_holder : Holder or None
         Memory that the body and the answer hold.
+    copy_holder : Holder or None
+        Memory that the answer of a second copy holds, or that of the first send once the copy has
+        answered. Two sends can't wait for memory with one holder.
     """
 
     head: CallHead
@@ -114,6 +117,11 @@
     home_regions: frozenset[str] | None = None
     body_holder: Holder | None = None
     answer_holder: Holder | None = None
+    copy_holder: Holder | None = None
+
+    def exchange_holders(self) -> None:
+        """Take the memory that the copy's answer holds for that of the call's answer."""
+        self.answer_holder, self.copy_holder = self.copy_holder, self.answer_holder
 
     @property
     def fingerprint(self) -> str:
--- a/mulberrygate/forward/sends.py
+++ b/mulberrygate/forward/sends.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from mulberrygate.core.memory_budget import Holder
 from mulberrygate.forward.request import Call
 from mulberrygate.forward.unanswered import RunningSend
 from mulberrygate.schedule.messages import Done, Grant, Ticket
@@ -41,6 +42,8 @@
         Monotonic time of that head, infinitely long ago if it states nothing.
     is_beaten : bool
         Whether it was cancelled because another copy of the call has answered.
+    holder : Holder or None
+        Memory of its answer, ``None`` for that of the call.
     """
 
     def __init__(self, ticket: Ticket, grant: Grant, running: RunningSend):
@@ -56,6 +59,7 @@
         self.slowdown_at = -math.inf
         self.is_cancelled = False
         self.is_beaten = False
+        self.holder: Holder | None = None
 
     def beat(self) -> None:
         """Cancel this send, because another copy of the call has answered."""
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -203,8 +203,9 @@
             call.body = b""
         if call.body_holder is not None:
             self.memory.budget.bodies.release(call.body_holder)
-        if call.answer_holder is not None:
-            self.memory.budget.answers.release(call.answer_holder)
+        for holder in (call.answer_holder, call.copy_holder):
+            if holder is not None:
+                self.memory.budget.answers.release(holder)
 
     async def write_events(
         self, call: Call, request: web.BaseRequest, response: web.StreamResponse, events: bytes
--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -9,6 +9,7 @@
 import aiohttp
 import attrs
 
+from mulberrygate.core.memory_budget import Holder
 from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.suspects import Finding, Standing
 from mulberrygate.forward.tests.support import (
@@ -458,6 +459,34 @@
                 await self.call()
         await self.assert_nothing_left()
 
+    async def test_both_wait_for_memory(self):
+        """Guards against a send that is never told of its memory since its copy waited as well."""
+        await self.start()
+        size = 200 << 10
+        pool = self.entry.forwarder.memory.budget.answers
+        blocker = Holder("other")
+        pool.ask(blocker, pool.capacity)
+
+        sends = self.entry.forwarder.crash_detector.monitor.sends
+
+        async def cut_off(_endpoint, _reader, writer, head):
+            while not any(send.has_head for send in sends):  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+            lines = [b"HTTP/1.1 200 X", identifier(head), SIGNATURE.encode() + b": s"]
+            lines.append(b"Content-Length: %d" % size)
+            writer.write(b"\r\n".join(lines) + b"\r\n\r\nshort")
+            await writer.drain()
+
+        self.answer_with(self.after_copy(whole(200, bytes(size))), cut_off)
+        call = asyncio.create_task(self.call())
+        async with asyncio.timeout(3):
+            while len(sends) < 2 or not all(send.has_head for send in sends):  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+            pool.release(blocker)
+            status, body = await call
+        self.assertEqual((status, len(body)), (200, size))
+        self.assertEqual((pool.held, len(pool.waiting)), (0, 0))
+
     async def test_crash_beside_a_copy(self):
         """Guards against a copy that is blamed for the crash of the other's endpoint, or lost."""
         await self.start()
