Explain placements within home regions and beside evacuations

Cause: the explanation was written beside home regions and evacuations and took neither step, so it named endpoints outside the call's home regions, a wait for a call with no endpoint at home, and a wait for 2004 where all endpoints of the pool are evacuated and the call is refused at once. Change: it applies both refusals, binds the ticket to the home regions, and counts the pauses of endpoints at home only.

--- a/mulberrygate/forward/explain.py
+++ b/mulberrygate/forward/explain.py
@@ -57,12 +57,10 @@
             refused = self._find_account(call, question.account, index)
         if refused is None:
             found["account"] = self._describe_account(call, index)
-            found["quarantine"] = self._describe_standing(call)
-            refused = self._refuse_listed(call)
+            refused = forwarder.homes.refuse(call, index)
         if refused is None:
-            pause_s = forwarder.notices.pool_pause_s(call.pool.name, now)
-            if pause_s > 0:
-                refused = Refused(codes.ENDPOINTS_PAUSED, f"{pause_s:.2f} s")
+            found["quarantine"] = self._describe_standing(call)
+            refused = self._refuse_listed(call) or self._refuse_pool(call, now)
         if refused is not None:
             return self._refused(found, refused)
         found["copies"] = self._describe_copies(call, now)
@@ -151,6 +149,16 @@
             return None
         return self.forwarder.gate.refuse_listed(finding)
 
+    def _refuse_pool(self, call: Call, now: float) -> Refused | None:
+        """Return the refusal of a call that no endpoint of its pool may get at present."""
+        forwarder = self.forwarder
+        if forwarder.placement.directory.is_pool_evacuated(call.pool.name):
+            return Refused(codes.ENDPOINTS_EVACUATED)
+        pause_s = forwarder.notices.pool_pause_s(
+            call.pool.name, now, lambda row: forwarder.homes.is_home(call, row)
+        )
+        return Refused(codes.ENDPOINTS_PAUSED, f"{pause_s:.2f} s") if pause_s > 0 else None
+
     def _describe_copies(self, call: Call, now: float) -> Found | None:
         """Return when a second copy might be sent, ``None`` if there is none."""
         hedging = self.forwarder.hedging
--- a/mulberrygate/forward/tests/test_evacuations.py
+++ b/mulberrygate/forward/tests/test_evacuations.py
@@ -9,7 +9,9 @@
 
 from mulberrygate.endpoints.roster import Registration
 from mulberrygate.forward import codes
+from mulberrygate.forward.explain import PlacementExplainer
 from mulberrygate.forward.tests.support import Endpoint, Entry, stream, whole
+from mulberrygate.sync.messages import ExplainPlacement
 
 STEP_TIMEOUT_S = 20.0
 SLOTS = 4
@@ -76,6 +78,14 @@
         self.assertEqual(scheduler.running, {})
         self.assertEqual(self.entry.forwarder.metrics.value("grants_evacuated_total"), 1)
 
+    async def test_explanation(self):
+        """Guards against an explanation of a wait for a call that would be refused at once."""
+        await self.start(a=whole())
+        self.evacuate("a")
+        explainer = PlacementExplainer(self.entry.forwarder, None)
+        found = await explainer.explain(ExplainPlacement("a.example", "/read/1"))
+        self.assertEqual(found.get("code"), codes.ENDPOINTS_EVACUATED.number, found)
+
     async def test_running_calls_end_in_peace(self):
         """Guards against an evacuation that breaks off the calls which run in the domain."""
         hold = asyncio.Event()
--- a/mulberrygate/forward/tests/test_homes.py
+++ b/mulberrygate/forward/tests/test_homes.py
@@ -9,10 +9,12 @@
 import attrs
 
 from mulberrygate.forward import codes
+from mulberrygate.forward.explain import PlacementExplainer
 from mulberrygate.forward.tests.support import Endpoint, document, stream, whole
 from mulberrygate.forward.tests.test_endpoint_notices import NoticeTestCase, slowly, with_lines
 from mulberrygate.schedule.codes import NO_HOME_ENDPOINT
 from mulberrygate.schedule.messages import Ask
+from mulberrygate.sync.messages import ExplainPlacement
 
 # Failure domains "a" and "b" of the stand-ins lie in these regions.
 HOME, ELSEWHERE = "r", "b"
@@ -70,6 +72,18 @@
         self.assertLess(self.entry.timers.now() - before, 0.3)
         self.assertEqual(self.at_home.requests + self.elsewhere.requests, [])
 
+    async def test_explanation(self):
+        """Guards against an explanation with endpoints that the call would not be sent to."""
+        await self.start_pool()
+        explainer = PlacementExplainer(self.entry.forwarder, None)
+        question = ExplainPlacement("a.example", "/read/1")
+        found = await explainer.explain(question)
+        self.assertEqual(found["placement"]["endpoint"], "home")
+        obstacles = {row["endpoint"]: row["obstacle"] for row in found["placement"]["endpoints"]}
+        self.assertTrue(obstacles["elsewhere"], obstacles)
+        self.entry.put(document(allowedRegions=["nowhere"]))
+        self.assertEqual((await explainer.explain(question))["code"], NO_HOME_ENDPOINT.number)
+
     async def test_route_and_account_without_a_common_region(self):
         """Guards against an empty set of homes that counts as any region, and a useless hint."""
         await self.start_pool()
