Look for endpoints at home once per change and not per request

Cause: each request with home regions passed over all endpoints twice, and each request beside an evacuation once or more, to find whether its pool has a usable endpoint. Change: the roster directory keeps the regions of a pool's usable endpoints, and whether all are evacuated, until the roster, the evacuations or the silent endpoints change.

--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -52,6 +52,22 @@
     reported_at: float
 
 
+@attrs.frozen
+class PoolReach:
+    """Where a pool has endpoints that requests may be sent to.
+
+    Parameters
+    ==========
+    regions : frozenset[str]
+        Regions with such an endpoint.
+    is_evacuated : bool
+        Whether all endpoints of the pool, at least one, are evacuated.
+    """
+
+    regions: frozenset[str]
+    is_evacuated: bool
+
+
 class PoolOwners:
     """Instances that schedule pools, for the pool host and the scheduler client.
 
@@ -124,6 +140,8 @@
         Endpoints without a recent heartbeat.
     evacuations : KnownEvacuations
         Failure domains to whose endpoints nothing may be sent.
+    known_reaches : dict[str, PoolReach]
+        Results of `find_reach` by pool, which each request needs, for the state `reaches_state`.
     """
 
     def __init__(self, site, roster: Roster):
@@ -133,6 +151,8 @@
         self.loads: dict[str, LoadReport] = {}
         self.silent_endpoints: frozenset[str] = frozenset()
         self.evacuations = KnownEvacuations()
+        self.known_reaches: dict[str, PoolReach] = {}
+        self.reaches_state: tuple = ()
 
     def report_load(self, endpoint: str, load: int, now: float) -> None:
         """Record the load that an endpoint reported."""
@@ -167,8 +187,27 @@
 
     def has_endpoint_in(self, pool: str, regions: frozenset[str]) -> bool:
         """Return whether some regions have a usable endpoint of a pool, or none is known at all."""
-        rows = self.usable_rows(pool)
-        return not rows or any(self.region_of(row) in regions for row in rows)
+        known = self.find_reach(pool).regions
+        return not known or not known.isdisjoint(regions)
+
+    def find_reach(self, pool: str) -> PoolReach:
+        """Return where a pool has usable endpoints; computed anew only after a change."""
+        state = (
+            self.roster.changes,
+            len(self.roster.rows),
+            self.evacuations.evacuated,
+            self.silent_endpoints,
+        )
+        if state != self.reaches_state:
+            self.reaches_state = state
+            self.known_reaches = {}
+        found = self.known_reaches.get(pool)
+        if found is None:
+            rows = self.usable_rows(pool)
+            is_evacuated = not rows and bool(self.roster.usable(pool))
+            found = PoolReach(frozenset(map(self.region_of, rows)), is_evacuated)
+            self.known_reaches[pool] = found
+        return found
 
     def cold_s(self, row: Row, now: float) -> float:
         """Return the seconds for which an endpoint is or may be cold, as far as known.
@@ -221,10 +260,7 @@
 
     def is_pool_evacuated(self, pool: str) -> bool:
         """Return whether all endpoints of a pool, at least one, are evacuated."""
-        if not self.evacuations.evacuated:
-            return False
-        rows = self.roster.usable(pool)
-        return bool(rows) and all(self._is_evacuated(row) for row in rows)
+        return bool(self.evacuations.evacuated) and self.find_reach(pool).is_evacuated
 
     def _make_view(self, row: Row, now: float, accepts_work: bool = True) -> EndpointView:
         registration = row.registration
--- a/mulberrygate/daemon/tests/test_roster_directory.py
+++ b/mulberrygate/daemon/tests/test_roster_directory.py
@@ -4,6 +4,7 @@
 
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 import attrs
 
@@ -72,6 +73,36 @@
         self.directory.silent_endpoints = frozenset({"e2"})
         self.assertFalse(self.directory.has_endpoint_in("care", frozenset({"south"})))
 
+    def test_changes_between_requests(self):
+        """Guards against requests that are judged by endpoints, orders or losses of before."""
+        directory, south = self.directory, frozenset({"south"})
+        self.report(0.0)
+        self.assertFalse(directory.has_endpoint_in("care", south))
+        self.report(0.0, endpoint="e2", address="10.0.0.2:80", failure_domain="b")
+        self.assertTrue(directory.has_endpoint_in("care", south))
+        directory.evacuations.update(1, ("b",), (), True, 1.0)
+        self.assertFalse(directory.has_endpoint_in("care", south))
+        self.assertFalse(directory.is_pool_evacuated("care"))
+        directory.evacuations.update(2, ("a", "b"), (), True, 2.0)
+        self.assertTrue(directory.is_pool_evacuated("care"))
+        directory.evacuations.update(3, (), (), True, 3.0)
+        self.assertFalse(directory.is_pool_evacuated("care"))
+        self.assertTrue(directory.has_endpoint_in("care", south))
+        self.roster.mark_leaving("e2", 1)
+        self.assertFalse(directory.has_endpoint_in("care", south))
+        self.roster.rows.pop("e1")
+        self.assertTrue(directory.has_endpoint_in("care", south), "none is known at all")
+
+    def test_work_for_a_request(self):
+        """Guards against a pass over all endpoints for each request, at entries with many."""
+        self.report(0.0)
+        self.directory.evacuations.update(1, ("a",), (), True, 1.0)
+        with mock.patch.object(self.roster, "usable", wraps=self.roster.usable) as usable:
+            for _ in range(50):
+                self.directory.has_endpoint_in("care", frozenset({"north"}))
+                self.directory.is_pool_evacuated("care")
+        self.assertLessEqual(usable.call_count, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
