Count the answers of callers without account for their addresses

Cause: the endpoint client made the holder of an answer for the client account alone, so all callers without one were a single group, and an ordinary caller waited behind the holdings of a crowd, or was closed first as a part of the largest group. Change: the holder of the answer is made with that of the body, for the account or the address. Result: the group was empty and is the address now; test_answer_memory and test_hedged_send pass.

--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -157,7 +157,7 @@
             forwarder.metrics.count("hedges_denied_total", reason=reason)
             return None
         self._take(grant)
-        self.call.copy_holder = Holder(self.call.account)
+        self.call.copy_holder = Holder(self.call.answer_holder.group)
         self.copy = self.delivery.make_send(ticket, grant)
         self.copy.holder = self.call.copy_holder
         answer = await self.delivery.send_once(self.copy)
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -217,10 +217,7 @@
         ):
             await response.write(events)
             return
-        pool = self.memory.budget.answers
-        if call.answer_holder is None:
-            call.answer_holder = Holder(call.account or request.remote or "")
-        holder = call.answer_holder
+        pool, holder = self.memory.budget.answers, call.answer_holder
         if not holder.size:
             await self.memory.reserve(pool, holder, STREAM_BYTES, None)
             holder.on_evicted = transport.abort
@@ -332,7 +329,8 @@
     ) -> Refused | None:
         """Read the whole body, up to the limit."""
         limit = index.catalog.limits.max_body_bytes
-        call.body_holder = Holder(call.account or request.remote or "")
+        group = call.account or request.remote or ""
+        call.body_holder, call.answer_holder = Holder(group), Holder(group)
         try:
             call.body = await self.memory.read_body(request, limit, call.body_holder)
         except BodyTooLarge:
