Let a stream to a slow caller be closed also after a failed attempt

Cause: a stream took memory, and could be closed while memory is short, only if its holder held nothing; the failed answer of an earlier attempt is held as well, so such a stream held its events uncounted until the call's deadline, even if its caller didn't read. Change: whether the holder is paced decides, and it isn't any more once the caller has kept up. Result: the new test fails before and passes now; test_answer_memory and test_crowds: 12 passed.

--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -218,7 +218,8 @@
             await response.write(events)
             return
         pool, holder = self.memory.budget.answers, call.answer_holder
-        if not holder.size:
+        # An answer that failed before may hold memory as well.
+        if not holder.is_paced:
             await self.memory.reserve(pool, holder, STREAM_BYTES, None)
             holder.on_evicted = transport.abort
             holder.begin_paced(self.timers.now())
@@ -226,6 +227,7 @@
         holder.moved += len(events)
         if not transport.get_write_buffer_size():
             pool.release(holder)
+            holder.is_paced = False
 
     async def _answer(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
         try:
