--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -383,11 +383,22 @@
     async def test_cold_endpoint(self):
         """Guards against a copy at an endpoint that has just started and is slow itself."""
         await self.start()
-        rows = self.entry.roster.rows
-        for name, row in list(rows.items()):
-            rows[name] = attrs.evolve(
-                row, registration=attrs.evolve(row.registration, warmup_s=60.0)
-            )
+        roster, now = self.entry.roster, self.entry.timers.now()
+        for row in list(roster.rows.values()):
+            roster.record_report(attrs.evolve(row.registration, sequence=2, warmup_s=60.0), now)
+        self.answer_with(late(3 * DELAY_S, whole(200, b"first")), whole())
+        self.assertEqual(await self.call(), (200, b"first"))
+        self.assertEqual((self.results(), self.denied("no_room")), ({}, 1))
+
+    async def test_failure_domain_that_gets_requests_again(self):
+        """Guards against a copy at an endpoint that counts as cold since its domain's return."""
+        await self.start()
+        directory = self.entry.placement.directory
+        known = directory.pools["booking"]
+        directory.pools["booking"] = attrs.evolve(known, cold_start_s=60.0)
+        now = self.entry.timers.now()
+        directory.evacuations.update(1, ("a",), (), True, now)
+        directory.evacuations.update(2, (), (("a", 0.0),), True, now)
         self.answer_with(late(3 * DELAY_S, whole(200, b"first")), whole())
         self.assertEqual(await self.call(), (200, b"first"))
         self.assertEqual((self.results(), self.denied("no_room")), ({}, 1))
