--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -179,6 +179,7 @@
         )
         self.in_force = DecodedConfiguration(self.configuration_replica.configuration)
         self.configuration_replica.add_listener(self._on_configuration)
+        self.metrics.gauge("evacuated_failure_domains", lambda: len(self.in_force.evacuations))
 
     def _on_configuration(self, _delta: Delta) -> None:
         self.in_force.refresh()
--- a/mulberrygate/daemon/tests/test_own_evacuations.py
+++ b/mulberrygate/daemon/tests/test_own_evacuations.py
@@ -42,6 +42,8 @@
         """Guards against requests that reach an evacuated failure domain, and a lost withdrawal."""
         self.assertEqual((await self.order("b"))[0], 200)
         await self.until_in_force("b")
+        _, text, _ = await self.system.call("b1", "GET", "/metrics")
+        self.assertIn(b"\nmulberrygate_evacuated_failure_domains 1\n", text)
         for _ in range(BOOKINGS):
             self.assertEqual((await self.book("b1"))[0], 200)
             self.assertEqual((await self.complete("b2"))[0], 200)
