--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -17,9 +17,11 @@
 from mulberrygate.forward.events import EventSplitter, EventTooLong
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
 from mulberrygate.forward.hedged_send import HedgedSend
+from mulberrygate.forward.long_response import SLICE_BYTES, LongResponse
 from mulberrygate.forward.request import AnswerHead, Call, Refused
 from mulberrygate.forward.sends import Send, Turn
 from mulberrygate.forward.unanswered import RunningSend
+from mulberrygate.quota import RetryBudget
 from mulberrygate.schedule.messages import Grant, Ticket
 
 # Retry-After for a call that all endpoints turned down.
@@ -101,6 +103,8 @@
             return answer
         if isinstance(answer, WholeAnswer):
             self.forwarder.record_answer(self.call, answer.head.status)
+            if len(answer.body) > SLICE_BYTES:
+                return LongResponse(answer.head.status, answer.headers, answer.body)
             return web.Response(status=answer.head.status, headers=answer.headers, body=answer.body)
         return answer
 
@@ -131,7 +135,7 @@
                 return granted
             ticket, grant = granted.ticket, granted.grant
             if not self.attempts.arrivals:
-                budget.count_first_send()
+                self._count_first_send(budget)
             elif not budget.take():
                 forwarder.scheduler.return_grant(ticket.request)
                 return self._give_up()
@@ -161,6 +165,13 @@
         finally:
             self.hedge = None
 
+    def _count_first_send(self, budget: RetryBudget) -> None:
+        """Count a first send in the retry budget and in the share of hedged requests."""
+        budget.count_first_send()
+        hedging = self.forwarder.hedging
+        if hedging is not None and not self.attempts.sends:
+            hedging.allowance(self.call.pool.name).count_first_send()
+
     async def _wait_for_turn(self) -> Turn | WholeAnswer | web.StreamResponse | Refused:
         """Wait until the call may be sent to an endpoint; return the final answer if it may not."""
         forwarder, call = self.forwarder, self.call
@@ -425,7 +436,7 @@
             if is_first:
                 self._record_first_byte(send)
                 self.forwarder.suspects.record_answered(call)
-            await self.response.write(events)
+            await self.forwarder.write_events(call, self.request, self.response, events)
             send.tokens = (splitter.count - before) * stride
             if is_first:
                 send.first_tokens = send.tokens
--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -63,7 +63,6 @@
     async def run(self) -> Any:
         """Send the call; return as `Delivery.send_once` does."""
         timers, route = self.forwarder.timers, self.call.route.name
-        self.hedging.allowance(self.call.pool.name).count_first_send()
         self.delay_s = self.hedging.delay_s(route, timers.now())
         timer = None
         if self.delay_s is not None:
@@ -105,13 +104,23 @@
         if reason:
             forwarder.metrics.count("hedges_denied_total", reason=reason)
             return
-        # The list of tickets to avoid ends with the endpoint of the first send.
+        # The endpoints to avoid end with that of the first send.
         self.delivery.tickets += 1
-        avoid = (*self.delivery.avoid, self.first.grant.endpoint)
+        avoid = (*self._cold_endpoints(), *self.delivery.avoid, self.first.grant.endpoint)
         ticket = forwarder.make_ticket(call, self.delivery.tickets, 1, avoid)
         ticket = attrs.evolve(ticket, is_spare=True)
         self.copy_task = forwarder.timers.spawn(self._send_copy(ticket))
 
+    def _cold_endpoints(self) -> list[str]:
+        """Return the endpoints of the pool that are still slow after their start."""
+        now = self.forwarder.timers.now()
+        rows = self.forwarder.placement.directory.roster.usable(self.call.pool.name)
+        return [
+            row.registration.endpoint
+            for row in rows
+            if row.heard_at + row.registration.warmup_s > now and row.registration.warmup_s > 0
+        ]
+
     def _denial(self) -> str:
         """Return why the copy may not be sent now, empty if it may."""
         call, forwarder = self.call, self.forwarder
@@ -157,7 +166,10 @@
             return "answered"
         if grant.endpoint in ticket.avoid:
             return "no_room"
-        if not self.forwarder.notices.may_use(grant, self.forwarder.timers.now()):
+        forwarder = self.forwarder
+        if not forwarder.homes.may_use(self.call, grant, forwarder.index):
+            return "outside_homes"
+        if not forwarder.may_use(grant):
             return "paused"
         return self._denial()
 
