Restore the level of an account at its next grant, not at each report

Cause: after a change of leader each entry's report made the leader compute the levels of all accounts from all reports so far, so the work grew with accounts times the square of entries, in the process that leads the control group. Change: reports are kept by account, and a level is restored at the account's next grant. The existing test reads a level after a grant of no units instead of right after the report, since the level is computed there; its bound is kept. The new test fails without the change (40,000 levels computed where 400 suffice).

--- a/mulberrygate/quota/central.py
+++ b/mulberrygate/quota/central.py
@@ -46,6 +46,8 @@
     ==========
     restored : float
         Level that the bucket had at the change of leader, as far as entries have reported.
+    reports : int
+        Number of reports that ``restored`` takes into account.
     expected : float
         Units of requests that got none and are expected back, less the units since then.
     """
@@ -54,6 +56,7 @@
     level: float
     updated_at: float
     restored: float = 0.0
+    reports: int = 0
     expected: float = 0.0
     usage: dict[str, float] = attrs.field(factory=dict)
     usage_updated_at: float = 0.0
@@ -87,6 +90,9 @@
         self.epoch = epoch
         self.accounts: dict[str, AccountBucket] = {}
         self.takeover: Takeover | None = None
+        # Number of reports of earlier grants, and of live entries at the last one.
+        self.reports = 0
+        self.live_entries = 0
 
     def set_limits(self, limits: dict[str, Limit], now: float) -> None:
         """Replace the limits; the level of each account is kept, up to the new burst."""
@@ -112,7 +118,7 @@
         account = self.accounts.get(name)
         if account is None:
             level = initial_level(limit)
-            self.accounts[name] = AccountBucket(limit, level, now, restored=level)
+            self.accounts[name] = AccountBucket(limit, level, now, level, self.reports)
             return
         self._refill(account, now)
         added = initial_level(limit) - initial_level(account.limit) if fills_increase else 0.0
@@ -129,18 +135,28 @@
     ) -> None:
         """Take over what an entry was granted by earlier leaders; see `Takeover.record`.
 
+        Explanation
+        ===========
+        The level of an account is restored at its next grant. After a change of leader all entries
+        report within a second; computing all levels at each report would stop the leader.
+
         Parameters
         ==========
         entries : int
             Number of live entries.
         """
-        if self.takeover is None or not self.takeover.record(entry, spent, up_s, now):
+        if self.takeover is not None and self.takeover.record(entry, spent, up_s, now):
+            self.reports += 1
+            self.live_entries = entries
+
+    def _restore(self, name: str, account: AccountBucket) -> None:
+        """Correct the level of an account by the reports since its last grant."""
+        if self.takeover is None or account.reports == self.reports:
             return
-        for name, account in self.accounts.items():
-            restored = self.takeover.restored_level(name, account.limit, entries)
-            self._refill(account, now)
-            account.level = min(account.limit.burst, account.level + restored - account.restored)
-            account.restored = restored
+        account.reports = self.reports
+        restored = self.takeover.restored_level(name, account.limit, self.live_entries)
+        account.level = min(account.limit.burst, account.level + restored - account.restored)
+        account.restored = restored
 
     def put_back(self, name: str, units: float, now: float) -> None:
         """Take back granted units of a request that did not run."""
@@ -163,6 +179,7 @@
         if account is None:
             return GrantedUnits(0.0, MAX_WAIT_S, 0.0)
         self._refill(account, now)
+        self._restore(name, account)
         self._decay(account, now)
         units = 0.0
         if account.level > 0:
--- a/mulberrygate/quota/takeover.py
+++ b/mulberrygate/quota/takeover.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import attrs
-
 from mulberrygate.quota.history import HISTORY_S, restore_level
 from mulberrygate.quota.limit import Limit
 
@@ -26,14 +24,6 @@
     return INITIAL_FILL_FRACTION * min(limit.burst, limit.rate * INITIAL_FILL_S)
 
 
-@attrs.define
-class Reported:
-    """Report of one entry: times and units of its grants, and the time since which it runs."""
-
-    spent: dict[str, list[tuple[float, float]]]
-    started_at: float
-
-
 class Takeover:
     """Restores the levels of the limits from reports of entries after a change of leader.
 
@@ -48,12 +38,20 @@
     ==========
     began_at : float
         Time at which the leader began to grant units.
+
+    Attributes
+    ==========
+    started_at : dict[str, float]
+        Time since which each entry that has reported runs.
+    spent : dict[str, list[tuple[float, float]]]
+        Times and units of the reported grants, by account.
     """
 
     def __init__(self, epoch: int, began_at: float):
         self.epoch = epoch
         self.began_at = began_at
-        self.reports: dict[str, Reported] = {}
+        self.started_at: dict[str, float] = {}
+        self.spent: dict[str, list[tuple[float, float]]] = {}
 
     def record(
         self,
@@ -71,13 +69,12 @@
         up_s : float
             Seconds since the entry started.
         """
-        if entry in self.reports:
+        if entry in self.started_at:
             return False
-        times = {
-            name: [(now - age_s, units) for age_s, units, epoch in items if epoch != self.epoch]
-            for name, items in spent.items()
-        }
-        self.reports[entry] = Reported(times, now - up_s)
+        self.started_at[entry] = now - up_s
+        for name, items in spent.items():
+            times = [(now - age_s, units) for age_s, units, epoch in items if epoch != self.epoch]
+            self.spent.setdefault(name, []).extend(times)
         return True
 
     def restored_level(self, name: str, limit: Limit, entries: int) -> float:
@@ -89,9 +86,10 @@
             Number of live entries.
         """
         known_since = self.began_at - min(limit.refill_s, HISTORY_S)
-        informed = sum(report.started_at <= known_since for report in self.reports.values())
+        informed = sum(started_at <= known_since for started_at in self.started_at.values())
         part = min(1.0, informed / max(1, entries))
-        spent = [item for report in self.reports.values() for item in report.spent.get(name, ())]
         # The other entries are assumed to have used their equal part of the rate and the burst.
         part_limit = Limit(limit.rate * part, limit.burst * part)
-        return max(initial_level(limit), restore_level(part_limit, spent, self.began_at))
+        return max(
+            initial_level(limit), restore_level(part_limit, self.spent.get(name, ()), self.began_at)
+        )
--- a/mulberrygate/quota/tests/test_takeover.py
+++ b/mulberrygate/quota/tests/test_takeover.py
@@ -4,8 +4,10 @@
 
 import random
 import unittest
+from unittest import mock
 
 from mulberrygate.quota import CentralLimits, GrantHistory, Limit
+from mulberrygate.quota.history import restore_level
 from mulberrygate.quota.takeover import Takeover
 
 ENTRIES = 8
@@ -141,8 +143,36 @@
         limits.set_limits({"x": Limit(RATE, BURST)}, 0.0)
         for _ in range(2):
             limits.record_spent("e", {"x": [(1.0, 5000.0, 1)]}, 1000.0, 1, 0.0)
+            limits.grant("e", "x", need=0.0, advance=0.0, now=0.0)
         self.assertAlmostEqual(limits.accounts["x"].level, BURST - 5000.0 + RATE)
 
+    def test_reports_of_many_entries_take_little_time(self):
+        """Guards against a leader that computes all accounts at each report and so stalls.
+
+        With 360 entries and 1,700 accounts that took 43 s after each change of the leader.
+        """
+        limits = CentralLimits(epoch=2)
+        limits.set_limits({str(n): Limit(RATE, BURST) for n in range(400)}, 0.0)
+        target = "mulberrygate.quota.takeover.restore_level"
+        with mock.patch(target, wraps=restore_level) as restore:
+            for entry in range(100):
+                spent = {str(n): [(1.0, 50.0, 1)] for n in range(400)}
+                limits.record_spent(str(entry), spent, 1000.0, 100, 0.0)
+            for account in range(400):
+                limits.grant("e", str(account), 1.0, 0.0, 0.0)
+        self.assertLessEqual(restore.call_count, 400)
+        self.assertAlmostEqual(limits.accounts["7"].level, BURST - 5000.0 + RATE - 1.0)
+
+    def test_account_that_is_added_again_gets_no_second_burst(self):
+        """Guards against a new bucket that is filled by reports from before the change."""
+        limits = CentralLimits(epoch=2)
+        limits.set_limits({"x": Limit(RATE, BURST)}, 0.0)
+        limits.record_spent("e", {}, 1000.0, 1, 0.0)
+        limits.set_limits({}, 0.0)
+        limits.set_limits({"x": Limit(RATE, BURST)}, 0.0)
+        limits.grant("e", "x", 1.0, 0.0, 0.0)
+        self.assertLess(limits.accounts["x"].level, RATE)
+
 
 if __name__ == "__main__":
     unittest.main()
