Share the last endpoint of a region like the others without an owner

Cause: the endpoint that an entry or a deputy keeps in each region had the load of others counted against its single slot, so requests bound to the region found no free slot while others used the endpoint, and it had the whole memory instead of the part that goes with one slot. Change: the same function computes all shares. Measured: the new test fails without the change (no request of 80 entries is granted) and passes with it.

--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -389,17 +389,20 @@
                 if view.accepts_work and view.region == region
             ]
             best = max(numbers, key=lambda number: self._hash_fraction(views[number]))
-            shared[best] = attrs.evolve(views[best], slots=1)
+            shared[best] = self._with_slots(views[best], 1)
         return shared
 
     def _with_share(self, view: EndpointView, share: float) -> EndpointView:
         slots = int(share) + (self._hash_fraction(view) < share % 1.0)
-        accepts_work = view.accepts_work and slots > 0
+        shared = self._with_slots(view, max(1, slots))
+        return attrs.evolve(shared, accepts_work=view.accepts_work and slots > 0)
+
+    @staticmethod
+    def _with_slots(view: EndpointView, slots: int) -> EndpointView:
+        """Return an endpoint with some of its slots and the same part of its memory."""
+        kv_tokens = view.kv_tokens * slots // max(1, view.slots)
         # The load from others isn't counted, since they use slots outside of this share.
-        kv_tokens = view.kv_tokens * max(1, slots) // max(1, view.slots)
-        return attrs.evolve(
-            view, slots=max(1, slots), kv_tokens=kv_tokens, accepts_work=accepts_work, load=0
-        )
+        return attrs.evolve(view, slots=slots, kv_tokens=kv_tokens, load=0)
 
     def _hash_fraction(self, view: EndpointView) -> float:
         """Return the hash of an endpoint and this instance, scaled to 0 to 1."""
--- a/mulberrygate/daemon/tests/test_pool_host.py
+++ b/mulberrygate/daemon/tests/test_pool_host.py
@@ -114,6 +114,17 @@
         host = self.host_without_owner(1, 4, views)
         self.assertEqual(len(host.scheduler("pool").running), 1)
 
+    def test_last_endpoint_of_a_region_is_shared_like_others(self):
+        """Guards against a region's last endpoint that has no free slot for an entry without an
+        owner, since others use it, and of which each entry may fill the whole memory.
+        """
+        views = [make_view("e", slots=8, load=6, load_age_s=0.0)]
+        for number in range(80):
+            host = self.host_without_owner(number, 80, views)
+            state = host.scheduler("pool").states["e"]
+            self.assertEqual(len(state.running), 1)
+            self.assertEqual(state.view.kv_tokens, views[0].kv_tokens // 8)
+
     def test_unknown_pool_is_no_silent_wait(self):
         """Guards against requests that wait at an instance which has no catalog yet."""
         ticket = attrs.evolve(TICKET, pool="other")
