Let requests with home regions wait until a new owner knows endpoints

Cause: without any known endpoint, as at a process that has just started, requests wait 2.5 s for the first reports, but those with home regions were refused after 0.3 s although they could run then. Change: the check of home regions counts only if some endpoint accepts work. Measured: the new test fails without the change (2006 after 0.8 s).

--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -382,9 +382,16 @@
         return effects
 
     def _shed_without_home(self, now: float) -> list[Effect]:
-        """Shed the requests that no endpoint in their home regions can take, lowest tier first."""
+        """Shed the requests that no endpoint in their home regions can take, lowest tier first.
+
+        Explanation
+        ===========
+        Without any endpoint all requests wait for `NO_ENDPOINT_WAIT_S`, with or without homes.
+        """
         self.homes_checked_at = now
         regions = {state.view.region for state in self.states.values() if state.accepts_work}
+        if not regions:
+            return []
         homeless = [
             waiting
             for waiting in self.queue.by_request.values()
--- a/mulberrygate/schedule/tests/test_homes.py
+++ b/mulberrygate/schedule/tests/test_homes.py
@@ -74,6 +74,15 @@
         self.assertEqual(bench.refused, {"r": NO_HOME_ENDPOINT.number})
         self.assertIn("other", bench.grants)
 
+    def test_new_owner_that_knows_no_endpoint_yet(self):
+        """Guards against a refusal before the first reports of endpoints have arrived."""
+        bench = WideBench([])
+        bench.ask("r", home_regions=("a",), start_by_s=8.0)
+        bench.advance(NO_HOME_WAIT_S + 0.5)
+        self.assertEqual(bench.refused, {})
+        bench.call("set_endpoints", make_views("ab"))
+        self.assertEqual(bench.endpoint_of("r"), "a")
+
     def test_request_is_refused_when_its_last_endpoint_leaves(self):
         """Guards against a request that waits on although its region has lost its endpoints."""
         bench = WideBench(make_views("ab"))
