Judge by the roster's cold time which endpoints get no copy

Cause: copies of slow requests avoided endpoints for the warm-up time of the last registration after the last time that the endpoint was heard of. A registration that is heard again restarted that time, and neither an evacuation that was withdrawn nor a heartbeat without the field counted. Change: the copy uses RosterDirectory.cold_s, as the scheduler does. The existing test now sets the cold time of the row instead of the registration. Measured: both tests fail without the change and pass with it.

--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -114,12 +114,9 @@
     def _cold_endpoints(self) -> list[str]:
         """Return the endpoints of the pool that are still slow after their start."""
         now = self.forwarder.timers.now()
-        rows = self.forwarder.placement.directory.roster.usable(self.call.pool.name)
-        return [
-            row.registration.endpoint
-            for row in rows
-            if row.heard_at + row.registration.warmup_s > now and row.registration.warmup_s > 0
-        ]
+        directory = self.forwarder.placement.directory
+        rows = directory.roster.usable(self.call.pool.name)
+        return [row.registration.endpoint for row in rows if directory.cold_s(row, now) > 0]
 
     def _denial(self) -> str:
         """Return why the copy may not be sent now, empty if it may."""
--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -380,15 +380,22 @@
     async def test_cold_endpoint(self):
         """Guards against a copy at an endpoint that has just started and is slow itself."""
         await self.start()
-        rows = self.entry.roster.rows
-        for name, row in list(rows.items()):
-            rows[name] = attrs.evolve(
-                row, registration=attrs.evolve(row.registration, warmup_s=60.0)
-            )
+        for row in self.entry.roster.rows.values():
+            row.cold_until = self.entry.timers.now() + 60.0
         self.answer_with(late(3 * DELAY_S, whole(200, b"first")), whole())
         self.assertEqual(await self.call(), (200, b"first"))
         self.assertEqual((self.results(), self.denied("no_room")), ({}, 1))
 
+    async def test_endpoint_that_has_warmed_up(self):
+        """Guards against an endpoint that counts as cold again whenever it is heard of."""
+        await self.start()
+        rows = self.entry.roster.rows
+        for name, row in list(rows.items()):
+            known = attrs.evolve(row.registration, warmup_s=60.0)
+            rows[name] = attrs.evolve(row, registration=known, cold_until=row.heard_at)
+        self.answer_with(wait_for_disconnect, whole(200, b"copy"))
+        self.assertEqual(await self.call(), (200, b"copy"))
+
     async def test_copies_are_retries_of_the_budget(self):
         """Guards against copies beyond the retry budget of all entries."""
         await self.start()
