Return no token for a withdrawn grant of a former owner

Cause: a grant that is presented to a new owner and then returned unused put a token into the new owner's buckets, which that grant had never taken. After a change of owner a cold or limited endpoint could get a burst for it. Change: grants that were presented return no token. Measured: the new test fails without the change and passes with it.

--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -245,7 +245,9 @@
         self.cold_limit.take(now)
 
     def put_back_token(self, granted: GrantedRequest) -> None:
-        """Uncount a granted request that was not sent."""
+        """Uncount a granted request that was not sent, if its grant was counted here."""
+        if granted.is_presented:
+            return
         self.rate_limit.put_back(granted.granted_at)
         self.cold_limit.put_back(granted.granted_at)
 
--- a/mulberrygate/schedule/tests/test_cold.py
+++ b/mulberrygate/schedule/tests/test_cold.py
@@ -7,7 +7,8 @@
 import attrs
 
 from mulberrygate.schedule.cold import RAMP_S, SUSPECT_S, ColdLimit, most_cold_owners
-from mulberrygate.schedule.tests.support import make_view
+from mulberrygate.schedule.messages import Present, Running
+from mulberrygate.schedule.tests.support import make_ticket, make_view
 from mulberrygate.schedule.tests.test_wide import WideBench
 
 RATE = 11.0
@@ -194,6 +195,18 @@
         bench.ask("next")
         self.assertNotIn("next", bench.grants)
 
+    def test_grant_of_a_former_owner_returns_no_token(self):
+        """Guards against tokens from this owner's bucket for requests that another one granted."""
+        bench = ColdBench([cold(cold_s=60.0)])
+        names = [f"r{number}" for number in range(7)]
+        running = tuple(Running(make_ticket(name), "e1", "v1", 0) for name in names)
+        bench.call("present", Present("care", (), running), "entry-1")
+        for name in names:
+            bench.call("withdraw", name)
+        bench.call("tick")
+        bench.ask("next")
+        self.assertNotIn("next", bench.grants)
+
     def test_urgent_requests_get_the_few_places(self):
         """Guards against the few places of cold endpoints used up by short requests of low worth.
 
