--- a/mulberrygate/daemon/control_node.py
+++ b/mulberrygate/daemon/control_node.py
@@ -50,6 +50,7 @@
             listening_socket=listening_socket,
             gate=self.gate,
             max_connections=site.limits.sockets - RESERVED_SOCKETS,
+            decompress=True,
         )
 
     async def start(self) -> None:
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -48,6 +48,9 @@
     max_connections : int
         Connections that may be open at a time. When a new one comes, the one goes that has been
         without a request for longest.
+    decompress : bool
+        Whether bodies with a ``Content-Encoding`` are decompressed. Those that are passed on are
+        not, since the header is passed on as well.
 
     Attributes
     ==========
@@ -75,6 +78,7 @@
         listening_socket: socket.socket | None = None,
         gate: MemoryGate | None = None,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        decompress: bool = False,
     ):
         self.handler = handler
         self.gate = gate or MemoryGate(DEFAULT_MEMORY_BYTES)
@@ -99,6 +103,7 @@
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             read_bufsize=BODY_BUFFER_BYTES,
+            auto_decompress=decompress,
         )
         self.listener: asyncio.Server | None = None
 
--- a/mulberrygate/forward/tests/test_service.py
+++ b/mulberrygate/forward/tests/test_service.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
+import random
 import socket
 import struct
 import unittest
@@ -13,6 +15,7 @@
 from mulberrygate.forward.service import CATALOG_CURRENT_S
 from mulberrygate.forward.suspects import Finding, Standing
 from mulberrygate.forward.tests.support import (
+    REQUEST_ID,
     SIGNATURE,
     Endpoint,
     Entry,
@@ -479,5 +482,46 @@
         self.assertEqual(entry.forwarder.active, 0)
 
 
+class TestCompressedBodies(unittest.IsolatedAsyncioTestCase):
+    """Bodies with a Content-Encoding, which belong to the endpoint."""
+
+    async def send(self, body, limit=5000):
+        """Send a body that is said to be compressed; return the status and what arrived."""
+        fields = document()
+        fields["limits"] = {"maxBodyBytes": limit}
+        endpoint = Endpoint("e1", whole())
+        entry = await Entry(fields).start(booking=[endpoint])
+        self.addAsyncCleanup(entry.close)
+        headers = {
+            "Host": "a.example",
+            REQUEST_ID: "id-1",
+            "Content-Encoding": "gzip",
+            "Content-Type": "application/json",
+        }
+        url = f"http://127.0.0.1:{entry.port}/plain/1"
+        async with entry.session.post(url, data=body, headers=headers) as response:
+            return response.status, endpoint.requests
+
+    async def test_body_arrives_byte_for_byte(self):
+        """Guards against a body that is decompressed on its way, with a header that says not so."""
+        body = gzip.compress(b"some text " * 100)
+        status, requests = await self.send(body)
+        self.assertEqual(status, 200)
+        head, _, received = requests[0].partition(b"\r\n\r\n")
+        self.assertEqual(received, body)
+        self.assertIn(b"Content-Encoding: gzip", head)
+
+    async def test_body_that_is_not_compressed_as_it_says(self):
+        """Guards against a body that is judged by an encoding that only its reader needs."""
+        status, requests = await self.send(b"no gzip")
+        self.assertEqual((status, requests[0].partition(b"\r\n\r\n")[2]), (200, b"no gzip"))
+
+    async def test_limit_applies_to_the_bytes_sent(self):
+        """Guards against a limit on what a body would be once it is decompressed."""
+        self.assertEqual((await self.send(gzip.compress(bytes(100_000))))[0], 200)
+        body = gzip.compress(random.Random(1).randbytes(6000))
+        self.assertEqual(await self.send(body), (413, []))
+
+
 if __name__ == "__main__":
     unittest.main()
