--- a/mulberrygate/core/memory_budget.py
+++ b/mulberrygate/core/memory_budget.py
@@ -42,6 +42,8 @@
         Called when a holding that waited is granted.
     on_evicted : Callable[[], None]
         Called when the holding has to end.
+    on_refused : Callable[[], None]
+        Called when a holding that waits won't be granted.
     size, wanted : int
         Bytes held, and bytes that are waited for in addition.
     is_paced : bool
@@ -53,6 +55,7 @@
     group: str
     on_granted: Callable[[], None] = lambda: None
     on_evicted: Callable[[], None] = lambda: None
+    on_refused: Callable[[], None] = lambda: None
     size: int = 0
     wanted: int = 0
     is_paced: bool = False
@@ -172,6 +175,15 @@
         """Return the sort key of a waiting holder; equal keys keep the order of arrival."""
         return holder.wanted > SMALL_BYTES, self.groups.get(holder.group, 0)
 
+    def pop_waiting(self) -> Holder | None:
+        """Return a holder that doesn't wait any longer, the last to be granted; None if none."""
+        if not self.waiting:
+            return None
+        holder = sorted(self.waiting, key=self._order)[-1]
+        del self.waiting[holder]
+        holder.wanted = 0
+        return holder
+
     def list_stalled(self, now: float, is_crowded: bool = False) -> list[Holder]:
         """Return the holders to end so that those that wait can be granted.
 
--- a/mulberrygate/core/memory_gate.py
+++ b/mulberrygate/core/memory_gate.py
@@ -57,7 +57,7 @@
     counts : dict[str, int]
         What was refused, closed or paused so far, by kind.
     is_crowded : bool
-        Whether a connection was refused since the last sweep.
+        Whether connections have been short since the last sweep.
     """
 
     def __init__(self, memory_bytes: int, lines: Any = None, metrics: Any = None):
@@ -96,8 +96,10 @@
             return verdict is Verdict.GRANTED
         granted = asyncio.Event()
         holder.on_granted = granted.set
+        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout(wait_s) as limit:
+                holder.on_refused = lambda: limit.reschedule(loop.time())
                 await granted.wait()
         except TimeoutError:
             if not granted.is_set():
@@ -106,6 +108,16 @@
                 return False
         return True
 
+    def refuse_waiting_body(self) -> None:
+        """Refuse a body that waits for memory, since connections are short.
+
+        Bodies that make no progress are ended with the next sweep.
+        """
+        self.is_crowded = True
+        holder = self.budget.bodies.pop_waiting()
+        if holder is not None:
+            holder.on_refused()
+
     async def read_body(self, request: Any, limit: int, holder: Holder) -> bytes:
         """Return the body of a request; the holder then holds its size.
 
--- a/mulberrygate/core/tests/test_memory_budget.py
+++ b/mulberrygate/core/tests/test_memory_budget.py
@@ -64,6 +64,14 @@
         self.assertIn(Verdict.REFUSED, verdicts)
         self.assertEqual(len(self.pool.waiting), verdicts.count(Verdict.WAITS))
 
+    def test_last_to_be_granted_gives_way(self):
+        """Guards against a place in the queue that is taken from an ordinary caller."""
+        self.ask("a", 6 * MB)
+        self.ask("b", 100 << 10)
+        waiting = [self.ask(group, MB)[0] for group in ("b", "a")]
+        self.assertIs(self.pool.pop_waiting(), waiting[1])
+        self.assertEqual(list(self.pool.waiting)[-1], waiting[0])
+
     def test_stalled_holders_go_only_while_others_wait(self):
         """Guards against a slow caller that is closed in calm, or is never closed."""
         holder, _ = self.ask("a", 6 * MB)
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -30,6 +30,8 @@
 DEFAULT_MAX_CONNECTIONS = 2000
 # Sockets for peers, readiness checks, and connections that were accepted and not yet counted.
 RESERVED_SOCKETS = 64
+# The last connections are for new ones that are let in while those that make room are being closed.
+SPARE_CONNECTIONS = 16
 # Idle connections that are looked at when one has to go.
 MOST_IDLE_TRIES = 32
 
@@ -128,12 +130,15 @@
         """Count a new connection; make room for it, or close it if there is none."""
         self.new_connections[connection] = None
         self.open_connections += 1
-        if self.open_connections <= self.max_connections:
+        spare = min(SPARE_CONNECTIONS, self.max_connections // 4)
+        if self.open_connections <= self.max_connections - spare:
             return
         if self._close_idle(connection):
             self.gate.count("idle_closed")
-        else:
-            self.gate.is_crowded = True
+            return
+        # Its request may be a small one, which is served beside large bodies that wait.
+        self.gate.refuse_waiting_body()
+        if self.open_connections > self.max_connections:
             self.gate.count("connection_refused")
             connection.transport.abort()
 
--- a/mulberrygate/daemon/tests/test_bounded_connections.py
+++ b/mulberrygate/daemon/tests/test_bounded_connections.py
@@ -38,6 +38,8 @@
         """Return reader and writer of a new connection to the entry."""
         reader, writer = await asyncio.open_connection(HOST, self.entry.port)
         self.addCleanup(writer.transport.abort)
+        # A writer that is no longer referenced closes its connection.
+        self.addCleanup(lambda: writer)
         return reader, writer
 
     async def read_answer(self, reader):
@@ -191,6 +193,25 @@
         self.assertEqual((await self.read_answer(reader))[0], 200)
         self.assertEqual(len(self.endpoint.requests), 1)
 
+    async def test_waiting_bodies_make_room_for_connections(self):
+        """Guards against callers that find all connections taken by bodies that wait for memory."""
+        await self.start()
+        self.http.max_connections = 8
+        bodies = self.memory.budget.bodies
+        readers = []
+        for number in range(6):
+            reader, writer = await self.connect()
+            readers.append(reader)
+            writer.write(head("/plain/1", number, f"Content-Length: {3 * MB}") + bytes(1000))
+        async with asyncio.timeout(20):
+            while len(bodies.waiting) < 5:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        for number in range(6, 10):
+            reader, writer = await self.connect()
+            writer.write(head("/plain/1", number, "Content-Length: 5") + b"small")
+            self.assertEqual((await self.read_answer(reader))[0], 200)
+        self.assertEqual((await self.read_answer(readers[5]))[0], 503)
+
     async def test_body_without_room(self):
         """Guards against a refusal for lack of memory that doesn't promise what the status says."""
         await self.start()
