--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -270,7 +270,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise Broken(f"{type(error).__name__}: {error}") from error
         if self.gate is not None and call.answer_holder is None:
-            call.answer_holder = Holder(call.account)
+            call.answer_holder = Holder(call.body_holder.group if call.body_holder else "")
         if not is_status(response.status):
             response.close()
             raise Broken(f"the status is {response.status:03d}")
