--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -299,6 +299,8 @@
                 exchange = await forwarder.endpoints.send(
                     call, send.grant.endpoint, send.grant.address, left_s, last_event_id
                 )
+                if send.holder is not None:
+                    exchange.holder = send.holder
                 outcome, answer = await self._receive(send, exchange)
         except NotSent:
             outcome, send.fault = SendOutcome.UNSENT, "refused"
@@ -371,6 +373,10 @@
             if self.hedge is not None:
                 # Events are passed on as they arrive, so those of two copies would be mixed.
                 self.hedge.choose(send)
+            if send.is_beaten:
+                # The other's answer was chosen in the same moment; this send is being cancelled.
+                send.is_cancelled = True
+                return SendOutcome.UNKNOWN, None
             return SendOutcome.FAILED, await self._relay_events(send, exchange)
         answer = WholeAnswer(
             head, self.forwarder.dialect.answer_headers(exchange.response), await exchange.read()
