--- a/mulberrygate/core/memory_budget.py
+++ b/mulberrygate/core/memory_budget.py
@@ -74,10 +74,10 @@
 
     Explanation
     ===========
-    A holding that is larger than the pool is granted when it is the only one, so that a single
-    legal request is served on any machine. Holdings that wait are granted in the order of what
-    their group holds, then of their arrival; a large one that comes next keeps later large ones
-    waiting, so that it gets its turn.
+    A large holding is granted when there is no other large one, so that a single legal request is
+    served on any machine, also beside small ones. Holdings that wait are granted in the order of
+    what their group holds, then of their arrival; a large one that comes next keeps later large
+    ones waiting, so that it gets its turn.
 
     Parameters
     ==========
@@ -89,10 +89,10 @@
     >>> from mulberrygate.core.memory_budget import Holder, MemoryPool
     >>> pool = MemoryPool(4 << 20)
     >>> large, other, small = Holder("a"), Holder("b"), Holder("a")
-    >>> pool.ask(large, 3 << 20).value, pool.ask(other, 3 << 20).value, pool.ask(small, 100).value
+    >>> pool.ask(large, 3 << 20).value, pool.ask(other, 2 << 20).value, pool.ask(small, 100).value
     ('granted', 'waits', 'granted')
     >>> pool.release(large)
-    >>> other.size == 3 << 20
+    >>> other.size == 2 << 20
     True
     """
 
@@ -101,6 +101,7 @@
         self.held = 0
         self.groups: dict[str, int] = {}
         self.holders: dict[Holder, None] = {}
+        self.large: dict[Holder, None] = {}
         self.waiting: dict[Holder, None] = {}
         self.most_waiting = max(MIN_WAITING, int(capacity * WAITING_FRACTION) // WAITING_BYTES)
 
@@ -116,9 +117,9 @@
         return Verdict.WAITS
 
     def _fits(self, holder: Holder, size: int) -> bool:
-        if self.held == holder.size:
-            return True
         is_small = holder.size + size <= SMALL_BYTES
+        if not is_small and self.large.keys() <= {holder}:
+            return True
         limit = self.capacity if is_small else LARGE_FRACTION * self.capacity
         return self.held + size <= limit
 
@@ -131,6 +132,8 @@
         self.held += size
         self.groups[holder.group] = self.groups.get(holder.group, 0) + size
         self.holders[holder] = None
+        if holder.size > SMALL_BYTES:
+            self.large[holder] = None
 
     def shrink(self, holder: Holder, size: int) -> None:
         """Give back all but some bytes of a holding."""
@@ -151,6 +154,8 @@
     def _give_back(self, holder: Holder, size: int) -> None:
         holder.size -= size
         self.held -= size
+        if holder.size <= SMALL_BYTES:
+            self.large.pop(holder, None)
         left = self.groups[holder.group] - size
         if left:
             self.groups[holder.group] = left
