Let a slowdown decay between dispatches, not at a grant

Cause: each grant let the figure of its endpoint decay to the present. A request that had been examined before, with the older figure, could fit after the grant, and the second grant of the same pass to a lower tier then violated the order of tiers (9401) and stopped the processing of the message. Change: a grant computes the integral without letting the figure decay. It decays when a request ends, with each report and with each refresh of the endpoints.

--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -294,8 +294,7 @@
         self._refresh()
 
     def extend_load_integral(self, now: float) -> None:
-        """Extend the integrals of the load and of the slowdown to now."""
-        self.slowdown.advance(now)
+        """Extend the integral of the load to now."""
         if now > self.load_integral_at:
             self.load_integral += self.used * (now - self.load_integral_at)
             self.load_integral_at = now
@@ -304,7 +303,9 @@
         """Add a granted request to the endpoint's load."""
         self.extend_load_integral(now)
         granted.load_integral = self.load_integral
-        granted.slowdown_integral = self.slowdown.integral
+        # The figure itself decays between grants only: what an endpoint was predicted to take has
+        # to stay true for the requests that were examined before.
+        granted.slowdown_integral = self.slowdown.integral_at(now)
         self.grant_count += 1
         self.granted_at = now
         self.running[granted.ticket.request] = granted
@@ -318,6 +319,7 @@
     def remove(self, granted: GrantedRequest, now: float) -> None:
         """Remove an ended request from the endpoint's load."""
         self.extend_load_integral(now)
+        self.slowdown.advance(now)
         del self.running[granted.ticket.request]
         self.used = len(self.running) + self.external_load
         if not self.running:
--- a/mulberrygate/schedule/endpoint_set.py
+++ b/mulberrygate/schedule/endpoint_set.py
@@ -36,6 +36,7 @@
             if state is None:
                 state = self._add_endpoint(view, now)
             state.extend_load_integral(now)
+            state.slowdown.advance(now)
             state.view = view
             state.memory.set_capacity(view.kv_tokens)
             state.reported_at = now - view.report_age_s
--- a/mulberrygate/schedule/slowdown.py
+++ b/mulberrygate/schedule/slowdown.py
@@ -106,6 +106,10 @@
             self._drop_negligible()
         self.updated_at = now
 
+    def integral_at(self, now: float) -> float:
+        """Return what the integral will be at a time if no figure comes before."""
+        return self.integral + self.excess * _weight_of(max(0.0, now - self.updated_at))
+
     def _drop_negligible(self) -> None:
         if abs(self.excess) < NEGLIGIBLE:
             self.excess = 0.0
--- a/mulberrygate/schedule/tests/test_slowdown.py
+++ b/mulberrygate/schedule/tests/test_slowdown.py
@@ -14,7 +14,7 @@
 
 from mulberrygate.schedule.messages import Done, Present, Progress, Running
 from mulberrygate.schedule.slowdown import DECAY_S, Slowdown, is_urgent
-from mulberrygate.schedule.tests.support import make_view
+from mulberrygate.schedule.tests.support import make_ticket, make_view
 from mulberrygate.schedule.tests.test_wide import WideBench
 
 TICK_S = 0.1
@@ -297,6 +297,30 @@
         self.assertFalse(state.detector.is_slow)
         self.assertGreater(state.slowdown.excess, 0.5)
 
+    def test_slowdown_that_decays_while_requests_are_granted(self):
+        """Guards against a grant to a lower tier that makes an upper request fit afterwards.
+
+        The figure decayed with the first grant of a pass; then a second one violated the order of
+        the tiers, which stops the processing of the message.
+        """
+        for tenths in range(20, 80):
+            bench = WideBench([make_view("fast", hardware="x"), make_view("slow", hardware="y")])
+            bench.learn_two_speeds()
+            bench.call("set_endpoints", [make_view("fast"), make_view("slow", slots=4)])
+            bench.ask("busy")
+            self.assertEqual(bench.endpoint_of("busy"), "fast")
+            bench.call("progress", Progress("care", {}, slowdowns={"slow": 20.0}), "entry-1")
+            bench.now += 0.2
+            more = {"account": "y", "prompt": 10}
+            waiting = (
+                make_ticket("upper", tier=0, tokens=60, deadline=tenths / 10, **more),
+                make_ticket("lower1", tier=3, tokens=1, **more),
+                make_ticket("lower2", tier=3, tokens=1, **more),
+            )
+            bench.call("present", Present("care", waiting, ()), "entry-1")
+            lower = {bench.grants[name].endpoint for name in ("lower1", "lower2")}
+            self.assertEqual(lower, {"slow"}, tenths)
+
     def test_pool_without_the_figure_is_served_as_before(self):
         """Guards against another choice where endpoints state no slowdown."""
         pool = SharedMachines([1.0, 3.0] * 4, tells=False)
