Set the margin for slow endpoints back when a second pass raises

Cause: an invariant that raised in the second pass of a dispatch left the margin at its lower value; no pass would have set it back, since none missed it then. Change: it is set back in any case. Measured: the new test fails without the change and passes with it.

--- a/mulberrygate/schedule/selection.py
+++ b/mulberrygate/schedule/selection.py
@@ -52,8 +52,10 @@
         effects = self._dispatch_once(now)
         if chooser.was_margin_missed:
             chooser.slow_run_margin = PREDICTION_TOLERANCE
-            effects += self._dispatch_once(now)
-            chooser.slow_run_margin = SLOW_RUN_MARGIN
+            try:
+                effects += self._dispatch_once(now)
+            finally:
+                chooser.slow_run_margin = SLOW_RUN_MARGIN
         return effects
 
     def _dispatch_once(self, now: float) -> list[Effect]:
--- a/mulberrygate/schedule/tests/test_uneven.py
+++ b/mulberrygate/schedule/tests/test_uneven.py
@@ -10,10 +10,13 @@
 import math
 import statistics
 import unittest
+from unittest import mock
 
 import attrs
 
+from mulberrygate.core.invariant import InvariantError, invariant
 from mulberrygate.schedule import choose, selection
+from mulberrygate.schedule.codes import LOWER_TIER_ADMITTED
 from mulberrygate.schedule.endpoint import LOCAL, OTHER_DOMAIN, OTHER_REGION
 from mulberrygate.schedule.near import distance, distance_cost_s
 from mulberrygate.schedule.tests.support import make_ticket, make_view
@@ -105,6 +108,20 @@
         served_without = statistics.mean(self.play(seed).served_share() for seed in seeds)
         self.assertGreater(served, 1.01 * served_without)
 
+    def test_margin_returns_after_a_violated_invariant(self):
+        """Guards against a margin that is lost for good when the second pass raises."""
+        scheduler = UncertainLengths().scheduler
+        chooser = scheduler.chooser
+
+        def dispatch(now):
+            chooser.was_margin_missed = True
+            invariant(chooser.slow_run_margin == choose.SLOW_RUN_MARGIN, LOWER_TIER_ADMITTED)
+            return []
+
+        with mock.patch.object(scheduler, "_dispatch_once", dispatch):
+            self.assertRaises(InvariantError, scheduler.ask, make_ticket("r"), 0.0)
+        self.assertEqual(chooser.slow_run_margin, choose.SLOW_RUN_MARGIN)
+
 
 class Regions(SharedMachines):
     """Engines of equal speed in three regions whose traffic rises and falls against each other.
