Count the requests of an endpoint that was absent for a while

Cause: an endpoint that was silent for a while left the set of the pool's endpoints, and came back as a new one that held nothing, although its requests ran on. The owner then granted its slots and its memory a second time, which can crash it. Change: the state of an absent endpoint is kept while it has running requests, and used again for the same incarnation. Measured: the new test fails without the change; the tests of the scheduler pass (176).

--- a/mulberrygate/schedule/endpoint_set.py
+++ b/mulberrygate/schedule/endpoint_set.py
@@ -34,7 +34,7 @@
                 self._remove_endpoint(state)
                 state = None
             if state is None:
-                state = self._add_endpoint(view, now)
+                state = self._restore_endpoint(view) or self._add_endpoint(view, now)
             state.extend_load_integral(now)
             state.slowdown.advance(now)
             state.view = view
@@ -120,8 +120,18 @@
         self.states[view.endpoint] = state
         return state
 
+    def _restore_endpoint(self, view: EndpointView) -> EndpointState | None:
+        """Add an endpoint again that was absent while its requests ran on, if it is the same."""
+        state = self.absent.pop(view.endpoint, None)
+        if state is None or state.view.incarnation != view.incarnation:
+            return None
+        self.states[state.name] = state
+        return state
+
     def _remove_endpoint(self, state: EndpointState) -> None:
         del self.states[state.name]
+        if state.running:
+            self.absent[state.name] = state
         if state.memory.is_nearly_full:
             memory = state.memory
             lost = (state.name, state.view.incarnation, memory.held, memory.limit)
--- a/mulberrygate/schedule/running.py
+++ b/mulberrygate/schedule/running.py
@@ -115,6 +115,8 @@
         )
         if self.states.get(state.name) is state:
             self.capacity.update(state)
+        elif not state.running and self.absent.get(state.name) is state:
+            del self.absent[state.name]
 
     def _remove_from_entry(self, granted: GrantedRequest) -> None:
         entry = granted.ticket.entry
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -142,6 +142,8 @@
         self.running_by_entry: dict[str, dict[str, GrantedRequest]] = {}
         self.ended = RecentlyEnded()
         self.states: dict[str, EndpointState] = {}
+        # Endpoints that are gone but have running requests; one that is only silent may come back.
+        self.absent: dict[str, EndpointState] = {}
         # Endpoints lost since the last log line.
         self.lost_while_full: collections.deque[LostWhileFull] = collections.deque(maxlen=MAX_LOST)
         self.generations: dict[str, GenerationSpeed] = {}
--- a/mulberrygate/schedule/tests/test_memory.py
+++ b/mulberrygate/schedule/tests/test_memory.py
@@ -57,6 +57,32 @@
         bench.ask("b", prompt=40_000, tokens=10)
         self.assertNotIn("b", bench.grants)
 
+    def test_endpoint_that_was_not_heard_of_for_a_while(self):
+        """Guards against an endpoint that counts as empty though its requests ran on."""
+        views = [make_view(slots=4)]
+        bench = WideBench(views)
+        bench.ask("a", prompt=40_000, tokens=100)
+        bench.ask("b", prompt=40_000, tokens=100)
+        bench.call("set_endpoints", [])
+        bench.done("a")
+        bench.call("set_endpoints", views)
+        bench.ask("c", prompt=60_000, tokens=100)
+        self.assertNotIn("c", bench.grants)
+        bench.done("b")
+        self.assertIn("c", bench.grants)
+        bench.call("set_endpoints", [])
+        bench.done("c")
+        self.assertEqual(bench.scheduler.absent, {})
+
+    def test_new_incarnation_holds_nothing(self):
+        """Guards against an endpoint that counts as full after it has started again."""
+        bench = WideBench([make_view(slots=4)])
+        bench.ask("a", prompt=80_000, tokens=100)
+        bench.call("set_endpoints", [])
+        bench.call("set_endpoints", [make_view(slots=4, incarnation=2)])
+        bench.ask("b", prompt=80_000, tokens=100)
+        self.assertIn("b", bench.grants)
+
     def test_loss_of_a_full_endpoint_is_recorded(self):
         """Guards against a crash for lack of memory that looks like the fault of a request."""
         for prompt, losses in ((1_000, 0), (85_000, 1)):
