--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -36,7 +36,7 @@
 )
 from mulberrygate.sync.messages import ExplainPlacement
 
-HOLDER = "memory_holder"
+HOLDER = web.RequestKey("memory_holder", Holder)
 MAX_DOCUMENT_BYTES = 16 << 20
 INSTANCE = re.compile(r"/instances/([^/?]+)$")
 QUARANTINED = re.compile(r"/quarantine/([0-9a-f]+|part-[0-9a-f]+(?:\+part-[0-9a-f]+)*)$")
