--- a/mulberrygate/forward/explain.py
+++ b/mulberrygate/forward/explain.py
@@ -113,8 +113,7 @@
         found: Found = {"name": call.account, "tier": call.tier}
         if account is None or account.rate <= 0:
             return {**found, "limit": None}
-        tokens = call.head.prompt_tokens + call.head.output_tokens
-        units = (tokens or account.default_tokens) if account.counts_tokens else 1.0
+        units = self.forwarder.count_units(call, account)
         limits = self.forwarder.limits
         held = limits.units.held.get(account.name)
         now = limits.clock()
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from mulberrygate.catalog import CatalogIndex, RetryPolicy
+from mulberrygate.catalog import CatalogIndex, ClientAccount, RetryPolicy
 from mulberrygate.core.codes import Code
 from mulberrygate.core.memory_budget import Holder
 from mulberrygate.core.memory_gate import BodySlow, BodyTooLarge, MemoryGate, MemoryShort
@@ -348,11 +348,17 @@
         account = index.accounts.get(call.account)
         if account is None or account.rate <= 0:
             return None
-        tokens = call.head.prompt_tokens + call.head.output_tokens
-        call.units = (tokens or account.default_tokens) if account.counts_tokens else 1.0
+        call.units = self.count_units(call, account)
         max_wait_s = SHAPING_FRACTION * (call.deadline_at - call.received_at)
         return await self.limits.spend(account, call.units, max_wait_s, call.spent)
 
+    @staticmethod
+    def count_units(call: Call, account: ClientAccount) -> float:
+        """Return the units of an account's limit that a request takes."""
+        if not account.counts_tokens:
+            return 1.0
+        return call.head.prompt_tokens + call.head.output_tokens or account.default_tokens
+
     def make_ticket(
         self, call: Call, number: int, earlier_sends: int, avoid: tuple[str, ...]
     ) -> Ticket:
