Refuse calls at once while all endpoints that aren't evacuated want a pause

Cause: the end of a pool's pause was taken over all its endpoints. Change: only endpoints that may get the call count, those at home and not evacuated.

--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -168,7 +168,7 @@
         """
         views = [self._make_view(row, now) for row in self.usable_rows(pool)]
         if self.evacuations.evacuated:
-            evacuated = [row for row in self.roster.usable(pool) if self._is_evacuated(row)]
+            evacuated = [row for row in self.roster.usable(pool) if self.is_row_evacuated(row)]
             views += [self._make_view(row, now, accepts_work=False) for row in evacuated]
         return views
 
@@ -176,7 +176,7 @@
         """Return the rows of the endpoints of a pool that may get requests, as `views` does."""
         rows = self.roster.usable(pool)
         if self.evacuations.evacuated:
-            rows = [row for row in rows if not self._is_evacuated(row)]
+            rows = [row for row in rows if not self.is_row_evacuated(row)]
         heard = [row for row in rows if row.registration.endpoint not in self.silent_endpoints]
         return heard or rows
 
@@ -230,7 +230,8 @@
             if (pool := self.pools.get(row.registration.pool)) is not None and pool.cold_rate > 0
         )
 
-    def _is_evacuated(self, row: Row) -> bool:
+    def is_row_evacuated(self, row: Row) -> bool:
+        """Return whether the endpoint of a row is in an evacuated failure domain."""
         return self.evacuations.is_evacuated(row.registration.failure_domain)
 
     def is_evacuated(self, endpoint: str, failure_domain: str) -> bool:
@@ -242,7 +243,7 @@
             Failure domain that a grant names, empty from owners of earlier releases.
         """
         row = self.roster.rows.get(endpoint)
-        is_evacuated = row is not None and self._is_evacuated(row)
+        is_evacuated = row is not None and self.is_row_evacuated(row)
         return is_evacuated or self.evacuations.is_evacuated(failure_domain)
 
     def count_evacuated(self, endpoints: list[str]) -> tuple[tuple[str, int], ...]:
@@ -254,7 +255,7 @@
             Counter(
                 row.registration.failure_domain
                 for row in rows
-                if row is not None and self._is_evacuated(row)
+                if row is not None and self.is_row_evacuated(row)
             ).items()
         )
 
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -182,7 +182,7 @@
             if refused is not None:
                 return self._give_up() if self.attempts.sends else refused
             pause_s = forwarder.notices.pool_pause_s(
-                call.pool.name, self.now(), lambda row: forwarder.homes.is_home(call, row)
+                call.pool.name, self.now(), lambda row: forwarder.may_get(call, row)
             )
             if pause_s > 0:
                 return self._refuse_paused(pause_s)
--- a/mulberrygate/forward/explain.py
+++ b/mulberrygate/forward/explain.py
@@ -154,7 +154,7 @@
         if forwarder.placement.directory.is_pool_evacuated(call.pool.name):
             return Refused(codes.ENDPOINTS_EVACUATED)
         pause_s = forwarder.notices.pool_pause_s(
-            call.pool.name, now, lambda row: forwarder.homes.is_home(call, row)
+            call.pool.name, now, lambda row: forwarder.may_get(call, row)
         )
         return Refused(codes.ENDPOINTS_PAUSED, f"{pause_s:.2f} s") if pause_s > 0 else None
 
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -15,6 +15,7 @@
 from mulberrygate.core.memory_gate import BodySlow, BodyTooLarge, MemoryGate, MemoryShort
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.core.timers import TimerService
+from mulberrygate.endpoints.roster import Row
 from mulberrygate.entry.tickets import SchedulerClient
 from mulberrygate.forward import codes
 from mulberrygate.forward.crash_detection import CrashDetector
@@ -427,6 +428,11 @@
             return False
         return self.notices.may_use(grant, self.timers.now())
 
+    def may_get(self, call: Call, row: Row) -> bool:
+        """Return whether an endpoint is at home and not evacuated, so that it may get a call."""
+        is_evacuated = self.placement.directory.is_row_evacuated(row)
+        return not is_evacuated and self.homes.is_home(call, row)
+
     def evacuated_refusal(self) -> Refusal:
         """Return the refusal of a call to a pool without endpoints outside evacuated domains."""
         return Refusal(codes.ENDPOINTS_EVACUATED, retry_after_s=EVACUATED_RETRY_S)
--- a/mulberrygate/forward/tests/test_evacuations.py
+++ b/mulberrygate/forward/tests/test_evacuations.py
@@ -10,6 +10,7 @@
 from mulberrygate.endpoints.roster import Registration
 from mulberrygate.forward import codes
 from mulberrygate.forward.explain import PlacementExplainer
+from mulberrygate.forward.request import AnswerHead
 from mulberrygate.forward.tests.support import Endpoint, Entry, stream, whole
 from mulberrygate.sync.messages import ExplainPlacement
 
@@ -86,6 +87,17 @@
         found = await explainer.explain(ExplainPlacement("a.example", "/read/1"))
         self.assertEqual(found.get("code"), codes.ENDPOINTS_EVACUATED.number, found)
 
+    async def test_pause_of_the_other_endpoints(self):
+        """Guards against a wait until the deadline since an evacuated endpoint wants no pause."""
+        await self.start(a=whole(), b=whole())
+        self.evacuate("a")
+        notices, now = self.entry.forwarder.notices, self.entry.timers.now()
+        paused = AnswerHead(503, has_run=False, is_genuine=True, pause_s=60.0)
+        notices.record("e-b", 1, "booking", paused, now)
+        status, code, _ = await self.call()
+        self.assertEqual((status, code), (503, codes.ENDPOINTS_PAUSED.number))
+        self.assertLess(self.entry.timers.now() - now, 1.0)
+
     async def test_running_calls_end_in_peace(self):
         """Guards against an evacuation that breaks off the calls which run in the domain."""
         hold = asyncio.Event()
