Give back the memory of a beaten send before its caller reads the answer

Cause: the memory that the loser of a hedged pair had taken for its answer was held until the caller had read the winner's, which may take as long as the caller likes. Change: it is released once the pair has ended with an answer.

--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -82,6 +82,9 @@
             self._record_time(self._is_answer(answer))
             await self._end_copy()
         if self.copy is not None:
+            if self.chosen is not None:
+                # The call's answer is held by the other holder.
+                self.forwarder.memory.budget.answers.release(self.call.copy_holder)
             self._count_result(self._is_answer(answer))
         return answer
 
--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -11,6 +11,7 @@
 
 from mulberrygate.core.memory_budget import Holder
 from mulberrygate.forward.hedging import Hedging
+from mulberrygate.forward.long_response import LongResponse
 from mulberrygate.forward.suspects import Finding, Standing
 from mulberrygate.forward.tests.support import (
     SIGNATURE,
@@ -507,6 +508,33 @@
         self.assertEqual((status, len(body)), (200, size))
         self.assertEqual((pool.held, len(pool.waiting)), (0, 0))
 
+    async def test_memory_of_the_beaten_send(self):
+        """Guards against memory that a beaten send holds until the caller has read the answer."""
+        await self.start()
+        size = 200 << 10
+        sends = self.entry.forwarder.crash_detector.monitor.sends
+        held = []
+
+        async def stall(_endpoint, reader, writer, head):
+            lines = [b"HTTP/1.1 200 X", identifier(head), SIGNATURE.encode() + b": s"]
+            writer.write(b"\r\n".join([*lines, b"Content-Length: %d" % size]) + b"\r\n\r\n")
+            await reader.read()
+
+        async def answer_second(endpoint, reader, writer, head):
+            while not any(send.has_head for send in sends):  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+            await whole(200, bytes(size))(endpoint, reader, writer, head)
+
+        async def send_and_record(response, request, holder):
+            held.append(self.entry.forwarder.memory.budget.answers.held)
+            await send(response, request, holder)
+
+        send = LongResponse.send
+        self.answer_with(self.after_copy(stall), answer_second)
+        with mock.patch.object(LongResponse, "send", send_and_record):
+            status, body = await self.call()
+        self.assertEqual((status, len(body), held), (200, size, [size]))
+
     async def test_crash_beside_a_copy(self):
         """Guards against a copy that is blamed for the crash of the other's endpoint, or lost."""
         await self.start()
