Count an owner that returns as a new one from the first moment

Cause: between its return and the next tick an owner that had been replaced counted as one that had owned the pool for long, with the whole rate of a cold endpoint. Change: the time is reset when the ownership is lost.

--- a/mulberrygate/daemon/pool_host.py
+++ b/mulberrygate/daemon/pool_host.py
@@ -96,7 +96,7 @@
     is_owner : bool
         Whether this instance owned the pool at the last tick.
     owned_since : float
-        Time of the tick from which on it has owned the pool, infinite before.
+        Time of the tick from which on it has owned the pool, infinite while it doesn't.
     asked_at : dict[str, float]
         Time of the last message of each entry that waits for grants or has some.
     """
@@ -308,6 +308,7 @@
         if hosted.is_owner and not was_owner:
             hosted.owned_since = self.timers.now()
         if was_owner and not hosted.is_owner:
+            hosted.owned_since = math.inf
             hosted.scheduler.forget_running(self.timers.now())
 
     def _forget_dead_entries(self, now: float) -> None:
--- a/mulberrygate/daemon/tests/test_pool_host.py
+++ b/mulberrygate/daemon/tests/test_pool_host.py
@@ -8,6 +8,7 @@
 import attrs
 
 from mulberrygate.daemon.pool_host import ASKER_MEMORY_S, PoolHost
+from mulberrygate.schedule.cold import NEW_OWNER_PART, NEW_OWNER_S
 from mulberrygate.schedule.messages import Ask, NotHosted, Ticket
 from mulberrygate.schedule.tests.support import make_view
 from mulberrygate.tables.model import Move, Pool
@@ -147,6 +148,23 @@
         host.tick()
         self.assertEqual(len(host.scheduler("pool").running), 0)
 
+    def test_owner_that_returns_is_a_new_owner(self):
+        """Guards against the whole rate of a cold endpoint for an owner that was replaced before.
+
+        Until the first tick after its return it counted as the owner of long ago.
+        """
+        host = self.host_without_owner(1, 1, [make_view("e", cold_s=60.0, cold_rate=11.0)])
+        owner = "10.0.0.1"
+        host.view().owner = lambda *_: owner
+        host.list_owners = lambda _pool: []
+        host.tick()
+        host.timers.now = lambda: 1.0 + NEW_OWNER_S
+        self.assertEqual(host._cold_part("pool", "e", 11.0), 1.0)
+        owner = "other"
+        host.tick()
+        owner = "10.0.0.1"
+        self.assertEqual(host._cold_part("pool", "e", 11.0), NEW_OWNER_PART)
+
 
 if __name__ == "__main__":
     unittest.main()
