--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -203,8 +203,9 @@
             call.body = b""
         if call.body_holder is not None:
             self.memory.budget.bodies.release(call.body_holder)
-        if call.answer_holder is not None:
-            self.memory.budget.answers.release(call.answer_holder)
+        for holder in (call.answer_holder, call.copy_holder):
+            if holder is not None:
+                self.memory.budget.answers.release(holder)
 
     async def write_events(
         self, call: Call, request: web.BaseRequest, response: web.StreamResponse, events: bytes
@@ -216,10 +217,7 @@
         ):
             await response.write(events)
             return
-        pool = self.memory.budget.answers
-        if call.answer_holder is None:
-            call.answer_holder = Holder(call.account or request.remote or "")
-        holder = call.answer_holder
+        pool, holder = self.memory.budget.answers, call.answer_holder
         if not holder.size:
             await self.memory.reserve(pool, holder, STREAM_BYTES, None)
             holder.on_evicted = transport.abort
@@ -331,7 +329,8 @@
     ) -> Refused | None:
         """Read the whole body, up to the limit."""
         limit = index.catalog.limits.max_body_bytes
-        call.body_holder = Holder(call.account or request.remote or "")
+        group = call.account or request.remote or ""
+        call.body_holder, call.answer_holder = Holder(group), Holder(group)
         try:
             call.body = await self.memory.read_body(request, limit, call.body_holder)
         except BodyTooLarge:
