--- a/mulberrygate/schedule/tests/test_slowdown.py
+++ b/mulberrygate/schedule/tests/test_slowdown.py
@@ -368,6 +368,20 @@
             means.append(statistics.mean(total_s))
         self.assertLess(max(means[1:]), 1.01 * means[0])
 
+    def test_evidence_of_a_former_owners_request(self):
+        """Guards against a version that looks slow since its engines are on slow machines."""
+        expected = []
+        for figure in (1.0, 4.0):
+            bench = WideBench([make_view("a")])
+            for _ in range(40):
+                bench.now += 1.0
+                slowdowns = {"a": figure}
+                bench.call("progress", Progress("care", {}, slowdowns=slowdowns), "entry-1")
+            done = Done("care", "r", "a", "v1", "note", 100, 100, 0.1, 1.0)
+            bench.call("done", done)
+            expected.append(bench.observed[-1].expected_s)
+        self.assertAlmostEqual(expected[1], 4.0 * expected[0])
+
     def test_slowdown_that_decays_while_requests_are_granted(self):
         """Guards against a grant to a lower tier that makes an upper request fit afterwards.
 
