--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -389,6 +389,19 @@
         self.assertEqual(await self.call(), (200, b"first"))
         self.assertEqual((self.results(), self.denied("no_room")), ({}, 1))
 
+    async def test_failure_domain_that_gets_requests_again(self):
+        """Guards against a copy at an endpoint that counts as cold since its domain's return."""
+        await self.start()
+        directory = self.entry.placement.directory
+        known = directory.pools["booking"]
+        directory.pools["booking"] = attrs.evolve(known, cold_start_s=60.0)
+        now = self.entry.timers.now()
+        directory.evacuations.update(1, ("a",), (), True, now)
+        directory.evacuations.update(2, (), (("a", 0.0),), True, now)
+        self.answer_with(late(3 * DELAY_S, whole(200, b"first")), whole())
+        self.assertEqual(await self.call(), (200, b"first"))
+        self.assertEqual((self.results(), self.denied("no_room")), ({}, 1))
+
     async def test_endpoint_that_has_warmed_up(self):
         """Guards against an endpoint that counts as cold again whenever it is heard of."""
         await self.start()
