Pause longer between reports to a leader that doesn't confirm them

Cause: an entry sent its report of spent units ten times a second for as long as a leader didn't confirm it. A leader of an earlier release never does, since it does not know the message. Change: the pause doubles up to 2 s, and begins anew with another leader.

--- a/mulberrygate/sync/spent_units.py
+++ b/mulberrygate/sync/spent_units.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from mulberrygate.core.timers import TimerService
@@ -10,6 +11,9 @@
 
 REPORT_TIMEOUT_S = 0.3
 CHECK_INTERVAL_S = 0.1
+# Longest pause before a leader that has not confirmed the report is told again. One of an earlier
+# release never does.
+MAX_PAUSE_S = 2.0
 
 
 class SpentUnitsReporter:
@@ -32,6 +36,10 @@
     ==========
     informed : tuple[str, int]
         Leader that has the report, and its epoch.
+    asked : str
+        Leader that the report was sent to last.
+    pause_s : float
+        Seconds before that leader is told again if it does not confirm the report.
     """
 
     def __init__(
@@ -53,6 +61,9 @@
         self.clock = clock
         self.started_at = clock() - up_s
         self.informed = ("", 0)
+        self.asked = ""
+        self.asked_at = -math.inf
+        self.pause_s = CHECK_INTERVAL_S
         timers.every(CHECK_INTERVAL_S, self.report, "units.report")
 
     def is_due(self, leader: str) -> bool:
@@ -66,7 +77,15 @@
         if not leader or not self.is_due(leader):
             return
         now = self.clock()
+        if leader != self.asked:
+            self.asked, self.pause_s = leader, CHECK_INTERVAL_S
+        elif now < self.asked_at + self.pause_s:
+            return
+        self.asked_at = now
         report = SpentUnits(self.instance, now - self.started_at, self.history.report(now))
         result = await self.client.call(leader, report, REPORT_TIMEOUT_S)
         if isinstance(result, SpentUnitsResult) and result.epoch:
             self.informed = (leader, result.epoch)
+            self.pause_s = CHECK_INTERVAL_S
+        else:
+            self.pause_s = min(MAX_PAUSE_S, 2.0 * self.pause_s)
