--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -115,7 +115,7 @@
         self.copy_task = forwarder.timers.spawn(self._send_copy(ticket))
 
     def _cold_endpoints(self) -> list[str]:
-        """Return the endpoints of the pool that are still slow after their start."""
+        """Return the endpoints of the pool that are cold, as far as known."""
         now = self.forwarder.timers.now()
         directory = self.forwarder.placement.directory
         rows = directory.roster.usable(self.call.pool.name)
