--- a/mulberrygate/schedule/tests/test_slowdown.py
+++ b/mulberrygate/schedule/tests/test_slowdown.py
@@ -11,6 +11,7 @@
 import random
 import statistics
 import unittest
+from unittest import mock
 
 from mulberrygate.schedule.messages import Done, Present, Progress, Running
 from mulberrygate.schedule.slowdown import DECAY_S, Slowdown, is_urgent
