--- a/mulberrygate/forward/explain.py
+++ b/mulberrygate/forward/explain.py
@@ -113,8 +113,7 @@
         found: Found = {"name": call.account, "tier": call.tier}
         if account is None or account.rate <= 0:
             return {**found, "limit": None}
-        tokens = call.head.prompt_tokens + call.head.output_tokens
-        units = (tokens or account.default_tokens) if account.counts_tokens else 1.0
+        units = self.forwarder.count_units(call, account)
         limits = self.forwarder.limits
         held = limits.units.held.get(account.name)
         now = limits.clock()
@@ -155,7 +154,7 @@
         if forwarder.placement.directory.is_pool_evacuated(call.pool.name):
             return Refused(codes.ENDPOINTS_EVACUATED)
         pause_s = forwarder.notices.pool_pause_s(
-            call.pool.name, now, lambda row: forwarder.homes.is_home(call, row)
+            call.pool.name, now, lambda row: forwarder.may_get(call, row)
         )
         return Refused(codes.ENDPOINTS_PAUSED, f"{pause_s:.2f} s") if pause_s > 0 else None
 
