--- a/mulberrygate/schedule/running.py
+++ b/mulberrygate/schedule/running.py
@@ -94,6 +94,7 @@
             0.0,
         )
         granted = GrantedRequest(ticket, state, message.version, now, 0.0, 0.0, 0.0)
+        granted.slowdown = state.slowdown.usual
         evidence = observe_request(granted, message, float(max(state.used, 1)), self.reference)
         return [evidence, *self._schedule(now)]
 
