--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -271,7 +271,7 @@
         with unittest.mock.patch.object(self.client.timers, "now", side_effect=(5.0, 6.5)):
             self.client.record_emitted("r", 6)
             self.client.record_emitted("r", 60)
-        running = self.client.running["r"].as_running()
+        running = self.client.running["r"].as_running(self.timers.now())
         self.assertEqual((running.emitted_tokens, running.emitting_s), (60, 1.5))
 
     async def test_end_is_reported_to_both_owners(self):
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -103,6 +103,10 @@
         Monotonic time of the first and the last tokens.
     first_tokens : int
         Number of tokens that arrived together first.
+    slowdown : float
+        Time that work takes relative to the usual time, as the endpoint has stated.
+    slowdown_at : float
+        Monotonic time of that statement, infinitely long ago without one.
     """
 
     ticket: Ticket
@@ -114,8 +118,10 @@
     first_at: float = 0.0
     last_at: float = 0.0
     first_tokens: int = 1
+    slowdown: float = 1.0
+    slowdown_at: float = -math.inf
 
-    def as_running(self) -> Running:
+    def as_running(self, now: float) -> Running:
         """Return the description of the request for a new owner."""
         emitting_s = self.last_at - self.first_at
         grant = self.grant
@@ -126,6 +132,8 @@
             self.emitted,
             emitting_s,
             self.first_tokens,
+            self.slowdown,
+            now - self.slowdown_at,
         )
 
 
@@ -336,7 +344,7 @@
         dispatched.emitted = tokens
 
     def report_slowdown(self, request: str, slowdown: float) -> None:
-        """Report at once that the endpoint of a request works unusually fast or slowly.
+        """Record what the endpoint of a request states, and report an unusual figure at once.
 
         Explanation
         ===========
@@ -344,7 +352,10 @@
         report. A usual figure is reported at the end of the request.
         """
         dispatched = self.running.get(request)
-        if dispatched is not None and is_urgent(slowdown):
+        if dispatched is None:
+            return
+        dispatched.slowdown, dispatched.slowdown_at = slowdown, self.timers.now()
+        if is_urgent(slowdown):
             slowdowns = {dispatched.grant.endpoint: slowdown}
             message = Progress(dispatched.ticket.pool, {}, slowdowns=slowdowns)
             self._send_to_owners(dispatched, message)
@@ -401,7 +412,7 @@
             dispatched.owner = owner
         now = self.timers.now()
         waiting = tuple(w.updated_ticket(now) for w in self._unanswered() if w.ticket.pool == pool)
-        presented = tuple(dispatched.as_running() for dispatched in running)
+        presented = tuple(dispatched.as_running(now) for dispatched in running)
         log.info(
             "Presenting requests to a new owner.", pool=pool, owner=owner, waiting=len(waiting)
         )
--- a/mulberrygate/forward/tests/test_endpoint_notices.py
+++ b/mulberrygate/forward/tests/test_endpoint_notices.py
@@ -119,7 +119,7 @@
                 self.assertEqual((await self.call(path))[0], 200)
                 placement = self.entry.placement
                 slowdown = placement.host.hosted[pool].scheduler.states[pool].slowdown
-                self.assertGreater(slowdown.usual, 1.0)
+                self.assertEqual(slowdown.figures[-1], 3.0)
                 self.assertEqual(placement.directory.loads[pool].load, 4)
 
 
--- a/mulberrygate/schedule/endpoint.py
+++ b/mulberrygate/schedule/endpoint.py
@@ -59,8 +59,7 @@
     slowdown_integral : float
         Integral of the endpoint's slowdown at the grant.
     first_slowdown, slowdown : float
-        Mean slowdown of the endpoint until the first token and until the end, relative to what is
-        usual there; set at the end.
+        Mean slowdown of the endpoint until the first token and until the end; set at the end.
     predicted_first_s : float
         Predicted seconds to the first token.
     is_presented : bool
@@ -205,10 +204,11 @@
 
     def refresh_speed(self) -> None:
         """Recompute the seconds per token used for predictions."""
-        generation, speed = self.generation, self.speed
-        self.prefill_s = generation.prefill_s * speed.prefill_factor
-        self.decode_s = generation.decode_s * speed.decode_factor
-        self.slope_s = generation.slope_s * speed.decode_factor
+        generation, speed, usual = self.generation, self.speed, self.slowdown.usual
+        self.overhead_s = generation.overhead_s * usual
+        self.prefill_s = generation.prefill_s * speed.prefill_factor * usual
+        self.decode_s = generation.decode_s * speed.decode_factor * usual
+        self.slope_s = generation.slope_s * speed.decode_factor * usual
         self._refresh()
 
     def _refresh(self) -> None:
@@ -218,10 +218,7 @@
         self.token_s = self.decode_s + self.slope_s * concurrent
         self.wait_s = self._queue_wait_s() if self.used >= slots else 0.0
         self.start_s = (
-            self.hop_s
-            + self.generation.overhead_s
-            + self.wait_s
-            + self.pending_prefill * self.prefill_s
+            self.hop_s + self.overhead_s + self.wait_s + self.pending_prefill * self.prefill_s
         )
 
     def is_blocked(self, now: float) -> bool:
@@ -381,15 +378,22 @@
             else float(self.used)
         )
 
+    def report_slowdown(self, figure: float, heard_at: float, now: float) -> None:
+        """Take over a figure that the endpoint has stated, and predict by it."""
+        self.slowdown.report(figure, heard_at, now)
+        self.refresh_speed()
+
     def set_slowdown(self, granted: GrantedRequest, done: Done, now: float) -> None:
-        """Set the mean slowdown during a request that has ended, and take over what it states."""
+        """Take over what the answer to an ended request states, and set its mean slowdown."""
         self.slowdown.advance(now)
-        granted.slowdown = self.slowdown.mean_since(
+        is_stated = done.slowdown_age_s < math.inf
+        if is_stated:
+            self.report_slowdown(done.slowdown, now - done.slowdown_age_s, now)
+        granted.slowdown = granted.first_slowdown = self.slowdown.mean_since(
             granted.slowdown_integral, now - granted.granted_at
         )
-        if done.slowdown_age_s < math.inf:
+        if is_stated:
             granted.first_slowdown = self.slowdown.mean_before(done.slowdown, done.first_token_s)
-            self.slowdown.report(done.slowdown, now - done.slowdown_age_s, now)
 
     def _queue_wait_s(self) -> float:
         """Return the predicted wait until the next request gets a slot."""
--- a/mulberrygate/schedule/endpoint_set.py
+++ b/mulberrygate/schedule/endpoint_set.py
@@ -15,7 +15,7 @@
 )
 from mulberrygate.schedule.memory import LostWhileFull
 from mulberrygate.schedule.messages import Ticket
-from mulberrygate.schedule.speed import DEFAULT_PRIOR, PRIORS, GenerationSpeed
+from mulberrygate.schedule.speed import DEFAULT_PRIOR, PRIORS, GenerationSpeed, Prior
 from mulberrygate.schedule.wide import WIDE_LONGEST_BLOCK_S, WIDE_MAX_LOAD_REPORT_AGE_S
 from mulberrygate.tables.model import MODEL
 
@@ -106,7 +106,7 @@
             kind = f"endpoint {view.endpoint}"
         generation = self.generations.get(kind)
         if generation is None:
-            generation = GenerationSpeed(PRIORS.get(view.hardware, DEFAULT_PRIOR))
+            generation = GenerationSpeed(self._prior_of(view))
             self.generations[kind] = generation
         distance = self._distance(view)
         state = EndpointState(view, LOCAL if self.is_wide else distance, generation)
@@ -120,6 +120,18 @@
         self.states[view.endpoint] = state
         return state
 
+    def _prior_of(self, view: EndpointView) -> Prior:
+        """Return the speed that is assumed of an endpoint of which nothing is known.
+
+        Explanation
+        ===========
+        Where endpoints state how long work takes there, learned speeds are those of an endpoint
+        that states 1, and so hold for a new one too. Its first answer states how much it differs.
+        """
+        are_stated = any(state.slowdown.is_stated for state in self.states.values())
+        learned = self.reference.as_prior() if self.reference and are_stated else None
+        return learned or PRIORS.get(view.hardware, DEFAULT_PRIOR)
+
     def _restore_endpoint(self, view: EndpointView) -> EndpointState | None:
         """Add an endpoint again that was absent while its requests ran on, if it is the same."""
         state = self.absent.pop(view.endpoint, None)
--- a/mulberrygate/schedule/learn.py
+++ b/mulberrygate/schedule/learn.py
@@ -32,9 +32,9 @@
     uncached = max(done.prompt_tokens - granted.cached, 1.0)
     # The predicted wait depends on the load, and a version under a move has little of it.
     wait_s = 0.0 if reference else granted.wait_s
-    expected = wait_s + generation.expected_s(uncached, done.output_tokens, concurrent)
-    # A busy machine says nothing of the endpoint itself.
-    expected *= granted.slowdown
+    expected_s = generation.expected_s(uncached, done.output_tokens, concurrent)
+    # A busy or slow machine says nothing of the version.
+    expected = wait_s + expected_s * granted.slowdown
     return ObservedRequest(
         route=done.route,
         version=done.version,
@@ -96,7 +96,7 @@
     later_tokens = running.emitted_tokens - running.first_tokens
     if later_tokens < MIN_DECODE_TOKENS - 1 or running.emitting_s <= 0:
         return
-    per_token = running.emitting_s / later_tokens
+    per_token = running.emitting_s / later_tokens / state.slowdown.usual
     concurrent = max(0, min(state.used, state.view.slots) - 1)
     generation = state.generation
     state.speed.learn_decode(per_token / generation.per_token_s(concurrent))
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -168,6 +168,10 @@
         endpoint.
     first_tokens : int
         Tokens that came together with the first one.
+    slowdown : float
+        Time that work took relative to the usual time, as stated in the head of the answer.
+    slowdown_age_s : float
+        Seconds from the head to the moment the message is sent, infinite if it stated nothing.
     """
 
     ticket: Ticket
@@ -176,6 +180,8 @@
     emitted_tokens: int
     emitting_s: float = 0.0
     first_tokens: int = 1
+    slowdown: float = 1.0
+    slowdown_age_s: float = math.inf
 
 
 @message("schedule.ask")
--- a/mulberrygate/schedule/running.py
+++ b/mulberrygate/schedule/running.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from mulberrygate.core.effects import Effect
 from mulberrygate.core.invariant import invariant
 from mulberrygate.schedule.codes import SLOTS_MISCOUNTED
@@ -68,6 +70,8 @@
         granted.expires_at = max(now + ticket.deadline_s, granted.expected_end) + LOST_DONE_S
         self._add_running(granted, now)
         state.progress(granted, running.emitted_tokens)
+        if running.slowdown_age_s < math.inf:
+            state.report_slowdown(running.slowdown, now - running.slowdown_age_s, now)
         if self.is_wide or self._is_reference(running.version):
             learn_presented(state, running)
 
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -233,7 +233,7 @@
         for endpoint, slowdown in message.slowdowns.items():
             state = self.states.get(endpoint)
             if state is not None:
-                state.slowdown.report(slowdown, now, now)
+                state.report_slowdown(slowdown, now, now)
         if message.is_whole and self._release_ended(sender, frozenset(message.held), now):
             return self._schedule(now)
         return []
--- a/mulberrygate/schedule/slowdown.py
+++ b/mulberrygate/schedule/slowdown.py
@@ -2,15 +2,24 @@
 
 from __future__ import annotations
 
+import collections
 import math
+import statistics
 
 # Time constant with which a reported figure returns to the endpoint's usual one, since the load of
 # a shared machine changes several times a second.
 DECAY_S = 0.25
-# Time constant of the usual figure, and the largest weight of one report in it. A slowdown that
-# lasts becomes usual within some seconds, and is then learned as the endpoint's own speed.
-USUAL_S = 10.0
-MAX_USUAL_GAIN = 0.1
+# Number of the latest reports whose median is the usual figure. Most of the time a machine isn't
+# disturbed, and a change of more than half of these is one of the endpoint itself.
+USUAL_REPORTS = 9
+# Least time between two of these, since many answers may state the same disturbance.
+SAMPLE_S = 0.4
+# Figures that are assumed before the first report, so that one or two of a moment at which the
+# machine is disturbed don't count as the endpoint's speed.
+ASSUMED_FIGURES = (1.0, 1.0)
+# Time constant of the means of the figures, and the largest weight of one report in them.
+MEAN_S = 10.0
+MAX_MEAN_GAIN = 0.1
 # Bounds of a figure; others are reported in error.
 SMALLEST_FIGURE, LARGEST_FIGURE = 0.1, 20.0
 # Smaller deviations from the usual figure aren't kept.
@@ -30,20 +39,24 @@
 
 
 class Slowdown:
-    """Present time of work at one endpoint relative to its usual time, from reports.
+    """Time that work takes at one endpoint, from the figures that it states.
 
     Explanation
     ===========
-    The deviation of the last report from the usual figure decays exponentially, so what is not
-    confirmed is soon forgotten. Its integral gives the mean over a request's run, by which
-    observed times are divided before a speed is learned from them.
+    The usual figure of an endpoint tells its speed among those of its pool. The deviation of the
+    last figure from the usual one decays exponentially, so what is not confirmed is soon forgotten.
+    Observed times are divided by the mean figure during a run before a speed is learned from them.
 
     Attributes
     ==========
+    figures : collections.deque[float]
+        The latest figures.
     usual : float
-        Mean of the reported figures.
+        Median of the latest figures; 1 without a report.
+    mean_ratio : float
+        Mean of the figures relative to the usual one, as it is included in learned speeds.
     excess : float
-        Decayed deviation from the usual figure, relative to it; 0 without a report.
+        Decayed deviation of the last figure from the mean, relative to it; 0 without a report.
     spread : float
         Mean deviation of the reported figures from the usual one, relative to it. What isn't known
         of the machine between two reports is of this size.
@@ -56,22 +69,39 @@
     >>> slowdown = Slowdown()
     >>> slowdown.delay_s(2.0)
     0.0
-    >>> slowdown.report(3.0, heard_at=0.0, now=0.0)
-    >>> round(slowdown.usual, 2), round(slowdown.excess, 2), round(slowdown.delay_s(2.0), 2)
-    (1.2, 1.5, 0.37)
+    >>> slowdown.report(1.0, heard_at=0.0, now=0.0)
+    >>> slowdown.report(3.0, heard_at=0.5, now=0.5)
+    >>> slowdown.usual, slowdown.excess, round(slowdown.delay_s(2.0), 2)
+    (1.0, 2.0, 0.5)
     >>> slowdown.advance(3.0)
     >>> slowdown.excess
     0.0
     """
 
-    __slots__ = ("usual", "excess", "spread", "integral", "updated_at", "heard_at")
+    __slots__ = (
+        "figures",
+        "usual",
+        "mean_ratio",
+        "excess",
+        "spread",
+        "integral",
+        "sampled_at",
+        "updated_at",
+        "heard_at",
+    )
 
     def __init__(self):
-        self.usual = 1.0
+        self.figures = collections.deque(ASSUMED_FIGURES, USUAL_REPORTS)
+        self.usual = self.mean_ratio = 1.0
         self.excess = 0.0
         self.spread = 0.0
         self.integral = 0.0
-        self.updated_at = self.heard_at = -math.inf
+        self.updated_at = self.heard_at = self.sampled_at = -math.inf
+
+    @property
+    def is_stated(self) -> bool:
+        """Whether the endpoint states figures."""
+        return self.heard_at > -math.inf
 
     def report(self, figure: float, heard_at: float, now: float) -> None:
         """Take over a figure, unless a later one is known.
@@ -79,7 +109,7 @@
         Parameters
         ==========
         figure : float
-            Time of work relative to an idle machine.
+            Time that work takes, relative to what is usual for the endpoint's service.
         heard_at : float
             Monotonic time in seconds of the answer that stated it.
         """
@@ -87,10 +117,15 @@
             return
         figure = min(LARGEST_FIGURE, max(SMALLEST_FIGURE, figure))
         self.advance(now)
-        gain = min(MAX_USUAL_GAIN, -math.expm1((self.heard_at - heard_at) / USUAL_S))
-        self.usual += gain * (figure - self.usual)
+        if heard_at >= self.sampled_at + SAMPLE_S:
+            self.sampled_at = heard_at
+            self.figures.append(figure)
+            self.usual = statistics.median(self.figures)
+        gain = min(MAX_MEAN_GAIN, -math.expm1((self.heard_at - heard_at) / MEAN_S))
+        if len(self.figures) > 2 * len(ASSUMED_FIGURES):
+            self.mean_ratio += gain * (figure / self.usual - self.mean_ratio)
         self.heard_at = heard_at
-        deviation = figure / self.usual - 1.0
+        deviation = figure / self.usual / self.mean_ratio - 1.0
         self.spread += gain * (abs(deviation) - self.spread)
         self.excess = deviation * math.exp(min(0.0, heard_at - now) / DECAY_S)
         self._drop_negligible()
@@ -119,7 +154,7 @@
         return self.excess * _weight_of(seconds) if self.excess else 0.0
 
     def mean_since(self, integral: float, seconds: float) -> float:
-        """Return the mean time of work relative to the usual one over the last seconds.
+        """Return the mean figure over the last seconds.
 
         Parameters
         ==========
@@ -127,10 +162,12 @@
             Value of ``integral`` at the beginning of these seconds.
         """
         if seconds <= 0:
-            return 1.0 + self.excess
-        return max(SMALLEST_FIGURE, 1.0 + (self.integral - integral) / seconds)
+            return self.usual * (1.0 + self.excess)
+        return self.usual * max(SMALLEST_FIGURE, 1.0 + (self.integral - integral) / seconds)
 
     def mean_before(self, figure: float, seconds: float) -> float:
-        """Return the mean relative time over the seconds before a figure was stated."""
-        excess = min(LARGEST_FIGURE, max(SMALLEST_FIGURE, figure)) / self.usual - 1.0
-        return 1.0 + excess * (_weight_of(seconds) / seconds if seconds > 0 else 1.0)
+        """Return the mean figure over the seconds before one was stated."""
+        figure = min(LARGEST_FIGURE, max(SMALLEST_FIGURE, figure))
+        excess = figure / self.usual / self.mean_ratio - 1.0
+        weight = _weight_of(seconds) / seconds if seconds > 0 else 1.0
+        return self.usual * (1.0 + excess * weight)
--- a/mulberrygate/schedule/speed.py
+++ b/mulberrygate/schedule/speed.py
@@ -98,6 +98,11 @@
         self.y = self.y * keep + weight * y
         self.xy = self.xy * keep + weight * x * y
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the observations outweigh the assumed line."""
+        return self.weight >= 3 * self.assumed_weight
+
     def value_at(self, x: float) -> float:
         """Return the line's value at a position."""
         return self.intercept + self.slope * x
@@ -113,11 +118,8 @@
             Largest part of the mean value that the slope may explain.
         """
         deviation = abs(y / max(self.value_at(x), MIN_TIME_S) - 1.0)
-        has_few_observations = self.weight < 3 * self.assumed_weight
         robust_weight = (
-            1.0
-            if has_few_observations
-            else min(1.0, self.FULL_WEIGHT_DEVIATION / max(deviation, 1e-9))
+            min(1.0, self.FULL_WEIGHT_DEVIATION / max(deviation, 1e-9)) if self.is_known else 1.0
         )
         self._add(x, y, trust * robust_weight)
         mean_x, mean_y = self.x / self.weight, self.y / self.weight
@@ -183,6 +185,12 @@
         self.completions += 1
         return self.completions <= FULLY_SAMPLED or self.completions % SAMPLING_INTERVAL == 0
 
+    def as_prior(self) -> Prior | None:
+        """Return the learned speed as an assumption about others, ``None`` if it isn't known."""
+        if not (self.decode.is_known and self.prefill.is_known):
+            return None
+        return Prior(self.prefill_s, self.decode_s, self.slope_s, self.overhead_s)
+
     def per_token_s(self, load: float) -> float:
         """Return seconds per output token beside ``load`` other requests."""
         return self.decode.value_at(load)
--- a/mulberrygate/schedule/tests/test_slowdown.py
+++ b/mulberrygate/schedule/tests/test_slowdown.py
@@ -31,12 +31,15 @@
     Parameters
     ==========
     factor : float
-        Time that the engine itself takes relative to others, which it doesn't state.
+        Time that the engine itself takes relative to others.
+    states_factor : bool
+        Whether it states this time too.
     is_noisy : bool
         Whether other work shares the machine.
     """
 
-    def __init__(self, seed, factor=1.0, is_noisy=True):
+    def __init__(self, seed, factor=1.0, is_noisy=True, states_factor=False):
+        self.stated_factor = factor if states_factor else 1.0
         self.rng = random.Random(seed)
         self.factor = factor
         self.is_noisy = is_noisy
@@ -72,10 +75,19 @@
         Time until news of an entry reaches the owner.
     """
 
-    def __init__(self, factors, slots=4, tells=True, is_noisy=True, news_delay_s=0.0, seed=1):
+    def __init__(
+        self,
+        factors,
+        slots=4,
+        tells=True,
+        is_noisy=True,
+        states_factor=False,
+        news_delay_s=0.0,
+        seed=1,
+    ):
         names = [f"e{number}" for number in range(len(factors))]
         self.machines = {
-            name: Machine(seed * 100 + number, factor, is_noisy)
+            name: Machine(seed * 100 + number, factor, is_noisy, states_factor)
             for number, (name, factor) in enumerate(zip(names, factors, strict=True))
         }
         self.engines = [make_view(name, hardware="", slots=slots) for name in names]
@@ -145,7 +157,7 @@
         machine = self.machines[endpoint]
         self.first_after_s[name] = self.now - self.asked_at[name]
         tokens = self.outputs[name]
-        figure = machine.figure(self.now)
+        figure = machine.figure(self.now) * machine.stated_factor
         if self.tells and is_urgent(figure):
             self.push(self.now + self.news_delay_s, "tell", {endpoint: figure})
         ends_at = min(machine.end_of(tokens * TOKEN_S, self.now), self.leaves_at(name))
@@ -172,12 +184,20 @@
         return statistics.mean(self.first_after_s.values())
 
 
+def usually_fast():
+    """Return the slowdown of an endpoint that has stated 1 several times."""
+    slowdown = Slowdown()
+    for number in range(10):
+        slowdown.report(1.0, number - 10.0, number - 10.0)
+    return slowdown
+
+
 class TestSlowdown(unittest.TestCase):
     """Figures of one endpoint."""
 
     def test_figure_is_forgotten_within_a_second(self):
         """Guards against avoiding an endpoint for a figure that is long outdated."""
-        slowdown = Slowdown()
+        slowdown = usually_fast()
         slowdown.report(3.0, 0.0, 0.0)
         self.assertGreater(slowdown.delay_s(1.0), 0.2)
         slowdown.advance(2.0)
@@ -185,7 +205,7 @@
 
     def test_late_news_counts_less_and_never_over_later_news(self):
         """Guards against news in the wrong order, and against old news taken as new."""
-        slowdown, fresh = Slowdown(), Slowdown()
+        slowdown, fresh = usually_fast(), usually_fast()
         fresh.report(3.0, 1.0, 1.0)
         slowdown.report(3.0, 1.0, 1.0 + 2 * DECAY_S)
         self.assertLess(slowdown.excess, 0.2 * fresh.excess)
@@ -194,9 +214,19 @@
         slowdown.report(3.0, 1.5, 2.0)
         self.assertEqual(slowdown.excess, before)
 
-    def test_slowdown_that_lasts_becomes_usual(self):
-        """Guards against an endpoint whose slowness is never learned since it states it itself."""
+    def test_first_figures_tell_the_speed_of_an_endpoint(self):
+        """Guards against an endpoint that counts as slowed for seconds although it is slow."""
         slowdown = Slowdown()
+        for number in range(3):
+            slowdown.report(3.0, float(number), float(number))
+        self.assertEqual((slowdown.usual, slowdown.excess), (3.0, 0.0))
+        slowdown.report(7.5, 4.0, 4.0)
+        self.assertEqual(slowdown.usual, 3.0)
+        self.assertGreater(slowdown.excess, 1.0)
+
+    def test_slowdown_that_lasts_becomes_usual(self):
+        """Guards against an endpoint that turns slow and counts as slowed by chance for ever."""
+        slowdown = usually_fast()
         for number in range(120):
             slowdown.report(4.0, number / 4, number / 4)
         self.assertGreater(slowdown.usual, 3.5)
@@ -204,12 +234,11 @@
 
     def test_mean_of_a_long_run_counts_the_slow_part_only(self):
         """Guards against dividing a run of seconds by a figure that held for a fraction of it."""
-        slowdown = Slowdown()
-        slowdown.advance(0.0)
+        slowdown = usually_fast()
         slowdown.report(3.0, 0.0, 0.0)
         slowdown.advance(2.0)
-        self.assertAlmostEqual(slowdown.mean_since(0.0, 2.0), 1.0 + slowdown.integral / 2.0)
-        self.assertLess(slowdown.mean_since(0.0, 2.0), 1.4)
+        self.assertGreater(slowdown.mean_since(0.0, 2.0), 1.1)
+        self.assertLess(slowdown.mean_since(0.0, 2.0), 1.5)
 
     def test_absurd_figures_are_bounded(self):
         """Guards against a figure that keeps an endpoint unused or breaks the arithmetic."""
@@ -254,7 +283,11 @@
         pool = SharedMachines(factors)
         pool.simulate(30.0, rate=70.0)
         states = pool.scheduler.states
-        times = {name: states[name].decode_s for name in states if states[name].grant_count > 20}
+        times = {
+            name: state.decode_s + 2 * state.slope_s
+            for name, state in states.items()
+            if state.grant_count > 20
+        }
         fast = [s for name, s in times.items() if pool.machines[name].factor == 1.0]
         slow = [s for name, s in times.items() if pool.machines[name].factor == 3.0]
         self.assertEqual(len(fast), 8)
@@ -297,6 +330,58 @@
         self.assertFalse(state.detector.is_slow)
         self.assertGreater(state.slowdown.excess, 0.5)
 
+    def test_new_owner_learns_speeds_with_their_figures(self):
+        """Guards against a speed that is learned of a slowed endpoint as if it were usual."""
+        successor = SharedMachines([1.0] * 6)
+        running = [
+            Running(make_ticket(f"r{n}"), "e1", "v1", 80, 1.8, 8, 3.0, 2.0 - n / 2)
+            for n in range(4)
+        ]
+        successor.call("present", Present("care", (), tuple(running)), "entry-1")
+        state = successor.scheduler.states["e1"]
+        self.assertEqual(state.slowdown.usual, 3.0)
+        self.assertLess(state.generation.decode_s, 0.02)
+
+    def test_slow_engines_are_known_before_a_request_has_ended(self):
+        """A slow engine had to run several requests to their ends before it was known as slow."""
+        pool = SharedMachines([1.0, 4.5], states_factor=True)
+        for _ in range(3):
+            pool.now += 0.4
+            pool.tell({"e0": 1.0, "e1": 4.5})
+        pool.now += 1.0
+        pool.call("set_endpoints", pool.engines)
+        fast, slow = (pool.scheduler.states[name] for name in ("e0", "e1"))
+        self.assertGreater(slow.token_s, 4 * fast.token_s)
+        self.assertGreater(slow.token_s, pool.scheduler.chooser.fast_token_s)
+        self.assertGreater(slow.first_s(1000), 4 * fast.first_s(1000))
+
+    def test_stated_speeds_do_not_cost_callers_more(self):
+        """Guards against first figures of disturbed machines that count as speeds."""
+        factors = [4.5 if number % 3 == 0 else 1.0 for number in range(24)]
+        means = []
+        for news in ({"tells": False}, {}, {"states_factor": True}):
+            total_s = []
+            for seed in range(1, 4):
+                pool = SharedMachines(factors, seed=seed, news_delay_s=0.01, **news)
+                pool.simulate(8.0, rate=90.0)
+                total_s += pool.total_s.values()
+            means.append(statistics.mean(total_s))
+        self.assertLess(max(means[1:]), 1.01 * means[0])
+
+    def test_evidence_of_a_former_owners_request(self):
+        """Guards against a version that looks slow since its engines are on slow machines."""
+        expected = []
+        for figure in (1.0, 4.0):
+            bench = WideBench([make_view("a")])
+            for _ in range(40):
+                bench.now += 1.0
+                slowdowns = {"a": figure}
+                bench.call("progress", Progress("care", {}, slowdowns=slowdowns), "entry-1")
+            done = Done("care", "r", "a", "v1", "note", 100, 100, 0.1, 1.0)
+            bench.call("done", done)
+            expected.append(bench.observed[-1].expected_s)
+        self.assertAlmostEqual(expected[1], 4.0 * expected[0])
+
     def test_slowdown_that_decays_while_requests_are_granted(self):
         """Guards against a grant to a lower tier that makes an upper request fit afterwards.
 
