--- a/mulberrygate/entry/tests/test_tickets.py
+++ b/mulberrygate/entry/tests/test_tickets.py
@@ -130,6 +130,15 @@
         self.assertEqual([report.slowdowns for report in self.reports()], [{"e": 3.0}])
         self.assertFalse(self.reports()[0].is_whole)
 
+    async def test_unchanged_slowdown_is_reported_with_the_end(self):
+        """Guards against a message for each answer of an engine that is always slow."""
+        self.peers.on_ask = lambda owner, count: self.grant(owner)
+        await self.acquire()
+        for slowdown in (3.0, 3.0, 3.1, 2.9, 1.0):
+            self.client.report_slowdown("r", slowdown)
+        found = [report.slowdowns for report in self.reports()]
+        self.assertEqual(found, [{"e": 3.0}, {"e": 1.0}])
+
     async def test_lost_withdrawal_is_corrected_by_the_next_report(self):
         """Guards against a slot that is kept by a request whose wait ended before the grant."""
         await self.acquire(0.01)
--- a/mulberrygate/entry/tickets.py
+++ b/mulberrygate/entry/tickets.py
@@ -43,6 +43,8 @@
 # An owner gets progress reports for this time after the entry's last request there has ended.
 PROGRESS_LINGER_S = 10.0
 STOPPING_RETRY_S = 1.0
+# Bounds the endpoints whose figures are remembered.
+MAX_SLOWDOWNS = 2000
 
 
 class WaitEnded(Exception):
@@ -190,6 +192,8 @@
         # Owner and pool of recent requests, with the time at which a wait or a request last ended,
         # or at which a request was last seen running.
         self.active_at: dict[tuple[str, str], float] = {}
+        # Last figure that each endpoint has stated, the one heard longest ago first.
+        self.slowdowns: dict[str, float] = {}
         self.is_stopping = False
         peers.on(Grant, self.on_grant)
         peers.on(Refuse, self.on_refuse)
@@ -344,19 +348,24 @@
         dispatched.emitted = tokens
 
     def report_slowdown(self, request: str, slowdown: float) -> None:
-        """Record what the endpoint of a request states, and report an unusual figure at once.
+        """Record what the endpoint of a request states, and report a changed figure at once.
 
         Explanation
         ===========
         The figure is worth a fraction of a second, so it doesn't wait for the next progress
-        report. A usual figure is reported at the end of the request.
+        report. One that hasn't changed is reported at the end of the request.
         """
         dispatched = self.running.get(request)
         if dispatched is None:
             return
         dispatched.slowdown, dispatched.slowdown_at = slowdown, self.timers.now()
-        if is_urgent(slowdown):
-            slowdowns = {dispatched.grant.endpoint: slowdown}
+        endpoint = dispatched.grant.endpoint
+        known = self.slowdowns.pop(endpoint, 1.0)
+        self.slowdowns[endpoint] = slowdown
+        if len(self.slowdowns) > MAX_SLOWDOWNS:
+            del self.slowdowns[next(iter(self.slowdowns))]
+        if is_urgent(slowdown, known):
+            slowdowns = {endpoint: slowdown}
             message = Progress(dispatched.ticket.pool, {}, slowdowns=slowdowns)
             self._send_to_owners(dispatched, message)
 
--- a/mulberrygate/schedule/slowdown.py
+++ b/mulberrygate/schedule/slowdown.py
@@ -24,13 +24,20 @@
 SMALLEST_FIGURE, LARGEST_FIGURE = 0.1, 20.0
 # Smaller deviations from the usual figure aren't kept.
 NEGLIGIBLE = 0.01
-# Deviation from 1 from which an entry reports a figure at once rather than at the end of a request.
-URGENT_DEVIATION = 0.25
+# Relative change of an endpoint's figure from which an entry reports it at once rather than at the
+# end of a request.
+URGENT_CHANGE = 0.25
 
 
-def is_urgent(figure: float) -> bool:
-    """Return whether a figure has to reach the owner of the pool before it is outdated."""
-    return abs(figure - 1.0) >= URGENT_DEVIATION
+def is_urgent(figure: float, known: float) -> bool:
+    """Return whether a figure has to reach the owner of the pool before it is outdated.
+
+    Parameters
+    ==========
+    known : float
+        Figure that the entry heard before from the endpoint, 1 if none.
+    """
+    return abs(figure - known) >= URGENT_CHANGE * known
 
 
 def _weight_of(seconds: float) -> float:
--- a/mulberrygate/schedule/tests/test_slowdown.py
+++ b/mulberrygate/schedule/tests/test_slowdown.py
@@ -99,6 +99,7 @@
         self.first_after_s = {}
         self.total_s = {}
         self.outputs = {}
+        self.stated = {}
         self.started = set()
         self.number = 0
         super().__init__(self.engines, engine_queue=1)
@@ -158,7 +159,9 @@
         self.first_after_s[name] = self.now - self.asked_at[name]
         tokens = self.outputs[name]
         figure = machine.figure(self.now) * machine.stated_factor
-        if self.tells and is_urgent(figure):
+        known = self.stated.get(endpoint, 1.0)
+        self.stated[endpoint] = figure
+        if self.tells and is_urgent(figure, known):
             self.push(self.now + self.news_delay_s, "tell", {endpoint: figure})
         ends_at = min(machine.end_of(tokens * TOKEN_S, self.now), self.leaves_at(name))
         self.push(ends_at, "end", (name, started_at, self.now, figure, tokens))
