--- a/mulberrygate/schedule/tests/test_slowdown.py
+++ b/mulberrygate/schedule/tests/test_slowdown.py
@@ -294,6 +294,14 @@
 
     def test_speeds_are_learned_without_the_noise(self):
         """Guards against a slow third that is hidden by noise, or noise learned as a speed."""
+        fast, slow = self.learned_times(True, 1)
+        self.assertEqual(len(fast), 8)
+        self.assertTrue(slow)
+        self.assertLess(max(fast) - min(fast), math.log(2))
+        self.assertGreater(min(slow) - max(fast), math.log(2))
+
+    def test_learned_speeds_scatter_less_with_the_figure(self):
+        """Guards against the noise of busy machines in most learned speeds."""
         scatter = {False: [], True: []}
         for tells in scatter:
             for seed in range(1, 7):
