Make the entry of a waiting request in one place

The scheduler, the grants of copies and the explanation each computed the expected output, the cost and the deadline of a request by the same lines. They now call PoolScheduler.make_waiting. Measured: the modules schedule.tests.test_explain and schedule.tests.test_spare pass.

--- a/mulberrygate/schedule/explain.py
+++ b/mulberrygate/schedule/explain.py
@@ -15,7 +15,6 @@
 )
 from mulberrygate.schedule.codes import DEADLINE_UNREACHABLE, NO_ENDPOINT, QUEUE_FULL
 from mulberrygate.schedule.endpoint import LOCAL, EndpointState
-from mulberrygate.schedule.fair_queue import WaitingRequest
 from mulberrygate.schedule.messages import Ticket
 
 if TYPE_CHECKING:
@@ -38,15 +37,7 @@
         self.scheduler = scheduler
         self.ticket = ticket
         self.now = now
-        output = scheduler.lengths.output_tokens(ticket.route, ticket.output_tokens)
-        self.waiting = WaitingRequest(
-            ticket,
-            ticket.prompt_tokens + output,
-            now + ticket.deadline_s,
-            scheduler.sequence + 1,
-            now,
-            output,
-        )
+        self.waiting = scheduler.make_waiting(ticket, scheduler.sequence + 1, now)
         self.chooser = self._copy_chooser()
         queues = scheduler.queue.tiers
         waiting_tier = next((t for t, queue in enumerate(queues) if queue.count), len(queues))
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -421,12 +421,16 @@
             else OTHER_REGION
         )
 
+    def make_waiting(self, ticket: Ticket, sequence: int, now: float) -> WaitingRequest:
+        """Return a request that waits from now on, with its expected output and its cost."""
+        output = self.lengths.output_tokens(ticket.route, ticket.output_tokens)
+        cost = ticket.prompt_tokens + output
+        return WaitingRequest(ticket, cost, now + ticket.deadline_s, sequence, now, output)
+
     def _enqueue(self, ticket: Ticket, now: float) -> None:
         self._apply_notices(ticket, now)
         self.sequence += 1
-        output = self.lengths.output_tokens(ticket.route, ticket.output_tokens)
-        cost = ticket.prompt_tokens + output
-        waiting = WaitingRequest(ticket, cost, now + ticket.deadline_s, self.sequence, now, output)
+        waiting = self.make_waiting(ticket, self.sequence, now)
         self.queue.add(waiting)
         self.newest_tier = ticket.tier
         self.demand.count_ask(ticket.tier, now)
--- a/mulberrygate/schedule/spare.py
+++ b/mulberrygate/schedule/spare.py
@@ -30,16 +30,14 @@
         self._apply_notices(ticket, now)
         first = self.states.get(ticket.avoid[-1]) if ticket.avoid else None
         reason = self._spare_room_fault(ticket, first) if first else "no first endpoint"
-        output = self.lengths.output_tokens(ticket.route, ticket.output_tokens)
-        cost = ticket.prompt_tokens + output
-        waiting = WaitingRequest(ticket, cost, now + ticket.deadline_s, self.sequence, now, output)
+        waiting = self.make_waiting(ticket, self.sequence, now)
         choice = None if reason else self._choose_spare(waiting, first, now)
         if choice is None:
             reason = reason or "no other endpoint"
             refusal = Refuse(ticket.pool, ticket.request, NO_SPARE_ROOM.number, 0.0, reason)
             self.ended.add(ticket.request, refusal, now)
             return Send(ticket.entry, refusal)
-        self.queue.charge(ticket, cost)
+        self.queue.charge(ticket, waiting.cost)
         return self._start_grant(waiting, choice, now)
 
     def _spare_room_fault(self, ticket: Ticket, first: EndpointState) -> str:
