Compute the distance to an endpoint in one place

schedule.near and EndpointSet each had the three cases of failure domain and region. EndpointSet now calls near.distance, which takes anything that has a place. Measured: the modules schedule.tests.test_uneven and test_choice pass.

--- a/mulberrygate/schedule/endpoint_set.py
+++ b/mulberrygate/schedule/endpoint_set.py
@@ -6,15 +6,10 @@
 
 from mulberrygate.core.effects import Effect
 from mulberrygate.endpoints.model import EndpointView
-from mulberrygate.schedule.endpoint import (
-    HOP_S,
-    LOCAL,
-    OTHER_DOMAIN,
-    OTHER_REGION,
-    EndpointState,
-)
+from mulberrygate.schedule.endpoint import HOP_S, LOCAL, EndpointState
 from mulberrygate.schedule.memory import LostWhileFull
 from mulberrygate.schedule.messages import Ticket
+from mulberrygate.schedule.near import distance
 from mulberrygate.schedule.speed import DEFAULT_PRIOR, PRIORS, GenerationSpeed
 from mulberrygate.schedule.wide import WIDE_LONGEST_BLOCK_S, WIDE_MAX_LOAD_REPORT_AGE_S
 from mulberrygate.tables.model import MODEL
@@ -94,11 +89,6 @@
                 state.cold_limit.refresh(now)
                 self._update_limits(state, now)
 
-    def _distance(self, view: EndpointView) -> int:
-        if view.failure_domain == self.failure_domain:
-            return LOCAL
-        return OTHER_DOMAIN if view.region == self.region else OTHER_REGION
-
     def _add_endpoint(self, view: EndpointView, now: float) -> EndpointState:
         kind = view.hardware
         if self.is_wide and not kind:
@@ -108,9 +98,9 @@
         if generation is None:
             generation = GenerationSpeed(PRIORS.get(view.hardware, DEFAULT_PRIOR))
             self.generations[kind] = generation
-        distance = self._distance(view)
-        state = EndpointState(view, LOCAL if self.is_wide else distance, generation)
-        state.hop_s = HOP_S[distance]
+        from_here = distance(self, view)
+        state = EndpointState(view, LOCAL if self.is_wide else from_here, generation)
+        state.hop_s = HOP_S[from_here]
         if self.is_wide:
             state.longest_block_s = WIDE_LONGEST_BLOCK_S
             state.max_load_report_age_s = WIDE_MAX_LOAD_REPORT_AGE_S
--- a/mulberrygate/schedule/near.py
+++ b/mulberrygate/schedule/near.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from mulberrygate.endpoints.model import EndpointView
 from mulberrygate.schedule.endpoint import HOP_S, LOCAL, OTHER_DOMAIN, OTHER_REGION
 from mulberrygate.schedule.messages import Ticket
@@ -12,16 +14,27 @@
 MIN_GAIN = {LOCAL: 0.0, OTHER_DOMAIN: 0.02, OTHER_REGION: 0.1}
 
 
-def distance(ticket: Ticket, view: EndpointView) -> int:
-    """Return the distance from the entry of a request to an endpoint."""
-    if view.failure_domain == ticket.failure_domain:
+class Place(Protocol):
+    """Anything that has a place: the ticket of an entry, or a scheduler."""
+
+    failure_domain: str
+    region: str
+
+
+def distance(origin: Place, view: EndpointView) -> int:
+    """Return the distance from a place to an endpoint, as an index of `HOP_S`."""
+    if view.failure_domain == origin.failure_domain:
         return LOCAL
-    return OTHER_DOMAIN if view.region == ticket.region else OTHER_REGION
+    return OTHER_DOMAIN if view.region == origin.region else OTHER_REGION
 
 
 def distance_cost_s(ticket: Ticket, view: EndpointView, run_s: float) -> float:
     """Return the seconds by which a distant endpoint has to be faster to be chosen.
 
+    Explanation
+    ===========
+    The entry passes the bytes on, so its distance counts and not that of the scheduler.
+
     Parameters
     ==========
     run_s : float
@@ -36,5 +49,5 @@
     >>> distance_cost_s(ticket, near, 1.0), round(distance_cost_s(ticket, far, 1.0), 3)
     (0.001, 0.12)
     """
-    steps = distance(ticket, view)
-    return HOP_S[steps] + MIN_GAIN[steps] * run_s
+    from_entry = distance(ticket, view)
+    return HOP_S[from_entry] + MIN_GAIN[from_entry] * run_s
