Say in the code of cold endpoints what its terms mean

ColdLimit.cold_s was called by tests only, and the rate for cold endpoints had the same name as the rate of the bucket. The method is gone, its test compares the times themselves, and the parameter is cold_rate. Doc comments say what an owner is in schedule.cold, that an endpoint may also have been silent, what Row.cold_until may be, and what the two endpoint directories have in common. Measured: the modules schedule.tests.test_cold, endpoints.tests.test_roster and daemon.tests.test_roster_directory pass.

--- a/mulberrygate/daemon/placement.py
+++ b/mulberrygate/daemon/placement.py
@@ -130,6 +130,12 @@
 class RosterDirectory:
     """Endpoints of a roster in the form that the pool host reads.
 
+    Explanation
+    ===========
+    It is what `mulberrygate.endpoints.directory.Directory` is on the product's own daemons. The
+    roster holds what endpoints have reported; what a catalog, load headers and operators add to
+    that is added here.
+
     Attributes
     ==========
     pools : dict[str, BackendPool]
@@ -381,7 +387,7 @@
 
 
 def describe_endpoint(state: EndpointState) -> dict[str, Any]:
-    """Return the log fields of a scheduler's state of an endpoint."""
+    """Return the log fields of a scheduler's state of an endpoint; ``rate`` is its cold limit."""
     return {
         "used": state.used,
         "others": state.external_load,
--- a/mulberrygate/endpoints/roster.py
+++ b/mulberrygate/endpoints/roster.py
@@ -81,7 +81,8 @@
     first_heard_at : float
         Time of the first report of the incarnation.
     cold_until : float or None
-        Time until which it is cold, ``None`` if no report of the incarnation has stated that.
+        Time until which it is cold, ``-inf`` if it is warm, ``None`` if no report of the
+        incarnation has stated either.
     """
 
     registration: Registration
@@ -113,11 +114,12 @@
         return max(0.0, until - now)
 
     def aged(self, now: float) -> AgedRegistration:
-        """Return the registration as it is to be passed on: as if it had been reported last.
+        """Return the registration in the form in which it is passed on to other processes.
 
         Explanation
         ===========
-        The time of the last report is newer than the registration if only the time was passed on.
+        `heard_at` is newer than the registration if later reports only renewed it. So ``warmup_s``
+        is stated again as what was left of it at `heard_at`, to which the age refers.
         """
         left_s = 0.0 if self.cold_until is None else max(0.0, self.cold_until - self.heard_at)
         known = attrs.evolve(
--- a/mulberrygate/schedule/cold.py
+++ b/mulberrygate/schedule/cold.py
@@ -1,4 +1,11 @@
-"""Limit of the requests a second that a cold endpoint gets, as the configuration names it."""
+"""Limit of the requests a second that a cold endpoint gets, as the configuration names it.
+
+Explanation
+===========
+In this module, an *owner* is an instance that schedules a pool. *Away* are the instances that
+schedule without the pool's owner, since they don't reach it: deputies, and entries on their own.
+See ``docs/design/homes-and-cold-endpoints.md``.
+"""
 
 from __future__ import annotations
 
@@ -12,8 +19,9 @@
 # endpoints of a failure domain may warm up at once, and an idle one attracts every request.
 RAMP_S = 2.0
 RAMP_RATIO = 4.0
-# Time for which an endpoint that answers again after it was blocked counts as cold, unless it
-# reports. It may have started again under its name, and entries reach it before its first report.
+# Time for which an endpoint that answers again after it was blocked or silent counts as cold,
+# unless it reports. It may have started again under its name, and entries reach it before its
+# first report.
 SUSPECT_S = 3.0
 # Instances that all own a pool have a token each at worst, beside the rate. So many may use one
 # endpoint: a fixed number and one for each so many requests a second.
@@ -58,7 +66,8 @@
 
     Explanation
     ===========
-    It begins empty, so that a new owner, or several at once, add no burst of their own.
+    It begins empty, so that a new owner, or several at once, add no burst of their own. The rate of
+    the bucket is `cold_rate` while the endpoint is cold, rises after that, and is infinite later.
 
     Attributes
     ==========
@@ -67,13 +76,13 @@
     cold_until, suspected_until : float
         Times until which it is cold by its reports, and until which it may be.
     suspected_at : float
-        Time of the sign that it may be cold.
+        Time of the last sign that it may be cold. All three times are monotonic, in seconds.
 
     Examples
     ========
     >>> from mulberrygate.schedule.cold import ColdLimit
     >>> limit = ColdLimit()
-    >>> limit.report(cold_s=3.0, rate=10.0, reported_at=0.0, now=0.0)
+    >>> limit.report(cold_s=3.0, cold_rate=10.0, reported_at=0.0, now=0.0)
     >>> limit.is_limited, limit.has_token(0.05), limit.has_token(0.15)
     (True, False, True)
     >>> limit.refresh(4.0)
@@ -91,17 +100,19 @@
         self.cold_rate = 0.0
         self.cold_until = self.suspected_until = self.suspected_at = -math.inf
 
-    def report(self, cold_s: float, rate: float, reported_at: float, now: float) -> None:
+    def report(self, cold_s: float, cold_rate: float, reported_at: float, now: float) -> None:
         """Take over how long the endpoint is still cold by its latest report.
 
         Parameters
         ==========
-        rate : float
+        cold_s : float
+            Seconds for which it is still cold, 0 if it is warm.
+        cold_rate : float
             Requests a second that a cold endpoint of its pool takes, 0 for any.
         reported_at : float
             Time of the report; one after a sign that the endpoint may be cold settles that.
         """
-        self.cold_rate = rate
+        self.cold_rate = cold_rate
         self.cold_until = now + cold_s if cold_s > 0 else min(self.cold_until, now)
         if reported_at > self.suspected_at:
             self.suspected_until = min(self.suspected_until, now)
@@ -114,12 +125,6 @@
             self.suspected_until = now + SUSPECT_S
             self.refresh(now)
 
-    def cold_s(self, now: float) -> float:
-        """Return the seconds for which the endpoint is or may be cold."""
-        if self.cold_rate <= 0:
-            return 0.0
-        return max(0.0, self.cold_until - now, self.suspected_until - now)
-
     def refresh(self, now: float) -> None:
         """Set the rate as it is at a time: that of a cold endpoint, rising, or none."""
         rate = math.inf
--- a/mulberrygate/schedule/rate_limit.py
+++ b/mulberrygate/schedule/rate_limit.py
@@ -1,6 +1,9 @@
 """Limit of the requests a second that an endpoint takes.
 
-It names the limit in its answers, or is cold; see `mulberrygate.schedule.cold`.
+Explanation
+===========
+An endpoint names the limit in its answers, or has one while it is cold; see
+`mulberrygate.schedule.cold`.
 """
 
 from __future__ import annotations
@@ -21,7 +24,7 @@
 
 
 class EndpointRateLimit:
-    """Token bucket of one endpoint; without a named limit it always has a token.
+    """Token bucket of one endpoint; without a limit it always has a token.
 
     Attributes
     ==========
@@ -31,6 +34,8 @@
         Time of the answer that is the latest known to name a limit or none.
     part : float
         Part of the limit that this scheduler may use.
+    tokens : float
+        Requests that may be sent, as of `filled_at`.
     limited_since : float
         Time since which the endpoint has been limited.
 
@@ -60,7 +65,7 @@
 
     @property
     def is_limited(self) -> bool:
-        """Whether the endpoint names a limit."""
+        """Whether the endpoint has a limit at present."""
         return self.rate < math.inf
 
     def update(self, rate: float, stated_at: float, now: float) -> bool:
--- a/mulberrygate/schedule/tests/test_cold.py
+++ b/mulberrygate/schedule/tests/test_cold.py
@@ -90,9 +90,11 @@
         limit.report(0.0, RATE, reported_at=0.0, now=0.0)
         limit.suspect(10.0)
         limit.report(0.0, RATE, reported_at=9.0, now=11.0)
-        self.assertEqual(limit.cold_s(11.0), SUSPECT_S - 1.0)
+        self.assertEqual(limit.suspected_until, 10.0 + SUSPECT_S)
+        self.assertTrue(limit.is_limited)
         limit.report(0.0, RATE, reported_at=11.5, now=11.6)
-        self.assertEqual(limit.cold_s(11.6), 0.0)
+        self.assertEqual(limit.suspected_until, 11.6)
+        self.assertLessEqual(limit.cold_until, 11.6)
         limit.refresh(11.6 + RAMP_S)
         self.assertFalse(limit.is_limited)
 
