Name the losing send of a pair redundant, and describe the hedging state

Send.beat and is_beaten were figurative; they are cancel_as_redundant and is_redundant. Hedging.delay_s said that it returns None with few known times, which is no longer so since initial_delay_s. Attributes without a description have one. Measured: the modules forward.tests.test_hedged_send, test_hedging and test_hedging_soak pass.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -317,7 +317,7 @@
         except BaseException as error:
             send.is_cancelled = True
             if isinstance(error, TimeoutError) and limit.expired():
-                return None if send.is_beaten else self._cancelled_as_quarantined()
+                return None if send.is_redundant else self._cancelled_as_quarantined()
             # The call's deadline, a caller that left, or the end of this process.
             if self.now() - send.running.heard_at > SIGN_OF_LIFE_S:
                 self._check_endpoint(send, is_broken=False)
@@ -373,7 +373,7 @@
             if self.hedge is not None:
                 # Events are passed on as they arrive, so those of two copies would be mixed.
                 self.hedge.choose(send)
-            if send.is_beaten:
+            if send.is_redundant:
                 # The other's answer was chosen in the same moment; this send is being cancelled.
                 send.is_cancelled = True
                 return SendOutcome.UNKNOWN, None
--- a/mulberrygate/forward/explain.py
+++ b/mulberrygate/forward/explain.py
@@ -22,6 +22,7 @@
 # Longest wait for the explanation of a pool's owner.
 OWNER_TIMEOUT_S = 1.0
 
+# Members of the answer to an operator.
 Found = dict[str, Any]
 
 
--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -35,8 +35,12 @@
     ==========
     copy : Send or None
         The copy, once it is sent.
+    copy_task : asyncio.Task or None
+        Task that waits for a place for the copy and sends it, once the copy is due.
     chosen : Send or None
         The send whose answer is final or is being passed on.
+    delay_s : float or None
+        Seconds from the first send after which the copy is due, ``None`` if there is none.
     """
 
     def __init__(self, delivery: Delivery, first: Send, hedging: Hedging):
@@ -83,7 +87,7 @@
             await self._end_copy()
         if self.copy is not None:
             if self.chosen is not None:
-                # The call's answer is held by the other holder.
+                # `choose` has made the holder of the chosen answer that of the call.
                 self.forwarder.memory.budget.answers.release(self.call.copy_holder)
             self._count_result(self._is_answer(answer))
         return answer
@@ -101,7 +105,7 @@
             self.call.exchange_holders()
         other = self.copy if send is self.first else self.first
         if other is not None:
-            other.beat()
+            other.cancel_as_redundant()
 
     def _start_copy(self) -> None:
         """Begin to send the copy, unless something speaks against it."""
@@ -110,7 +114,7 @@
         if reason:
             forwarder.metrics.count("hedges_denied_total", reason=reason)
             return
-        # The endpoints to avoid end with that of the first send.
+        # The scheduler takes the last endpoint to avoid for that of the first send.
         self.delivery.tickets += 1
         avoid = (*self._cold_endpoints(), *self.delivery.avoid, self.first.grant.endpoint)
         ticket = forwarder.make_ticket(call, self.delivery.tickets, 1, avoid)
@@ -161,8 +165,8 @@
         self.copy = self.delivery.make_send(ticket, grant)
         self.copy.holder = self.call.copy_holder
         answer = await self.delivery.send_once(self.copy)
-        if self.copy.is_beaten:
-            # It was answered before it could be cancelled; the first may have begun its answer.
+        if self.copy.is_redundant:
+            # Its answer came before it could be cancelled, and that of the first was chosen.
             return None
         if self._is_answer(answer):
             self.choose(self.copy)
@@ -217,7 +221,7 @@
         task = self.copy_task
         if task is None or task.done():
             return
-        if self.copy is None or not self.copy.is_beaten:
+        if self.copy is None or not self.copy.is_redundant:
             # It waits for its place, or the call ends without an answer.
             task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- a/mulberrygate/forward/hedging.py
+++ b/mulberrygate/forward/hedging.py
@@ -26,7 +26,7 @@
 # most one copy and the share of this many first sends.
 BURST_SENDS = 50
 MEDIAN = 0.5
-# A process whose timers are later than this is slow itself, and reads answers as late.
+# A process whose timers are later than this is slow itself, and reads answers late.
 MAX_TIMER_DELAY_S = 0.03
 
 
@@ -37,6 +37,11 @@
     ===========
     Two histograms record all times, and one of them begins anew each period; the older is read.
 
+    Attributes
+    ==========
+    known : dict[float, tuple[float, float]]
+        Last computed value of each quantile in seconds, and the time at which it was computed.
+
     Examples
     ========
     >>> from mulberrygate.forward.hedging import RecentTimes
@@ -92,6 +97,11 @@
 class CopyAllowance:
     """Token bucket that limits the copies to a share of a pool's first sends.
 
+    Attributes
+    ==========
+    limit, level : float
+        Most copies that may be sent at once, and those that may be sent now, with fractions.
+
     Examples
     ========
     >>> from mulberrygate.forward.hedging import CopyAllowance
@@ -205,14 +215,25 @@
         times.record(seconds, now)
 
     def delay_s(self, route: str, now: float) -> float | None:
-        """Return the seconds after which a copy may be sent, ``None`` if too little is known."""
+        """Return the seconds after which a copy may be sent, ``None`` if there is none.
+
+        Explanation
+        ===========
+        With fewer than ``min_samples`` recent times it is ``initial_delay_s`` of the settings,
+        which is ``None`` unless the operators have set it.
+        """
         settings, times = self.settings, self.times.get(route)
         if times is None or times.count(now) < settings.min_samples:
             return settings.initial_delay_s
         return max(settings.min_delay_s, times.quantile_s(settings.quantile, now))
 
     def denial(self, route: str, pool: str, state: HedgeState, now: float) -> str:
-        """Return why a slow request gets no copy, empty if it may get one."""
+        """Return why a slow request gets no copy, empty if it may get one.
+
+        Explanation
+        ===========
+        The reasons are labels of the metric ``hedges_denied_total``; see ``docs/OPERATIONS.md``.
+        """
         if state.is_stopping:
             return "stopping"
         if state.is_suspected:
--- a/mulberrygate/forward/sends.py
+++ b/mulberrygate/forward/sends.py
@@ -40,7 +40,7 @@
         Time that work takes relative to the usual time, as the head of the answer states.
     slowdown_at : float
         Monotonic time of that head, infinitely long ago if it states nothing.
-    is_beaten : bool
+    is_redundant : bool
         Whether it was cancelled because another copy of the call has answered.
     holder : Holder or None
         Memory of its answer, ``None`` for that of the call.
@@ -58,12 +58,12 @@
         self.slowdown = 1.0
         self.slowdown_at = -math.inf
         self.is_cancelled = False
-        self.is_beaten = False
+        self.is_redundant = False
         self.holder: Holder | None = None
 
-    def beat(self) -> None:
+    def cancel_as_redundant(self) -> None:
         """Cancel this send, because another copy of the call has answered."""
-        self.is_beaten = True
+        self.is_redundant = True
         self.running.cancel()
 
     def as_done(self, call: Call, now: float) -> Done:
--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -435,7 +435,7 @@
         await self.assert_nothing_left()
 
     def delay_cancellation(self):
-        """Cancel beaten sends late, as if their answers had arrived in the same moment."""
+        """Cancel redundant sends late, as if their answers had arrived in the same moment."""
         cancel = RunningSend.cancel
 
         def cancel_later(send):
@@ -508,8 +508,8 @@
         self.assertEqual((status, len(body)), (200, size))
         self.assertEqual((pool.held, len(pool.waiting)), (0, 0))
 
-    async def test_memory_of_the_beaten_send(self):
-        """Guards against memory that a beaten send holds until the caller has read the answer."""
+    async def test_memory_of_the_redundant_send(self):
+        """Guards against memory a redundant send holds until the caller has read the answer."""
         await self.start()
         size = 200 << 10
         sends = self.entry.forwarder.crash_detector.monitor.sends
--- a/mulberrygate/forward/tests/test_hedging.py
+++ b/mulberrygate/forward/tests/test_hedging.py
@@ -119,7 +119,7 @@
                 if self.hedging is not None:
                     self.hedging.record("read", now - sent_at, now)
             else:
-                # The copy or the first send that was beaten.
+                # The redundant send, which is the copy or the first one.
                 running -= 1
         return outcome
 
