--- a/mulberrygate/quota/central.py
+++ b/mulberrygate/quota/central.py
@@ -28,7 +28,8 @@
     units : float
         Units that the entry may spend.
     wait_s : float
-        Seconds until the account has units for one more request, 0 if the request got some.
+        Seconds until units are expected for the request, behind those that were told a time before;
+        0 if it got some.
     share : float
         The entry's share of the account's recent usage over all entries.
     """
