--- a/mulberrygate/core/memory_budget.py
+++ b/mulberrygate/core/memory_budget.py
@@ -50,6 +50,8 @@
         Whether the caller decides how fast the holding ends: it sends a body or reads an answer.
     moved : int
         Bytes that the caller has sent or read.
+    marked, marked_at : int, float
+        Value of ``moved`` at a time from which its progress is judged, and that time.
     """
 
     group: str
--- a/mulberrygate/daemon/bounded_connection.py
+++ b/mulberrygate/daemon/bounded_connection.py
@@ -32,6 +32,8 @@
         Bytes of an unfinished head, and bytes that arrived behind a request in work.
     head_since : float
         Time at which the unfinished head began.
+    last_buffered : int
+        Bytes that waited in the transport at the last call of `update_stuck`.
     """
 
     def __init__(self, bounds: Any, *arguments: Any, **options: Any):
@@ -143,8 +145,8 @@
         if state == TCP_CLOSE_WAIT:
             self.transport.abort()
 
-    def is_stuck(self) -> bool:
-        """Return whether what waits in the transport hasn't become less since the last call."""
+    def update_stuck(self) -> bool:
+        """Record the bytes that wait in the transport; return whether they haven't become less."""
         unwritten = self.count_unwritten()
         is_stuck = 0 < self.last_buffered <= unwritten
         self.last_buffered = unwritten
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -173,14 +173,14 @@
             connection.force_close()
 
     def sweep(self, now: float) -> None:
-        """Close what makes no progress while memory is short; call it twice a second."""
+        """Close what makes no progress while memory is short; call it each `SWEEP_INTERVAL_S`."""
         self.gate.sweep(now)
         unwritten = 0
         stuck = []
         for connection in self.server.connections:
             if connection._buffer_paused:
                 connection.close_if_left()
-            if connection.is_stuck():
+            if connection.update_stuck():
                 stuck.append(connection)
             unwritten += connection.last_buffered
         excess = unwritten - self.gate.budget.connection_bytes
