Drop a condition of Evacuations.put that always holds

An unknown failure domain gets past the first check only if the order evacuates it. Measured: the module control.tests.test_evacuations passes.

--- a/mulberrygate/control/evacuations.py
+++ b/mulberrygate/control/evacuations.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-# Failure domains that are remembered. A site has some; those withdrawn first are dropped.
+# Failure domains that are remembered. Beyond that, the earliest withdrawals are dropped.
 MAX_FAILURE_DOMAINS = 256
 
 
@@ -95,7 +95,7 @@
         if command.is_evacuated is (known is not None and known.is_evacuated):
             return False
         self.domains.pop(name, None)
-        if known is None or command.is_evacuated:
+        if command.is_evacuated:
             self.domains[name] = Evacuation(True, command.at)
         else:
             self.domains[name] = Evacuation(False, known.began_at, command.at)
