Describe the memory accounting and rename what misled

MemoryPool._is_stalled marked progress while it looked like a question; is_home of EndpointNotices also excludes evacuated endpoints; the reporter of spent units asks nothing. BoundedHandler.is_writing described another method.

--- a/mulberrygate/core/memory_budget.py
+++ b/mulberrygate/core/memory_budget.py
@@ -86,6 +86,18 @@
     capacity : int
         Bytes.
 
+    Attributes
+    ==========
+    held : int
+        Bytes of all holdings.
+    groups : dict[str, int]
+        Bytes held by each group of holders.
+    holders, large, waiting : dict[Holder, None]
+        Holders that hold something, those that hold more than `SMALL_BYTES`, and those that wait,
+        in the order of their arrival.
+    most_waiting : int
+        Holders that may wait at a time.
+
     Examples
     ========
     >>> from mulberrygate.core.memory_budget import Holder, MemoryPool
@@ -192,14 +204,14 @@
         return holder
 
     def list_stalled(self, now: float, is_crowded: bool = False) -> list[Holder]:
-        """Return the holders to end so that those that wait can be granted.
+        """Return the holders to end so that those that wait can be granted; mark progress.
 
         Parameters
         ==========
         is_crowded : bool
             Whether all that make no progress have to go, since connections are short.
         """
-        stalled = [holder for holder in self.holders if self._is_stalled(holder, now)]
+        stalled = [holder for holder in self.holders if self._update_stalled(holder, now)]
         needed = sum(holder.wanted for holder in self.waiting)
         stalled.sort(key=lambda holder: (self.groups[holder.group], holder.size), reverse=True)
         found: list[Holder] = []
@@ -210,8 +222,8 @@
             needed -= holder.size
         return found
 
-    def _is_stalled(self, holder: Holder, now: float) -> bool:
-        """Return whether a holder's caller makes no progress; mark the progress that it makes."""
+    def _update_stalled(self, holder: Holder, now: float) -> bool:
+        """Mark the progress of a holder's caller; return whether it makes none."""
         if not holder.is_paced or not holder.size or holder.wanted:
             return False
         if holder.moved - holder.marked >= PROGRESS_BYTES:
--- a/mulberrygate/core/memory_gate.py
+++ b/mulberrygate/core/memory_gate.py
@@ -50,12 +50,16 @@
     memory_bytes : int
         Memory of the machine.
     lines : JsonLines or None
-        Log for what was refused or closed, one line a second.
+        Log for what was refused or closed, at most one line a second.
+    metrics : Metrics or None
+        Metrics of the process.
 
     Attributes
     ==========
     counts : dict[str, int]
         What was refused, closed or paused so far, by kind.
+    logged : dict[str, int]
+        Value of ``counts`` at the last log line.
     is_crowded : bool
         Whether connections have been short since the last sweep.
     """
@@ -184,7 +188,8 @@
     def sweep(self, now: float) -> None:
         """End holdings that make no progress while others wait; call it regularly."""
         for name, pool in (("body", self.budget.bodies), ("answer", self.budget.answers)):
-            # Progress is marked also in calm, so that a shortage doesn't begin with old marks.
+            # Called also while nothing waits: it marks progress, so that callers which moved data
+            # until a shortage begins don't count as stalled in it.
             for holder in pool.list_stalled(now, self.is_crowded):
                 holder.is_paced = False
                 self.count(f"{name}_closed")
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -96,7 +96,7 @@
         self.unwritten = 0
 
     def is_writing(self) -> bool:
-        """Return whether the endpoint closed its connection before it got the whole request."""
+        """Return whether a part of the request was not yet passed to the transport."""
         return self.unwritten > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -134,6 +134,11 @@
         Memory budget of the process.
     holder : Holder or None
         Holds the memory of the answer.
+
+    Attributes
+    ==========
+    held : int
+        Bytes of memory that were asked for the answer so far.
     """
 
     def __init__(
--- a/mulberrygate/forward/notices.py
+++ b/mulberrygate/forward/notices.py
@@ -167,13 +167,13 @@
         return max(0.0, known.paused_until - now)
 
     def pool_pause_s(
-        self, pool: str, now: float, is_home: Callable[[Row], bool] = lambda _row: True
+        self, pool: str, now: float, may_get: Callable[[Row], bool] = lambda _row: True
     ) -> float:
         """Return the seconds until the first endpoint of a pool takes calls of this instance.
 
         Parameters
         ==========
-        is_home : Callable[[Row], bool]
+        may_get : Callable[[Row], bool]
             Whether an endpoint may get the call that waits.
 
         Returns
@@ -186,7 +186,7 @@
         pauses = [
             self.pause_left_s(registration.endpoint, registration.incarnation, now)
             for registration in (
-                row.registration for row in self.roster.usable(pool) if is_home(row)
+                row.registration for row in self.roster.usable(pool) if may_get(row)
             )
             if not self.is_leaving(registration.endpoint, registration.incarnation)
         ]
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -52,6 +52,7 @@
 MEMORY_RETRY_S = 1.0
 # What a stream holds whose caller doesn't keep up: events, and the buffers of both connections.
 STREAM_BYTES = 256 << 10
+# Events up to this size are written without holding memory while the transport is empty.
 LARGE_EVENTS_BYTES = 16 << 10
 # Fraction of the caller's timeout that a stream may wait for an endpoint; the rest is for its run.
 ENDPOINT_WAIT_FRACTION = 0.8
--- a/mulberrygate/sync/spent_units.py
+++ b/mulberrygate/sync/spent_units.py
@@ -36,8 +36,8 @@
     ==========
     informed : tuple[str, int]
         Leader that has the report, and its epoch.
-    asked : str
-        Leader that the report was sent to last.
+    sent_to : str
+        Leader that the report was sent to last, at ``sent_at`` on the same clock.
     pause_s : float
         Seconds before that leader is told again if it does not confirm the report.
     """
@@ -61,8 +61,8 @@
         self.clock = clock
         self.started_at = clock() - up_s
         self.informed = ("", 0)
-        self.asked = ""
-        self.asked_at = -math.inf
+        self.sent_to = ""
+        self.sent_at = -math.inf
         self.pause_s = CHECK_INTERVAL_S
         timers.every(CHECK_INTERVAL_S, self.report, "units.report")
 
@@ -77,11 +77,11 @@
         if not leader or not self.is_due(leader):
             return
         now = self.clock()
-        if leader != self.asked:
-            self.asked, self.pause_s = leader, CHECK_INTERVAL_S
-        elif now < self.asked_at + self.pause_s:
+        if leader != self.sent_to:
+            self.sent_to, self.pause_s = leader, CHECK_INTERVAL_S
+        elif now < self.sent_at + self.pause_s:
             return
-        self.asked_at = now
+        self.sent_at = now
         report = SpentUnits(self.instance, now - self.started_at, self.history.report(now))
         result = await self.client.call(leader, report, REPORT_TIMEOUT_S)
         if isinstance(result, SpentUnitsResult) and result.epoch:
