--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -440,14 +440,16 @@
         )
         if not is_change:
             return
-        ages_s = dict(zip(result.evacuated, result.evacuated_s, strict=False))
-        for name in sorted(self.evacuations.evacuated - before):
-            age_s = rounded_age(ages_s.get(name, math.inf))
-            self.lines.log("evacuation.in_force", failure_domain=name, age_s=age_s)
-        ages_s = dict(result.withdrawn)
-        for name in sorted(before - self.evacuations.evacuated):
-            age_s = rounded_age(ages_s.get(name, math.inf))
-            self.lines.log("evacuation.ended", failure_domain=name, age_s=age_s)
+        began_s = dict(zip(result.evacuated, result.evacuated_s, strict=False))
+        ended_s = dict(result.withdrawn)
+        now_evacuated = self.evacuations.evacuated
+        for event, names, ages_s in (
+            ("evacuation.in_force", now_evacuated - before, began_s),
+            ("evacuation.ended", before - now_evacuated, ended_s),
+        ):
+            for name in sorted(names):
+                age_s = rounded_age(ages_s.get(name, math.inf))
+                self.lines.log(event, failure_domain=name, age_s=age_s)
         self.placement.refresh()
         self.forwarder.refuse_evacuated()
 
