Name the check of home regions among the steps of the forwarder

The order of the steps lacked it, and the gate of quarantined calls could be taken for that of the memory budget. Measured: the module forward.tests.test_homes passes.

--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -66,10 +66,9 @@
 
     Explanation
     ===========
-    The steps are `choose_route`, `authenticate`, `read_body`, `QuarantineGate.check` and
-    `spend_units`.
-    Then a `Delivery` waits for a grant, sends the request and relays the answer, and retries where
-    the kind of the request allows it.
+    The steps are `choose_route`, `authenticate`, `HomeRegions.refuse`, `read_body`,
+    `QuarantineGate.check` and `spend_units`. Then a `Delivery` waits for a grant, sends the request
+    and relays the answer, and retries where the kind of the request allows it.
 
     Parameters
     ==========
@@ -92,6 +91,10 @@
         Number of entries that share the retry budgets.
     active : int
         Requests that are being answered.
+    gate : QuarantineGate
+        Holds back calls that may crash endpoints. The gate of the memory budget is ``memory``.
+    homes : HomeRegions
+        Check of calls and grants against home regions.
     """
 
     def __init__(
