Say which endpoints a ticket avoids

Ticket.avoid and what reads it were described as endpoints that failed earlier sends; endpoints outside the home regions, endpoints that may not be used any more and cold ones are in it as well. Measured: the module schedule.tests.test_notices passes.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -55,7 +55,8 @@
     Attributes
     ==========
     avoid : list of str
-        Endpoints of earlier sends, which the scheduler should avoid.
+        Endpoints of earlier sends, and of grants that were returned because the call may not be
+        sent there; see ``avoid`` of `mulberrygate.schedule.messages.Ticket`.
     response : web.StreamResponse or None
         Stream response to the caller whose head was sent.
     last_failure : WholeAnswer or None
--- a/mulberrygate/quota/local.py
+++ b/mulberrygate/quota/local.py
@@ -44,8 +44,8 @@
 
     Parameters
     ==========
-    answered_at : float
-        Time of the last answer.
+    answered_at : float or None
+        Time of the last answer, ``None`` before the first.
     since : float or None
         Estimated time of the loss, ``None`` after an answer. The loss lies between the last answer
         and the first failed question; the middle is right on average.
--- a/mulberrygate/schedule/choose.py
+++ b/mulberrygate/schedule/choose.py
@@ -111,7 +111,7 @@
         self.is_fast_expected: Callable[[WaitingRequest, float], bool] = lambda waiting, now: False
 
     def is_avoided(self, waiting: WaitingRequest, state: EndpointState) -> bool:
-        """Return whether the endpoint failed the request before and there is another one."""
+        """Return whether the endpoint is one that the ticket avoids and there is another one."""
         avoid = waiting.ticket.avoid
         if state.name not in avoid:
             return False
--- a/mulberrygate/schedule/messages.py
+++ b/mulberrygate/schedule/messages.py
@@ -85,7 +85,8 @@
     attempt : int
         Number of earlier dispatches of the request; over 0 only for idempotent ones.
     avoid : tuple[str, ...]
-        Endpoints that failed earlier dispatches.
+        Endpoints that failed earlier dispatches, and known ones to which the entry may not send the
+        request or its copy. One of them is used if there is no other, except for a copy.
     first_by_s : float
         Seconds from the moment the message is sent within which the first token is on time.
     start_by_s : float
