--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -52,6 +52,7 @@
 MEMORY_RETRY_S = 1.0
 # What a stream holds whose caller doesn't keep up: events, and the buffers of both connections.
 STREAM_BYTES = 256 << 10
+# Events up to this size are written without holding memory while the transport is empty.
 LARGE_EVENTS_BYTES = 16 << 10
 # Fraction of the caller's timeout that a stream may wait for an endpoint; the rest is for its run.
 ENDPOINT_WAIT_FRACTION = 0.8
@@ -65,10 +66,9 @@
 
     Explanation
     ===========
-    The steps are `choose_route`, `authenticate`, `read_body`, `QuarantineGate.check` and
-    `spend_units`.
-    Then a `Delivery` waits for a grant, sends the request and relays the answer, and retries where
-    the kind of the request allows it.
+    The steps are `choose_route`, `authenticate`, `HomeRegions.refuse`, `read_body`,
+    `QuarantineGate.check` and `spend_units`. Then a `Delivery` waits for a grant, sends the request
+    and relays the answer, and retries where the kind of the request allows it.
 
     Parameters
     ==========
@@ -91,6 +91,10 @@
         Number of entries that share the retry budgets.
     active : int
         Requests that are being answered.
+    gate : QuarantineGate
+        Holds back calls that may crash endpoints. The gate of the memory budget is ``memory``.
+    homes : HomeRegions
+        Check of calls and grants against home regions.
     """
 
     def __init__(
