Send a copy also on a route of which no time is known yet

With initial_delay_s set and no answer of a route recorded, the log line of a copy raised KeyError after the copy had been counted, so none went out and its place stayed taken until the next report. Found by a reader of the code.

The number of known times is 0 then. The new test fails on the code before (the first answer in place of the copy's).

--- a/mulberrygate/forward/hedged_send.py
+++ b/mulberrygate/forward/hedged_send.py
@@ -202,7 +202,7 @@
             copy=grant.endpoint,
             delay_s=round(self.delay_s, 4),
             quantile=self.hedging.settings.quantile,
-            samples=self.hedging.times[call.route.name].count(forwarder.timers.now()),
+            samples=self.hedging.count_times(call.route.name, forwarder.timers.now()),
             share_left=round(allowance.level, 2),
             budget_left=round(budget.level, 2),
         )
--- a/mulberrygate/forward/hedging.py
+++ b/mulberrygate/forward/hedging.py
@@ -214,6 +214,11 @@
             times = self.times[route] = RecentTimes(now)
         times.record(seconds, now)
 
+    def count_times(self, route: str, now: float) -> int:
+        """Return the number of recent response times of a route."""
+        times = self.times.get(route)
+        return times.count(now) if times is not None else 0
+
     def delay_s(self, route: str, now: float) -> float | None:
         """Return the seconds after which a copy may be sent, ``None`` if there is none.
 
--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -192,6 +192,16 @@
         self.assertEqual(self.entry.lines.of("endpoint.looked_for"), [])
         await self.assert_nothing_left()
 
+    async def test_copy_on_a_route_without_known_times(self):
+        """Guards against copies that fail since nothing was recorded of their route yet."""
+        settings = HedgeSettings(0.2, min_delay_s=DELAY_S, min_samples=20, initial_delay_s=DELAY_S)
+        await self.start(settings)
+        self.hedging.times.clear()
+        self.answer_with(late(1.0, whole(200, b"first")), whole(200, b"copy"))
+        result = await self.call()
+        self.assertIn(b"copy", result)
+        self.assertEqual(sum(script.calls for script in self.scripts), 2)
+
     async def test_first_answers_after_all(self):
         """Guards against a copy that runs on after the first send has answered."""
         await self.start()
