Add endpoints in linear time again where none states its speed

Result: test_new_owner_adds_endpoints_in_linear_time fails without the change to endpoint_set.py and passes with it.

--- a/mulberrygate/schedule/endpoint_set.py
+++ b/mulberrygate/schedule/endpoint_set.py
@@ -118,9 +118,10 @@
         Where endpoints state how long work takes there, learned speeds are those of an endpoint
         that states 1, and so hold for a new one too. Its first answer states how much it differs.
         """
-        are_stated = any(state.slowdown.is_stated for state in self.states.values())
-        learned = self.reference.as_prior() if self.reference and are_stated else None
-        return learned or PRIORS.get(view.hardware, DEFAULT_PRIOR)
+        learned = self.reference.as_prior() if self.reference else None
+        if learned and any(state.slowdown.is_stated for state in self.states.values()):
+            return learned
+        return PRIORS.get(view.hardware, DEFAULT_PRIOR)
 
     def _restore_endpoint(self, view: EndpointView) -> EndpointState | None:
         """Add an endpoint again that was absent while its requests ran on, if it is the same."""
--- a/mulberrygate/schedule/tests/test_slowdown.py
+++ b/mulberrygate/schedule/tests/test_slowdown.py
@@ -11,6 +11,7 @@
 import random
 import statistics
 import unittest
+from unittest import mock
 
 from mulberrygate.schedule.messages import Done, Present, Progress, Running
 from mulberrygate.schedule.slowdown import DECAY_S, Slowdown, is_urgent
@@ -400,6 +401,13 @@
             expected.append(bench.observed[-1].expected_s)
         self.assertAlmostEqual(expected[1], 4.0 * expected[0])
 
+    def test_new_owner_adds_endpoints_in_linear_time(self):
+        """Guards against an owner that stops at first, since each endpoint looks at all others."""
+        target = "mulberrygate.schedule.slowdown.Slowdown.is_stated"
+        with mock.patch(target, new_callable=mock.PropertyMock, return_value=False) as is_stated:
+            WideBench([make_view(f"e{number}", hardware="") for number in range(100)])
+        self.assertLessEqual(is_stated.call_count, 100)
+
     def test_slowdown_that_decays_while_requests_are_granted(self):
         """Guards against a grant to a lower tier that makes an upper request fit afterwards.
 
