Stop waiting for memory when a wait is cancelled

Cause: a send that was cancelled while it waited for memory, such as the slower one of a hedged pair, stayed in the queue until its call ended. It could get memory that nothing used, and a large one kept later large ones waiting.

Change: MemoryPool.stop_waiting, which MemoryGate.reserve calls whenever it returns or is cancelled without a grant.

--- a/mulberrygate/core/memory_budget.py
+++ b/mulberrygate/core/memory_budget.py
@@ -155,6 +155,13 @@
             self._give_back(holder, holder.size - size)
             self._grant_waiting()
 
+    def stop_waiting(self, holder: Holder) -> None:
+        """Wait for no further bytes for a holder; what it holds is kept."""
+        holder.wanted = 0
+        if holder in self.waiting:
+            del self.waiting[holder]
+            self._grant_waiting()
+
     def release(self, holder: Holder) -> None:
         """Give back all of a holding and stop waiting for more."""
         self.waiting.pop(holder, None)
--- a/mulberrygate/core/memory_gate.py
+++ b/mulberrygate/core/memory_gate.py
@@ -106,10 +106,10 @@
                 holder.on_refused = lambda: limit.reschedule(loop.time())
                 await granted.wait()
         except TimeoutError:
+            return granted.is_set()
+        finally:
             if not granted.is_set():
-                pool.waiting.pop(holder, None)
-                holder.wanted = 0
-                return False
+                pool.stop_waiting(holder)
         return True
 
     def refuse_waiting_body(self) -> None:
--- a/mulberrygate/core/tests/test_memory_budget.py
+++ b/mulberrygate/core/tests/test_memory_budget.py
@@ -1,5 +1,6 @@
 """Tests of the decisions on memory that callers make a process hold."""
 
+import asyncio
 import unittest
 
 from hypothesis import given, settings
@@ -14,6 +15,7 @@
     MemoryPool,
     Verdict,
 )
+from mulberrygate.core.memory_gate import DEFAULT_MEMORY_BYTES, MemoryGate
 
 MB = 1 << 20
 
@@ -143,5 +145,24 @@
         self.assertEqual((pool.held, pool.groups, pool.waiting), (0, {}, {}))
 
 
+class TestMemoryGate(unittest.IsolatedAsyncioTestCase):
+    """Waits of coroutines for memory."""
+
+    async def test_cancelled_wait_takes_no_memory(self):
+        """Guards against a send that is cancelled and still keeps other callers waiting."""
+        gate = MemoryGate(DEFAULT_MEMORY_BYTES)
+        pool = gate.budget.answers
+        first, cancelled, other = Holder("a"), Holder("b"), Holder("c")
+        self.assertIs(pool.ask(first, pool.capacity // 2), Verdict.GRANTED)
+        wait = asyncio.ensure_future(gate.reserve(pool, cancelled, pool.capacity, None))
+        await asyncio.sleep(0)
+        self.assertIs(pool.ask(other, 2 * SMALL_BYTES), Verdict.WAITS)
+        wait.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await wait
+        self.assertEqual((cancelled.size, cancelled.wanted, list(pool.waiting)), (0, 0, []))
+        self.assertEqual(other.size, 2 * SMALL_BYTES)
+
+
 if __name__ == "__main__":
     unittest.main()
