Explain the first token and the margin of slow endpoints as the scheduler does

Cause: explain-placement showed the seconds to the first token without the slowdown of the endpoint's machine, so it could be later than the end; and an endpoint that missed the margin for slow ones was said to be late with its first token.

Change: the figure is EndpointState.first_s, and the margin has a reason of its own.

Result: the new test fails without the change and passes with it.

--- a/mulberrygate/schedule/explain.py
+++ b/mulberrygate/schedule/explain.py
@@ -146,7 +146,7 @@
             "load_age_s": round(view.load_age_s, 3) if view.load_age_s < 1e6 else None,
             "report_age_s": round(view.report_age_s, 3),
             "answer_age_s": self._age_s(state.last_answer_at),
-            "first_s": round(state.start_s + uncached * state.prefill_s, 4),
+            "first_s": round(state.first_s(uncached), 4),
             "end_s": round(run_s, 4),
             "token_ms": round(state.token_s * 1000, 3),
             "cached_tokens": cached,
@@ -211,8 +211,11 @@
         """Return which time limit an endpoint doesn't meet."""
         if state.is_mostly_failing:
             return "fails most requests and gets single probes"
-        if run_s > (self.waiting.deadline - self.now) / PREDICTION_TOLERANCE:
+        left_s = self.waiting.deadline - self.now
+        if PREDICTION_TOLERANCE * run_s > left_s:
             return "expected to end after the deadline"
+        if self.chooser.slow_run_margin * run_s > left_s:
+            return "slow, and expected to end only just before the deadline"
         if self.chooser.should_wait_for_fast(self.waiting, self.now):
             return "slow, while a fast one is expected in time"
         return "slow, and its first token would be late"
--- a/mulberrygate/schedule/tests/test_explain.py
+++ b/mulberrygate/schedule/tests/test_explain.py
@@ -163,6 +163,16 @@
             },
         )
 
+    def test_first_token_before_the_end(self):
+        """Guards against a first token that is shown without the slowdown of its machine."""
+        scheduler, now, _ = self.random_scheduler(3)
+        for state in scheduler.states.values():
+            state.report_slowdown(0.1, now, now)
+        rows = explain_choice(scheduler, make_ticket("new", tokens=1), now)["endpoints"]
+        self.assertTrue(any(state.slowdown.excess < 0 for state in scheduler.states.values()))
+        for row in rows:
+            self.assertLess(row["first_s"], row["end_s"])
+
     def test_refusals(self):
         """Guards against an explanation that names a place where there is none."""
         nowhere = Bench([make_view("a", accepts_work=False)])
