Give the 431 answer its usual reason phrase, and rename a local variable

Cause: found when the whole change was read once more: the reason phrase was "X", and the requests without an endpoint in their home regions were called homeless.

Change: both are named in the usual words.

Result: no behaviour changed; test_bounded_connections passes.

--- a/mulberrygate/daemon/bounded_connection.py
+++ b/mulberrygate/daemon/bounded_connection.py
@@ -15,7 +15,10 @@
 WRITE_BYTES = 64 << 10
 # State in the first byte of TCP_INFO of a connection that the other side has closed.
 TCP_CLOSE_WAIT = 8
-HEAD_TOO_LARGE = b"HTTP/1.1 431 X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 
 class BoundedConnection(web.RequestHandler):
--- a/mulberrygate/schedule/scheduler.py
+++ b/mulberrygate/schedule/scheduler.py
@@ -394,16 +394,16 @@
         regions = {state.view.region for state in self.states.values() if state.accepts_work}
         if not regions:
             return []
-        homeless = [
+        unserved = [
             waiting
             for waiting in self.queue.by_request.values()
             if waiting.ticket.home_regions
             and now - waiting.asked_at >= NO_HOME_WAIT_S
             and regions.isdisjoint(waiting.ticket.home_regions)
         ]
-        homeless.sort(key=lambda waiting: -waiting.ticket.tier)
+        unserved.sort(key=lambda waiting: -waiting.ticket.tier)
         effects: list[Effect] = []
-        for waiting in homeless:
+        for waiting in unserved:
             self.grant_log.check_shed(waiting)
             effects.append(self._refuse(waiting, NO_HOME_ENDPOINT, now))
         return effects
