Bound what is sent ahead on all connections of a server together

Callers saw: an entry of 152 MB that 600 callers brought to 193 MB, each with a slow call in work and most of a large one sent behind it.

Cause: reading paused once 64 KB had arrived behind a request in work, counted for each connection alone. A read took up to 64 KB, so a connection held up to 128 KB of what was sent ahead, and nothing bounded the sum.

Change: the server sums what is sent ahead. Beyond a twentieth of the memory that is left, a connection pauses with the first byte that arrives behind its request in work. Reads take 16 KB while a request is awaited and 4 KB while one is in work, since what a read brings in addition to the awaited request can't be left unread; bodies are still read by 64 KB.

Why it holds: a paused connection goes on when its own request ends, so no connection waits for another one.

--- a/mulberrygate/core/memory_budget.py
+++ b/mulberrygate/core/memory_budget.py
@@ -253,7 +253,8 @@
 
     # The rest covers copies, objects of the HTTP library and fragmentation.
     COUNTED_FRACTION = 0.5
-    # Bound on unfinished heads, and on what waits in transports, of all connections together.
+    # Bound on unfinished heads, on what is sent ahead, and on what waits in transports, each of all
+    # connections together.
     CONNECTION_FRACTION = 0.05
     MIN_BYTES = 16 << 20
 
--- a/mulberrygate/daemon/bounded_connection.py
+++ b/mulberrygate/daemon/bounded_connection.py
@@ -10,8 +10,13 @@
 
 # Bytes that may arrive behind a request in work before reading pauses.
 AHEAD_BYTES = 64 << 10
-# Bytes that one read takes from a socket, and that wait in the transport before a writer waits.
+# Bytes that one read takes from a socket while a body arrives, while a request is awaited, and
+# while one is in work. What a read brings in addition to the request that was awaited can't be left
+# unread, so the smaller sizes bound what each of many connections holds of requests sent ahead.
 READ_BYTES = 64 << 10
+HEAD_READ_BYTES = 16 << 10
+AHEAD_READ_BYTES = 4 << 10
+# Bytes that wait in the transport before a writer waits.
 WRITE_BYTES = 64 << 10
 # State in the first byte of TCP_INFO of a connection that the other side has closed.
 TCP_CLOSE_WAIT = 8
@@ -49,7 +54,7 @@
 
     def connection_made(self, transport: Any) -> None:
         """Count the connection, and close it at once if there is no room for it."""
-        transport.max_size = READ_BYTES
+        transport.max_size = HEAD_READ_BYTES
         transport.set_write_buffer_limits(high=WRITE_BYTES)
         super().connection_made(transport)
         self.bounds.on_connected(self)
@@ -58,6 +63,7 @@
         """Stop counting the connection."""
         if self._manager is not None:
             self.bounds.on_disconnected(self)
+        self._set_ahead_bytes(0)
         super().connection_lost(error)
 
     @property
@@ -78,20 +84,51 @@
             return
         waiter = self._waiter
         is_waiting = waiter is not None and not waiter.done()
+        is_ahead = not is_waiting and (self._messages or self._is_body_read())
         super().data_received(data)
-        if self._messages and is_waiting:
-            self.end_head()
-        elif is_waiting:
+        if is_ahead:
+            self._count_ahead(size)
+        elif not self._messages and is_waiting:
             self._count_head(size)
-        elif self._messages or self._is_body_read():
-            self.ahead_bytes += size
-            if self.ahead_bytes > AHEAD_BYTES and not self._buffer_paused:
-                self.bounds.gate.count("reading_paused")
-                self._pause_reading_for_buffer()
+        elif is_waiting:
+            self.end_head()
+            if len(self._messages) > 1:
+                self._count_ahead(size)
+        self._set_read_size()
 
-    def _is_body_read(self) -> bool:
+    def _count_ahead(self, size: int) -> None:
+        """Count bytes of requests sent ahead; pause reading if they are too many."""
+        self._set_ahead_bytes(self.ahead_bytes + size)
+        if self._buffer_paused:
+            return
+        if self.ahead_bytes > AHEAD_BYTES or self.bounds.is_ahead_full:
+            self.bounds.gate.count("reading_paused")
+            self._pause_reading_for_buffer()
+
+    def _set_ahead_bytes(self, size: int) -> None:
+        self.bounds.ahead_bytes += size - self.ahead_bytes
+        self.ahead_bytes = size
+
+    def _set_read_size(self) -> None:
+        """Set how much the next read takes, by what it is expected to bring."""
+        if self.transport is None:
+            return
+        payload = self._messages[0][1] if self._messages else self._current_payload()
+        if payload is None:
+            self.transport.max_size = HEAD_READ_BYTES
+        elif payload.is_eof() or len(self._messages) > 1:
+            self.transport.max_size = AHEAD_READ_BYTES
+        else:
+            self.transport.max_size = READ_BYTES
+
+    def _current_payload(self) -> Any:
+        """Return the body of the request in work, ``None`` if there is none."""
         request = self._current_request
-        return request is not None and request.content.is_eof()
+        return None if request is None else request.content
+
+    def _is_body_read(self) -> bool:
+        payload = self._current_payload()
+        return payload is not None and payload.is_eof()
 
     def end_head(self) -> None:
         """Stop counting an unfinished head."""
@@ -118,7 +155,9 @@
         """Count anew what arrives behind a request in work."""
         if self._messages:
             return
-        self.ahead_bytes = 0
+        self._set_ahead_bytes(0)
+        if self.transport is not None:
+            self.transport.max_size = HEAD_READ_BYTES
         # The library resumes only when it takes up another request, and there may be none yet.
         if self._buffer_paused:
             self._resume_reading_if_drained()
@@ -133,8 +172,9 @@
             return
         super().data_received(b"")
         if not self._messages:
-            self.ahead_bytes = 0
+            self._set_ahead_bytes(0)
             self._resume_reading_for_buffer()
+            self._set_read_size()
 
     def close_if_left(self) -> None:
         """Close a paused connection whose caller has closed it, which only reading would show."""
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -67,8 +67,8 @@
         idle first.
     unfinished_heads : dict
         Connections that have sent a part of a head, the oldest first.
-    head_bytes : int
-        Bytes of all unfinished heads.
+    head_bytes, ahead_bytes : int
+        Bytes of all unfinished heads, and of all requests that were sent ahead.
     """
 
     def __init__(
@@ -89,6 +89,7 @@
         self.kept_connections: dict[BoundedConnection, None] = {}
         self.unfinished_heads: dict[BoundedConnection, None] = {}
         self.head_bytes = 0
+        self.ahead_bytes = 0
         self.open_connections = 0
         self.host = host
         self.port = port
@@ -164,6 +165,11 @@
         """Largest request head in bytes."""
         return max(MIN_HEAD_BYTES, HEAD_FACTOR * self.limits.max_header_bytes)
 
+    @property
+    def is_ahead_full(self) -> bool:
+        """Whether all that was sent ahead takes the memory that there is for it."""
+        return self.ahead_bytes > self.gate.budget.connection_bytes
+
     def limit_heads(self) -> None:
         """Close the oldest unfinished head if all of them take too much memory."""
         while self.head_bytes > self.gate.budget.connection_bytes and self.unfinished_heads:
