Send one shared copy of the configuration to all callers that read it

Callers saw: a control process of 160 MB with a configuration of 4 MB that 80 callers who read nothing brought to 243 MB.

Cause: each GET decompressed the document and passed it whole to the transport, which keeps what its caller hasn't read.

Evidence: test_unread_documents, 243 MB on.

Change: the decompressed document is kept until another one is in force, and is written in slices, as long answers of endpoints are. The class for that moves from `forward` to `core`, since the operator API has no other use of `forward`.

Why it holds: a caller that doesn't read holds a slice and 64 KB in its transport; the bytes of the document are shared.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
 
+from mulberrygate.core.long_response import SLICE_BYTES, LongResponse
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.forward import codes
 from mulberrygate.forward.attempts import Attempts, SendOutcome
@@ -17,7 +18,6 @@
 from mulberrygate.forward.events import EventSplitter, EventTooLong
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
 from mulberrygate.forward.hedged_send import HedgedSend
-from mulberrygate.forward.long_response import SLICE_BYTES, LongResponse
 from mulberrygate.forward.request import AnswerHead, Call, Refused
 from mulberrygate.forward.sends import Send, Turn
 from mulberrygate.forward.unanswered import RunningSend
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -11,6 +11,7 @@
 
 from mulberrygate.catalog import CatalogIndex, ClientAccount, RetryPolicy
 from mulberrygate.core.codes import Code
+from mulberrygate.core.long_response import LongResponse
 from mulberrygate.core.memory_budget import Holder
 from mulberrygate.core.memory_gate import BodySlow, BodyTooLarge, MemoryGate, MemoryShort
 from mulberrygate.core.outcome import Refusal
@@ -24,7 +25,6 @@
 from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.homes import HomeRegions
 from mulberrygate.forward.limits import AccountLimits
-from mulberrygate.forward.long_response import LongResponse
 from mulberrygate.forward.notices import EndpointNotices
 from mulberrygate.forward.prior_wait import PriorWaitEstimator
 from mulberrygate.forward.quarantine_gate import QuarantineGate
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -8,9 +8,10 @@
 from collections.abc import Mapping
 
 import attrs
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from mulberrygate.control.evacuations import OrderResult
+from mulberrygate.core.long_response import LongResponse
 from mulberrygate.core.memory_budget import Holder
 from mulberrygate.core.memory_gate import (
     DEFAULT_MEMORY_BYTES,
@@ -80,18 +81,30 @@
 
 
 class OperatorApi:
-    """HTTP handler that decodes calls, passes them to the controller and encodes its answers."""
+    """HTTP handler that decodes calls, passes them to the controller and encodes its answers.
+
+    Attributes
+    ==========
+    compressed, document : bytes
+        The document that was read last, compressed and as callers get it. Callers that read slowly
+        share this copy.
+    """
 
     def __init__(self, controller, gate: MemoryGate | None = None):
         self.controller = controller
         self.gate = gate
+        self.compressed = b""
+        self.document = b""
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one call."""
         holder = Holder(request.remote or "")
         request[HOLDER] = holder
         try:
-            return await self._answer(request)
+            response = await self._answer(request)
+            if isinstance(response, LongResponse):
+                await response.send(request, None)
+            return response
         except BodySlow:
             return refuse_body(408)
         except MemoryShort:
@@ -159,7 +172,7 @@
         is_accepted = await self.controller.put_catalog(catalog, body)
         return answer(200, {"version": catalog.version}) if is_accepted else answer(503)
 
-    async def get_document(self) -> web.Response:
+    async def get_document(self) -> web.StreamResponse:
         """Return the newest document.
 
         The status is 503 if the controller can't confirm which one is the newest.
@@ -167,8 +180,9 @@
         latest = await self.controller.read_latest()
         if not latest.is_certain or not latest.catalog:
             return answer(503)
-        body = zlib.decompress(latest.catalog)
-        return web.Response(body=body, content_type="application/json")
+        if latest.catalog != self.compressed:
+            self.compressed, self.document = latest.catalog, zlib.decompress(latest.catalog)
+        return LongResponse(200, [(hdrs.CONTENT_TYPE, "application/json")], self.document)
 
     async def put_registration(self, endpoint: str, request: web.BaseRequest) -> web.Response:
         """Register an endpoint or renew its registration; endpoints call this as a heartbeat."""
