Let those go first for memory that take least of it

Callers saw: beside bodies of 4 MB that arrive at 14 KB/s, half of the ordinary bodies of 128 KB were refused at once with 1213, while the process held 58 MB of 160.

Cause: a newcomer was refused when all places in the queue were taken, however little it wanted; those of one group were granted in the order of their arrival; and a holding that made some progress kept its memory for minutes.

Change: when the queue is full, the one whose group takes most gives way to a holding of a group that takes less, or to a smaller one of its group. In a group the smaller ones are granted first, eight times at most. While one waits that takes less, a large holding whose caller is slower than 256 KB/s on average may be ended, though it makes progress. Equal holdings of one group never end each other, and in calm nothing ends. An answer that gives way asks again, since it can't be refused.

Result: bin/test core.tests.test_memory_budget, all pass.

--- a/mulberrygate/core/memory_budget.py
+++ b/mulberrygate/core/memory_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -15,11 +16,17 @@
 # be ended while memory is short. That is 11 KB/s.
 PROGRESS_BYTES = 32 << 10
 STALL_S = 3.0
+# Average speed below which a large holding may be ended for one that takes less from the others,
+# although its caller makes progress, and the time that it has in any case.
+SLOW_BYTES_PER_S = 256 << 10
+SLOW_S = 5.0
 # What a connection has buffered while its holding waits, and the part of a pool's size that all
 # that wait may have buffered together.
 WAITING_BYTES = 192 << 10
 WAITING_FRACTION = 0.5
 MIN_WAITING = 16
+# Smaller holdings of the same group that may be granted before one that arrived earlier.
+MOST_PASSED = 8
 
 
 class Verdict(enum.Enum):
@@ -52,6 +59,11 @@
         Bytes that the caller has sent or read.
     marked, marked_at : int, float
         Value of ``moved`` at a time from which its progress is judged, and that time.
+    paced_at : float
+        Time since which the caller decides how fast the holding ends.
+    passed : int
+        Holdings of the group that were granted before this one since it began to wait, although
+        they arrived later.
     """
 
     group: str
@@ -64,12 +76,20 @@
     moved: int = 0
     marked: int = 0
     marked_at: float = 0.0
+    paced_at: float = 0.0
+    passed: int = 0
 
     def begin_paced(self, now: float) -> None:
         """Count progress from now on."""
         self.is_paced = True
+        self.paced_at = now
         self.marked, self.marked_at = self.moved, now
 
+    def is_slow(self, now: float) -> bool:
+        """Return whether the caller of a large holding has taken long for its size."""
+        is_large = self.is_paced and not self.wanted and self.size > SMALL_BYTES
+        return is_large and now - self.paced_at > SLOW_S + self.size / SLOW_BYTES_PER_S
+
 
 class MemoryPool:
     """Memory for one kind of holding.
@@ -78,8 +98,10 @@
     ===========
     A large holding is granted when there is no other large one, so that a single legal request is
     served on any machine, also beside small ones. Holdings that wait are granted in the order of
-    what their group holds, then of their arrival; a large one that comes next keeps later large
-    ones waiting, so that it gets its turn.
+    what their group holds, then of how many of it wait, then of their arrival; a large one that
+    comes next keeps later large ones waiting, so that it gets its turn. In a group, the smaller
+    ones come first, up to `MOST_PASSED`. When too many wait, the one whose group takes most gives
+    way to a holding of a group that takes less, or to a smaller one of its group.
 
     Parameters
     ==========
@@ -124,12 +146,29 @@
         if self._fits(holder, size) and not (size > SMALL_BYTES and self._large_waits()):
             self._grant(holder, size)
             return Verdict.GRANTED
-        if len(self.waiting) >= self.most_waiting:
+        if len(self.waiting) >= self.most_waiting and not self._make_place(holder, size):
             return Verdict.REFUSED
         holder.wanted = size
+        holder.passed = 0
         self.waiting[holder] = None
         return Verdict.WAITS
 
+    def _make_place(self, holder: Holder, size: int) -> bool:
+        """Refuse one that waits for the sake of another holder; return whether there was one."""
+        demand = dict(self.groups)
+        for item in self.waiting:
+            demand[item.group] = demand.get(item.group, 0) + item.wanted
+        last = max(reversed(self.waiting), key=lambda item: (demand[item.group], item.wanted))
+        if last.group == holder.group:
+            gives_way = last.wanted > size
+        else:
+            gives_way = demand[last.group] > demand.get(holder.group, 0) + size
+        if gives_way:
+            del self.waiting[last]
+            last.wanted = 0
+            last.on_refused()
+        return gives_way
+
     def _fits(self, holder: Holder, size: int) -> bool:
         is_small = holder.size + size <= SMALL_BYTES
         if not is_small and self.large.keys() <= {holder}:
@@ -186,26 +225,46 @@
     def _grant_waiting(self) -> None:
         """Grant what fits, small holdings first."""
         is_large_blocked = False
-        for holder in sorted(self.waiting, key=self._order):
+        for holder in self._in_order():
             is_small = holder.wanted <= SMALL_BYTES
             if is_large_blocked and not is_small:
                 continue
             if self._fits(holder, holder.wanted):
+                self._count_passed(holder)
                 del self.waiting[holder]
                 self._grant(holder, holder.wanted)
                 holder.on_granted()
             elif not is_small:
                 is_large_blocked = True
 
-    def _order(self, holder: Holder) -> tuple[bool, int]:
-        """Return the sort key of a waiting holder; equal keys keep the order of arrival."""
-        return holder.wanted > SMALL_BYTES, self.groups.get(holder.group, 0)
+    def _in_order(self) -> list[Holder]:
+        """Return the holders that wait, the next to be granted first."""
+        arrived: dict[str, int] = {}
+        counts = Counter(holder.group for holder in self.waiting)
+        for number, holder in enumerate(self.waiting):
+            arrived.setdefault(holder.group, number)
+
+        def order(holder: Holder) -> tuple:
+            group = holder.group
+            size = 0 if holder.passed >= MOST_PASSED else holder.wanted
+            is_large = holder.wanted > SMALL_BYTES
+            return is_large, self.groups.get(group, 0), counts[group], arrived[group], size
+
+        return sorted(self.waiting, key=order)
+
+    def _count_passed(self, granted: Holder) -> None:
+        """Count a grant for the holders of its group that arrived before it."""
+        for holder in self.waiting:
+            if holder is granted:
+                return
+            if holder.group == granted.group:
+                holder.passed += 1
 
     def pop_waiting(self) -> Holder | None:
         """Return a holder that doesn't wait any longer, the last to be granted; None if none."""
         if not self.waiting:
             return None
-        holder = sorted(self.waiting, key=self._order)[-1]
+        holder = self._in_order()[-1]
         del self.waiting[holder]
         holder.wanted = 0
         return holder
@@ -220,15 +279,45 @@
         """
         stalled = [holder for holder in self.holders if self._update_stalled(holder, now)]
         needed = sum(holder.wanted for holder in self.waiting)
-        stalled.sort(key=lambda holder: (self.groups[holder.group], holder.size), reverse=True)
+        stalled.sort(key=self._taken, reverse=True)
         found: list[Holder] = []
         for holder in stalled:
             if needed <= 0 and not is_crowded:
                 break
             found.append(holder)
             needed -= holder.size
+        return found or self._list_slow(now)
+
+    def _list_slow(self, now: float) -> list[Holder]:
+        """Return the slow holders to end for the next that waits, which takes less than they do.
+
+        Explanation
+        ===========
+        A crowd whose bodies arrive just fast enough would otherwise keep the memory for minutes.
+        Equal holdings of one group never end each other.
+        """
+        if not self.waiting:
+            return []
+        following = self._in_order()[0]
+        taken = self.groups.get(following.group, 0) + following.wanted
+        found: list[Holder] = []
+        freed = 0
+        for holder in sorted(self.holders, key=self._taken, reverse=True):
+            if freed >= following.wanted:
+                break
+            if holder.group == following.group:
+                takes_more = holder.size > following.wanted
+            else:
+                takes_more = self.groups[holder.group] > taken
+            if takes_more and holder.is_slow(now):
+                found.append(holder)
+                freed += holder.size
         return found
 
+    def _taken(self, holder: Holder) -> tuple[int, int]:
+        """Return the sort key of a holder that has to go: what its group and it itself hold."""
+        return self.groups[holder.group], holder.size
+
     def _update_stalled(self, holder: Holder, now: float) -> bool:
         """Mark the progress of a holder's caller; return whether it makes none."""
         if not holder.is_paced or not holder.size or holder.wanted:
--- a/mulberrygate/core/memory_gate.py
+++ b/mulberrygate/core/memory_gate.py
@@ -92,12 +92,20 @@
         wait_s : float or None
             Longest wait in seconds; ``None`` to wait without a limit, also while the queue is full.
         """
-        verdict = pool.ask(holder, size)
-        while verdict is Verdict.REFUSED and wait_s is None:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
+        while True:
             verdict = pool.ask(holder, size)
-        if verdict is not Verdict.WAITS:
-            return verdict is Verdict.GRANTED
+            if verdict is Verdict.GRANTED:
+                return True
+            if verdict is Verdict.WAITS and await self._wait_granted(pool, holder, wait_s):
+                return True
+            if wait_s is not None:
+                return False
+            if verdict is Verdict.REFUSED:
+                await asyncio.sleep(SWEEP_INTERVAL_S)
+
+    @staticmethod
+    async def _wait_granted(pool: MemoryPool, holder: Holder, wait_s: float | None) -> bool:
+        """Wait until a holder is granted or refused, or the time is over; return if granted."""
         granted = asyncio.Event()
         holder.on_granted = granted.set
         loop = asyncio.get_running_loop()
--- a/mulberrygate/core/tests/test_memory_budget.py
+++ b/mulberrygate/core/tests/test_memory_budget.py
@@ -1,6 +1,7 @@
 """Tests of the decisions on memory that callers make a process hold."""
 
 import asyncio
+import functools
 import unittest
 
 from hypothesis import given, settings
@@ -8,7 +9,10 @@
 
 from mulberrygate.core.memory_budget import (
     LARGE_FRACTION,
+    MOST_PASSED,
     PROGRESS_BYTES,
+    SLOW_BYTES_PER_S,
+    SLOW_S,
     SMALL_BYTES,
     STALL_S,
     Holder,
@@ -67,6 +71,71 @@
         self.assertIn(Verdict.REFUSED, verdicts)
         self.assertEqual(len(self.pool.waiting), verdicts.count(Verdict.WAITS))
 
+    def fill(self):
+        """Let a crowd take the large holdings and all places of those that wait."""
+        holders = [self.ask("crowd", 4 * MB)[0]]
+        while len(self.pool.waiting) < self.pool.most_waiting:
+            holders.append(self.ask("crowd", 4 * MB)[0])
+        return holders
+
+    def test_place_for_a_group_that_takes_less(self):
+        """Guards against a crowd that takes all places, so that a newcomer is refused at once."""
+        crowd = self.fill()
+        refused = []
+        for holder in crowd:
+            holder.on_refused = functools.partial(refused.append, holder)
+        self.assertIs(self.ask("crowd", 4 * MB)[1], Verdict.REFUSED)
+        other, verdict = self.ask("other", 128 << 10)
+        self.assertIs(verdict, Verdict.WAITS)
+        self.assertEqual((refused, crowd[-1].wanted), ([crowd[-1]], 0))
+        self.assertEqual(len(self.pool.waiting), self.pool.most_waiting)
+        self.pool.release(crowd[0])
+        self.assertEqual(other.size, 128 << 10)
+
+    def test_place_for_a_smaller_holding_of_the_same_group(self):
+        """Guards against ordinary requests refused for the large ones of the same account."""
+        crowd = self.fill()
+        ordinary, verdict = self.ask("crowd", 128 << 10)
+        self.assertIs(verdict, Verdict.WAITS)
+        self.pool.release(crowd[0])
+        self.assertEqual(ordinary.size, 128 << 10)
+
+    def test_larger_holding_of_the_group_gets_its_turn(self):
+        """Guards against a large body that waits for ever for smaller ones of its account."""
+        first, _ = self.ask("a", 6 * MB)
+        large, _ = self.ask("a", 5 * MB)
+        small = [self.ask("a", MB)[0] for _ in range(MOST_PASSED + 2)]
+        self.pool.release(first)
+        for holder in small:
+            if large.size:
+                break
+            self.pool.release(holder)
+        self.assertEqual(large.size, 5 * MB)
+        self.assertEqual(small[-1].size, 0)
+
+    def test_slow_holder_goes_for_one_that_takes_less(self):
+        """Guards against bodies that arrive just fast enough and keep the memory for minutes."""
+        for group in ("crowd", "other"):
+            with self.subTest(group):
+                self.pool = MemoryPool(8 * MB)
+                slow = self.fill()[0]
+                slow.begin_paced(0.0)
+                self.ask(group, 128 << 10)
+                allowed_s = SLOW_S + slow.size / SLOW_BYTES_PER_S
+                for second in range(int(allowed_s)):
+                    slow.moved += PROGRESS_BYTES
+                    self.assertEqual(self.pool.list_stalled(float(second)), [])
+                slow.moved += PROGRESS_BYTES
+                self.assertEqual(self.pool.list_stalled(allowed_s + 1), [slow])
+
+    def test_slow_holder_stays_for_its_equals(self):
+        """Guards against a crowd that ends the legal bodies of its own callers in turn."""
+        slow = self.fill()[0]
+        slow.begin_paced(0.0)
+        for second in range(100):
+            slow.moved += PROGRESS_BYTES
+            self.assertEqual(self.pool.list_stalled(float(second)), [])
+
     def test_last_to_be_granted_gives_way(self):
         """Guards against a place in the queue that is taken from an ordinary caller."""
         self.ask("a", 6 * MB)
@@ -163,6 +232,22 @@
         self.assertEqual((cancelled.size, cancelled.wanted, list(pool.waiting)), (0, 0, []))
         self.assertEqual(other.size, 2 * SMALL_BYTES)
 
+    async def test_answer_that_gave_way_is_granted_later(self):
+        """Guards against an answer that is read without memory after it lost its place."""
+        gate = MemoryGate(DEFAULT_MEMORY_BYTES)
+        pool = gate.budget.answers
+        first, holder = Holder("a"), Holder("b")
+        pool.ask(first, pool.capacity)
+        wait = asyncio.ensure_future(gate.reserve(pool, holder, pool.capacity // 2, None))
+        await asyncio.sleep(0)
+        self.assertIs(pool.pop_waiting(), holder)
+        holder.on_refused()
+        await asyncio.sleep(0.01)
+        self.assertFalse(wait.done())
+        pool.release(first)
+        self.assertTrue(await wait)
+        self.assertEqual(holder.size, pool.capacity // 2)
+
 
 if __name__ == "__main__":
     unittest.main()
