--- a/mulberrygate/core/http_client.py
+++ b/mulberrygate/core/http_client.py
@@ -9,6 +9,9 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+# Bytes that one read takes from a socket, and that the library buffers; it pauses reading at twice
+# this size.
+READ_BYTES = 64 << 10
 # Statuses of an answer to a request.
 FIRST_STATUS = 200
 LAST_STATUS = 599
@@ -48,6 +51,54 @@
         return False
 
 
+class PacedHandler(StrictHandler):
+    """Protocol that reads and buffers little at a time, for bodies of type `SlicedBody`.
+
+    Parameters
+    ==========
+    unwritten : int
+        Body bytes of the request that were not yet passed to the transport.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop)
+        self.unwritten = 0
+
+    def is_writing(self) -> bool:
+        """Return whether a part of the request was not yet passed to the transport."""
+        return self.unwritten > 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what one read takes from the socket."""
+        transport.max_size = READ_BYTES
+        super().connection_made(transport)
+
+
+class SlicedBody(aiohttp.BytesPayload):
+    """Request body that is written no faster than the endpoint reads.
+
+    Explanation
+    ===========
+    Written at once, what the endpoint hasn't read is copied into the transport.
+    """
+
+    async def write_with_length(self, writer, content_length: int | None) -> None:
+        """Write the body, up to a length."""
+        body = memoryview(self._value)[:content_length]
+        protocol = writer.protocol
+        protocol.unwritten = len(body)
+        for start in range(0, len(body), READ_BYTES):
+            piece = body[start : start + READ_BYTES]
+            if protocol.transport is not None and not protocol.transport.is_closing():
+                protocol.unwritten -= len(piece)
+            await writer.write(piece)
+
+
+def request_data(body: bytes) -> SlicedBody | bytes | None:
+    """Return the argument ``data`` of a request with a body, over a `PacedHandler`."""
+    return SlicedBody(body) if len(body) > READ_BYTES else body or None
+
+
 class StrictConnector(aiohttp.TCPConnector):
     """Connector with a handler of its own, which never reuses a connection.
 
--- a/mulberrygate/core/memory_gate.py
+++ b/mulberrygate/core/memory_gate.py
@@ -14,6 +14,8 @@
 LOG_INTERVAL_S = 1.0
 # Memory of a machine whose settings don't say it.
 DEFAULT_MEMORY_BYTES = 512 << 20
+# Data without a length takes memory in steps that grow by this factor.
+GROWTH = 4
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -26,7 +28,7 @@
 
 
 class BodySlow(BodyError):
-    """A body arrived too slowly while memory was short."""
+    """A body stopped arriving, or arrived too slowly while memory was short."""
 
 
 class MemoryShort(BodyError):
@@ -130,9 +132,18 @@
         if holder is not None:
             holder.on_refused()
 
-    async def read_body(self, request: Any, limit: int, holder: Holder) -> bytes:
+    async def read_body(
+        self, request: Any, limit: int, holder: Holder, silence_s: float | None = None
+    ) -> bytes:
         """Return the body of a request; the holder then holds its size.
 
+        Parameters
+        ==========
+        limit : int
+            Bytes that the body may have.
+        silence_s : float or None
+            Seconds without a byte after which the body is given up, ``None`` for no limit.
+
         Raises
         ======
         BodyTooLarge, BodySlow, MemoryShort
@@ -152,13 +163,15 @@
         if content.is_eof() and content.total_bytes <= size:
             body = await content.read(-1)
         else:
-            body = await self._read_pieces(content, limit, holder)
+            body = await self._read_pieces(content, limit, holder, silence_s)
         if len(body) > limit:
             raise BodyTooLarge
         pool.shrink(holder, len(body))
         return body
 
-    async def _read_pieces(self, content: Any, limit: int, holder: Holder) -> bytes:
+    async def _read_pieces(
+        self, content: Any, limit: int, holder: Holder, silence_s: float | None
+    ) -> bytes:
         """Read a body that hasn't arrived yet, or is larger than what is held for it."""
         loop = asyncio.get_running_loop()
         body = bytearray()
@@ -167,7 +180,7 @@
         holder.begin_paced(loop.time())
         try:
             async with allowed:
-                while chunk := await content.readany():
+                while chunk := await self._read_piece(content, silence_s):
                     holder.moved += len(chunk)
                     if len(body) + len(chunk) > limit:
                         raise BodyTooLarge
@@ -182,6 +195,17 @@
             holder.is_paced = False
         return bytes(body)
 
+    @staticmethod
+    async def _read_piece(content: Any, silence_s: float | None) -> bytes:
+        """Return the next bytes of a body, empty at its end."""
+        if silence_s is None:
+            return await content.readany()
+        try:
+            async with asyncio.timeout(silence_s):
+                return await content.readany()
+        except TimeoutError:
+            raise BodySlow from None
+
     async def _reserve_rest(self, limit: int, holder: Holder) -> None:
         """Let a body without a length grow up to its limit."""
         holder.is_paced = False
@@ -221,3 +245,35 @@
             waiting=len(budget.bodies.waiting) + len(budget.answers.waiting),
             **{kind: count for kind, count in new.items() if count},
         )
+
+
+class GrowingHold:
+    """Memory of an answer, which is asked for before the answer is read.
+
+    Parameters
+    ==========
+    gate : MemoryGate or None
+        Memory budget of the process, ``None`` if there is none.
+    holder : Holder or None
+        Holds the memory of the answer.
+
+    Attributes
+    ==========
+    size : int
+        Bytes that were asked for so far.
+    """
+
+    def __init__(self, gate: MemoryGate | None, holder: Holder | None):
+        self.gate = gate
+        self.holder = holder
+        self.size = 0
+
+    async def cover(self, size: int) -> None:
+        """Wait until there is memory for a number of bytes, without a limit on the time."""
+        if size <= self.size:
+            return
+        wanted = max(size, GROWTH * self.size)
+        if self.gate is not None:
+            pool = self.gate.budget.answers
+            await self.gate.reserve(pool, self.holder, wanted - self.size, None)
+        self.size = wanted
--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -21,6 +21,7 @@
 from mulberrygate.core.clock import HybridClock
 from mulberrygate.core.effects import Effect
 from mulberrygate.core.invariant import on_violation
+from mulberrygate.core.memory_gate import SWEEP_INTERVAL_S, MemoryGate
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.core.timers import TimerService
 from mulberrygate.daemon.announcements import BAD_ANNOUNCEMENT, pool_fault
@@ -341,6 +342,8 @@
         """Create the components that the request filters use."""
         settings, timers = self.settings, self.timers
         self.upstream = Upstream()
+        memory_bytes = int(settings.memory_mb * (1 << 20))
+        gate = MemoryGate(memory_bytes, logger("memory"), self.metrics)
         scheduler = SchedulerClient(
             settings.instance, settings.failure_domain, self.peers, self.view, timers
         )
@@ -357,6 +360,7 @@
             events=self.events,
             timers=timers,
             background=self.background,
+            gate=gate,
         )
 
     def _make_web(self) -> None:
@@ -388,6 +392,7 @@
             timers.every(seconds, runner.tick, name)
         timers.every(CRASH_TICK_S, self._tick_crashes, "crashes.tick")
         timers.every(SUPERSEDED_CHECK_S, self._check_superseded, "members.superseded")
+        timers.every(SWEEP_INTERVAL_S, lambda: self.web.sweep(timers.now()), "http.sweep")
         for seconds, callback, name in self.timers_to_start:
             timers.every(seconds, callback, name)
 
--- a/mulberrygate/daemon/connections.py
+++ b/mulberrygate/daemon/connections.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from mulberrygate.core.outcome import Refusal
+from mulberrygate.daemon.bounded_connection import BoundedConnection
 from mulberrygate.entry.answers import problem_response
 from mulberrygate.entry.codes import (
     BAD_HTTP,
@@ -23,7 +24,7 @@
 CODES_BY_STATUS = {404: UNKNOWN_PATH, 405: WRONG_METHOD, 413: BODY_TOO_LARGE}
 
 
-class Connection(web.RequestHandler):
+class Connection(BoundedConnection):
     """Connection of a caller; answers a malformed request head with a problem document."""
 
     def handle_error(self, request, status=500, exc=None, message=None) -> web.StreamResponse:
@@ -38,21 +39,6 @@
         return response
 
 
-async def listen(server: web.Server, host: str, port: int) -> asyncio.Server:
-    """Accept connections for a server.
-
-    Explanation
-    ===========
-    Bodies are not decompressed: a plain service gets the bytes that the caller sent.
-    """
-    loop = asyncio.get_running_loop()
-
-    def connection() -> Connection:
-        return Connection(server, loop=loop, access_log=None, auto_decompress=False)
-
-    return await loop.create_server(connection, host, port, backlog=1024, reuse_address=True)
-
-
 @web.middleware
 async def error_middleware(request: web.Request, handler) -> web.StreamResponse:
     """Answer with a problem document where a handler or the router raises."""
--- a/mulberrygate/daemon/control_node.py
+++ b/mulberrygate/daemon/control_node.py
@@ -6,7 +6,7 @@
 
 from mulberrygate.core.memory_gate import SWEEP_INTERVAL_S, MemoryGate
 from mulberrygate.daemon.controller import Controller
-from mulberrygate.daemon.http_server import RESERVED_SOCKETS, HttpServer
+from mulberrygate.daemon.http_server import RESERVED_SOCKETS, HttpServer, make_server
 from mulberrygate.daemon.sockets import Listeners, split_address
 from mulberrygate.observe.jsonlines import JsonLines
 
@@ -44,13 +44,12 @@
         listening_socket = (listeners or Listeners()).get(site.control_address)
         self.gate = self.api.gate = MemoryGate(site.limits.memory_bytes, lines)
         self.http = HttpServer(
-            self.api.handle,
+            make_server(self.api.handle, decompress=True),
             host,
             port,
             listening_socket=listening_socket,
             gate=self.gate,
             max_connections=site.limits.sockets - RESERVED_SOCKETS,
-            decompress=True,
         )
 
     async def start(self) -> None:
--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -13,7 +13,12 @@
 from mulberrygate.core.boot_time import seconds_since_boot
 from mulberrygate.core.memory_gate import SWEEP_INTERVAL_S, MemoryGate
 from mulberrygate.core.timers import TimerService
-from mulberrygate.daemon.http_server import LAST_REQUEST_S, RESERVED_SOCKETS, HttpServer
+from mulberrygate.daemon.http_server import (
+    LAST_REQUEST_S,
+    HttpServer,
+    make_server,
+    max_caller_connections,
+)
 from mulberrygate.daemon.placement import Placement, PoolOwners
 from mulberrygate.daemon.site_peers import SitePeers
 from mulberrygate.daemon.sockets import Listeners, split_address
@@ -68,16 +73,6 @@
 CURRENT_STATE_WAIT_S = 3.0
 
 
-def max_caller_connections(sockets: int) -> int:
-    """Return how many connections of callers may be open.
-
-    Explanation
-    ===========
-    Each may have a request in work, with a connection of its own to an endpoint.
-    """
-    return (sockets - RESERVED_SOCKETS) // 2
-
-
 def last_send_at(read_at: float, end: float) -> float:
     """Return the time after which a stopping entry sends no call for the first time.
 
@@ -358,10 +353,9 @@
     ) -> HttpServer:
         host, port = split_address(address)
         return HttpServer(
-            handler,
+            make_server(handler, cancel_on_disconnect),
             host,
             port,
-            cancel_on_disconnect,
             self.listeners.get(address),
             self.gate,
             max_connections,
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP server of one address that passes all requests to one handler."""
+"""HTTP server of one address, whose connections and memory are bounded."""
 
 from __future__ import annotations
 
@@ -36,13 +36,63 @@
 MOST_IDLE_TRIES = 32
 
 
-class HttpServer:
-    """HTTP server that passes all requests to one handler.
+def max_caller_connections(sockets: int) -> int:
+    """Return how many connections of callers may be open.
+
+    Explanation
+    ===========
+    Each may have a request in work, with a connection of its own to an endpoint.
+    """
+    return (sockets - RESERVED_SOCKETS) // 2
+
+
+def connection_options(
+    decompress: bool = False, line_bytes: int = MAX_LINE_BYTES
+) -> dict[str, Any]:
+    """Return the options of the HTTP library for the connections of a server.
+
+    Parameters
+    ==========
+    decompress : bool
+        Whether bodies with a ``Content-Encoding`` are decompressed. Those that are passed on are
+        not, since the header is passed on as well.
+    line_bytes : int
+        Size of the longest line of a head.
+    """
+    return {
+        "access_log": None,
+        "keepalive_timeout": RequestLimits().idle_timeout_s,
+        "max_line_size": line_bytes,
+        "max_field_size": line_bytes,
+        "read_bufsize": BODY_BUFFER_BYTES,
+        "auto_decompress": decompress,
+    }
+
+
+def make_server(
+    handler, cancel_on_disconnect: bool = False, decompress: bool = False
+) -> web.Server:
+    """Return a server of the HTTP library that passes all requests to one handler.
 
     Parameters
     ==========
     cancel_on_disconnect : bool
         Whether a handler is cancelled when its caller disconnects.
+    decompress : bool
+        See `connection_options`.
+    """
+    return web.Server(
+        handler, handler_cancellation=cancel_on_disconnect, **connection_options(decompress)
+    )
+
+
+class HttpServer:
+    """HTTP server whose connections and memory are bounded.
+
+    Parameters
+    ==========
+    server : aiohttp.web.Server
+        Handler of the requests, made with the `connection_options`.
     listening_socket : socket.socket or None
         Socket that already listens on the address; ``None`` to open one.
     gate : MemoryGate or None
@@ -50,9 +100,8 @@
     max_connections : int
         Connections that may be open at a time. When a new one comes, the one goes that has been
         without a request for longest.
-    decompress : bool
-        Whether bodies with a ``Content-Encoding`` are decompressed. Those that are passed on are
-        not, since the header is passed on as well.
+    connection_class : type
+        Class of the connections.
 
     Attributes
     ==========
@@ -73,16 +122,18 @@
 
     def __init__(
         self,
-        handler,
+        server: web.Server,
         host: str,
         port: int,
-        cancel_on_disconnect: bool = False,
         listening_socket: socket.socket | None = None,
         gate: MemoryGate | None = None,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
-        decompress: bool = False,
+        connection_class: type[BoundedConnection] = BoundedConnection,
     ):
-        self.handler = handler
+        self.server = server
+        self.handler = server.request_handler
+        server.request_handler = self._handle
+        self.connection_class = connection_class
         self.gate = gate or MemoryGate(DEFAULT_MEMORY_BYTES)
         self.max_connections = max_connections
         self.new_connections: dict[BoundedConnection, None] = {}
@@ -98,16 +149,6 @@
         self.limits = RequestLimits()
         self.silent_since: dict[Any, float] = {}
         self.used_connections: set = set()
-        self.server = web.Server(
-            self._handle,
-            handler_cancellation=cancel_on_disconnect,
-            access_log=None,
-            keepalive_timeout=RequestLimits().idle_timeout_s,
-            max_line_size=MAX_LINE_BYTES,
-            max_field_size=MAX_LINE_BYTES,
-            read_bufsize=BODY_BUFFER_BYTES,
-            auto_decompress=decompress,
-        )
         self.listener: asyncio.Server | None = None
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -125,7 +166,7 @@
 
     def _make_connection(self) -> BoundedConnection:
         loop = asyncio.get_running_loop()
-        return BoundedConnection(self, self.server, loop=loop, **self.server._kwargs)
+        return self.connection_class(self, self.server, loop=loop, **self.server._kwargs)
 
     def on_connected(self, connection: BoundedConnection) -> None:
         """Count a new connection; make room for it, or close it if there is none."""
--- a/mulberrygate/daemon/sockets.py
+++ b/mulberrygate/daemon/sockets.py
@@ -2,10 +2,27 @@
 
 from __future__ import annotations
 
+import resource
 import socket
 
 # Connections that may wait to be accepted.
 BACKLOG = 1024
+# Descriptors of a process that are kept for files.
+FILE_DESCRIPTORS = 200
+
+
+def count_sockets(max_descriptors: int) -> int:
+    """Return how many sockets a process may open.
+
+    Parameters
+    ==========
+    max_descriptors : int
+        Descriptors that the operators allow; the operating system may allow fewer.
+    """
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed != resource.RLIM_INFINITY:
+        max_descriptors = min(max_descriptors, allowed)
+    return max_descriptors - FILE_DESCRIPTORS
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/mulberrygate/daemon/tests/test_sockets.py
+++ b/mulberrygate/daemon/tests/test_sockets.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import web
 
-from mulberrygate.daemon.http_server import HttpServer
+from mulberrygate.daemon.http_server import HttpServer, make_server
 from mulberrygate.daemon.sockets import Listeners, split_address
 
 
@@ -24,7 +24,7 @@
         host, port = listener.getsockname()
         reader, writer = await asyncio.open_connection(host, port)
         writer.write(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        http = HttpServer(answer, host, port, listening_socket=listener)
+        http = HttpServer(make_server(answer), host, port, listening_socket=listener)
         await http.start()
         self.assertIn(b"served", await reader.read())
         writer.close()
@@ -38,7 +38,7 @@
         self.assertEqual(second.sockets, {})
         self.assertIsInstance(second.bind_errors[f"{host}:{port}"], OSError)
         with self.assertRaises(OSError):
-            await HttpServer(answer, host, port).start()
+            await HttpServer(make_server(answer), host, port).start()
         first.close()
 
     def test_bad_addresses_are_left_out(self):
@@ -49,7 +49,7 @@
 
     async def test_server_without_a_socket_opens_one(self):
         """Guards against a server that doesn't start without a given socket."""
-        http = HttpServer(answer, "127.0.0.1", 0)
+        http = HttpServer(make_server(answer), "127.0.0.1", 0)
         await http.start()
         port = http.listener.sockets[0].getsockname()[1]
         async with aiohttp.ClientSession() as session:
--- a/mulberrygate/daemon/web.py
+++ b/mulberrygate/daemon/web.py
@@ -12,16 +12,33 @@
 
 from mulberrygate.control.client import ANSWER_LOST, NO_LEADER, UNDETERMINED, ControlClient
 from mulberrygate.control.messages import ApplyRequest, EvacuationRequest, ReadTable
-from mulberrygate.core.codes import code_by_number, register_code
+from mulberrygate.core.codes import Code, code_by_number, register_code
+from mulberrygate.core.memory_budget import Holder
 from mulberrygate.core.outcome import Execution, Refusal
-from mulberrygate.daemon.announcements import read_announcement
-from mulberrygate.daemon.connections import error_middleware, listen
+from mulberrygate.core.paced_response import send_if_long, whole_response
+from mulberrygate.daemon.announcements import (
+    BAD_ANNOUNCEMENT,
+    MAX_ANNOUNCEMENT_BYTES,
+    read_announcement,
+)
+from mulberrygate.daemon.connections import Connection, error_middleware
+from mulberrygate.daemon.http_server import HttpServer, connection_options, max_caller_connections
 from mulberrygate.daemon.report import Reporter
+from mulberrygate.daemon.sockets import count_sockets
 from mulberrygate.endpoints.model import Announcement
 from mulberrygate.entry.answers import problem_event, problem_response
 from mulberrygate.entry.chain import Chain
-from mulberrygate.entry.codes import BAD_QUERY, INTERNAL, MALFORMED, STOPPING, UNAUTHORIZED
+from mulberrygate.entry.codes import (
+    BAD_QUERY,
+    BODY_TOO_LARGE,
+    INTERNAL,
+    MALFORMED,
+    MEMORY_SHORT,
+    STOPPING,
+    UNAUTHORIZED,
+)
 from mulberrygate.entry.context import EntryParts, RequestContext
+from mulberrygate.entry.read_body import MEMORY_RETRY_S, read_bounded
 from mulberrygate.observe.logs import logger
 from mulberrygate.peers.client import Unreachable
 from mulberrygate.tables.model import MODEL, SERVICE
@@ -34,10 +51,15 @@
 )
 
 MAX_TABLE_BYTES = 16 << 20
+MAX_LINE_BYTES = 8190
+MAX_PARTITION_BYTES = 64 << 10
+# Longest wait of an answer for memory.
+ANSWER_WAIT_S = 5.0
 MAX_EVENTS = 5000
 MAX_OPERATOR_CHARS = 64
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+BodyHandler = Callable[[web.Request, bytes], Awaitable[web.StreamResponse]]
 
 
 class WebServer:
@@ -72,18 +94,24 @@
         self.accept_announcement = accept_announcement
         self.active_requests = 0
         self.runner: web.AppRunner | None = None
-        self.listener: asyncio.Server | None = None
+        self.http: HttpServer | None = None
+        # Parsing a table takes several times its size, so one is parsed at a time.
+        self.table_lock = asyncio.Lock()
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(client_max_size=MAX_TABLE_BYTES, middlewares=[error_middleware])
         app.router.add_post("/v1/chat/completions", self.on_model)
         app.router.add_route("*", "/services/{route}/{path:[\\s\\S]*}", self.on_service)
-        app.router.add_post("/endpoints/announce", self.on_announce)
         app.router.add_get("/health/live", self.on_live)
         app.router.add_get("/health/ready", self.on_ready)
         app.router.add_get("/metrics", self.on_metrics)
-        app.router.add_post("/admin/tables/{table}", self.operators_only(self.on_apply))
+        announce = self.with_body(
+            MAX_ANNOUNCEMENT_BYTES, self.on_announce, too_large=BAD_ANNOUNCEMENT
+        )
+        app.router.add_post("/endpoints/announce", self.endpoints_only(announce))
+        apply = self.with_body(MAX_TABLE_BYTES, self.on_apply)
+        app.router.add_post("/admin/tables/{table}", self.operators_only(apply))
         app.router.add_get("/admin/tables/{table}", self.operators_only(self.on_get_table))
         path = "/admin/evacuations/{failure_domain}"
         app.router.add_post(path, self.operators_only(self.on_evacuation))
@@ -91,21 +119,39 @@
         app.router.add_get("/admin/status", self.operators_only(self.on_status))
         app.router.add_get("/admin/timeline", self.operators_only(self.on_timeline))
         if self.parts.settings.partition_switch:
-            app.router.add_post("/admin/partition", self.operators_only(self.on_partition))
+            partition = self.with_body(MAX_PARTITION_BYTES, self.on_partition)
+            app.router.add_post("/admin/partition", self.operators_only(partition))
         return app
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address."""
         self.runner = web.AppRunner(
-            self.application(), access_log=None, handler_cancellation=True, shutdown_timeout=2.0
+            self.application(),
+            handler_cancellation=True,
+            shutdown_timeout=2.0,
+            **connection_options(line_bytes=MAX_LINE_BYTES),
         )
         await self.runner.setup()
-        self.listener = await listen(self.runner.server, host, port)
+        sockets = count_sockets(self.parts.settings.max_descriptors)
+        self.http = HttpServer(
+            self.runner.server,
+            host,
+            port,
+            gate=self.parts.gate,
+            max_connections=max_caller_connections(sockets),
+            connection_class=Connection,
+        )
+        await self.http.start()
+
+    def sweep(self, now: float) -> None:
+        """Close what makes no progress while memory is short; call it each `SWEEP_INTERVAL_S`."""
+        if self.http is not None:
+            self.http.sweep(now)
 
     async def close(self) -> None:
         """Stop listening and close connections."""
-        if self.listener is not None:
-            self.listener.close()
+        if self.http is not None:
+            self.http.listener.close()
         if self.runner is not None:
             await self.runner.cleanup()
 
@@ -124,19 +170,37 @@
             refusal = Refusal(STOPPING, retry_after_s=1.0)
             return problem_response(refusal, request.request_id, {"Connection": "close"})
         self.active_requests += 1
+        try:
+            response = await self._run(request)
+            await send_if_long(response, http, request.answer_holder)
+            return response
+        finally:
+            self.active_requests -= 1
+            self._release_memory(request)
+
+    async def _run(self, request: RequestContext) -> web.StreamResponse:
+        """Run a request through the filters and return the response to its caller."""
         try:
             outcome = await self.chain.run(request)
         except asyncio.CancelledError:
-            parts.metrics.count("requests_total", outcome="cancelled", tier=str(request.tier))
+            tier = str(request.tier)
+            self.parts.metrics.count("requests_total", outcome="cancelled", tier=tier)
             raise
         except Exception as error:
             log.error("A request failed.", request=request.request_id, error=repr(error))
             execution = Execution.UNKNOWN if request.was_sent else Execution.NOT_RUN
             outcome = Refusal(INTERNAL, execution=execution)
-        finally:
-            self.active_requests -= 1
         return await self._answer(request, outcome)
 
+    def _release_memory(self, request: RequestContext) -> None:
+        """Give back the memory of a request, once nothing goes on with it."""
+        detached = request.detached
+        if detached is not None and not detached.done():
+            detached.add_done_callback(lambda _task: self._release_memory(request))
+            return
+        self.parts.gate.budget.bodies.release(request.body_holder)
+        self.parts.gate.budget.answers.release(request.answer_holder)
+
     async def _answer(
         self, request: RequestContext, outcome: web.StreamResponse | Refusal
     ) -> web.StreamResponse:
@@ -158,11 +222,9 @@
         headers = {"Idempotency-Key": request.key} if request.key else {}
         return problem_response(outcome, request.request_id, headers)
 
-    async def on_announce(self, request: web.Request) -> web.Response:
+    async def on_announce(self, _request: web.Request, body: bytes) -> web.Response:
         """Handle an endpoint's announcement."""
-        if not has_token(request, self.endpoint_token):
-            return problem_response(Refusal(UNAUTHORIZED, "the endpoint token is wrong"))
-        announcement = read_announcement(await request.read())
+        announcement = read_announcement(body)
         if isinstance(announcement, Refusal):
             return problem_response(announcement)
         refusal = self.accept_announcement(announcement)
@@ -179,25 +241,62 @@
         ready = self.is_ready()
         return web.json_response({"ready": ready}, status=200 if ready else 503)
 
-    async def on_metrics(self, _request: web.Request) -> web.Response:
+    async def on_metrics(self, request: web.Request) -> web.StreamResponse:
         """Return the metrics in the text format of metrics collectors."""
-        return web.Response(text=self.parts.metrics.text(), content_type="text/plain")
+        return await self._send(request, self.parts.metrics.text().encode(), "text/plain")
+
+    async def _send(
+        self,
+        request: web.Request,
+        body: bytes,
+        content_type: str,
+        headers: dict[str, str] | None = None,
+    ) -> web.StreamResponse:
+        """Send an answer of any length once there is memory for it."""
+        gate, holder = self.parts.gate, Holder(request.remote or "")
+        try:
+            if not await gate.reserve(gate.budget.answers, holder, len(body), ANSWER_WAIT_S):
+                gate.count("answer_refused")
+                return problem_response(Refusal(MEMORY_SHORT, retry_after_s=MEMORY_RETRY_S))
+            all_headers = {"Content-Type": f"{content_type}; charset=utf-8", **(headers or {})}
+            response = whole_response(200, list(all_headers.items()), body)
+            await send_if_long(response, request, holder)
+            return response
+        finally:
+            gate.budget.answers.release(holder)
 
     def operators_only(self, handler: Handler) -> Handler:
         """Return a handler that requires the operator token."""
-
-        async def check_token(request: web.Request) -> web.StreamResponse:
-            if not has_token(request, self.operator_token):
-                return problem_response(Refusal(UNAUTHORIZED, "the operator token is wrong"))
-            return await handler(request)
-
-        return check_token
-
-    async def on_apply(self, request: web.Request) -> web.Response:
+        return require_token(self.operator_token, "operator", handler)
+
+    def endpoints_only(self, handler: Handler) -> Handler:
+        """Return a handler that requires the endpoint token."""
+        return require_token(self.endpoint_token, "endpoint", handler)
+
+    def with_body(
+        self, limit: int, handler: BodyHandler, too_large: Code = BODY_TOO_LARGE
+    ) -> Handler:
+        """Return a handler that reads a body of up to a number of bytes for another one."""
+
+        async def read_body(request: web.Request) -> web.StreamResponse:
+            holder = Holder(request.remote or "")
+            try:
+                body = await read_bounded(self.parts.gate, request, limit, holder)
+                if isinstance(body, Refusal):
+                    if body.code is BODY_TOO_LARGE:
+                        body = Refusal(too_large, body.detail)
+                    return problem_response(body, headers={"Connection": "close"})
+                return await handler(request, body)
+            finally:
+                self.parts.gate.budget.bodies.release(holder)
+
+        return read_body
+
+    async def on_apply(self, request: web.Request, content: bytes) -> web.Response:
         """Put a table in force through the leader."""
         table = request.match_info["table"]
-        content = await request.read()
-        parsed = await asyncio.to_thread(parse_table, content, table)
+        async with self.table_lock:
+            parsed = await asyncio.to_thread(parse_table, content, table)
         if isinstance(parsed, Faults):
             return self._table_faults(table, parsed)
         return await self._order(ApplyRequest(table, content, operator_name(request)))
@@ -233,24 +332,24 @@
             )
         return problem_response(Refusal(NO_LEADER, unreachable.reason, retry_after_s=1.0))
 
-    async def on_get_table(self, request: web.Request) -> web.Response:
+    async def on_get_table(self, request: web.Request) -> web.StreamResponse:
         """Return the text of a table in force."""
         answer = await self.control.request(ReadTable(request.match_info["table"]))
         if isinstance(answer, Unreachable):
             return self._no_leader(answer)
         if answer.code:
             return problem_response(Refusal(code_by_number(answer.code), answer.detail))
-        return web.Response(
-            body=answer.content,
-            content_type="text/plain",
-            headers={"X-Table-Version": str(answer.version)},
-        )
+        headers = {"X-Table-Version": str(answer.version)}
+        return await self._send(request, answer.content, "text/plain", headers)
 
-    async def on_status(self, _request: web.Request) -> web.Response:
+    async def on_status(self, request: web.Request) -> web.StreamResponse:
         """Return the state of all instances."""
-        return web.json_response(await self.reporter.status())
+        return await self._send_json(request, await self.reporter.status())
+
+    async def _send_json(self, request: web.Request, fields: dict) -> web.StreamResponse:
+        return await self._send(request, json.dumps(fields).encode(), "application/json")
 
-    async def on_timeline(self, request: web.Request) -> web.Response:
+    async def on_timeline(self, request: web.Request) -> web.StreamResponse:
         """Return the merged timeline of all instances."""
         subjects = dict(request.query)
         text = subjects.pop("limit", "500")
@@ -258,12 +357,12 @@
         if not limit:
             return problem_response(Refusal(BAD_QUERY, "limit is not a positive whole number"))
         limit = min(MAX_EVENTS, limit)
-        return web.json_response(await self.reporter.timeline(subjects, limit))
+        return await self._send_json(request, await self.reporter.timeline(subjects, limit))
 
-    async def on_partition(self, request: web.Request) -> web.Response:
+    async def on_partition(self, _request: web.Request, body: bytes) -> web.Response:
         """Block messages to and from the named instances, to simulate a partition in tests."""
         try:
-            blocked = set(json.loads(await request.read()))
+            blocked = set(json.loads(body))
         except (TypeError, ValueError):
             return problem_response(Refusal(MALFORMED, "the body is not a JSON list of names"))
         self.control.peers.blocked = blocked
@@ -271,6 +370,17 @@
         return web.json_response({"blocked": sorted(blocked)})
 
 
+def require_token(token: str, owner: str, handler: Handler) -> Handler:
+    """Return a handler that requires a bearer token."""
+
+    async def check_token(request: web.Request) -> web.StreamResponse:
+        if not has_token(request, token):
+            return problem_response(Refusal(UNAUTHORIZED, f"the {owner} token is wrong"))
+        return await handler(request)
+
+    return check_token
+
+
 def has_token(request: web.Request, token: str) -> bool:
     """Return whether a token is the bearer token of a request."""
     scheme, _, given = request.headers.get("Authorization", "").partition(" ")
--- a/mulberrygate/entry/claim.py
+++ b/mulberrygate/entry/claim.py
@@ -95,6 +95,7 @@
         if not request.outlives_caller:
             return await self._proceed_and_release(request, proceed)
         task = self.parts.background.spawn(self._proceed_and_release(request, proceed))
+        request.detached = task
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
--- a/mulberrygate/entry/codes.py
+++ b/mulberrygate/entry/codes.py
@@ -32,6 +32,12 @@
 )
 BAD_QUERY = register_code(1015, "bad_query", "A query parameter has a wrong value.", 400)
 BODY_SILENT = register_code(1016, "body_silent", "The body stopped arriving.", 408)
+MEMORY_SHORT = register_code(
+    1017, "memory_short", "The instance has too little memory for the request.", 503
+)
+TOO_MANY_VALUES = register_code(
+    1018, "too_many_values", "The body has more JSON values than the memory allows.", 413
+)
 DEADLINE_PASSED = register_code(
     2101, "deadline_passed", "The deadline passed while the request waited.", 504
 )
--- a/mulberrygate/entry/completion.py
+++ b/mulberrygate/entry/completion.py
@@ -11,6 +11,35 @@
 # Messages with tool calls nest about ten levels. A body near Python's own limit of 1,000 levels
 # could fail only after the begin in the ledger, which would leave the outcome unknown.
 MAX_DEPTH = 64
+# Largest size of an object of the JSON parser for each character that separates values, with its
+# place in a list or an object.
+VALUE_BYTES = 80
+# Bytes of text for each byte of UTF-8, if there are other characters than ASCII.
+WIDE_FACTOR = 4
+# Copies of the text that exist while it is parsed: decoded, as values, and as one prompt.
+TEXT_COPIES = 3
+
+
+def parsed_bytes(body: bytes) -> int:
+    """Return an upper bound of the memory that a parsed body takes, in bytes.
+
+    Examples
+    ========
+    >>> from mulberrygate.entry.completion import parsed_bytes
+    >>> parsed_bytes(b'{"a": [1, 2]}')
+    333
+    """
+    separators = sum(map(body.count, (b",", b":", b"[", b"{")))
+    return _text_bytes(body) + VALUE_BYTES * separators
+
+
+def parsing_bytes(body: bytes) -> int:
+    """Return an upper bound of the memory that parsing a body takes for a moment, in bytes."""
+    return parsed_bytes(body) + (TEXT_COPIES - 1) * _text_bytes(body)
+
+
+def _text_bytes(body: bytes) -> int:
+    return len(body) if body.isascii() else WIDE_FACTOR * len(body)
 
 
 def parse_completion(body: bytes) -> dict[str, Any] | Refusal:
--- a/mulberrygate/entry/context.py
+++ b/mulberrygate/entry/context.py
@@ -10,6 +10,8 @@
 import attrs
 from aiohttp import ClientResponse, web
 
+from mulberrygate.core.memory_budget import Holder
+from mulberrygate.core.memory_gate import DEFAULT_MEMORY_BYTES, MemoryGate
 from mulberrygate.core.timers import TimerService
 from mulberrygate.entry.retry import RetryBudget
 from mulberrygate.ledger.messages import Attempt
@@ -71,6 +73,7 @@
     timers: TimerService
     background: BackgroundTasks
     retries: RetryBudget = attrs.field(factory=RetryBudget)
+    gate: MemoryGate = attrs.field(factory=lambda: MemoryGate(DEFAULT_MEMORY_BYTES))
     is_stopping: bool = False
 
     def known_domains(self) -> Collection[str]:
@@ -156,6 +159,10 @@
     was_sent : bool
         Whether an endpoint may have received bytes of the request, in this dispatch or an earlier
         one. After that no refusal may say "not run".
+    detached : asyncio.Task or None
+        Task that goes on with the request after its caller has gone.
+    body_holder, answer_holder : Holder
+        Hold the memory of body and answer until the request has ended.
     is_dispatching : bool
         Whether the request has a grant and is being sent, or its answer is being relayed.
     deadline_at : float
@@ -193,6 +200,9 @@
     claim_fingerprint: bytes = b""
     has_caller_key: bool = False
     was_sent: bool = False
+    detached: asyncio.Task | None = None
+    body_holder: Holder = attrs.field(factory=lambda: Holder(""))
+    answer_holder: Holder = attrs.field(factory=lambda: Holder(""))
     is_dispatching: bool = False
     is_idempotent: bool = False
     attempt: OpenAttempt | None = None
--- a/mulberrygate/entry/read_body.py
+++ b/mulberrygate/entry/read_body.py
@@ -2,16 +2,29 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 
 import aiohttp
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
+from mulberrygate.core.memory_budget import Holder
+from mulberrygate.core.memory_gate import (
+    BODY_WAIT_S,
+    BodySlow,
+    BodyTooLarge,
+    MemoryGate,
+    MemoryShort,
+)
 from mulberrygate.core.outcome import Refusal
-from mulberrygate.entry.codes import BODY_SILENT, BODY_TOO_LARGE, MALFORMED
-from mulberrygate.entry.completion import parse_completion
+from mulberrygate.entry.codes import (
+    BODY_SILENT,
+    BODY_TOO_LARGE,
+    MALFORMED,
+    MEMORY_SHORT,
+    TOO_MANY_VALUES,
+)
+from mulberrygate.entry.completion import parse_completion, parsed_bytes, parsing_bytes
 from mulberrygate.entry.context import EntryParts, RequestContext
 
 # Upper bound of every route's limit, see `tables.model.Route`.
@@ -19,6 +32,31 @@
 # A body that stops arriving must not block the request for ever; aiohttp also keeps the reader
 # waiting after a malformed chunk.
 BODY_SILENCE_S = 10.0
+MEMORY_RETRY_S = 1.0
+
+
+async def read_bounded(
+    gate: MemoryGate, http: web.BaseRequest, limit: int, holder: Holder
+) -> bytes | Refusal:
+    """Return the body of a request, or why it was not read; nothing was done then.
+
+    Parameters
+    ==========
+    limit : int
+        Bytes that the body may have.
+    holder : Holder
+        Holds the memory of the body until the caller of this function releases it.
+    """
+    try:
+        return await gate.read_body(http, limit, holder, BODY_SILENCE_S)
+    except BodyTooLarge:
+        return Refusal(BODY_TOO_LARGE, f"the limit is {limit} bytes")
+    except BodySlow:
+        return Refusal(BODY_SILENT)
+    except MemoryShort:
+        return Refusal(MEMORY_SHORT, retry_after_s=MEMORY_RETRY_S)
+    except (HttpProcessingError, aiohttp.ClientPayloadError, web.RequestPayloadError) as error:
+        return Refusal(MALFORMED, f"the body can't be read: {type(error).__name__}")
 
 
 class ReadBody:
@@ -28,30 +66,38 @@
         self.parts = parts
 
     async def __call__(self, request: RequestContext, proceed):
-        limit = self._limit(request)
-        length = request.http.content_length
-        if length is not None and length > limit:
-            return Refusal(BODY_TOO_LARGE, f"the limit is {limit} bytes")
-        body = bytearray()
-        try:
-            while not request.http.content.at_eof():
-                async with asyncio.timeout(BODY_SILENCE_S):
-                    body += await request.http.content.readany()
-                if len(body) > limit:
-                    return Refusal(BODY_TOO_LARGE, f"the limit is {limit} bytes")
-        except TimeoutError:
-            return Refusal(BODY_SILENT)
-        except (HttpProcessingError, aiohttp.ClientPayloadError, web.RequestPayloadError) as error:
-            return Refusal(MALFORMED, f"the body can't be read: {type(error).__name__}")
-        request.body = bytes(body)
+        group = request.account_name
+        request.body_holder, request.answer_holder = Holder(group), Holder(group)
+        body = await read_bounded(
+            self.parts.gate, request.http, self._limit(request), request.body_holder
+        )
+        if isinstance(body, Refusal):
+            return body
+        request.body = body
         if request.is_model:
-            payload = parse_completion(request.body)
-            if isinstance(payload, Refusal):
-                return payload
-            request.payload = payload
+            refusal = await self._parse(request)
+            if refusal is not None:
+                return refusal
         request.fingerprint = self._fingerprint(request)
         return await proceed()
 
+    async def _parse(self, request: RequestContext) -> Refusal | None:
+        """Parse a model request within the memory that there is for bodies."""
+        gate, holder = self.parts.gate, request.body_holder
+        pool = gate.budget.bodies
+        needed = parsing_bytes(request.body)
+        if needed > pool.capacity:
+            return Refusal(TOO_MANY_VALUES)
+        if not await gate.reserve(pool, holder, needed, BODY_WAIT_S):
+            gate.count("body_refused")
+            return Refusal(MEMORY_SHORT, retry_after_s=MEMORY_RETRY_S)
+        payload = parse_completion(request.body)
+        if isinstance(payload, Refusal):
+            return payload
+        request.payload = payload
+        pool.shrink(holder, len(request.body) + parsed_bytes(request.body))
+        return None
+
     def _limit(self, request: RequestContext) -> int:
         """Return the largest limit of any route, since the route is not known yet."""
         routes = self.parts.in_force.routes.values()
--- a/mulberrygate/entry/relay.py
+++ b/mulberrygate/entry/relay.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import aiohttp
 import msgpack
-from aiohttp import web
+from aiohttp import hdrs, web
 
+from mulberrygate.core.memory_budget import SMALL_BYTES
+from mulberrygate.core.memory_gate import GrowingHold
 from mulberrygate.core.outcome import Execution, Refusal
+from mulberrygate.core.paced_response import whole_response, write_stream
 from mulberrygate.entry.answers import problem_event
 from mulberrygate.entry.codes import ANSWER_TOO_LARGE
 from mulberrygate.entry.context import EntryParts, RequestContext, Result, RetryElsewhere
@@ -67,7 +71,8 @@
         try:
             left_s = max(0.0, request.remaining_s(self.parts.timers.now()))
             async with asyncio.timeout(left_s + SERVICE_SILENCE_S):
-                body = await self._read_body(response)
+                hold = GrowingHold(self.parts.gate, request.answer_holder)
+                body = await self._read_body(response, hold)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return await self._handle_broken(request, type(error).__name__, proceed)
         finally:
@@ -89,16 +94,20 @@
             return RetryElsewhere(f"the endpoint answered {response.status}")
         await self.parts.background.wait_shielded(proceed())
         headers.update(request_id_headers(request))
-        return web.Response(status=response.status, body=body, headers=headers)
+        return whole_response(response.status, list(headers.items()), body)
 
     @staticmethod
-    async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    async def _read_body(response: aiohttp.ClientResponse, hold: GrowingHold) -> bytes:
+        # The length of an answer to HEAD is that of a body which doesn't come.
+        length = None if response.method == hdrs.METH_HEAD else response.content_length
+        await hold.cover(SMALL_BYTES if length is None else min(length, MAX_SERVICE_ANSWER_BYTES))
         body = bytearray()
         while len(body) <= MAX_SERVICE_ANSWER_BYTES:
             async with asyncio.timeout(SERVICE_SILENCE_S):
                 data = await response.content.readany()
             if not data:
                 break
+            await hold.cover(len(body) + len(data))
             body += data
         return bytes(body)
 
@@ -136,6 +145,7 @@
         self.request = request
         self.follower = follower
         self.text = None if request.wants_stream else AnswerText()
+        self.text_hold = GrowingHold(parts.gate, request.answer_holder)
         self.kept: list[bytes] = []
         self.kept_bytes = 0
         self.is_caller_connected = True
@@ -148,6 +158,7 @@
                 return await self._fail(events)
             self._record_events(events)
             if self.text is not None:
+                await self.text_hold.cover(self.request.result.received_bytes)
                 self.text.add(events.raw)
             elif self.is_caller_connected:
                 await self._write(events.raw)
@@ -175,10 +186,17 @@
             transport = self.request.http.transport
             if transport is None:
                 raise ConnectionResetError("the caller has gone")
+            write = write_stream(
+                self.parts.gate,
+                self.request.answer_holder,
+                self.request.http,
+                self.request.response,
+                raw,
+            )
             if transport.get_write_buffer_size() < UNREAD_BYTES:
-                await self.request.response.write(raw)
+                await write
             else:
-                await asyncio.wait_for(self.request.response.write(raw), CALLER_STALL_S)
+                await asyncio.wait_for(write, CALLER_STALL_S)
         except (TimeoutError, ConnectionError):
             self.is_caller_connected = False
             self.request.result.is_cancelled = True
@@ -234,12 +252,15 @@
     return headers
 
 
-def completion_response(request: RequestContext, text: AnswerText, tokens: int) -> web.Response:
+def completion_response(
+    request: RequestContext, text: AnswerText, tokens: int
+) -> web.StreamResponse:
     """Return the response to a caller that asked for one JSON object."""
     completion = text.completion(
         request.request_id, request.route_name, request.prompt_tokens, tokens
     )
-    return web.json_response(completion, headers=request_id_headers(request))
+    headers = {"Content-Type": "application/json; charset=utf-8", **request_id_headers(request)}
+    return whole_response(200, list(headers.items()), json.dumps(completion).encode())
 
 
 def pack_service_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
--- a/mulberrygate/entry/tests/test_relay.py
+++ b/mulberrygate/entry/tests/test_relay.py
@@ -5,6 +5,8 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from mulberrygate.core.memory_budget import Holder
+from mulberrygate.core.memory_gate import DEFAULT_MEMORY_BYTES, MemoryGate
 from mulberrygate.entry import relay
 from mulberrygate.entry.context import RequestContext, Result
 from mulberrygate.entry.relay import UNREAD_BYTES, StreamDelivery
@@ -20,6 +22,9 @@
     def get_write_buffer_size(self) -> int:
         return self.unread
 
+    def abort(self) -> None:
+        """Do nothing; there is no connection."""
+
 
 class Response:
     """Response whose writes never finish."""
@@ -39,7 +44,9 @@
         request.result = Result()
         request.outlives_caller = True
         request.wants_stream = True
-        return StreamDelivery(None, request, None)
+        request.answer_holder = Holder("a")
+        parts = SimpleNamespace(gate=MemoryGate(DEFAULT_MEMORY_BYTES))
+        return StreamDelivery(parts, request, None)
 
     async def test_caller_that_does_not_read_is_dropped(self):
         """Guards against a stream that occupies its engine for a caller that reads nothing."""
@@ -61,6 +68,8 @@
     """Service response that sends a byte now and then and never ends."""
 
     status = 200
+    method = "POST"
+    content_length = None
     headers: dict[str, str] = {}
 
     def __init__(self):
@@ -79,11 +88,12 @@
 
     async def test_response_that_trickles_ends_after_the_deadline(self):
         """Guards against a stalled response that never ends, as it sends a byte now and then."""
-        parts = mock.Mock()
+        parts = mock.Mock(gate=MemoryGate(DEFAULT_MEMORY_BYTES))
         parts.timers.now.return_value = 10.0
         parts.background.wait_shielded = mock.AsyncMock()
         request = mock.create_autospec(RequestContext, instance=True)
         request.upstream = Trickle()
+        request.answer_holder = Holder("a")
         request.remaining_s.return_value = -1.0
         request.is_idempotent = False
         request.result = Result()
--- a/mulberrygate/entry/upstream.py
+++ b/mulberrygate/entry/upstream.py
@@ -14,7 +14,14 @@
 import aiohttp
 from yarl import URL
 
-from mulberrygate.core.http_client import StrictConnector, is_status, open_session
+from mulberrygate.core.http_client import (
+    READ_BYTES,
+    PacedHandler,
+    StrictConnector,
+    is_status,
+    open_session,
+    request_data,
+)
 
 # Connecting within a region takes milliseconds. An endpoint that does not accept within a second is
 # treated as unreachable, and nothing was sent to it.
@@ -48,8 +55,9 @@
 
     def __init__(self):
         self.session = open_session(
-            connector=StrictConnector(),
+            connector=StrictConnector(PacedHandler),
             auto_decompress=False,
+            read_bufsize=READ_BYTES,
         )
 
     async def open(
@@ -75,7 +83,7 @@
                     # The path is sent exactly as the caller wrote it, including dot segments.
                     URL(url, encoded=True),
                     headers=headers,
-                    data=body,
+                    data=request_data(body or b""),
                     timeout=timeout,
                     allow_redirects=False,
                 )
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -10,8 +10,8 @@
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
 
-from mulberrygate.core.long_response import SLICE_BYTES, LongResponse
 from mulberrygate.core.outcome import Refusal
+from mulberrygate.core.paced_response import whole_response
 from mulberrygate.forward import codes
 from mulberrygate.forward.attempts import Attempts, SendOutcome
 from mulberrygate.forward.crash_detection import SIGN_OF_LIFE_S
@@ -104,9 +104,7 @@
             return answer
         if isinstance(answer, WholeAnswer):
             self.forwarder.record_answer(self.call, answer.head.status)
-            if len(answer.body) > SLICE_BYTES:
-                return LongResponse(answer.head.status, answer.headers, answer.body)
-            return web.Response(status=answer.head.status, headers=answer.headers, body=answer.body)
+            return whole_response(answer.head.status, answer.headers, answer.body)
         return answer
 
     def _timed_out(self) -> web.StreamResponse | WholeAnswer | Refused:
@@ -301,7 +299,7 @@
                     call, send.grant.endpoint, send.grant.address, left_s, last_event_id
                 )
                 if send.holder is not None:
-                    exchange.holder = send.holder
+                    exchange.hold.holder = send.holder
                 outcome, answer = await self._receive(send, exchange)
         except NotSent:
             outcome, send.fault = SendOutcome.UNSENT, "refused"
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -16,9 +16,16 @@
 from aiohttp import hdrs
 from yarl import URL
 
-from mulberrygate.core.http_client import StrictConnector, StrictHandler, is_status, open_session
+from mulberrygate.core.http_client import (
+    READ_BYTES,
+    PacedHandler,
+    StrictConnector,
+    is_status,
+    open_session,
+    request_data,
+)
 from mulberrygate.core.memory_budget import SMALL_BYTES, Holder
-from mulberrygate.core.memory_gate import MemoryGate
+from mulberrygate.core.memory_gate import GrowingHold, MemoryGate
 from mulberrygate.forward.request import AnswerHead, Call, Dialect
 
 # A live endpoint accepts within a round trip; one that is down or partitioned never does.
@@ -28,17 +35,12 @@
 # and the size up to which an answer is still read when this memory is exhausted.
 MAX_BUFFERED_BYTES = 48 << 20
 SMALL_ANSWER_BYTES = 1 << 20
-# An answer without a length takes memory in steps that grow by this factor.
-GROWTH = 4
 MAX_HEAD_LINE_BYTES = 64 << 10
 # Bytes that an endpoint may send on a connection: a fixed allowance, and a multiple of the body
 # bytes read. They cover heads, informational responses, chunk framing and the library's
 # read-ahead.
 EXTRA_BYTES = 512 << 10
 EXTRA_RATIO = 16
-# Bytes that one read takes from a socket, and that the library buffers; it pauses reading at twice
-# this size.
-READ_BYTES = 64 << 10
 SUPPRESSED_HEADERS = (hdrs.USER_AGENT, hdrs.ACCEPT, hdrs.ACCEPT_ENCODING, hdrs.CONTENT_TYPE)
 
 
@@ -58,51 +60,19 @@
     """The call was sent, but its answer is incomplete or invalid."""
 
 
-class SlicedBody(aiohttp.BytesPayload):
-    """Request body that is written no faster than the endpoint reads.
-
-    Explanation
-    ===========
-    Written at once, what the endpoint hasn't read is copied into the transport.
-    """
-
-    async def write_with_length(self, writer, content_length: int | None) -> None:
-        """Write the body, up to a length."""
-        body = memoryview(self._value)[:content_length]
-        protocol = writer.protocol
-        protocol.unwritten = len(body)
-        for start in range(0, len(body), READ_BYTES):
-            piece = body[start : start + READ_BYTES]
-            if protocol.transport is not None and not protocol.transport.is_closing():
-                protocol.unwritten -= len(piece)
-            await writer.write(piece)
-
-
-class BoundedHandler(StrictHandler):
+class BoundedHandler(PacedHandler):
     """Protocol that aborts its connection when far more bytes arrive than are read as body.
 
     Parameters
     ==========
     body_bytes_read : int
         Body bytes that were read so far.
-    unwritten : int
-        Body bytes of the request that were not yet passed to the transport.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         self.received = 0
         self.body_bytes_read = 0
-        self.unwritten = 0
-
-    def is_writing(self) -> bool:
-        """Return whether a part of the request was not yet passed to the transport."""
-        return self.unwritten > 0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Limit what one read takes from the socket."""
-        transport.max_size = READ_BYTES
-        super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes, or abort the connection if they exceed the bound."""
@@ -135,10 +105,6 @@
     holder : Holder or None
         Holds the memory of the answer.
 
-    Attributes
-    ==========
-    held : int
-        Bytes of memory that were asked for the answer so far.
     """
 
     def __init__(
@@ -149,9 +115,7 @@
         gate: MemoryGate | None = None,
         holder: Holder | None = None,
     ):
-        self.gate = gate
-        self.holder = holder
-        self.held = 0
+        self.hold = GrowingHold(gate, holder)
         self.response = response
         self.head = head
         self.buffered = buffered
@@ -171,10 +135,9 @@
         """
         body = bytearray()
         try:
-            await self._hold(self._expected_size())
+            await self.hold.cover(self._expected_size())
             while chunk := await self.read_some():
-                if len(body) + len(chunk) > self.held:
-                    await self._hold(max(len(body) + len(chunk), GROWTH * self.held))
+                await self.hold.cover(len(body) + len(chunk))
                 body += chunk
                 self.buffered.size += len(chunk)
                 self._check_size(len(body))
@@ -189,12 +152,6 @@
             return SMALL_BYTES
         return min(length, MAX_ANSWER_BYTES)
 
-    async def _hold(self, size: int) -> None:
-        """Wait until there is memory for a body of a size; the answer isn't read meanwhile."""
-        if self.gate is not None and size > self.held:
-            await self.gate.reserve(self.gate.budget.answers, self.holder, size - self.held, None)
-        self.held = size
-
     def _check_size(self, size: int) -> None:
         """Check that an answer, and all answers in memory, stay within their size limits."""
         is_memory_short = self.buffered.size > MAX_BUFFERED_BYTES and size > SMALL_ANSWER_BYTES
@@ -267,7 +224,7 @@
                 call.head.method,
                 url,
                 headers=headers,
-                data=SlicedBody(call.body) if len(call.body) > READ_BYTES else call.body or None,
+                data=request_data(call.body),
                 allow_redirects=False,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -11,10 +11,10 @@
 
 from mulberrygate.catalog import CatalogIndex, ClientAccount, RetryPolicy
 from mulberrygate.core.codes import Code
-from mulberrygate.core.long_response import LongResponse
 from mulberrygate.core.memory_budget import Holder
 from mulberrygate.core.memory_gate import BodySlow, BodyTooLarge, MemoryGate, MemoryShort
 from mulberrygate.core.outcome import Refusal
+from mulberrygate.core.paced_response import send_if_long, write_stream
 from mulberrygate.core.timers import TimerService
 from mulberrygate.endpoints.roster import Row
 from mulberrygate.entry.tickets import SchedulerClient
@@ -50,10 +50,6 @@
 # A withdrawal is in force at all entries within a round trip to a control process.
 EVACUATED_RETRY_S = 1.0
 MEMORY_RETRY_S = 1.0
-# What a stream holds whose caller doesn't keep up: events, and the buffers of both connections.
-STREAM_BYTES = 256 << 10
-# Events up to this size are written without holding memory while the transport is empty.
-LARGE_EVENTS_BYTES = 16 << 10
 # Fraction of the caller's timeout that a stream may wait for an endpoint; the rest is for its run.
 ENDPOINT_WAIT_FRACTION = 0.8
 REFUSAL_GRACE_S = 0.1
@@ -182,8 +178,7 @@
             # The next request on it is answered and closes it.
             if self.is_closing and not response.prepared:
                 response.force_close()
-            if isinstance(response, LongResponse):
-                await response.send(request, call.answer_holder)
+            await send_if_long(response, request, call.answer_holder)
             return response
         finally:
             self._release_memory(call)
@@ -216,23 +211,7 @@
         self, call: Call, request: web.BaseRequest, response: web.StreamResponse, events: bytes
     ) -> None:
         """Write events of a stream; a caller that doesn't keep up holds memory meanwhile."""
-        transport = request.transport
-        if transport is None or (
-            len(events) <= LARGE_EVENTS_BYTES and not transport.get_write_buffer_size()
-        ):
-            await response.write(events)
-            return
-        pool, holder = self.memory.budget.answers, call.answer_holder
-        # An answer that failed before may hold memory as well.
-        if not holder.is_paced:
-            await self.memory.reserve(pool, holder, STREAM_BYTES, None)
-            holder.on_evicted = transport.abort
-            holder.begin_paced(self.timers.now())
-        await response.write(events)
-        holder.moved += len(events)
-        if not transport.get_write_buffer_size():
-            pool.release(holder)
-            holder.is_paced = False
+        await write_stream(self.memory, call.answer_holder, request, response, events)
 
     async def _answer(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
         try:
--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -11,7 +11,7 @@
 from mulberrygate.catalog import CatalogIndex
 from mulberrygate.core.http_client import open_session
 from mulberrygate.core.timers import TimerService
-from mulberrygate.daemon.http_server import HttpServer
+from mulberrygate.daemon.http_server import HttpServer, make_server
 from mulberrygate.daemon.placement import Placement, PoolOwners
 from mulberrygate.endpoints.roster import Registration, Roster
 from mulberrygate.entry.tickets import SchedulerClient
@@ -215,7 +215,7 @@
             TrialClient("entry", 1, peers, self.timers, lambda: "entry"), self.timers, self.lines,
             view_metrics, hedging=self.hedging,
         )  # fmt: skip
-        self.http = HttpServer(self.forwarder.handle, HOST, 0, cancel_on_disconnect=True)
+        self.http = HttpServer(make_server(self.forwarder.handle, True), HOST, 0)
         await self.http.start()
         self.port = self.http.listener.sockets[0].getsockname()[1]
         for pool, members in endpoints.items():
--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -9,8 +9,8 @@
 import aiohttp
 import attrs
 
-from mulberrygate.core.long_response import LongResponse
 from mulberrygate.core.memory_budget import Holder
+from mulberrygate.core.paced_response import LongResponse
 from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.suspects import Finding, Standing
 from mulberrygate.forward.tests.support import (
--- a/mulberrygate/observe/logs.py
+++ b/mulberrygate/observe/logs.py
@@ -36,6 +36,10 @@
         tail = "".join(f" {name}={_printable(str(value))}" for name, value in fields.items())
         return f"{self.component}: {sentence}{tail}"
 
+    def log(self, event: str, **fields: Any) -> None:
+        """Log an event by its name, as `mulberrygate.observe.jsonlines.JsonLines.log` does."""
+        self.info(event, **fields)
+
     def info(self, sentence: str, **fields: Any) -> None:
         """Log an ordinary event."""
         self.logbook.info(self._line(sentence, fields))
--- a/mulberrygate/platform/operator_api.py
+++ b/mulberrygate/platform/operator_api.py
@@ -11,7 +11,6 @@
 from aiohttp import hdrs, web
 
 from mulberrygate.control.evacuations import OrderResult
-from mulberrygate.core.long_response import LongResponse
 from mulberrygate.core.memory_budget import Holder
 from mulberrygate.core.memory_gate import (
     DEFAULT_MEMORY_BYTES,
@@ -20,6 +19,7 @@
     MemoryGate,
     MemoryShort,
 )
+from mulberrygate.core.paced_response import send_if_long, whole_response
 from mulberrygate.platform.documents import InvalidDocument, decode_document
 from mulberrygate.platform.registrations import (
     MAX_REGISTRATION_BYTES,
@@ -102,8 +102,7 @@
         request[HOLDER] = holder
         try:
             response = await self._answer(request)
-            if isinstance(response, LongResponse):
-                await response.send(request, None)
+            await send_if_long(response, request, None)
             return response
         except BodySlow:
             return refuse_body(408)
@@ -182,7 +181,7 @@
             return answer(503)
         if latest.catalog != self.compressed:
             self.compressed, self.document = latest.catalog, zlib.decompress(latest.catalog)
-        return LongResponse(200, [(hdrs.CONTENT_TYPE, "application/json")], self.document)
+        return whole_response(200, [(hdrs.CONTENT_TYPE, "application/json")], self.document)
 
     async def put_registration(self, endpoint: str, request: web.BaseRequest) -> web.Response:
         """Register an endpoint or renew its registration; endpoints call this as a heartbeat."""
--- a/mulberrygate/platform/settings.py
+++ b/mulberrygate/platform/settings.py
@@ -9,10 +9,9 @@
 
 from mulberrygate.core.codes import register_code
 from mulberrygate.core.outcome import Refusal
+from mulberrygate.daemon.sockets import FILE_DESCRIPTORS
 from mulberrygate.platform.listen import CONTROL, ENTRY, FILE_VARIABLE, READINESS
 
-# Descriptors of a machine's limit that the platform keeps for files.
-FILE_DESCRIPTORS = 200
 MIN_SOCKETS = 128
 
 BAD_SITE = register_code(7101, "bad_site_settings", "The platform's settings file is not usable.")
