Let the memory decide how many connections are allowed, and say so at the start

Callers saw: nothing yet. An entry of 152 MB allowed as many connections as its descriptors did (635), and nothing showed that their sum fits.

Cause: the parts of the budget, the bodies that wait and the connections were limited one by one; half of what was left was said to cover the rest.

Change: `MemoryBudget.worst_bytes` adds up the parts. The number of connections is what they leave at 56 KB each, or what the descriptors allow if that is less. `connections.limited` and `memory.insufficient` say at the start that the memory allows fewer, or not even 64. Bodies that wait may buffer a sixteenth of what is left, since one that takes less now finds a place in a full queue.

Why it holds: test_parts_are_less_than_the_whole checks the sum for 24 MB to 4 GB.

--- a/mulberrygate/core/memory_budget.py
+++ b/mulberrygate/core/memory_budget.py
@@ -23,7 +23,7 @@
 # What a connection has buffered while its holding waits, and the part of a pool's size that all
 # that wait may have buffered together.
 WAITING_BYTES = 192 << 10
-WAITING_FRACTION = 0.5
+WAITING_FRACTION = 0.25
 MIN_WAITING = 16
 # Smaller holdings of the same group that may be granted before one that arrived earlier.
 MOST_PASSED = 8
@@ -328,28 +328,67 @@
 
 
 class MemoryBudget:
-    """Memory that outsiders can make a process hold, in two pools that never lend to each other.
+    """Memory that outsiders can make a process hold, by what they make it hold it for.
 
     Explanation
     ===========
-    With one pool, requests that hold their bodies could all wait for room for their answers.
+    Of the memory that is left, the pools of bodies and answers take `COUNTED_FRACTION`. With one
+    pool, requests that hold their bodies could all wait for room for their answers; the two never
+    lend to each other. Unfinished heads, what is sent ahead, and what waits in transports take
+    `CONNECTION_FRACTION` each, bodies that wait `WAITING_FRACTION` of their pool. What then is left
+    but for `SPARE_FRACTION` bounds the number of connections. The spare part is for copies and
+    fragmentation.
 
     Parameters
     ==========
     left_bytes : int
         Memory of the machine that the program itself doesn't use.
+
+    Attributes
+    ==========
+    connection_bytes : int
+        Bound on unfinished heads, on what is sent ahead, and on what waits in transports, each of
+        all connections together.
+    most_connections : int
+        Connections that may be open at a time.
+    is_enough : bool
+        Whether the memory suffices for the smallest budget.
+
+    Examples
+    ========
+    >>> from mulberrygate.core.memory_budget import MemoryBudget
+    >>> budget = MemoryBudget(240 << 20)
+    >>> budget.most_connections, budget.worst_bytes <= 240 << 20
+    (1086, True)
     """
 
-    # The rest covers copies, objects of the HTTP library and fragmentation.
     COUNTED_FRACTION = 0.5
-    # Bound on unfinished heads, on what is sent ahead, and on what waits in transports, each of all
-    # connections together.
     CONNECTION_FRACTION = 0.05
+    SPARE_FRACTION = 0.04
+    # A connection with a request in work and its connection to an endpoint, without their bodies.
+    CONNECTION_BYTES = 56 << 10
+    MIN_CONNECTIONS = 64
     MIN_BYTES = 16 << 20
 
     def __init__(self, left_bytes: int):
-        left_bytes = max(left_bytes, self.MIN_BYTES)
-        pool_bytes = int(left_bytes * self.COUNTED_FRACTION) // 2
+        usable_bytes = max(left_bytes, self.MIN_BYTES)
+        pool_bytes = int(usable_bytes * self.COUNTED_FRACTION) // 2
+        self.left_bytes = left_bytes
         self.bodies = MemoryPool(pool_bytes)
         self.answers = MemoryPool(pool_bytes)
-        self.connection_bytes = int(left_bytes * self.CONNECTION_FRACTION)
+        self.connection_bytes = int(usable_bytes * self.CONNECTION_FRACTION)
+        spare_bytes = int(left_bytes * self.SPARE_FRACTION)
+        open_bytes = left_bytes - spare_bytes - self.worst_bytes_of(0)
+        self.most_connections = max(self.MIN_CONNECTIONS, open_bytes // self.CONNECTION_BYTES)
+        self.is_enough = self.worst_bytes <= left_bytes
+
+    @property
+    def worst_bytes(self) -> int:
+        """Memory that the most connections can make the process hold, in bytes."""
+        return self.worst_bytes_of(self.most_connections)
+
+    def worst_bytes_of(self, connections: int) -> int:
+        """Return the memory that a number of connections can make the process hold, in bytes."""
+        pools = self.bodies.capacity + self.answers.capacity
+        waiting = self.bodies.most_waiting * WAITING_BYTES
+        return pools + waiting + 3 * self.connection_bytes + connections * self.CONNECTION_BYTES
--- a/mulberrygate/core/memory_gate.py
+++ b/mulberrygate/core/memory_gate.py
@@ -78,6 +78,34 @@
             metrics.gauge("memory_bodies_bytes", lambda: self.budget.bodies.held)
             metrics.gauge("memory_answers_bytes", lambda: self.budget.answers.held)
 
+    def limit_connections(self, wanted: int) -> int:
+        """Return how many connections of outsiders may be open, and log if there are fewer.
+
+        Parameters
+        ==========
+        wanted : int
+            Connections that the descriptors of the process allow.
+        """
+        budget = self.budget
+        allowed = min(wanted, budget.most_connections)
+        if self.lines is None:
+            return allowed
+        if not budget.is_enough:
+            self.lines.log(
+                "memory.insufficient",
+                left_bytes=budget.left_bytes,
+                needed_bytes=budget.worst_bytes,
+            )
+        if allowed < wanted:
+            self.lines.log(
+                "connections.limited",
+                wanted=wanted,
+                allowed=allowed,
+                left_bytes=budget.left_bytes,
+                connection_bytes=budget.CONNECTION_BYTES,
+            )
+        return allowed
+
     def count(self, kind: str) -> None:
         """Count something that was refused, closed or paused."""
         self.counts[kind] = self.counts.get(kind, 0) + 1
--- a/mulberrygate/core/tests/test_memory_budget.py
+++ b/mulberrygate/core/tests/test_memory_budget.py
@@ -3,10 +3,12 @@
 import asyncio
 import functools
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from mulberrygate.core import memory_gate
 from mulberrygate.core.memory_budget import (
     LARGE_FRACTION,
     MOST_PASSED,
@@ -16,6 +18,7 @@
     SMALL_BYTES,
     STALL_S,
     Holder,
+    MemoryBudget,
     MemoryPool,
     Verdict,
 )
@@ -214,6 +217,34 @@
         self.assertEqual((pool.held, pool.groups, pool.waiting), (0, {}, {}))
 
 
+class TestMemoryBudget(unittest.TestCase):
+    """Parts of the memory that is left."""
+
+    def test_parts_are_less_than_the_whole(self):
+        """Guards against limits that each hold and together exceed the memory."""
+        for left_mb in (24, 60, 100, 145, 245, 457, 4000):
+            with self.subTest(left_mb):
+                budget = MemoryBudget(left_mb * MB)
+                self.assertTrue(budget.is_enough)
+                self.assertLessEqual(budget.worst_bytes, left_mb * MB)
+                self.assertGreaterEqual(budget.most_connections, budget.MIN_CONNECTIONS)
+
+    def test_machine_that_is_too_small(self):
+        """Guards against a machine that can't hold the smallest budget and says nothing."""
+        lines = mock.Mock()
+        with mock.patch.object(memory_gate, "resident_bytes", lambda: 55 * MB):
+            gate = MemoryGate(65 * MB, lines)
+            self.assertEqual(gate.limit_connections(1000), gate.budget.MIN_CONNECTIONS)
+        events = [call.args[0] for call in lines.log.call_args_list]
+        self.assertEqual(events, ["memory.insufficient", "connections.limited"])
+
+    def test_machine_that_is_large_enough(self):
+        """Guards against log lines and limits where nothing is short."""
+        lines = mock.Mock()
+        self.assertEqual(MemoryGate(4000 * MB, lines).limit_connections(1000), 1000)
+        lines.log.assert_not_called()
+
+
 class TestMemoryGate(unittest.IsolatedAsyncioTestCase):
     """Waits of coroutines for memory."""
 
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -47,7 +47,9 @@
 
 
 def connection_options(
-    decompress: bool = False, line_bytes: int = MAX_LINE_BYTES
+    decompress: bool = False,
+    line_bytes: int = MAX_LINE_BYTES,
+    idle_s: float = RequestLimits().idle_timeout_s,
 ) -> dict[str, Any]:
     """Return the options of the HTTP library for the connections of a server.
 
@@ -58,10 +60,12 @@
         not, since the header is passed on as well.
     line_bytes : int
         Size of the longest line of a head.
+    idle_s : float
+        Seconds without a request after which a connection is closed.
     """
     return {
         "access_log": None,
-        "keepalive_timeout": RequestLimits().idle_timeout_s,
+        "keepalive_timeout": idle_s,
         "max_line_size": line_bytes,
         "max_field_size": line_bytes,
         "read_bufsize": BODY_BUFFER_BYTES,
@@ -98,8 +102,8 @@
     gate : MemoryGate or None
         Memory budget of the process.
     max_connections : int
-        Connections that may be open at a time. When a new one comes, the one goes that has been
-        without a request for longest.
+        Connections that may be open at a time, or fewer if the memory allows fewer. When a new one
+        comes, the one goes that has been without a request for longest.
     connection_class : type
         Class of the connections.
 
@@ -135,7 +139,7 @@
         server.request_handler = self._handle
         self.connection_class = connection_class
         self.gate = gate or MemoryGate(DEFAULT_MEMORY_BYTES)
-        self.max_connections = max_connections
+        self.max_connections = self.gate.limit_connections(max_connections)
         self.new_connections: dict[BoundedConnection, None] = {}
         self.kept_connections: dict[BoundedConnection, None] = {}
         self.unfinished_heads: dict[BoundedConnection, None] = {}
--- a/mulberrygate/daemon/tests/own_crowd_support.py
+++ b/mulberrygate/daemon/tests/own_crowd_support.py
@@ -102,7 +102,17 @@
 
 
 class CrowdDaemon:
-    """One daemon of the product, as a process, with endpoints in the test process."""
+    """One daemon of the product, as a process, with endpoints in the test process.
+
+    Parameters
+    ==========
+    memory_mb, max_fds : int
+        Limits of the daemon.
+    """
+
+    def __init__(self, memory_mb=crowd_support.MEMORY_MB, max_fds=crowd_support.MAX_FDS):
+        self.memory_mb = memory_mb
+        self.max_fds = max_fds
 
     async def start(self):
         """Start the daemon and wait until an ordinary request is answered."""
@@ -111,8 +121,8 @@
         self.system.add_daemons(
             {NAME: ("west", DOMAIN)},
             (NAME,),
-            memory_mb=crowd_support.MEMORY_MB,
-            max_descriptors=crowd_support.MAX_FDS,
+            memory_mb=self.memory_mb,
+            max_descriptors=self.max_fds,
         )
         self.service = await OwnCrowdEndpoint("service-1").start()
         self.engine = await OwnCrowdEndpoint("engine-1").start()
--- a/mulberrygate/daemon/web.py
+++ b/mulberrygate/daemon/web.py
@@ -52,6 +52,8 @@
 
 MAX_TABLE_BYTES = 16 << 20
 MAX_LINE_BYTES = 8190
+# Longer than load balancers keep idle connections, so that they don't reuse one that is closing.
+IDLE_TIMEOUT_S = 3630.0
 MAX_PARTITION_BYTES = 64 << 10
 # Longest wait of an answer for memory.
 ANSWER_WAIT_S = 5.0
@@ -129,7 +131,7 @@
             self.application(),
             handler_cancellation=True,
             shutdown_timeout=2.0,
-            **connection_options(line_bytes=MAX_LINE_BYTES),
+            **connection_options(line_bytes=MAX_LINE_BYTES, idle_s=IDLE_TIMEOUT_S),
         )
         await self.runner.setup()
         sockets = count_sockets(self.parts.settings.max_descriptors)
