End bodies and readers that make no progress when an own daemon stops

Callers saw: a daemon that doesn't end after SIGTERM while clients send some bytes a second of bodies that they never finish; with the defaults it stays for an hour (stop_grace_s).

Cause: the stop waits for all requests, also for those whose body is still being read. A body is given up after ten seconds of silence, which these clients avoid; for slow ones memory had to be short.

Evidence: test_stop_beside_bodies_that_trickle, not ended 60 s after SIGTERM before.

--- a/mulberrygate/core/memory_gate.py
+++ b/mulberrygate/core/memory_gate.py
@@ -63,7 +63,8 @@
     logged : dict[str, int]
         Value of ``counts`` at the last log line.
     is_crowded : bool
-        Whether connections have been short since the last sweep.
+        Whether connections have been short since the last sweep, or the process stops. The sweep
+        then ends all holdings that make no progress.
     """
 
     def __init__(self, memory_bytes: int, lines: Any = None, metrics: Any = None):
--- a/mulberrygate/daemon/compose.py
+++ b/mulberrygate/daemon/compose.py
@@ -482,8 +482,9 @@
         ===========
         The instance reports first that it is not ready and serves requests for another
         ``drain_notice_s``, until the load balancer uses other instances. Then it refuses new
-        requests as not run. Requests that wait or run here may complete within ``stop_grace_s``;
-        after that the instance leaves, and others take over what it owns.
+        requests as not run. Requests that wait or run here may complete within ``stop_grace_s``,
+        unless their callers make no progress with a body or an answer; after that the instance
+        leaves, and others take over what it owns.
         """
         self.is_draining = True
         self.events.add("daemon.stopping", instance=self.settings.instance)
@@ -501,6 +502,8 @@
                 self.parts.scheduler.end_waits()
                 await asyncio.sleep(REFUSAL_NOTICE_S)
                 break
+            # Bodies and readers that make no progress would delay the stop.
+            self.parts.gate.is_crowded = True
             await asyncio.sleep(STOP_POLL_S)
         self.members_runner.run(self.membership.leave(self.timers.now()))
         await asyncio.sleep(LEAVE_NOTICE_S)
--- a/mulberrygate/daemon/tests/test_own_crowds.py
+++ b/mulberrygate/daemon/tests/test_own_crowds.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 import unittest
 
@@ -91,6 +92,21 @@
         """Guards against announcements that are read beyond their limit."""
         await self.check((send_large_announcement, CLIENTS // 2))
 
+    async def test_stop_beside_bodies_that_trickle(self):
+        """Guards against a planned stop that lasts as long as its callers like."""
+        daemon = self.daemon
+        tasks = [
+            asyncio.ensure_future(send_trickle(daemon.address, number)) for number in range(CLIENTS)
+        ]
+        try:
+            await asyncio.sleep(crowd_support.CROWD_S)
+            daemon.process.process.terminate()
+            self.assertEqual(await daemon.system.wait_ended(support.NAME), 0)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
     async def test_all_together(self):
         """Guards against limits that hold only one by one."""
         await self.check(
