Slow down bodies in very small chunks beside other requests

Callers saw: ordinary requests refused (503) or answered after seconds while a crowd sent bodies in chunks of one byte.

Cause: the parser works once for each chunk. A read of 64 KB with chunks of one byte has 11,000 of them, and each connection got as many reads as any other, so 80 connections kept the event loop busy for seconds at a time.

The new test fails before (no body is delayed).

Change: of bodies of which more than half is framing, all connections together read 256 KB of framing a second, in reads of 4 KB. A body that is alone isn't delayed.

The bodies still arrive whole.

--- a/mulberrygate/daemon/bounded_connection.py
+++ b/mulberrygate/daemon/bounded_connection.py
@@ -40,6 +40,8 @@
         Bytes of an unfinished head, and bytes that arrived behind a request in work.
     head_since : float
         Time at which the unfinished head began.
+    resume_timer : asyncio.TimerHandle or None
+        Resumes reading of a body in very small chunks.
     last_buffered : int
         Bytes that waited in the transport at the last call of `update_stuck`.
     """
@@ -51,6 +53,7 @@
         self.head_since = 0.0
         self.ahead_bytes = 0
         self.last_buffered = 0
+        self.resume_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Count the connection, and close it at once if there is no room for it."""
@@ -64,6 +67,8 @@
         if self._manager is not None:
             self.bounds.on_disconnected(self)
         self._set_ahead_bytes(0)
+        if self.resume_timer is not None:
+            self.resume_timer.cancel()
         super().connection_lost(error)
 
     @property
@@ -85,9 +90,13 @@
         waiter = self._waiter
         is_waiting = waiter is not None and not waiter.done()
         is_ahead = not is_waiting and (self._messages or self._is_body_read())
+        body = self._current_payload()
+        body_bytes = body.total_bytes if body is not None else 0
         super().data_received(data)
         if is_ahead:
             self._count_ahead(size)
+        elif body is not None and not body.is_eof():
+            self._count_framing(size, size - (body.total_bytes - body_bytes))
         elif not self._messages and is_waiting:
             self._count_head(size)
         elif is_waiting:
@@ -105,6 +114,26 @@
             self.bounds.gate.count("reading_paused")
             self._pause_reading_for_buffer()
 
+    def _count_framing(self, size: int, framing: int) -> None:
+        """Slow down a body whose chunks are so small that most of what arrives is framing.
+
+        Each chunk costs processor time, whatever its size, which other requests then lack.
+        """
+        if framing <= size // 2 or self._buffer_paused:
+            return
+        delay_s = self.bounds.delay_framing(framing)
+        if delay_s > 0:
+            self.bounds.gate.count("chunks_delayed")
+            self._pause_reading_for_buffer()
+            self.resume_timer = asyncio.get_running_loop().call_later(delay_s, self._resume_body)
+
+    def _resume_body(self) -> None:
+        """Go on reading a body in small chunks, if it is still read."""
+        self.resume_timer = None
+        if self.transport is not None and self._buffer_paused and not self._messages:
+            self.transport.max_size = AHEAD_READ_BYTES
+            self._resume_reading_for_buffer()
+
     def _set_ahead_bytes(self, size: int) -> None:
         self.bounds.ahead_bytes += size - self.ahead_bytes
         self.ahead_bytes = size
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -32,6 +32,9 @@
 RESERVED_SOCKETS = 64
 # The last connections are for new ones that are let in while those that make room are being closed.
 SPARE_CONNECTIONS = 16
+# Bytes of chunk framing, five or more for each chunk, that are parsed in a second for all bodies
+# which consist mostly of it.
+FRAMING_BYTES_PER_S = 256 << 10
 # Idle connections that are looked at when one has to go.
 MOST_IDLE_TRIES = 32
 
@@ -122,6 +125,8 @@
         Connections that have sent a part of a head, the oldest first.
     head_bytes, ahead_bytes : int
         Bytes of all unfinished heads, and of all requests that were sent ahead.
+    framing_until : float
+        Time until which `FRAMING_BYTES_PER_S` is used up.
     """
 
     def __init__(
@@ -145,6 +150,7 @@
         self.unfinished_heads: dict[BoundedConnection, None] = {}
         self.head_bytes = 0
         self.ahead_bytes = 0
+        self.framing_until = 0.0
         self.open_connections = 0
         self.host = host
         self.port = port
@@ -215,6 +221,22 @@
         """Whether all that was sent ahead takes the memory that there is for it."""
         return self.ahead_bytes > self.gate.budget.connection_bytes
 
+    def delay_framing(self, size: int) -> float:
+        """Return the seconds for which a body in very small chunks has to pause.
+
+        A body without other requests beside it doesn't pause.
+
+        Parameters
+        ==========
+        size : int
+            Bytes of chunk framing that were parsed.
+        """
+        if len(self.active_connections) <= 1:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        self.framing_until = max(now, self.framing_until) + size / FRAMING_BYTES_PER_S
+        return self.framing_until - now
+
     def limit_heads(self) -> None:
         """Close the oldest unfinished head if all of them take too much memory."""
         while self.head_bytes > self.gate.budget.connection_bytes and self.unfinished_heads:
--- a/mulberrygate/daemon/tests/test_bounded_connections.py
+++ b/mulberrygate/daemon/tests/test_bounded_connections.py
@@ -97,6 +97,31 @@
         self.assertEqual(self.endpoint.requests[0].partition(b"\r\n\r\n")[2], piece * 60)
         self.assert_nothing_held()
 
+    async def send_one_byte_chunks(self, size):
+        """Send a body in chunks of one byte and check that it is passed on."""
+        reader, writer = await self.connect()
+        writer.write(head("/plain/1", 1, "Transfer-Encoding: chunked"))
+        for _ in range(size // 1000):
+            writer.write(b"1\r\nz\r\n" * 1000)
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        self.assertEqual((await self.read_answer(reader))[0], 200)
+        self.assertEqual(self.endpoint.requests[-1].partition(b"\r\n\r\n")[2], b"z" * size)
+
+    async def test_one_byte_chunks_beside_another_request(self):
+        """Guards against chunks that take the time of other requests, or get lost for them."""
+        await self.start()
+        _, writer = await self.connect()
+        writer.write(head("/plain/2", 2, "Content-Length: 100") + b"z")
+        await self.send_one_byte_chunks(40_000)
+        self.assertGreater(self.http.gate.counts.get("chunks_delayed", 0), 0)
+
+    async def test_one_byte_chunks_in_calm(self):
+        """Guards against a legal body that is delayed although nothing else is in work."""
+        await self.start()
+        await self.send_one_byte_chunks(40_000)
+        self.assertNotIn("chunks_delayed", self.http.gate.counts)
+
     async def test_long_answer(self):
         """Guards against a long answer that is changed where it is written in slices."""
         body = bytes(range(256)) * (5 * MB // 256)
