Count what waits on connections to endpoints, and what the end of a body brings with it

Callers saw: nothing yet; both were found when the change was read again.

Cause: an answer that waits for memory stays unread, but the library had buffered up to 192 KB of it, which the sum of the budget didn't have. The read that completes a body could bring 64 KB of requests sent ahead, and wasn't counted as such since the sum is kept. An answer that gave way to another one asked again without a pause.

Change: a read from an endpoint takes and buffers 16 KB, so an unread answer holds 48 KB; a connection counts as 88 KB in the sum. Reads of a body with a length take at most 4 KB more than is missing, those of chunks 16 KB. Requests that arrive with the end of a body count as sent ahead. The pause before asking again is the same in all cases.

--- a/mulberrygate/core/http_client.py
+++ b/mulberrygate/core/http_client.py
@@ -10,8 +10,10 @@
 from aiohttp.client_proto import ResponseHandler
 
 # Bytes that one read takes from a socket, and that the library buffers; it pauses reading at twice
-# this size.
-READ_BYTES = 64 << 10
+# this size. An answer that waits for memory holds up to three times as much.
+READ_BYTES = 16 << 10
+# Bytes of a body that are passed to the transport at a time.
+SLICE_BYTES = 64 << 10
 # Statuses of an answer to a request.
 FIRST_STATUS = 200
 LAST_STATUS = 599
@@ -87,8 +89,8 @@
         body = memoryview(self._value)[:content_length]
         protocol = writer.protocol
         protocol.unwritten = len(body)
-        for start in range(0, len(body), READ_BYTES):
-            piece = body[start : start + READ_BYTES]
+        for start in range(0, len(body), SLICE_BYTES):
+            piece = body[start : start + SLICE_BYTES]
             if protocol.transport is not None and not protocol.transport.is_closing():
                 protocol.unwritten -= len(piece)
             await writer.write(piece)
@@ -96,7 +98,7 @@
 
 def request_data(body: bytes) -> SlicedBody | bytes | None:
     """Return the argument ``data`` of a request with a body, over a `PacedHandler`."""
-    return SlicedBody(body) if len(body) > READ_BYTES else body or None
+    return SlicedBody(body) if len(body) > SLICE_BYTES else body or None
 
 
 class StrictConnector(aiohttp.TCPConnector):
--- a/mulberrygate/core/memory_budget.py
+++ b/mulberrygate/core/memory_budget.py
@@ -359,15 +359,16 @@
     >>> from mulberrygate.core.memory_budget import MemoryBudget
     >>> budget = MemoryBudget(240 << 20)
     >>> budget.most_connections, budget.worst_bytes <= 240 << 20
-    (1086, True)
+    (691, True)
     """
 
     COUNTED_FRACTION = 0.5
     CONNECTION_FRACTION = 0.05
     SPARE_FRACTION = 0.04
-    # A connection with a request in work and its connection to an endpoint, without their bodies.
-    CONNECTION_BYTES = 56 << 10
-    MIN_CONNECTIONS = 64
+    # A connection with a request in work and its connection to an endpoint, with the part of an
+    # answer that is buffered while it waits for memory.
+    CONNECTION_BYTES = 88 << 10
+    MIN_CONNECTIONS = 32
     MIN_BYTES = 16 << 20
 
     def __init__(self, left_bytes: int):
--- a/mulberrygate/core/memory_gate.py
+++ b/mulberrygate/core/memory_gate.py
@@ -131,8 +131,7 @@
                 return True
             if wait_s is not None:
                 return False
-            if verdict is Verdict.REFUSED:
-                await asyncio.sleep(SWEEP_INTERVAL_S)
+            await asyncio.sleep(SWEEP_INTERVAL_S)
 
     @staticmethod
     async def _wait_granted(pool: MemoryPool, holder: Holder, wait_s: float | None) -> bool:
--- a/mulberrygate/daemon/bounded_connection.py
+++ b/mulberrygate/daemon/bounded_connection.py
@@ -10,9 +10,10 @@
 
 # Bytes that may arrive behind a request in work before reading pauses.
 AHEAD_BYTES = 64 << 10
-# Bytes that one read takes from a socket while a body arrives, while a request is awaited, and
-# while one is in work. What a read brings in addition to the request that was awaited can't be left
-# unread, so the smaller sizes bound what each of many connections holds of requests sent ahead.
+# Bytes that one read takes from a socket while a body of known length arrives, while a request or a
+# body in chunks is awaited, and behind a request in work. What a read brings behind the request
+# that was awaited can't be left unread, so the smaller sizes bound what each of many connections
+# holds of requests sent ahead.
 READ_BYTES = 64 << 10
 HEAD_READ_BYTES = 16 << 10
 AHEAD_READ_BYTES = 4 << 10
@@ -89,20 +90,20 @@
             return
         waiter = self._waiter
         is_waiting = waiter is not None and not waiter.done()
-        is_ahead = not is_waiting and (self._messages or self._is_body_read())
         body = self._current_payload()
+        is_body_read = body is not None and body.is_eof()
         body_bytes = body.total_bytes if body is not None else 0
         super().data_received(data)
-        if is_ahead:
-            self._count_ahead(size)
-        elif body is not None and not body.is_eof():
-            self._count_framing(size, size - (body.total_bytes - body_bytes))
-        elif not self._messages and is_waiting:
+        if is_waiting and not self._messages:
             self._count_head(size)
         elif is_waiting:
             self.end_head()
             if len(self._messages) > 1:
                 self._count_ahead(size)
+        elif self._messages or is_body_read:
+            self._count_ahead(size)
+        elif body is not None and not body.is_eof():
+            self._count_framing(size, size - (body.total_bytes - body_bytes))
         self._set_read_size()
 
     def _count_ahead(self, size: int) -> None:
@@ -139,26 +140,27 @@
         self.ahead_bytes = size
 
     def _set_read_size(self) -> None:
-        """Set how much the next read takes, by what it is expected to bring."""
+        """Set how much the next read takes, so that it brings little behind what is expected."""
         if self.transport is None:
             return
-        payload = self._messages[0][1] if self._messages else self._current_payload()
-        if payload is None:
-            self.transport.max_size = HEAD_READ_BYTES
-        elif payload.is_eof() or len(self._messages) > 1:
-            self.transport.max_size = AHEAD_READ_BYTES
+        request = self._current_request
+        if self._messages:
+            is_ahead = request is not None or self._messages[0][1].is_eof()
+            size = AHEAD_READ_BYTES if is_ahead else HEAD_READ_BYTES
+        elif request is None or (not request.content.is_eof() and request.content_length is None):
+            size = HEAD_READ_BYTES
+        elif request.content.is_eof():
+            size = AHEAD_READ_BYTES
         else:
-            self.transport.max_size = READ_BYTES
+            left = max(0, request.content_length - request.content.total_bytes)
+            size = min(READ_BYTES, left + AHEAD_READ_BYTES)
+        self.transport.max_size = size
 
     def _current_payload(self) -> Any:
         """Return the body of the request in work, ``None`` if there is none."""
         request = self._current_request
         return None if request is None else request.content
 
-    def _is_body_read(self) -> bool:
-        payload = self._current_payload()
-        return payload is not None and payload.is_eof()
-
     def end_head(self) -> None:
         """Stop counting an unfinished head."""
         if self.head_bytes:
