Bound the memory of a parsed request more closely

Callers saw: nothing yet; found when the change was read again.

Cause: any text with other characters than ASCII counted four bytes for each byte, which only text with characters beyond the basic plane can take.

Change: such text is told apart.

--- a/mulberrygate/entry/completion.py
+++ b/mulberrygate/entry/completion.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import Any
 
 from mulberrygate.core.outcome import Refusal
@@ -14,8 +15,10 @@
 # Largest size of an object of the JSON parser for each character that separates values, with its
 # place in a list or an object.
 VALUE_BYTES = 80
-# Bytes of text for each byte of UTF-8, if there are other characters than ASCII.
-WIDE_FACTOR = 4
+# Bytes of text for each byte of UTF-8, if one character needs two bytes, or four, in memory.
+WIDE_FACTOR = 2
+WIDEST_FACTOR = 4
+FOUR_BYTE_CHARACTER = re.compile(rb"[\xf0-\xff]")
 # Copies of the text that exist while it is parsed: decoded, as values, and as one prompt.
 TEXT_COPIES = 3
 
@@ -39,7 +42,10 @@
 
 
 def _text_bytes(body: bytes) -> int:
-    return len(body) if body.isascii() else WIDE_FACTOR * len(body)
+    if body.isascii():
+        return len(body)
+    factor = WIDEST_FACTOR if FOUR_BYTE_CHARACTER.search(body) else WIDE_FACTOR
+    return factor * len(body)
 
 
 def parse_completion(body: bytes) -> dict[str, Any] | Refusal:
