Log which disks vote, who asks to join, and why a read of the configuration fails

A voter now reports each change of its members and each request to join, and a control process writes `catalog.unread` with the reason, the time waited and its voter's state. No decision changes.

--- a/mulberrygate/agreement/base.py
+++ b/mulberrygate/agreement/base.py
@@ -11,6 +11,7 @@
     Apply,
     EntryRecord,
     InternalEntryCommitted,
+    MembersChanged,
     ReadFailed,
     ReadReady,
     Role,
@@ -275,9 +276,14 @@
         invariant(is_small, codes.CHANGE_STEP, f"entry {entry.index}: {before} to {after}")
         self.members = members
         self.members_index = entry.index
+        self.report_members()
         for member in members.members:
             self.progress.setdefault(member.disk, self.new_progress())
 
+    def report_members(self) -> None:
+        """Report the members by which this voter goes now."""
+        self.effects.append(MembersChanged(self.members_index, self.members))
+
     def new_progress(self) -> Progress:
         """Return the initial progress of a member."""
         next_index = self.log.last_index + 1
--- a/mulberrygate/agreement/effects.py
+++ b/mulberrygate/agreement/effects.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from mulberrygate.agreement.messages import Entry, Snapshot
+from mulberrygate.agreement.messages import Entry, Members, Snapshot
 from mulberrygate.core.effects import Effect
 
 
@@ -96,6 +96,21 @@
     term: int
 
 
+@attrs.frozen
+class MembersChanged(Effect):
+    """This voter goes by other members from the entry, or the snapshot, at ``index`` on."""
+
+    index: int
+    members: Members
+
+
+@attrs.frozen
+class JoinAsked(Effect):
+    """This voter has asked instances to be taken into the group."""
+
+    names: tuple[str, ...]
+
+
 @attrs.frozen
 class ReadReady(Effect):
     """A read may be answered: all entries up to ``index`` are applied."""
--- a/mulberrygate/agreement/membership.py
+++ b/mulberrygate/agreement/membership.py
@@ -5,7 +5,7 @@
 import attrs
 
 from mulberrygate.agreement.base import NodeBase
-from mulberrygate.agreement.effects import Role
+from mulberrygate.agreement.effects import JoinAsked, Role
 from mulberrygate.agreement.messages import EntryKind, JoinRequest, Member, Members
 from mulberrygate.agreement.outcomes import ChangeRefused, NotProposed, Proposed
 from mulberrygate.core.effects import Send
@@ -193,4 +193,6 @@
         self.join_due = now + limit
         names = {**self.first_voters, **{m.name: m.address for m in self.members.members}}
         request = JoinRequest(self.voter, self.address, self.disk)
-        self.effects.extend(Send(name, request) for name in sorted(names) if name != self.voter)
+        others = tuple(name for name in sorted(names) if name != self.voter)
+        self.effects.append(JoinAsked(others))
+        self.effects.extend(Send(name, request) for name in others)
--- a/mulberrygate/agreement/replication.py
+++ b/mulberrygate/agreement/replication.py
@@ -170,6 +170,7 @@
         self.log.truncate(first)
         if self.members_index >= first:
             self.reload_members()
+            self.report_members()
 
     def conflict_hint(self, prev_index: int) -> int:
         """Return the index that the leader should compare next after a mismatch.
--- a/mulberrygate/agreement/service.py
+++ b/mulberrygate/agreement/service.py
@@ -15,6 +15,8 @@
     CaughtUp,
     InstallSnapshot,
     InternalEntryCommitted,
+    JoinAsked,
+    MembersChanged,
     ReadFailed,
     ReadReady,
     Role,
@@ -22,7 +24,7 @@
     SaveSnapshot,
     TakeSnapshot,
 )
-from mulberrygate.agreement.messages import FirstEntry, JoinRequest, Member
+from mulberrygate.agreement.messages import FirstEntry, JoinRequest, Member, Members
 from mulberrygate.agreement.node import REPLIES, REQUESTS, AgreementNode
 from mulberrygate.agreement.outcomes import (
     ChangeRefused,
@@ -160,6 +162,13 @@
             machine.restore(node.snapshot.data)
         for cls in REQUESTS:
             peers.on(cls, self.on_message)
+        self.log_members(
+            "Opened the disk.",
+            node.members,
+            disk=node.disk,
+            cluster=node.cluster,
+            last_index=node.log.last_index,
+        )
         self.subscription = timers.every(node.settings.tick_s, self.tick, "agreement")
         self.worker = asyncio.ensure_future(self.work())
 
@@ -350,6 +359,11 @@
             self.complete_proposal(effect.index, effect.term, None)
         elif isinstance(effect, CaughtUp):
             self.caught_up_at = effect.at
+        elif isinstance(effect, MembersChanged):
+            self.log_members("Members changed.", effect.members, index=effect.index)
+        elif isinstance(effect, JoinAsked):
+            names = ",".join(effect.names)
+            log.info("Asking to join the group.", disk=self.node.disk, asked=names)
         elif isinstance(effect, TakeSnapshot):
             data = self.machine.snapshot()
             self.submit(self.node.snapshot_taken(effect.index, data))
@@ -361,6 +375,12 @@
         elif isinstance(effect, ReadFailed):
             resolve_future(self.pending_reads.get(effect.number), NotLeader(self.node.leader))
 
+    def log_members(self, text: str, members: Members, **fields: object) -> None:
+        """Log which disks vote and which learn."""
+        voters = ",".join(f"{m.name}/{m.disk}" for m in members.voters())
+        learners = ",".join(f"{m.name}/{m.disk}" for m in members.learners())
+        log.info(text, **fields, term=self.node.term, voters=voters, learners=learners)
+
     def complete_proposal(self, index: int, term: int, result: object) -> None:
         """Complete the pending proposal at an index that is now committed."""
         proposal = self.pending_proposals.pop(index, None)
--- a/mulberrygate/agreement/snapshots.py
+++ b/mulberrygate/agreement/snapshots.py
@@ -97,6 +97,7 @@
         self.snapshot = snapshot
         self.commit = self.applied = snapshot.index
         self.reload_members()
+        self.report_members()
         self.effects.append(SaveSnapshot(snapshot, snapshot.index, snapshot.term))
         self.effects.append(InstallSnapshot(snapshot))
 
--- a/mulberrygate/agreement/tests/test_growth.py
+++ b/mulberrygate/agreement/tests/test_growth.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from mulberrygate.agreement.effects import MembersChanged
+from mulberrygate.agreement.messages import JoinRequest
 from mulberrygate.agreement.tests.cluster import SETTINGS, Cluster, Instance
 
 
@@ -88,6 +90,14 @@
         cluster.run(15.0)
         self.assertEqual(cluster.voters(), ["v0", "v1", "w"])
 
+    def test_change_of_members_is_reported(self):
+        """Guards against a log that doesn't tell which disks vote."""
+        leader = self.cluster.leader().node
+        effects = leader.handle(JoinRequest("w", "w:1", "w9"), "w", self.cluster.now)
+        reported = [effect for effect in effects if isinstance(effect, MembersChanged)]
+        self.assertEqual([r.members for r in reported], [leader.members])
+        self.assertIsNotNone(leader.members.by_disk("w9"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/control/access.py
+++ b/mulberrygate/control/access.py
@@ -33,6 +33,8 @@
     ==========
     service : AgreementService or None
         Voter of this process; ``None`` if its disk can't be used.
+    read_failure : str
+        Why the last try of a read failed, for the log.
     """
 
     def __init__(self, instance: str, machine: CatalogStateMachine, peers, timers: TimerService):
@@ -41,6 +43,7 @@
         self.peers = peers
         self.timers = timers
         self.service: AgreementService | None = None
+        self.read_failure = ""
 
     @property
     def is_leader(self) -> bool:
@@ -92,6 +95,7 @@
                 latest = await self._read_leader(left)
             else:
                 latest = LatestCatalog(False)
+                self.read_failure = "no leader is known"
             if latest.is_certain:
                 return latest
             await asyncio.sleep(RETRY_LEADER_S)
@@ -100,6 +104,7 @@
     async def _read_own(self, timeout_s: float, known_version: int) -> LatestCatalog:
         outcome = await self.service.read_barrier(timeout_s)
         if not isinstance(outcome, ReadOk):
+            self.read_failure = getattr(outcome, "reason", "this process no longer leads")
             return LatestCatalog(False)
         machine = self.machine
         document = b"" if machine.version == known_version else machine.document
@@ -109,7 +114,11 @@
         # Keep the document, because the state may change before the leader's answer arrives.
         version, document = self.machine.version, self.machine.document
         latest = await self.peers.call(self.leader, ReadLatestCatalog(version), timeout_s)
-        if not isinstance(latest, LatestCatalog) or not latest.is_certain:
+        if not isinstance(latest, LatestCatalog):
+            self.read_failure = f"the leader {self.leader or '(lost since)'} doesn't answer"
+            return LatestCatalog(False)
+        if not latest.is_certain:
+            self.read_failure = "the process asked doesn't lead, or no majority confirms it"
             return LatestCatalog(False)
         if latest.catalog_version == version:
             return attrs.evolve(latest, catalog=document)
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -446,7 +446,31 @@
 
     async def read_latest(self) -> LatestCatalog:
         """Return the newest catalog and moves, and whether they are certain to be the newest."""
-        return await self.log.read_latest()
+        started_at = self.timers.now()
+        latest = await self.log.read_latest()
+        if not latest.is_certain:
+            self.lines.log(
+                "catalog.unread",
+                reason=self.log.read_failure,
+                waited_s=round(self.timers.now() - started_at, 3),
+                **self._describe_voter(),
+            )
+        return latest
+
+    def _describe_voter(self) -> dict[str, object]:
+        """Return the state of this process's voter, for the log."""
+        service = self.log.service
+        if service is None:
+            return {"role": "none"}
+        status = service.status()
+        return {
+            "role": status.role,
+            "term": status.term,
+            "leader": status.leader,
+            "disk": status.disk,
+            "commit": status.commit,
+            "voters": [f"{m.name}/{m.disk}" for m in status.members if m.is_voter],
+        }
 
     def _on_peer_update(self, message: PeerUpdate, sender: str) -> PeerUpdateResult:
         """Merge an update into the roster; return the renewed endpoints that are unknown here."""
