Pass join requests on to the leader, so that a lost disk is replaced under any leader

A process with an empty disk knows only the instances of its settings, three of six, and sends them its join request; only a leader took it, everyone else dropped it. With a leader that is no seed the process was never taken in again. A learner took its place once; the next two disks then left two of five voters, which is no majority.

A member that is not the leader now sends such a request on to the leader that it knows. It does so only for a request that comes from the instance itself, so a request makes one extra hop at most. The instance repeats it every two election timeouts until it is taken in.

--- a/mulberrygate/agreement/membership.py
+++ b/mulberrygate/agreement/membership.py
@@ -99,7 +99,10 @@
         at once, unless the former disk of that name still answers. An instance with a new name
         becomes a learner at once only if ``wanted_voters`` is set and the group is not full.
         """
-        if self.role is not Role.LEADER or self.members.by_disk(request.disk) is not None:
+        if self.role is not Role.LEADER:
+            self.pass_join_on(request, sender)
+            return
+        if self.members.by_disk(request.disk) is not None:
             return
         self.join_requests[request.name] = request
         former = [m for m in self.members.members if m.name == request.name]
@@ -112,6 +115,17 @@
         if is_wanted and self.can_change_members():
             self.propose_learner(request, now)
 
+    def pass_join_on(self, request: JoinRequest, sender: str) -> None:
+        """Pass a join request on to the leader, once.
+
+        Explanation
+        ===========
+        A process with an empty disk knows only the instances of its settings, and the leader need
+        not be one of them.
+        """
+        if sender == request.name and self.leader not in ("", self.voter, request.name):
+            self.effects.append(Send(self.leader, request))
+
     def advance_members(self, now: float) -> None:
         """Propose the next step of promoting a learner that has caught up.
 
