Show by a scenario that a mutant that forgets leases is found

The mutant's fault needs a leader that is cut off while the others restart; the test now plays that sequence with 20 seeds, expects the violation with more than half of them, and none with the product's class. That is stricter than one random hit, and it also checks the product's class in the same sequence.

--- a/mulberrygate/agreement/tests/test_node.py
+++ b/mulberrygate/agreement/tests/test_node.py
@@ -201,13 +201,36 @@
             mutants.AppliesAgain: "applied twice",
             mutants.ExtendsLeaseAlone: "leases of",
             mutants.ReadsAlone: "stale read",
-            mutants.ForgetsLeases: "leases of",
         }
         with no_invariants():
             for mutant, text in expected.items():
                 with self.subTest(mutant=mutant.__name__):
                     self.assert_found(mutant, text)
 
+    def test_check_of_leases_after_restarts(self):
+        """Guards against a harness that accepts a leader beside one that still has its lease."""
+        found = [self.finds_two_leases(mutants.ForgetsLeases, seed) for seed in range(20)]
+        # A split vote can outlast the lease.
+        self.assertGreater(sum(found), 10)
+        self.assertFalse(any(self.finds_two_leases(AgreementNode, seed) for seed in range(20)))
+
+    @staticmethod
+    def finds_two_leases(node_class, seed):
+        """Return whether two leases are found after all voters but a cut-off leader restart."""
+        cluster = Cluster(3, seed, node_class)
+        cluster.run(3.0)
+        leader = cluster.leader()
+        cluster.isolated = {leader}
+        for name in cluster.instances:
+            if name != leader:
+                cluster.instances[name].stop()
+                cluster.instances[name].start()
+        try:
+            cluster.run(2.0)
+        except AssertionError as error:
+            return str(error).startswith("leases of")
+        return False
+
     def test_check_of_what_a_leader_knows(self):
         """Guards against a leader that reports to be caught up before it is."""
         self.assert_found(mutants.ClaimsCaughtUpTooEarly, "unknown to", checks_caught_up=True)
