Let a process whose disk is lost ask the leader that still calls it

An emptied process asks the seeds of its settings; where they are down or replaced nobody hears it, although the leader sends it a message with each heartbeat, addressed to the disk that is lost. Evidence: the new test fails on the code before (not a member 20 s after the loss, at virtual time) and passes now.

The sender of such a message is remembered and asked too. It may belong to a former leader; that one passes the request on.

--- a/mulberrygate/agreement/base.py
+++ b/mulberrygate/agreement/base.py
@@ -96,6 +96,8 @@
         Index of the first entry of this leader's term.
     last_contact_at : float
         Time of the last message from a leader.
+    contacts : set[str]
+        Instances that may know the group, besides the first voters and the members.
     votes : set[str]
         Disks that granted the current pre-vote (``is_pre``) or vote.
     effects : list[Effect]
@@ -142,6 +144,7 @@
         self.last_contact_at = NEVER
         self.election_due = NEVER
         self.heartbeat_due = NEVER
+        self.contacts: set[str] = set()
         self.votes: set[str] = set()
         self.is_pre = False
         self.is_transfer = False
--- a/mulberrygate/agreement/membership.py
+++ b/mulberrygate/agreement/membership.py
@@ -205,7 +205,7 @@
         if now < self.join_due or now < self.last_contact_at + limit:
             return
         self.join_due = now + limit
-        names = {**self.first_voters, **{m.name: m.address for m in self.members.members}}
+        names = {*self.first_voters, *self.contacts, *(m.name for m in self.members.members)}
         request = JoinRequest(self.voter, self.address, self.disk)
         others = tuple(name for name in sorted(names) if name != self.voter)
         self.effects.append(JoinAsked(others))
--- a/mulberrygate/agreement/replication.py
+++ b/mulberrygate/agreement/replication.py
@@ -92,7 +92,7 @@
 
     def on_append(self, message: Append, sender: str, now: float) -> None:
         """Handle entries or a heartbeat from the leader."""
-        if not self.accept_leader_message(message, now):
+        if not self.accept_leader_message(message, sender, now):
             return
         # Entries up to the base index are committed, so they match the leader's.
         is_held = message.prev_index >= self.log.base_index
@@ -129,9 +129,11 @@
         """Return the last committed index up to which this log matches the leader's."""
         return min(message.commit, match)
 
-    def accept_leader_message(self, message, now: float) -> bool:
+    def accept_leader_message(self, message, sender: str, now: float) -> bool:
         """Follow the sender of a leader's message; return whether it leads the current term."""
         if message.to_disk != self.disk:
+            # The leader goes by a disk that this instance has lost, so it can take in the new one.
+            self.contacts.add(sender)
             return False
         if not self.cluster:
             self.join_cluster(message.cluster)
--- a/mulberrygate/agreement/snapshots.py
+++ b/mulberrygate/agreement/snapshots.py
@@ -64,7 +64,7 @@
 
     def on_snapshot_part(self, part: SnapshotPart, sender: str, now: float) -> None:
         """Append a part to the incoming snapshot, and install it when it is complete."""
-        if not self.accept_leader_message(part, now):
+        if not self.accept_leader_message(part, sender, now):
             return
         if self.is_known_committed(part.index):
             self.reply_snapshot(part, part.size, True)
--- a/mulberrygate/agreement/tests/test_growth.py
+++ b/mulberrygate/agreement/tests/test_growth.py
@@ -98,24 +98,42 @@
         self.assertEqual([r.members for r in reported], [leader.members])
         self.assertIsNotNone(leader.members.by_disk("w9"))
 
-    def test_emptied_disk_is_taken_in_under_a_leader_that_is_no_seed(self):
-        """Guards against a lost disk that is never replaced, since no instance it knows leads."""
+    def grow_to_six(self):
+        """Return six instances, three of them seeds, with five voters and a committed command."""
         cluster = GrowingCluster(3, wanted=5)
         for name in ("w0", "w1", "w2"):
             cluster.add(name, may_form=False)
         cluster.run(20.0)
+        cluster.propose(cluster.leader().name)
+        cluster.run(1.0)
+        cluster.settings = attrs.evolve(cluster.settings, may_form=False)
+        return cluster
+
+    def assert_taken_in(self, cluster, name):
+        """Check that the present disk of an instance is a member of the group."""
+        disk = cluster.instances[name].disk.identity.disk
+        self.assertIsNotNone(cluster.leader().node.members.by_disk(disk))
+
+    def test_emptied_disk_is_taken_in_under_a_leader_that_is_no_seed(self):
+        """Guards against a lost disk that is never replaced, since no instance it knows leads."""
+        cluster = self.grow_to_six()
         while cluster.leader().name in cluster.first_voters:
             former = cluster.leader()
             cluster.submit(former, former.node.transfer_leadership(cluster.now))
             cluster.run(3.0)
-        cluster.propose(cluster.leader().name)
-        cluster.run(1.0)
-        cluster.settings = attrs.evolve(cluster.settings, may_form=False)
         self.assertTrue(cluster.lose_disk("v0"))
         cluster.run(20.0)
         self.assertNotIn(cluster.leader().name, cluster.first_voters)
-        members = cluster.leader().node.members
-        self.assertIsNotNone(members.by_disk(cluster.instances["v0"].disk.identity.disk))
+        self.assert_taken_in(cluster, "v0")
+
+    def test_emptied_disk_is_taken_in_while_no_seed_answers(self):
+        """Guards against a lost disk that is not replaced because the seeds are down."""
+        cluster = self.grow_to_six()
+        lost = next(n for n in ("w0", "w1") if n != cluster.leader().name)
+        cluster.first_voters = {"gone": "gone:1"}
+        self.assertTrue(cluster.lose_disk(lost))
+        cluster.run(20.0)
+        self.assert_taken_in(cluster, lost)
 
 
 if __name__ == "__main__":
