Read the configuration through any control process that reaches the leader

An operator that asked a process with a new disk, or one whose leader had just gone, got 503 after 0.85 s: the former knows no leader, and the latter waited for one call to the former leader until its time was over. While an operator asks for some seconds, moving on after each failure, such tries use up its time.

A process that doesn't lead now asks all control processes that it knows, once it knows no leader or the leader hasn't answered for 0.3 s; the others name the leader that they know. The call to a slow leader goes on meanwhile. Only an answer that a majority has confirmed counts, as before.

--- a/mulberrygate/control/access.py
+++ b/mulberrygate/control/access.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -17,6 +18,10 @@
 COMMIT_TIMEOUT_S = 0.85
 READ_TIMEOUT_S = 0.85
 RETRY_LEADER_S = 0.03
+# Longest wait for the answer of a leader before the other control processes are asked as well: it
+# may be gone, and its successor may not have reached this process yet.
+LEADER_ANSWER_S = 0.3
+RETRY_READ_S = 0.1
 
 
 class LogAccess:
@@ -28,6 +33,8 @@
         State machine that this process's copy of the log has built up.
     peers : PeerClient
         Client for messages to other control processes.
+    others : Callable[[], Iterable[str]]
+        Returns the other control processes that are known.
 
     Attributes
     ==========
@@ -37,11 +44,19 @@
         Why the last try of a read failed, for the log.
     """
 
-    def __init__(self, instance: str, machine: CatalogStateMachine, peers, timers: TimerService):
+    def __init__(
+        self,
+        instance: str,
+        machine: CatalogStateMachine,
+        peers,
+        timers: TimerService,
+        others: Callable[[], Iterable[str]] = tuple,
+    ):
         self.instance = instance
         self.machine = machine
         self.peers = peers
         self.timers = timers
+        self.others = others
         self.service: AgreementService | None = None
         self.read_failure = ""
 
@@ -86,21 +101,53 @@
         return ProposeResult(isinstance(outcome, Committed))
 
     async def read_latest(self) -> LatestCatalog:
-        """Return the newest catalog and moves, and whether they are certain to be the newest."""
+        """Return the newest catalog and moves, and whether they are certain to be the newest.
+
+        Explanation
+        ===========
+        A process whose leader doesn't answer, or that knows none because its disk is new, asks all
+        control processes that it knows, and the leader that they name.
+        """
         end = self.timers.now() + READ_TIMEOUT_S
-        while (left := end - self.timers.now()) > 0:
-            if self.is_leader:
-                latest = await self._read_own(left, -1)
-            elif self.leader and self.leader != self.instance:
-                latest = await self._read_leader(left)
-            else:
-                latest = LatestCatalog(False)
-                self.read_failure = "no leader is known"
-            if latest.is_certain:
-                return latest
-            await asyncio.sleep(RETRY_LEADER_S)
+        names = {self.leader}
+        calls: dict[asyncio.Future, str] = {}
+        try:
+            while (left := end - self.timers.now()) > 0:
+                if self.is_leader:
+                    latest = await self._read_own(left, -1)
+                    if latest.is_certain:
+                        return latest
+                for name in names - {"", self.instance, *calls.values()}:
+                    calls[asyncio.ensure_future(self._read_from(name, left))] = name
+                answers = await self._take_answers(calls, min(left, LEADER_ANSWER_S))
+                for latest in answers:
+                    if latest.is_certain:
+                        return latest
+                await asyncio.sleep(RETRY_READ_S)
+                names = {self.leader, *self.others(), *(latest.leader for latest in answers)}
+        finally:
+            for call in calls:
+                call.cancel()
         return LatestCatalog(False)
 
+    async def _take_answers(
+        self, calls: dict[asyncio.Future, str], wait_s: float
+    ) -> list[LatestCatalog]:
+        """Wait until a call ends; remove the calls that have ended and return their answers.
+
+        Parameters
+        ==========
+        wait_s : float
+            Longest wait in seconds. Calls that last longer go on.
+        """
+        if not calls:
+            self.read_failure = "no leader is known"
+            return []
+        done, _ = await asyncio.wait(calls, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+        for call in done:
+            del calls[call]
+        return [call.result() for call in done]
+
     async def _read_own(self, timeout_s: float, known_version: int) -> LatestCatalog:
         outcome = await self.service.read_barrier(timeout_s)
         if not isinstance(outcome, ReadOk):
@@ -110,16 +157,16 @@
         document = b"" if machine.version == known_version else machine.document
         return LatestCatalog(True, machine.version, document, machine.moves_json())
 
-    async def _read_leader(self, timeout_s: float) -> LatestCatalog:
-        # Keep the document, because the state may change before the leader's answer arrives.
+    async def _read_from(self, name: str, timeout_s: float) -> LatestCatalog:
+        # Keep the document, because the state may change before the answer arrives.
         version, document = self.machine.version, self.machine.document
-        latest = await self.peers.call(self.leader, ReadLatestCatalog(version), timeout_s)
+        latest = await self.peers.call(name, ReadLatestCatalog(version), timeout_s)
         if not isinstance(latest, LatestCatalog):
-            self.read_failure = f"the leader {self.leader or '(lost since)'} doesn't answer"
+            self.read_failure = f"{name} doesn't answer"
             return LatestCatalog(False)
         if not latest.is_certain:
-            self.read_failure = "the process asked doesn't lead, or no majority confirms it"
-            return LatestCatalog(False)
+            self.read_failure = f"{name} doesn't lead, or no majority confirms it"
+            return latest
         if latest.catalog_version == version:
             return attrs.evolve(latest, catalog=document)
         return latest
@@ -127,5 +174,5 @@
     async def on_read_latest(self, message: ReadLatestCatalog, _sender: str) -> LatestCatalog:
         """Return the newest state to another process, if this one leads."""
         if not self.is_leader:
-            return LatestCatalog(False)
+            return LatestCatalog(False, leader=self.leader)
         return await self._read_own(READ_TIMEOUT_S, message.catalog_version)
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -131,7 +131,9 @@
         self.incarnation = self.peers.incarnation
         self.machine = CatalogStateMachine(self._on_state_change)
         self.roster = Roster()
-        self.log = LogAccess(site.instance, self.machine, self.peers.client, self.timers)
+        self.log = LogAccess(
+            site.instance, self.machine, self.peers.client, self.timers, self._other_controls
+        )
         self.seeds = site.seeds
         self.state_changed = asyncio.Event()
         self.started_at = 0.0
--- a/mulberrygate/sync/messages.py
+++ b/mulberrygate/sync/messages.py
@@ -229,12 +229,19 @@
 @message("sync.latest")
 @attrs.frozen
 class LatestCatalog:
-    """Leader to control: the newest catalog; ``is_certain`` if a read barrier preceded it."""
+    """Control to control: the newest catalog; ``is_certain`` if a read barrier preceded it.
+
+    Parameters
+    ==========
+    leader : str
+        From a process that doesn't lead: the leader that it knows, empty for none.
+    """
 
     is_certain: bool
     catalog_version: int = -1
     catalog: bytes = b""
     moves: bytes = b""
+    leader: str = ""
 
 
 @message("sync.ask_units")
