Sync the folder in which a voter's folder is made

A loss of power could take a new voter's folder with everything that was synced in it: the name of the folder itself was never synced. The voter then came back with a new disk, as if its disk had been lost, and one more loss could leave too few voters. Found by reading; the new test fails on the code before.

--- a/mulberrygate/agreement/storage.py
+++ b/mulberrygate/agreement/storage.py
@@ -124,6 +124,15 @@
     return msgpack.packb([ENTRY, entry.index, entry.term, int(entry.kind), entry.body])
 
 
+def sync_folder(path: str) -> None:
+    """Make the names in a folder durable."""
+    folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
 class Storage:
     """Files of one voter.
 
@@ -207,7 +216,10 @@
 
     def load_files(self, voter: str) -> StorageState:
         """Lock the folder and read all its files."""
-        os.makedirs(self.folder, exist_ok=True)
+        if not os.path.isdir(self.folder):
+            os.makedirs(self.folder)
+            # Without this a loss of power may take the new folder with all that is synced in it.
+            sync_folder(os.path.dirname(os.path.abspath(self.folder)))
         self.lock()
         self.remove_unfinished()
         self.identity = self.read_identity(voter)
@@ -393,8 +405,4 @@
         finally:
             os.close(fd)
         os.rename(path + NEW_SUFFIX, path)
-        folder = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        sync_folder(self.folder)
--- a/mulberrygate/agreement/tests/test_storage.py
+++ b/mulberrygate/agreement/tests/test_storage.py
@@ -154,6 +154,23 @@
         self.assertNotEqual(state.identity.disk, before)
         self.assertEqual((state.identity.cluster, state.term), ("", 0))
 
+    def test_new_folder_is_durable_before_it_is_used(self):
+        """Guards against a loss of power that takes a voter's folder with all that is synced."""
+        parent = os.stat(self.folder)
+        synced = []
+        fsync = os.fsync
+
+        def record(fd):
+            status = os.fstat(fd)
+            synced.append((status.st_dev, status.st_ino))
+            fsync(fd)
+
+        storage = Storage(os.path.join(self.folder, "voter"))
+        self.addCleanup(storage.close)
+        with mock.patch("os.fsync", record):
+            storage.load("v0")
+        self.assertEqual(synced[0], (parent.st_dev, parent.st_ino))
+
     def test_missing_files_are_noticed(self):
         """Guards against a second vote in a term after some files were lost."""
         path = self.fill()
