Ask changed seeds, too, when a voter hears no leader

A process kept asking the seeds of its start to be taken in, also after its settings named others, so it could stay outside its group for good: the same cause as a join request that no leader hears. The settings' seeds are now contacts of the voter, at its start and after each change. On the code before, the test of the control process fails; the one of the group, which sets a contact itself, passes.

--- a/mulberrygate/agreement/service.py
+++ b/mulberrygate/agreement/service.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 import attrs
@@ -200,6 +200,10 @@
         """Return the known peer addresses of voters and other members, by name."""
         return self.node.addresses()
 
+    def add_contacts(self, names: Iterable[str]) -> None:
+        """Add instances that may know the group, which a voter asks when it hears no leader."""
+        self.node.contacts.update(names)
+
     def status(self) -> AgreementStatus:
         """Return the status of this voter."""
         node = self.node
--- a/mulberrygate/agreement/tests/test_growth.py
+++ b/mulberrygate/agreement/tests/test_growth.py
@@ -135,6 +135,16 @@
         cluster.run(20.0)
         self.assert_taken_in(cluster, lost)
 
+    def test_new_contact_takes_an_instance_in(self):
+        """Guards against an instance that asks only the seeds of its start for ever."""
+        cluster = self.grow_to_six()
+        cluster.first_voters = {"gone": "gone:1"}
+        cluster.add("late", may_form=False)
+        cluster.run(10.0)
+        cluster.instances["late"].node.contacts.add("v1")
+        cluster.run(10.0)
+        self.assert_taken_in(cluster, "late")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -263,6 +263,7 @@
             self.lines.log("voter.stopped", reason=service.reason)
             return
         self.log.service = service
+        service.add_contacts(self.seeds)
         service.on_role.append(self._on_role)
 
     async def _reopen_voter(self) -> None:
@@ -296,6 +297,8 @@
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds after a change of the settings."""
         self.seeds = seeds
+        if self.log.service is not None:
+            self.log.service.add_contacts(seeds)
 
     @property
     def is_leader(self) -> bool:
--- a/mulberrygate/daemon/tests/test_site_reads.py
+++ b/mulberrygate/daemon/tests/test_site_reads.py
@@ -21,6 +21,12 @@
         self.assertTrue(line["reason"])
         self.assertEqual(len(line["voters"]), 3)
 
+    async def test_changed_seeds_reach_the_voter(self):
+        """Guards against a voter that asks only the seeds of its start to be taken in."""
+        node = self.deployment.nodes[CONTROLS[0]]
+        node.set_seeds(("127.0.0.99",))
+        self.assertIn("127.0.0.99", node.controller.log.service.node.contacts)
+
 
 if __name__ == "__main__":
     unittest.main()
