Drop lost learners when an instance asks to join

A group takes in an instance that asks only while it has fewer than seven members, and it counted learners that were gone for good. With six instances and two learners lost one after the other nobody was taken in any more, so the next lost voter was not replaced.

A learner that has not answered for as long as a lost voter no longer counts and is dropped with the next change. One that comes back asks to join again.

--- a/mulberrygate/agreement/membership.py
+++ b/mulberrygate/agreement/membership.py
@@ -85,11 +85,20 @@
         return None
 
     def propose_learner(self, request: JoinRequest, now: float) -> int:
-        """Add a learner and remove earlier learners of the same name."""
-        kept = [m for m in self.members.members if m.is_voter or m.name != request.name]
+        """Add a learner; remove earlier learners of the same name and those that are lost."""
+        kept = [m for m in self.lasting_members(now) if m.is_voter or m.name != request.name]
         learner = Member(request.name, request.address, request.disk, False)
         return self.propose_members(Members((*kept, learner)), now)
 
+    def lasting_members(self, now: float) -> list[Member]:
+        """Return the members without the learners that are lost."""
+        return [m for m in self.members.members if m.is_voter or not self.is_lost(m, now)]
+
+    def is_lost(self, member: Member, now: float) -> bool:
+        """Return whether a member has not answered this leader for long enough to be replaced."""
+        last_contact_at = max(self.progress[member.disk].last_contact_at, self.leader_since)
+        return now - last_contact_at > self.settings.lost_after_s
+
     def on_join(self, request: JoinRequest, sender: str, now: float) -> None:
         """Store a join request; add its sender as a learner at once where that is automatic.
 
@@ -110,7 +119,8 @@
             m.disk in self.progress and self.is_answering(self.progress[m.disk], now)
             for m in former
         )
-        may_fill = self.settings.wanted_voters > 0 and len(self.members.members) < MAX_VOTERS
+        has_room = len(self.lasting_members(now)) < MAX_VOTERS
+        may_fill = self.settings.wanted_voters > 0 and has_room
         is_wanted = not is_answering if former else may_fill
         if is_wanted and self.can_change_members():
             self.propose_learner(request, now)
@@ -162,13 +172,9 @@
         silent = [
             (self.progress[member.disk].last_contact_at, member.disk, member)
             for member in self.members.voters()
-            if member.disk != self.disk
+            if member.disk != self.disk and self.is_lost(member, now)
         ]
-        limit = max(now - self.settings.lost_after_s, self.leader_since)
-        silent = [item for item in silent if item[0] < limit]
-        if not silent or now < self.leader_since + self.settings.lost_after_s:
-            return None
-        return min(silent)[2]
+        return min(silent)[2] if silent else None
 
     def has_live_majority(self, members: Members, now: float) -> bool:
         """Return whether a majority of the voters in ``members`` answers.
--- a/mulberrygate/agreement/tests/test_growth.py
+++ b/mulberrygate/agreement/tests/test_growth.py
@@ -145,6 +145,16 @@
         cluster.run(10.0)
         self.assert_taken_in(cluster, "late")
 
+    def test_lost_learners_leave_room_for_new_instances(self):
+        """Guards against a group that takes nobody in, since lost learners fill all its places."""
+        cluster = self.grow_to_six()
+        for name in ("x0", "x1"):
+            learner = cluster.leader().node.members.learners()[-1].name
+            cluster.instances[learner].stop()
+            cluster.add(name, may_form=False)
+            cluster.run(15.0)
+            self.assert_taken_in(cluster, name)
+
 
 if __name__ == "__main__":
     unittest.main()
