Simulate a core of six control instances with three seeds

Cause: the simulated group gave every instance the names of all others, so it hid whatever an instance with an empty disk can't find out.

--- a/mulberrygate/agreement/tests/cluster.py
+++ b/mulberrygate/agreement/tests/cluster.py
@@ -105,10 +105,10 @@
             silent_since = rng.uniform(self.stopped_at, cluster.now)
         self.node = cluster.node_class(
             self.name,
-            cluster.first_voters,
+            cluster.first_voters_of(self.name),
             state,
             rng,
-            cluster.settings,
+            cluster.settings_of(self.name),
             f"{self.name}:1",
             silent_since,
         )
@@ -159,6 +159,14 @@
         self.command_count = 0
         self.instances = {name: Instance(self, name) for name in names}
 
+    def first_voters_of(self, name: str) -> dict[str, str]:
+        """Return the first voters in the settings with which an instance starts now."""
+        return self.first_voters
+
+    def settings_of(self, name: str) -> AgreementSettings:
+        """Return the settings with which an instance starts now."""
+        return self.settings
+
     def submit(self, instance: Instance, effects, sender: str = "") -> None:
         """Queue effects after those that are not carried out yet."""
         instance.pending.append((effects, sender))
--- a/mulberrygate/agreement/tests/test_growth.py
+++ b/mulberrygate/agreement/tests/test_growth.py
@@ -6,14 +6,15 @@
 
 import attrs
 
+from mulberrygate.agreement.node import AgreementNode
 from mulberrygate.agreement.tests.cluster import SETTINGS, Cluster, Instance
 
 
 class GrowingCluster(Cluster):
     """Group with a wanted number of voters, to which instances can be added later."""
 
-    def __init__(self, size, wanted=3):
-        super().__init__(size)
+    def __init__(self, size, wanted=3, seed=0, node_class=AgreementNode):
+        super().__init__(size, seed, node_class)
         self.settings = attrs.evolve(SETTINGS, wanted_voters=wanted)
         self.instances = {name: Instance(self, name) for name in self.first_voters}
 
--- /dev/null
+++ b/mulberrygate/agreement/tests/test_recovery.py
@@ -0,0 +1,87 @@
+"""Losses that a core of six control instances, two of which may be lost, has to survive."""
+
+import unittest
+
+from mulberrygate.agreement.tests.core_cluster import CATCH_UP_S, CoreCluster
+
+# Time in which the group is checked after an instance stops counting as lost: one heartbeat.
+MARGIN_S = 0.15
+
+
+def failure_of(check):
+    """Return the failure of a check, empty if it passes."""
+    try:
+        check()
+    except AssertionError as error:
+        return str(error)
+    return ""
+
+
+class TestRecovery(unittest.TestCase):
+    """Single faults, each followed by calm and by the loss of two more disks."""
+
+    def setUp(self):
+        self.cluster = CoreCluster(1)
+        self.cluster.form()
+
+    def voters(self):
+        """Return the voters except the leader."""
+        return [name for name in self.cluster.voters() if name != self.cluster.leader().name]
+
+    def learner(self):
+        """Return the newest instance that is no voter."""
+        return [n for n in self.cluster.instances if n not in self.cluster.voters()][-1]
+
+    def replace(self, name):
+        """Remove an instance for good, start its successor and let that catch up."""
+        self.cluster.remove(name)
+        successor = self.cluster.succeed(name)
+        self.cluster.run(CATCH_UP_S + MARGIN_S)
+        return successor
+
+    def assert_whole(self):
+        """Check that all voters have disks, and that the group survives the loss of two more."""
+        cluster = self.cluster
+        self.assertEqual(cluster.counting(), set())
+        calm = failure_of(cluster.check_calm_group)
+        cluster.commit()
+        disks = cluster.voter_disks()
+        holders = [name for name in cluster.holders() if cluster.disk_of(name) in disks]
+        cluster.close(holders[:2])
+        read_back = failure_of(cluster.check_read_back)
+        self.assertEqual((calm, read_back), ("", ""), "\n".join(cluster.history))
+
+    def test_stop_of_all_between_removal_and_promotion(self):
+        """Guards against a group that stays at four voters after a replacement is interrupted."""
+        cluster = self.cluster
+        cluster.lead("v0")
+        removed = self.voters()[0]
+        cluster.remove(removed)
+        cluster.succeed(removed)
+        while len(cluster.leader().node.members.voters()) == 5:
+            cluster.step_finely()
+        cluster.stop_all(0.5)
+        cluster.run(CATCH_UP_S + MARGIN_S)
+        self.assert_whole()
+
+    def test_removed_voter_returns(self):
+        """Guards against a voter that was replaced while it was away and never joins again."""
+        for end in ("stop", "freeze", "cut"):
+            with self.subTest(end=end):
+                self.setUp()
+                cluster = self.cluster
+                cluster.lead("v0")
+                away = self.voters()[0]
+                back = {"stop": cluster.start, "freeze": cluster.thaw, "cut": cluster.join}[end]
+                getattr(cluster, end)(away)
+                cluster.run(5.0)
+                self.assertNotIn(away, cluster.voters())
+                back(away)
+                cluster.run(CATCH_UP_S + MARGIN_S)
+                members = {m.disk for m in cluster.leader().node.members.members}
+                self.assertIn(cluster.disk_of(away), members)
+                self.assert_whole()
+
+
+if __name__ == "__main__":
+    unittest.main()
