Reproduce join requests that never reach the leader

Cause: an emptied disk sends its join request to the seeds only, a returned voter to the seeds and the members that it knew, and every instance but the leader drops it.

--- a/mulberrygate/agreement/tests/test_recovery.py
+++ b/mulberrygate/agreement/tests/test_recovery.py
@@ -51,6 +51,34 @@
         read_back = failure_of(cluster.check_read_back)
         self.assertEqual((calm, read_back), ("", ""), "\n".join(cluster.history))
 
+    def test_emptied_disks_join_when_the_leader_is_no_seed(self):
+        """Guards against emptied disks that ask only seeds, which don't lead, to join."""
+        cluster = self.cluster
+        cluster.lead("v3")
+        emptied = self.voters()[:2]
+        for name in emptied:
+            cluster.empty(name)
+        cluster.run(0.5)
+        for name in emptied:
+            cluster.start(name)
+        cluster.run(CATCH_UP_S + MARGIN_S)
+        self.assert_whole()
+
+    def test_returned_voter_asks_a_leader_that_joined_while_it_was_away(self):
+        """Guards against a removed voter that knows no leader by name and stays out for good."""
+        cluster = self.cluster
+        cluster.lead("v0")
+        away = self.voters()[0]
+        cluster.stop(away)
+        cluster.run(CATCH_UP_S)
+        learner = next(n for n in self.voters() if n not in cluster.seeds)
+        successor = self.replace(learner)
+        cluster.lead(successor)
+        cluster.start(away)
+        cluster.run(CATCH_UP_S + MARGIN_S)
+        members = {m.disk for m in cluster.leader().node.members.members}
+        self.assertIn(cluster.disk_of(away), members, "\n".join(cluster.history))
+
     def test_stop_of_all_between_removal_and_promotion(self):
         """Guards against a group that stays at four voters after a replacement is interrupted."""
         cluster = self.cluster
