Reproduce a lost voter that a change of leader keeps in the group

Cause: find_lost_voter waits lost_after_s from the start of each leadership, 3 s of the 4 s after which a removed instance no longer counts as lost.

Evidence: a voter is removed and its successor starts; the leader is split off from 2.5 to 3.5 s. At 4.2 s the removed voter still is one, and the closing leaves two of five disks.

--- a/mulberrygate/agreement/tests/test_recovery.py
+++ b/mulberrygate/agreement/tests/test_recovery.py
@@ -79,6 +79,18 @@
         members = {m.disk for m in cluster.leader().node.members.members}
         self.assertIn(cluster.disk_of(away), members, "\n".join(cluster.history))
 
+    def test_change_of_leader_does_not_delay_the_replacement_of_a_lost_voter(self):
+        """Guards against a dead voter that stays a voter because each leader waits anew."""
+        cluster = self.cluster
+        removed = self.voters()[0]
+        cluster.remove(removed)
+        cluster.succeed(removed)
+        cluster.run(2.5)
+        # A split loses no instance, but its leader.
+        cluster.split({cluster.leader().name}, 1.0)
+        cluster.run(CATCH_UP_S - 3.5 + MARGIN_S)
+        self.assert_whole()
+
     def test_stop_of_all_between_removal_and_promotion(self):
         """Guards against a group that stays at four voters after a replacement is interrupted."""
         cluster = self.cluster
