Reproduce removed learners that keep further instances out

Cause: only a voter is ever removed as lost. A learner that is gone for good stays a member, and on_join takes no new name beyond MAX_VOTERS members.

Evidence: two learners are removed one after the other, then a voter: it stays a voter for good, and the closing leaves two of five disks.

--- a/mulberrygate/agreement/tests/test_recovery.py
+++ b/mulberrygate/agreement/tests/test_recovery.py
@@ -91,6 +91,15 @@
         cluster.run(CATCH_UP_S - 3.5 + MARGIN_S)
         self.assert_whole()
 
+    def test_removed_learners_do_not_keep_successors_out(self):
+        """Guards against dead learners that fill the group, so that no further instance joins."""
+        cluster = self.cluster
+        cluster.lead("v0")
+        for _ in range(2):
+            self.replace(self.learner())
+        self.replace(self.voters()[0])
+        self.assert_whole()
+
     def test_stop_of_all_between_removal_and_promotion(self):
         """Guards against a group that stays at four voters after a replacement is interrupted."""
         cluster = self.cluster
