--- a/mulberrygate/agreement/tests/test_recovery.py
+++ b/mulberrygate/agreement/tests/test_recovery.py
@@ -3,6 +3,7 @@
 import unittest
 
 from mulberrygate.agreement.tests.core_cluster import CATCH_UP_S, CoreCluster
+from mulberrygate.agreement.tests.core_series import Series
 
 # Time in which the group is checked after an instance stops counting as lost: one heartbeat.
 MARGIN_S = 0.15
@@ -132,5 +133,20 @@
                 self.assert_whole()
 
 
+class TestSeries(unittest.TestCase):
+    """Random series of losses within the tolerance, each with a closing."""
+
+    def test_series(self):
+        """Guards against combinations of losses after which the group serves no read again."""
+        failed = {}
+        for seed in range(60):
+            series = Series(seed)
+            violations = series.run(20)
+            if violations:
+                failed[seed] = violations
+        print(f"{len(failed)} of 60 series with violations: {failed}")
+        self.assertEqual(failed, {})
+
+
 if __name__ == "__main__":
     unittest.main()
