--- /dev/null
+++ b/mulberrygate/agreement/tests/test_recovery.py
@@ -0,0 +1,152 @@
+"""Losses that a core of six control instances, two of which may be lost, has to survive."""
+
+import unittest
+
+from mulberrygate.agreement.tests.core_cluster import CATCH_UP_S, CoreCluster
+from mulberrygate.agreement.tests.core_series import Series
+
+# Time in which the group is checked after an instance stops counting as lost: one heartbeat.
+MARGIN_S = 0.15
+
+
+def failure_of(check):
+    """Return the failure of a check, empty if it passes."""
+    try:
+        check()
+    except AssertionError as error:
+        return str(error)
+    return ""
+
+
+class TestRecovery(unittest.TestCase):
+    """Single faults, each followed by calm and by the loss of two more disks."""
+
+    def setUp(self):
+        self.cluster = CoreCluster(1)
+        self.cluster.form()
+
+    def voters(self):
+        """Return the voters except the leader."""
+        return [name for name in self.cluster.voters() if name != self.cluster.leader().name]
+
+    def learner(self):
+        """Return the newest instance that is no voter."""
+        return [n for n in self.cluster.instances if n not in self.cluster.voters()][-1]
+
+    def replace(self, name):
+        """Remove an instance for good, start its successor and let that catch up."""
+        self.cluster.remove(name)
+        successor = self.cluster.succeed(name)
+        self.cluster.run(CATCH_UP_S + MARGIN_S)
+        return successor
+
+    def assert_whole(self):
+        """Check that all voters have disks, and that the group survives the loss of two more."""
+        cluster = self.cluster
+        self.assertEqual(cluster.counting(), set())
+        calm = failure_of(cluster.check_calm_group)
+        cluster.commit()
+        disks = cluster.voter_disks()
+        holders = [name for name in cluster.holders() if cluster.disk_of(name) in disks]
+        cluster.close(holders[:2])
+        read_back = failure_of(cluster.check_read_back)
+        self.assertEqual((calm, read_back), ("", ""), "\n".join(cluster.history))
+
+    def test_emptied_disks_join_when_the_leader_is_no_seed(self):
+        """Guards against emptied disks that ask only seeds, which don't lead, to join."""
+        cluster = self.cluster
+        cluster.lead("v3")
+        emptied = self.voters()[:2]
+        for name in emptied:
+            cluster.empty(name)
+        cluster.run(0.5)
+        for name in emptied:
+            cluster.start(name)
+        cluster.run(CATCH_UP_S + MARGIN_S)
+        self.assert_whole()
+
+    def test_returned_voter_asks_a_leader_that_joined_while_it_was_away(self):
+        """Guards against a removed voter that knows no leader by name and stays out for good."""
+        cluster = self.cluster
+        cluster.lead("v0")
+        away = self.voters()[0]
+        cluster.stop(away)
+        cluster.run(CATCH_UP_S)
+        learner = next(n for n in self.voters() if n not in cluster.seeds)
+        successor = self.replace(learner)
+        cluster.lead(successor)
+        cluster.start(away)
+        cluster.run(CATCH_UP_S + MARGIN_S)
+        members = {m.disk for m in cluster.leader().node.members.members}
+        self.assertIn(cluster.disk_of(away), members, "\n".join(cluster.history))
+
+    def test_change_of_leader_does_not_delay_the_replacement_of_a_lost_voter(self):
+        """Guards against a dead voter that stays a voter because each leader waits anew."""
+        cluster = self.cluster
+        removed = self.voters()[0]
+        cluster.remove(removed)
+        cluster.succeed(removed)
+        cluster.run(2.5)
+        # A split loses no instance, but its leader.
+        cluster.split({cluster.leader().name}, 1.0)
+        cluster.run(CATCH_UP_S - 3.5 + MARGIN_S)
+        self.assert_whole()
+
+    def test_removed_learners_do_not_keep_successors_out(self):
+        """Guards against dead learners that fill the group, so that no further instance joins."""
+        cluster = self.cluster
+        cluster.lead("v0")
+        for _ in range(2):
+            self.replace(self.learner())
+        self.replace(self.voters()[0])
+        self.assert_whole()
+
+    def test_stop_of_all_between_removal_and_promotion(self):
+        """Guards against a group that stays at four voters after a replacement is interrupted."""
+        cluster = self.cluster
+        cluster.lead("v0")
+        removed = self.voters()[0]
+        cluster.remove(removed)
+        cluster.succeed(removed)
+        while len(cluster.leader().node.members.voters()) == 5:
+            cluster.step_finely()
+        cluster.stop_all(0.5)
+        cluster.run(CATCH_UP_S + MARGIN_S)
+        self.assert_whole()
+
+    def test_removed_voter_returns(self):
+        """Guards against a voter that was replaced while it was away and never joins again."""
+        for end in ("stop", "freeze", "cut"):
+            with self.subTest(end=end):
+                self.setUp()
+                cluster = self.cluster
+                cluster.lead("v0")
+                away = self.voters()[0]
+                back = {"stop": cluster.start, "freeze": cluster.thaw, "cut": cluster.join}[end]
+                getattr(cluster, end)(away)
+                cluster.run(5.0)
+                self.assertNotIn(away, cluster.voters())
+                back(away)
+                cluster.run(CATCH_UP_S + MARGIN_S)
+                members = {m.disk for m in cluster.leader().node.members.members}
+                self.assertIn(cluster.disk_of(away), members)
+                self.assert_whole()
+
+
+class TestSeries(unittest.TestCase):
+    """Random series of losses within the tolerance, each with a closing."""
+
+    def test_series(self):
+        """Guards against combinations of losses after which the group serves no read again."""
+        failed = {}
+        for seed in range(60):
+            series = Series(seed)
+            violations = series.run(20)
+            if violations:
+                failed[seed] = violations
+        print(f"{len(failed)} of 60 series with violations: {failed}")
+        self.assertEqual(failed, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
