Let a new leader know for how long a voter has been silent

A voter that was gone for good stayed in the group for as long as leaders changed, since each leader waited three seconds anew before it replaced a voter that did not answer. If the next two disks were lost meanwhile, two of five voters were left, and reads of the configuration got 503 for good.

A heartbeat now names the voters that do not answer and their silence in seconds, nothing in calm; a successor goes on from there. It still waits one election timeout, in which each member can answer it.

--- a/mulberrygate/agreement/base.py
+++ b/mulberrygate/agreement/base.py
@@ -96,6 +96,9 @@
         Index of the first entry of this leader's term.
     last_contact_at : float
         Time of the last message from a leader.
+    heard_at : dict[str, float]
+        Time at which a leader, this voter or a former one, last heard from the disk of each other
+        voter.
     contacts : set[str]
         Instances that may know the group, besides the first voters and the members.
     votes : set[str]
@@ -144,6 +147,7 @@
         self.last_contact_at = NEVER
         self.election_due = NEVER
         self.heartbeat_due = NEVER
+        self.heard_at: dict[str, float] = {}
         self.contacts: set[str] = set()
         self.votes: set[str] = set()
         self.is_pre = False
--- a/mulberrygate/agreement/membership.py
+++ b/mulberrygate/agreement/membership.py
@@ -95,9 +95,15 @@
         return [m for m in self.members.members if m.is_voter or not self.is_lost(m, now)]
 
     def is_lost(self, member: Member, now: float) -> bool:
-        """Return whether a member has not answered this leader for long enough to be replaced."""
-        last_contact_at = max(self.progress[member.disk].last_contact_at, self.leader_since)
-        return now - last_contact_at > self.settings.lost_after_s
+        """Return whether a member has not answered for long enough to be replaced.
+
+        Explanation
+        ===========
+        A new leader waits an election timeout, in which each member can answer it.
+        """
+        if now < self.leader_since + self.settings.election_timeout_s:
+            return False
+        return now - self.last_heard_at(member.disk) > self.settings.lost_after_s
 
     def on_join(self, request: JoinRequest, sender: str, now: float) -> None:
         """Store a join request; add its sender as a learner at once where that is automatic.
--- a/mulberrygate/agreement/messages.py
+++ b/mulberrygate/agreement/messages.py
@@ -118,6 +118,8 @@
         Number of the leader's broadcast, returned in the reply; it confirms reads.
     sent_at : float
         Leader's monotonic clock in seconds, returned in the reply; it extends the lease.
+    silent : tuple[tuple[str, float], ...]
+        Disks of voters that do not answer, and for how many seconds they have not.
     """
 
     cluster: str
@@ -130,6 +132,7 @@
     round: int
     sent_at: float
     entries: tuple[Entry, ...] = ()
+    silent: tuple[tuple[str, float], ...] = ()
 
 
 @message("agreement.append_reply")
@@ -292,6 +295,7 @@
         "prev_term": "pt",
         "commit": "ci",
         "entries": "e",
+        "silent": "si",
     },
 )
 shorten(AppendReply, {**HEARTBEAT_NAMES, "is_ok": "ok", "index": "i"})
--- a/mulberrygate/agreement/replication.py
+++ b/mulberrygate/agreement/replication.py
@@ -86,14 +86,42 @@
             self.round,
             now,
             entries,
+            self.list_silent(now),
         )
         progress.next += len(entries)
         self.effects.append(Send(member.name, message))
 
+    def list_silent(self, now: float) -> tuple[tuple[str, float], ...]:
+        """Return the disks of voters that do not answer, and for how many seconds."""
+        return tuple(
+            (member.disk, round(now - self.last_heard_at(member.disk), 3))
+            for member in self.members.voters()
+            if member.disk != self.disk and not self.is_answering(self.progress[member.disk], now)
+        )
+
+    def last_heard_at(self, disk: str) -> float:
+        """Return when this leader, or the one before it, last heard from a member."""
+        known = self.heard_at.get(disk, self.leader_since)
+        return max(self.progress[disk].last_contact_at, known)
+
+    def record_silent(self, message: Append, now: float) -> None:
+        """Record for how long the leader has not heard from the other voters.
+
+        Explanation
+        ===========
+        Its successor goes on from there. If each leader waited anew, a lost voter would stay in the
+        group for as long as leaders change.
+        """
+        silent_s = dict(message.silent)
+        self.heard_at = {
+            member.disk: now - silent_s.get(member.disk, 0.0) for member in self.members.voters()
+        }
+
     def on_append(self, message: Append, sender: str, now: float) -> None:
         """Handle entries or a heartbeat from the leader."""
         if not self.accept_leader_message(message, sender, now):
             return
+        self.record_silent(message, now)
         # Entries up to the base index are committed, so they match the leader's.
         is_held = message.prev_index >= self.log.base_index
         if is_held and self.log.term_at(message.prev_index) != message.prev_term:
