Replace a lost voter after 1.5 s in a deployment

A control process waited three seconds before a learner replaced a voter that did not answer. Beside slow elections, as after a restart of a group of which three of five voters are left, that took longer than the four seconds after which the next two may be lost; then no majority was left and reads of the configuration got 503 for good.

A voter that freezes for longer than that is replaced while a learner is there, and comes back as one.

--- a/mulberrygate/agreement/tests/core_cluster.py
+++ b/mulberrygate/agreement/tests/core_cluster.py
@@ -22,7 +22,7 @@
     election_timeout_s=0.45,
     heartbeat_s=0.12,
     wanted_voters=WANTED_VOTERS,
-    lost_after_s=3.0,
+    lost_after_s=1.5,
 )
 
 
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -63,6 +63,9 @@
 # A message between group members takes some hundredths of a second, a sync of a slow disk a tenth.
 ELECTION_TIMEOUT_S = 0.45
 HEARTBEAT_S = 0.12
+# A voter that is gone for good has to be replaced, after two elections at worst, before the next
+# loss is to be expected: 4 s after its successor has started.
+LOST_AFTER_S = 1.5
 PERIODIC_TASKS_INTERVAL_S = 0.1
 VOTER_CHECK_INTERVAL_S = 1.0
 POOLS_LOG_INTERVAL_S = 1.0
@@ -243,6 +246,7 @@
         settings = AgreementSettings(
             election_timeout_s=ELECTION_TIMEOUT_S,
             heartbeat_s=HEARTBEAT_S,
+            lost_after_s=LOST_AFTER_S,
             wanted_voters=site.voters,
             may_form=site.is_first_start,
         )
