--- a/mulberrygate/agreement/tests/test_recovery.py
+++ b/mulberrygate/agreement/tests/test_recovery.py
@@ -101,6 +101,28 @@
         self.replace(self.voters()[0])
         self.assert_whole()
 
+    def test_emptied_disk_catches_up_while_snapshots_are_taken(self):
+        """Guards against a snapshot transfer that each newer snapshot starts anew, without end."""
+        cluster = self.cluster
+        cluster.lead("v0")
+        self.propose_often(20.0)
+        name = next(n for n in self.voters() if n in cluster.seeds)
+        cluster.empty(name)
+        cluster.start(name)
+        self.propose_often(10.0)
+        members = cluster.leader().node.members
+        self.assertEqual(cluster.leader().name, "v0")
+        member = members.by_disk(cluster.disk_of(name))
+        self.assertIsNotNone(member, "\n".join(cluster.history))
+        leader = cluster.leader().node
+        self.assertGreater(leader.progress[member.disk].match, leader.commit - 20)
+
+    def propose_often(self, seconds):
+        """Propose ten commands a second; a snapshot is taken after every six."""
+        for _ in range(int(seconds * 10)):
+            self.cluster.propose(self.cluster.leader().name)
+            self.cluster.run(0.1)
+
     def test_stop_of_all_between_removal_and_promotion(self):
         """Guards against a group that stays at four voters after a replacement is interrupted."""
         cluster = self.cluster
