Count a call as sent only once there is a connection to its endpoint

A call whose deadline passed, or whose caller left, while its connection to the endpoint was still being made was answered 504 (it may have run), and was reported as a call that crashes endpoints, since probes of the endpoint got no connection either: nothing had been sent.

The outcome was recorded as unknown before the connection existed, and only a connect that failed by itself corrected that. The HTTP client now tells when it is connected; a send that ends before is one that was not sent, and neither the crash check nor the detection of silent sends looks at it.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -251,6 +251,7 @@
             ),
             address=grant.address,
             sent_at=self.now(),
+            is_connected=False,
         )
 
     def _without_grant(self, refusal: Refusal) -> WholeAnswer | web.StreamResponse | Refused:
@@ -296,7 +297,12 @@
                 left_s = call.deadline_at - self.now()
                 last_event_id = self.splitter.last_id or call.head.last_event_id
                 exchange = await forwarder.endpoints.send(
-                    call, send.grant.endpoint, send.grant.address, left_s, last_event_id
+                    call,
+                    send.grant.endpoint,
+                    send.grant.address,
+                    left_s,
+                    last_event_id,
+                    send.running.connect,
                 )
                 if send.holder is not None:
                     exchange.hold.holder = send.holder
@@ -315,6 +321,8 @@
             self._check_endpoint(send, is_broken=True)
         except BaseException as error:
             send.is_cancelled = True
+            if not send.running.is_connected:
+                self.attempts.replace(SendOutcome.UNKNOWN, SendOutcome.UNSENT)
             if isinstance(error, TimeoutError) and limit.expired():
                 return None if send.is_redundant else self._cancelled_as_quarantined()
             # The call's deadline, a caller that left, or the end of this process.
@@ -332,7 +340,7 @@
 
     def _check_endpoint(self, send: Send, is_broken: bool) -> None:
         """Start a check whether the endpoint of an unanswered send has ended."""
-        if send.running.is_counted:
+        if send.running.is_counted or not send.running.is_connected:
             return
         ended = send.running.end(self.now(), is_broken)
         check = self.forwarder.crash_detector.start_check(ended)
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 
 import aiohttp
 from aiohttp import hdrs
@@ -187,6 +188,17 @@
         self.response.close()
 
 
+def trace_connections() -> aiohttp.TraceConfig:
+    """Return the configuration by which a request's context is called once it is connected."""
+
+    async def report(_session, context, _parameters) -> None:
+        context.trace_request_ctx()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(report)
+    return trace
+
+
 class EndpointClient:
     """HTTP client for endpoints."""
 
@@ -203,13 +215,25 @@
             read_bufsize=READ_BYTES,
             max_line_size=MAX_HEAD_LINE_BYTES,
             max_field_size=MAX_HEAD_LINE_BYTES,
+            trace_configs=[trace_connections()],
         )
 
     async def send(
-        self, call: Call, endpoint: str, address: str, left_s: float, last_event_id: str = ""
+        self,
+        call: Call,
+        endpoint: str,
+        address: str,
+        left_s: float,
+        last_event_id: str = "",
+        on_connected: Callable[[], None] = lambda: None,
     ) -> Exchange:
         """Send a call and wait for the response head.
 
+        Parameters
+        ==========
+        on_connected : Callable[[], None]
+            Called once a connection was made, before anything is sent.
+
         Raises
         ======
         NotSent
@@ -226,6 +250,7 @@
                 headers=headers,
                 data=request_data(call.body),
                 allow_redirects=False,
+                trace_request_ctx=on_connected,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSent(f"{type(error).__name__}: {error}") from error
--- a/mulberrygate/forward/silence.py
+++ b/mulberrygate/forward/silence.py
@@ -73,7 +73,8 @@
                 self.timers.spawn(self._check(address))
 
     def _is_silent(self, send: RunningSend, now: float) -> bool:
-        return not send.is_counted and now - send.silent_since > SILENT_AFTER_S
+        is_waiting = send.is_connected and not send.is_counted
+        return is_waiting and now - send.silent_since > SILENT_AFTER_S
 
     async def _check(self, address: str) -> None:
         """Probe an endpoint, and count its silent sends if it has ended."""
--- a/mulberrygate/forward/unanswered.py
+++ b/mulberrygate/forward/unanswered.py
@@ -59,6 +59,8 @@
         As in `UnansweredSend`.
     heard_at : float
         Monotonic time of the last bytes of the answer, minus infinity before.
+    is_connected : bool
+        Whether a connection to the endpoint was made; nothing can have been sent before.
     is_counted : bool
         Whether its endpoint has been found to have ended.
     has_head, events
@@ -73,6 +75,7 @@
     address: str
     sent_at: float
     heard_at: float = -math.inf
+    is_connected: bool = True
     is_counted: bool = False
     has_head: bool = False
     events: int = 0
@@ -83,6 +86,10 @@
         if self.limit is not None and self.limit.when() is None:
             self.limit.reschedule(asyncio.get_running_loop().time())
 
+    def connect(self) -> None:
+        """Record that a connection to the endpoint was made."""
+        self.is_connected = True
+
     @property
     def silent_since(self) -> float:
         """Monotonic time since which nothing has been received."""
