Report a soak's timeline also when a change is not acknowledged in time

A run whose group lost its majority before the final fault ended with a time-out and printed neither what was done nor which voters were left.

--- a/mulberrygate/daemon/tests/test_recovery_soak.py
+++ b/mulberrygate/daemon/tests/test_recovery_soak.py
@@ -48,7 +48,8 @@
     acknowledged : int
         Newest version that was acknowledged.
     read : int or None
-        Version that the operator read back at the end, ``None`` if none came.
+        Version that the operator read back at the end, ``None`` if none came or if a change was
+        not acknowledged before.
     read_s : float
         Seconds from the last start until the operator had it.
     first_reads : dict[str, float]
@@ -65,13 +66,13 @@
 
     seed: int
     acknowledged: int
-    read: int | None
-    read_s: float
-    first_reads: dict[str, float]
-    behind: tuple[str, ...]
-    older: tuple[str, ...]
-    elections: int
-    timeline: str = attrs.field(repr=False)
+    read: int | None = None
+    read_s: float = 0.0
+    first_reads: dict[str, float] = attrs.field(factory=dict)
+    behind: tuple[str, ...] = ()
+    older: tuple[str, ...] = attrs.field(default=(), converter=tuple)
+    elections: int = 0
+    timeline: str = attrs.field(default="", repr=False)
 
     @property
     def is_bad(self) -> bool:
@@ -104,24 +105,35 @@
     async def run(self):
         """Run until the end and return the report."""
         async with self.group as group:
-            await group.form(self.call_rng)
-            group.note(f"formed: leader {group.leader()}, voters {group.voters()}")
-            calls = [
-                asyncio.ensure_future(self.change_documents()),
-                asyncio.ensure_future(self.read_documents()),
-            ]
             try:
-                for _ in range(self.rounds):
-                    kind = self.rng.choices(list(KINDS), list(KINDS.values()))[0]
-                    await self.disturb(kind)
-                    await asyncio.sleep(CATCH_UP_S + self.rng.uniform(0.1, 1.5))
-                self.is_over = True
-                await asyncio.gather(*calls)
-            finally:
-                for call in calls:
-                    call.cancel()
-                await asyncio.gather(*calls, return_exceptions=True)
-            return await self.close_day()
+                await group.form(self.call_rng)
+                group.note(f"formed: leader {group.leader()}, voters {group.voters()}")
+                await self.run_day()
+                return await self.close_day()
+            except TimeoutError:
+                group.note(f"a step took longer than {STEP_TIMEOUT_S:g} s")
+                group.note_disks()
+                return Report(
+                    self.seed, group.acknowledged, older=self.older, timeline=group.describe()
+                )
+
+    async def run_day(self):
+        """Disturb the control processes while the configuration changes and is read."""
+        calls = [
+            asyncio.ensure_future(self.change_documents()),
+            asyncio.ensure_future(self.read_documents()),
+        ]
+        try:
+            for _ in range(self.rounds):
+                kind = self.rng.choices(list(KINDS), list(KINDS.values()))[0]
+                await self.disturb(kind)
+                await asyncio.sleep(CATCH_UP_S + self.rng.uniform(0.1, 1.5))
+            self.is_over = True
+            await asyncio.gather(*calls)
+        finally:
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
 
     async def disturb(self, kind):
         """Disturb some control processes, and end with all of them running."""
@@ -224,7 +236,7 @@
             round(read_s, 2),
             first_reads,
             tuple(behind),
-            tuple(self.older),
+            self.older,
             elections,
             group.describe(),
         )
@@ -308,15 +320,11 @@
         soak = RecoverySoak(
             seed, options.rounds, RECOVERY_S, options.within, options.entries, folder
         )
-        try:
-            report = asyncio.run(soak.run())
-        except TimeoutError as error:
-            report = f"seed {seed}: a step took longer than {STEP_TIMEOUT_S:g} s {error}"
-        is_bad = isinstance(report, str) or report.is_bad
-        failed += is_bad
-        print(f"{'FAILED ' if is_bad else ''}{report}", flush=True)
-        if is_bad:
-            print(report if isinstance(report, str) else report.timeline, flush=True)
+        report = asyncio.run(soak.run())
+        failed += report.is_bad
+        print(f"{'FAILED ' if report.is_bad else ''}{report}", flush=True)
+        if report.is_bad:
+            print(report.timeline, flush=True)
     print(f"{failed} of {options.seeds} seeds failed")
     return 1 if failed else 0
 
