Promote a learner before the voter that it replaces is removed

The group was a voter short between the removal of a silent voter and the promotion of the learner. If everything stopped there and two disks were lost, two of four voters were left for good and reads of the configuration got 503, although no more disks were lost than a deployment tolerates: the silent voter was only frozen, and a member no more.

The learner now becomes a voter first, so there are six for a moment, of which four are a majority: two lost disks leave it. Then the voter that is silent for longest goes, or the disk whose instance votes with another one. The model has the new order and checks it.

--- a/mulberrygate/agreement/membership.py
+++ b/mulberrygate/agreement/membership.py
@@ -143,44 +143,71 @@
             self.effects.append(Send(self.leader, request))
 
     def advance_members(self, now: float) -> None:
-        """Propose the next step of promoting a learner that has caught up.
+        """Propose the next step of replacing a voter by a learner that has caught up.
 
         Explanation
         ===========
-        The voter that the learner replaces is removed first, and then the learner becomes a voter:
-        swapping them in one step would allow two majorities that do not overlap.
+        The learner becomes a voter first, and then the voter that it replaces is removed: swapping
+        them in one step would allow two majorities that do not overlap. In the other order the
+        group would be a voter short in between, and a crash of all could keep it so: a voter that
+        was only frozen is no member any more, and two lost disks are half of four.
         """
         if not self.can_change_members():
             return
-        for learner in self.members.learners():
-            if not self.is_caught_up(learner, now):
-                continue
-            members = self.next_members(learner, now)
-            if members != self.members and self.has_live_majority(members, now):
+        surplus = self.find_surplus_voter(now)
+        steps = [self.members.without(surplus.disk)] if surplus is not None else []
+        steps += [
+            self.members.plus(attrs.evolve(learner, is_voter=True))
+            for learner in self.members.learners()
+            if surplus is None
+            and self.is_caught_up(learner, now)
+            and self.is_promotion_due(learner, now)
+        ]
+        for members in steps:
+            if self.has_live_majority(members, now):
                 self.propose_members(members, now)
                 return
 
-    def next_members(self, learner: Member, now: float) -> Members:
-        """Return the members after the next step for a learner, unchanged if it has to wait."""
+    def is_promotion_due(self, learner: Member, now: float) -> bool:
+        """Return whether a learner is to become a voter, in the place of another or as one more."""
         wanted = self.settings.wanted_voters
-        is_full = 0 < wanted <= len(self.members.voters())
-        former = self.members.voter_named(learner.name)
-        if former is None and is_full:
-            former = self.find_lost_voter(now)
-        if former is not None:
-            return self.members.without(former.disk)
-        if is_full:
-            return self.members
-        return self.members.plus(attrs.evolve(learner, is_voter=True))
+        if not 0 < wanted <= len(self.members.voters()):
+            return True
+        if self.members.voter_named(learner.name) is not None:
+            return True
+        return self.find_lost_voter(now) is not None
+
+    def find_surplus_voter(self, now: float) -> Member | None:
+        """Return a voter that is to be removed now, ``None`` if there are not too many.
+
+        Explanation
+        ===========
+        A disk whose instance votes with another one is lost. Otherwise it is the voter that has
+        been silent for longest; it need not be silent any more.
+        """
+        others = [member for member in self.members.voters() if member.disk != self.disk]
+        replaced = [member for member in others if self.is_replaced(member, now)]
+        is_over = 0 < self.settings.wanted_voters < len(others) + 1
+        is_known = now >= self.leader_since + self.settings.election_timeout_s
+        candidates = replaced or (others if is_over and is_known else [])
+        return min(candidates, key=lambda m: (self.last_heard_at(m.disk), m.disk), default=None)
+
+    def is_replaced(self, member: Member, now: float) -> bool:
+        """Return whether a silent voter's instance votes with another disk that answers."""
+        return not self.is_answering(self.progress[member.disk], now) and any(
+            other.disk == self.disk or self.is_answering(self.progress[other.disk], now)
+            for other in self.members.voters()
+            if other.name == member.name and other.disk != member.disk
+        )
 
     def find_lost_voter(self, now: float) -> Member | None:
         """Return the voter that has not answered for longest, if that counts as lost."""
-        silent = [
-            (self.progress[member.disk].last_contact_at, member.disk, member)
+        lost = [
+            member
             for member in self.members.voters()
             if member.disk != self.disk and self.is_lost(member, now)
         ]
-        return min(silent)[2] if silent else None
+        return min(lost, key=lambda m: (self.last_heard_at(m.disk), m.disk), default=None)
 
     def has_live_majority(self, members: Members, now: float) -> bool:
         """Return whether a majority of the voters in ``members`` answers.
--- a/mulberrygate/agreement/model.py
+++ b/mulberrygate/agreement/model.py
@@ -22,7 +22,7 @@
 SIZE = 3
 FOLLOWER, CANDIDATE, LEADER = 0, 1, 2
 # Phases of the replacement of a lost disk.
-INTACT, LOST, REMOVED, REPLACED = 0, 1, 2, 3
+INTACT, LOST, ADDED, REPLACED = 0, 1, 2, 3
 
 
 @attrs.frozen
@@ -95,8 +95,8 @@
         all_disks = (1 << SIZE) - 1
         if group.phase in (INTACT, LOST):
             return all_disks
-        others = all_disks & ~(1 << group.lost)
-        return others | 1 << SIZE if group.phase == REPLACED else others
+        with_new = all_disks | 1 << SIZE
+        return with_new if group.phase == ADDED else with_new & ~(1 << group.lost)
 
     def is_member(self, group: Group, name: int) -> bool:
         """Return whether the disk of a name counts towards a majority."""
@@ -182,7 +182,7 @@
 
     def change_steps(self, group: Group, name: int, voter: Voter) -> Iterator[tuple[str, Group]]:
         """Yield the steps of a leader that replaces the lost disk."""
-        if group.phase not in (LOST, REMOVED) or not voter.entry or name == group.lost:
+        if group.phase not in (LOST, ADDED) or not voter.entry or name == group.lost:
             return
         after = attrs.evolve(group, phase=REPLACED if self.swaps_empty else group.phase + 1)
         # The entry that changes the members follows the leader's own entry, so the voters that
--- a/mulberrygate/agreement/tests/test_recovery.py
+++ b/mulberrygate/agreement/tests/test_recovery.py
@@ -136,6 +136,18 @@
         cluster.run(CATCH_UP_S + MARGIN_S)
         self.assert_whole()
 
+    def test_frozen_voter_and_two_lost_disks(self):
+        """Guards against a replacement that is cut short and leaves the group a voter short."""
+        cluster = self.cluster
+        cluster.lead("v0")
+        frozen, *others = self.voters()
+        cluster.freeze(frozen)
+        while len(cluster.leader().node.members.voters()) == 5:
+            cluster.step_finely()
+        cluster.commit()
+        cluster.close(others[:2])
+        cluster.check_read_back()
+
     def test_removed_voter_returns(self):
         """Guards against a voter that was replaced while it was away and never joins again."""
         for end in ("stop", "freeze", "cut"):
