Count a new learner as heard from when it is added

A learner that had just been added counted as lost by a leader of more than 1.5 s, until its first reply, so a second join request could drop it.

--- a/mulberrygate/agreement/membership.py
+++ b/mulberrygate/agreement/membership.py
@@ -88,6 +88,7 @@
         """Add a learner; remove earlier learners of the same name and those that are lost."""
         kept = [m for m in self.lasting_members(now) if m.is_voter or m.name != request.name]
         learner = Member(request.name, request.address, request.disk, False)
+        self.heard_at[request.disk] = now
         return self.propose_members(Members((*kept, learner)), now)
 
     def lasting_members(self, now: float) -> list[Member]:
@@ -155,19 +156,23 @@
         if not self.can_change_members():
             return
         surplus = self.find_surplus_voter(now)
-        steps = [self.members.without(surplus.disk)] if surplus is not None else []
-        steps += [
-            self.members.plus(attrs.evolve(learner, is_voter=True))
-            for learner in self.members.learners()
-            if surplus is None
-            and self.is_caught_up(learner, now)
-            and self.is_promotion_due(learner, now)
-        ]
+        if surplus is not None:
+            steps = [self.members.without(surplus.disk)]
+        else:
+            steps = [
+                self.promote(learner)
+                for learner in self.members.learners()
+                if self.is_caught_up(learner, now) and self.is_promotion_due(learner, now)
+            ]
         for members in steps:
             if self.has_live_majority(members, now):
                 self.propose_members(members, now)
                 return
 
+    def promote(self, learner: Member) -> Members:
+        """Return the members with a learner as a voter."""
+        return self.members.plus(attrs.evolve(learner, is_voter=True))
+
     def is_promotion_due(self, learner: Member, now: float) -> bool:
         """Return whether a learner is to become a voter, in the place of another or as one more."""
         wanted = self.settings.wanted_voters
--- a/mulberrygate/agreement/tests/mutants.py
+++ b/mulberrygate/agreement/tests/mutants.py
@@ -73,10 +73,10 @@
 class SwapsVoters(AgreementNode):
     """Replaces a lost voter by a learner in one step."""
 
-    def next_members(self, learner, now):
+    def promote(self, learner):
         former = self.members.voter_named(learner.name)
-        members = self.members if former is None else self.members.without(former.disk)
-        return members.plus(type(learner)(learner.name, learner.address, learner.disk, True))
+        members = super().promote(learner)
+        return members if former is None else members.without(former.disk)
 
 
 class ReadsWithoutMajority(AgreementNode):
