Sync the parent folder at each start of a voter

A process killed between the creation of its folder and the sync never made the folder's name durable later.

--- a/mulberrygate/agreement/storage.py
+++ b/mulberrygate/agreement/storage.py
@@ -216,10 +216,9 @@
 
     def load_files(self, voter: str) -> StorageState:
         """Lock the folder and read all its files."""
-        if not os.path.isdir(self.folder):
-            os.makedirs(self.folder)
-            # Without this a loss of power may take the new folder with all that is synced in it.
-            sync_folder(os.path.dirname(os.path.abspath(self.folder)))
+        os.makedirs(self.folder, exist_ok=True)
+        # Without this a loss of power may take a new folder with all that is synced in it.
+        sync_folder(os.path.dirname(os.path.abspath(self.folder)))
         self.lock()
         self.remove_unfinished()
         self.identity = self.read_identity(voter)
