Count no silence of a voter for the time in which nobody listened

What is known now carries the time for which it was right, also from an own leadership, and a new leader doesn't count the time since.

test_leader_that_leads_again_keeps_voters_that_answer_late fails without take_contacts.

--- a/mulberrygate/agreement/base.py
+++ b/mulberrygate/agreement/base.py
@@ -97,8 +97,10 @@
     last_contact_at : float
         Time of the last message from a leader.
     heard_at : dict[str, float]
-        Time at which a leader, this voter or a former one, last heard from the disk of each other
-        voter.
+        Time at which a leader, this voter or a former one, last heard from a member's disk.
+    heard_reported_at : float
+        Time for which ``heard_at`` was right: that of the last heartbeat, or of the end of this
+        voter's own leadership.
     contacts : set[str]
         Instances that may know the group, besides the first voters and the members.
     votes : set[str]
@@ -148,6 +150,7 @@
         self.election_due = NEVER
         self.heartbeat_due = NEVER
         self.heard_at: dict[str, float] = {}
+        self.heard_reported_at = NEVER
         self.contacts: set[str] = set()
         self.votes: set[str] = set()
         self.is_pre = False
@@ -241,6 +244,7 @@
     def become_follower(self, term: int, leader_disk: str, now: float) -> None:
         """Become or stay a follower, and fail the pending reads."""
         if self.role is Role.LEADER:
+            self.keep_contacts(now)
             self.reset_election_timer(now)
             self.leader_disk = ""
         if term > self.term:
@@ -253,6 +257,26 @@
         if leader_disk:
             self.record_leader(leader_disk)
 
+    def keep_contacts(self, now: float) -> None:
+        """Keep what this leader knows of the members, for its next leadership."""
+        self.heard_at = {disk: self.last_heard_at(disk) for disk in self.progress}
+        self.heard_reported_at = now
+
+    def last_heard_at(self, disk: str) -> float:
+        """Return when this leader, or the one before it, last heard from a member."""
+        known = self.heard_at.get(disk, self.leader_since)
+        return max(self.progress[disk].last_contact_at, known)
+
+    def take_contacts(self, now: float) -> None:
+        """Take over, as a new leader, when the former one last heard from the members.
+
+        Explanation
+        ===========
+        Nobody listened between its last report and now, so that time doesn't count as silence.
+        """
+        gap_s = max(0.0, now - self.heard_reported_at)
+        self.heard_at = {disk: at + gap_s for disk, at in self.heard_at.items()}
+
     def record_leader(self, disk: str) -> None:
         """Record the leader of the current term, and check that the term has no other."""
         known = self.term_leader or disk
--- a/mulberrygate/agreement/election.py
+++ b/mulberrygate/agreement/election.py
@@ -82,6 +82,7 @@
         """Become the leader of the current term."""
         self.record_leader(self.disk)
         self.leader_since = now
+        self.take_contacts(now)
         self.lease_until = NEVER
         self.progress = {member.disk: self.new_progress() for member in self.members.members}
         self.set_role(Role.LEADER)
--- a/mulberrygate/agreement/replication.py
+++ b/mulberrygate/agreement/replication.py
@@ -99,11 +99,6 @@
             if member.disk != self.disk and not self.is_answering(self.progress[member.disk], now)
         )
 
-    def last_heard_at(self, disk: str) -> float:
-        """Return when this leader, or the one before it, last heard from a member."""
-        known = self.heard_at.get(disk, self.leader_since)
-        return max(self.progress[disk].last_contact_at, known)
-
     def record_silent(self, message: Append, now: float) -> None:
         """Record for how long the leader has not heard from the other voters.
 
@@ -116,6 +111,7 @@
         self.heard_at = {
             member.disk: now - silent_s.get(member.disk, 0.0) for member in self.members.voters()
         }
+        self.heard_reported_at = now
 
     def on_append(self, message: Append, sender: str, now: float) -> None:
         """Handle entries or a heartbeat from the leader."""
--- a/mulberrygate/agreement/tests/test_recovery.py
+++ b/mulberrygate/agreement/tests/test_recovery.py
@@ -148,6 +148,36 @@
         cluster.close(others[:2])
         cluster.check_read_back()
 
+    def test_leader_that_leads_again_keeps_voters_that_answer_late(self):
+        """Guards against replacing a voter for the time in which nobody listened to it."""
+        cluster = self.cluster
+        cluster.lead("v0")
+        frozen = self.voters()[0]
+        cluster.freeze(frozen)
+        node = cluster.leader().node
+        node.become_follower(node.term, "", cluster.now)
+        node.heard_reported_at -= 20.0
+        node.heard_at = {disk: at - 20.0 for disk, at in node.heard_at.items()}
+        node.set_term(node.term + 1, node.disk)
+        node.become_leader(cluster.now)
+        later = cluster.now + 0.5
+        silent = next(m for m in node.members.voters() if m.name == frozen)
+        self.assertFalse(node.is_lost(silent, later))
+        self.assertTrue(node.is_lost(silent, later + 2.0))
+
+    def test_voter_that_is_silent_for_longest_is_replaced(self):
+        """Guards against replacing a voter that is away briefly, and not the one that is gone."""
+        cluster = self.cluster
+        cluster.lead("v0")
+        node = cluster.leader().node
+        gone, away = sorted(m.disk for m in node.members.voters() if m.disk != node.disk)[-2:][::-1]
+        now = cluster.now
+        node.leader_since = now - 10.0
+        for disk, silent_s in ((gone, 9.0), (away, 2.0)):
+            node.progress[disk].last_contact_at = float("-inf")
+            node.heard_at[disk] = now - silent_s
+        self.assertEqual(node.find_lost_voter(now).disk, gone)
+
     def test_removed_voter_returns(self):
         """Guards against a voter that was replaced while it was away and never joins again."""
         for end in ("stop", "freeze", "cut"):
