Ask seeds and contacts too when a read looks for the leader, and log its absence

A voter that returned with an old list of members asked only those, and the logged reason of a failed read named the last process that answered, also where no process knew a leader.

--- a/mulberrygate/control/access.py
+++ b/mulberrygate/control/access.py
@@ -128,6 +128,8 @@
         finally:
             for call in calls:
                 call.cancel()
+        if not names - {"", self.instance, *self.others()}:
+            self.read_failure = f"no leader is known ({self.read_failure})"
         return LatestCatalog(False)
 
     async def _take_answers(
--- a/mulberrygate/daemon/controller.py
+++ b/mulberrygate/daemon/controller.py
@@ -135,7 +135,7 @@
         self.machine = CatalogStateMachine(self._on_state_change)
         self.roster = Roster()
         self.log = LogAccess(
-            site.instance, self.machine, self.peers.client, self.timers, self._other_controls
+            site.instance, self.machine, self.peers.client, self.timers, self._list_contacts
         )
         self.seeds = site.seeds
         self.state_changed = asyncio.Event()
@@ -355,6 +355,12 @@
     def _other_controls(self) -> list[str]:
         return [name for name in self.list_controls() if name != self.site.instance]
 
+    def _list_contacts(self) -> set[str]:
+        """Return all instances that may know the leader: also seeds that are no members."""
+        service = self.log.service
+        contacts = service.node.contacts if service is not None else ()
+        return {*self._other_controls(), *self.seeds, *contacts} - {self.site.instance}
+
     def _wake_followers(self) -> None:
         """Wake the pending requests of entries that wait for a change."""
         changed, self.state_changed = self.state_changed, asyncio.Event()
