Send a commit to a leader's successor as soon as it is known

A change, a quarantine or a move got 503 from a process whose leader had just gone: its one call to that leader took all of the 0.85 s, though the successor was known half a second later. Such a call is now given up once another process leads. A command may be proposed twice by that, as it may be by a caller that repeats it. The new test fails on the code before.

--- a/mulberrygate/control/access.py
+++ b/mulberrygate/control/access.py
@@ -87,12 +87,30 @@
                 if not isinstance(outcome, NotLeader):
                     return False
             elif self.leader and self.leader != self.instance:
-                answer = await self.peers.call(self.leader, Propose(data), left)
+                answer = await self._propose_to(self.leader, Propose(data), left)
                 if isinstance(answer, ProposeResult) and answer.is_committed:
                     return True
             await asyncio.sleep(RETRY_LEADER_S)
         return False
 
+    async def _propose_to(self, leader: str, message: Propose, timeout_s: float) -> object:
+        """Return a leader's answer, or ``None`` once another process leads.
+
+        Explanation
+        ===========
+        A leader that is gone doesn't answer, and its successor is known long before the timeout.
+        """
+        end = self.timers.now() + timeout_s
+        call = asyncio.ensure_future(self.peers.call(leader, message, timeout_s))
+        try:
+            while self.leader in ("", leader) and self.timers.now() < end:
+                await asyncio.wait({call}, timeout=RETRY_LEADER_S)
+                if call.done():
+                    return call.result()
+        finally:
+            call.cancel()
+        return None
+
     async def on_propose(self, message: Propose, _sender: str) -> ProposeResult:
         """Propose a command on behalf of another process, if this one leads."""
         if not self.is_leader:
--- a/mulberrygate/control/tests/test_access.py
+++ b/mulberrygate/control/tests/test_access.py
@@ -8,8 +8,9 @@
 
 from mulberrygate.agreement.effects import Role
 from mulberrygate.control.access import LogAccess
+from mulberrygate.control.catalogs import PutCatalog
 from mulberrygate.core.timers import TimerService
-from mulberrygate.sync.messages import LatestCatalog
+from mulberrygate.sync.messages import LatestCatalog, ProposeResult
 
 NEWEST = LatestCatalog(True, 7, b"document", b"{}")
 
@@ -66,6 +67,27 @@
         latest, _ = await self.read("b", ["b", "c"], answers)
         self.assertFalse(latest.is_certain)
 
+    async def test_reason_without_a_leader(self):
+        """Guards against a log that blames a process for a group that has no leader."""
+        timers = TimerService(lambda name, error: None)
+        self.addAsyncCleanup(timers.close)
+        machine = SimpleNamespace(version=0, document=b"", moves_json=lambda: b"{}")
+        peers = Peers({"b": (0.0, LatestCatalog(False))})
+        access = LogAccess("a", machine, peers, timers, lambda: ["b"])
+        access.service = SimpleNamespace(role=Role.FOLLOWER, leader="")
+        await access.read_latest()
+        self.assertTrue(access.read_failure.startswith("no leader is known"))
+
+    async def test_commit_goes_to_the_successor_of_a_leader_that_is_gone(self):
+        """Guards against a commit that waits for a leader that is gone until its time is over."""
+        timers = TimerService(lambda name, error: None)
+        self.addAsyncCleanup(timers.close)
+        peers = Peers({"c": (0.0, ProposeResult(True))})
+        access = LogAccess("a", SimpleNamespace(), peers, timers)
+        access.service = service = SimpleNamespace(role=Role.FOLLOWER, leader="b")
+        asyncio.get_running_loop().call_later(0.2, lambda: setattr(service, "leader", "c"))
+        self.assertTrue(await access.commit(PutCatalog(1, b"document")))
+
 
 if __name__ == "__main__":
     unittest.main()
