Reach endpoints through other entries where an entry's own links are lost

An entry had one way to an endpoint.

Each connection to an endpoint is now a race of ways: directly, and with a head start each through tunnels of other entries, which connect to registered endpoints only. The first open one is used; nothing is sent before. Limits, grants, budgets, at most once and cancellation stay at the entry that took the call. Two other entries have to find an endpoint unreachable before the failure counts against it. The tests' cut of links moves to where an entry opens direct connections, and the test of the return counts tunnels in place of answers.

13 of the 16 tests of daemon.tests.test_stranded_entries failed before and pass.

--- a/mulberrygate/daemon/entry_node.py
+++ b/mulberrygate/daemon/entry_node.py
@@ -29,6 +29,7 @@
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.service import Forwarder
 from mulberrygate.forward.suspects import Suspects
+from mulberrygate.forward.tunnel import SOCKETS_PER_TUNNEL, TunnelServer
 from mulberrygate.members.deputies import Deputies
 from mulberrygate.observe.jsonlines import JsonLines, rounded_age
 from mulberrygate.observe.metrics import Metrics
@@ -67,6 +68,7 @@
 POOLS_LOG_INTERVAL_S = 1.0
 HEDGES_LOG_INTERVAL_S = 5.0
 SILENT_CHECK_INTERVAL_S = 1.0
+PATHS_SWEEP_INTERVAL_S = 5.0
 MAX_READINESS_CONNECTIONS = 16
 # A new entry that hears only from control processes that may lack the newest state waits for this
 # time for one that has it. Without a majority of the group there is none.
@@ -255,6 +257,13 @@
             self._make_hedging(),
             self.gate,
         )
+        self.forwarder.list_relays = lambda: self.deputies.entries
+        self.tunnels = TunnelServer(
+            self._may_open_tunnel,
+            lambda host, port: self.forwarder.dialer.connect(host, port),
+            site.limits.sockets // SOCKETS_PER_TUNNEL,
+        )
+        self.metrics.gauge("tunnels", lambda: len(self.tunnels.sides))
         self.explainer = PlacementExplainer(self.forwarder, peers)
         peers.on(ExplainPlacement, self._on_explain_placement)
 
@@ -264,6 +273,19 @@
         """Answer an operator, through a control process, where a request would go now."""
         return ExplainedPlacement(json.dumps(await self.explainer.explain(message)))
 
+    def _may_open_tunnel(self, address: str) -> bool:
+        """Return whether an address is an endpoint's that this entry reaches directly."""
+        if self.forwarder.paths.is_direct_doubtful(address):
+            return False
+        return address in self._endpoint_addresses()
+
+    def _endpoint_addresses(self) -> set[str]:
+        return {row.registration.address for row in self.roster.rows.values()}
+
+    def _sweep_paths(self) -> None:
+        """Drop what is known of addresses that no endpoint has any more."""
+        self.forwarder.paths.retain(self._endpoint_addresses(), self.timers.now())
+
     def _make_hedging(self) -> Hedging | None:
         """Return what decides about second copies, ``None`` if the operators want none."""
         settings = self.product.hedging
@@ -317,6 +339,9 @@
         self._create_components()
         await self.peers.start()
         self.follower.start()
+        if self.site.tunnel_port is not None:
+            await self.tunnels.start(self.site.instance, self.site.tunnel_port)
+            self.timers.every(PATHS_SWEEP_INTERVAL_S, self._sweep_paths, "paths")
         self.timers.every(EVIDENCE_INTERVAL_S, self._send_evidence, "evidence")
         self.timers.every(LOG_FLUSH_INTERVAL_S, self.lines.flush, "lines")
         self.timers.every(POOLS_LOG_INTERVAL_S, self._log_pools, "pools")
@@ -332,7 +357,9 @@
             self.forwarder.handle,
             self.site.entry_address,
             cancel_on_disconnect=True,
-            max_connections=max_caller_connections(self.site.limits.sockets),
+            max_connections=max_caller_connections(
+                self.site.limits.sockets - 2 * self.tunnels.max_tunnels
+            ),
         )
         await self.http.start()
         self.timers.every(
@@ -507,11 +534,14 @@
         end = started + self.site.bounds.kill_after_s - EXIT_MARGIN_S
         self.is_stopping = True
         listens_until = min(started + BALANCER_REMOVAL_S, end - LAST_REQUEST_S)
+        self.tunnels.is_closing = True
         self.forwarder.begin_stop(last_send_at(listens_until + LAST_REQUEST_S, end), end)
         await asyncio.sleep(max(0.0, listens_until - self.timers.now()))
         await self.http.stop_listening()
         await self.forwarder.wait_idle(end + ANSWER_MARGIN_S - self.timers.now())
+        await self.tunnels.wait_idle(end + ANSWER_MARGIN_S - self.timers.now())
         self.lines.log("process.stops", active=self.forwarder.active)
+        await self.tunnels.close()
         await self.http.close()
         await self.readiness_http.close()
         await self.forwarder.close()
--- a/mulberrygate/daemon/tests/site_support.py
+++ b/mulberrygate/daemon/tests/site_support.py
@@ -44,7 +44,9 @@
     """Three control processes and an entry, run in the test process."""
 
     def __init__(self):
-        self.peer_port, self.control_port, self.entry_port, self.ready_port = free_ports(4)
+        ports = free_ports(5)
+        self.peer_port, self.control_port, self.entry_port, self.ready_port = ports[:4]
+        self.tunnel_port = ports[4]
         self.folders = {name: tempfile.mkdtemp() for name in CONTROLS}
         self.nodes: dict[str, ControlNode] = {}
         self.entry_node: EntryNode | None = None
@@ -69,6 +71,7 @@
             data_folder=self.folders.get(instance, ""),
             voters=3,
             bounds=BOUNDS,
+            tunnel_port=self.tunnel_port,
         )
 
     async def start_control(self, name, is_first=True):
--- a/mulberrygate/daemon/tests/test_stranded_entries.py
+++ b/mulberrygate/daemon/tests/test_stranded_entries.py
@@ -197,10 +197,11 @@
         cut = await self.lose_links()
         cut.heal()
         await self.call_for(RETURN_S)
-        before = len(self.other.forwarder.lines.of("request.answered"))
+        before = self.other.tunnels.opened
+        self.assertGreater(before, 0)
         statuses = await self.call_for(CALLS * PAUSE_S)
         self.assertEqual(set(statuses[ENTRY]), {200})
-        self.assertEqual(len(self.other.forwarder.lines.of("request.answered")), before)
+        self.assertEqual(self.other.tunnels.opened, before)
 
 
 class TestPassedOnAnswers(StrandedCase):
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -307,8 +307,10 @@
                 if send.holder is not None:
                     exchange.hold.holder = send.holder
                 outcome, answer = await self._receive(send, exchange)
-        except NotSent:
-            outcome, send.fault = SendOutcome.UNSENT, "refused"
+        except NotSent as error:
+            outcome = SendOutcome.UNSENT
+            send.fault = "refused" if error.is_endpoint_down else ""
+            send.is_cancelled = not error.is_endpoint_down
         except Broken as error:
             outcome, send.fault = SendOutcome.UNKNOWN, "cut"
             forwarder.lines.log(
--- a/mulberrygate/forward/exchange.py
+++ b/mulberrygate/forward/exchange.py
@@ -20,17 +20,15 @@
 from mulberrygate.core.http_client import (
     READ_BYTES,
     PacedHandler,
-    StrictConnector,
     is_status,
     open_session,
     request_data,
 )
 from mulberrygate.core.memory_budget import SMALL_BYTES, Holder
 from mulberrygate.core.memory_gate import GrowingHold, MemoryGate
+from mulberrygate.forward.dialer import DialedConnector, Dialer, NoWay
 from mulberrygate.forward.request import AnswerHead, Call, Dialect
 
-# A live endpoint accepts within a round trip; one that is down or partitioned never does.
-CONNECT_TIMEOUT_S = 0.4
 MAX_ANSWER_BYTES = 16 << 20
 # Memory that buffered answers may use together, which bounds endless answers on a small instance,
 # and the size up to which an answer is still read when this memory is exhausted.
@@ -51,10 +49,22 @@
     LISTENS = "listens"
     REFUSES = "refuses"
     SILENT = "silent"
+    # The links of this entry are lost.
+    UNKNOWN = "unknown"
 
 
 class NotSent(Exception):
-    """No connection was made, so no byte of the call reached the endpoint."""
+    """No connection was made, so no byte of the call reached the endpoint.
+
+    Parameters
+    ==========
+    is_endpoint_down : bool
+        Whether the endpoint is unreachable, as opposed to the links of this entry being lost.
+    """
+
+    def __init__(self, text: str = "", is_endpoint_down: bool = True):
+        super().__init__(text)
+        self.is_endpoint_down = is_endpoint_down
 
 
 class Broken(Exception):
@@ -68,8 +78,12 @@
     ==========
     body_bytes_read : int
         Body bytes that were read so far.
+    relay : str
+        Entry through which the connection leads, empty if it is direct.
     """
 
+    relay = ""
+
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         self.received = 0
@@ -182,6 +196,17 @@
         closed = self.closed
         if closed is not None and closed.done() and not closed.cancelled() and closed.exception():
             raise Broken("the connection broke at the end of the answer")
+        if self.protocol is not None and self.protocol.relay and self._ends_with_connection():
+            # The end of a tunnel doesn't show how the endpoint's connection ended.
+            raise Broken("an answer without a length came through another entry")
+
+    def _ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        response = self.response
+        if response.method == hdrs.METH_HEAD or response.status in (204, 304):
+            return False
+        is_chunked = "chunked" in response.headers.get(hdrs.TRANSFER_ENCODING, "").lower()
+        return response.content_length is None and not is_chunked
 
     def close(self) -> None:
         """Close the connection, which lets the endpoint cancel the call if it still runs."""
@@ -200,18 +225,25 @@
 
 
 class EndpointClient:
-    """HTTP client for endpoints."""
+    """HTTP client for endpoints.
+
+    Parameters
+    ==========
+    dialer : Dialer
+        Opens the connections.
+    """
 
-    def __init__(self, dialect: Dialect, gate: MemoryGate | None = None):
+    def __init__(self, dialect: Dialect, dialer: Dialer, gate: MemoryGate | None = None):
+        self.dialer = dialer
         self.dialect = dialect
         self.gate = gate
         self.buffered = BufferedBytes()
         self.session = open_session(
-            connector=StrictConnector(BoundedHandler, use_dns_cache=False),
+            connector=DialedConnector(dialer, BoundedHandler, use_dns_cache=False),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             skip_auto_headers=SUPPRESSED_HEADERS,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
             read_bufsize=READ_BYTES,
             max_line_size=MAX_HEAD_LINE_BYTES,
             max_field_size=MAX_HEAD_LINE_BYTES,
@@ -253,7 +285,9 @@
                 trace_request_ctx=on_connected,
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise NotSent(f"{type(error).__name__}: {error}") from error
+            cause = getattr(error, "os_error", None)
+            is_down = not isinstance(cause, NoWay) or cause.is_endpoint_down
+            raise NotSent(f"{type(error).__name__}: {error}", is_down) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise Broken(f"{type(error).__name__}: {error}") from error
         if self.gate is not None and call.answer_holder is None:
@@ -268,16 +302,17 @@
         """Try to connect to an address and return the result."""
         host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
+            connection, _ = await self.dialer.open(host, int(port))
         except ConnectionRefusedError:
             return ProbeResult.REFUSES
+        except NoWay:
+            return ProbeResult.UNKNOWN
         except TimeoutError:
             return ProbeResult.SILENT
         except OSError:
             # A reset shows that something is listening.
             return ProbeResult.LISTENS
-        writer.close()
+        connection.close()
         return ProbeResult.LISTENS
 
     async def close(self) -> None:
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from aiohttp import web
@@ -21,11 +22,13 @@
 from mulberrygate.forward import codes
 from mulberrygate.forward.crash_detection import CrashDetector
 from mulberrygate.forward.delivery import Delivery
+from mulberrygate.forward.dialer import Dialer
 from mulberrygate.forward.exchange import EndpointClient
 from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.homes import HomeRegions
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.notices import EndpointNotices
+from mulberrygate.forward.paths import Paths
 from mulberrygate.forward.prior_wait import PriorWaitEstimator
 from mulberrygate.forward.quarantine_gate import QuarantineGate
 from mulberrygate.forward.request import Call, Dialect, Refused
@@ -87,6 +90,8 @@
         Number of entries that share the retry budgets.
     active : int
         Requests that are being answered.
+    list_relays : Callable[[], Sequence[str]]
+        Returns the entries through which endpoints may be reached.
     gate : QuarantineGate
         Holds back calls that may crash endpoints. The gate of the memory budget is ``memory``.
     homes : HomeRegions
@@ -120,8 +125,18 @@
         self.timers = timers
         self.lines = lines
         self.metrics = metrics
-        self.endpoints = EndpointClient(dialect, self.memory)
         roster = placement.directory.roster
+        self.paths = Paths(site.instance, random.Random(seed))
+        self.list_relays: Callable[[], Sequence[str]] = tuple
+        self.dialer = Dialer(
+            self.paths,
+            lambda: self.list_relays(),
+            site.tunnel_port,
+            timers.now,
+            self._log_way,
+        )
+        self.endpoints = EndpointClient(dialect, self.dialer, self.memory)
+        metrics.gauge("endpoints_reached_through_entries", self.paths.count_relayed)
         self.notices = EndpointNotices(roster, random.Random(seed))
         metrics.gauge("endpoints_leaving", self.notices.count_leaving)
         metrics.gauge("endpoints_rate_limited", self.notices.count_rate_limited)
@@ -144,6 +159,11 @@
         self.active = 0
         self.idle = asyncio.Event()
 
+    def _log_way(self, address: str, relay: str) -> None:
+        """Log that an endpoint is reached on another way than before."""
+        self.metrics.count("endpoint_way_changes_total")
+        self.lines.log("endpoint.way", address=address, through=relay)
+
     def set_index(self, index: CatalogIndex) -> None:
         """Put a catalog in force for requests that arrive from now on."""
         self.index = index
--- a/mulberrygate/forward/silence.py
+++ b/mulberrygate/forward/silence.py
@@ -95,7 +95,7 @@
             result = await self.probes.probe(address, self.timers.now())
             if result is ProbeResult.REFUSES:
                 return "refused"
-            if result is ProbeResult.LISTENS:
+            if result in (ProbeResult.LISTENS, ProbeResult.UNKNOWN):
                 return ""
         return "unreachable"
 
--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -6,7 +6,6 @@
 import json
 import math
 
-import aiohttp
 from yarl import URL
 
 from mulberrygate.catalog import CatalogIndex
@@ -16,7 +15,6 @@
 from mulberrygate.daemon.placement import Placement, PoolOwners
 from mulberrygate.endpoints.roster import Registration, Roster
 from mulberrygate.entry.tickets import SchedulerClient
-from mulberrygate.forward.exchange import CONNECT_TIMEOUT_S, ProbeResult
 from mulberrygate.forward.limits import AccountLimits
 from mulberrygate.forward.service import Forwarder
 from mulberrygate.forward.suspects import Suspects
@@ -259,44 +257,36 @@
 
     Explanation
     ===========
-    Entries of a test share their event loop, so the cut is made where an entry's client opens
-    connections. Connections to other addresses, such as those of other entries, are left alone.
+    Entries of a test share their event loop, so the cut is made where an entry opens connections
+    directly. Connections to other addresses, such as those of other entries, are left alone.
 
     Parameters
     ==========
     does_hang : bool
         Whether connections are never established, as opposed to refused.
+
+    Attributes
+    ==========
+    tries : int
+        Connections that the entry has tried to open directly.
     """
 
     def __init__(self, forwarder, endpoints, does_hang):
-        self.client = forwarder.endpoints
-        self.connector = self.client.session.connector
+        self.dialer = forwarder.dialer
         self.addresses = {endpoint.address for endpoint in endpoints}
         self.does_hang = does_hang
         self.tries = 0
-        self.connect, self.probe = self.connector.connect, self.client.probe
-        self.connector.connect, self.client.probe = self.connect_cut, self.probe_cut
+        self.connect, self.dialer.connect = self.dialer.connect, self.connect_cut
 
-    async def connect_cut(self, request, traces, timeout):
-        """Open a connection, or fail as the library does."""
-        if f"{request.url.host}:{request.url.port}" not in self.addresses:
-            return await self.connect(request, traces, timeout)
+    async def connect_cut(self, host, port):
+        """Open a connection, or fail as a link does that is gone."""
+        if f"{host}:{port}" not in self.addresses:
+            return await self.connect(host, port)
         self.tries += 1
         if self.does_hang:
-            await asyncio.sleep(CONNECT_TIMEOUT_S)
-            raise aiohttp.ConnectionTimeoutError("the link is cut")
-        raise aiohttp.ClientConnectorError(request.connection_key, ConnectionRefusedError())
-
-    async def probe_cut(self, address):
-        """Probe an address, or return what a cut link shows."""
-        if address not in self.addresses:
-            return await self.probe(address)
-        self.tries += 1
-        if not self.does_hang:
-            return ProbeResult.REFUSES
-        await asyncio.sleep(CONNECT_TIMEOUT_S)
-        return ProbeResult.SILENT
+            await asyncio.Event().wait()
+        raise ConnectionRefusedError("the link is cut")
 
     def heal(self):
         """End the cut."""
-        self.connector.connect, self.client.probe = self.connect, self.probe
+        self.dialer.connect = self.connect
--- a/mulberrygate/platform/settings.py
+++ b/mulberrygate/platform/settings.py
@@ -80,6 +80,8 @@
         Folder on the instance's disk, empty if it has none.
     voters : int
         Number of voters that tolerates the losses of machines that the deployment must survive.
+    tunnel_port : int or None
+        Port at which each entry opens connections to endpoints for other entries.
     """
 
     instance: str
@@ -97,6 +99,7 @@
     voters: int
     bounds: Bounds
     limits: MachineLimits = MachineLimits()
+    tunnel_port: int | None = None
 
     @property
     def is_entry(self) -> bool:
@@ -155,6 +158,7 @@
         voters=2 * int(fields.get("faultTolerance", {}).get("machines", 1)) + 1,
         bounds=_decode_bounds(fields.get("bounds", {})),
         limits=_decode_limits(fields.get("limits") or {}),
+        tunnel_port=int(ports[0]) + 1 if int(ports[1]) > int(ports[0]) else None,
     )
 
 
