--- a/mulberrygate/forward/tunnel.py
+++ b/mulberrygate/forward/tunnel.py
@@ -209,12 +209,8 @@
         if is_full or not self.may_connect(address):
             self._refuse(side, TunnelResult.DENIED)
             return
-        host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                connection = await self.connect_socket(host, int(port))
-            loop = asyncio.get_running_loop()
-            _, other = await loop.create_connection(TunnelSide, sock=connection)
+            other = await self._connect_to(address)
         except TimeoutError:
             self._refuse(side, TunnelResult.SILENT)
             return
@@ -229,6 +225,19 @@
         side.transport.write(TunnelResult.OPEN.value)
         side.other, other.other = other, side
 
+    async def _connect_to(self, address: str) -> TunnelSide:
+        """Return the connection to an endpoint."""
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            connection = await self.connect_socket(host, int(port))
+        try:
+            loop = asyncio.get_running_loop()
+            _, side = await loop.create_connection(TunnelSide, sock=connection)
+        except BaseException:
+            connection.close()
+            raise
+        return side
+
     @staticmethod
     def _refuse(side: EntrySide, result: TunnelResult) -> None:
         side.transport.write(result.value)
