Repeat to a control process the heartbeats that it has not confirmed

An endpoint could stay unknown to all control processes but the one that got its heartbeat, and so to the entries that follow the others, until its next one: its change is sent once without an answer, and its age once with one, each within a second. Two tests that send a single heartbeat waited for it in vain, once each, on busy machines; that this was their cause is likely and not shown.

Ages that a process didn't confirm go to it again with the next round; what it doesn't know it then asks for. The new test fails on the code before.

--- a/mulberrygate/daemon/roster_sharing.py
+++ b/mulberrygate/daemon/roster_sharing.py
@@ -28,6 +28,8 @@
     ==========
     changed, renewed : set[str]
         Endpoints whose changes, or whose heartbeats, are still to be sent.
+    missed : dict[str, set[str]]
+        Endpoints whose heartbeats another control process has not confirmed, by its name.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self.own_running = own_running
         self.changed: set[str] = set()
         self.renewed: set[str] = set()
+        self.missed: dict[str, set[str]] = {}
 
     def aged_registration(self, name: str) -> AgedRegistration:
         """Return an endpoint's registration and the age of its last heartbeat."""
@@ -70,29 +73,45 @@
         tell it. So registrations of cold endpoints are sent again as a whole.
         """
         names, self.renewed = self.renewed, set()
-        now = self.timers.now()
-        renewed = tuple(
-            (name, row.registration.incarnation, round(now - row.heard_at, 3))
-            for name in names
-            if (row := self.roster.rows.get(name)) is not None
-        )
-        cold = tuple(
-            self.aged_registration(name)
-            for name in names
-            if (row := self.roster.rows.get(name)) is not None and row.cold_s(0.0, now) > 0
-        )
-        update = self._make_update(renewed=renewed, heard=cold)
-        for other in self.list_others():
+        others = self.list_others()
+        self.missed = {other: self.missed.get(other, set()) for other in others}
+        for other in others:
+            update = self._make_renewals(names | self.missed[other])
             self.timers.spawn(self._send_renewals(other, update))
 
     async def _send_renewals(self, other: str, update: PeerUpdate) -> None:
+        """Send ages to another control process, and what it doesn't know; repeat them if it fails.
+
+        Explanation
+        ===========
+        The change of an endpoint is sent once without an answer, so the ages have to reach each
+        process: they are how it learns of an endpoint that it has missed.
+        """
+        names = {name for name, _incarnation, _age_s in update.renewed}
+        self.missed[other] = self.missed.get(other, set()) | names
         answer = await self.client.call(other, update, PEER_UPDATE_TIMEOUT_S)
-        if isinstance(answer, PeerUpdateResult) and answer.unknown:
+        if not isinstance(answer, PeerUpdateResult):
+            return
+        self.missed[other] = self.missed.get(other, set()) - names
+        if answer.unknown:
             heard = tuple(
                 self.aged_registration(n) for n in answer.unknown if n in self.roster.rows
             )
             self.client.send(other, self._make_update(heard=heard))
 
+    def _make_renewals(self, names: set[str]) -> PeerUpdate:
+        """Return an update with the ages of some endpoints' heartbeats."""
+        now = self.timers.now()
+        rows = {name: row for name in names if (row := self.roster.rows.get(name)) is not None}
+        renewed = tuple(
+            (name, row.registration.incarnation, round(now - row.heard_at, 3))
+            for name, row in rows.items()
+        )
+        cold = tuple(
+            self.aged_registration(name) for name, row in rows.items() if row.cold_s(0.0, now) > 0
+        )
+        return self._make_update(renewed=renewed, heard=cold)
+
     def _make_update(self, **fields: tuple) -> PeerUpdate:
         """Return an update with the given fields and what this release can apply."""
         return PeerUpdate(
--- a/mulberrygate/daemon/tests/test_roster_sharing.py
+++ b/mulberrygate/daemon/tests/test_roster_sharing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from unittest import mock
 
@@ -9,6 +10,7 @@
 
 from mulberrygate.daemon.roster_sharing import RosterSharing
 from mulberrygate.endpoints.roster import Registration, Roster
+from mulberrygate.peers.client import Unreachable
 from mulberrygate.sync.messages import PeerUpdate
 
 FIRST = Registration("e1", 1, 1, "care", "10.0.0.1:80", "a")
@@ -69,5 +71,33 @@
         self.assertEqual([update.heard for update in self.sent], [()])
 
 
+class TestLostMessages(unittest.IsolatedAsyncioTestCase):
+    """A control process whose first messages to another one are lost."""
+
+    async def test_endpoint_is_known_after_its_first_messages_are_lost(self):
+        """Guards against an endpoint that others learn of only by its next heartbeat."""
+        there = RosterSharing(Roster(), mock.Mock(), mock.Mock(now=lambda: 10.0), list, tuple)
+        answers = [Unreachable("other", "busy")]
+
+        async def call(_to, update, _timeout_s):
+            return answers.pop() if answers else there.merge(update, 10.0)[1]
+
+        tasks = []
+        here = RosterSharing(
+            Roster(),
+            mock.Mock(call=call, send=lambda _to, update: there.merge(update, 10.0)),
+            mock.Mock(now=lambda: 10.0, spawn=lambda c: tasks.append(asyncio.ensure_future(c))),
+            lambda: ["other"],
+            tuple,
+        )
+        here.roster.record_report(FIRST, 10.0)
+        here.renewed.add("e1")
+        for _ in range(3):
+            here.share_renewals()
+            await asyncio.gather(*tasks)
+        self.assertIn("e1", there.roster.rows)
+        self.assertEqual(here.missed, {"other": set()})
+
+
 if __name__ == "__main__":
     unittest.main()
