platform: only the header about this request states that it did not run

What callers saw: a booking that an endpoint had run was sent to another one and ran again, after a 421 without X-Mulberrygate-Not-Executed or after a late answer to another request that had the header.

Cause: the decoder of answers took status 421 alone for the statement, and read the header without comparing the request it speaks of.

Why this works: the statement counts only with the header and in an answer to this request; anything else counts as a call that may have run.

The check "421 alone means not run" of test_headers was wrong by PROTOCOL.md ("No other response states this") and is replaced by its opposite, over five statuses and with the header present.

AnswerHead.has_run is now is_turned_down: not stating so is not the same as having run.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -373,7 +373,7 @@
         self._record_notice(send, head)
         # An endpoint that asks for a pause is sound; a cancelled send is no fault of it.
         send.is_cancelled = head.pause_s is not None
-        if not head.has_run:
+        if head.is_turned_down:
             send.fault = "refused" if head.pause_s is None else ""
             return SendOutcome.TURNED_DOWN, None
         if not head.is_genuine:
--- a/mulberrygate/forward/notices.py
+++ b/mulberrygate/forward/notices.py
@@ -85,7 +85,7 @@
     >>> from mulberrygate.forward.notices import EndpointNotices
     >>> from mulberrygate.forward.request import AnswerHead
     >>> notices = EndpointNotices(Roster(), random.Random(1))
-    >>> head = AnswerHead(200, has_run=True, is_genuine=True, is_leaving=True)
+    >>> head = AnswerHead(200, is_turned_down=False, is_genuine=True, is_leaving=True)
     >>> notices.record("e1", 3, "care", head, now=0.0)
     True
     >>> notices.is_leaving("e1", 3), notices.is_leaving("e1", 4)
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -152,8 +152,8 @@
 
     Parameters
     ==========
-    has_run : bool
-        False if the endpoint states that it did not run the request.
+    is_turned_down : bool
+        Whether the endpoint states that it did not run the request. A status alone states nothing.
     is_genuine : bool
         Whether it is the endpoint's own answer to this request and may be passed on.
     load : int or None
@@ -173,7 +173,7 @@
     """
 
     status: int
-    has_run: bool
+    is_turned_down: bool
     is_genuine: bool
     load: int | None = None
     is_events: bool = False
--- a/mulberrygate/forward/tests/test_endpoint_notices.py
+++ b/mulberrygate/forward/tests/test_endpoint_notices.py
@@ -327,7 +327,7 @@
 
     async def test_entries_return_at_different_times(self):
         """Guards against all entries that come back at the moment at which a pause ends."""
-        head = AnswerHead(503, has_run=False, is_genuine=True, pause_s=4.0)
+        head = AnswerHead(503, is_turned_down=True, is_genuine=True, pause_s=4.0)
         ends = set()
         for seed in range(20):
             notices = EndpointNotices(Roster(), random.Random(seed))
--- a/mulberrygate/forward/tests/test_evacuations.py
+++ b/mulberrygate/forward/tests/test_evacuations.py
@@ -92,7 +92,7 @@
         await self.start(a=whole(), b=whole())
         self.evacuate("a")
         notices, now = self.entry.forwarder.notices, self.entry.timers.now()
-        paused = AnswerHead(503, has_run=False, is_genuine=True, pause_s=60.0)
+        paused = AnswerHead(503, is_turned_down=True, is_genuine=True, pause_s=60.0)
         notices.record("e-b", 1, "booking", paused, now)
         status, code, _ = await self.call()
         self.assertEqual((status, code), (503, codes.ENDPOINTS_PAUSED.number))
--- a/mulberrygate/forward/tests/test_tunnels.py
+++ b/mulberrygate/forward/tests/test_tunnels.py
@@ -39,7 +39,7 @@
 
     def answer_head(self, _call, response):
         """Return the head of an answer that counts as the endpoint's own."""
-        return AnswerHead(status=response.status, has_run=True, is_genuine=True)
+        return AnswerHead(status=response.status, is_turned_down=False, is_genuine=True)
 
 
 class TestTunnels(unittest.IsolatedAsyncioTestCase):
--- a/mulberrygate/platform/headers.py
+++ b/mulberrygate/platform/headers.py
@@ -224,13 +224,15 @@
         is_success = 200 <= response.status < 300
         is_encoded = hdrs.CONTENT_ENCODING in headers
         is_signed = SIGNATURE in headers
+        # A statement in an answer to another request says nothing of this one.
+        states_not_run = NOT_EXECUTED in headers and not is_other_request
         # Another process than the endpoint that was meant answers 421, and says nothing of it.
         is_endpoint = not is_other_request and response.status != 421
         is_turned_away = is_endpoint and response.status == 503
         load, slowdown = _parse_load(headers.get(SERVER_LOAD, ""))
         return AnswerHead(
             status=response.status,
-            has_run=not (NOT_EXECUTED in headers or response.status == 421),
+            is_turned_down=states_not_run,
             is_genuine=not is_other_request and not is_encoded and (is_signed or not is_success),
             load=load,
             slowdown=slowdown if is_endpoint else None,
--- a/mulberrygate/platform/tests/test_headers.py
+++ b/mulberrygate/platform/tests/test_headers.py
@@ -181,9 +181,18 @@
 
     def test_not_run_needs_the_endpoints_statement(self):
         """Guards against taking a request as not run without the endpoint's statement."""
-        self.assertTrue(self.head(status=503).has_run)
-        self.assertFalse(self.head(status=503, X_Mulberrygate_Not_Executed="1").has_run)
-        self.assertFalse(self.head(status=421).has_run)
+        stated = {"X_Mulberrygate_Not_Executed": "1"}
+        for status in (400, 408, 421, 429, 503):
+            with self.subTest(status=status):
+                self.assertFalse(self.head(status=status).is_turned_down)
+                self.assertTrue(self.head(status=status, **stated).is_turned_down)
+
+    def test_statement_about_another_request(self):
+        """A statement in a late answer to another request was taken as one on this request."""
+        head = self.head(
+            status=503, X_Mulberrygate_Not_Executed="1", X_Mulberrygate_Request_Id="id-0"
+        )
+        self.assertFalse(head.is_turned_down)
 
     def test_load(self):
         """Guards against a malformed load header that is read as a number."""
