forward: no status promises "not run" for a call that may have run

Cause: an endpoint's 408, 421, 429 or 503 was passed on. For the caller these statuses are our promise that the call has not run; the endpoint had not stated it. Nothing compared the status that leaves with what is known of the sends.

Why this works: core.promises has the rule, failures.Failures keeps what may be passed on apart from what may not, and Delivery._finish, through which every answer that has not begun leaves, checks the rule against Attempts.execution. A call that may run again is sent on; else the caller gets a genuine error answer or 502 ambiguous_rejection, whose body says that the outcome is unknown.

--- a/mulberrygate/cli/explain.py
+++ b/mulberrygate/cli/explain.py
@@ -128,6 +128,7 @@
     request_lines = [line for line in lines if line.get("id") == request]
     ends = [line for line in request_lines if line["event"].startswith("request.")]
     breaks = [line for line in request_lines if line["event"] == "endpoint.broke"]
+    ambiguous = [line for line in request_lines if line["event"] == "endpoint.ambiguous"]
     if not ends:
         return "The logs hold no end of this request; its process may have ended before it."
     last = ends[-1]
@@ -140,12 +141,9 @@
         number = str(last.get("code", "")).partition(" ")[0]
         code = codes.get(int(number)) if number.isdigit() else None
         meaning = code.meaning if code else "Refused for a reason that this release doesn't know."
-        tail = (
-            f" Before, {breaks[-1]['endpoint']} broke off: {breaks[-1]['reason']}."
-            if breaks
-            else ""
-        )
-        return f"{meaning} Decided after {last['total_s']} s.{tail}"
+        before = [f" Before, {line['endpoint']} broke off: {line['reason']}." for line in breaks]
+        before += [f" Before, {line['endpoint']} answered {line['status']}." for line in ambiguous]
+        return f"{meaning} Decided after {last['total_s']} s.{before[-1] if before else ''}"
     if last.get("fault"):
         reason = f": {breaks[-1]['reason']}" if breaks else ""
         return f"The answer{where} was {last['fault']}{reason}."
--- a/mulberrygate/cli/tests/test_explain.py
+++ b/mulberrygate/cli/tests/test_explain.py
@@ -40,13 +40,16 @@
                  granted_s=0.01, sends=1, fault="broken off: not resumed"),
             text(6.0, "request.refused", id="r3", status=429, endpoint="", total_s=0.02,
                  granted_s=-1, code=str(forward_codes.OVER_LIMIT)),
+            text(6.5, "endpoint.ambiguous", id="r6", endpoint="e2", status=429),
+            text(6.6, "request.refused", id="r6", status=502, endpoint="e2", total_s=0.1,
+                 granted_s=0.01, code=str(forward_codes.AMBIGUOUS_REJECTION)),
             text(7.0, "request.left", id="r4", status=0, endpoint="", total_s=2.0, granted_s=-1),
         ]  # fmt: skip
         self.lines = parse_lines(self.texts)
 
     def test_other_text_is_skipped(self):
         """Guards against an exception at a truncated line."""
-        self.assertEqual(len(self.lines), 9)
+        self.assertEqual(len(self.lines), 11)
         self.assertEqual([line["at"] for line in self.lines], sorted(x["at"] for x in self.lines))
 
     def test_crashes_for_which_a_call_was_refused(self):
@@ -82,6 +85,7 @@
             "e1 was broken off: not resumed: reset", describe_outcome(self.lines, "r2", CODES)
         )
         self.assertIn(forward_codes.OVER_LIMIT.meaning, describe_outcome(self.lines, "r3", CODES))
+        self.assertIn("Before, e2 answered 429.", describe_outcome(self.lines, "r6", CODES))
         self.assertIn("left after 2.0 s", describe_outcome(self.lines, "r4", CODES))
         self.assertIn("Answered 200 at e1", describe_outcome(self.lines, "r1", CODES))
         self.assertIn("no end", describe_outcome(self.lines, "r9", CODES))
--- a/mulberrygate/forward/attempts.py
+++ b/mulberrygate/forward/attempts.py
@@ -5,6 +5,7 @@
 import enum
 
 from mulberrygate.catalog import RetryPolicy, RouteRule
+from mulberrygate.core.outcome import Execution
 
 # Sends of one call, including those that endpoints rejected without running it.
 MAX_SENDS = 4
@@ -19,7 +20,7 @@
     TURNED_DOWN = "turned_down"
     # The endpoint answered that the call ran; it failed unless this answer is final.
     FAILED = "failed"
-    # The answer is missing or invalid, so the call may have run.
+    # The answer is missing, invalid or ambiguous, so the call may have run.
     UNKNOWN = "unknown"
 
 
@@ -82,6 +83,11 @@
         self.sends -= 1
         self.record(outcome)
 
+    @property
+    def execution(self) -> Execution:
+        """What is known about the execution of the call, over all sends."""
+        return Execution.UNKNOWN if self.may_have_run else Execution.NOT_RUN
+
     @property
     def may_have_run(self) -> bool:
         """Whether the call may have run at an endpoint."""
@@ -103,5 +109,4 @@
             return False
         if not self.may_have_run:
             return True
-        may_run_again = self.route.may_retry or self.route.retry_policy is RetryPolicy.IDEMPOTENT
-        return may_run_again and self.runs < self.route.max_attempts
+        return self.route.may_retry and self.runs < self.route.max_attempts
--- a/mulberrygate/forward/codes.py
+++ b/mulberrygate/forward/codes.py
@@ -60,6 +60,15 @@
 CANCELLED = register_code(
     6203, "cancelled_as_crashing", "Such calls crash endpoints; this one may have run.", 502
 )
+AMBIGUOUS_REJECTION = register_code(
+    6204,
+    "ambiguous_rejection",
+    'The endpoint\'s status means "not run", but it did not state so; the call may have run.',
+    502,
+)
+UNTRUE_PROMISE = register_code(
+    9612, "untrue_promise", "A call that may have run was about to be answered as not run.", 502
+)
 PATH_FAILED = register_code(
     9611, "forwarding_failed", "The forwarding path itself failed; the call may have run.", 502
 )
--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -4,19 +4,22 @@
 
 import asyncio
 import math
+from http import HTTPStatus
 from typing import Any
 
-import attrs
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
 
+from mulberrygate.core.invariant import invariant
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.core.paced_response import whole_response
+from mulberrygate.core.promises import keeps_promise
 from mulberrygate.forward import codes
 from mulberrygate.forward.attempts import Attempts, SendOutcome
 from mulberrygate.forward.crash_detection import SIGN_OF_LIFE_S
 from mulberrygate.forward.events import EventSplitter, EventTooLong
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
+from mulberrygate.forward.failures import Failures, WholeAnswer
 from mulberrygate.forward.hedged_send import HedgedSend
 from mulberrygate.forward.request import AnswerHead, Call, Refused
 from mulberrygate.forward.sends import Send, Turn
@@ -35,15 +38,6 @@
 CRASH_CHECK_WAIT_S = 0.15
 
 
-@attrs.frozen
-class WholeAnswer:
-    """Complete answer of an endpoint, held in memory."""
-
-    head: AnswerHead
-    headers: list[tuple[str, str]]
-    body: bytes
-
-
 class Delivery:
     """Delivery of one call to an endpoint, and of the answer to the caller.
 
@@ -59,8 +53,8 @@
         sent there; see ``avoid`` of `mulberrygate.schedule.messages.Ticket`.
     response : web.StreamResponse or None
         Stream response to the caller whose head was sent.
-    last_failure : WholeAnswer or None
-        Latest error answer of an endpoint; it is passed on if no send succeeds.
+    failures : Failures
+        Error answers of endpoints, for the case that no send succeeds.
     relayed_at : float
         Monotonic time at which events were last passed on to the caller, infinite before.
     hedge : HedgedSend or None
@@ -75,7 +69,7 @@
         self.avoid: list[str] = []
         self.splitter = EventSplitter()
         self.response: web.StreamResponse | None = None
-        self.last_failure: WholeAnswer | None = None
+        self.failures = Failures(call.route.may_retry)
         self.tickets = 0
         self.crash_check: asyncio.Task | None = None
         self.relayed_at = math.inf
@@ -100,8 +94,12 @@
     def _finish(
         self, answer: WholeAnswer | web.StreamResponse | Refused
     ) -> web.StreamResponse | Refused:
-        if isinstance(answer, Refused):
-            return answer
+        status = answer.code.http_status if isinstance(answer, Refused) else answer.status
+        invariant(
+            keeps_promise(status, self.attempts.execution),
+            codes.UNTRUE_PROMISE,
+            f"{self.call.head.request} {status}",
+        )
         if isinstance(answer, WholeAnswer):
             self.forwarder.record_answer(self.call, answer.head.status)
             return whole_response(answer.head.status, answer.headers, answer.body)
@@ -112,8 +110,9 @@
         reason = "" if is_deadline else "the entry stops"
         if self.response is not None:
             return self._abort(reason or "deadline")
-        if self.last_failure is not None:
-            return self.last_failure
+        failed = self.failures.final_answer()
+        if failed is not None:
+            return failed
         if self.attempts.may_have_run:
             return Refused(codes.TIMED_OUT, reason)
         return Refused(codes.NOT_SERVED, reason)
@@ -275,8 +274,9 @@
         """Return the final answer after all sends failed."""
         if self.response is not None:
             return self._abort("not resumed")
-        if self.last_failure is not None:
-            return self.last_failure
+        failed = self.failures.final_answer()
+        if failed is not None:
+            return failed
         if self.attempts.may_have_run:
             return Refused(codes.ENDPOINT_FAILED)
         return Refused(codes.TURNED_DOWN, retry_after_s=retry_after_s)
@@ -394,11 +394,35 @@
             self.forwarder.suspects.record_answered(self.call)
         if self.response is not None:
             raise Broken("a resumed stream was not continued")
-        if head.status < 500:
+        if head.status < 500 and not answer.is_ambiguous:
             return SendOutcome.FAILED, answer
-        send.fault = "error" if head.pause_s is None else ""
-        self.last_failure = answer
-        return SendOutcome.FAILED, None
+        send.fault = self._fault_of(head)
+        self.failures.record(answer)
+        if not answer.is_ambiguous:
+            return SendOutcome.FAILED, None
+        self._log_ambiguous(send, head)
+        return SendOutcome.UNKNOWN, None
+
+    @staticmethod
+    def _fault_of(head: AnswerHead) -> str:
+        """Return the kind of fault that an error answer shows."""
+        if head.pause_s is not None:
+            return ""
+        # Another process answers so at the address of an endpoint that has ended.
+        is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
+        return "refused" if is_misdirected else "error"
+
+    def _log_ambiguous(self, send: Send, head: AnswerHead) -> None:
+        """Log an answer whose status promises "not run" without the endpoint's statement."""
+        self.forwarder.metrics.count("ambiguous_rejections_total", status=str(head.status))
+        self.forwarder.lines.log(
+            "endpoint.ambiguous",
+            id=self.call.head.request,
+            endpoint=send.grant.endpoint,
+            pool=self.call.pool.name,
+            status=head.status,
+            may_retry=self.call.route.may_retry,
+        )
 
     def _record_notice(self, send: Send, head: AnswerHead) -> None:
         """Record what an endpoint says of itself in an answer, and log what is new."""
--- a/mulberrygate/forward/request.py
+++ b/mulberrygate/forward/request.py
@@ -11,8 +11,12 @@
 from mulberrygate.control.blame import part_identity
 from mulberrygate.core.codes import Code
 from mulberrygate.core.memory_budget import Holder
+from mulberrygate.core.outcome import Execution
 from mulberrygate.quota.local import UnitsReceipt
 
+# Statuses of refusals of calls that may have run.
+MAY_HAVE_RUN_STATUSES = (502, 504)
+
 
 @attrs.frozen
 class CallHead:
@@ -204,6 +208,12 @@
     detail: str = ""
     retry_after_s: float = 0.0
 
+    @property
+    def execution(self) -> Execution:
+        """What is known about the execution of the request."""
+        may_have_run = self.code.http_status in MAY_HAVE_RUN_STATUSES
+        return Execution.UNKNOWN if may_have_run else Execution.NOT_RUN
+
 
 class Dialect(Protocol):
     """Codec for the header names and formats of one protocol of callers and endpoints."""
--- a/mulberrygate/forward/service.py
+++ b/mulberrygate/forward/service.py
@@ -454,7 +454,12 @@
         self._log_request(call, "request.refused", code.http_status, code=str(code), detail=detail)
         headers = self.dialect.refusal_headers(call, refused)
         response = web.json_response(
-            {"code": code.number, "title": code.name, "detail": refused.detail or code.meaning},
+            {
+                "code": code.number,
+                "title": code.name,
+                "outcome": refused.execution.value,
+                "detail": refused.detail or code.meaning,
+            },
             status=code.http_status,
             headers=headers,
         )
--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -11,6 +11,7 @@
 
 from mulberrygate.core.memory_budget import Holder
 from mulberrygate.core.paced_response import LongResponse
+from mulberrygate.core.promises import NOT_RUN_STATUSES
 from mulberrygate.forward.hedging import Hedging
 from mulberrygate.forward.suspects import Finding, Standing
 from mulberrygate.forward.tests.support import (
@@ -315,6 +316,34 @@
         self.assertEqual(status, 502)
         await self.assert_nothing_left()
 
+    async def test_ambiguous_answers(self):
+        """An answer 429, 408 or 421 to one copy was passed on though both may have run."""
+        for status in sorted(NOT_RUN_STATUSES):
+            for first, copy in (
+                (self.after_copy(whole(status)), wait_for_disconnect),
+                (self.after_copy(whole(status)), late(DELAY_S, turn_down)),
+                (self.after_copy(turn_down), late(DELAY_S, whole(status))),
+            ):
+                with self.subTest(status=status, first=first, copy=copy):
+                    await self.start()
+                    self.answer_with(first, copy)
+                    deadline = {"X-Mulberrygate-Request-Deadline": "500"}
+                    code, body = await self.call(**deadline)
+                    self.assertEqual(code, 502)
+                    self.assertIn(b"ambiguous_rejection", body)
+                    await self.assert_nothing_left()
+
+    async def test_ambiguous_answer_waits_for_the_other(self):
+        """An answer 429, 408 or 421 to one copy was final though the other one succeeded."""
+        for status in sorted(NOT_RUN_STATUSES):
+            with self.subTest(status=status):
+                await self.start()
+                self.answer_with(
+                    self.after_copy(whole(status)), late(2 * DELAY_S, whole(200, b"good"))
+                )
+                self.assertEqual(await self.call(), (200, b"good"))
+                await self.assert_nothing_left()
+
     async def test_both_turned_down(self):
         """Guards against a failure for a call that neither endpoint has run."""
         await self.start()
