entry: a service's status is no promise that the call has not run

What callers saw: on the product's own interface, a booking that a service had run was answered with the service's 408, 421, 429 or 503, and again from the ledger when its key was sent again. Callers take these statuses for "not run".

Cause: Relay and the replay of recorded answers both passed a service's status on. The protocol of services has no statement of "not run".

Why this works: both make the response in service_response, which asks core.promises as the forwarding path does, and refuses with 502 ambiguous_answer. The ledger keeps what the service answered, so answers recorded by earlier releases follow the rule too. Idempotent calls are sent to another endpoint after each of the four statuses.

Measured: entry.tests.test_answers, test_relay and daemon.tests.test_requests passed.

--- a/mulberrygate/daemon/tests/test_requests.py
+++ b/mulberrygate/daemon/tests/test_requests.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from mulberrygate.core.promises import NOT_RUN_STATUSES
 from mulberrygate.daemon.tests.base import SystemTest
 from mulberrygate.standin.engine import CRASH_MARK
 from mulberrygate.standin.local import token_of, wait_for
@@ -252,11 +253,26 @@
         status, answer, _ = await self.system.call(
             "a1", "GET", "/services/booking/stock", token_of("field")
         )
-        runs = (await self.system.json("booking-a", "/standin"))["runs"]["total"]
-        self.assertGreater(runs, 1)
+        self.assertGreater(await self.count_runs(), 1)
         self.assertEqual(status, 503)
         self.assertEqual(json.loads(answer)["outcome"], "unknown", answer)
 
+    async def test_status_of_a_service_is_no_promise(self):
+        """A booking that a service had run was answered 408, 421, 429 or 503, also as a replay."""
+        for status in sorted(NOT_RUN_STATUSES):
+            await self.set_behaviour("booking-a", fail_every=1, fail_status=status)
+            for entry, runs in (("a1", 1), ("a1", 0), ("a2", 0)):
+                with self.subTest(status=status, entry=entry, runs=runs):
+                    before = await self.count_runs()
+                    code, answer = await self.book(entry, f"visit-{status}")
+                    self.assertEqual((code, answer["outcome"]), (502, "unknown"), answer)
+                    self.assertEqual(answer["title"], "ambiguous_answer")
+                    self.assertEqual(await self.count_runs() - before, runs)
+
+    async def count_runs(self) -> int:
+        """Return how many calls the plain service has run."""
+        return (await self.system.json("booking-a", "/standin"))["runs"].get("total", 0)
+
     async def test_refused_connection_goes_to_another_endpoint(self):
         """Guards against an error for a request of which no byte was sent."""
         await self.system.kill("engine-a")
--- a/mulberrygate/entry/attach.py
+++ b/mulberrygate/entry/attach.py
@@ -53,7 +53,7 @@
     return 0
 
 
-async def replay(request: RequestContext, answer: bytes) -> web.StreamResponse:
+async def replay(request: RequestContext, answer: bytes) -> web.StreamResponse | Refusal:
     """Return the response made from an answer that the ledger stored."""
     if not request.is_model:
         return unpack_service_answer(answer, request)
--- a/mulberrygate/entry/codes.py
+++ b/mulberrygate/entry/codes.py
@@ -51,4 +51,10 @@
 ANSWER_TOO_LARGE = register_code(
     6104, "answer_too_large", "The endpoint's answer is over the limit.", 502
 )
+AMBIGUOUS_ANSWER = register_code(
+    6105,
+    "ambiguous_answer",
+    "The service's status means \"not run\", which it can't state; the call may have run.",
+    502,
+)
 INTERNAL = register_code(1099, "internal_error", "The entry failed; its log has the cause.", 500)
--- a/mulberrygate/entry/relay.py
+++ b/mulberrygate/entry/relay.py
@@ -13,8 +13,9 @@
 from mulberrygate.core.memory_gate import GrowingHold
 from mulberrygate.core.outcome import Execution, Refusal
 from mulberrygate.core.paced_response import whole_response, write_stream
+from mulberrygate.core.promises import keeps_promise, promises_not_run
 from mulberrygate.entry.answers import problem_event
-from mulberrygate.entry.codes import ANSWER_TOO_LARGE
+from mulberrygate.entry.codes import AMBIGUOUS_ANSWER, ANSWER_TOO_LARGE
 from mulberrygate.entry.context import EntryParts, RequestContext, Result, RetryElsewhere
 from mulberrygate.entry.record import report_dispatch
 from mulberrygate.entry.resuming_reader import ResumingReader, StreamFailure
@@ -87,14 +88,24 @@
         result.is_complete = True
         result.fault = "error" if response.status >= 500 else ""
         result.answer = pack_service_answer(response.status, headers, body)
-        may_repeat = request.is_idempotent and response.status in (502, 503, 504)
+        if promises_not_run(response.status):
+            self._record_ambiguous(request, response.status)
+        may_repeat = request.is_idempotent and is_worth_repeating(response.status)
         if may_repeat and self.parts.retries.spend():
             report_dispatch(self.parts, request)
             request.result = Result()
             return RetryElsewhere(f"the endpoint answered {response.status}")
         await self.parts.background.wait_shielded(proceed())
-        headers.update(request_id_headers(request))
-        return whole_response(response.status, list(headers.items()), body)
+        return service_response(request, response.status, headers, body)
+
+    def _record_ambiguous(self, request: RequestContext, status: int) -> None:
+        self.parts.metrics.count("ambiguous_rejections_total", status=str(status))
+        self.parts.events.add(
+            "entry.ambiguous",
+            f"the service answered {status}; the call may have run",
+            request=request.request_id,
+            endpoint=request.grant.endpoint,
+        )
 
     @staticmethod
     async def _read_body(response: aiohttp.ClientResponse, hold: GrowingHold) -> bytes:
@@ -269,9 +280,29 @@
     return packed if len(packed) <= KEPT_ANSWER_BYTES else b""
 
 
-def unpack_service_answer(packed: bytes, request: RequestContext) -> web.Response:
+def unpack_service_answer(packed: bytes, request: RequestContext) -> web.StreamResponse | Refusal:
     """Return the response made from a service's answer that the ledger stored."""
     status, headers, body = msgpack.unpackb(packed)
-    return web.Response(
-        status=status, body=body, headers={**headers, **request_id_headers(request)}
-    )
+    return service_response(request, status, headers, body)
+
+
+def service_response(
+    request: RequestContext, status: int, headers: dict[str, str], body: bytes
+) -> web.StreamResponse | Refusal:
+    """Return the response to the caller that is made from a service's answer.
+
+    Explanation
+    ===========
+    It is a refusal if the status promises "not run": the protocol of services has no statement of
+    that, so the call may have run.
+    """
+    if not keeps_promise(status, Execution.UNKNOWN):
+        detail = f"the service answered {status}; the call may have run"
+        return Refusal(AMBIGUOUS_ANSWER, detail, Execution.UNKNOWN)
+    headers = {**headers, **request_id_headers(request)}
+    return whole_response(status, list(headers.items()), body)
+
+
+def is_worth_repeating(status: int) -> bool:
+    """Return whether another service instance may answer an idempotent call better."""
+    return promises_not_run(status) or status in (502, 504)
