entry: a refusal of a request that may have run never has a promising status

What callers saw: on the product's own interface, a read that endpoints had run was refused with 503 and "outcome": "unknown". The status promises what the body denies.

Cause: the status of a refusal was that of its code, whatever is known of the sends.

Why this works: refusal_status, the only place that makes the status, asks core.promises. The code stays, so the cause can still be told.

--- a/mulberrygate/entry/answers.py
+++ b/mulberrygate/entry/answers.py
@@ -8,18 +8,24 @@
 from aiohttp import web
 
 from mulberrygate.core.outcome import Refusal
+from mulberrygate.core.promises import true_status
 
 PROBLEM_TYPE = "application/problem+json"
 TYPE_PREFIX = "urn:mulberrygate:code:"
 
 
+def refusal_status(refusal: Refusal) -> int:
+    """Return the HTTP status of a refusal, which is not that of its code if it may have run."""
+    return true_status(refusal.code.http_status, refusal.execution)
+
+
 def problem(refusal: Refusal, request_id: str = "") -> dict:
     """Return the members of the problem document for a refusal."""
     code = refusal.code
     members = {
         "type": f"{TYPE_PREFIX}{code.number}",
         "title": code.name,
-        "status": code.http_status,
+        "status": refusal_status(refusal),
         "code": code.number,
         "outcome": refusal.execution.value,
         "detail": refusal.detail or code.meaning,
@@ -38,10 +44,11 @@
     headers = dict(headers or {})
     if refusal.retry_after_s:
         headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
-    if refusal.code.http_status == 401:
+    status = refusal_status(refusal)
+    if status == 401:
         headers["WWW-Authenticate"] = "Bearer"
     return web.Response(
-        status=refusal.code.http_status,
+        status=status,
         body=json.dumps(problem(refusal, request_id)).encode(),
         content_type=PROBLEM_TYPE,
         headers=headers,
