daemon: a newcomer keeps its place before connections without progress

Cause: a request refused before its body came keeps its connection for ten seconds, in which the HTTP library waits for the rest. When places became short, HttpServer closed connections without a request first, and those were ordinary callers whose request was a round trip away. The others counted as kept ones, or as bodies in work, and stayed.

Evidence: three of the new tests of test_bounded_connections fail before: refused callers without their body, refused callers that keep their connection, and bodies that are awaited, which may have a key.

Why this works: what goes is chosen by the time without progress. One that has said nothing for 1 s goes before kept ones; if all are younger, the oldest of new connections, answered ones without their body, and bodies being read. So a newcomer stays for as long as the crowd needs to open all its connections anew. While places are short, the rest of an answered request's body isn't waited for, so an ended body gives its place back at once.

The entry of the tests had a memory budget for its server and another one for its forwarder; it has one now, as in operation.

--- a/mulberrygate/core/memory_gate.py
+++ b/mulberrygate/core/memory_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 from typing import Any
 
@@ -150,8 +151,8 @@
                 pool.stop_waiting(holder)
         return True
 
-    def refuse_waiting_body(self) -> None:
-        """Refuse a body that waits for memory, since connections are short.
+    def refuse_waiting_body(self) -> bool:
+        """Refuse a body that waits for memory, since connections are short; return if there is one.
 
         Bodies that make no progress are ended with the next sweep.
         """
@@ -159,6 +160,23 @@
         holder = self.budget.bodies.pop_waiting()
         if holder is not None:
             holder.on_refused()
+        return holder is not None
+
+    def end_oldest_body(self, before: float = math.inf) -> bool:
+        """End the body that has made no progress for longest; return if there is one.
+
+        Parameters
+        ==========
+        before : float
+            Monotonic time in seconds before which its last progress has to be.
+        """
+        holder = self.budget.bodies.find_oldest()
+        if holder is None or holder.marked_at >= before:
+            return False
+        holder.is_paced = False
+        self.count("body_closed")
+        holder.on_evicted()
+        return True
 
     async def read_body(
         self, request: Any, limit: int, holder: Holder, silence_s: float | None = None
--- a/mulberrygate/daemon/bounded_connection.py
+++ b/mulberrygate/daemon/bounded_connection.py
@@ -182,6 +182,10 @@
         else:
             self.bounds.limit_heads()
 
+    def skip_rest_of_body(self) -> None:
+        """Close the connection after the answer, without waiting for the rest of the body."""
+        self._lingering_time = 0.0
+
     def end_request(self) -> None:
         """Count anew what arrives behind a request in work."""
         if self._messages:
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -37,6 +37,9 @@
 FRAMING_BYTES_PER_S = 256 << 10
 # Idle connections that are looked at when one has to go.
 MOST_IDLE_TRIES = 32
+# A connection on which nothing has come for this time goes before one that is kept for further
+# requests. A younger one may belong to a caller whose request is still on its way.
+NEWCOMER_S = 1.0
 
 
 def max_caller_connections(sockets: int) -> int:
@@ -106,7 +109,7 @@
         Memory budget of the process.
     max_connections : int
         Connections that may be open at a time, or fewer if the memory allows fewer. When a new one
-        comes, the one goes that has been without a request for longest.
+        comes, another one goes, see `_make_room`.
     connection_class : type
         Class of the connections.
 
@@ -118,9 +121,12 @@
         Connections that have had at least one request.
     silent_since : dict[Any, float]
         Connections without any request so far, with the time at which they were first seen.
-    new_connections, kept_connections : dict
+    new_connections, kept_connections : dict[BoundedConnection, float]
         Connections without a request so far, and those without a request at present, the longest
-        idle first.
+        idle first, with the time since when.
+    unread_connections : dict[BoundedConnection, tuple[float, Any]]
+        Connections whose request was answered before its body had arrived, the longest answered
+        first, with the time of the answer and the body. The HTTP library waits for the rest of it.
     unfinished_heads : dict
         Connections that have sent a part of a head, the oldest first.
     head_bytes, ahead_bytes : int
@@ -145,8 +151,9 @@
         self.connection_class = connection_class
         self.gate = gate or MemoryGate(DEFAULT_MEMORY_BYTES)
         self.max_connections = self.gate.limit_connections(max_connections)
-        self.new_connections: dict[BoundedConnection, None] = {}
-        self.kept_connections: dict[BoundedConnection, None] = {}
+        self.new_connections: dict[BoundedConnection, float] = {}
+        self.kept_connections: dict[BoundedConnection, float] = {}
+        self.unread_connections: dict[BoundedConnection, tuple[float, Any]] = {}
         self.unfinished_heads: dict[BoundedConnection, None] = {}
         self.head_bytes = 0
         self.ahead_bytes = 0
@@ -164,51 +171,124 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.active_connections.add(request.protocol)
         self.used_connections.add(request.protocol)
-        self.new_connections.pop(request.protocol, None)
-        self.kept_connections.pop(request.protocol, None)
+        self._forget_idle(request.protocol)
         try:
             return await self.handler(request)
         finally:
             self.active_connections.discard(request.protocol)
             if request.transport is not None:
-                self.kept_connections[request.protocol] = None
+                self._record_idle(request)
                 request.protocol.end_request()
 
+    def _record_idle(self, request: web.BaseRequest) -> None:
+        """Record that a connection has no request in work any more."""
+        now = asyncio.get_running_loop().time()
+        if request.content.is_eof():
+            self.kept_connections[request.protocol] = now
+            return
+        if self.is_short:
+            request.protocol.skip_rest_of_body()
+        else:
+            self.unread_connections[request.protocol] = now, request.content
+
+    def _forget_idle(self, connection: BoundedConnection) -> None:
+        for connections in (self.new_connections, self.kept_connections, self.unread_connections):
+            connections.pop(connection, None)
+
     def _make_connection(self) -> BoundedConnection:
         loop = asyncio.get_running_loop()
         return self.connection_class(self, self.server, loop=loop, **self.server._kwargs)
 
     def on_connected(self, connection: BoundedConnection) -> None:
         """Count a new connection; make room for it, or close it if there is none."""
-        self.new_connections[connection] = None
+        self.new_connections[connection] = asyncio.get_running_loop().time()
         self.open_connections += 1
-        spare = min(SPARE_CONNECTIONS, self.max_connections // 4)
-        if self.open_connections <= self.max_connections - spare:
-            return
-        if self._close_idle(connection):
-            self.gate.count("idle_closed")
-            return
-        # Its request may be a small one, which is served beside large bodies that wait.
-        self.gate.refuse_waiting_body()
-        if self.open_connections > self.max_connections:
+        if (
+            self.is_short
+            and not self._make_room(connection)
+            and self.open_connections > self.max_connections
+        ):
             self.gate.count("connection_refused")
             connection.transport.abort()
 
-    def _close_idle(self, newest: BoundedConnection) -> bool:
-        """Close the connection that has been without a request for longest."""
-        for connections in (self.new_connections, self.kept_connections):
-            for connection, _ in zip(connections, range(MOST_IDLE_TRIES), strict=False):
-                if connection is not newest and connection.is_idle:
-                    connections.pop(connection)
-                    connection.force_close()
-                    return True
-        return False
+    @property
+    def is_short(self) -> bool:
+        """Whether so many connections are open that each new one needs another one's place."""
+        spare = min(SPARE_CONNECTIONS, self.max_connections // 4)
+        return self.open_connections > self.max_connections - spare
+
+    def _make_room(self, newest: BoundedConnection) -> bool:
+        """Close a connection, or end what occupies one; return whether one was closed.
+
+        Explanation
+        ===========
+        First goes one on which nothing has come for `NEWCOMER_S`, then the one that was kept for
+        further requests for longest, then a body that waits for memory, and then whatever has made
+        no progress for longest. So however many connections say nothing, a caller that has just
+        connected keeps its place for as long as it takes to open all the others anew.
+        """
+        silent = self._find_silent(newest)
+        now = asyncio.get_running_loop().time()
+        if silent is not None and now - silent[0] >= NEWCOMER_S:
+            self._close_idle(silent[1])
+            return True
+        kept = self._find_idle(self.kept_connections, newest)
+        if kept is not None:
+            self._close_idle(kept)
+            return True
+        # The new request may be a small one, which is served beside large bodies that wait.
+        if self.gate.refuse_waiting_body() and self.open_connections <= self.max_connections:
+            return False
+        if silent is None:
+            self.gate.end_oldest_body()
+            return False
+        if self.gate.end_oldest_body(before=silent[0]):
+            return False
+        self._close_idle(silent[1])
+        return True
+
+    def _close_idle(self, connection: BoundedConnection) -> None:
+        self._forget_idle(connection)
+        connection.force_close()
+        self.gate.count("idle_closed")
+
+    def _find_silent(self, newest: BoundedConnection) -> tuple[float, BoundedConnection] | None:
+        """Return the connection on which a head or the rest of a body is missing for longest."""
+        self._move_read_bodies()
+        found = [
+            (self.new_connections[connection], connection)
+            for connection in [self._find_idle(self.new_connections, newest)]
+            if connection is not None
+        ]
+        connection = self._find_idle(self.unread_connections, newest)
+        if connection is not None:
+            found.append((self.unread_connections[connection][0], connection))
+        return min(found, key=lambda item: item[0], default=None)
+
+    def _move_read_bodies(self) -> None:
+        """Count connections whose body has arrived since the answer as kept ones."""
+        for connection, _ in zip(
+            list(self.unread_connections), range(MOST_IDLE_TRIES), strict=False
+        ):
+            _, body = self.unread_connections[connection]
+            if body.is_eof():
+                del self.unread_connections[connection]
+                self.kept_connections[connection] = asyncio.get_running_loop().time()
+
+    @staticmethod
+    def _find_idle(
+        connections: dict[BoundedConnection, Any], newest: BoundedConnection
+    ) -> BoundedConnection | None:
+        """Return the first connection on which nothing is being sent or worked on."""
+        for connection, _ in zip(connections, range(MOST_IDLE_TRIES), strict=False):
+            if connection is not newest and connection.is_idle:
+                return connection
+        return None
 
     def on_disconnected(self, connection: BoundedConnection) -> None:
         """Stop counting a connection."""
         self.open_connections -= 1
-        self.new_connections.pop(connection, None)
-        self.kept_connections.pop(connection, None)
+        self._forget_idle(connection)
         connection.end_head()
 
     @property
--- a/mulberrygate/daemon/tests/test_bounded_connections.py
+++ b/mulberrygate/daemon/tests/test_bounded_connections.py
@@ -295,6 +295,81 @@
         self.assertEqual((await self.read_answer(reader))[0], 200)
         self.assertEqual((await self.read_answer(busy_reader))[0], 200)
 
+    async def crowd_out(self, crowd):
+        """Connect an ordinary caller and more of a crowd than there is room for; return its status.
+
+        Parameters
+        ==========
+        crowd : bytes
+            What each connection of the crowd sends.
+        """
+        self.http.max_connections = 12
+
+        async def join(number):
+            _, writer = await self.connect()
+            writer.write(crowd.replace(b"NUMBER", b"%d" % number))
+            await asyncio.sleep(0.02)
+
+        for number in range(12):
+            await join(number)
+        reader, writer = await self.connect()
+        for number in range(12, 18):
+            await join(number)
+        writer.write(head("/plain/1", 99, "Content-Length: 0"))
+        self.assertLessEqual(self.http.open_connections, 12)
+        return (await self.read_answer(reader))[0]
+
+    async def test_refused_callers_do_not_keep_a_newcomer_out(self):
+        """Callers refused before their body arrived kept theirs while newcomers were closed."""
+        await self.start()
+        crowd = head("/unknown/1", 0, "Content-Length: 1000").replace(b"id-0", b"id-NUMBER")
+        async with asyncio.timeout(5):
+            self.assertEqual(await self.crowd_out(crowd), 200)
+
+    async def test_kept_connections_do_not_keep_a_newcomer_out(self):
+        """Connections kept after a refusal kept theirs while newcomers were closed."""
+        await self.start()
+        crowd = head("/unknown/1", 0, "Content-Length: 0").replace(b"id-0", b"id-NUMBER")
+        async with asyncio.timeout(5):
+            self.assertEqual(await self.crowd_out(crowd), 200)
+
+    async def test_bodies_that_are_not_sent_do_not_keep_a_newcomer_out(self):
+        """Callers whose body is awaited kept their connections while newcomers were closed."""
+        await self.start()
+        crowd = head("/plain/1", 0, "Content-Length: 1000").replace(b"id-0", b"id-NUMBER")
+        async with asyncio.timeout(5):
+            self.assertEqual(await self.crowd_out(crowd), 200)
+
+    async def test_silent_connections_do_not_keep_a_newcomer_out(self):
+        """Guards against a newcomer that goes before connections that have been silent longer."""
+        await self.start()
+        async with asyncio.timeout(5):
+            self.assertEqual(await self.crowd_out(b""), 200)
+
+    async def test_silent_connections_go_before_kept_ones(self):
+        """Guards against kept connections that go while others have been silent for long."""
+        await self.start()
+        reader, writer = await self.connect()
+        writer.write(head("/plain/1", 0, "Content-Length: 0"))
+        self.assertEqual((await self.read_answer(reader))[0], 200)
+        with mock.patch("mulberrygate.daemon.http_server.NEWCOMER_S", 0.0):
+            async with asyncio.timeout(5):
+                self.assertEqual(await self.crowd_out(b""), 200)
+        writer.write(head("/plain/1", 98, "Content-Length: 0"))
+        self.assertEqual((await self.read_answer(reader))[0], 200)
+
+    async def test_body_that_arrives_after_its_answer(self):
+        """Guards against a sound connection that counts as one whose body is missing."""
+        await self.start()
+        reader, writer = await self.connect()
+        writer.write(head("/unknown/1", 0, "Content-Length: 4"))
+        self.assertEqual((await self.read_answer(reader))[0], 404)
+        self.assertEqual(len(self.http.unread_connections), 1)
+        writer.write(b"body" + head("/plain/1", 1, "Content-Length: 0"))
+        self.assertEqual((await self.read_answer(reader))[0], 200)
+        self.assertEqual(len(self.http.unread_connections), 0)
+        self.assertEqual(len(self.http.kept_connections), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -215,7 +215,8 @@
             TrialClient("entry", 1, peers, self.timers, lambda: "entry"), self.timers, self.lines,
             view_metrics, hedging=self.hedging,
         )  # fmt: skip
-        self.http = HttpServer(make_server(self.forwarder.handle, True), HOST, 0)
+        server = make_server(self.forwarder.handle, True)
+        self.http = HttpServer(server, HOST, 0, gate=self.forwarder.memory)
         await self.http.start()
         self.port = self.http.listener.sockets[0].getsockname()[1]
         for pool, members in endpoints.items():
