forward: an answer that has begun is continued or broken, never joined

On any route, a whole answer in events without an empty last line was broken off.

Cause: each success of the type text/event-stream is passed on piece by piece, and whether another send may follow was decided by the route alone, not by what had left. A resumed stream was believed to go on where it had ended: an endpoint that ignores Last-Event-Id, or whose events have no identifier, started anew. The splitter of streams also held back the text behind the last empty line.

Why this works: once a response has begun, another send follows only on a resumable route after an event with a number, and its first event has to have a higher one before anything of it is passed on. Answers on other routes than streaming ones are passed on as they arrive and never resumed.

Not covered: a gap, since nothing says by how much the numbers rise.

--- a/mulberrygate/forward/delivery.py
+++ b/mulberrygate/forward/delivery.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
 
+from mulberrygate.catalog import RetryPolicy
 from mulberrygate.core.invariant import invariant
 from mulberrygate.core.outcome import Refusal
 from mulberrygate.core.paced_response import whole_response
@@ -17,7 +18,7 @@
 from mulberrygate.forward import codes
 from mulberrygate.forward.attempts import Attempts, SendOutcome
 from mulberrygate.forward.crash_detection import SIGN_OF_LIFE_S
-from mulberrygate.forward.events import EventSplitter, EventTooLong
+from mulberrygate.forward.events import EventSplitter, EventTooLong, NotContinued, TextPasser
 from mulberrygate.forward.exchange import Broken, Exchange, NotSent
 from mulberrygate.forward.failures import Failures, WholeAnswer
 from mulberrygate.forward.hedged_send import HedgedSend
@@ -67,7 +68,8 @@
         self.request = request
         self.attempts = Attempts(call.route)
         self.avoid: list[str] = []
-        self.splitter = EventSplitter()
+        is_stream = call.route.retry_policy is RetryPolicy.STREAM
+        self.splitter = EventSplitter() if is_stream else TextPasser()
         self.response: web.StreamResponse | None = None
         self.failures = Failures(call.route.may_retry)
         self.tickets = 0
@@ -141,13 +143,24 @@
             if answer is not None:
                 return answer
             self.avoid.append(grant.endpoint)
-            if not self.attempts.may_send_again():
+            if not self.attempts.may_send_again() or not self._may_continue():
                 return self._give_up()
             if self.attempts.last_outcome is SendOutcome.UNSENT:
                 await asyncio.sleep(RETRY_PAUSE_S)
             elif self.crash_check is not None:
                 await asyncio.wait({self.crash_check}, timeout=CRASH_CHECK_WAIT_S)
 
+    def _may_continue(self) -> bool:
+        """Return whether another endpoint may go on with the response to the caller.
+
+        Explanation
+        ===========
+        Once a part of an answer has left, that of another run must not follow it, though the call
+        may run again. Only a resumable stream goes on, after its last event.
+        """
+        is_resumable = self.call.route.is_resumable and self.splitter.can_resume
+        return self.response is None or is_resumable
+
     def make_send(self, ticket: Ticket, grant: Grant) -> Send:
         """Return a send of the call on a grant."""
         return Send(ticket, grant, self._describe_send(grant))
@@ -459,7 +472,7 @@
             The stream ended early or does not end.
         """
         splitter, call = self.splitter, self.call
-        splitter.drop_incomplete()
+        splitter.begin_run()
         stride = call.pool.tokens_per_event
         before = splitter.count
         while data := await exchange.read_some():
@@ -501,11 +514,12 @@
         Raises
         ======
         Broken
-            An event exceeds the size limit, or there are more events than requested tokens.
+            An event exceeds the size limit, there are more events than requested tokens, or a
+            resumed stream doesn't go on where it ended.
         """
         try:
             events = self.splitter.feed(data)
-        except EventTooLong as error:
+        except (EventTooLong, NotContinued) as error:
             raise Broken(str(error)) from error
         most = self.call.head.output_tokens
         if most and self.splitter.count - before > most + MAX_TOKENLESS_EVENTS:
--- a/mulberrygate/forward/events.py
+++ b/mulberrygate/forward/events.py
@@ -7,12 +7,17 @@
 ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 BOUNDARY = re.compile(rb"\r?\n\r?\n")
 MAX_EVENT_BYTES = 256 << 10
+MAX_NUMBER_DIGITS = 18
 
 
 class EventTooLong(Exception):
     """An event is larger than `MAX_EVENT_BYTES`."""
 
 
+class NotContinued(Exception):
+    """A stream that was resumed doesn't go on after the last event that was passed on."""
+
+
 class EventSplitter:
     """Splitter that returns complete events, so that a broken stream can be resumed after them.
 
@@ -24,6 +29,10 @@
         Identifier of the last event that had one.
     count : int
         Number of complete events.
+    can_resume : bool
+        Whether the last event had an identifier after which another endpoint can go on.
+    must_continue : bool
+        Whether the next event has to follow the last one, since another endpoint sends it.
 
     Examples
     ========
@@ -39,6 +48,8 @@
         self.incomplete = b""
         self.last_id = ""
         self.count = 0
+        self.can_resume = False
+        self.must_continue = False
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the complete events.
@@ -47,6 +58,8 @@
         ======
         EventTooLong
             The incomplete event at the end exceeds the size limit.
+        NotContinued
+            The first event from another endpoint doesn't state that it follows the last one.
         """
         buffer = self.incomplete + data if self.incomplete else data
         end = 0
@@ -58,12 +71,49 @@
             raise EventTooLong(f"{len(self.incomplete)} bytes without the end of an event")
         return buffer[:end]
 
-    def drop_incomplete(self) -> None:
-        """Discard the incomplete event of a broken stream."""
+    def begin_run(self) -> None:
+        """Discard the incomplete event of a broken stream; the next bytes are another answer's."""
         self.incomplete = b""
+        self.must_continue = self.count > 0
 
     def _record_event(self, event: bytes) -> None:
         found = ID_LINE.search(event)
-        if found:
-            self.last_id = found[1].decode("ascii", "replace").strip()
+        identifier = found[1].decode("ascii", "replace").strip() if found else ""
+        if self.must_continue and not does_follow(identifier, self.last_id):
+            raise NotContinued(f"event {identifier!r} does not follow event {self.last_id!r}")
+        self.must_continue = False
+        self.can_resume = is_event_number(identifier)
+        self.last_id = identifier or self.last_id
+        self.count += 1
+
+
+class TextPasser(EventSplitter):
+    """Passes text of the type of events on as it arrives.
+
+    It is for answers that are no streams by their route. They are never resumed, and need not end
+    with a whole event. Each piece counts as an event.
+    """
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes as they are."""
         self.count += 1
+        return data
+
+
+def is_event_number(identifier: str) -> bool:
+    """Return whether an event's identifier is a number, so that its order is known."""
+    is_number = identifier.isascii() and identifier.isdigit()
+    return is_number and len(identifier) <= MAX_NUMBER_DIGITS
+
+
+def does_follow(identifier: str, earlier: str) -> bool:
+    """Return whether an event comes after another one by their identifiers.
+
+    Examples
+    ========
+    >>> from mulberrygate.forward.events import does_follow
+    >>> does_follow("10", "9"), does_follow("1", "9"), does_follow("", "9")
+    (True, False, False)
+    """
+    are_numbers = is_event_number(identifier) and is_event_number(earlier)
+    return are_numbers and int(identifier) > int(earlier)
