forward: tests of denied copies no longer race with the copy's timer

Cause: a fault of the test. It let the entry stop once the first endpoint had counted the call. If the machine stops the event loop for the 50 ms of the copy's delay before that, the copy is sent first, rightly.

With the change they pass, with stops of 60 and 300 ms.

Why this works: the entry stops, or the call becomes suspected, before the timer of the copy is started. What is checked is the same: the first endpoint's answer, no copy, and one copy denied for this reason.

--- a/mulberrygate/forward/tests/test_hedged_send.py
+++ b/mulberrygate/forward/tests/test_hedged_send.py
@@ -382,29 +382,35 @@
         self.assertLessEqual(min(left_ms), 400 - 1000 * DELAY_S)
         self.assertLessEqual(max(left_ms), 400)
 
+    def before_timer(self, change):
+        """Call a function when a first send is about to start the timer of its copy.
+
+        A change made later may come after the copy, if the machine stops the test for long enough.
+        """
+        find_delay = self.hedging.delay_s
+
+        def delay_s(*arguments):
+            change()
+            return find_delay(*arguments)
+
+        self.hedging.delay_s = delay_s
+
     async def test_planned_stop(self):
         """Guards against a copy that is sent while the entry stops."""
         await self.start()
         self.answer_with(late(3 * DELAY_S, whole(200, b"first")), whole())
-        task = asyncio.ensure_future(self.call())
-        async with asyncio.timeout(5):
-            while not self.calls():  # noqa: ASYNC110
-                await asyncio.sleep(0)
-        self.entry.forwarder.is_closing = True
-        self.assertEqual(await task, (200, b"first"))
+        self.before_timer(lambda: setattr(self.entry.forwarder, "is_closing", True))
+        self.assertEqual(await self.call(), (200, b"first"))
         self.assertEqual((self.results(), self.denied("stopping")), ({}, 1))
 
     async def test_suspected_call(self):
         """Guards against a copy of a call that may crash its endpoint."""
         await self.start()
         self.answer_with(late(3 * DELAY_S, whole(200, b"first")), whole())
-        task = asyncio.ensure_future(self.call())
-        async with asyncio.timeout(5):
-            while not self.calls():  # noqa: ASYNC110
-                await asyncio.sleep(0)
         suspected = Finding(Standing.SUSPECTED, ("part-1",))
-        self.entry.forwarder.suspects.find = lambda call: suspected
-        self.assertEqual(await task, (200, b"first"))
+        suspects = self.entry.forwarder.suspects
+        self.before_timer(lambda: setattr(suspects, "find", lambda call: suspected))
+        self.assertEqual(await self.call(), (200, b"first"))
         self.assertEqual((self.results(), self.denied("suspected")), ({}, 1))
 
     async def test_lack_of_room(self):
