forward: pieces of text in events count as events only where one ends

Cause: TextPasser counted pieces as events.

Why this works: it counts the ends of events, also those that are cut between two pieces, and the event that has begun; its doctest has such a cut.

--- a/mulberrygate/forward/events.py
+++ b/mulberrygate/forward/events.py
@@ -6,6 +6,7 @@
 
 ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 BOUNDARY = re.compile(rb"\r?\n\r?\n")
+LONGEST_BOUNDARY = 4
 MAX_EVENT_BYTES = 256 << 10
 MAX_NUMBER_DIGITS = 18
 
@@ -91,12 +92,26 @@
     """Passes text of the type of events on as it arrives.
 
     It is for answers that are no streams by their route. They are never resumed, and need not end
-    with a whole event. Each piece counts as an event.
+    with a whole event. The event that has begun counts as well.
+
+    Examples
+    ========
+    >>> from mulberrygate.forward.events import TextPasser
+    >>> passer = TextPasser()
+    >>> passer.feed(b"data: a\\n"), passer.feed(b"\\ndata: b"), passer.count
+    (b'data: a\\n', b'\\ndata: b', 2)
     """
 
+    def __init__(self):
+        super().__init__()
+        self.tail = b""
+
     def feed(self, data: bytes) -> bytes:
         """Return the bytes as they are."""
-        self.count += 1
+        text = self.tail + data
+        ends = [match.end() for match in BOUNDARY.finditer(text)]
+        self.count = max(1, self.count) + sum(end > len(self.tail) for end in ends)
+        self.tail = text[-LONGEST_BOUNDARY + 1 :]
         return data
 
 
