daemon: idle connections in a class of their own; bodies that move stay

HttpServer had grown by three lists of idle connections and the search in them; they are in IdleConnections now, with the same behaviour.

Seen by reading: while connections are short, the body that was begun first was ended, also one that arrives, though others send nothing. The new test of MemoryPool fails before for this order; the one of the server guards the same over a connection.

--- a/mulberrygate/core/memory_budget.py
+++ b/mulberrygate/core/memory_budget.py
@@ -289,9 +289,10 @@
         return found or self._list_slow(now)
 
     def find_oldest(self) -> Holder | None:
-        """Return the holder whose data is still moving and has made no progress for longest."""
+        """Return the holder whose data hasn't moved for longest, first one that has sent none."""
         paced = [holder for holder in self.holders if holder.is_paced and not holder.wanted]
-        return min(paced, key=lambda holder: holder.marked_at, default=None)
+        has_moved = {holder: holder.moved > holder.marked for holder in paced}
+        return min(paced, key=lambda holder: (has_moved[holder], holder.marked_at), default=None)
 
     def _list_slow(self, now: float) -> list[Holder]:
         """Return the slow holders to end for the next that waits, which takes less than they do.
--- a/mulberrygate/core/tests/test_memory_budget.py
+++ b/mulberrygate/core/tests/test_memory_budget.py
@@ -172,6 +172,19 @@
         self.ask("b", MB)
         self.assertEqual(self.pool.list_stalled(100.0), [])
 
+    def test_oldest_holder_is_one_that_sends_nothing(self):
+        """Guards against a body that arrives and ends before one of which nothing comes."""
+        moving, _ = self.ask("a", 1000)
+        silent, _ = self.ask("b", 1000)
+        waiting, _ = self.ask("c", 1000)
+        self.assertIsNone(self.pool.find_oldest())
+        moving.begin_paced(1.0)
+        silent.begin_paced(2.0)
+        self.assertIs(self.pool.find_oldest(), moving)
+        moving.moved += 1
+        self.assertIs(self.pool.find_oldest(), silent)
+        self.assertFalse(waiting.is_paced)
+
     def test_largest_group_goes_first_and_no_more_than_needed(self):
         """Guards against callers that are closed for the sake of one that holds more."""
         one, _ = self.ask("one", 2 * MB)
--- a/mulberrygate/daemon/http_server.py
+++ b/mulberrygate/daemon/http_server.py
@@ -12,6 +12,7 @@
 from mulberrygate.catalog import RequestLimits
 from mulberrygate.core.memory_gate import DEFAULT_MEMORY_BYTES, MemoryGate
 from mulberrygate.daemon.bounded_connection import BoundedConnection
+from mulberrygate.daemon.idle_connections import IdleConnections
 from mulberrygate.daemon.sockets import BACKLOG
 
 MAX_LINE_BYTES = 16384
@@ -35,8 +36,6 @@
 # Bytes of chunk framing, five or more for each chunk, that are parsed in a second for all bodies
 # which consist mostly of it.
 FRAMING_BYTES_PER_S = 256 << 10
-# Idle connections that are looked at when one has to go.
-MOST_IDLE_TRIES = 32
 # A connection on which nothing has come for this time goes before one that is kept for further
 # requests. A younger one may belong to a caller whose request is still on its way.
 NEWCOMER_S = 1.0
@@ -121,12 +120,8 @@
         Connections that have had at least one request.
     silent_since : dict[Any, float]
         Connections without any request so far, with the time at which they were first seen.
-    new_connections, kept_connections : dict[BoundedConnection, float]
-        Connections without a request so far, and those without a request at present, the longest
-        idle first, with the time since when.
-    unread_connections : dict[BoundedConnection, tuple[float, Any]]
-        Connections whose request was answered before its body had arrived, the longest answered
-        first, with the time of the answer and the body. The HTTP library waits for the rest of it.
+    idle : IdleConnections
+        Connections without a request in work.
     unfinished_heads : dict
         Connections that have sent a part of a head, the oldest first.
     head_bytes, ahead_bytes : int
@@ -151,9 +146,7 @@
         self.connection_class = connection_class
         self.gate = gate or MemoryGate(DEFAULT_MEMORY_BYTES)
         self.max_connections = self.gate.limit_connections(max_connections)
-        self.new_connections: dict[BoundedConnection, float] = {}
-        self.kept_connections: dict[BoundedConnection, float] = {}
-        self.unread_connections: dict[BoundedConnection, tuple[float, Any]] = {}
+        self.idle = IdleConnections()
         self.unfinished_heads: dict[BoundedConnection, None] = {}
         self.head_bytes = 0
         self.ahead_bytes = 0
@@ -171,7 +164,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.active_connections.add(request.protocol)
         self.used_connections.add(request.protocol)
-        self._forget_idle(request.protocol)
+        self.idle.forget(request.protocol)
         try:
             return await self.handler(request)
         finally:
@@ -184,16 +177,12 @@
         """Record that a connection has no request in work any more."""
         now = asyncio.get_running_loop().time()
         if request.content.is_eof():
-            self.kept_connections[request.protocol] = now
+            self.idle.kept[request.protocol] = now
             return
         if self.is_short:
             request.protocol.skip_rest_of_body()
         else:
-            self.unread_connections[request.protocol] = now, request.content
-
-    def _forget_idle(self, connection: BoundedConnection) -> None:
-        for connections in (self.new_connections, self.kept_connections, self.unread_connections):
-            connections.pop(connection, None)
+            self.idle.unread[request.protocol] = now, request.content
 
     def _make_connection(self) -> BoundedConnection:
         loop = asyncio.get_running_loop()
@@ -201,7 +190,7 @@
 
     def on_connected(self, connection: BoundedConnection) -> None:
         """Count a new connection; make room for it, or close it if there is none."""
-        self.new_connections[connection] = asyncio.get_running_loop().time()
+        self.idle.new[connection] = asyncio.get_running_loop().time()
         self.open_connections += 1
         if (
             self.is_short
@@ -227,12 +216,12 @@
         no progress for longest. So however many connections say nothing, a caller that has just
         connected keeps its place for as long as it takes to open all the others anew.
         """
-        silent = self._find_silent(newest)
         now = asyncio.get_running_loop().time()
+        silent = self.idle.find_silent(newest, now)
         if silent is not None and now - silent[0] >= NEWCOMER_S:
             self._close_idle(silent[1])
             return True
-        kept = self._find_idle(self.kept_connections, newest)
+        kept = self.idle.find_kept(newest)
         if kept is not None:
             self._close_idle(kept)
             return True
@@ -248,47 +237,14 @@
         return True
 
     def _close_idle(self, connection: BoundedConnection) -> None:
-        self._forget_idle(connection)
+        self.idle.forget(connection)
         connection.force_close()
         self.gate.count("idle_closed")
 
-    def _find_silent(self, newest: BoundedConnection) -> tuple[float, BoundedConnection] | None:
-        """Return the connection on which a head or the rest of a body is missing for longest."""
-        self._move_read_bodies()
-        found = [
-            (self.new_connections[connection], connection)
-            for connection in [self._find_idle(self.new_connections, newest)]
-            if connection is not None
-        ]
-        connection = self._find_idle(self.unread_connections, newest)
-        if connection is not None:
-            found.append((self.unread_connections[connection][0], connection))
-        return min(found, key=lambda item: item[0], default=None)
-
-    def _move_read_bodies(self) -> None:
-        """Count connections whose body has arrived since the answer as kept ones."""
-        for connection, _ in zip(
-            list(self.unread_connections), range(MOST_IDLE_TRIES), strict=False
-        ):
-            _, body = self.unread_connections[connection]
-            if body.is_eof():
-                del self.unread_connections[connection]
-                self.kept_connections[connection] = asyncio.get_running_loop().time()
-
-    @staticmethod
-    def _find_idle(
-        connections: dict[BoundedConnection, Any], newest: BoundedConnection
-    ) -> BoundedConnection | None:
-        """Return the first connection on which nothing is being sent or worked on."""
-        for connection, _ in zip(connections, range(MOST_IDLE_TRIES), strict=False):
-            if connection is not newest and connection.is_idle:
-                return connection
-        return None
-
     def on_disconnected(self, connection: BoundedConnection) -> None:
         """Stop counting a connection."""
         self.open_connections -= 1
-        self._forget_idle(connection)
+        self.idle.forget(connection)
         connection.end_head()
 
     @property
--- a/mulberrygate/daemon/tests/test_bounded_connections.py
+++ b/mulberrygate/daemon/tests/test_bounded_connections.py
@@ -340,6 +340,17 @@
         async with asyncio.timeout(5):
             self.assertEqual(await self.crowd_out(crowd), 200)
 
+    async def test_body_that_arrives_stays_beside_others_that_do_not(self):
+        """Guards against a body in transfer that is ended for newcomers in place of silent ones."""
+        await self.start()
+        reader, writer = await self.connect()
+        writer.write(head("/plain/1", 97, "Content-Length: 2000") + bytes(1000))
+        crowd = head("/plain/1", 0, "Content-Length: 1000").replace(b"id-0", b"id-NUMBER")
+        async with asyncio.timeout(5):
+            self.assertEqual(await self.crowd_out(crowd), 200)
+            writer.write(bytes(1000))
+            self.assertEqual((await self.read_answer(reader))[0], 200)
+
     async def test_silent_connections_do_not_keep_a_newcomer_out(self):
         """Guards against a newcomer that goes before connections that have been silent longer."""
         await self.start()
@@ -364,11 +375,11 @@
         reader, writer = await self.connect()
         writer.write(head("/unknown/1", 0, "Content-Length: 4"))
         self.assertEqual((await self.read_answer(reader))[0], 404)
-        self.assertEqual(len(self.http.unread_connections), 1)
+        self.assertEqual(len(self.http.idle.unread), 1)
         writer.write(b"body" + head("/plain/1", 1, "Content-Length: 0"))
         self.assertEqual((await self.read_answer(reader))[0], 200)
-        self.assertEqual(len(self.http.unread_connections), 0)
-        self.assertEqual(len(self.http.kept_connections), 1)
+        self.assertEqual(len(self.http.idle.unread), 0)
+        self.assertEqual(len(self.http.idle.kept), 1)
 
 
 if __name__ == "__main__":
