--- a/mulberrygate/forward/tests/support.py
+++ b/mulberrygate/forward/tests/support.py
@@ -84,6 +84,20 @@
     }
 
 
+# Requests of each route of `document_of_each_kind`, and the pools of the routes.
+PATHS = ("/plain/1", "/read/1", "/stream/1", "/resumable/1")
+POOLS = {"plain": "booking", "read": "booking", "stream": "care", "resumable": "care"}
+
+
+def document_of_each_kind(**route):
+    """Return a document like `document`, with a route whose streams are resumed as well."""
+    fields = document(**route)
+    stream = next(item for item in fields["routes"] if item["name"] == "stream")
+    resumable = {"name": "resumable", "pathPrefix": "/resumable/", "resumable": True}
+    fields["routes"].append({**stream, **resumable})
+    return fields
+
+
 class Endpoint:
     """Endpoint whose answers are written by a function that gets the raw request head."""
 
--- a/mulberrygate/forward/tests/test_broken_streams.py
+++ b/mulberrygate/forward/tests/test_broken_streams.py
@@ -11,10 +11,16 @@
 from hypothesis import strategies as st
 
 from mulberrygate.forward.events import MAX_EVENT_BYTES
-from mulberrygate.forward.tests.support import SIGNATURE, Endpoint, Entry, document, identifier
+from mulberrygate.forward.tests.support import (
+    PATHS,
+    POOLS,
+    SIGNATURE,
+    Endpoint,
+    Entry,
+    document_of_each_kind,
+    identifier,
+)
 
-PATHS = ("/plain/1", "/read/1", "/stream/1", "/resumable/1")
-POOLS = {"plain": "booking", "read": "booking", "stream": "care", "resumable": "care"}
 EVENTS = 4
 
 
@@ -88,15 +94,6 @@
             writer.transport.abort()
 
 
-def make_document():
-    """Return a catalog document with a route of each kind."""
-    fields = document()
-    stream = next(route for route in fields["routes"] if route["name"] == "stream")
-    resumable = {"name": "resumable", "pathPrefix": "/resumable/", "resumable": True}
-    fields["routes"].append({**stream, **resumable})
-    return fields
-
-
 @attrs.frozen
 class Outcome:
     """What a caller got: whether the answer is complete, its status, body and signature."""
@@ -111,7 +108,7 @@
 
 async def ask(path, runs):
     """Send a request through a new entry whose endpoints answer with the given runs."""
-    entry = Entry(make_document())
+    entry = Entry(document_of_each_kind())
     endpoints = [RunEndpoint(f"e{number}", run) for number, run in enumerate(runs)]
     try:
         await entry.start(**{POOLS[path.split("/")[1]]: endpoints})
--- a/mulberrygate/forward/tests/test_promises.py
+++ b/mulberrygate/forward/tests/test_promises.py
@@ -15,12 +15,14 @@
 from mulberrygate.forward.codes import AMBIGUOUS_REJECTION
 from mulberrygate.forward.dialer import connect_directly
 from mulberrygate.forward.tests.support import (
+    PATHS,
+    POOLS,
     REQUEST_ID,
     SIGNATURE,
     CutLinks,
     Endpoint,
     Entry,
-    document,
+    document_of_each_kind,
 )
 from mulberrygate.forward.tunnel import TunnelServer
 from mulberrygate.standin.local import free_ports
@@ -28,9 +30,7 @@
 HELPER = "127.0.0.53"
 NOT_RUN = "X-Mulberrygate-Not-Executed: 1"
 NOTICES = ("Retry-After: 1", "Server-Leaving: 1", "Server-Limit: 50")
-PATHS = ("/plain/1", "/read/1", "/stream/1", "/resumable/1")
 REPEATABLE = ("/read/1", "/resumable/1")
-POOLS = {"plain": "booking", "read": "booking", "stream": "care", "resumable": "care"}
 
 
 @attrs.frozen
@@ -85,15 +85,6 @@
         await writer.drain()
 
 
-def make_document(attempts):
-    """Return a catalog document with a route of each kind."""
-    fields = document(maxAttempts=attempts)
-    stream = next(route for route in fields["routes"] if route["name"] == "stream")
-    resumable = {"name": "resumable", "pathPrefix": "/resumable/", "resumable": True}
-    fields["routes"].append({**stream, **resumable})
-    return fields
-
-
 @attrs.frozen
 class Outcome:
     """What the caller of a request got, and what its endpoints did."""
@@ -108,7 +99,7 @@
 
 async def ask(path, scripts, attempts=2, is_tunnelled=False, **headers):
     """Send a request through a new entry whose endpoints have the given scripts."""
-    entry = Entry(make_document(attempts))
+    entry = Entry(document_of_each_kind(maxAttempts=attempts))
     endpoints = [ScriptedEndpoint(f"e{n}", script) for n, script in enumerate(scripts)]
     tunnels = None
     try:
